--- /dev/null
+++ b/sesamecross/__init__.py
@@ -0,0 +1,1 @@
+"""sesamecross: serves many models on fewer accelerators."""
--- /dev/null
+++ b/sesamecross/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records and small rules that all other packages speak."""
--- /dev/null
+++ b/sesamecross/core/hlc.py
@@ -0,0 +1,61 @@
+"""A hybrid logical clock, to order events over processes.
+
+Why: clocks of instances differ by minutes, and a time line sorted by wall
+clock would show an answer before its question. A stamp is a pair of wall
+milliseconds and a counter that never goes back and always exceeds each stamp
+received, so that cause sorts before effect.
+"""
+
+import dataclasses
+
+from sesamecross.core import clock as clock_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Stamp:
+    """A point in the order of events."""
+
+    wall_ms: int
+    count: int
+
+    def as_text(self) -> str:
+        """Returns the form used in headers between processes."""
+        return f"{self.wall_ms}.{self.count}"
+
+
+def stamp_from_text(text: str) -> Stamp | None:
+    """Returns the stamp in `text`, or None where it holds none."""
+    wall, _, count = text.partition(".")
+    if not (wall.isdecimal() and count.isdecimal()):
+        return None
+    return Stamp(int(wall), int(count))
+
+
+# A stamp further ahead than this is not believed: one broken clock must not
+# drag the order of every process into the future.
+MAX_AHEAD_MS = 10 * 60 * 1000
+
+
+class HybridClock:
+    """Hands out stamps and merges those received. Not safe for threads."""
+
+    __slots__ = ("_clock", "_last")
+
+    def __init__(self, clock: clock_lib.Clock):
+        self._clock = clock
+        self._last = Stamp(0, 0)
+
+    def now(self) -> Stamp:
+        """Returns a stamp that exceeds all handed out or received."""
+        wall = self._clock.wall_ms()
+        if wall > self._last.wall_ms:
+            self._last = Stamp(wall, 0)
+        else:
+            self._last = Stamp(self._last.wall_ms, self._last.count + 1)
+        return self._last
+
+    def receive(self, stamp: Stamp) -> None:
+        """Makes all later stamps exceed `stamp`, unless it is absurd."""
+        if stamp.wall_ms > self._clock.wall_ms() + MAX_AHEAD_MS:
+            return
+        self._last = max(self._last, stamp)
--- /dev/null
+++ b/sesamecross/devtools/__init__.py
@@ -0,0 +1,1 @@
+"""Runner and measurements; scaffolding, not product."""
--- /dev/null
+++ b/sesamecross/devtools/deployment.py
@@ -0,0 +1,372 @@
+"""A small deployment on loopback: fakes, stewards and entries.
+
+Why: one description serves the demo, `make up`, integration tests and
+measurements. Addresses are given to the example's folder by one more file at
+its end, as an operator would override them.
+"""
+
+import dataclasses
+import pathlib
+import shutil
+import time
+
+import tomli_w
+
+from sesamecross.core import data
+from sesamecross.devtools import processes
+from sesamecross.parser import folder as folder_lib
+from sesamecross.utils import digest
+
+HOST = "127.0.0.1"
+SHARED_KEY = "loopback-deployment-shared-key"
+CALLER_KEY = "loopback-caller-key"
+OTHER_CALLER_KEY = "loopback-other-caller-key"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """What to start.
+
+    Attributes:
+      example: Folder of declarations to start from.
+      entries_per_zone: Entry instances in each availability zone.
+      proxied: Whether all links between processes lead through the fault
+        proxy.
+      extra: Further declarations, merged last.
+    """
+
+    example: pathlib.Path
+    entries_per_zone: int = 2
+    proxied: bool = False
+    extra: dict = dataclasses.field(default_factory=dict)
+    engine_flags: tuple[str, ...] = ()
+    log_flags: tuple[str, ...] = ()
+    store_flags: tuple[str, ...] = ("--load-s", "0.2")
+    service_flags: tuple[str, ...] = ()
+    steward_settings: dict = dataclasses.field(default_factory=dict)
+    entry_settings: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """Addresses of one entry instance."""
+
+    name: str
+    zone: str
+    region: str
+    entry_address: str
+    steward_address: str
+    steward_http: str
+
+    @property
+    def entry_url(self) -> str:
+        """Where callers reach it."""
+        return f"http://{self.entry_address}"
+
+
+class Deployment:
+    """Starts, names and stops the processes."""
+
+    def __init__(self, shape: Shape, work: pathlib.Path):
+        self.shape = shape
+        self.work = work
+        self.config_dir = work / "config"
+        self.processes: dict[str, processes.Process] = {}
+        self.instances: list[Instance] = []
+        self.engine_urls: dict[str, str] = {}
+        self.service_urls: dict[str, str] = {}
+        self._prepare()
+
+    # -- addresses -------------------------------------------------------
+
+    def _prepare(self) -> None:
+        shutil.rmtree(self.work, ignore_errors=True)
+        self.config_dir.mkdir(parents=True)
+        (self.work / "logs").mkdir()
+        for path in sorted(self.shape.example.glob("*.toml")):
+            shutil.copy(path, self.config_dir / path.name)
+        checked = folder_lib.check(self.config_dir)
+        if checked.declarations is None:
+            raise ValueError("\n".join(map(str, checked.problems)))
+        self._declared = checked.declarations
+        upstreams = list(self._declared.upstreams.values())
+        zones = list(self._declared.zones.values())
+        count = len(upstreams) + 4 + 3 * len(zones) * 5
+        self._ports = iter(processes.free_ports(count * 2))
+        self.log_url = f"http://{self._address()}"
+        self.store_url = f"http://{self._address()}"
+        self.instances_url = f"http://{self._address()}"
+        self.proxy_url = f"http://{self._address()}"
+        self._links: dict[str, str] = {}
+        self._place_upstreams(upstreams)
+        self._place_instances(zones)
+        self._write_overrides()
+
+    def _address(self) -> str:
+        return f"{HOST}:{next(self._ports)}"
+
+    def _place_upstreams(self, upstreams: list[data.Upstream]) -> None:
+        for upstream in upstreams:
+            url = f"http://{self._address()}"
+            if upstream.kind is data.UpstreamKind.ENGINE:
+                self.engine_urls[upstream.name] = url
+            else:
+                self.service_urls[upstream.name] = url
+
+    def _place_instances(self, zones: list[data.Zone]) -> None:
+        for zone in zones:
+            for number in range(1, self.shape.entries_per_zone + 1):
+                self.instances.append(
+                    Instance(
+                        f"{zone.name}-entry-{number}",
+                        zone.name,
+                        zone.region,
+                        self._address(),
+                        self._address(),
+                        self._address(),
+                    )
+                )
+
+    def via_proxy(self, link: str, address: str) -> str:
+        """Returns where `address` is reached, through the proxy if asked."""
+        if not self.shape.proxied:
+            return address
+        if link not in self._links:
+            self._links[link] = f"{self._address()}>{address}"
+        return self._links[link].partition(">")[0]
+
+    def _proxied_url(self, link: str, url: str) -> str:
+        return "http://" + self.via_proxy(link, url.removeprefix("http://"))
+
+    def _write_overrides(self) -> None:
+        upstreams = {}
+        for name, url in (self.engine_urls | self.service_urls).items():
+            upstreams[name] = {"url": self._proxied_url(name, url)}
+        first_zone = next(iter(self._declared.zones))
+        callers = {
+            "loopback": {
+                "key_digest": digest.of_bearer_key(CALLER_KEY),
+                "home_zone": first_zone,
+                "models": ["*"],
+                "services": ["*"],
+                "concurrency": 1000,
+            },
+            "loopback-other": {
+                "key_digest": digest.of_bearer_key(OTHER_CALLER_KEY),
+                "home_zone": first_zone,
+                "services": ["*"],
+            },
+        }
+        overrides = {"upstreams": upstreams, "callers": callers}
+        path = self.config_dir / "90-loopback.toml"
+        path.write_text(tomli_w.dumps(overrides))
+        if self.shape.extra:
+            path = self.config_dir / "95-extra.toml"
+            path.write_text(tomli_w.dumps(self.shape.extra))
+        checked = folder_lib.check(self.config_dir)
+        if checked.declarations is None:
+            raise ValueError("\n".join(map(str, checked.problems)))
+        self._declared = checked.declarations
+
+    @property
+    def declared(self) -> data.Declarations:
+        """The folder's declarations."""
+        return self._declared
+
+    # -- processes -------------------------------------------------------
+
+    def _start(self, name: str, command: list[str]) -> processes.Process:
+        log_path = self.work / "logs" / f"{name}.log"
+        process = processes.Process(name, command, log_path)
+        self.processes[name] = process
+        return process
+
+    def start_fakes(self) -> None:
+        """Starts the platform's and upstreams' fakes and waits for them."""
+        self._start_platform()
+        for name in self.engine_urls:
+            self.start_engine(name)
+        for name, url in self.service_urls.items():
+            self._start(
+                f"service-{name}",
+                processes.command(
+                    "fake_service",
+                    "--listen",
+                    url.removeprefix("http://"),
+                    "--name",
+                    name,
+                    *self.shape.service_flags,
+                ),
+            )
+        if self.shape.proxied:
+            self._prepare_instance_links()
+            self._start_proxy()
+        urls = [self.log_url, self.store_url, self.instances_url]
+        urls += [*self.engine_urls.values(), *self.service_urls.values()]
+        for url in urls:
+            processes.wait_http(f"{url}/healthz")
+
+    def _start_platform(self) -> None:
+        shape = self.shape
+        for role, url, flags in (
+            ("log", self.log_url, shape.log_flags),
+            ("store", self.store_url, shape.store_flags),
+            ("instances", self.instances_url, ()),
+        ):
+            listen = url.removeprefix("http://")
+            command = processes.command(
+                f"fake_{role}", "--listen", listen, "--name", role, *flags
+            )
+            self._start(role, command)
+
+    def start_engine(self, name: str) -> processes.Process:
+        """Starts one fake engine."""
+        upstream = self._declared.upstreams[name]
+        flags = [
+            "--listen",
+            self.engine_urls[name].removeprefix("http://"),
+            "--name",
+            name,
+            "--memory-mib",
+            str(upstream.memory_mib),
+            "--store-url",
+            self.store_url,
+            *self.shape.engine_flags,
+        ]
+        if upstream.checks_fencing:
+            flags.append("--checks-fencing")
+        return self._start(
+            f"engine-{name}", processes.command("fake_engine", *flags)
+        )
+
+    def _prepare_instance_links(self) -> None:
+        for instance in self.instances:
+            self._log_url_of(instance)
+            self.via_proxy(f"peer-{instance.name}", instance.steward_address)
+
+    def _start_proxy(self) -> None:
+        flags = ["--listen", self.proxy_url.removeprefix("http://")]
+        for name, link in self._links.items():
+            flags += ["--link", f"{name}={link}"]
+        self._start("proxy", processes.command("fault_proxy", *flags))
+        processes.wait_http(f"{self.proxy_url}/healthz")
+
+    def _log_url_of(self, instance: Instance) -> str:
+        return self._proxied_url(f"log-{instance.name}", self.log_url)
+
+    def start_instances(self) -> None:
+        """Lists and starts all stewards and entries."""
+        for instance in self.instances:
+            self.list_instance(instance, "live", at_once=True)
+        for instance in self.instances:
+            self.start_steward(instance)
+            self.start_entry(instance)
+
+    def list_instance(
+        self, instance: Instance, state: str, at_once: bool = False
+    ) -> None:
+        """Sets an instance's line in the platform's list."""
+        address = self.via_proxy(
+            f"peer-{instance.name}", instance.steward_address
+        )
+        processes.post_json(
+            f"{self.instances_url}/fake/set",
+            {
+                "instance": instance.name,
+                "zone": instance.zone,
+                "address": address,
+                "state": state,
+                "at_once": at_once,
+            },
+        )
+
+    def start_steward(self, instance: Instance) -> processes.Process:
+        """Starts an instance's steward."""
+        advertised = self.via_proxy(
+            f"peer-{instance.name}", instance.steward_address
+        )
+        settings = {
+            "instance": instance.name,
+            "zone": instance.zone,
+            "region": instance.region,
+            "listen": instance.steward_address,
+            "advertise": advertised,
+            "metrics_listen": instance.steward_http,
+            "log_url": self._log_url_of(instance),
+            "instances_url": self.instances_url,
+            "shared_key": SHARED_KEY,
+            **self.shape.steward_settings,
+        }
+        return self._start_with("steward", instance, settings)
+
+    def start_entry(self, instance: Instance) -> processes.Process:
+        """Starts an instance's entry."""
+        settings = {
+            "instance": instance.name,
+            "zone": instance.zone,
+            "region": instance.region,
+            "listen": instance.entry_address,
+            "steward": instance.steward_address,
+            "shared_key": SHARED_KEY,
+            "balancer_lag_ms": 300,
+            **self.shape.entry_settings,
+        }
+        return self._start_with("entry", instance, settings)
+
+    def _start_with(
+        self, role: str, instance: Instance, settings: dict
+    ) -> processes.Process:
+        path = self.work / f"{role}-{instance.name}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return self._start(
+            f"{role}-{instance.name}",
+            processes.command(role, "--settings", str(path)),
+        )
+
+    def wait_ready(self, timeout_s: float = processes.READY_S) -> None:
+        """Waits until every entry is ready for calls."""
+        for instance in self.instances:
+            processes.wait_http(f"{instance.entry_url}/readyz", timeout_s)
+
+    def wait_resident(self, names: set[str], timeout_s: float = 25.0) -> float:
+        """Waits until each name is resident on some engine.
+
+        Returns:
+          Seconds that it took.
+
+        Raises:
+          NotReady: Some are still missing.
+        """
+        began = time.monotonic()
+        while True:
+            resident: set[str] = set()
+            for url in self.engine_urls.values():
+                stats = processes.get_json(f"{url}/fake/stats")
+                resident.update(stats["resident"])
+            missing = names - resident
+            if not missing:
+                return time.monotonic() - began
+            if time.monotonic() - began > timeout_s:
+                raise processes.NotReady(f"not resident: {sorted(missing)}")
+            time.sleep(0.1)
+
+    def fault(self, link: str, **faults: object) -> None:
+        """Sets faults on a link of the proxy."""
+        body = {"link": link, **faults}
+        processes.post_json(f"{self.proxy_url}/fake/faults", body)
+
+    def stop(self) -> dict[str, int | None]:
+        """Stops all gracefully, callers' side first; returns exit codes."""
+        codes: dict[str, int | None] = {}
+        for role in ("entry", "steward", ""):
+            group = [
+                process
+                for name, process in self.processes.items()
+                if name.startswith(role) and name not in codes
+            ]
+            for process in group:
+                process.terminate()
+            for process in group:
+                codes[process.name] = process.wait()
+                process.kill()
+        return codes
--- /dev/null
+++ b/sesamecross/devtools/processes.py
@@ -0,0 +1,120 @@
+"""Starts and stops the processes of a deployment on loopback.
+
+Why: the demo, `make up` and integration tests play the platform. This is
+scaffolding: no program of the product starts another.
+"""
+
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+
+import urllib3
+
+STOP_S = 20.0
+READY_S = 25.0
+
+
+class NotReady(Exception):
+    """A process did not become ready in time."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports on loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+class Process:
+    """One process of a deployment."""
+
+    __slots__ = ("name", "popen", "log_path", "command")
+
+    def __init__(self, name: str, command: list[str], log_path: pathlib.Path):
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        with log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                # An interrupt at the terminal reaches the runner only, which
+                # then stops everything in order.
+                start_new_session=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self.popen.pid
+
+    def is_running(self) -> bool:
+        """Tells whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def terminate(self) -> None:
+        """Asks for a graceful stop."""
+        if self.is_running():
+            self.popen.terminate()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self.is_running():
+            self.popen.kill()
+
+    def wait(self, timeout_s: float = STOP_S) -> int | None:
+        """Returns the exit code, or None if it did not end in time."""
+        try:
+            return self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def log_text(self) -> str:
+        """Returns what the process wrote so far."""
+        return self.log_path.read_text(errors="replace")
+
+
+def command(module: str, *flags: str) -> list[str]:
+    """Returns the command that runs one of the project's scripts."""
+    return [sys.executable, "-m", f"sesamecross.scripts.{module}", *flags]
+
+
+_http = urllib3.PoolManager(
+    retries=False, timeout=urllib3.Timeout(connect=0.5, read=5.0), maxsize=32
+)
+
+
+def get_json(url: str) -> object:
+    """Returns the JSON at `url`."""
+    return _http.request("GET", url).json()
+
+
+def post_json(url: str, body: object) -> object:
+    """Posts JSON and returns the JSON that comes back."""
+    return _http.request("POST", url, json=body).json()
+
+
+def wait_http(url: str, timeout_s: float = READY_S) -> None:
+    """Waits until `url` answers 200.
+
+    Raises:
+      NotReady: It did not in time.
+    """
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        try:
+            if _http.request("GET", url).status == 200:
+                return
+        except urllib3.exceptions.HTTPError:
+            pass
+        time.sleep(0.05)
+    raise NotReady(f"{url} did not answer 200 within {timeout_s} s")
--- /dev/null
+++ b/sesamecross/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that relays calls between callers and upstreams."""
--- /dev/null
+++ b/sesamecross/entry/app.py
@@ -0,0 +1,130 @@
+"""The entry's application object: owns its parts, their start and end."""
+
+import asyncio
+import os
+import random
+import sys
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.entry import http_app
+from sesamecross.entry import model_desk
+from sesamecross.entry import service_call
+from sesamecross.entry import state as state_lib
+from sesamecross.entry import steward_link
+from sesamecross.ops import routing
+from sesamecross.ops import timeline
+from sesamecross.parser import settings as settings_lib
+from sesamecross.ports import engine_http
+from sesamecross.ports import service_http
+from sesamecross.runtime import http_server
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import supervisor
+
+# Relay threads hand small pieces around; the default interval of 5 ms would
+# show in the time between tokens.
+SWITCH_INTERVAL_S = 0.001
+DRAIN_STEP_S = 0.05
+DRAIN_SAY_S = 2.0
+
+
+class EntryApp:
+    """Everything that one entry process owns."""
+
+    def __init__(
+        self, settings: settings_lib.EntrySettings, clock: clock_lib.Clock
+    ):
+        self._settings = settings
+        self._logger = logs.part("entry")
+        self.recorder = timeline.Recorder(
+            f"entry/{settings.instance}", settings.zone, clock
+        )
+        rng = random.Random(os.urandom(8))
+        place = routing.Place(settings.zone, settings.region, {})
+        self._state = state_lib.EntryState(self.recorder)
+        self._desk = model_desk.ModelDesk(
+            place, routing.Estimated(), clock, rng
+        )
+        self._link = steward_link.StewardLink(
+            settings, self.recorder, self._on_view, self._state.take_demand
+        )
+        self._engines = engine_http.HttpEngine(settings.threads)
+        services = service_call.ServiceDesk(
+            settings.zone,
+            self._state,
+            self._link,
+            service_http.HttpService(settings.threads),
+            clock,
+            self.recorder,
+            rng,
+        )
+        app = http_app.HttpApp(
+            settings,
+            self._state,
+            self._desk,
+            services,
+            self._engines,
+            clock,
+            self.recorder,
+            metrics_lib.Metrics(),
+            rng,
+        )
+        limits = http_server.Limits(
+            settings.threads,
+            settings.max_connections,
+            settings.max_head_bytes,
+            settings.max_body_bytes,
+            settings.caller_idle_ms // 1000,
+        )
+        self._http = http_server.HttpServer(
+            "http", settings.listen, app, limits
+        )
+
+    @classmethod
+    def from_settings(cls, settings: settings_lib.EntrySettings) -> "EntryApp":
+        """Returns an application on the machine's clock."""
+        return cls(settings, clock_lib.SystemClock())
+
+    def components(self) -> list[supervisor.Component]:
+        """Returns the parts in the order of their start."""
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
+        self._desk.start()
+        return [self._link, self._http]
+
+    async def drain(self) -> None:
+        """Lets the balancer notice, then lets open calls finish.
+
+        Readiness fails first. New calls are still taken while the balancer
+        may send them, then they are refused as not run.
+        """
+        self._state.stopping = True
+        self.recorder.add(timeline.EventKind.DRAIN, "readiness fails")
+        await asyncio.sleep(self._settings.balancer_lag_ms / 1000)
+        self._state.refusing = True
+        left_s = self._settings.drain_ms / 1000
+        said_s = DRAIN_SAY_S
+        while self._state.active and left_s > 0:
+            await asyncio.sleep(DRAIN_STEP_S)
+            left_s -= DRAIN_STEP_S
+            said_s -= DRAIN_STEP_S
+            if said_s <= 0:
+                said_s = DRAIN_SAY_S
+                self._logger.info("draining", open_calls=self._state.active)
+        if self._state.active:
+            self._logger.error(
+                "calls are cut off, the drain took too long",
+                open_calls=self._state.active,
+            )
+        self._desk.shut_down()
+
+    def _on_view(self, view: data.View) -> None:
+        changed = self._state.take_view(view)
+        known = self._state.known
+        if known is None:
+            return
+        draining = known.draining
+        if changed:
+            entries = max(1, view.entries)
+            self._desk.configure(known.declarations, draining, entries)
+        self._desk.reports(view.reports, draining)
--- /dev/null
+++ b/sesamecross/entry/model_desk.py
@@ -0,0 +1,140 @@
+"""Lets threads use the dispatcher, one call each.
+
+Why: the dispatcher is a plain state machine; threads that serve calls need a
+lock around it and a mailbox each, in which the action for their call arrives
+when some other call makes room.
+"""
+
+import queue
+import random
+import threading
+import time
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.ops import dispatch
+from sesamecross.ops import estimates
+from sesamecross.ops import routing
+
+TICK_S = 0.05
+
+
+class ModelDesk:
+    """Owns the dispatcher, its lock and the mailboxes."""
+
+    __slots__ = ("_dispatcher", "_clock", "_lock", "_boxes", "_stopped")
+
+    def __init__(
+        self,
+        place: routing.Place,
+        policy: routing.Policy,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ):
+        self._dispatcher = dispatch.Dispatcher(place, policy, rng)
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._boxes: dict[str, queue.SimpleQueue] = {}
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Starts the thread that lets time pass."""
+        threading.Thread(target=self._tick, daemon=True).start()
+
+    def shut_down(self) -> None:
+        """Ends that thread."""
+        self._stopped.set()
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            with self._lock:
+                if len(self._dispatcher.queue):
+                    now_ms = self._clock.monotonic_ms()
+                    self._deliver(self._dispatcher.tick(now_ms))
+
+    def _deliver(self, actions: list[dispatch.Action]) -> None:
+        for action in actions:
+            box = self._boxes.get(action.call_id)
+            if box is not None:
+                box.put(action)
+
+    def configure(
+        self,
+        declarations: data.Declarations,
+        draining: frozenset[str],
+        entries: int,
+    ) -> None:
+        """Takes in accepted declarations and drain marks."""
+        with self._lock:
+            self._dispatcher.configure(declarations, entries)
+            self._drain(draining)
+
+    def _drain(self, draining: frozenset[str]) -> None:
+        for name in self._dispatcher.upstreams:
+            self._dispatcher.drain(name, name in draining)
+
+    def reports(
+        self, reports: tuple[data.UpstreamReport, ...], draining: frozenset[str]
+    ) -> None:
+        """Takes in a view's reports."""
+        with self._lock:
+            now_ms = self._clock.monotonic_ms()
+            for report in reports:
+                self._dispatcher.report(report, now_ms)
+            self._drain(draining)
+            self._deliver(self._dispatcher.tick(now_ms))
+
+    def submit(self, call: routing.Call) -> None:
+        """Takes a new call; `next_action` tells what becomes of it."""
+        with self._lock:
+            self._boxes[call.call_id] = queue.SimpleQueue()
+            self._deliver(self._dispatcher.submit(call, self._now()))
+
+    def next_action(self, call_id: str) -> dispatch.Action:
+        """Waits for the call's next action."""
+        return self._boxes[call_id].get()
+
+    def finished(
+        self, call_id: str, seen: estimates.Observation, complete: bool
+    ) -> None:
+        """The call ended."""
+        with self._lock:
+            self._boxes.pop(call_id, None)
+            self._deliver(
+                self._dispatcher.finished(call_id, seen, complete, self._now())
+            )
+
+    def failed(self, call_id: str, failure: dispatch.FailureKind) -> None:
+        """An attempt failed; `next_action` tells what follows."""
+        with self._lock:
+            self._deliver(
+                self._dispatcher.failed(call_id, failure, self._now())
+            )
+
+    def abandoned(self, call_id: str) -> None:
+        """Nobody waits for the call any more."""
+        with self._lock:
+            self._boxes.pop(call_id, None)
+            self._deliver(self._dispatcher.abandoned(call_id, self._now()))
+
+    def forget(self, call_id: str) -> None:
+        """The call was refused; its mailbox is not needed any more."""
+        with self._lock:
+            self._boxes.pop(call_id, None)
+
+    def is_resident_anywhere(self, target: str) -> bool:
+        """Tells whether some upstream may serve `target` now."""
+        with self._lock:
+            now_ms = self._now()
+            return any(
+                state.may_serve(target, now_ms)
+                for state in self._dispatcher.upstreams.values()
+            )
+
+    def _now(self) -> int:
+        return self._clock.monotonic_ms()
+
+
+def monotonic_s() -> float:
+    """Returns the machine's monotonic seconds, for measuring a call."""
+    return time.monotonic()
--- /dev/null
+++ b/sesamecross/entry/model_request.py
@@ -0,0 +1,168 @@
+"""Checks a caller's request to a model and prepares what engines get.
+
+Why: an engine must not see a malformed call, and a prompt's blocks and size
+are needed for routing before anything is sent.
+"""
+
+import dataclasses
+import json
+from typing import Any
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from sesamecross.core import data
+from sesamecross.core import refusal
+from sesamecross.entry import state as state_lib
+from sesamecross.ops import prefixes
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """A checked request.
+
+    Attributes:
+      fields: The request's JSON object as the caller sent it.
+      stream: Whether the caller wants server-sent events.
+      wants_usage: Whether the caller wants the closing usage event.
+    """
+
+    path: str
+    target: str
+    model: data.Model
+    fields: dict[str, Any]
+    prompt: str
+    stream: bool
+    wants_usage: bool
+
+    @property
+    def is_chat(self) -> bool:
+        """Whether this is a chat and not a plain completion."""
+        return self.path == CHAT_PATH
+
+    def blocks(self) -> tuple[int, ...]:
+        """Returns the names of the prompt's leading blocks."""
+        return prefixes.block_names(self.target, self.prompt)
+
+    def prompt_tokens(self) -> int:
+        """Returns a guess of the prompt's tokens."""
+        return len(self.prompt) // prefixes.CHARS_PER_TOKEN + 1
+
+    def engine_body(self, generated: str, tokens: int) -> bytes:
+        """Returns the body for an engine.
+
+        Engines are always asked to stream, so that a failed one can be
+        replaced in the middle of an answer.
+
+        Args:
+          generated: Text that the caller has already and that the engine is
+            to continue; empty for a fresh call or an engine that resumes.
+          tokens: Tokens in `generated`.
+        """
+        fields = dict(self.fields)
+        fields["stream"] = True
+        fields["stream_options"] = {"include_usage": True}
+        if generated:
+            self._continue(fields, generated, tokens)
+        return json.dumps(fields).encode()
+
+    def _continue(
+        self, fields: dict[str, Any], generated: str, tokens: int
+    ) -> None:
+        if self.is_chat:
+            fields["messages"] = [
+                *fields["messages"],
+                {"role": "assistant", "content": generated},
+            ]
+            fields["continue_final_message"] = True
+            fields["add_generation_prompt"] = False
+        else:
+            fields["prompt"] = self.prompt + generated
+        for key in ("max_tokens", "max_completion_tokens"):
+            if isinstance(fields.get(key), int):
+                fields[key] = max(1, fields[key] - tokens)
+
+
+def parse(
+    path: str, body: bytes, caller: data.Caller, known: state_lib.Known
+) -> Result[ModelRequest, refusal.Refusal]:
+    """Returns the checked request, or why it is refused."""
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return _bad(f"The body is not JSON ({error})", "Send a JSON object")
+    if not isinstance(fields, dict):
+        return _bad("The body is not a JSON object", "Send a JSON object")
+    target = fields.get("model")
+    if not isinstance(target, str):
+        return _bad("model is missing", "Name a model from /v1/models")
+    model = _model_of(target, caller, known.declarations)
+    if model is None:
+        return Failure(refusal.forbidden(f"Model {target}"))
+    prompt = _prompt(path, fields)
+    if prompt is None:
+        return _bad(
+            "messages or prompt is missing or malformed",
+            "Send messages for a chat, or prompt as text",
+        )
+    options = fields.get("stream_options")
+    wants_usage = isinstance(options, dict) and bool(
+        options.get("include_usage")
+    )
+    return Success(
+        ModelRequest(
+            path,
+            target,
+            model,
+            fields,
+            prompt,
+            bool(fields.get("stream")),
+            wants_usage,
+        )
+    )
+
+
+def _bad(title: str, remedy: str) -> Failure:
+    return Failure(refusal.bad_request(title, remedy))
+
+
+def may_use(caller: data.Caller, name: str) -> bool:
+    """Tells whether a caller may use a model or adapter."""
+    return data.ANY_NAME in caller.models or name in caller.models
+
+
+def _model_of(
+    target: str, caller: data.Caller, declarations: data.Declarations
+) -> data.Model | None:
+    adapter = declarations.adapters.get(target)
+    base = adapter.model if adapter else target
+    model = declarations.models.get(base)
+    if model is None:
+        return None
+    if may_use(caller, target) or (adapter and may_use(caller, base)):
+        return model
+    return None
+
+
+def _prompt(path: str, fields: dict[str, Any]) -> str | None:
+    if path == COMPLETIONS_PATH:
+        prompt = fields.get("prompt")
+        return prompt if isinstance(prompt, str) else None
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return None
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict):
+            return None
+        if not isinstance(message.get("role"), str):
+            return None
+        content = message.get("content")
+        text = content if isinstance(content, str) else json.dumps(content)
+        lines.append(f"{message['role']}: {text}")
+    return "\n".join(lines)
--- /dev/null
+++ b/sesamecross/entry/service_call.py
@@ -0,0 +1,285 @@
+"""Relays calls to plain services; those that may not be repeated run once.
+
+Why: a pass log that runs twice bills machine hours twice, and one that is
+lost takes a volunteer's night off the record. A call with an idempotency key
+is claimed before its first byte leaves; without a key it is dispatched once
+and never retried after a byte has left.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import threading
+import time
+import uuid
+
+import xxhash
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.core import records
+from sesamecross.core import refusal
+from sesamecross.entry import state as state_lib
+from sesamecross.entry import steward_link
+from sesamecross.ops import retry
+from sesamecross.ops import service_routing
+from sesamecross.ops import timeline
+from sesamecross.ports import http_client
+from sesamecross.ports import service_http
+
+MAX_ATTEMPTS = 3
+# While the first arrival of a claimed call runs, a second one waits for its
+# answer up to this long before it is told to come back.
+FOLLOW_MS = 3000
+FOLLOW_STEP_S = 0.05
+MAX_KEY_CHARS = 255
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A caller's call to a plain service."""
+
+    call_id: str
+    caller: data.Caller
+    service: data.Service
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotency_key: str
+    deadline_ms: int
+
+    def digest(self) -> str:
+        """Returns what tells a repeated call from another one."""
+        text = f"{self.method}\0{self.path}\0".encode()
+        return xxhash.xxh3_128_hexdigest(text + self.body)
+
+
+Outcome = data.Answer | refusal.Refusal
+
+
+class ServiceDesk:
+    """Dispatches service calls. Safe for threads."""
+
+    def __init__(
+        self,
+        zone: str,
+        state: state_lib.EntryState,
+        link: steward_link.StewardLink,
+        services: service_http.HttpService,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+        rng: random.Random,
+    ):
+        self._state = state
+        self._link = link
+        self._services = services
+        self._clock = clock
+        self._recorder = recorder
+        self._rng = rng
+        self._router = service_routing.ServiceRouter(zone, rng)
+        self._budget = retry.RetryBudget()
+        self._lock = threading.Lock()
+
+    def call(self, request: ServiceRequest) -> Outcome:
+        """Returns the service's answer or a truthful refusal."""
+        idempotent = service_routing.is_idempotent(
+            request.service, request.method, request.path
+        )
+        if idempotent:
+            return self._with_retries(request)
+        if request.idempotency_key:
+            return self._claimed(request)
+        outcome, _ = self._once(request, idempotent=False)
+        return outcome
+
+    # -- calls that may be repeated --------------------------------------
+
+    def _with_retries(self, request: ServiceRequest) -> Outcome:
+        excluded: set[str] = set()
+        attempt = 0
+        while True:
+            attempt += 1
+            outcome, failed_at = self._once(
+                request, idempotent=True, excluded=frozenset(excluded)
+            )
+            if not failed_at:
+                with self._lock:
+                    self._budget.succeeded()
+                return outcome
+            excluded.add(failed_at)
+            if not self._may_retry(request, attempt):
+                return outcome
+            self._note_retry(request, attempt, failed_at)
+            time.sleep(retry.pause_ms(attempt, self._rng) / 1000)
+
+    def _may_retry(self, request: ServiceRequest, attempt: int) -> bool:
+        if attempt >= MAX_ATTEMPTS:
+            return False
+        if self._clock.monotonic_ms() >= request.deadline_ms:
+            return False
+        with self._lock:
+            return self._budget.spend()
+
+    # -- one attempt -----------------------------------------------------
+
+    def _once(
+        self,
+        request: ServiceRequest,
+        idempotent: bool,
+        excluded: frozenset[str] = frozenset(),
+    ) -> tuple[Outcome, str]:
+        """Makes one attempt.
+
+        Returns:
+          The outcome, and the upstream's name where it failed there.
+        """
+        known = self._state.known
+        with self._lock:
+            upstream = self._router.choose(
+                request.service,
+                known.declarations.upstreams,
+                known.draining,
+                excluded,
+                self._clock.monotonic_ms(),
+            )
+            if upstream is not None:
+                self._router.began(upstream.name)
+        if upstream is None:
+            return refusal.no_upstream(request.service.name), ""
+        answer = self._services.call(
+            self._service_call(request, upstream), idempotent
+        )
+        ok = isinstance(answer, data.Answer)
+        with self._lock:
+            self._router.ended(upstream.name, ok, self._clock.monotonic_ms())
+        return self._outcome(request, answer), "" if ok else upstream.name
+
+    def _service_call(
+        self, request: ServiceRequest, upstream: data.Upstream
+    ) -> service_http.ServiceCall:
+        left_ms = request.deadline_ms - self._clock.monotonic_ms()
+        timeout_ms = min(request.service.timeout_ms, max(1, left_ms))
+        return service_http.ServiceCall(
+            upstream.url,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            timeout_ms / 1000,
+            request.call_id,
+        )
+
+    def _outcome(
+        self,
+        request: ServiceRequest,
+        answer: data.Answer | http_client.NotSent | http_client.Failed,
+    ) -> Outcome:
+        match answer:
+            case data.Answer():
+                return answer
+            case http_client.NotSent():
+                return refusal.upstream_failed(
+                    refusal.Executed.NO, "The call was not sent; try again"
+                )
+        late = self._clock.monotonic_ms() >= request.deadline_ms
+        if late:
+            return refusal.deadline_passed(refusal.Executed.UNKNOWN)
+        return refusal.upstream_failed(
+            refusal.Executed.UNKNOWN,
+            "Look the record up at the service before sending it again",
+        )
+
+    # -- calls that run at most once -------------------------------------
+
+    def _claimed(self, request: ServiceRequest) -> Outcome:
+        claim = records.ClaimMade(
+            uuid.uuid4().hex,
+            request.caller.name,
+            request.idempotency_key,
+            request.service.name,
+            request.digest(),
+            data.Incarnation("", ""),
+        )
+        verdict = self._link.claim(claim)
+        if verdict is None:
+            return refusal.claims_unavailable()
+        if verdict.state is data.ClaimState.WON:
+            return self._run_claimed(request, claim)
+        return self._follow(request, claim, verdict)
+
+    def _run_claimed(
+        self, request: ServiceRequest, claim: records.ClaimMade
+    ) -> Outcome:
+        """Dispatches a won claim once and writes down what became of it."""
+        excluded: set[str] = set()
+        while True:
+            outcome, failed_at = self._once(
+                request, idempotent=False, excluded=frozenset(excluded)
+            )
+            not_sent = (
+                isinstance(outcome, refusal.Refusal)
+                and outcome.executed is refusal.Executed.NO
+            )
+            if not (not_sent and failed_at):
+                break
+            # Nothing left this process, so another upstream may be tried
+            # under the same claim.
+            excluded.add(failed_at)
+        self._settle(claim, outcome, executed=not not_sent)
+        return outcome
+
+    def _settle(
+        self, claim: records.ClaimMade, outcome: Outcome, executed: bool
+    ) -> None:
+        answer = outcome if isinstance(outcome, data.Answer) else None
+        bound = self._state.known.declarations.claims.answer_bytes
+        if answer is not None and len(answer.body) > bound:
+            answer = None
+        settled = records.ClaimSettled(claim.claim_id, executed, answer)
+        if not self._link.settle(settled):
+            self._recorder.add(
+                timeline.EventKind.CLAIM,
+                "outcome is not on the log yet",
+                call_id=claim.claim_id,
+            )
+
+    def _follow(
+        self,
+        request: ServiceRequest,
+        claim: records.ClaimMade,
+        verdict: data.ClaimVerdict,
+    ) -> Outcome:
+        """Waits for the first arrival's answer, within bounds."""
+        now_ms = self._clock.monotonic_ms()
+        until_ms = min(request.deadline_ms, now_ms + FOLLOW_MS)
+        while verdict.state is data.ClaimState.IN_PROGRESS:
+            if self._clock.monotonic_ms() >= until_ms:
+                return refusal.in_progress()
+            time.sleep(FOLLOW_STEP_S)
+            verdict = self._link.look_up(claim) or verdict
+        return _answer_of(verdict)
+
+    def _note_retry(
+        self, request: ServiceRequest, attempt: int, failed_at: str
+    ) -> None:
+        self._recorder.add(
+            timeline.EventKind.RETRY,
+            f"attempt {attempt} failed",
+            call_id=request.call_id,
+            model=request.service.name,
+            upstream=failed_at,
+        )
+
+
+_VERDICT_REFUSALS: dict[data.ClaimState, Callable[[], refusal.Refusal]] = {
+    data.ClaimState.IN_PROGRESS: refusal.in_progress,
+    data.ClaimState.UNKNOWN: refusal.outcome_unknown,
+    data.ClaimState.MISMATCH: refusal.key_reused,
+}
+
+
+def _answer_of(verdict: data.ClaimVerdict) -> Outcome:
+    if verdict.state is data.ClaimState.SETTLED:
+        return verdict.answer
+    return _VERDICT_REFUSALS[verdict.state]()
--- /dev/null
+++ b/sesamecross/entry/state.py
@@ -0,0 +1,128 @@
+"""What an entry knows: declarations, callers, drains, and its own state.
+
+Why: threads that serve calls read this without locks; each view replaces the
+whole record at once, so a call never sees half of a change.
+"""
+
+import dataclasses
+import threading
+
+from sesamecross.core import data
+from sesamecross.ops import timeline
+from sesamecross.parser import declarations as declarations_lib
+from sesamecross.runtime import logs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """One consistent state of what the steward told."""
+
+    version: int
+    declarations: data.Declarations
+    callers: dict[str, data.Caller]
+    draining: frozenset[str]
+    log_reachable: bool
+
+
+class EntryState:
+    """The entry's current knowledge and its open calls."""
+
+    __slots__ = (
+        "_known",
+        "_lock",
+        "_active",
+        "_of_caller",
+        "_demand",
+        "_recorder",
+        "_logger",
+        "refusing",
+        "stopping",
+    )
+
+    def __init__(self, recorder: timeline.Recorder):
+        self._known: Known | None = None
+        self._lock = threading.Lock()
+        self._active = 0
+        self._of_caller: dict[str, int] = {}
+        self._demand: dict[str, int] = {}
+        self._recorder = recorder
+        self._logger = logs.part("entry")
+        self.stopping = False
+        self.refusing = False
+
+    @property
+    def known(self) -> Known | None:
+        """What is known now; None before the first view."""
+        return self._known
+
+    @property
+    def active(self) -> int:
+        """Calls that are open at this entry."""
+        return self._active
+
+    def take_view(self, view: data.View) -> bool:
+        """Takes in a view; tells whether declarations changed.
+
+        A version lower than the one in force is never taken: a steward that
+        starts anew may know less for a moment than this entry does.
+        """
+        known = self._known
+        if known is not None and view.version < known.version:
+            return False
+        changed = view.tree is not None
+        if changed:
+            parsed = declarations_lib.parse(view.tree).declarations
+            if parsed is None:
+                self._logger.error("view does not parse", version=view.version)
+                return False
+            callers = {c.key_digest: c for c in parsed.callers.values()}
+        elif known is not None:
+            parsed = known.declarations
+            callers = known.callers
+        else:
+            return False
+        self._known = Known(
+            view.version,
+            parsed,
+            callers,
+            frozenset(view.draining),
+            view.log_reachable,
+        )
+        if changed and (known is None or known.version != view.version):
+            self._recorder.add(
+                timeline.EventKind.CONFIG,
+                f"version {view.version} is in force here",
+            )
+        return changed
+
+    def begin(self, caller: data.Caller) -> bool:
+        """Counts a call in; False where its caller has too many open."""
+        with self._lock:
+            open_calls = self._of_caller.get(caller.name, 0)
+            if open_calls >= caller.concurrency:
+                return False
+            self._of_caller[caller.name] = open_calls + 1
+            self._active += 1
+            return True
+
+    def end(self, caller: data.Caller) -> None:
+        """Counts a call out."""
+        with self._lock:
+            self._active -= 1
+            left = self._of_caller[caller.name] - 1
+            if left:
+                self._of_caller[caller.name] = left
+            else:
+                del self._of_caller[caller.name]
+
+    def asked_for(self, target: str) -> None:
+        """Counts a call towards the demand for a model or adapter."""
+        with self._lock:
+            self._demand[target] = self._demand.get(target, 0) + 1
+
+    def take_demand(self) -> dict[str, int]:
+        """Returns the counts since the last time and starts anew."""
+        with self._lock:
+            demand = self._demand
+            self._demand = {}
+            return demand
--- /dev/null
+++ b/sesamecross/entry/steward_link.py
@@ -0,0 +1,170 @@
+"""The entry's stream to the steward on its instance.
+
+Why: views come in, claims and demand go out. The entry serves on its last
+view while the steward is away; only calls that need a claim are refused then.
+Runs on the event loop; the threads that serve calls use the plain methods.
+"""
+
+import asyncio
+from collections.abc import Callable
+import concurrent.futures
+import uuid
+
+from sesamecross.core import data
+from sesamecross.core import messages
+from sesamecross.core import records
+from sesamecross.ops import timeline
+from sesamecross.parser import settings as settings_lib
+from sesamecross.runtime import logs
+from sesamecross.transport import streams
+
+RECONNECT_S = 0.2
+DEMAND_S = 1.0
+REPLY_S = 6.0
+
+
+class StewardLink:
+    """Component that keeps the stream and matches replies."""
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        recorder: timeline.Recorder,
+        on_view: Callable[[data.View], None],
+        take_demand: Callable[[], dict[str, int]],
+    ):
+        self._settings = settings
+        self._recorder = recorder
+        self._on_view = on_view
+        self._take_demand = take_demand
+        self._logger = logs.part("steward-link")
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stream: streams.Stream | None = None
+        self._replies: dict[str, asyncio.Future] = {}
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "steward-link"
+
+    @property
+    def connected(self) -> bool:
+        """Whether the steward can be asked now."""
+        return self._stream is not None
+
+    async def run(self) -> None:
+        """Keeps the stream open until cancelled."""
+        self._loop = asyncio.get_running_loop()
+        while True:
+            try:
+                await self._session()
+            except streams.StreamClosed as error:
+                self._logger.debug("no stream", reason=str(error))
+            self._drop()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def stop(self) -> None:
+        """Closes the stream."""
+        if self._stream is not None:
+            self._stream.close()
+
+    async def _session(self) -> None:
+        stream = await streams.connect(
+            self._settings.steward,
+            self._settings.shared_key,
+            "entry",
+            self._settings.instance,
+            self._recorder,
+        )
+        self._stream = stream
+        self._logger.info("steward is connected")
+        demand = asyncio.create_task(self._send_demand(stream))
+        try:
+            while True:
+                await self._on_message(stream, await stream.receive())
+        finally:
+            demand.cancel()
+
+    def _drop(self) -> None:
+        if self._stream is not None:
+            self._logger.warning("steward is gone, serving on the last view")
+        self._stream = None
+        for future in self._replies.values():
+            if not future.done():
+                future.set_result(None)
+        self._replies.clear()
+
+    async def _on_message(
+        self, stream: streams.Stream, message: object
+    ) -> None:
+        match message:
+            case messages.ViewUpdate(view=view):
+                self._on_view(view)
+            case messages.ClaimReply(request_id=request_id):
+                self._reply(request_id, message.verdict)
+            case messages.Done(request_id=request_id, ok=ok):
+                self._reply(request_id, ok)
+            case messages.EventsRequest() as request:
+                events = self._recorder.events(request.limit, request.call_id)
+                plain = tuple(timeline.to_plain(event) for event in events)
+                await stream.send(
+                    messages.EventsReply(request.request_id, plain)
+                )
+
+    def _reply(self, request_id: str, value: object) -> None:
+        future = self._replies.pop(request_id, None)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    async def _send_demand(self, stream: streams.Stream) -> None:
+        while True:
+            await asyncio.sleep(DEMAND_S)
+            report = messages.DemandReport(
+                self._take_demand(), int(DEMAND_S * 1000)
+            )
+            try:
+                await stream.send(report)
+            except streams.StreamClosed:
+                return
+
+    # -- called from threads ---------------------------------------------
+
+    def claim(self, claim: records.ClaimMade) -> data.ClaimVerdict | None:
+        """Returns the verdict on a claim, or None if none can be had."""
+        request_id = uuid.uuid4().hex
+        return self._ask(messages.ClaimRequest(request_id, claim))
+
+    def look_up(self, claim: records.ClaimMade) -> data.ClaimVerdict | None:
+        """Returns what is known now of the claim that holds the name."""
+        request_id = uuid.uuid4().hex
+        return self._ask(messages.ClaimLookup(request_id, claim))
+
+    def settle(self, settled: records.ClaimSettled) -> bool:
+        """Tells the outcome; returns whether it is on the log."""
+        request_id = uuid.uuid4().hex
+        return bool(self._ask(messages.ClaimOutcome(request_id, settled)))
+
+    def _ask(self, message: object) -> object:
+        if self._loop is None:
+            return None
+        work = asyncio.run_coroutine_threadsafe(
+            self._ask_on_loop(message), self._loop
+        )
+        try:
+            return work.result(REPLY_S + 1)
+        except (TimeoutError, concurrent.futures.CancelledError):
+            return None
+
+    async def _ask_on_loop(self, message: object) -> object:
+        stream = self._stream
+        if stream is None:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        self._replies[message.request_id] = future
+        try:
+            await stream.send(message)
+            return await asyncio.wait_for(future, REPLY_S)
+        except (streams.StreamClosed, TimeoutError):
+            return None
+        finally:
+            self._replies.pop(message.request_id, None)
--- /dev/null
+++ b/sesamecross/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and upstreams, for demo and tests."""
--- /dev/null
+++ b/sesamecross/fakes/base.py
@@ -0,0 +1,167 @@
+"""What all fakes share: a JSON router, metrics and a process's life.
+
+Why: each fake is a process of its own in the demo and in integration tests,
+and answers `GET /fake/stats`, so that checks read the fakes' own records and
+not the system's word.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import json
+import re
+import sys
+from typing import Any
+
+from sesamecross.runtime import application
+from sesamecross.runtime import http_server
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics
+
+REASONS = {
+    200: "200 OK",
+    202: "202 Accepted",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    410: "410 Gone",
+    429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+
+
+class Request:
+    """One HTTP request to a fake."""
+
+    __slots__ = ("environ", "method", "path", "match", "_body")
+
+    def __init__(self, environ: dict):
+        self.environ = environ
+        self.method = environ["REQUEST_METHOD"]
+        self.path = environ.get("PATH_INFO", "/")
+        self.match: re.Match | None = None
+        self._body: bytes | None = None
+
+    @property
+    def body(self) -> bytes:
+        """The request's body, read once."""
+        if self._body is None:
+            self._body = http_server.read_body(self.environ)
+        return self._body
+
+    def json(self) -> Any:
+        """Returns the body as JSON."""
+        return json.loads(self.body)
+
+    def header(self, name: str, default: str = "") -> str:
+        """Returns a request header."""
+        key = "HTTP_" + name.upper().replace("-", "_")
+        return self.environ.get(key, default)
+
+    def query(self) -> dict[str, str]:
+        """Returns the query's fields; none of them repeat here."""
+        pairs = self.environ.get("QUERY_STRING", "").split("&")
+        return dict(pair.split("=", 1) for pair in pairs if "=" in pair)
+
+
+class Response:
+    """An answer: JSON, bytes, or an iterator of bytes for a stream."""
+
+    __slots__ = ("status", "body", "headers")
+
+    def __init__(
+        self,
+        body: Any = None,
+        status: int = 200,
+        headers: dict[str, str] | None = None,
+    ):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+
+
+Handler = Callable[[Request], Response]
+
+
+class FakeServer:
+    """Routes requests to handlers; component of a fake's process."""
+
+    def __init__(self, name: str, listen: str, threads: int = 32):
+        self.metrics = metrics.Metrics()
+        self._routes: list[tuple[str, re.Pattern, Handler]] = []
+        limits = http_server.Limits(threads=threads, idle_s=60)
+        self._server = http_server.HttpServer(name, listen, self._app, limits)
+        self.route("GET", "/metrics", self._metrics)
+        self.route("GET", "/healthz", lambda _: Response({"ok": True}))
+
+    @property
+    def server(self) -> http_server.HttpServer:
+        """The HTTP server."""
+        return self._server
+
+    def route(self, method: str, pattern: str, handler: Handler) -> None:
+        """Adds a handler; `pattern` matches the whole path."""
+        self._routes.append((method, re.compile(pattern + "$"), handler))
+
+    def components(self) -> list:
+        """Returns the components of the process."""
+        return [self._server]
+
+    async def drain(self) -> None:
+        """Waits for nothing: a fake is scaffolding."""
+        await asyncio.sleep(0)
+
+    def _metrics(self, _request: Request) -> Response:
+        body, content_type = self.metrics.render()
+        return Response(body, headers={"Content-Type": content_type})
+
+    def _app(self, environ: dict, start_response: Any) -> Iterable[bytes]:
+        request = Request(environ)
+        response = self._handle(request)
+        body = response.body
+        headers = dict(response.headers)
+        if not isinstance(body, (bytes, bytearray)) and (
+            body is None or isinstance(body, (dict, list, str, int))
+        ):
+            body = json.dumps(body).encode()
+            headers.setdefault("Content-Type", "application/json")
+        if isinstance(body, bytes):
+            headers["Content-Length"] = str(len(body))
+            body = [body]
+        start_response(REASONS[response.status], list(headers.items()))
+        return body
+
+    def _handle(self, request: Request) -> Response:
+        for method, pattern, handler in self._routes:
+            match = pattern.match(request.path)
+            if match and method in (request.method, "ANY"):
+                request.match = match
+                self.metrics.count(
+                    "fake_requests_total",
+                    "Requests by path pattern.",
+                    {"path": pattern.pattern},
+                )
+                try:
+                    return handler(request)
+                except (ValueError, KeyError, http_server.SlowBody) as error:
+                    return Response({"error": repr(error)}, 400)
+        return Response({"error": "no such path"}, 404)
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Returns a parser with the flags of every fake."""
+    result = argparse.ArgumentParser(description=description)
+    result.add_argument("--listen", required=True, help="IP number and port")
+    result.add_argument("--name", default="fake", help="name in logs")
+    result.add_argument("--seed", type=int, default=1)
+    result.add_argument("--log-level", default="warning")
+    return result
+
+
+def run(flags: argparse.Namespace, server: FakeServer) -> int:
+    """Runs a fake's process to its end."""
+    logs.configure(flags.log_level, "json", instance=flags.name)
+    sys.setswitchinterval(0.001)
+    return application.Application(server).run()
--- /dev/null
+++ b/sesamecross/fakes/engine.py
@@ -0,0 +1,233 @@
+"""A fake model engine: calls, orders, late cache events, lagging reports."""
+
+from collections.abc import Iterator
+import json
+import threading
+import time
+
+from sesamecross.fakes import base
+from sesamecross.fakes import engine_batch
+from sesamecross.fakes import engine_memory
+
+DEFAULT_TOKENS = 16
+
+
+class EngineServer(base.FakeServer):
+    """Serves the wire form that `ports.engine_http` describes."""
+
+    def __init__(self, flags):
+        super().__init__(flags.name, flags.listen, threads=flags.threads)
+        self._memory = engine_memory.EngineMemory(
+            flags.memory_mib, flags.checks_fencing, flags.store_url
+        )
+        self._batch = engine_batch.Batch(flags)
+        self._batch.start()
+        self._lag_s = flags.report_lag_ms / 1000
+        self._adapters_of: dict[str, str] = {}
+        self._lock = threading.Lock()
+        self._sequence = 0
+        self._late: list[tuple[float, tuple[int, int]]] = []
+        self._calls: dict[str, int] = {}
+        self._cancelled = 0
+        self._faults = {
+            "leaving": False,
+            "fail_status": 0,
+            "die_after": 0,
+            "resume": True,
+            "order_delay_ms": 0,
+        }
+        self.route("POST", "/v1/(chat/completions|completions)", self._call)
+        self.route("DELETE", "/v1/calls/(.+)", self._cancel)
+        self.route("POST", "/admin/orders", self._order)
+        self.route("GET", "/admin/status", self._status)
+        self.route("GET", "/admin/cache-events", self._cache_events)
+        self.route("POST", "/fake/faults", self._set_faults)
+        self.route("GET", "/fake/stats", self._get_stats)
+
+    def _call(self, request: base.Request) -> base.Response:
+        body = request.json()
+        request_id = request.header("X-Request-Id", "none")
+        echo = {"X-Request-Id": request_id}
+        if self._faults["leaving"]:
+            echo["X-Not-Run"] = "leaving"
+            return base.Response({"error": "leaving"}, 503, echo)
+        if self._faults["fail_status"]:
+            status = self._faults["fail_status"]
+            return base.Response({"error": "told to fail"}, status, echo)
+        model = body["model"]
+        if model not in self._memory.resident():
+            echo["X-Not-Run"] = "not-resident"
+            error = {"error": f"{model} is not resident"}
+            return base.Response(error, 409, echo)
+        resume = int(request.header("Last-Event-ID", "0"))
+        if resume and not self._faults["resume"]:
+            return base.Response({"error": "can't resume"}, 400, echo)
+        chat = request.match.group(1).startswith("chat")
+        limit = body.get("max_completion_tokens") or body.get("max_tokens")
+        call = engine_batch.Call(
+            request_id,
+            _prompt(body, chat),
+            limit or DEFAULT_TOKENS,
+            resume,
+            int(request.header("X-Priority", "5")),
+        )
+        with self._lock:
+            self._calls[request_id] = self._calls.get(request_id, 0) + 1
+        self._batch.submit(call, model)
+        echo["Content-Type"] = "text/event-stream"
+        return base.Response(self._events(call, body, chat), 200, echo)
+
+    def _events(
+        self, call: engine_batch.Call, body: dict, chat: bool
+    ) -> Iterator[bytes]:
+        sent = 0
+        finished = False
+        try:
+            while (item := call.tokens.get()) is not None:
+                number, text = item
+                die_after = self._faults["die_after"]
+                if die_after and sent >= die_after:
+                    raise ConnectionAbortedError("told to die mid-stream")
+                yield _event(call, body, chat, text, number, None)
+                sent += 1
+            reason = "length"
+            yield _event(call, body, chat, "", call.made, reason)
+            if (body.get("stream_options") or {}).get("include_usage"):
+                yield _usage_event(call, body, chat)
+            yield b"data: [DONE]\n\n"
+            finished = True
+        finally:
+            if not finished:
+                self._batch.cancel(call.call_id)
+                self._cancelled += 1
+
+    def _cancel(self, request: base.Request) -> base.Response:
+        known = self._batch.cancel(request.match.group(1))
+        return base.Response({"cancelled": known})
+
+    def _order(self, request: base.Request) -> base.Response:
+        order = request.json()
+        if self._faults["order_delay_ms"]:
+            time.sleep(self._faults["order_delay_ms"] / 1000)
+        state = self._memory.order(order)
+        return base.Response({"state": state}, 202)
+
+    def _status(self, _request: base.Request) -> base.Response:
+        running, waiting = self._lagging_counts()
+        with self._lock:
+            self._sequence += 1
+            sequence = self._sequence
+        memory = self._memory
+        return base.Response(
+            {
+                "epoch": memory.epoch,
+                "sequence": sequence,
+                "leaving": self._faults["leaving"],
+                "running": running,
+                "waiting": waiting,
+                "resident": memory.resident(),
+                "used_mib": memory.used_mib(),
+                "capacity_mib": memory.capacity_mib,
+                "orders": dict(memory.orders),
+                "fence": memory.fence,
+            }
+        )
+
+    def _lagging_counts(self) -> tuple[int, int]:
+        now = time.monotonic()
+        with self._lock:
+            self._late.append((now, self._batch.counts()))
+            while len(self._late) > 1 and self._late[1][0] <= now - self._lag_s:
+                self._late.pop(0)
+            return self._late[0][1]
+
+    def _cache_events(self, request: base.Request) -> base.Response:
+        # Late and with gaps: the newest tenth is held back, and what fell
+        # out of the buffer is gone.
+        start = int(request.query().get("from", "0"))
+        events = self._batch.cache.events
+        shown = events[: max(0, len(events) - len(events) // 10)]
+        return base.Response([e for e in shown if e[0] >= start][:500])
+
+    def _set_faults(self, request: base.Request) -> base.Response:
+        faults = request.json()
+        self._batch.stalled = faults.pop("stalled", self._batch.stalled)
+        self._faults |= faults
+        return base.Response(dict(self._faults))
+
+    def _get_stats(self, _request: base.Request) -> base.Response:
+        memory = self._memory
+        mib = 1024 * 1024
+        with self._lock:
+            calls = dict(self._calls)
+        return base.Response(
+            {
+                "capacity_bytes": memory.capacity_mib * mib,
+                "peak_bytes": memory.peak_mib * mib,
+                "resident": memory.resident(),
+                "calls": calls,
+                "cancelled": self._cancelled,
+                "overcommit_attempts": memory.overcommit_attempts,
+                "stale_fences_refused": memory.stale_fences_refused,
+                "tokens_made": self._batch.tokens_made,
+                "busy_s": round(self._batch.busy_s, 3),
+                "orders": dict(memory.orders),
+            }
+        )
+
+
+def _prompt(body: dict, chat: bool) -> str:
+    if not chat:
+        return str(body.get("prompt", ""))
+    return "\n".join(
+        f"{message.get('role')}: {message.get('content')}"
+        for message in body.get("messages", [])
+    )
+
+
+def _event(
+    call: engine_batch.Call,
+    body: dict,
+    chat: bool,
+    text: str,
+    number: int,
+    finish_reason: str | None,
+) -> bytes:
+    choice = {"index": 0, "finish_reason": finish_reason}
+    if chat:
+        choice["delta"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return _line(call, body, chat, [choice], number, None)
+
+
+def _usage_event(call: engine_batch.Call, body: dict, chat: bool) -> bytes:
+    prompt_tokens = len(call.prompt) // 4
+    usage = {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": call.made,
+        "total_tokens": prompt_tokens + call.made,
+        "prompt_tokens_details": {"cached_tokens": call.cached_tokens},
+    }
+    return _line(call, body, chat, [], call.made, usage)
+
+
+def _line(
+    call: engine_batch.Call,
+    body: dict,
+    chat: bool,
+    choices: list,
+    number: int,
+    usage: dict | None,
+) -> bytes:
+    document = {
+        "id": call.call_id,
+        "object": "chat.completion.chunk" if chat else "text_completion",
+        "created": 1_700_000_000,
+        "model": body["model"],
+        "choices": choices,
+    }
+    if usage is not None:
+        document["usage"] = usage
+    text = json.dumps(document, separators=(",", ":"))
+    return f"id: {number}\ndata: {text}\n\n".encode()
--- /dev/null
+++ b/sesamecross/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Library behind the operators' command line."""
--- /dev/null
+++ b/sesamecross/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: deterministic state machines without I/O."""
--- /dev/null
+++ b/sesamecross/ops/dispatch.py
@@ -0,0 +1,383 @@
+"""Decides for each call when and where it goes, or that it is refused.
+
+Why: admission, routing, limits, retries and refusals share one state; apart
+from I/O they run the same under tests, a replay, or a bench with its own
+clock. Typed inputs and a time go in, typed actions come out.
+"""
+
+import dataclasses
+import math
+import random
+
+from sesamecross.core import data
+from sesamecross.core import refusal
+from sesamecross.ops import call_queue
+from sesamecross.ops import estimates
+from sesamecross.ops import limits
+from sesamecross.ops import retry
+from sesamecross.ops import routing
+
+MAX_ATTEMPTS = 4
+QUEUE_MOST = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """The call goes to an upstream now, or after a pause before a retry."""
+
+    call_id: str
+    upstream: str
+    url: str
+    attempt: int
+    chosen: routing.Estimate
+    pause_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The call gets its final answer now."""
+
+    call_id: str
+    refusal: refusal.Refusal
+
+
+Action = Dispatch | Refuse
+
+
+class FailureKind:
+    """Why an attempt failed; decides what may follow."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun(FailureKind):
+    """The upstream said, or the network proved, that nothing ran."""
+
+    leaving: bool = False
+    absent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken(FailureKind):
+    """The upstream failed after it may have begun."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    call: routing.Call
+    upstream: str = ""
+    chosen: routing.Estimate | None = None
+    attempts: int = 0
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    last_failure: FailureKind | None = None
+
+
+class Dispatcher:
+    """One entry's calls to models. Not safe for threads."""
+
+    __slots__ = (
+        "upstreams",
+        "budget",
+        "queue",
+        "_place",
+        "_policy",
+        "_rng",
+        "_open",
+        "_turn",
+        "_entries",
+    )
+
+    def __init__(
+        self, place: routing.Place, policy: routing.Policy, rng: random.Random
+    ):
+        self.upstreams: dict[str, routing.UpstreamState] = {}
+        self.budget = retry.RetryBudget()
+        self.queue = call_queue.CallQueue()
+        self._place = place
+        self._policy = policy
+        self._rng = rng
+        self._open: dict[str, _Open] = {}
+        self._turn = 0
+        self._entries = 1
+
+    @property
+    def open_calls(self) -> int:
+        """Calls that are waiting or dispatched."""
+        return len(self._open)
+
+    # -- views ---------------------------------------------------------
+
+    def configure(self, declarations: data.Declarations, entries: int) -> None:
+        """Takes in accepted declarations.
+
+        Args:
+          declarations: What is declared now.
+          entries: Entry instances believed alive, for a first guess of
+            this entry's share of an upstream.
+        """
+        self._entries = max(1, entries)
+        region_ms = {
+            r.name: r.one_way_ms for r in declarations.regions.values()
+        }
+        self._place = dataclasses.replace(self._place, region_ms=region_ms)
+        engines = {e.name: e for e in declarations.engines()}
+        for name in list(self.upstreams):
+            if name not in engines:
+                del self.upstreams[name]
+        for name, declared in engines.items():
+            region = declarations.zones[declared.zone].region
+            known = self.upstreams.get(name)
+            if known is None or known.declared != declared:
+                self.upstreams[name] = self._new_state(declared, region)
+
+    def _new_state(
+        self, declared: data.Upstream, region: str
+    ) -> routing.UpstreamState:
+        share = declared.concurrency * 2 / self._entries
+        limit = limits.AdaptiveLimit(share, declared.concurrency * 2)
+        return routing.UpstreamState(declared, region, limit=limit)
+
+    def report(self, report: data.UpstreamReport, now_ms: int) -> None:
+        """Takes in what an upstream said of itself."""
+        state = self.upstreams.get(report.upstream)
+        if state is None:
+            return
+        earlier = state.report
+        if earlier is not None and earlier.epoch != report.epoch:
+            # Restarted: its cache is empty and earlier refusals are void.
+            state.history.clear()
+            state.leaving_seen = False
+        if earlier is not None and earlier == report:
+            return
+        state.report = report
+        state.reported_ms = now_ms
+        state.own_at_report = state.own
+        state.absent.clear()
+
+    def drain(self, upstream: str, draining: bool) -> None:
+        """Takes in an operator's drain mark."""
+        state = self.upstreams.get(upstream)
+        if state is not None:
+            state.leaving_seen = draining
+
+    # -- calls ---------------------------------------------------------
+
+    def submit(self, call: routing.Call, now_ms: int) -> list[Action]:
+        """Takes a new call; the action may follow later."""
+        open_call = _Open(call)
+        self._open[call.call_id] = open_call
+        return self._place_or_queue(open_call, now_ms)
+
+    def _place_or_queue(self, one: _Open, now_ms: int) -> list[Action]:
+        call = one.call
+        servers = self._servers(one, now_ms)
+        if not servers:
+            return [self._refuse(one, self._no_server(one))]
+        # Nobody overtakes a call that waits for the same upstreams.
+        with_room = [u for u in servers if u.has_room()]
+        if with_room and not self.queue.ahead_of(call, now_ms):
+            return [self._dispatch(one, with_room, now_ms)]
+        wait_ms = self._wait_ms(call, servers, now_ms)
+        if wait_ms > call.promise.queue_ms or len(self.queue) >= QUEUE_MOST:
+            retry_after_s = max(1, math.ceil(wait_ms / 1000))
+            return [self._refuse(one, refusal.overloaded(retry_after_s))]
+        self.queue.add(call)
+        return self._drain_queue(now_ms)
+
+    def _servers(self, one: _Open, now_ms: int) -> list[routing.UpstreamState]:
+        target = one.call.target
+        found = [
+            u
+            for u in self.upstreams.values()
+            if u.declared.name not in one.excluded
+            and u.may_serve(target, now_ms)
+        ]
+        return sorted(found, key=lambda u: u.declared.name)
+
+    def _no_server(self, one: _Open) -> refusal.Refusal:
+        if isinstance(one.last_failure, Broken):
+            return refusal.upstream_failed(
+                refusal.Executed.UNKNOWN,
+                "Send the call again; model calls may be repeated",
+            )
+        return refusal.no_upstream(one.call.target)
+
+    def _wait_ms(
+        self,
+        call: routing.Call,
+        servers: list[routing.UpstreamState],
+        now_ms: int,
+    ) -> float:
+        ahead = self.queue.ahead_of(call, now_ms) + 1
+        rate = sum(u.limit.value / u.speed.call_ms for u in servers)
+        return ahead / max(rate, 1e-6)
+
+    def _dispatch(
+        self,
+        one: _Open,
+        candidates: list[routing.UpstreamState],
+        now_ms: int,
+    ) -> Dispatch:
+        self._turn += 1
+        chosen = routing.choose(
+            self._policy,
+            one.call,
+            candidates,
+            self._place,
+            now_ms,
+            self._turn,
+            self._rng,
+        )
+        state = self.upstreams[chosen.upstream]
+        state.own += 1
+        state.history.routed(one.call.blocks)
+        one.upstream = chosen.upstream
+        one.chosen = chosen
+        one.attempts += 1
+        self.queue.dispatched(one.call.caller)
+        return Dispatch(
+            one.call.call_id,
+            chosen.upstream,
+            state.declared.url,
+            one.attempts,
+            chosen,
+        )
+
+    def _refuse(self, one: _Open, answer: refusal.Refusal) -> Refuse:
+        self._open.pop(one.call.call_id, None)
+        return Refuse(one.call.call_id, answer)
+
+    def finished(
+        self,
+        call_id: str,
+        seen: estimates.Observation,
+        complete: bool,
+        now_ms: int,
+    ) -> list[Action]:
+        """Learns from a call that ended and gives its room away.
+
+        Args:
+          call_id: The call.
+          seen: What it showed; the estimates at dispatch are filled in.
+          complete: False where the caller went away before the end.
+          now_ms: Monotonic time.
+        """
+        one = self._open.pop(call_id, None)
+        if one is None or not one.upstream:
+            return []
+        state = self.upstreams.get(one.upstream)
+        if state is not None:
+            self._learn(state, one, seen, complete, now_ms)
+            state.own -= 1
+        if complete:
+            self.budget.succeeded()
+        return self._drain_queue(now_ms)
+
+    def _learn(
+        self,
+        state: routing.UpstreamState,
+        one: _Open,
+        seen: estimates.Observation,
+        complete: bool,
+        now_ms: int,
+    ) -> None:
+        state.breaker.succeeded()
+        if not complete:
+            return
+        seen = dataclasses.replace(
+            seen,
+            in_batch=one.chosen.in_batch + 1,
+            uncached_tokens=one.chosen.uncached_tokens,
+        )
+        state.speed.observe(seen)
+        promise = one.call.promise
+        kept = (seen.first_ms or 0) <= promise.first_token_ms
+        if seen.between_ms is not None:
+            kept = kept and seen.between_ms <= promise.between_tokens_ms
+        state.limit.finished(kept, state.own, now_ms, state.speed.call_ms)
+
+    def failed(
+        self, call_id: str, failure: FailureKind, now_ms: int
+    ) -> list[Action]:
+        """Decides what follows a failed attempt: another one or a refusal."""
+        one = self._open.get(call_id)
+        if one is None:
+            return []
+        self._note_failure(one, failure, now_ms)
+        one.excluded.add(one.upstream)
+        one.last_failure = failure
+        one.upstream = ""
+        actions = [self._retry(one, failure, now_ms)]
+        return actions + self._drain_queue(now_ms)
+
+    def _note_failure(
+        self, one: _Open, failure: FailureKind, now_ms: int
+    ) -> None:
+        state = self.upstreams.get(one.upstream)
+        if state is None:
+            return
+        state.own -= 1
+        match failure:
+            case NotRun(leaving=True):
+                # The upstream's own word counts at once; the platform's
+                # list would say so only after its lag.
+                state.leaving_seen = True
+            case NotRun(absent=True):
+                state.absent[one.call.target] = now_ms
+            case _:
+                state.breaker.failed(now_ms)
+
+    def _retry(self, one: _Open, failure: FailureKind, now_ms: int) -> Action:
+        call = one.call
+        if now_ms >= call.deadline_ms:
+            executed = refusal.Executed.UNKNOWN
+            return self._refuse(one, refusal.deadline_passed(executed))
+        servers = self._servers(one, now_ms)
+        # What was proved not to have run costs the upstreams nothing; only
+        # work done twice is paid from the budget.
+        free = isinstance(failure, NotRun) and one.attempts < MAX_ATTEMPTS
+        allowed = free or (one.attempts < MAX_ATTEMPTS and self.budget.spend())
+        if not servers or not allowed:
+            return self._refuse(one, self._no_server(one))
+        with_room = [u for u in servers if u.has_room()]
+        # A call that was admitted once does not queue again.
+        action = self._dispatch(one, with_room or servers, now_ms)
+        if free:
+            return action
+        pause_ms = retry.pause_ms(one.attempts, self._rng)
+        return dataclasses.replace(action, pause_ms=pause_ms)
+
+    def abandoned(self, call_id: str, now_ms: int) -> list[Action]:
+        """The caller went away while its call waited."""
+        self.queue.remove(call_id)
+        one = self._open.pop(call_id, None)
+        if one is not None and one.upstream in self.upstreams:
+            self.upstreams[one.upstream].own -= 1
+        return self._drain_queue(now_ms)
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Refuses what waited too long and dispatches what found room."""
+        actions: list[Action] = []
+        for call in self.queue.expired(now_ms):
+            self.queue.remove(call.call_id)
+            one = self._open[call.call_id]
+            if now_ms >= call.deadline_ms:
+                answer = refusal.deadline_passed(refusal.Executed.NO)
+            else:
+                answer = refusal.overloaded(2)
+            actions.append(self._refuse(one, answer))
+        return actions + self._drain_queue(now_ms)
+
+    def _drain_queue(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        if not len(self.queue):
+            return actions
+        if not any(u.has_room() for u in self.upstreams.values()):
+            return actions
+        for call in self.queue.in_order(now_ms):
+            one = self._open[call.call_id]
+            servers = self._servers(one, now_ms)
+            with_room = [u for u in servers if u.has_room()]
+            if with_room:
+                self.queue.remove(call.call_id)
+                actions.append(self._dispatch(one, with_room, now_ms))
+        return actions
--- /dev/null
+++ b/sesamecross/ops/overlay.py
@@ -0,0 +1,54 @@
+"""Which peers a steward keeps streams to.
+
+Why: with 273 stewards in a zone nobody can talk to everybody. Each member is
+watched by a few others that all pick alike by rendezvous hashing; the same
+streams carry gossip. A few delegates of each zone keep streams to delegates
+of the other zones.
+
+Each steward opens streams to its own watchers, so a member's streams number
+about twice the count of watchers, whatever the zone's size.
+"""
+
+from collections.abc import Mapping
+
+from sesamecross.core import data
+from sesamecross.utils import rendezvous
+
+WATCHERS = 3
+DELEGATES = 2
+
+
+def watchers(
+    instance: str, zone_members: list[str], count: int = WATCHERS
+) -> list[str]:
+    """Returns who watches `instance` among its zone's members."""
+    others = [name for name in zone_members if name != instance]
+    return rendezvous.top(f"watch/{instance}", others, count)
+
+
+def delegates(zone: str, zone_members: list[str]) -> list[str]:
+    """Returns who speaks for a zone to the others."""
+    return rendezvous.top(f"delegate/{zone}", zone_members, DELEGATES)
+
+
+def links_of(
+    instance: str, members: Mapping[str, data.Member]
+) -> dict[str, data.Member]:
+    """Returns the peers to which `instance` opens streams.
+
+    Args:
+      instance: The steward's own name.
+      members: All members believed alive, the own one included.
+    """
+    own = members[instance]
+    by_zone: dict[str, list[str]] = {}
+    for name, member in sorted(members.items()):
+        by_zone.setdefault(member.zone, []).append(name)
+    chosen = set(watchers(instance, by_zone[own.zone]))
+    if instance in delegates(own.zone, by_zone[own.zone]):
+        for zone, names in by_zone.items():
+            # The zone of the smaller name opens, so that a pair of
+            # delegates does not hold two streams.
+            if zone > own.zone:
+                chosen.update(delegates(zone, names))
+    return {name: members[name] for name in sorted(chosen)}
--- /dev/null
+++ b/sesamecross/ops/replay.py
@@ -0,0 +1,239 @@
+"""From records on the log to the state that all instances share.
+
+Why: instances keep nothing, so every one rebuilds the state from the log (or
+takes it from a peer or a snapshot, in the same form) and reaches the same
+verdicts. `SharedState.apply` reads only the record and its offset: no clock,
+no random number, nothing of the instance that runs it.
+"""
+
+import dataclasses
+import hashlib
+from typing import Any
+
+import msgpack
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import zstandard
+
+from sesamecross.core import codec
+from sesamecross.core import data
+from sesamecross.core import errors
+from sesamecross.core import records
+from sesamecross.ops import claims
+from sesamecross.ops import config_log
+from sesamecross.ops import intents
+from sesamecross.ops import leases
+
+# Appends whose answer was lost are sent again within seconds; at several
+# hundred appends a second these many ids cover more than a minute.
+APPEND_IDS_KEPT = 20_000
+MAX_STATE_BYTES = 256 * 1024 * 1024
+MEMBERS_KEPT = 20_000
+
+
+@dataclasses.dataclass(slots=True)
+class Dumped:
+    """The whole state in plain form, as snapshots and peers carry it."""
+
+    next_offset: int
+    append_ids: list[str]
+    config: config_log.ConfigState
+    leases: leases.LeaseState
+    intents: intents.IntentState
+    claims: claims.ClaimTable
+    members: dict[str, data.Member]
+    draining: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """What one record did at replay, for whoever waits for it.
+
+    Attributes:
+      result: Verdict, Lease, Intent or ClaimVerdict; None where the record
+        did not count or has no result.
+    """
+
+    offset: int
+    record: Any
+    result: Any
+
+
+class SharedState:
+    """The replayed state after all records before `next_offset`."""
+
+    __slots__ = (
+        "next_offset",
+        "config",
+        "leases",
+        "intents",
+        "claims",
+        "members",
+        "draining",
+        "_append_ids",
+    )
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.config = config_log.ConfigLog()
+        self.leases = leases.LeaseState()
+        self.intents = intents.IntentState()
+        self.claims = claims.ClaimTable()
+        self.members: dict[str, data.Member] = {}
+        self.draining: set[str] = set()
+        self._append_ids: dict[str, None] = {}
+
+    def apply(self, offset: int, payload: bytes) -> list[Event]:
+        """Applies one log record; an offset seen before changes nothing.
+
+        Args:
+          offset: The record's place on the log. Must not skip records that
+            could still be read; the log client sees to that.
+          payload: The record's bytes. Bytes that are no envelope change
+            nothing but the offset, at every instance alike.
+
+        Returns:
+          An event for each entry of the envelope, in order.
+        """
+        if offset < self.next_offset:
+            return []
+        self.next_offset = offset + 1
+        envelope = codec.decode(payload).value_or(None)
+        if not isinstance(envelope, records.Envelope):
+            return []
+        if envelope.append_id in self._append_ids:
+            return []
+        self._remember(envelope.append_id)
+        events = []
+        for plain in envelope.entries:
+            record = codec.from_plain(plain).value_or(None)
+            result = self._apply_record(offset, record)
+            events.append(Event(offset, record, result))
+        return events
+
+    def _remember(self, append_id: str) -> None:
+        self._append_ids[append_id] = None
+        while len(self._append_ids) > APPEND_IDS_KEPT:
+            self._append_ids.pop(next(iter(self._append_ids)))
+
+    def _apply_record(self, offset: int, record: Any) -> Any:
+        match record:
+            case records.ConfigPublished():
+                return self.config.apply(offset, record)
+            case records.MemberJoined(member=member):
+                return self._join(member)
+            case records.MemberLeft(incarnation=incarnation):
+                return self._leave(incarnation)
+            case records.LeaseTaken():
+                # Offset 0 would look like "no lease" to `supersedes`.
+                return leases.take(self.leases, offset + 1, record)
+            case records.LeaseReleased():
+                return leases.release(self.leases, record)
+            case records.LeaseRenewed(zone=zone, lease=lease):
+                return leases.is_current(self.leases, zone, lease)
+            case records.IntentWritten():
+                return intents.write(
+                    self.intents, self.leases, offset + 1, record
+                )
+            case records.IntentResolved():
+                return intents.resolve(self.intents, record)
+            case records.ClaimMade():
+                remembered = self.config.declarations.claims.remembered
+                return claims.make(self.claims, record, remembered)
+            case records.ClaimSettled():
+                return claims.settle(self.claims, record)
+            case records.DrainMarked(upstream=upstream, draining=True):
+                self.draining.add(upstream)
+            case records.DrainMarked(upstream=upstream):
+                self.draining.discard(upstream)
+        return None
+
+    def _join(self, member: data.Member) -> None:
+        instance = member.incarnation.instance
+        earlier = self.members.get(instance)
+        if earlier is not None and earlier.incarnation != member.incarnation:
+            claims.holder_gone(self.claims, earlier.incarnation)
+        self.members[instance] = member
+        while len(self.members) > MEMBERS_KEPT:
+            self.members.pop(next(iter(self.members)))
+
+    def _leave(self, incarnation: data.Incarnation) -> None:
+        claims.holder_gone(self.claims, incarnation)
+        current = self.members.get(incarnation.instance)
+        if current is not None and current.incarnation == incarnation:
+            del self.members[incarnation.instance]
+
+    def dump(self) -> bytes:
+        """Returns the state as bytes, equal for equal states."""
+        dumped = Dumped(
+            self.next_offset,
+            list(self._append_ids),
+            self.config.state,
+            self.leases,
+            self.intents,
+            self.claims,
+            self.members,
+            sorted(self.draining),
+        )
+        return msgpack.packb(
+            msgspec.to_builtins(dumped, builtin_types=(bytes,))
+        )
+
+
+def load(dump: bytes) -> Result[SharedState, errors.Problem]:
+    """Returns the state that `SharedState.dump` wrote."""
+    try:
+        dumped = msgspec.convert(msgpack.unpackb(dump), Dumped)
+    except (ValueError, TypeError, msgspec.ValidationError) as error:
+        return Failure(_bad_dump(str(error)))
+    state = SharedState()
+    state.next_offset = dumped.next_offset
+    state.config = config_log.ConfigLog(dumped.config)
+    state.leases = dumped.leases
+    state.intents = dumped.intents
+    state.claims = dumped.claims
+    state.members = dumped.members
+    state.draining = set(dumped.draining)
+    state._append_ids = dict.fromkeys(dumped.append_ids)
+    return Success(state)
+
+
+def snapshot(state: SharedState) -> records.StateSnapshot:
+    """Returns the state as a record that can be appended or sent."""
+    dump = state.dump()
+    return records.StateSnapshot(
+        state.next_offset - 1,
+        hashlib.sha256(dump).hexdigest(),
+        zstandard.ZstdCompressor(level=3).compress(dump),
+    )
+
+
+def restore(
+    record: records.StateSnapshot,
+) -> Result[SharedState, errors.Problem]:
+    """Returns the state in a snapshot, or why it can't be trusted."""
+    try:
+        dump = zstandard.ZstdDecompressor().decompress(
+            record.data, max_output_size=MAX_STATE_BYTES
+        )
+    except zstandard.ZstdError as error:
+        return Failure(_bad_dump(str(error)))
+    if hashlib.sha256(dump).hexdigest() != record.digest:
+        return Failure(_bad_dump("digest does not match"))
+    loaded = load(dump)
+    state = loaded.value_or(None)
+    if state is not None and state.next_offset != record.upto + 1:
+        return Failure(_bad_dump("offset does not match its content"))
+    return loaded
+
+
+def _bad_dump(reason: str) -> errors.Problem:
+    return errors.Problem(
+        "snapshot",
+        "",
+        f"can't be read ({reason})",
+        "use another snapshot, a peer, or replay the log",
+        errors.Kind.PROTOCOL,
+    )
--- /dev/null
+++ b/sesamecross/parser/__init__.py
@@ -0,0 +1,1 @@
+"""From files to records: settings and declarations."""
--- /dev/null
+++ b/sesamecross/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the systems outside, one file for each protocol."""
--- /dev/null
+++ b/sesamecross/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle, supervision, logs and metrics of a process."""
--- /dev/null
+++ b/sesamecross/runtime/http_server.py
@@ -0,0 +1,158 @@
+"""An HTTP server by `cheroot`, with the limits that every port needs.
+
+Why: each process answers HTTP (calls, metrics, health), and each port must
+bound heads, bodies, idle time and connections the same way.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import json
+import threading
+from typing import Any
+
+from cheroot import errors as cheroot_errors
+from cheroot import wsgi
+
+from sesamecross.runtime import logs
+
+# A connection that sends its head or body slower than this is closed.
+DEFAULT_IDLE_S = 20
+_JOIN_S = 5
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+WsgiApp = Callable[[dict, StartResponse], Iterable[bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one server. Times in seconds, sizes in bytes."""
+
+    threads: int = 8
+    max_connections: int = 1000
+    max_head_bytes: int = 32_768
+    max_body_bytes: int = 4 * 1024 * 1024
+    idle_s: int = DEFAULT_IDLE_S
+
+
+class HttpServer:
+    """Serves a WSGI application from threads of its own."""
+
+    __slots__ = ("_server", "_thread", "_name", "_done")
+
+    def __init__(self, name: str, address: str, app: WsgiApp, limits: Limits):
+        host, _, port = address.rpartition(":")
+        self._name = name
+        self._server = wsgi.Server(
+            (host, int(port)),
+            app,
+            numthreads=limits.threads,
+            max=limits.threads,
+            request_queue_size=min(limits.max_connections, 1024),
+            timeout=limits.idle_s,
+            shutdown_timeout=_JOIN_S,
+        )
+        self._server.max_request_header_size = limits.max_head_bytes
+        self._server.max_request_body_size = limits.max_body_bytes
+        self._server.keep_alive_conn_limit = limits.max_connections
+        self._server.error_log = self._on_error
+        self._thread: threading.Thread | None = None
+        self._done = threading.Event()
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return self._name
+
+    @property
+    def address(self) -> str:
+        """The address that is bound; its port is known after `start`."""
+        host, port = self._server.bind_addr
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Binds the address and serves until `shut_down`."""
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._serve, name=self._name, daemon=True
+        )
+        self._thread.start()
+
+    def shut_down(self) -> None:
+        """Closes the port and ends the threads."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(_JOIN_S)
+
+    async def run(self) -> None:
+        """Serves as a component of a supervisor."""
+        if self._thread is None:
+            self.start()
+        while not self._done.is_set():
+            await asyncio.sleep(0.2)
+
+    async def stop(self) -> None:
+        """Stops as a component of a supervisor."""
+        await asyncio.to_thread(self.shut_down)
+
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        finally:
+            self._done.set()
+
+    def _on_error(self, msg="", level=20, traceback=False) -> None:
+        # Resets by callers are ordinary; the library reports them here.
+        logs.part(self._name).debug("server error", detail=str(msg)[:500])
+
+
+class SlowBody(Exception):
+    """The caller sent its body slower than allowed, or went away."""
+
+
+def read_body(environ: dict) -> bytes:
+    """Returns the whole request body.
+
+    Raises:
+      SlowBody: The caller stalled, went away or sent too much.
+    """
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or -1)
+        stream = environ["wsgi.input"]
+        if length >= 0:
+            body = stream.read(length)
+            if len(body) < length:
+                raise SlowBody("the body ended early")
+            return body
+        if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+            return stream.read()
+        return b""
+    except (
+        OSError,
+        ValueError,
+        cheroot_errors.MaxSizeExceeded,
+    ) as error:
+        raise SlowBody(str(error)) from error
+
+
+def answer(
+    start_response: StartResponse,
+    status: str,
+    body: bytes,
+    content_type: str = "application/json",
+) -> list[bytes]:
+    """Sends a whole answer."""
+    headers = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+    ]
+    start_response(status, headers)
+    return [body]
+
+
+def answer_json(
+    start_response: StartResponse, value: Any, status: str = "200 OK"
+) -> list[bytes]:
+    """Sends a whole answer as JSON."""
+    return answer(start_response, status, json.dumps(value).encode())
--- /dev/null
+++ b/sesamecross/runtime/logs.py
@@ -0,0 +1,66 @@
+"""Structured logs: short sentences with a fixed prefix for each part.
+
+Why: somebody on call greps for one part or one correlation id over all
+processes. JSON lines by default, text for a terminal. Secrets are never
+passed to a logger; callers are named, not their keys.
+"""
+
+import logging
+import sys
+
+import structlog
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+def configure(level: str, log_format: str, **fixed: str) -> None:
+    """Sets up the process's logs on standard error.
+
+    Args:
+      level: One of debug, info, warning, error.
+      log_format: "json" for lines of JSON, "text" for a terminal.
+      **fixed: Fields that every line bears, such as the instance.
+    """
+    if log_format == "text":
+        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    else:
+        renderer = structlog.processors.JSONRenderer()
+    structlog.configure(
+        processors=[
+            _fixed_fields(fixed),
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _prefix,
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            _LEVELS.get(level, logging.INFO)
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def _fixed_fields(fixed):
+    def add(_logger, _method, event):
+        return {**fixed, **event}
+
+    return add
+
+
+def _prefix(_logger, _method, event):
+    part = event.pop("part", None)
+    if part:
+        event["event"] = f"{part}: {event['event']}"
+    return event
+
+
+def part(name: str) -> structlog.stdlib.BoundLogger:
+    """Returns the logger of one part; its lines begin with `name`."""
+    return structlog.get_logger(part=name)
--- /dev/null
+++ b/sesamecross/runtime/supervisor.py
@@ -0,0 +1,115 @@
+"""A supervisor for the components of one process.
+
+Why: a component that fails on something passing, such as a reset, is started
+again with growing pauses while the others go on; one that keeps failing
+takes the process down, so that the platform replaces it instead of leaving
+half a process that answers health checks.
+"""
+
+import asyncio
+import dataclasses
+from typing import Protocol
+
+from sesamecross.runtime import logs
+
+RESTARTS_ALLOWED = 10
+RESTART_WINDOW_S = 30.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 5.0
+
+
+class Component(Protocol):
+    """A part of a process with a life of its own."""
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+
+    async def run(self) -> None:
+        """Works until cancelled. Returning early counts as done."""
+
+    async def stop(self) -> None:
+        """Finishes what was begun; called once before `run` is cancelled."""
+
+
+class ComponentFailed(Exception):
+    """A component failed more often than a restart can help."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Child:
+    component: Component
+    task: asyncio.Task | None = None
+    failures: list[float] = dataclasses.field(default_factory=list)
+
+
+class Supervisor:
+    """Starts components in order, restarts them, stops them in reverse."""
+
+    __slots__ = ("_children", "_log", "_failed")
+
+    def __init__(self, components: list[Component]):
+        self._children = [_Child(component) for component in components]
+        self._log = logs.part("supervisor")
+        self._failed: asyncio.Future | None = None
+
+    def start(self) -> None:
+        """Starts all components."""
+        self._failed = asyncio.get_running_loop().create_future()
+        for child in self._children:
+            child.task = asyncio.create_task(
+                self._keep_running(child), name=child.component.name
+            )
+
+    async def failed(self) -> None:
+        """Waits until a component is given up, and raises why."""
+        await self._failed
+
+    async def stop(self) -> None:
+        """Stops all components, the last one started first."""
+        for child in reversed(self._children):
+            try:
+                await child.component.stop()
+            except Exception:
+                self._log.exception(
+                    "component did not stop cleanly",
+                    component=child.component.name,
+                )
+            if child.task is not None:
+                child.task.cancel()
+                await asyncio.gather(child.task, return_exceptions=True)
+
+    async def _keep_running(self, child: _Child) -> None:
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                await child.component.run()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                if not self._may_restart(child):
+                    self._give_up(child, error)
+                    return
+                self._log.exception(
+                    "component failed and is started again",
+                    component=child.component.name,
+                    pause_s=pause,
+                )
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+
+    def _may_restart(self, child: _Child) -> bool:
+        now = asyncio.get_running_loop().time()
+        child.failures = [
+            at for at in child.failures if now - at < RESTART_WINDOW_S
+        ]
+        child.failures.append(now)
+        return len(child.failures) <= RESTARTS_ALLOWED
+
+    def _give_up(self, child: _Child, error: Exception) -> None:
+        self._log.error("component is given up", component=child.component.name)
+        if not self._failed.done():
+            failure = ComponentFailed(child.component.name)
+            failure.__cause__ = error
+            self._failed.set_exception(failure)
--- /dev/null
+++ b/sesamecross/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Thin command-line mains."""
--- /dev/null
+++ b/sesamecross/scripts/fake_engine.py
@@ -0,0 +1,27 @@
+"""Runs a fake model engine."""
+
+import sys
+
+from sesamecross.fakes import base
+from sesamecross.fakes import engine
+
+
+def main() -> int:
+    """Returns the exit code."""
+    parser = base.parser(__doc__)
+    parser.add_argument("--memory-mib", type=int, required=True)
+    parser.add_argument("--store-url", required=True)
+    parser.add_argument("--checks-fencing", action="store_true")
+    parser.add_argument("--threads", type=int, default=128)
+    parser.add_argument("--batch", type=int, default=32)
+    parser.add_argument("--step-ms", type=float, default=8.0)
+    parser.add_argument("--per-call-ms", type=float, default=0.3)
+    parser.add_argument("--prefill-ms-per-token", type=float, default=0.15)
+    parser.add_argument("--prefix-blocks", type=int, default=4096)
+    parser.add_argument("--report-lag-ms", type=int, default=500)
+    flags = parser.parse_args()
+    return base.run(flags, engine.EngineServer(flags))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sesamecross/scripts/fake_store.py
@@ -0,0 +1,22 @@
+"""Runs a fake of the weight store."""
+
+import sys
+
+from sesamecross.fakes import base
+from sesamecross.fakes import store
+
+
+def main() -> int:
+    """Returns the exit code."""
+    parser = base.parser(__doc__)
+    parser.add_argument("--loads-per-second", type=float, default=2.5)
+    parser.add_argument("--full-speed-loads", type=int, default=6)
+    parser.add_argument("--adapters-in-transit", type=int, default=50)
+    parser.add_argument("--load-s", type=float, default=0.3)
+    flags = parser.parse_args()
+    server = store.StoreServer(flags.name, flags.listen, flags)
+    return base.run(flags, server)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sesamecross/steward/__init__.py
@@ -0,0 +1,1 @@
+"""The process that follows the log, keeps membership and plans placement."""
--- /dev/null
+++ b/sesamecross/steward/app.py
@@ -0,0 +1,344 @@
+"""The steward's application object: owns its parts, their start and end."""
+
+import asyncio
+import os
+import random
+import uuid
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.core import messages
+from sesamecross.core import records
+from sesamecross.ops import gossip
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import replay
+from sesamecross.ops import timeline
+from sesamecross.parser import settings as settings_lib
+from sesamecross.ports import engine_http
+from sesamecross.ports import instances_http
+from sesamecross.ports import log_http
+from sesamecross.runtime import http_server
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import supervisor
+from sesamecross.steward import claims_desk
+from sesamecross.steward import demand as demand_lib
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import lease_keeper
+from sesamecross.steward import links as links_lib
+from sesamecross.steward import log_reader
+from sesamecross.steward import log_writer
+from sesamecross.steward import mover as mover_lib
+from sesamecross.steward import reporter as reporter_lib
+from sesamecross.steward import server as server_lib
+from sesamecross.steward import starter
+from sesamecross.steward import views as views_lib
+
+LEAVE_WAIT_S = 3.0
+
+
+class StewardApp:
+    """Everything that one steward process owns."""
+
+    def __init__(
+        self, settings: settings_lib.StewardSettings, clock: clock_lib.Clock
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._logger = logs.part("steward")
+        started = f"{uuid.uuid4().hex[:12]}"
+        self.me = data.Member(
+            data.Incarnation(settings.instance, started),
+            settings.zone,
+            settings.region,
+            settings.advertise or settings.listen,
+        )
+        self.recorder = timeline.Recorder(
+            f"steward/{settings.instance}", settings.zone, clock
+        )
+        self.metrics = metrics_lib.Metrics()
+        self._rng = random.Random(os.urandom(8))
+        self.hub = hub_lib.Hub()
+        self.hub.listen(self._on_event)
+
+    @classmethod
+    def from_settings(
+        cls, settings: settings_lib.StewardSettings
+    ) -> "StewardApp":
+        """Returns an application on the machine's clock."""
+        return cls(settings, clock_lib.SystemClock())
+
+    def components(self) -> list[supervisor.Component]:
+        """Returns the parts in the order of their start."""
+        settings = self._settings
+        self._log = log_http.HttpLog(settings.log_url)
+        self._store = gossip.Store(settings.zone)
+        self._membership = membership_lib.Membership(
+            self.me, settings.suspect_ms
+        )
+        self._engines = engine_http.HttpEngine(connections=4)
+        self.writer = log_writer.LogWriter(
+            self._log, settings.instance, self.recorder, self._rng
+        )
+        self._starter = starter.Starter()
+        self.reader = log_reader.LogReader(
+            self._log,
+            self.hub,
+            self.recorder,
+            self._rng,
+            self._starter.on_gap,
+        )
+        self.links = links_lib.Links(
+            self.me,
+            settings.shared_key,
+            self.hub,
+            self._store,
+            self._membership,
+            instances_http.HttpInstances(settings.instances_url),
+            self._clock,
+            self.recorder,
+            self._rng,
+            settings.heartbeat_ms,
+        )
+        self.reporter = reporter_lib.Reporter(
+            self.me,
+            self.hub,
+            self._store,
+            self._membership,
+            self._engines,
+            self.recorder,
+            settings.report_ms,
+        )
+        self.demand = demand_lib.Demand(
+            self.me, self._store, self._clock, self.recorder
+        )
+        self.lease = lease_keeper.LeaseKeeper(
+            self.me,
+            settings,
+            self.hub,
+            self.reader,
+            self.writer,
+            self._membership,
+            self._clock,
+            self.recorder,
+        )
+        self.mover = mover_lib.Mover(
+            self.me,
+            self.hub,
+            self.lease,
+            self.reader,
+            self.writer,
+            self.reporter,
+            self._engines,
+            self.demand,
+            self._clock,
+            self.recorder,
+            settings.plan_ms,
+        )
+        desk = claims_desk.ClaimsDesk(
+            self.me.incarnation,
+            self.hub,
+            self.reader,
+            self.writer,
+            self.recorder,
+        )
+        self.server = server_lib.Server(
+            settings.listen,
+            settings.shared_key,
+            self.recorder,
+            desk,
+            self.links,
+            self._on_demand,
+            self.status,
+        )
+        self.views = views_lib.Views(
+            self.hub,
+            self.reporter,
+            self.reader,
+            self.server,
+            self._membership,
+        )
+        self._starter.bind(self)
+        http = http_server.HttpServer(
+            "http",
+            settings.metrics_listen,
+            self._http,
+            http_server.Limits(threads=2, max_connections=50),
+        )
+        return [
+            self.writer,
+            self.reader,
+            self.links,
+            self.server,
+            self._starter,
+            self.reporter,
+            self.lease,
+            self.mover,
+            self.views,
+            http,
+        ]
+
+    async def drain(self) -> None:
+        """Leaves: the lease is given back and the leave is on the log."""
+        self.links.leaving = True
+        await self.mover.stop()
+        await self.lease.stop()
+        if self.writer.reachable:
+            self.writer.submit(records.MemberLeft(self.me.incarnation))
+        try:
+            await asyncio.wait_for(self.writer.flushed(), LEAVE_WAIT_S)
+        except TimeoutError:
+            self._logger.warning("the log is away, leaving without a record")
+
+    def status(self, request_id: str) -> messages.StatusReply:
+        """Returns what operators see of this steward."""
+        state = self.hub.state
+        unresolved = tuple(
+            (
+                intent.order.order_id,
+                intent.order.upstream,
+                intent.order.action.value,
+                intent.order.target,
+            )
+            for intent in state.intents.unresolved.values()
+        )
+        open_claims = sum(
+            1
+            for claim in state.claims.by_name.values()
+            if claim.executed is None
+        )
+        return messages.StatusReply(
+            request_id,
+            self.me.incarnation.instance,
+            self.me.zone,
+            state.config.state.version,
+            state.next_offset,
+            self.reader.reachable,
+            self.server.entry is not None,
+            tuple(self._peer_statuses()),
+            tuple(self.reporter.reports()),
+            {
+                zone: lease.holder.instance
+                for zone, lease in sorted(state.leases.leases.items())
+            },
+            unresolved,
+            tuple(sorted(state.draining)),
+            tuple(
+                f"{s.name} {s.reason}; {s.remedy}"
+                for s in self.mover.shortfalls
+            ),
+            open_claims,
+            self.mover.moves_made,
+        )
+
+    def _peer_statuses(self) -> list[messages.PeerStatus]:
+        now_ms = self._clock.monotonic_ms()
+        statuses = []
+        for name, member in sorted(self._membership.known().items()):
+            belief = self._membership.state_of(name)
+            if belief is None:
+                continue
+            heartbeat = self.links.heartbeats.get(name)
+            statuses.append(
+                messages.PeerStatus(
+                    name,
+                    member.zone,
+                    belief[0].value,
+                    heartbeat.version if heartbeat else -1,
+                    heartbeat.next_offset if heartbeat else -1,
+                    heartbeat.log_reachable if heartbeat else False,
+                    now_ms - belief[1],
+                )
+            )
+        return statuses
+
+    def _on_demand(self, report: messages.DemandReport) -> None:
+        self.demand.report(report.calls, report.interval_ms)
+
+    def _on_event(self, event: replay.Event) -> None:
+        match event.record:
+            case records.ConfigPublished(change_id=change_id, author=author):
+                verdict = event.result
+                self.recorder.add(
+                    timeline.EventKind.CONFIG,
+                    f"change {change_id} by {author} is"
+                    f" {verdict.outcome.value}, version {verdict.version}",
+                )
+                self._logger.info(
+                    "configuration change is judged",
+                    change_id=change_id,
+                    outcome=verdict.outcome.value,
+                    version=verdict.version,
+                )
+            case records.DrainMarked(upstream=upstream, draining=draining):
+                what = "drain is asked for" if draining else "drain is ended"
+                self.recorder.add(
+                    timeline.EventKind.DRAIN, what, upstream=upstream
+                )
+
+    def _http(self, environ, start_response):
+        path = environ.get("PATH_INFO", "/")
+        if path == "/metrics":
+            self._refresh_metrics()
+            body, content_type = self.metrics.render()
+            return http_server.answer(
+                start_response, "200 OK", body, content_type
+            )
+        if path == "/healthz":
+            return http_server.answer_json(start_response, {"ok": True})
+        if path == "/readyz":
+            ready = self.views.is_ready
+            status = "200 OK" if ready else "503 Service Unavailable"
+            return http_server.answer_json(
+                start_response, {"ready": ready}, status
+            )
+        return http_server.answer_json(
+            start_response, {"error": "no such path"}, "404 Not Found"
+        )
+
+    def _refresh_metrics(self) -> None:
+        state = self.hub.state
+        gauges = {
+            "sesamecross_config_version": (
+                "Configuration version in force.",
+                state.config.state.version,
+            ),
+            "sesamecross_log_next_offset": (
+                "Offset up to which the log is replayed.",
+                state.next_offset,
+            ),
+            "sesamecross_log_reachable": (
+                "1 while reads of the log are answered.",
+                int(self.reader.reachable),
+            ),
+            "sesamecross_lease_held": (
+                "1 while this steward holds its zone's lease.",
+                int(self.lease.held() is not None),
+            ),
+            "sesamecross_intents_unresolved": (
+                "Orders whose outcome is not proved.",
+                len(state.intents.unresolved),
+            ),
+            "sesamecross_claims": (
+                "Claims remembered.",
+                len(state.claims.by_name),
+            ),
+            "sesamecross_log_appends": (
+                "Appends made by this steward.",
+                self.writer.appends,
+            ),
+            "sesamecross_log_append_bytes": (
+                "Bytes appended by this steward.",
+                self.writer.append_bytes,
+            ),
+            "sesamecross_peer_bytes": (
+                "Bytes sent to other stewards.",
+                self.links.bytes_sent,
+            ),
+            "sesamecross_moves": (
+                "Orders applied under this steward's lease.",
+                self.mover.moves_made,
+            ),
+        }
+        for name, (doc, value) in gauges.items():
+            self.metrics.set(name, doc, {}, value)
--- /dev/null
+++ b/sesamecross/steward/demand.py
@@ -0,0 +1,71 @@
+"""What callers ask for, as rates by model and adapter.
+
+Why: placement follows demand, which moves tenfold within an hour. Each
+steward smooths what its entry counted; the rates of all spread by gossip.
+"""
+
+import math
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.ops import gossip
+from sesamecross.ops import timeline
+
+DEMAND_PREFIX = "demand/"
+HALF_LIFE_MS = 20_000
+# Rates below this are noise of the smoothing and are dropped.
+SMALLEST_RATE = 0.001
+
+
+class Demand:
+    """Smooths one entry's counts and sums up those of all."""
+
+    __slots__ = ("_me", "_store", "_clock", "_recorder", "_rates", "_last_ms")
+
+    def __init__(
+        self,
+        me: data.Member,
+        store: gossip.Store,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+    ):
+        self._me = me
+        self._store = store
+        self._clock = clock
+        self._recorder = recorder
+        self._rates: dict[str, float] = {}
+        self._last_ms = clock.monotonic_ms()
+
+    def report(self, calls: dict[str, int], interval_ms: int) -> None:
+        """Takes in an entry's counts and publishes the smoothed rates."""
+        keep = math.exp2(-interval_ms / HALF_LIFE_MS)
+        names = self._rates.keys() | calls.keys()
+        rates = {}
+        for name in names:
+            now = calls.get(name, 0) * 1000 / max(1, interval_ms)
+            rate = self._rates.get(name, 0.0) * keep + now * (1 - keep)
+            if rate >= SMALLEST_RATE:
+                rates[name] = round(rate, 4)
+        if rates == self._rates:
+            return
+        self._rates = rates
+        stamp = self._recorder.now()
+        item = gossip.Item(
+            DEMAND_PREFIX + self._me.incarnation.instance,
+            stamp.wall_ms,
+            stamp.count,
+            rates,
+            self._me.zone,
+            everywhere=True,
+        )
+        self._store.put(item)
+
+    def rates(self) -> dict[str, float]:
+        """Returns calls a second over all entries, by name."""
+        total: dict[str, float] = {}
+        for item in self._store.with_prefix(DEMAND_PREFIX):
+            if not isinstance(item.value, dict):
+                continue
+            for name, rate in item.value.items():
+                total[name] = total.get(name, 0.0) + rate
+        return total
--- /dev/null
+++ b/sesamecross/steward/hub.py
@@ -0,0 +1,72 @@
+"""The steward's replica, those who listen to it and those who wait on it.
+
+Why: claims, intents, leases and published changes are decided at replay, so
+whoever submitted a record waits here for its event.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from sesamecross.core import records
+from sesamecross.ops import catchup
+from sesamecross.ops import replay
+
+Listener = Callable[[replay.Event], None]
+
+
+def key_of(record: Any) -> tuple[str, str] | None:
+    """Returns the name under which somebody may wait for a record."""
+    match record:
+        case records.ClaimMade(claim_id=claim_id):
+            return ("claim", claim_id)
+        case records.ClaimSettled(claim_id=claim_id):
+            return ("settled", claim_id)
+        case records.IntentWritten(order=order):
+            return ("intent", order.order_id)
+        case records.IntentResolved(order_id=order_id):
+            return ("resolved", order_id)
+        case records.MemberLeft(incarnation=incarnation):
+            return ("left", incarnation.instance)
+    return None
+
+
+class Hub:
+    """Holds the replica; runs on the event loop only."""
+
+    __slots__ = ("replica", "_listeners", "_waiters")
+
+    def __init__(self) -> None:
+        self.replica = catchup.Replica(self._on_events)
+        self._listeners: list[Listener] = []
+        self._waiters: dict[tuple[str, str], list[asyncio.Future]] = {}
+
+    @property
+    def state(self) -> replay.SharedState:
+        """The replayed state."""
+        return self.replica.state
+
+    def listen(self, listener: Listener) -> None:
+        """Calls `listener` with each event from now on."""
+        self._listeners.append(listener)
+
+    def expect(self, record: Any) -> asyncio.Future:
+        """Returns a future of the record's result at replay."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiters.setdefault(key_of(record), []).append(future)
+        return future
+
+    def forget(self, record: Any, future: asyncio.Future) -> None:
+        """Stops waiting."""
+        waiting = self._waiters.get(key_of(record), [])
+        if future in waiting:
+            waiting.remove(future)
+
+    def _on_events(self, events: list[replay.Event]) -> None:
+        for event in events:
+            for listener in self._listeners:
+                listener(event)
+            key = key_of(event.record)
+            for future in self._waiters.pop(key, []) if key else []:
+                if not future.done():
+                    future.set_result(event.result)
--- /dev/null
+++ b/sesamecross/steward/lease_keeper.py
@@ -0,0 +1,152 @@
+"""Keeps or challenges the zone's placement lease.
+
+Why: one steward of a zone writes intents at a time. A lapse is noticed by
+the own monotonic clock; who holds the lease is decided on the log.
+"""
+
+import asyncio
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.core import records
+from sesamecross.ops import leases
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import replay
+from sesamecross.ops import timeline
+from sesamecross.parser import settings as settings_lib
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import log_reader
+from sesamecross.steward import log_writer
+
+TICK_S = 0.1
+STEP_MS = 500
+# A challenge that got no verdict for this long is written anew; the earlier
+# record, if it shows up, loses or wins by the same rule.
+CHALLENGE_MS = 3000
+
+
+class LeaseKeeper:
+    """Component that holds the zone's lease when it is this steward's."""
+
+    __slots__ = (
+        "_me",
+        "_hub",
+        "_reader",
+        "_writer",
+        "_membership",
+        "_clock",
+        "_recorder",
+        "_renew_ms",
+        "_watch",
+        "_renewed_ms",
+        "_challenged_ms",
+        "_logger",
+        "_leaving",
+    )
+
+    def __init__(
+        self,
+        me: data.Member,
+        settings: settings_lib.StewardSettings,
+        hub: hub_lib.Hub,
+        reader: log_reader.LogReader,
+        writer: log_writer.LogWriter,
+        membership: membership_lib.Membership,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+    ):
+        self._me = me
+        self._hub = hub
+        self._reader = reader
+        self._writer = writer
+        self._membership = membership
+        self._clock = clock
+        self._recorder = recorder
+        self._renew_ms = settings.lease_renew_ms
+        self._watch = leases.LapseWatch(settings.lease_lapse_ms, STEP_MS)
+        self._renewed_ms = 0
+        self._challenged_ms = -CHALLENGE_MS
+        self._logger = logs.part("lease")
+        self._leaving = False
+        hub.listen(self._on_event)
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "lease"
+
+    def held(self) -> leases.Lease | None:
+        """Returns the lease if this incarnation holds it."""
+        lease = self._hub.state.leases.leases.get(self._me.zone)
+        if lease is None or lease.holder != self._me.incarnation:
+            return None
+        return lease
+
+    async def run(self) -> None:
+        """Renews or challenges until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._reader.caught_up and not self._leaving:
+                self._tick(self._clock.monotonic_ms())
+
+    async def stop(self) -> None:
+        """Gives the lease back, so that nobody waits for its lapse."""
+        self._leaving = True
+        lease = self.held()
+        if lease is None:
+            return
+        self._writer.submit(records.LeaseReleased(lease.zone, lease.offset))
+        self._logger.info("lease is given back")
+
+    def _tick(self, now_ms: int) -> None:
+        lease = self.held()
+        if lease is not None:
+            if now_ms - self._renewed_ms >= self._renew_ms:
+                self._renewed_ms = now_ms
+                # While the log is away a queued renewal is enough.
+                if self._writer.reachable:
+                    self._writer.submit(
+                        records.LeaseRenewed(lease.zone, lease.offset)
+                    )
+            return
+        if not (self._reader.reachable and self._writer.reachable):
+            # Nobody can renew while the log is away: no lapse is observed.
+            self._watch.observed(now_ms)
+            return
+        self._challenge(now_ms)
+
+    def _challenge(self, now_ms: int) -> None:
+        current = self._hub.state.leases.leases.get(self._me.zone)
+        alive = self._membership.zone_alive()
+        rank = alive.index(self._me.incarnation.instance)
+        if not self._watch.may_challenge(now_ms, current, rank):
+            return
+        if now_ms - self._challenged_ms < CHALLENGE_MS:
+            return
+        self._challenged_ms = now_ms
+        supersedes = current.offset if current else 0
+        self._writer.submit(
+            records.LeaseTaken(self._me.zone, self._me.incarnation, supersedes)
+        )
+        self._logger.info("lease is challenged", supersedes=supersedes)
+
+    def _on_event(self, event: replay.Event) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match event.record:
+            case records.LeaseRenewed(zone=zone) if (
+                zone == self._me.zone and event.result
+            ):
+                self._watch.observed(now_ms)
+            case records.LeaseTaken(zone=zone) if event.result is not None:
+                lease: leases.Lease = event.result
+                holder = lease.holder.instance
+                self._recorder.add(
+                    timeline.EventKind.LEASE,
+                    f"lease of {zone} is held by {holder}, fence"
+                    f" {lease.offset}",
+                )
+            case records.LeaseReleased(zone=zone) if event.result:
+                self._recorder.add(
+                    timeline.EventKind.LEASE, f"lease of {zone} is released"
+                )
--- /dev/null
+++ b/sesamecross/steward/links.py
@@ -0,0 +1,308 @@
+"""Streams to other stewards: heartbeats, gossip, and state for joiners.
+
+Why: peers carry what the log should not: who is alive, what upstreams said,
+and the replayed state for an instance that starts while the log is down.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import uuid
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import codec
+from sesamecross.core import data
+from sesamecross.core import messages
+from sesamecross.ops import gossip
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import overlay
+from sesamecross.ops import replay
+from sesamecross.ops import timeline
+from sesamecross.ports import instances_http
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+from sesamecross.transport import streams
+
+ITEMS_PER_MESSAGE = 200
+VOTE_PREFIX = "vote/"
+PEER_ROLE = "steward"
+INSTANCES_S = 2.0
+STATE_WAIT_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    """One stream to a peer, whoever opened it."""
+
+    stream: streams.Stream
+    link: gossip.Link
+
+
+class Links:
+    """Component that keeps the overlay's streams."""
+
+    def __init__(
+        self,
+        me: data.Member,
+        shared_key: str,
+        hub: hub_lib.Hub,
+        store: gossip.Store,
+        membership: membership_lib.Membership,
+        instances: instances_http.HttpInstances,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+        rng: random.Random,
+        heartbeat_ms: int,
+    ):
+        self._me = me
+        self._shared_key = shared_key
+        self._hub = hub
+        self._store = store
+        self._membership = membership
+        self._instances = instances
+        self._clock = clock
+        self._recorder = recorder
+        self._rng = rng
+        self._heartbeat_s = heartbeat_ms / 1000
+        self._logger = logs.part("links")
+        self._open: dict[str, _Open] = {}
+        self._connecting: dict[str, asyncio.Task] = {}
+        self._retry_at: dict[str, float] = {}
+        self._states: dict[str, asyncio.Future] = {}
+        self._heard: dict[str, messages.Heartbeat] = {}
+        self._count = 0
+        self.leaving = False
+        self.log_reachable = False
+        self.ready = False
+        self.bytes_sent = 0
+        hub.listen(self._on_event)
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "links"
+
+    @property
+    def heartbeats(self) -> dict[str, messages.Heartbeat]:
+        """The newest heartbeat of each peer that was heard."""
+        return self._heard
+
+    async def run(self) -> None:
+        """Sends heartbeats and gossip until cancelled."""
+        listing = asyncio.create_task(self._follow_list())
+        try:
+            while True:
+                await asyncio.sleep(self._heartbeat_s)
+                self._tick()
+                self._connect_missing()
+                await self._send_all()
+        finally:
+            listing.cancel()
+
+    async def stop(self) -> None:
+        """Tells peers of the leave and closes all streams."""
+        self.leaving = True
+        await self._send_all()
+        for task in self._connecting.values():
+            task.cancel()
+        for one in list(self._open.values()):
+            one.stream.close()
+
+    def _tick(self) -> None:
+        for action in self._membership.tick(self._clock.monotonic_ms()):
+            match action:
+                case membership_lib.Vote(member=member, suspect=suspect):
+                    self._spread_vote(member, suspect)
+                case membership_lib.Changed(member=member, state=state):
+                    name = member.incarnation.instance
+                    self._logger.info(
+                        "belief changed", peer=name, state=state.value
+                    )
+                    self._recorder.add(
+                        timeline.EventKind.MEMBER, f"{name} is {state.value}"
+                    )
+
+    def _spread_vote(self, member: data.Member, suspect: bool) -> None:
+        me = self._me.incarnation.instance
+        vote = messages.SuspicionVote(me, member.incarnation, suspect)
+        stamp = self._recorder.now()
+        self._store.put(
+            gossip.Item(
+                f"{VOTE_PREFIX}{member.incarnation.instance}/{me}",
+                stamp.wall_ms,
+                stamp.count,
+                codec.to_plain(vote),
+                self._me.zone,
+                everywhere=True,
+            )
+        )
+
+    def _connect_missing(self) -> None:
+        members = self._membership.known()
+        now = asyncio.get_running_loop().time()
+        for name, member in overlay.links_of(
+            self._me.incarnation.instance, members
+        ).items():
+            if name in self._open or name in self._connecting:
+                continue
+            if now < self._retry_at.get(name, 0.0):
+                continue
+            self._retry_at[name] = now + self._rng.uniform(0.5, 1.5)
+            task = asyncio.create_task(self._connect(name, member))
+            self._connecting[name] = task
+            task.add_done_callback(
+                lambda _, name=name: self._connecting.pop(name, None)
+            )
+
+    async def _connect(self, name: str, member: data.Member) -> None:
+        with contextlib.suppress(streams.StreamClosed):
+            stream = await streams.connect(
+                member.address,
+                self._shared_key,
+                PEER_ROLE,
+                self._me.incarnation.instance,
+                self._recorder,
+            )
+            asyncio.create_task(self.serve(stream, name))
+
+    async def serve(self, stream: streams.Stream, name: str) -> None:
+        """Talks with one peer until the stream ends."""
+        one = _Open(stream, gossip.Link(name, ""))
+        earlier = self._open.get(name)
+        self._open[name] = one
+        if earlier is not None:
+            earlier.stream.close()
+        try:
+            await self._send_heartbeat(one)
+            while True:
+                await self._receive(one, await stream.receive())
+        except streams.StreamClosed:
+            pass
+        finally:
+            stream.close()
+            if self._open.get(name) is one:
+                del self._open[name]
+
+    async def _receive(self, one: _Open, message: object) -> None:
+        match message:
+            case messages.Heartbeat():
+                self._on_heartbeat(one, message)
+            case gossip.Items(items=items):
+                for item in items:
+                    self._on_item(one, item)
+            case messages.StateRequest(request_id=request_id):
+                snapshot = None
+                if self.ready:
+                    snapshot = replay.snapshot(self._hub.state)
+                await one.stream.send(messages.StateReply(request_id, snapshot))
+            case messages.StateReply(request_id=request_id):
+                future = self._states.pop(request_id, None)
+                if future is not None and not future.done():
+                    future.set_result(message.snapshot)
+
+    def _on_heartbeat(self, one: _Open, heartbeat: messages.Heartbeat) -> None:
+        one.link.zone = heartbeat.member.zone
+        instance = heartbeat.member.incarnation.instance
+        self._heard[instance] = heartbeat
+        changes = self._membership.heard(
+            heartbeat.member, heartbeat.leaving, self._clock.monotonic_ms()
+        )
+        for change in changes:
+            self._recorder.add(
+                timeline.EventKind.MEMBER,
+                f"{instance} is {change.state.value}",
+            )
+
+    def _on_item(self, one: _Open, item: gossip.Item) -> None:
+        one.link.note(item)
+        if not self._store.put(item):
+            return
+        if not item.key.startswith(VOTE_PREFIX):
+            return
+        vote = codec.from_plain(item.value).value_or(None)
+        if isinstance(vote, messages.SuspicionVote):
+            self._membership.vote_heard(
+                vote.watcher, vote.incarnation, vote.suspect
+            )
+
+    async def _send_all(self) -> None:
+        await asyncio.gather(
+            *(self._send_one(one) for one in list(self._open.values()))
+        )
+
+    async def _send_one(self, one: _Open) -> None:
+        with contextlib.suppress(streams.StreamClosed):
+            await self._send_heartbeat(one)
+            news = self._store.news_for(one.link, ITEMS_PER_MESSAGE)
+            if news:
+                message = gossip.Items(tuple(news))
+                self.bytes_sent += await one.stream.send(message)
+
+    async def _send_heartbeat(self, one: _Open) -> None:
+        self._count += 1
+        heartbeat = messages.Heartbeat(
+            self._me,
+            self._count,
+            self._hub.state.next_offset,
+            self._hub.state.config.state.version,
+            self.log_reachable,
+            self.leaving,
+        )
+        self.bytes_sent += await one.stream.send(heartbeat)
+
+    async def fetch_state(self) -> bool:
+        """Asks peers for the replayed state; tells whether one helped."""
+        for one in list(self._open.values()):
+            request_id = uuid.uuid4().hex
+            future = asyncio.get_running_loop().create_future()
+            self._states[request_id] = future
+            try:
+                await one.stream.send(messages.StateRequest(request_id))
+                snapshot = await asyncio.wait_for(future, STATE_WAIT_S)
+            except (streams.StreamClosed, TimeoutError):
+                self._states.pop(request_id, None)
+                continue
+            if snapshot is not None and self._hub.replica.adopt(snapshot):
+                self._logger.info(
+                    "state is taken from a peer",
+                    peer=one.link.peer,
+                    offset=snapshot.upto,
+                )
+                self.introduce_members()
+                return True
+        return False
+
+    def introduce_members(self) -> None:
+        """Takes in all members that the replayed state names."""
+        now_ms = self._clock.monotonic_ms()
+        for member in self._hub.state.members.values():
+            self._membership.introduce(member, now_ms)
+
+    async def _follow_list(self) -> None:
+        while True:
+            result = await asyncio.to_thread(self._instances.read)
+            now_ms = self._clock.monotonic_ms()
+            for line in result.value_or([]):
+                self._introduce_listed(line, now_ms)
+            await asyncio.sleep(INSTANCES_S)
+
+    def _introduce_listed(
+        self, line: instances_http.Listed, now_ms: int
+    ) -> None:
+        # The list lags, so it only names addresses to try. The incarnation
+        # is learnt from the peer itself.
+        if line.instance in self._membership.known() or line.leaving:
+            return
+        unknown = data.Incarnation(line.instance, "")
+        member = data.Member(unknown, line.zone, "", line.address)
+        self._membership.introduce(member, now_ms)
+
+    def _on_event(self, event: replay.Event) -> None:
+        record_name = type(event.record).__name__
+        if record_name == "MemberJoined":
+            self._membership.introduce(
+                event.record.member, self._clock.monotonic_ms()
+            )
+        elif record_name == "MemberLeft":
+            self._membership.remove(event.record.incarnation)
--- /dev/null
+++ b/sesamecross/steward/log_reader.py
@@ -0,0 +1,113 @@
+"""Follows the platform's log and feeds the replica.
+
+Why: reading must go on through outages, resume where it stood, and never
+skip a gap. Peers help where the log can't.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from returns.result import Success
+
+from sesamecross.ops import catchup
+from sesamecross.ops import timeline
+from sesamecross.ports import log_http
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+
+WAIT_MS = 1000
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+
+
+class LogReader:
+    """Component that long-polls the log."""
+
+    __slots__ = (
+        "_log",
+        "_hub",
+        "_recorder",
+        "_rng",
+        "_logger",
+        "_reachable",
+        "_caught_up",
+        "_on_gap",
+    )
+
+    def __init__(
+        self,
+        log: log_http.HttpLog,
+        hub: hub_lib.Hub,
+        recorder: timeline.Recorder,
+        rng: random.Random,
+        on_gap: Callable[[], None],
+    ):
+        self._log = log
+        self._hub = hub
+        self._recorder = recorder
+        self._rng = rng
+        self._logger = logs.part("log-reader")
+        self._reachable = False
+        self._caught_up = False
+        self._on_gap = on_gap
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "log-reader"
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last read was answered."""
+        return self._reachable
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the replica has been at the log's end since the start."""
+        return self._caught_up
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+        pause = FIRST_PAUSE_S
+        while True:
+            start = self._hub.replica.read_offset
+            wait_ms = WAIT_MS if self._caught_up else 0
+            result = await asyncio.to_thread(self._log.read, start, wait_ms)
+            if isinstance(result, Success):
+                pause = FIRST_PAUSE_S
+                self._set_reachable(True, "")
+                self._take(result.unwrap())
+                continue
+            self._set_reachable(False, str(result.failure()))
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+
+    async def stop(self) -> None:
+        """Nothing is open between reads."""
+
+    def _take(self, page: log_http.Page) -> None:
+        replica = self._hub.replica
+        replica.feed(page.start, page.payloads)
+        at_end = page.start + len(page.payloads) >= page.next_offset
+        if not at_end:
+            return
+        if replica.progress is catchup.Progress.FOLLOWING:
+            self._caught_up = True
+            return
+        # The log holds no snapshot that joins what it still has; only a
+        # peer can give one.
+        self._on_gap()
+
+    def _set_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            self._logger.info("reads are answered")
+        else:
+            self._logger.warning("reads fail", reason=reason)
+        self._recorder.add(
+            timeline.EventKind.LOG,
+            "reads are answered" if reachable else "reads fail",
+        )
--- /dev/null
+++ b/sesamecross/steward/log_writer.py
@@ -0,0 +1,171 @@
+"""Appends records to the platform's log in groups.
+
+Why: the log takes several hundred appends a second for everybody, so what is
+submitted while an append is under way goes out with the next one. An append
+whose answer was lost is sent again under the same id until the log has
+answered; replay counts it once.
+"""
+
+import asyncio
+import random
+from typing import Any
+import uuid
+
+from returns.result import Success
+
+from sesamecross.core import codec
+from sesamecross.core import records
+from sesamecross.ops import timeline
+from sesamecross.ports import log_http
+from sesamecross.runtime import logs
+
+MAX_GROUP = 200
+MAX_GROUP_BYTES = 512 * 1024
+MAX_QUEUE = 10_000
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 2.0
+
+
+class QueueFull(Exception):
+    """Too much waits for the log; the submitter must refuse its work."""
+
+
+class LogWriter:
+    """Component that owns the queue of records to append."""
+
+    __slots__ = (
+        "_log",
+        "_writer",
+        "_recorder",
+        "_queue",
+        "_wake",
+        "_logger",
+        "_reachable",
+        "_rng",
+        "_idle",
+        "appends",
+        "append_bytes",
+    )
+
+    def __init__(
+        self,
+        log: log_http.HttpLog,
+        writer: str,
+        recorder: timeline.Recorder,
+        rng: random.Random,
+    ):
+        self._log = log
+        self._writer = writer
+        self._recorder = recorder
+        self._rng = rng
+        self._queue: list[tuple[Any, bytes]] = []
+        self._wake = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._logger = logs.part("log-writer")
+        self._reachable = True
+        self.appends = 0
+        self.append_bytes = 0
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "log-writer"
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last append was answered."""
+        return self._reachable
+
+    def submit(self, record: Any) -> None:
+        """Queues a record; its effect shows at replay.
+
+        Raises:
+          QueueFull: The log has been away for long.
+        """
+        if len(self._queue) >= MAX_QUEUE:
+            raise QueueFull
+        self._queue.append((record, codec.encode(record)))
+        self._idle.clear()
+        self._wake.set()
+
+    def withdraw(self, record: Any) -> bool:
+        """Takes back a record that no append has carried yet.
+
+        Returns:
+          Whether it was still queued. False means that it may be on the log
+          or may get there.
+        """
+        for place, (queued, _) in enumerate(self._queue):
+            if queued is record:
+                del self._queue[place]
+                return True
+        return False
+
+    async def flushed(self) -> None:
+        """Waits until everything submitted has been answered for."""
+        await self._idle.wait()
+
+    async def run(self) -> None:
+        """Appends until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                await self._append(self._take())
+            self._idle.set()
+
+    async def stop(self) -> None:
+        """Gives what is queued a last moment."""
+        try:
+            await asyncio.wait_for(self.flushed(), 1.0)
+        except TimeoutError:
+            self._logger.warning(
+                "records are lost with this stop", records=len(self._queue)
+            )
+
+    def _take(self) -> list[Any]:
+        group = []
+        size = 0
+        while self._queue and len(group) < MAX_GROUP:
+            size += len(self._queue[0][1])
+            if group and size > MAX_GROUP_BYTES:
+                break
+            group.append(self._queue.pop(0)[0])
+        return group
+
+    async def _append(self, group: list[Any]) -> None:
+        stamp = self._recorder.now()
+        envelope = records.Envelope(
+            uuid.uuid4().hex,
+            self._writer,
+            tuple(codec.to_plain(record) for record in group),
+            (stamp.wall_ms, stamp.count),
+        )
+        payload = codec.encode(envelope)
+        pause = FIRST_PAUSE_S
+        while True:
+            result = await asyncio.to_thread(self._log.append, payload)
+            if isinstance(result, Success):
+                self._set_reachable(True, "")
+                self.appends += 1
+                self.append_bytes += len(payload)
+                return
+            self._set_reachable(False, str(result.failure()))
+            # Jitter keeps the stewards of a deployment from coming back to
+            # a recovering log all at once.
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+
+    def _set_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            self._logger.info("appends are answered again")
+        else:
+            self._logger.warning("appends fail", reason=reason)
+        self._recorder.add(
+            timeline.EventKind.LOG,
+            "appends are answered" if reachable else "appends fail",
+        )
--- /dev/null
+++ b/sesamecross/steward/mover.py
@@ -0,0 +1,348 @@
+"""Carries out the placement plan: intents first, then orders.
+
+Why: an order may only be sent once it stands on the log under a lease that
+was still current there; whatever its sender may have sent is then known to
+the next holder. How many loads run at once is decided by their order on the
+log too, so that the holders of all zones together keep the store's limits.
+"""
+
+import asyncio
+import uuid
+
+from returns.result import Success
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.core import records
+from sesamecross.ops import evidence
+from sesamecross.ops import intents
+from sesamecross.ops import ledger
+from sesamecross.ops import placement
+from sesamecross.ops import timeline
+from sesamecross.ports import engine_http
+from sesamecross.runtime import logs
+from sesamecross.steward import demand as demand_lib
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import lease_keeper
+from sesamecross.steward import log_reader
+from sesamecross.steward import log_writer
+from sesamecross.steward import reporter as reporter_lib
+
+RESEND_MS = 3000
+WATCH_S = 0.1
+_LOADS_MODEL = data.OrderAction.LOAD_MODEL
+_LOADS_ADAPTER = data.OrderAction.LOAD_ADAPTER
+
+
+class Mover:
+    """Component that plans and moves while this steward holds the lease."""
+
+    __slots__ = (
+        "_me",
+        "_hub",
+        "_lease",
+        "_reader",
+        "_writer",
+        "_reporter",
+        "_engines",
+        "_demand",
+        "_clock",
+        "_recorder",
+        "_plan_s",
+        "_busy",
+        "_locks",
+        "_next_load_ms",
+        "_logger",
+        "shortfalls",
+        "moves_made",
+    )
+
+    def __init__(
+        self,
+        me: data.Member,
+        hub: hub_lib.Hub,
+        lease: lease_keeper.LeaseKeeper,
+        reader: log_reader.LogReader,
+        writer: log_writer.LogWriter,
+        reporter: reporter_lib.Reporter,
+        engines: engine_http.HttpEngine,
+        demand: demand_lib.Demand,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+        plan_ms: int,
+    ):
+        self._me = me
+        self._hub = hub
+        self._lease = lease
+        self._reader = reader
+        self._writer = writer
+        self._reporter = reporter
+        self._engines = engines
+        self._demand = demand
+        self._clock = clock
+        self._recorder = recorder
+        self._plan_s = plan_ms / 1000
+        self._busy: dict[tuple[str, str], asyncio.Task] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._next_load_ms = 0
+        self._logger = logs.part("mover")
+        self.shortfalls: tuple[placement.Shortfall, ...] = ()
+        self.moves_made = 0
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "mover"
+
+    async def run(self) -> None:
+        """Plans and moves until cancelled."""
+        while True:
+            await asyncio.sleep(self._plan_s)
+            lease = self._lease.held()
+            if lease is None or not self._reader.reachable:
+                continue
+            self._watch_inherited()
+            plan = placement.plan(self.inputs())
+            self._note_shortfalls(plan.shortfalls)
+            for move in plan.moves:
+                self._begin(move, lease.offset)
+
+    async def stop(self) -> None:
+        """Lets moves that were written down be sent and then settled.
+
+        What can't be settled in time stays on the log as unresolved, and
+        the next holder settles it.
+        """
+        tasks = list(self._busy.values())
+        if tasks:
+            await asyncio.wait(tasks, timeout=2.0)
+        for task in self._busy.values():
+            task.cancel()
+
+    def inputs(self) -> placement.Inputs:
+        """Returns what a plan is made from now."""
+        state = self._hub.state
+        declarations = state.config.declarations
+        sizes = ledger.sizes_of(declarations)
+        accounts = {}
+        for engine in declarations.engines():
+            report = self._reporter.report_of(engine.name)
+            usable = report is not None and report.reachable
+            if not usable or report.leaving or engine.name in state.draining:
+                continue
+            accounts[engine.name] = ledger.account(
+                engine.memory_mib,
+                report,
+                intents.of_upstream(state.intents, engine.name),
+                sizes,
+            )
+        return placement.Inputs(
+            declarations, self._me.zone, accounts, self._demand.rates()
+        )
+
+    def _note_shortfalls(
+        self, shortfalls: tuple[placement.Shortfall, ...]
+    ) -> None:
+        if shortfalls == self.shortfalls:
+            return
+        self.shortfalls = shortfalls
+        for shortfall in shortfalls:
+            self._logger.warning(
+                "a declaration can't be satisfied",
+                name=shortfall.name,
+                reason=shortfall.reason,
+                remedy=shortfall.remedy,
+            )
+            self._recorder.add(
+                timeline.EventKind.PLAN,
+                f"shortfall: {shortfall.reason}",
+                model=shortfall.name,
+            )
+
+    def _begin(self, move: placement.Move, lease: int) -> None:
+        key = (move.upstream, move.target)
+        if key in self._busy or not self._within_budget(move):
+            return
+        task = asyncio.create_task(self._carry_out(move, lease))
+        self._busy[key] = task
+        task.add_done_callback(lambda _: self._busy.pop(key, None))
+
+    def _within_budget(self, move: placement.Move) -> bool:
+        store = self._hub.state.config.declarations.store
+        under_way = self._unresolved_of(move.action)
+        starting = sum(
+            1 for key in self._busy if not self._is_unresolved(key[1])
+        )
+        if move.action is _LOADS_ADAPTER:
+            return under_way + starting < store.adapters_in_transit
+        if move.action is not _LOADS_MODEL:
+            return True
+        if under_way + starting >= store.full_speed_loads:
+            return False
+        now_ms = self._clock.monotonic_ms()
+        if now_ms < self._next_load_ms:
+            return False
+        zones = {e.zone for e in self._hub.state.config.declarations.engines()}
+        # Each zone's holder takes its share of the store's rate, so that
+        # they need not talk about it.
+        interval_ms = 1000 * max(1, len(zones)) / store.loads_per_second
+        self._next_load_ms = now_ms + int(interval_ms)
+        return True
+
+    def _unresolved_of(self, action: data.OrderAction) -> int:
+        unresolved = self._hub.state.intents.unresolved.values()
+        return sum(1 for i in unresolved if i.order.action is action)
+
+    def _is_unresolved(self, target: str) -> bool:
+        unresolved = self._hub.state.intents.unresolved.values()
+        return any(i.order.target == target for i in unresolved)
+
+    async def _carry_out(self, move: placement.Move, lease: int) -> None:
+        upstream = self._hub.state.config.declarations.upstreams[move.upstream]
+        lock = self._locks.setdefault(move.upstream, asyncio.Lock())
+        async with lock:
+            intent = await self._write_intent(move, upstream, lease)
+            if intent is None:
+                return
+            await self._send(intent, upstream)
+        await self._settle(intent, upstream)
+
+    async def _write_intent(
+        self, move: placement.Move, upstream: data.Upstream, lease: int
+    ) -> intents.Intent | None:
+        """Writes the order down; returns it once it may be sent."""
+        status = await self._reporter.poll(upstream)
+        if status is None or status.report.leaving:
+            return None
+        self._resolve_by(status, upstream)
+        account = ledger.account(
+            upstream.memory_mib,
+            status.report,
+            intents.of_upstream(self._hub.state.intents, upstream.name),
+            ledger.sizes_of(self._hub.state.config.declarations),
+        )
+        if not _still_holds(move, account):
+            return None
+        order = data.Order(
+            uuid.uuid4().hex,
+            upstream.name,
+            status.report.epoch,
+            move.action,
+            move.target,
+            move.version,
+            move.memory_mib,
+        )
+        record = records.IntentWritten(self._me.zone, lease, order)
+        future = self._hub.expect(record)
+        try:
+            self._writer.submit(record)
+        except log_writer.QueueFull:
+            self._hub.forget(record, future)
+            return None
+        intent = await future
+        if intent is None:
+            # The lease was superseded before this record: another holder
+            # plans now, and this order must never be sent.
+            self._recorder.add(
+                timeline.EventKind.INTENT,
+                "intent does not count, the lease is superseded",
+                model=move.target,
+                upstream=move.upstream,
+            )
+            return None
+        self._recorder.add(
+            timeline.EventKind.INTENT,
+            f"{move.action.value}: {move.reason}",
+            model=move.target,
+            upstream=move.upstream,
+        )
+        return intent
+
+    async def _send(
+        self, intent: intents.Intent, upstream: data.Upstream
+    ) -> None:
+        result = await asyncio.to_thread(
+            self._engines.send_order, upstream.url, intent.order, intent.fence
+        )
+        word = "no answer"
+        if isinstance(result, Success):
+            word = result.unwrap().value
+        self._recorder.add(
+            timeline.EventKind.ORDER,
+            f"{intent.order.action.value} sent, fence {intent.fence}: {word}",
+            model=intent.order.target,
+            upstream=upstream.name,
+        )
+
+    async def _settle(
+        self, intent: intents.Intent, upstream: data.Upstream
+    ) -> None:
+        """Watches the engine until the order's outcome is proved."""
+        sent_ms = self._clock.monotonic_ms()
+        while self._is_open(intent):
+            await asyncio.sleep(WATCH_S)
+            status = await self._reporter.poll(upstream)
+            if status is None:
+                continue
+            self._resolve_by(status, upstream)
+            known = intent.order.order_id in status.orders
+            now_ms = self._clock.monotonic_ms()
+            if known or now_ms - sent_ms < RESEND_MS:
+                continue
+            if self._lease.held() is None:
+                return
+            # The order was lost on its way. The engine does nothing for an
+            # order id that it has seen, so sending it again is safe.
+            sent_ms = now_ms
+            await self._send(intent, upstream)
+
+    def _is_open(self, intent: intents.Intent) -> bool:
+        return intent.order.order_id in self._hub.state.intents.unresolved
+
+    def _watch_inherited(self) -> None:
+        """Settles intents that an earlier holder left behind."""
+        state = self._hub.state
+        for intent in list(state.intents.unresolved.values()):
+            if intent.zone != self._me.zone:
+                continue
+            key = (intent.order.upstream, intent.order.target)
+            upstream = state.config.declarations.upstreams.get(key[0])
+            if key in self._busy or upstream is None:
+                continue
+            task = asyncio.create_task(self._settle(intent, upstream))
+            self._busy[key] = task
+            task.add_done_callback(lambda _, key=key: self._busy.pop(key, None))
+
+    def _resolve_by(
+        self, status: engine_http.EngineStatus, upstream: data.Upstream
+    ) -> None:
+        """Writes down each outcome that the status proves."""
+        if self._lease.held() is None:
+            return
+        state = self._hub.state
+        for intent in intents.of_upstream(state.intents, upstream.name):
+            outcome = evidence.outcome_of(
+                intent, status, upstream.checks_fencing
+            )
+            if outcome is None:
+                continue
+            record = records.IntentResolved(intent.order.order_id, outcome)
+            try:
+                self._writer.submit(record)
+            except log_writer.QueueFull:
+                return
+            if outcome is records.IntentOutcome.APPLIED:
+                self.moves_made += 1
+            self._recorder.add(
+                timeline.EventKind.INTENT,
+                f"{intent.order.action.value} is {outcome.value}",
+                model=intent.order.target,
+                upstream=upstream.name,
+            )
+
+
+def _still_holds(move: placement.Move, account: ledger.Account) -> bool:
+    if move.action.loads:
+        fits = move.memory_mib <= account.free_mib
+        return fits and move.target not in account.held
+    return move.target in account.held
--- /dev/null
+++ b/sesamecross/steward/reporter.py
@@ -0,0 +1,145 @@
+"""Asks upstreams how they are and spreads what they say.
+
+Why: every entry needs residency and load of the upstreams, and upstreams run
+nothing of ours, so somebody must ask. Each upstream is asked by one steward
+of its zone, picked alike by all; the answer spreads by gossip.
+"""
+
+import asyncio
+import dataclasses
+
+from sesamecross.core import codec
+from sesamecross.core import data
+from sesamecross.ops import gossip
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import timeline
+from sesamecross.ports import engine_http
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+from sesamecross.utils import rendezvous
+
+REPORT_PREFIX = "report/"
+# An unreachable upstream is reported as such after this many tries.
+TRIES = 3
+
+
+class Reporter:
+    """Component that polls this steward's share of the zone's engines."""
+
+    __slots__ = (
+        "_me",
+        "_hub",
+        "_store",
+        "_membership",
+        "_engines",
+        "_recorder",
+        "_report_s",
+        "_failures",
+        "_logger",
+    )
+
+    def __init__(
+        self,
+        me: data.Member,
+        hub: hub_lib.Hub,
+        store: gossip.Store,
+        membership: membership_lib.Membership,
+        engines: engine_http.HttpEngine,
+        recorder: timeline.Recorder,
+        report_ms: int,
+    ):
+        self._me = me
+        self._hub = hub
+        self._store = store
+        self._membership = membership
+        self._engines = engines
+        self._recorder = recorder
+        self._report_s = report_ms / 1000
+        self._failures: dict[str, int] = {}
+        self._logger = logs.part("reporter")
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "reporter"
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            own = self._own_upstreams()
+            await asyncio.gather(*(self.poll(upstream) for upstream in own))
+            await asyncio.sleep(self._report_s)
+
+    async def stop(self) -> None:
+        """Nothing is open between polls."""
+
+    def _own_upstreams(self) -> list[data.Upstream]:
+        alive = self._membership.zone_alive()
+        me = self._me.incarnation.instance
+        return [
+            upstream
+            for upstream in self._hub.state.config.declarations.engines()
+            if upstream.zone == self._me.zone
+            and rendezvous.top(f"poll/{upstream.name}", alive, 1) == [me]
+        ]
+
+    async def poll(
+        self, upstream: data.Upstream
+    ) -> engine_http.EngineStatus | None:
+        """Asks one engine now; returns its status, or None."""
+        result = await asyncio.to_thread(
+            self._engines.status, upstream.name, upstream.url
+        )
+        status = result.value_or(None)
+        if status is not None:
+            self._failures.pop(upstream.name, None)
+            self._publish(status.report)
+            return status
+        failures = self._failures.get(upstream.name, 0) + 1
+        self._failures[upstream.name] = failures
+        if failures == TRIES:
+            self._publish_unreachable(upstream)
+        return None
+
+    def report_of(self, upstream: str) -> data.UpstreamReport | None:
+        """Returns the newest report that this steward knows."""
+        plain = self._store.get(REPORT_PREFIX + upstream)
+        if plain is None:
+            return None
+        return codec.from_plain(plain).value_or(None)
+
+    def reports(self) -> list[data.UpstreamReport]:
+        """Returns the newest reports of all upstreams, sorted."""
+        plains = [i.value for i in self._store.with_prefix(REPORT_PREFIX)]
+        found = [codec.from_plain(plain).value_or(None) for plain in plains]
+        return sorted(
+            (report for report in found if report is not None),
+            key=lambda report: report.upstream,
+        )
+
+    def _publish(self, report: data.UpstreamReport) -> None:
+        stamp = self._recorder.now()
+        item = gossip.Item(
+            REPORT_PREFIX + report.upstream,
+            stamp.wall_ms,
+            stamp.count,
+            codec.to_plain(report),
+            self._me.zone,
+            everywhere=True,
+        )
+        self._store.put(item)
+
+    def _publish_unreachable(self, upstream: data.Upstream) -> None:
+        self._logger.warning("upstream does not answer", upstream=upstream.name)
+        self._recorder.add(
+            timeline.EventKind.MEMBER,
+            "does not answer",
+            upstream=upstream.name,
+        )
+        known = self.report_of(upstream.name)
+        if known is None:
+            known = data.UpstreamReport(upstream.name, "", 0, False, False)
+        self._publish(dataclasses.replace(known, reachable=False))
+
+
+codec.register(data.UpstreamReport)
--- /dev/null
+++ b/sesamecross/steward/server.py
@@ -0,0 +1,203 @@
+"""The steward's listening port: entry, peers and operators.
+
+Why: one authenticated port for all of the system's own streams; the role in
+the handshake decides which messages are understood.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import uuid
+
+from sesamecross.core import messages
+from sesamecross.ops import timeline
+from sesamecross.runtime import logs
+from sesamecross.steward import claims_desk
+from sesamecross.steward import links as links_lib
+from sesamecross.transport import streams
+
+ENTRY_ROLE = "entry"
+OPERATOR_ROLE = "operator"
+EVENTS_WAIT_S = 2.0
+MAX_CONNECTIONS = 500
+
+
+class EntrySession:
+    """The stream to the entry on the same instance."""
+
+    __slots__ = ("stream", "_events")
+
+    def __init__(self, stream: streams.Stream):
+        self.stream = stream
+        self._events: dict[str, asyncio.Future] = {}
+
+    async def events(self, limit: int, call_id: str) -> list | None:
+        """Returns the entry's events, or None if it does not answer."""
+        request_id = uuid.uuid4().hex
+        future = asyncio.get_running_loop().create_future()
+        self._events[request_id] = future
+        try:
+            await self.stream.send(
+                messages.EventsRequest(request_id, limit, call_id)
+            )
+            return list(await asyncio.wait_for(future, EVENTS_WAIT_S))
+        except (streams.StreamClosed, TimeoutError):
+            return None
+        finally:
+            self._events.pop(request_id, None)
+
+    def on_events(self, reply: messages.EventsReply) -> None:
+        """Takes in the entry's answer."""
+        future = self._events.get(reply.request_id)
+        if future is not None and not future.done():
+            future.set_result(reply.events)
+
+
+class Server:
+    """Component that accepts streams and serves them."""
+
+    def __init__(
+        self,
+        listen: str,
+        shared_key: str,
+        recorder: timeline.Recorder,
+        desk: claims_desk.ClaimsDesk,
+        links: links_lib.Links,
+        on_demand: Callable[[messages.DemandReport], None],
+        status: Callable[[str], messages.StatusReply],
+    ):
+        self._listen = listen
+        self._shared_key = shared_key
+        self._recorder = recorder
+        self._desk = desk
+        self._links = links
+        self._on_demand = on_demand
+        self._status = status
+        self._logger = logs.part("streams")
+        self._connections = 0
+        self._tasks: set[asyncio.Task] = set()
+        self.entry: EntrySession | None = None
+        self.on_entry: Callable[[EntrySession], Awaitable[None]] | None = None
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "streams"
+
+    async def run(self) -> None:
+        """Accepts until cancelled."""
+        host, _, port = self._listen.rpartition(":")
+        server = await asyncio.start_server(
+            self._on_connect, host, int(port), limit=2**20
+        )
+        async with server:
+            await server.serve_forever()
+
+    async def stop(self) -> None:
+        """Ends the entry's stream; it goes on with its last view."""
+        if self.entry is not None:
+            self.entry.stream.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _on_connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            writer.close()
+            return
+        self._connections += 1
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            stream = await streams.accept(
+                reader, writer, self._shared_key, self._recorder
+            )
+            await self._serve(stream)
+        except streams.StreamClosed as error:
+            self._logger.debug("stream ended", reason=str(error))
+        except asyncio.CancelledError:
+            # Only `stop` cancels; the server itself must not see it as an
+            # error of the connection.
+            pass
+        finally:
+            self._connections -= 1
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, stream: streams.Stream) -> None:
+        match stream.hello.role:
+            case "entry":
+                await self._serve_entry(stream)
+            case "steward":
+                await self._links.serve(stream, stream.hello.name)
+            case "operator":
+                await self._serve_operator(stream)
+
+    async def _serve_entry(self, stream: streams.Stream) -> None:
+        session = EntrySession(stream)
+        self.entry = session
+        self._logger.info("entry is connected", entry=stream.hello.name)
+        try:
+            if self.on_entry is not None:
+                await self.on_entry(session)
+            while True:
+                message = await stream.receive()
+                self._spawn(self._on_entry_message(session, message))
+        finally:
+            if self.entry is session:
+                self.entry = None
+            self._logger.info("entry is gone", entry=stream.hello.name)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _on_entry_message(
+        self, session: EntrySession, message: object
+    ) -> None:
+        with contextlib.suppress(streams.StreamClosed):
+            match message:
+                case messages.ClaimRequest(request_id=request_id):
+                    verdict = await self._desk.claim(message.claim)
+                    await session.stream.send(
+                        messages.ClaimReply(request_id, verdict)
+                    )
+                case messages.ClaimLookup(request_id=request_id):
+                    verdict = self._desk.look_up(message.claim)
+                    await session.stream.send(
+                        messages.ClaimReply(request_id, verdict)
+                    )
+                case messages.ClaimOutcome(request_id=request_id):
+                    ok = await self._desk.settle(message.settled)
+                    await session.stream.send(messages.Done(request_id, ok))
+                case messages.DemandReport():
+                    self._on_demand(message)
+                case messages.EventsReply():
+                    session.on_events(message)
+
+    async def _serve_operator(self, stream: streams.Stream) -> None:
+        while True:
+            match await stream.receive():
+                case messages.StatusRequest(request_id=request_id):
+                    await stream.send(self._status(request_id))
+                case messages.EventsRequest() as request:
+                    await stream.send(await self._collect(request))
+
+    async def _collect(
+        self, request: messages.EventsRequest
+    ) -> messages.EventsReply:
+        own = self._recorder.events(request.limit, request.call_id)
+        events: list = list(own)
+        missing: tuple[str, ...] = ()
+        of_entry = None
+        if self.entry is not None:
+            of_entry = await self.entry.events(request.limit, request.call_id)
+        if of_entry is None:
+            missing = (f"entry beside {self._recorder.process}",)
+        plain = [timeline.to_plain(event) for event in events]
+        return messages.EventsReply(
+            request.request_id, tuple(plain + (of_entry or [])), missing
+        )
--- /dev/null
+++ b/sesamecross/steward/starter.py
@@ -0,0 +1,102 @@
+"""How a steward starts: from the log, from peers, or waiting honestly.
+
+Why: instances keep nothing. With the log up, the log is the source; with the
+log down, a peer's replayed state is; with neither, the steward waits and
+says so, and its entry refuses instead of guessing.
+"""
+
+import asyncio
+from typing import Any
+
+from sesamecross.core import records
+from sesamecross.ops import timeline
+from sesamecross.runtime import logs
+
+TICK_S = 0.05
+PEERS_AFTER_S = 1.0
+
+
+class Starter:
+    """Component that makes the steward ready, and mends gaps later."""
+
+    __slots__ = ("_app", "_logger", "_gap", "_joined")
+
+    def __init__(self) -> None:
+        self._app: Any = None
+        self._logger = logs.part("starter")
+        self._gap = False
+        self._joined = False
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "starter"
+
+    def bind(self, app: Any) -> None:
+        """Names the application whose start this is."""
+        self._app = app
+
+    def on_gap(self) -> None:
+        """The log has expired what this replica would need next."""
+        self._gap = True
+
+    async def run(self) -> None:
+        """Gets the steward ready, then watches for gaps."""
+        loop = asyncio.get_running_loop()
+        waited_from = loop.time()
+        said = False
+        while not self._app.views.is_ready:
+            await asyncio.sleep(TICK_S)
+            waited_s = loop.time() - waited_from
+            if self._app.reader.caught_up:
+                self._ready("the log")
+            elif waited_s > PEERS_AFTER_S and await self._from_peers():
+                self._ready("a peer")
+            elif waited_s > 3 * PEERS_AFTER_S and not said:
+                said = True
+                self._logger.warning(
+                    "neither the log nor a peer gives the state;"
+                    " waiting, nothing is served"
+                )
+        await self._watch()
+
+    async def stop(self) -> None:
+        """Nothing to finish."""
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S * 4)
+            app = self._app
+            app.links.log_reachable = app.reader.reachable
+            self._join()
+            if self._gap:
+                self._gap = False
+                await app.links.fetch_state()
+
+    def _join(self) -> None:
+        """Introduces this incarnation once the log can be appended to."""
+        app = self._app
+        if self._joined or not app.reader.caught_up:
+            return
+        self._joined = True
+        app.writer.submit(records.MemberJoined(app.me))
+
+    async def _from_peers(self) -> bool:
+        state = self._app.hub.state
+        before = state.next_offset
+        await self._app.links.fetch_state()
+        return self._app.hub.state.next_offset > before
+
+    def _ready(self, source: str) -> None:
+        app = self._app
+        app.links.introduce_members()
+        app.links.ready = True
+        app.links.log_reachable = app.reader.reachable
+        app.views.is_ready = True
+        self._join()
+        version = app.hub.state.config.state.version
+        self._logger.info("ready", source=source, version=version)
+        app.recorder.add(
+            timeline.EventKind.PROCESS,
+            f"steward is ready from {source}, version {version}",
+        )
--- /dev/null
+++ b/sesamecross/steward/views.py
@@ -0,0 +1,101 @@
+"""Hands views to the entry whenever something in them changed.
+
+Why: the entry relays calls by a view that it holds itself, so that it goes
+on serving while the steward is away. A configuration is sent only when it
+changed; reports are small.
+"""
+
+import asyncio
+import dataclasses
+
+from sesamecross.core import data
+from sesamecross.core import messages
+from sesamecross.ops import membership as membership_lib
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import log_reader
+from sesamecross.steward import reporter as reporter_lib
+from sesamecross.steward import server as server_lib
+from sesamecross.transport import streams
+
+PERIOD_S = 0.1
+
+
+class Views:
+    """Component that keeps the entry's view current."""
+
+    __slots__ = (
+        "_hub",
+        "_reporter",
+        "_reader",
+        "_server",
+        "_membership",
+        "_logger",
+        "_number",
+        "_sent_version",
+        "_sent",
+        "is_ready",
+    )
+
+    def __init__(
+        self,
+        hub: hub_lib.Hub,
+        reporter: reporter_lib.Reporter,
+        reader: log_reader.LogReader,
+        server: server_lib.Server,
+        membership: membership_lib.Membership,
+    ):
+        self._membership = membership
+        self._hub = hub
+        self._reporter = reporter
+        self._reader = reader
+        self._server = server
+        self._logger = logs.part("views")
+        self._number = 0
+        self._sent_version = -1
+        self._sent: data.View | None = None
+        self.is_ready = False
+        server.on_entry = self._on_entry
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "views"
+
+    async def run(self) -> None:
+        """Sends changed views until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            if self._server.entry is not None and self.is_ready:
+                await self._send_if_changed(self._server.entry)
+
+    async def stop(self) -> None:
+        """Nothing is open between views."""
+
+    async def _on_entry(self, _session: server_lib.EntrySession) -> None:
+        # A new entry knows nothing yet.
+        self._sent_version = -1
+        self._sent = None
+
+    async def _send_if_changed(self, session: server_lib.EntrySession) -> None:
+        config = self._hub.state.config.state
+        tree = config.tree if config.version != self._sent_version else None
+        view = data.View(
+            0,
+            config.version,
+            tree,
+            tuple(self._reporter.reports()),
+            tuple(sorted(self._hub.state.draining)),
+            self._reader.reachable,
+            len(self._membership.believed_alive()),
+        )
+        if view == self._sent:
+            return
+        self._number += 1
+        numbered = dataclasses.replace(view, number=self._number)
+        try:
+            await session.stream.send(messages.ViewUpdate(numbered))
+        except streams.StreamClosed:
+            return
+        self._sent_version = config.version
+        self._sent = dataclasses.replace(view, tree=None)
--- /dev/null
+++ b/sesamecross/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated msgpack streams between the system's processes."""
--- /dev/null
+++ b/sesamecross/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers without knowledge of the domain."""
