--- a/sesamecross/core/messages.py
+++ b/sesamecross/core/messages.py
@@ -85,6 +85,14 @@
     view: data.View
 
 
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewTaken:
+    """An entry tells which configuration version is in force there."""
+
+    version: int
+
+
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
@@ -97,7 +105,6 @@
 
     calls: dict[str, int]
     interval_ms: int
-    leaving_seen: tuple[str, ...] = ()
 
 
 @codec.register
@@ -197,6 +204,7 @@
     """A steward's view of the deployment.
 
     Attributes:
+      entry_version: Configuration version in force at the entry, or -1.
       leases: Holder's instance by zone.
       unresolved: Unresolved orders as `(order id, upstream, action,
         target)`.
@@ -211,6 +219,7 @@
     next_offset: int
     log_reachable: bool
     entry_connected: bool
+    entry_version: int
     peers: tuple[PeerStatus, ...]
     reports: tuple[data.UpstreamReport, ...]
     leases: dict[str, str]
--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -118,13 +118,15 @@
             )
         self._desk.shut_down()
 
-    def _on_view(self, view: data.View) -> None:
+    def _on_view(self, view: data.View) -> int:
+        """Takes in a view; returns the version in force after it."""
         changed = self._state.take_view(view)
         known = self._state.known
         if known is None:
-            return
+            return -1
         draining = known.draining
         if changed:
             entries = max(1, view.entries)
             self._desk.configure(known.declarations, draining, entries)
         self._desk.reports(view.reports, draining)
+        return known.version
--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -11,7 +11,6 @@
 import random
 import threading
 import time
-import uuid
 
 import xxhash
 
@@ -194,7 +193,7 @@
 
     def _claimed(self, request: ServiceRequest) -> Outcome:
         claim = records.ClaimMade(
-            uuid.uuid4().hex,
+            request.call_id,
             request.caller.name,
             request.idempotency_key,
             request.service.name,
--- a/sesamecross/entry/steward_link.py
+++ b/sesamecross/entry/steward_link.py
@@ -30,7 +30,7 @@
         self,
         settings: settings_lib.EntrySettings,
         recorder: timeline.Recorder,
-        on_view: Callable[[data.View], None],
+        on_view: Callable[[data.View], int],
         take_demand: Callable[[], dict[str, int]],
     ):
         self._settings = settings
@@ -99,7 +99,7 @@
     ) -> None:
         match message:
             case messages.ViewUpdate(view=view):
-                self._on_view(view)
+                await stream.send(messages.ViewTaken(self._on_view(view)))
             case messages.ClaimReply(request_id=request_id):
                 self._reply(request_id, message.verdict)
             case messages.Done(request_id=request_id, ok=ok):
--- /dev/null
+++ b/sesamecross/operators/command_line.py
@@ -0,0 +1,366 @@
+"""The operators' command line: arguments in, outcome printed, exit code out."""
+
+import argparse
+from collections.abc import Mapping
+from collections.abc import Sequence
+import getpass
+import json
+import pathlib
+import sys
+import time
+from typing import TextIO
+
+from returns.result import Failure
+
+from sesamecross.core import errors
+from sesamecross.core import records
+from sesamecross.operators import configuration
+from sesamecross.operators import fleet as fleet_lib
+from sesamecross.operators import log_state
+from sesamecross.operators import outcomes
+from sesamecross.operators import status_text
+from sesamecross.operators import timeline_forms
+from sesamecross.ops import timeline
+from sesamecross.utils import digest
+
+LOG_VARIABLE = "SESAMECROSS_LOG"
+KEY_VARIABLE = "SESAMECROSS_SHARED_KEY"
+WATCH_S = 1.0
+CLEAR_SCREEN = "\x1b[H\x1b[2J"
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="sesamecross",
+        description="Checks, publishes and watches a sesamecross deployment.",
+        epilog="Exit codes: 0 done, 1 problems, 2 usage, 3 superseded,"
+        " 4 not known yet, 5 out of reach, 6 only in part.",
+    )
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument(
+        "--json", action="store_true", help="print one JSON document"
+    )
+    online = argparse.ArgumentParser(add_help=False)
+    online.add_argument(
+        "--log", help=f"the platform's log; else ${LOG_VARIABLE}"
+    )
+    online.add_argument(
+        "--steward",
+        action="append",
+        default=[],
+        help="address of a steward to ask beside those on the log",
+    )
+    online.add_argument(
+        "--shared-key-file",
+        help=f"file with the key of the streams; else ${KEY_VARIABLE}",
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    _add_configuration(commands, common, online)
+    _add_watching(commands, common, online)
+    return parser
+
+
+def _add_configuration(commands, common, online) -> None:
+    check = commands.add_parser(
+        "check", parents=[common], help="report every error of a folder"
+    )
+    check.add_argument("folder", type=pathlib.Path)
+    diff = commands.add_parser(
+        "diff",
+        parents=[common, online],
+        help="show what publishing a folder would change",
+    )
+    diff.add_argument("folder", type=pathlib.Path)
+    publish = commands.add_parser(
+        "publish", parents=[common, online], help="publish a folder"
+    )
+    publish.add_argument("folder", type=pathlib.Path)
+    publish.add_argument("--base", type=int, help="version it was made from")
+    publish.add_argument("--author", default=getpass.getuser())
+    publish.add_argument("--note", default="", help="why, for others")
+    publish.add_argument(
+        "--change-id", help="of an earlier try whose outcome is not known"
+    )
+    publish.add_argument(
+        "--wait", action="store_true", help="until it is in force everywhere"
+    )
+    explain = commands.add_parser(
+        "explain",
+        parents=[common],
+        help="show which file set a key and what it overrode",
+    )
+    explain.add_argument("key", help="dotted, such as models.NAME.replicas")
+    explain.add_argument("--folder", type=pathlib.Path, required=True)
+    rollback = commands.add_parser(
+        "rollback",
+        parents=[common, online],
+        help="publish an older version's content as a new version",
+    )
+    rollback.add_argument("version", type=int)
+    rollback.add_argument("--author", default=getpass.getuser())
+    rollback.add_argument("--wait", action="store_true")
+    key_digest = commands.add_parser(
+        "key-digest",
+        parents=[common],
+        help="read a bearer key from standard input, print its digest",
+    )
+    key_digest.set_defaults(folder=None)
+
+
+def _add_watching(commands, common, online) -> None:
+    status = commands.add_parser(
+        "status", parents=[common, online], help="show the deployment"
+    )
+    status.add_argument(
+        "--watch", action="store_true", help="refresh until interrupted"
+    )
+    line = commands.add_parser(
+        "timeline", parents=[common, online], help="show events in order"
+    )
+    line.add_argument("--call", default="", help="only one call's story")
+    line.add_argument("--model", default="")
+    line.add_argument("--upstream", default="")
+    line.add_argument("--zone", default="")
+    line.add_argument("--kind", default="")
+    line.add_argument(
+        "--last-s", type=float, default=0.0, help="only the last seconds"
+    )
+    line.add_argument("--limit", type=int, default=2000)
+    line.add_argument(
+        "--format", choices=("text", "jsonl", "trace", "html"), default="text"
+    )
+    line.add_argument("--output", type=pathlib.Path, help="file to write")
+    drain = commands.add_parser(
+        "drain", parents=[common, online], help="drain an upstream"
+    )
+    drain.add_argument("upstream")
+    drain.add_argument("--end", action="store_true", help="end the drain")
+    drain.add_argument("--author", default=getpass.getuser())
+
+
+class CommandLine:
+    """One run of the command."""
+
+    def __init__(
+        self,
+        environment: Mapping[str, str],
+        stdin: TextIO,
+        stdout: TextIO,
+        stderr: TextIO,
+    ):
+        self._environment = environment
+        self._stdin = stdin
+        self._stdout = stdout
+        self._stderr = stderr
+
+    def run(self, arguments: Sequence[str]) -> int:
+        """Returns the exit code."""
+        flags = build_parser().parse_args(arguments)
+        try:
+            outcome = self._dispatch(flags)
+        except errors.ProblemError as error:
+            outcome = outcomes.failed(
+                outcomes.Exit.UNREACHABLE, [error.problem]
+            )
+        except KeyboardInterrupt:
+            return outcomes.Exit.OK
+        self._print(outcome, flags.json)
+        return outcome.code
+
+    def _print(self, outcome: outcomes.Outcome, as_json: bool) -> None:
+        if as_json:
+            document = dict(outcome.document)
+            if outcome.problems:
+                document["problems"] = [
+                    outcomes.problem_document(p) for p in outcome.problems
+                ]
+            print(json.dumps(document, indent=2), file=self._stdout)
+            return
+        for problem in outcome.problems:
+            print(problem, file=self._stderr)
+        for line in outcome.lines:
+            print(line, file=self._stdout)
+
+    def _say(self, line: str) -> None:
+        print(line, file=self._stderr, flush=True)
+
+    def _dispatch(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        match flags.command:
+            case "check":
+                return configuration.check(flags.folder)
+            case "explain":
+                return configuration.explain(flags.folder, flags.key)
+            case "diff":
+                return configuration.diff(flags.folder, self._log_url(flags))
+            case "publish":
+                return configuration.publish(
+                    flags.folder,
+                    self._log_url(flags),
+                    flags.author,
+                    flags.note,
+                    flags.base,
+                    flags.change_id,
+                    self._fleet(flags) if flags.wait else None,
+                    self._say,
+                )
+            case "rollback":
+                return configuration.rollback(
+                    flags.version,
+                    self._log_url(flags),
+                    flags.author,
+                    self._fleet(flags) if flags.wait else None,
+                    self._say,
+                )
+            case "key-digest":
+                return self._key_digest()
+            case "status":
+                return self._status(flags)
+            case "timeline":
+                return self._timeline(flags)
+            case "drain":
+                return self._drain(flags)
+        raise AssertionError(flags.command)
+
+    # -- where to ask ----------------------------------------------------
+
+    def _log_url(self, flags: argparse.Namespace) -> str:
+        url = flags.log or self._environment.get(LOG_VARIABLE)
+        if not url:
+            raise errors.ProblemError(
+                errors.Problem(
+                    "command line",
+                    "--log",
+                    "the platform's log is not named",
+                    f"give --log URL or set {LOG_VARIABLE}",
+                    errors.Kind.MISSING_KEY,
+                )
+            )
+        return url
+
+    def _fleet(self, flags: argparse.Namespace) -> fleet_lib.Fleet:
+        key = self._environment.get(KEY_VARIABLE, "")
+        if flags.shared_key_file:
+            path = pathlib.Path(flags.shared_key_file)
+            key = path.read_text(encoding="utf-8").strip()
+        if not key:
+            raise errors.ProblemError(
+                errors.Problem(
+                    "command line",
+                    "--shared-key-file",
+                    "the key of the system's streams is not given",
+                    f"give --shared-key-file or set {KEY_VARIABLE}",
+                    errors.Kind.MISSING_KEY,
+                )
+            )
+        return fleet_lib.Fleet.from_log(
+            self._log_url(flags), flags.steward, key
+        )
+
+    # -- commands --------------------------------------------------------
+
+    def _key_digest(self) -> outcomes.Outcome:
+        text = digest.of_bearer_key(self._stdin.readline().strip())
+        return outcomes.Outcome(outcomes.Exit.OK, {"key_digest": text}, (text,))
+
+    def _status(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        fleet = self._fleet(flags)
+        while flags.watch:
+            text = status_text.lines(status_text.document(fleet.statuses()))
+            print(CLEAR_SCREEN + "\n".join(text), file=self._stdout, flush=True)
+            time.sleep(WATCH_S)
+        document = status_text.document(fleet.statuses())
+        states = {one["state"] for one in document["instances"].values()}
+        code = outcomes.Exit.OK if states <= {"ok"} else outcomes.Exit.PARTIAL
+        if not document["instances"]:
+            code = outcomes.Exit.UNREACHABLE
+        return outcomes.Outcome(
+            code, document, tuple(status_text.lines(document))
+        )
+
+    def _timeline(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        events, missing = self._fleet(flags).events(flags.limit, flags.call)
+        since_ms = 0
+        if flags.last_s:
+            newest = max((event.wall_ms for event in events), default=0)
+            since_ms = int(newest - flags.last_s * 1000)
+        chosen = timeline.Filter(
+            flags.call,
+            flags.model,
+            flags.upstream,
+            flags.zone,
+            flags.kind,
+            since_ms,
+        )
+        merged = timeline.merge([events], chosen)
+        lines = _timeline_lines(flags.format, merged, missing)
+        document = {
+            "events": [
+                json.loads(line)
+                for line in timeline_forms.as_json_lines(merged)
+            ],
+            "missing": missing,
+        }
+        if flags.output:
+            flags.output.write_text("\n".join(lines) + "\n", encoding="utf-8")
+            lines = [f"{len(merged)} events are in {flags.output}"]
+        code = outcomes.Exit.PARTIAL if missing else outcomes.Exit.OK
+        problems = tuple(
+            errors.Problem(
+                name,
+                "",
+                "does not answer, its events are missing",
+                "see its logs; run again when it is back",
+                errors.Kind.UNREACHABLE,
+            )
+            for name in missing
+        )
+        return outcomes.Outcome(code, document, tuple(lines), problems)
+
+    def _drain(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        log = log_state.LogState(self._log_url(flags))
+        read = log.refresh()
+        if isinstance(read, Failure):
+            return outcomes.failed(outcomes.Exit.UNREACHABLE, [read.failure()])
+        if flags.upstream not in log.state.config.declarations.upstreams:
+            problem = errors.Problem(
+                "command line",
+                "upstream",
+                f"{flags.upstream} is not declared",
+                "see `status` for the upstreams",
+                errors.Kind.DANGLING_NAME,
+            )
+            return outcomes.failed(outcomes.Exit.PROBLEMS, [problem])
+        marked = records.DrainMarked(
+            flags.upstream, not flags.end, flags.author
+        )
+        appended = log.append(marked)
+        if isinstance(appended, Failure):
+            return outcomes.failed(
+                outcomes.Exit.NOT_KNOWN_YET, [appended.failure()]
+            )
+        what = "ends its drain" if flags.end else "drains"
+        return outcomes.Outcome(
+            outcomes.Exit.OK,
+            {"upstream": flags.upstream, "draining": not flags.end},
+            (f"{flags.upstream} {what}; open calls finish",),
+        )
+
+
+def _timeline_lines(
+    form: str, events: list[timeline.TimelineEvent], missing: list[str]
+) -> list[str]:
+    match form:
+        case "jsonl":
+            return timeline_forms.as_json_lines(events)
+        case "trace":
+            return [timeline_forms.as_trace(events)]
+        case "html":
+            return [timeline_forms.as_page(events, missing)]
+    return timeline_forms.as_text(events)
+
+
+def main(environment: Mapping[str, str]) -> int:
+    """Runs the command on the process's own streams."""
+    command = CommandLine(environment, sys.stdin, sys.stdout, sys.stderr)
+    return command.run(sys.argv[1:])
--- /dev/null
+++ b/sesamecross/operators/fleet.py
@@ -0,0 +1,108 @@
+"""Asks all stewards at once: status and time line.
+
+Why: members introduce themselves on the log, so the log tells whom to ask;
+while it is down, stewards named on the command line tell. One that does not
+answer is named as missing, never left out silently.
+"""
+
+import asyncio
+import collections.abc
+import uuid
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import messages
+from sesamecross.operators import log_state
+from sesamecross.ops import timeline
+from sesamecross.transport import streams
+
+ANSWER_S = 4.0
+AT_ONCE = 50
+
+
+class Fleet:
+    """The stewards of a deployment, by instance."""
+
+    def __init__(self, addresses: dict[str, str], shared_key: str):
+        self._addresses = addresses
+        self._shared_key = shared_key
+        self._recorder = timeline.Recorder(
+            "operator", "", clock_lib.SystemClock()
+        )
+
+    @classmethod
+    def from_log(
+        cls, log_url: str, stewards: list[str], shared_key: str
+    ) -> "Fleet":
+        """Returns the members that the log names, and those given."""
+        addresses = {address: address for address in stewards}
+        log = log_state.LogState(log_url)
+        log.refresh()
+        for name, member in log.state.members.items():
+            addresses = {
+                k: v for k, v in addresses.items() if v != member.address
+            }
+            addresses[name] = member.address
+        return cls(addresses, shared_key)
+
+    @property
+    def instances(self) -> list[str]:
+        """Names of the instances to ask, sorted."""
+        return sorted(self._addresses)
+
+    def statuses(self) -> dict[str, messages.StatusReply | None]:
+        """Returns each steward's status, None where it does not answer."""
+        return asyncio.run(
+            self._ask_all(lambda: messages.StatusRequest(uuid.uuid4().hex))
+        )
+
+    def events(
+        self, limit: int, call_id: str
+    ) -> tuple[list[timeline.TimelineEvent], list[str]]:
+        """Returns all events that can be had, and who is missing."""
+        replies = asyncio.run(
+            self._ask_all(
+                lambda: messages.EventsRequest(uuid.uuid4().hex, limit, call_id)
+            )
+        )
+        events = []
+        missing = []
+        for instance, reply in sorted(replies.items()):
+            if reply is None:
+                missing.append(f"instance {instance}")
+                continue
+            missing.extend(reply.missing)
+            for plain in reply.events:
+                event = timeline.from_plain(plain)
+                if event is not None:
+                    events.append(event)
+        return events, missing
+
+    async def _ask_all(
+        self, request: collections.abc.Callable[[], object]
+    ) -> dict[str, object]:
+        gate = asyncio.Semaphore(AT_ONCE)
+
+        async def ask(address: str) -> object:
+            async with gate:
+                try:
+                    return await asyncio.wait_for(
+                        self._ask(address, request()), ANSWER_S
+                    )
+                except (streams.StreamClosed, TimeoutError):
+                    return None
+
+        names = self.instances
+        replies = await asyncio.gather(
+            *(ask(self._addresses[name]) for name in names)
+        )
+        return dict(zip(names, replies, strict=True))
+
+    async def _ask(self, address: str, request: object) -> object:
+        stream = await streams.connect(
+            address, self._shared_key, "operator", "operator", self._recorder
+        )
+        try:
+            await stream.send(request)
+            return await stream.receive()
+        finally:
+            stream.close()
--- /dev/null
+++ b/sesamecross/operators/log_state.py
@@ -0,0 +1,73 @@
+"""Reads the shared state from the log, as any instance does.
+
+Why: what is accepted is decided by replay; the operators' command replays
+too, instead of asking some process for its opinion.
+"""
+
+import time
+import uuid
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from sesamecross.core import codec
+from sesamecross.core import errors
+from sesamecross.core import records
+from sesamecross.ops import catchup
+from sesamecross.ops import replay
+from sesamecross.ports import log_http
+
+APPEND_TRIES = 5
+TRY_PAUSE_S = 0.2
+
+
+class LogState:
+    """A replica that is read when asked."""
+
+    def __init__(self, url: str):
+        self._log = log_http.HttpLog(url)
+        self._replica = catchup.Replica(lambda _events: None)
+        self._url = url
+
+    @property
+    def state(self) -> replay.SharedState:
+        """The state as of the last `refresh`."""
+        return self._replica.state
+
+    def refresh(self) -> Result[None, errors.Problem]:
+        """Reads to the log's end."""
+        while True:
+            start = self._replica.read_offset
+            result = self._log.read(start, wait_ms=0)
+            if isinstance(result, Failure):
+                return result
+            page = result.unwrap()
+            self._replica.feed(page.start, page.payloads)
+            if page.start + len(page.payloads) < page.next_offset:
+                continue
+            if self._replica.progress is catchup.Progress.FOLLOWING:
+                return Success(None)
+            return Failure(
+                errors.Problem(
+                    self._url,
+                    "",
+                    "the log's records begin behind a gap without a snapshot",
+                    "ask a running steward with `status`; it holds the state",
+                    errors.Kind.EXPIRED,
+                )
+            )
+
+    def append(self, record: object) -> Result[int, errors.Problem]:
+        """Appends one record, trying again under the same append id."""
+        envelope = records.Envelope(
+            uuid.uuid4().hex, "operator", (codec.to_plain(record),)
+        )
+        payload = codec.encode(envelope)
+        result: Result[int, errors.Problem] = self._log.append(payload)
+        for _ in range(APPEND_TRIES - 1):
+            if isinstance(result, Success):
+                break
+            time.sleep(TRY_PAUSE_S)
+            result = self._log.append(payload)
+        return result
--- /dev/null
+++ b/sesamecross/operators/outcomes.py
@@ -0,0 +1,55 @@
+"""Exit codes of the operators' command, and what a command returns.
+
+Why: scripts in version control decide by exit code, so each has one meaning,
+documented in docs/OPERATING.md.
+"""
+
+import dataclasses
+import enum
+from typing import Any
+
+from sesamecross.core import errors
+
+
+class Exit(enum.IntEnum):
+    """Exit codes. 2 is argparse's own for wrong usage."""
+
+    OK = 0
+    PROBLEMS = 1
+    USAGE = 2
+    SUPERSEDED = 3
+    NOT_KNOWN_YET = 4
+    UNREACHABLE = 5
+    PARTIAL = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a command found.
+
+    Attributes:
+      document: The whole result as plain data, for `--json`.
+      lines: The same for people.
+      problems: What went wrong, each with its remedy.
+    """
+
+    code: Exit
+    document: dict[str, Any]
+    lines: tuple[str, ...]
+    problems: tuple[errors.Problem, ...] = ()
+
+
+def failed(code: Exit, problems: list[errors.Problem]) -> Outcome:
+    """Returns an outcome that consists of problems only."""
+    return Outcome(code, {}, (), tuple(problems))
+
+
+def problem_document(problem: errors.Problem) -> dict[str, str]:
+    """Returns a problem as plain data."""
+    return {
+        "kind": problem.kind.value,
+        "file": problem.file,
+        "key": problem.key,
+        "reason": problem.reason,
+        "remedy": problem.remedy,
+    }
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -215,6 +215,7 @@
             state.next_offset,
             self.reader.reachable,
             self.server.entry is not None,
+            self.server.entry.version if self.server.entry else -1,
             tuple(self._peer_statuses()),
             tuple(self.reporter.reports()),
             {
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -26,10 +26,11 @@
 class EntrySession:
     """The stream to the entry on the same instance."""
 
-    __slots__ = ("stream", "_events")
+    __slots__ = ("stream", "version", "_events")
 
     def __init__(self, stream: streams.Stream):
         self.stream = stream
+        self.version = -1
         self._events: dict[str, asyncio.Future] = {}
 
     async def events(self, limit: int, call_id: str) -> list | None:
@@ -173,6 +174,8 @@
                 case messages.ClaimOutcome(request_id=request_id):
                     ok = await self._desk.settle(message.settled)
                     await session.stream.send(messages.Done(request_id, ok))
+                case messages.ViewTaken(version=version):
+                    session.version = version
                 case messages.DemandReport():
                     self._on_demand(message)
                 case messages.EventsReply():
