--- /dev/null
+++ b/sesamecross/devtools/relay_bench.py
@@ -0,0 +1,195 @@
+"""Measures what the relay costs: time, processor and memory.
+
+Why: the entry stands in the path of every token. The same calls go straight
+to the engines and through one entry, in turn in one run, so that the
+difference is the entry's.
+"""
+
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import statistics
+import time
+
+import urllib3
+
+from sesamecross.devtools import demo
+from sesamecross.devtools import deployment as deployment_lib
+from sesamecross.devtools import usage
+
+MODEL = "advice-fade"
+ENGINE_FLAGS = (
+    "--step-ms", "20", "--per-call-ms", "0", "--batch", "64",
+    "--prefill-ms-per-token", "0", "--threads", "160",
+)  # fmt: skip
+EXTRA = {
+    "store": {"loads_per_second": 100, "full_speed_loads": 20},
+    "models": {MODEL: {"replicas": 6}},
+    "promises": {"advice": {"first_token_ms": 5000, "queue_ms": 20000}},
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """One call's times in milliseconds."""
+
+    first_ms: float
+    between_ms: float
+    tokens: int
+
+
+def _call(
+    pool: urllib3.PoolManager, url: str, tokens: int, number: int
+) -> Sample:
+    began = time.perf_counter()
+    response = pool.request(
+        "POST",
+        f"{url}/v1/chat/completions",
+        json={
+            "model": MODEL,
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": f"call {number}"}],
+        },
+        headers={
+            "Authorization": f"Bearer {deployment_lib.CALLER_KEY}",
+            "X-Request-Id": f"bench-{number}",
+        },
+        preload_content=False,
+    )
+    if response.status != 200:
+        raise RuntimeError(f"HTTP {response.status}: {response.read()!r}")
+    first = last = 0.0
+    events = 0
+    while chunk := response.read1(65536):
+        last = time.perf_counter()
+        first = first or last
+        events += chunk.count(b"data: {")
+    response.release_conn()
+    between = (last - first) * 1000 / max(1, events - 1)
+    return Sample((first - began) * 1000, between, events - 1)
+
+
+def _run(urls: list[str], streams: int, calls: int, tokens: int):
+    pool = urllib3.PoolManager(
+        num_pools=64, maxsize=streams, retries=False, timeout=60.0
+    )
+    with concurrent.futures.ThreadPoolExecutor(streams) as threads:
+        return list(
+            threads.map(
+                lambda n: _call(pool, urls[n % len(urls)], tokens, n),
+                range(calls),
+            )
+        )
+
+
+def _percentile(values: list[float], share: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def run(work: pathlib.Path, streams: int, rounds: int) -> dict:
+    """Measures and returns the figures."""
+    shape = deployment_lib.Shape(
+        demo.EXAMPLE,
+        entries_per_zone=1,
+        engine_flags=ENGINE_FLAGS,
+        store_flags=("--loads-per-second", "100", "--load-s", "0.02"),
+        extra=EXTRA,
+        entry_settings={"threads": 256},
+    )
+    deployment = deployment_lib.Deployment(shape, work)
+    try:
+        deployment.start_fakes()
+        deployment.start_instances()
+        demo.Operator(deployment).run("publish", str(deployment.config_dir))
+        deployment.wait_ready()
+        _wait_replicas(deployment)
+        return _measure(deployment, streams, rounds)
+    finally:
+        deployment.stop()
+
+
+def _wait_replicas(deployment: deployment_lib.Deployment) -> None:
+    until = time.monotonic() + 30
+    while time.monotonic() < until:
+        holders = [
+            url
+            for url in deployment.engine_urls.values()
+            if MODEL
+            in deployment_lib.processes.get_json(f"{url}/fake/stats")[
+                "resident"
+            ]
+        ]
+        if len(holders) == len(deployment.engine_urls):
+            time.sleep(2.0)
+            return
+        time.sleep(0.2)
+    raise RuntimeError(f"{MODEL} is not on every engine")
+
+
+def _measure(
+    deployment: deployment_lib.Deployment, streams: int, rounds: int
+) -> dict:
+    instance = deployment.instances[0]
+    entry = deployment.processes[f"entry-{instance.name}"]
+    steward = deployment.processes[f"steward-{instance.name}"]
+    engines = list(deployment.engine_urls.values())
+    results: dict = {"streams": streams, "rounds": rounds}
+    for label, count in (("light", 4), ("loaded", streams)):
+        direct: list[Sample] = []
+        relayed: list[Sample] = []
+        cpu_s = wall_s = 0.0
+        for _ in range(rounds):
+            direct += _run(engines, count, count * 3, 50)
+            before = usage.of(entry.pid).cpu_s
+            began = time.monotonic()
+            relayed += _run([instance.entry_url], count, count * 3, 50)
+            wall_s += time.monotonic() - began
+            cpu_s += usage.of(entry.pid).cpu_s - before
+        results[label] = _figures(direct, relayed, cpu_s, wall_s)
+    for name, process in (("entry", entry), ("steward", steward)):
+        used = usage.of(process.pid)
+        results[name] = {
+            "resident_mib": round(used.resident_mib, 1),
+            "private_mib": round(used.private_mib, 1),
+        }
+    before = usage.of(steward.pid).cpu_s
+    time.sleep(5)
+    idle = (usage.of(steward.pid).cpu_s - before) / 5
+    results["steward"]["idle_core_percent"] = round(100 * idle, 2)
+    return results
+
+
+def _figures(
+    direct: list[Sample],
+    relayed: list[Sample],
+    cpu_s: float,
+    wall_s: float,
+) -> dict:
+    tokens = sum(sample.tokens for sample in relayed)
+    first_direct = [sample.first_ms for sample in direct]
+    first_relayed = [sample.first_ms for sample in relayed]
+    return {
+        "calls": len(relayed),
+        "first_ms_direct_median": round(statistics.median(first_direct), 2),
+        "first_ms_relayed_median": round(statistics.median(first_relayed), 2),
+        "first_ms_direct_p99": round(_percentile(first_direct, 0.99), 2),
+        "first_ms_relayed_p99": round(_percentile(first_relayed, 0.99), 2),
+        "between_ms_direct": round(
+            statistics.median(s.between_ms for s in direct), 2
+        ),
+        "between_ms_relayed": round(
+            statistics.median(s.between_ms for s in relayed), 2
+        ),
+        "tokens_per_s": round(tokens / wall_s),
+        "core_percent": round(100 * cpu_s / wall_s, 1),
+        "cpu_us_per_token": round(cpu_s * 1e6 / max(1, tokens), 1),
+    }
+
+
+def main(work: pathlib.Path, streams: int, rounds: int) -> int:
+    """Measures and prints; returns the exit code."""
+    print(json.dumps(run(work, streams, rounds), indent=2))
+    return 0
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -119,7 +119,7 @@
 
     def has_room(self) -> bool:
         """Tells whether one more call of this entry may be open there."""
-        return self.own < self.limit.value
+        return self.own + 1 <= self.limit.value
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/sesamecross/ops/small_machines_test.py
@@ -0,0 +1,115 @@
+"""Tests of the small learning and limiting machines."""
+
+import random
+
+import pytest
+
+from sesamecross.core import data
+from sesamecross.ops import estimates
+from sesamecross.ops import limits
+from sesamecross.ops import prefixes
+from sesamecross.ops import retry
+from sesamecross.ops import service_routing
+
+
+@pytest.mark.parametrize(("base", "slope"), [(8.0, 0.3), (40.0, 2.0)])
+def test_a_line_is_learnt_from_observations(base, slope):
+    rng = random.Random(1)
+    line = estimates.Line(15.0, 0.5, 8.0)
+    for _ in range(400):
+        x = rng.uniform(1, 30)
+        line.observe(x, base + slope * x + rng.uniform(-0.5, 0.5))
+    assert line.at(20) == pytest.approx(base + slope * 20, rel=0.1)
+
+
+def test_a_line_stays_sane_when_all_observations_have_one_x():
+    line = estimates.Line(15.0, 0.5, 8.0)
+    for _ in range(100):
+        line.observe(5.0, 30.0)
+    assert line.at(5.0) == pytest.approx(30.0, rel=0.05)
+    assert line.at(50.0) >= line.at(5.0)
+
+
+def test_the_limit_settles_where_promises_are_kept():
+    limit = limits.AdaptiveLimit(8, 64)
+    now_ms = 0
+    for _ in range(3000):
+        now_ms += 20
+        own = int(limit.value)
+        limit.finished(own <= 20, own, now_ms, 200)
+    assert 14 <= limit.value <= 22
+
+
+def test_one_slow_moment_is_punished_once():
+    limit = limits.AdaptiveLimit(20, 64)
+    for _ in range(20):
+        limit.finished(False, 20, 100, 1000)
+    assert limit.value == pytest.approx(20 * limits.DECREASE)
+
+
+def test_an_unused_limit_does_not_grow():
+    limit = limits.AdaptiveLimit(10, 64)
+    for now_ms in range(1000):
+        limit.finished(True, 2, now_ms, 100)
+    assert limit.value == 10
+
+
+def test_the_breaker_bans_for_growing_times_and_recovers():
+    breaker = retry.Breaker()
+    bans = []
+    now_ms = 0
+    for _ in range(6):
+        breaker.failed(now_ms)
+        start_ms = now_ms
+        while not breaker.allows(now_ms):
+            now_ms += 100
+        bans.append(now_ms - start_ms)
+    assert bans == [0, 0, 500, 1000, 2000, 4000]
+    breaker.succeeded()
+    breaker.failed(now_ms)
+    assert breaker.allows(now_ms)
+
+
+def test_prefixes_are_known_only_where_the_whole_prefix_is_shared():
+    history = prefixes.PrefixHistory()
+    shared = "s" * 600
+    history.routed(prefixes.block_names("m", shared + "a" * 400))
+    other = prefixes.block_names("m", shared + "b" * 400)
+    assert history.cached_tokens(other) == 2 * 256 // 4
+    assert history.cached_tokens(prefixes.block_names("m", "x" * 600)) == 0
+    assert history.cached_tokens(prefixes.block_names("n", shared)) == 0
+
+
+def test_the_oldest_prefixes_are_forgotten():
+    history = prefixes.PrefixHistory(limit=4)
+    first = prefixes.block_names("m", "a" * 512)
+    history.routed(first)
+    history.routed(prefixes.block_names("m", "b" * 1024))
+    assert history.cached_tokens(first) == 0
+
+
+SERVICE = data.Service(
+    "orders",
+    ("s1", "s2"),
+    (
+        data.CallRule(("POST",), "/orders", False),
+        data.CallRule(("POST", "GET"), "/stock", True),
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "idempotent"),
+    [
+        ("POST", "/orders", False),
+        ("POST", "/orders/7", False),
+        ("POST", "/stock", True),
+        ("POST", "/else", False),
+        ("GET", "/else", True),
+        ("PATCH", "/else", False),
+        ("PUT", "/else", True),
+    ],
+)
+def test_which_calls_may_be_repeated(method, path, idempotent):
+    found = service_routing.is_idempotent(SERVICE, method, path)
+    assert found is idempotent
--- a/sesamecross/ports/sse.py
+++ b/sesamecross/ports/sse.py
@@ -35,7 +35,8 @@
         Raises:
           EventTooLarge: The unfinished event is over its bound.
         """
-        data = self._rest + chunk.replace(b"\r\n", b"\n")
+        # The two bytes of a line's end may arrive in two pieces.
+        data = (self._rest + chunk).replace(b"\r\n", b"\n")
         parts = data.split(b"\n\n")
         self._rest = parts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
