Claim groups: decisions that hold with the log away and a zone cut off

Cause: claims went through the log alone, so pass logs and orders stopped in an outage of the log, and a second path for outages would have let a cut-off zone and the others run one key twice.

Epochs change through the log only; a new one is active when all earlier participants but one have stopped. Total loss after claims in the dark is a doubt for an operator.

--- a/sesamecross/core/records.py
+++ b/sesamecross/core/records.py
@@ -123,6 +123,11 @@
     Attributes:
       call_digest: Digest of method, path and body, to tell a repeated call
         from another one under the same key.
+      holder: The steward beside the entry that asks.
+      zone: The caller's home zone, whose group decides.
+      epoch: The group's epoch under which the claim is made.
+      counted: The group has decided already and the record only keeps it.
+        Otherwise the record counts only while `epoch` is current.
     """
 
     claim_id: str
@@ -131,6 +136,9 @@
     service: str
     call_digest: str
     holder: data.Incarnation
+    zone: str = ""
+    epoch: int = 0
+    counted: bool = False
 
 
 @codec.register
@@ -150,6 +158,57 @@
     answer: data.Answer | None
 
 
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupChanged:
+    """A zone's claim group gets other members.
+
+    Attributes:
+      base_epoch: The epoch that this one follows; the record only counts if
+        that is the current one. The new epoch is one more.
+      members: Stewards that decide claims of the zone's callers.
+      witnesses: Stewards of other zones that keep what is claimed while the
+        log is away, and that fence members out.
+    """
+
+    zone: str
+    base_epoch: int
+    members: tuple[data.Incarnation, ...]
+    witnesses: tuple[data.Incarnation, ...]
+
+
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupSealed:
+    """All claims of epochs before `epoch` are accounted for.
+
+    Attributes:
+      doubt: Claims may have been made that nobody alive knows of.
+    """
+
+    zone: str
+    epoch: int
+    doubt: bool
+
+
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class DoubtCleared:
+    """An operator's word that no unknown claims of a zone matter."""
+
+    zone: str
+    author: str
+
+
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class HomeReleased:
+    """A zone's group has stopped deciding for a caller that moved away."""
+
+    caller: str
+    from_zone: str
+
+
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainMarked:
--- a/sesamecross/ops/claims.py
+++ b/sesamecross/ops/claims.py
@@ -67,7 +67,7 @@
     if known is not None:
         if known.claim_id == record.claim_id:
             return data.ClaimVerdict(data.ClaimState.WON, known.claim_id)
-        return _verdict(table, known, record.call_digest)
+        return verdict_of(table, known, record.call_digest)
     claim = Claim(record.claim_id, name, record.call_digest, record.holder)
     table.by_name[name] = claim
     table.name_of[record.claim_id] = name
@@ -75,9 +75,10 @@
     return data.ClaimVerdict(data.ClaimState.WON, record.claim_id)
 
 
-def _verdict(
+def verdict_of(
     table: ClaimTable, claim: Claim, call_digest: str
 ) -> data.ClaimVerdict:
+    """Returns what a second arrival is told of a claim."""
     holder = claim.holder.instance
     if claim.call_digest != call_digest:
         return data.ClaimVerdict(
@@ -127,7 +128,7 @@
     known = table.by_name.get(name)
     if known is None:
         return data.ClaimVerdict(data.ClaimState.UNKNOWN, claim.claim_id)
-    return _verdict(table, known, claim.call_digest)
+    return verdict_of(table, known, claim.call_digest)
 
 
 def holder_gone(table: ClaimTable, incarnation: data.Incarnation) -> None:
@@ -138,7 +139,13 @@
 
 
 def _forget_oldest(table: ClaimTable, remembered: int) -> None:
-    while len(table.by_name) > remembered:
+    """Forgets the oldest settled claims; an open one is never forgotten."""
+    for _ in range(len(table.by_name)):
+        if len(table.by_name) <= remembered:
+            return
         name = next(iter(table.by_name))
         claim = table.by_name.pop(name)
-        table.name_of.pop(claim.claim_id, None)
+        if claim.executed is None:
+            table.by_name[name] = claim
+        else:
+            table.name_of.pop(claim.claim_id, None)
--- a/sesamecross/ops/replay.py
+++ b/sesamecross/ops/replay.py
@@ -23,6 +23,7 @@
 from sesamecross.core import records
 from sesamecross.ops import claims
 from sesamecross.ops import config_log
+from sesamecross.ops import groups
 from sesamecross.ops import intents
 from sesamecross.ops import leases
 
@@ -45,6 +46,7 @@
     claims: claims.ClaimTable
     members: dict[str, data.Member]
     draining: list[str]
+    groups: groups.GroupState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +74,7 @@
         "claims",
         "members",
         "draining",
+        "groups",
         "_append_ids",
     )
 
@@ -83,6 +86,7 @@
         self.claims = claims.ClaimTable()
         self.members: dict[str, data.Member] = {}
         self.draining: set[str] = set()
+        self.groups = groups.GroupState()
         self._append_ids: dict[str, None] = {}
 
     def apply(self, offset: int, payload: bytes) -> list[Event]:
@@ -121,7 +125,7 @@
     def _apply_record(self, offset: int, record: Any) -> Any:
         match record:
             case records.ConfigPublished():
-                return self.config.apply(offset, record)
+                return self._configure(offset, record)
             case records.MemberJoined(member=member):
                 return self._join(member)
             case records.MemberLeft(incarnation=incarnation):
@@ -140,16 +144,38 @@
             case records.IntentResolved():
                 return intents.resolve(self.intents, record)
             case records.ClaimMade():
-                remembered = self.config.declarations.claims.remembered
-                return claims.make(self.claims, record, remembered)
+                return self._claim(record)
             case records.ClaimSettled():
                 return claims.settle(self.claims, record)
+            case records.GroupChanged():
+                return groups.change(self.groups, record)
+            case records.GroupSealed():
+                return groups.seal(self.groups, record)
+            case records.DoubtCleared():
+                return groups.clear_doubt(self.groups, record)
+            case records.HomeReleased():
+                callers = self.config.declarations.callers
+                return groups.release_home(self.groups, callers, record)
             case records.DrainMarked(upstream=upstream, draining=True):
                 self.draining.add(upstream)
             case records.DrainMarked(upstream=upstream):
                 self.draining.discard(upstream)
         return None
 
+    def _configure(
+        self, offset: int, record: records.ConfigPublished
+    ) -> config_log.Verdict:
+        verdict = self.config.apply(offset, record)
+        callers = self.config.declarations.callers
+        groups.settle_homes(self.groups, callers)
+        return verdict
+
+    def _claim(self, record: records.ClaimMade) -> data.ClaimVerdict | None:
+        if not groups.claim_is_current(self.groups, record):
+            return None
+        remembered = self.config.declarations.claims.remembered
+        return claims.make(self.claims, record, remembered)
+
     def _join(self, member: data.Member) -> None:
         instance = member.incarnation.instance
         earlier = self.members.get(instance)
@@ -176,6 +202,7 @@
             self.claims,
             self.members,
             sorted(self.draining),
+            self.groups,
         )
         return msgpack.packb(
             msgspec.to_builtins(dumped, builtin_types=(bytes,))
@@ -196,6 +223,7 @@
     state.claims = dumped.claims
     state.members = dumped.members
     state.draining = set(dumped.draining)
+    state.groups = dumped.groups
     state._append_ids = dict.fromkeys(dumped.append_ids)
     return Success(state)
 
