Claims are decided by the home zone's group, over real processes

Cause: the group machine stood alone; orders still stopped with the log.

Change: the steward runs its part in the groups (claim_keeper), finds who decides (claims_desk), proves deaths by refused connections and newer incarnations (contacts), spreads proofs on the log; entries keep outcomes until their steward has confirmed them; a keyed call's refusal says "no" only with the deciding group's word. Planning waits until each engine was asked once, which ends the false shortfalls at start.

Found on the way: a zone that died whole was believed alive, because its watchers were dead too; new members of a taken-over group could not prove the dead of earlier epochs once these had left membership.

An outcome that was answered but not yet on the log is lost with the whole zone and then said to be unknown.

--- a/sesamecross/core/clock.py
+++ b/sesamecross/core/clock.py
@@ -24,8 +24,12 @@
     __slots__ = ()
 
     def monotonic_ms(self) -> int:
-        """Returns the machine's monotonic milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Returns the machine's monotonic milliseconds.
+
+        This clock goes on while the machine is suspended, so that a sleep
+        shows as time that passed.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Returns the machine's wall-clock milliseconds."""
--- a/sesamecross/core/data.py
+++ b/sesamecross/core/data.py
@@ -284,6 +284,7 @@
     """What is known of a claimed call."""
 
     WON = "won"
+    NOT_CLAIMED = "not_claimed"
     IN_PROGRESS = "in_progress"
     SETTLED = "settled"
     UNKNOWN = "unknown"
--- a/sesamecross/core/messages.py
+++ b/sesamecross/core/messages.py
@@ -21,6 +21,8 @@
     Attributes:
       next_offset: How far the sender has replayed the log.
       version: Configuration version in force at the sender.
+      echo: The last `count` that the sender heard from the receiver.
+      kept_in_dark: Claims that the sender keeps and made out of touch.
     """
 
     member: data.Member
@@ -29,6 +31,8 @@
     version: int
     log_reachable: bool
     leaving: bool
+    echo: int = 0
+    kept_in_dark: int = 0
 
 
 @codec.register
@@ -138,6 +142,27 @@
     claim: records.ClaimMade
 
 
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimForward:
+    """A steward passes a claim on to the leader of the deciding group."""
+
+    request_id: str
+    zone: str
+    claim: records.ClaimMade
+    only_look: bool = False
+
+
+@codec.register
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeForward:
+    """A steward passes an outcome on to the leader of the group."""
+
+    request_id: str
+    zone: str
+    settled: records.ClaimSettled
+
+
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimOutcome:
--- a/sesamecross/core/records.py
+++ b/sesamecross/core/records.py
@@ -46,9 +46,17 @@
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberLeft:
-    """A steward stopped as planned, or another saw that it is dead."""
+    """A steward stopped as planned, or another proved that it is dead.
+
+    Attributes:
+      dead: Its address refused connections, or another incarnation answered
+        there. Whoever replays this has the proof too.
+      in_contact: It died while in touch with the writer.
+    """
 
     incarnation: data.Incarnation
+    dead: bool = False
+    in_contact: bool = False
 
 
 @codec.register
@@ -203,10 +211,18 @@
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class HomeReleased:
-    """A zone's group has stopped deciding for a caller that moved away."""
+    """A zone's group has stopped deciding for a caller that moved away.
+
+    Attributes:
+      epoch: The group's epoch; the record only counts while it is current,
+        so that a leader that was replaced meanwhile can't release.
+      forced: An operator's word that the earlier home is gone for good.
+    """
 
     caller: str
     from_zone: str
+    epoch: int
+    forced: bool = False
 
 
 @codec.register
--- a/sesamecross/core/refusal.py
+++ b/sesamecross/core/refusal.py
@@ -147,13 +147,19 @@
     )
 
 
-def claims_unavailable() -> Refusal:
-    """Refuses a call that can't be claimed now; it was not run."""
+def claims_unavailable(executed: Executed) -> Refusal:
+    """Refuses a call that can't be claimed now.
+
+    This arrival was not run. Whether an earlier one under the same key was
+    is only known to the group that decides the caller's claims: `executed`
+    is "no" only with its word.
+    """
     return Refusal(
         503,
         "claims-unavailable",
-        "The call can't be claimed now, so it was not run",
+        "The call can't be claimed now, so it was not run this time",
         "Send it again with the same Idempotency-Key",
+        executed=executed,
         retry_after_s=2,
     )
 
--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import random
 import re
 import time
@@ -110,19 +111,33 @@
         known = self._state.known
         if known is None:
             # Nothing is known yet, so nothing can be promised or checked.
-            answer = refusal.no_upstream("any call")
+            answer = self._unclaimed(request, refusal.no_upstream("any call"))
             return self._refuse(request, answer, start_response)
         if self._state.refusing:
-            return self._refuse(request, refusal.stopping(), start_response)
+            answer = self._unclaimed(request, refusal.stopping())
+            return self._refuse(request, answer, start_response)
         caller = self._caller(request, known)
         if caller is None:
             answer = refusal.unauthorized()
             return self._refuse(request, answer, start_response)
         if not self._state.begin(caller):
-            answer = refusal.overloaded(1)
+            answer = self._unclaimed(request, refusal.overloaded(1))
             return self._refuse(request, answer, start_response)
         return self._counted(request, caller, known, start_response)
 
+    def _unclaimed(
+        self, request: _Request, answer: refusal.Refusal
+    ) -> refusal.Refusal:
+        """Returns a refusal that is true for a call with a key too.
+
+        This arrival was not run, but an earlier one under the same key may
+        have been, and nobody has been asked.
+        """
+        if request.header("HTTP_IDEMPOTENCY_KEY"):
+            unknown = refusal.Executed.UNKNOWN
+            return dataclasses.replace(answer, executed=unknown)
+        return answer
+
     def _counted(
         self,
         request: _Request,
--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -202,7 +202,7 @@
         )
         verdict = self._link.claim(claim)
         if verdict is None:
-            return refusal.claims_unavailable()
+            return refusal.claims_unavailable(refusal.Executed.UNKNOWN)
         if verdict.state is data.ClaimState.WON:
             return self._run_claimed(request, claim)
         return self._follow(request, claim, verdict)
@@ -235,13 +235,9 @@
         bound = self._state.known.declarations.claims.answer_bytes
         if answer is not None and len(answer.body) > bound:
             answer = None
-        settled = records.ClaimSettled(claim.claim_id, executed, answer)
-        if not self._link.settle(settled):
-            self._recorder.add(
-                timeline.EventKind.CLAIM,
-                "outcome is not on the log yet",
-                call_id=claim.claim_id,
-            )
+        self._link.settle(
+            records.ClaimSettled(claim.claim_id, executed, answer)
+        )
 
     def _follow(
         self,
@@ -271,7 +267,12 @@
         )
 
 
+def _not_claimed() -> refusal.Refusal:
+    return refusal.claims_unavailable(refusal.Executed.NO)
+
+
 _VERDICT_REFUSALS: dict[data.ClaimState, Callable[[], refusal.Refusal]] = {
+    data.ClaimState.NOT_CLAIMED: _not_claimed,
     data.ClaimState.IN_PROGRESS: refusal.in_progress,
     data.ClaimState.UNKNOWN: refusal.outcome_unknown,
     data.ClaimState.MISMATCH: refusal.key_reused,
--- a/sesamecross/entry/steward_link.py
+++ b/sesamecross/entry/steward_link.py
@@ -41,6 +41,8 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._stream: streams.Stream | None = None
         self._replies: dict[str, asyncio.Future] = {}
+        self._outcomes: dict[str, records.ClaimSettled] = {}
+        self._outcome_waits = asyncio.Event()
 
     @property
     def name(self) -> str:
@@ -78,12 +80,17 @@
         )
         self._stream = stream
         self._logger.info("steward is connected")
-        demand = asyncio.create_task(self._send_demand(stream))
+        tasks = [
+            asyncio.create_task(self._send_demand(stream)),
+            asyncio.create_task(self._send_outcomes()),
+        ]
+        self._outcome_waits.set()
         try:
             while True:
                 await self._on_message(stream, await stream.receive())
         finally:
-            demand.cancel()
+            for task in tasks:
+                task.cancel()
 
     def _drop(self) -> None:
         if self._stream is not None:
@@ -115,6 +122,34 @@
         future = self._replies.pop(request_id, None)
         if future is not None and not future.done():
             future.set_result(value)
+            return
+        won = (
+            isinstance(value, data.ClaimVerdict)
+            and value.state is data.ClaimState.WON
+        )
+        if won:
+            # Nobody waits for this claim any more: its call was refused and
+            # will not be dispatched.
+            self._keep_outcome(
+                records.ClaimSettled(value.claim_id, False, None)
+            )
+
+    def _keep_outcome(self, settled: records.ClaimSettled) -> None:
+        self._outcomes[settled.claim_id] = settled
+        self._outcome_waits.set()
+
+    async def _send_outcomes(self) -> None:
+        """Tells each outcome until the steward has confirmed it."""
+        while True:
+            await self._outcome_waits.wait()
+            self._outcome_waits.clear()
+            for settled in list(self._outcomes.values()):
+                message = messages.ClaimOutcome(uuid.uuid4().hex, settled)
+                if await self._ask_on_loop(message):
+                    self._outcomes.pop(settled.claim_id, None)
+            if self._outcomes:
+                await asyncio.sleep(RECONNECT_S)
+                self._outcome_waits.set()
 
     async def _send_demand(self, stream: streams.Stream) -> None:
         while True:
@@ -139,10 +174,10 @@
         request_id = uuid.uuid4().hex
         return self._ask(messages.ClaimLookup(request_id, claim))
 
-    def settle(self, settled: records.ClaimSettled) -> bool:
-        """Tells the outcome; returns whether it is on the log."""
-        request_id = uuid.uuid4().hex
-        return bool(self._ask(messages.ClaimOutcome(request_id, settled)))
+    def settle(self, settled: records.ClaimSettled) -> None:
+        """Tells an outcome, now or when the steward is back."""
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self._keep_outcome, settled)
 
     def _ask(self, message: object) -> object:
         if self._loop is None:
--- a/sesamecross/ops/claim_group.py
+++ b/sesamecross/ops/claim_group.py
@@ -39,6 +39,8 @@
 ASK_WITNESSES_AFTER_MS = 150
 GIVE_UP_MS = 2500
 DOUBT_AFTER_MS = 3000
+APPEND_AGAIN_MS = 5000
+APPEND_AGAIN_MOST = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,6 +147,7 @@
         self._doubt = False
         self._log_ok = True
         self._touch_ms = now_ms
+        self._appended_ms = now_ms
 
     # -- what is known ----------------------------------------------------
 
@@ -547,9 +550,10 @@
     def tick(self, now_ms: int) -> list[Action]:
         """Lets time pass: asks again, gives up."""
         actions = self._progress(now_ms)
+        actions += self._append_again(now_ms)
         for pending in list(self._pending.values()):
             if now_ms - pending.began_ms >= GIVE_UP_MS:
-                actions += self._withdraw(pending, None)
+                actions += self._withdraw(pending, _not_claimed(pending))
                 continue
             due_ms = RESEND_MS
             if not pending.witnesses_asked:
@@ -558,6 +562,25 @@
                 actions += self._ask_all(pending, now_ms)
         return actions
 
+    def _append_again(self, now_ms: int) -> list[Action]:
+        """Appends what the log still lacks.
+
+        The first append may be lost with the steward that queued it.
+        """
+        due = now_ms - self._appended_ms >= APPEND_AGAIN_MS
+        leads = self.is_active and self.leader == self._me
+        if not (due and leads and self._log_ok and self._local):
+            return []
+        self._appended_ms = now_ms
+        lacking: list[object] = []
+        for local in list(self._local.values())[:APPEND_AGAIN_MOST]:
+            if not local.counted:
+                continue
+            lacking.append(dataclasses.replace(local.claim, counted=True))
+            if local.settled is not None:
+                lacking.append(local.settled)
+        return [Append(tuple(lacking))] if lacking else []
+
     def _progress(self, now_ms: int) -> list[Action]:
         """Does whatever the latest input made possible."""
         config = self.config
@@ -568,7 +591,7 @@
             # What was pending can't count any more under the old epoch.
             self._active = 0
             for pending in list(self._pending.values()):
-                actions += self._withdraw(pending, None)
+                actions += self._withdraw(pending, _not_claimed(pending))
         if self._me in config.members and self._active != config.epoch:
             actions += self._seek_activity(config, now_ms)
         for pending in list(self._pending.values()):
@@ -718,5 +741,13 @@
             del self._local[name]
 
 
+def _not_claimed(pending: _Pending) -> data.ClaimVerdict:
+    # No earlier claim of the name was known to the active leader, and this
+    # one will not count: the call has not run.
+    return data.ClaimVerdict(
+        data.ClaimState.NOT_CLAIMED, pending.claim.claim_id
+    )
+
+
 def _name(claim: records.ClaimMade) -> str:
     return claims.name_of(claim.caller, claim.service, claim.key)
--- a/sesamecross/ops/claim_group_test.py
+++ b/sesamecross/ops/claim_group_test.py
@@ -450,8 +450,11 @@
     net = random_history(seed)
     doubled = {k: ids for k, ids in net.dispatched.items() if len(ids) > 1}
     assert doubled == {}
-    # Not vacuous: something was decided before the faults took over.
-    assert net.dispatched
+
+
+def test_the_histories_are_not_vacuous():
+    ran = sum(len(random_history(seed).dispatched) for seed in range(8))
+    assert ran > 60
 
 
 def test_a_replica_of_the_state_can_be_dumped_and_loaded():
--- a/sesamecross/ops/groups.py
+++ b/sesamecross/ops/groups.py
@@ -131,5 +131,10 @@
     declared = callers.get(record.caller)
     if declared is None or state.homes.get(record.caller) != record.from_zone:
         return False
+    group = state.zones.get(record.from_zone)
+    current = group.current if group else None
+    epoch = current.epoch if current else 0
+    if record.epoch != epoch and not record.forced:
+        return False
     state.homes[record.caller] = declared.home_zone
     return True
--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -19,7 +19,11 @@
 
 
 class Component(Protocol):
-    """A part of a process with a life of its own."""
+    """A part of a process with a life of its own.
+
+    One with a true `is_vital` is not started again: its failure ends the
+    process.
+    """
 
     @property
     def name(self) -> str:
@@ -88,7 +92,8 @@
             except asyncio.CancelledError:
                 raise
             except Exception as error:
-                if not self._may_restart(child):
+                is_vital = getattr(child.component, "is_vital", False)
+                if is_vital or not self._may_restart(child):
                     self._give_up(child, error)
                     return
                 self._log.exception(
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -21,7 +21,9 @@
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import supervisor
+from sesamecross.steward import claim_keeper
 from sesamecross.steward import claims_desk
+from sesamecross.steward import contacts as contacts_lib
 from sesamecross.steward import demand as demand_lib
 from sesamecross.steward import hub as hub_lib
 from sesamecross.steward import lease_keeper
@@ -35,6 +37,7 @@
 from sesamecross.steward import views as views_lib
 
 LEAVE_WAIT_S = 3.0
+HAND_OVER_S = 5.0
 
 
 class StewardApp:
@@ -88,6 +91,20 @@
             self._rng,
             self._starter.on_gap,
         )
+        contacts = contacts_lib.Contacts(self._clock)
+        self.keeper = claim_keeper.ClaimKeeper(
+            self.me,
+            self.hub,
+            self.reader,
+            self.writer,
+            self._membership,
+            contacts,
+            self._clock,
+            self.recorder,
+        )
+        desk = claims_desk.ClaimsDesk(
+            self.me.incarnation, self.hub, self.keeper, self.recorder
+        )
         self.links = links_lib.Links(
             self.me,
             settings.shared_key,
@@ -99,6 +116,9 @@
             self.recorder,
             self._rng,
             settings.heartbeat_ms,
+            contacts,
+            self.keeper,
+            desk,
         )
         self.reporter = reporter_lib.Reporter(
             self.me,
@@ -135,13 +155,6 @@
             self.recorder,
             settings.plan_ms,
         )
-        desk = claims_desk.ClaimsDesk(
-            self.me.incarnation,
-            self.hub,
-            self.reader,
-            self.writer,
-            self.recorder,
-        )
         self.server = server_lib.Server(
             settings.listen,
             settings.shared_key,
@@ -171,6 +184,7 @@
             self.links,
             self.server,
             self._starter,
+            self.keeper,
             self.reporter,
             self.lease,
             self.mover,
@@ -181,8 +195,12 @@
     async def drain(self) -> None:
         """Leaves: the lease is given back and the leave is on the log."""
         self.links.leaving = True
+        self.keeper.leaving = True
         await self.mover.stop()
         await self.lease.stop()
+        if self.reader.reachable:
+            handed_over = await self.keeper.handed_over(HAND_OVER_S)
+            self._logger.info("claims are handed over", done=handed_over)
         if self.writer.reachable:
             self.writer.submit(records.MemberLeft(self.me.incarnation))
         try:
--- /dev/null
+++ b/sesamecross/steward/claim_keeper.py
@@ -0,0 +1,373 @@
+"""Runs this steward's part in the claim groups.
+
+Why: the group is a plain state machine; here its actions become messages and
+appends, the log's events and peers' beats become its inputs, and this steward
+proposes the next epoch where that is its turn.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from sesamecross.core import clock as clock_lib
+from sesamecross.core import data
+from sesamecross.core import group_messages as gm
+from sesamecross.core import records
+from sesamecross.ops import claim_group
+from sesamecross.ops import group_planner
+from sesamecross.ops import groups
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import replay
+from sesamecross.ops import timeline
+from sesamecross.runtime import logs
+from sesamecross.steward import contacts as contacts_lib
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import log_reader
+from sesamecross.steward import log_writer
+
+TICK_S = 0.05
+PROPOSE_MS = 500
+# A proposal that got no verdict for this long is thought over anew.
+PROPOSAL_WAIT_MS = 3000
+SETTLING_MS = 1500
+
+Post = Callable[[data.Incarnation, object], None]
+
+
+class ClaimKeeper:
+    """Component that owns the claim groups."""
+
+    def __init__(
+        self,
+        me: data.Member,
+        hub: hub_lib.Hub,
+        reader: log_reader.LogReader,
+        writer: log_writer.LogWriter,
+        membership: membership_lib.Membership,
+        contacts: contacts_lib.Contacts,
+        clock: clock_lib.Clock,
+        recorder: timeline.Recorder,
+    ):
+        self._me = me
+        self._hub = hub
+        self._reader = reader
+        self._writer = writer
+        self._membership = membership
+        self._contacts = contacts
+        self._clock = clock
+        self._recorder = recorder
+        self._logger = logs.part("claim-group")
+        self._groups: dict[str, claim_group.ClaimGroup] = {}
+        self._state: replay.SharedState | None = None
+        self._waiting: dict[str, asyncio.Future] = {}
+        self._ready_ms: int | None = None
+        self._proposed_ms = -PROPOSAL_WAIT_MS
+        self._releasing: dict[str, tuple[str, int]] = {}
+        self.post: Post | None = None
+        self.leaving = False
+        self.is_ready = False
+        hub.listen(self._on_event)
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "claim-group"
+
+    @property
+    def kept_in_dark(self) -> int:
+        """Claims kept out of touch and not on the log, over all groups."""
+        return sum(group.kept_in_dark for group in self._groups.values())
+
+    async def run(self) -> None:
+        """Lets time pass until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.is_ready:
+                self._tick(self._clock.monotonic_ms())
+
+    async def stop(self) -> None:
+        """Nothing is open between ticks."""
+
+    async def handed_over(self, timeout_s: float) -> bool:
+        """Waits until no group needs this steward any more."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self._is_needed():
+                    await asyncio.sleep(TICK_S)
+        return not self._is_needed()
+
+    def _is_needed(self) -> bool:
+        me = self._me.incarnation
+        for group in self._hub.state.groups.zones.values():
+            current = group.current
+            if current is None or me not in current.participants:
+                # Until the next epoch is sealed, it may ask this one.
+                if any(me in c.participants for c in group.chain):
+                    return True
+                continue
+            if len(current.members) > 1 or me not in current.members:
+                return True
+        return False
+
+    # -- time and the world ---
+
+    def _tick(self, now_ms: int) -> None:
+        if self._ready_ms is None:
+            self._ready_ms = now_ms
+        self._follow_state(now_ms)
+        reachable = self._reader.reachable and self._writer.reachable
+        for group in self._groups.values():
+            group.log_reachable(reachable, now_ms)
+            self._act(group.replayed(self._hub.state.next_offset, now_ms))
+            self._act(group.tick(now_ms))
+        if reachable and now_ms - self._ready_ms >= SETTLING_MS:
+            self._release_homes()
+            if now_ms - self._proposed_ms >= PROPOSE_MS:
+                self._propose(now_ms)
+
+    def _follow_state(self, now_ms: int) -> None:
+        """Gives this steward a part in each zone's group that has one."""
+        state = self._hub.state
+        if state is not self._state:
+            self._state = state
+            for group in self._groups.values():
+                group.rebind(state.groups, state.claims)
+        for zone in state.groups.zones:
+            if zone not in self._groups:
+                group = claim_group.ClaimGroup(
+                    self._me.incarnation,
+                    zone,
+                    state.groups,
+                    state.claims,
+                    now_ms,
+                )
+                self._groups[zone] = group
+                for peer, in_contact in self._contacts.dead.items():
+                    self._act(group.proved_dead(peer, in_contact, now_ms))
+
+    def proved_dead(self, peer: data.Incarnation) -> None:
+        """A peer's address refuses, or another incarnation answers there."""
+        in_contact = self._contacts.prove_dead(peer, claim_group.IN_CONTACT_MS)
+        if in_contact is None:
+            return
+        # Belief follows votes of watchers, and with a whole zone dead its
+        # watchers are dead too. The proof needs no vote.
+        self._membership.remove(peer)
+        if self._writer.reachable:
+            self._submit((records.MemberLeft(peer, True, in_contact),))
+        self._note_death(peer, in_contact)
+
+    def _on_death_record(
+        self, record: records.MemberLeft, peer: data.Incarnation
+    ) -> None:
+        """Another steward's proof counts here too."""
+        if peer == self._me.incarnation:
+            return
+        known = self._contacts.dead.get(peer)
+        if known is None or (record.in_contact and not known):
+            self._contacts.dead[peer] = record.in_contact
+            self._note_death(peer, record.in_contact)
+
+    def _note_death(self, peer: data.Incarnation, in_contact: bool) -> None:
+        self._logger.info(
+            "a steward is dead", peer=peer.instance, in_contact=in_contact
+        )
+        self._recorder.add(
+            timeline.EventKind.MEMBER,
+            f"{peer.instance} is dead"
+            + (", it died in contact" if in_contact else ""),
+        )
+        now_ms = self._clock.monotonic_ms()
+        for group in self._groups.values():
+            self._act(group.proved_dead(peer, in_contact, now_ms))
+
+    def heard_from(self, peer: data.Incarnation) -> None:
+        """A heartbeat came from a peer."""
+        now_ms = self._clock.monotonic_ms()
+        for group in self._groups.values():
+            group.heard_from(peer, now_ms)
+
+    # -- epochs ---
+
+    def _propose(self, now_ms: int) -> None:
+        state = self._hub.state
+        around = self._surroundings()
+        zones = {caller.home_zone for caller in self._callers().values()}
+        for zone in sorted(zones | state.groups.zones.keys()):
+            change = group_planner.proposal(
+                zone, self._me, state.groups.zones.get(zone), around
+            )
+            if change is None:
+                continue
+            self._proposed_ms = now_ms + PROPOSAL_WAIT_MS - PROPOSE_MS
+            self._submit((change,))
+            self._logger.info(
+                "epoch is proposed",
+                zone=zone,
+                epoch=change.base_epoch + 1,
+                members=[m.instance for m in change.members],
+            )
+
+    def _surroundings(self) -> group_planner.Surroundings:
+        alive = self._membership.believed_alive()
+        leaving = {
+            name
+            for name, member in self._membership.known().items()
+            if (belief := self._membership.state_of(name)) is not None
+            and belief[0] is membership_lib.PeerState.LEAVING
+        }
+        if self.leaving:
+            leaving.add(self._me.incarnation.instance)
+        # Named by the platform's list only; its incarnation is not known.
+        known = {n: m for n, m in alive.items() if m.incarnation.started}
+        return group_planner.Surroundings(
+            known, frozenset(self._contacts.dead), frozenset(leaving)
+        )
+
+    def _callers(self) -> dict[str, data.Caller]:
+        return self._hub.state.config.declarations.callers
+
+    def _release_homes(self) -> None:
+        """Lets go of callers whose declared home is another zone now."""
+        state = self._hub.state
+        for caller, zone in state.groups.homes.items():
+            declared = self._callers().get(caller)
+            if declared is None or declared.home_zone == zone:
+                self._releasing.pop(caller, None)
+                continue
+            group = self._groups.get(zone)
+            if group is None or not group.is_active:
+                continue
+            if group.leader != self._me.incarnation:
+                continue
+            epoch = group.config.epoch
+            if self._releasing.get(caller) != (zone, epoch):
+                # From here on this leader refuses the caller's claims.
+                self._releasing[caller] = (zone, epoch)
+                self._submit((records.HomeReleased(caller, zone, epoch),))
+
+    # -- events and messages ---
+
+    def _on_event(self, event: replay.Event) -> None:
+        now_ms = self._clock.monotonic_ms()
+        match event.record:
+            case records.ClaimMade(zone=zone) if zone in self._groups:
+                self._act(
+                    self._groups[zone].on_claim_record(
+                        event.record, event.result, now_ms
+                    )
+                )
+            case records.MemberLeft(incarnation=peer, dead=True):
+                self._on_death_record(event.record, peer)
+            case records.ClaimSettled():
+                for group in self._groups.values():
+                    group.on_settled_record(event.record)
+            case records.GroupChanged(zone=zone) if event.result is not None:
+                config: groups.GroupConfig = event.result
+                self._recorder.add(
+                    timeline.EventKind.CLAIM,
+                    f"epoch {config.epoch} of {zone}: members "
+                    + " ".join(m.instance for m in config.members),
+                )
+
+    def on_message(self, message: object) -> object | None:
+        """Takes in a message of a group; returns an answer to its sender."""
+        group = self._groups.get(message.zone)
+        now_ms = self._clock.monotonic_ms()
+        if group is None:
+            # Not known here yet: the sender asks again until it is.
+            return None
+        match message:
+            case gm.ClaimAsk():
+                return group.on_ask(message, now_ms)
+            case gm.ClaimAck():
+                self._act(group.on_ack(message, now_ms))
+            case gm.GroupFence():
+                return group.on_fence(message)
+            case gm.GroupFenced():
+                self._act(group.on_fenced(message, now_ms))
+            case gm.ClaimWithdrawn():
+                group.on_withdrawn(message)
+            case gm.ClaimTold():
+                group.on_told(message)
+        return None
+
+    # -- claims ---
+
+    def leader_of(self, zone: str) -> data.Incarnation | None:
+        """Returns who decides a zone's claims now, if that is known."""
+        group = self._groups.get(zone)
+        return group.leader if group else None
+
+    def claim(self, zone: str, record: records.ClaimMade) -> asyncio.Future:
+        """Begins to decide a claim here; returns a future of its verdict."""
+        future = self._waiting.get(record.claim_id)
+        if future is not None:
+            return future
+        future = asyncio.get_running_loop().create_future()
+        group = self._groups.get(zone)
+        releasing = self._releasing.get(record.caller, ("", 0))[0] == zone
+        if group is None or releasing:
+            future.set_result(None)
+            return future
+        self._waiting[record.claim_id] = future
+        self._act(group.claim(record, self._clock.monotonic_ms()))
+        return future
+
+    def look_up(
+        self, zone: str, record: records.ClaimMade
+    ) -> data.ClaimVerdict | None:
+        """Returns what is known of the claim that holds a name."""
+        group = self._groups.get(zone)
+        return group.look_up(record) if group else None
+
+    def settle(self, zone: str, settled: records.ClaimSettled) -> bool:
+        """Takes in an outcome; tells whether it could be kept."""
+        group = self._groups.get(zone)
+        if group is None:
+            return self._submit((settled,))
+        self._act(group.settle(settled))
+        return True
+
+    # -- actions ---
+
+    def _act(self, actions: list[claim_group.Action]) -> None:
+        for action in actions:
+            match action:
+                case claim_group.Send(to=to, message=message):
+                    if self.post is not None:
+                        self.post(to, message)
+                case claim_group.Append(records=entries):
+                    self._submit(entries)
+                case claim_group.Verdict(claim_id=claim_id, verdict=verdict):
+                    self._answer(claim_id, verdict)
+                case claim_group.Activated(epoch=epoch, doubt=doubt):
+                    self._note_active(epoch, doubt)
+
+    def _answer(self, claim_id: str, verdict: data.ClaimVerdict | None) -> None:
+        future = self._waiting.pop(claim_id, None)
+        if future is not None and not future.done():
+            future.set_result(verdict)
+
+    def _note_active(self, epoch: int, doubt: bool) -> None:
+        what = f"active in epoch {epoch}"
+        if doubt:
+            what += ", in doubt about claims made in the dark"
+            self._logger.error(
+                "claims may be lost with their group",
+                epoch=epoch,
+                remedy="look the zone's records up at the services, then run"
+                " `sesamecross claims clear-doubt ZONE`",
+            )
+        self._recorder.add(timeline.EventKind.CLAIM, what)
+        self._logger.info("epoch is active", epoch=epoch, doubt=doubt)
+
+    def _submit(self, entries: tuple[object, ...]) -> bool:
+        try:
+            self._writer.submit_together(entries)
+        except log_writer.QueueFull:
+            # The group's members go on keeping what they keep; records of
+            # claims in the dark are appended again with the next epoch.
+            self._logger.error("the queue for the log is full")
+            return False
+        return True
--- a/sesamecross/steward/claims_desk.py
+++ b/sesamecross/steward/claims_desk.py
@@ -1,108 +1,192 @@
-"""Claims calls on the log for the entry, and settles them.
+"""Answers the entry's requests about claims, wherever they are decided.
 
-Why: a claim counts only when it is read back from the log as the first of
-its name. If nobody waits for the verdict any more, the call was not
-dispatched, and the claim is settled as not executed so that the caller may
-send it again.
+Why: a caller may reach any entry, but its claims are decided by the group of
+its home zone. This desk finds the group's leader and passes the request on;
+where the leader can't be reached the call is refused, never decided here.
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+import uuid
 
 from sesamecross.core import data
+from sesamecross.core import messages
 from sesamecross.core import records
-from sesamecross.ops import claims
 from sesamecross.ops import timeline
 from sesamecross.runtime import logs
+from sesamecross.steward import claim_keeper
 from sesamecross.steward import hub as hub_lib
-from sesamecross.steward import log_reader
-from sesamecross.steward import log_writer
 
-CLAIM_WAIT_S = 3.0
+CLAIM_WAIT_S = 3.5
+FORWARD_WAIT_S = 3.0
+SETTLE_TRIES = 20
+SETTLE_PAUSE_S = 0.5
+# An entry that went away in the middle of a claimed call may come back with
+# its outcome; past this the outcome is written down as unknown.
+ABANDONED_S = 5.0
 
+# Sends a request to a steward and returns its reply, or None.
+Ask = Callable[[data.Incarnation, object, str, float], Awaitable[object]]
 
-class ClaimsDesk:
-    """Answers the entry's requests about claims."""
 
-    __slots__ = ("_me", "_hub", "_reader", "_writer", "_recorder", "_logger")
+class ClaimsDesk:
+    """Finds who decides, asks, and passes outcomes on."""
 
     def __init__(
         self,
         me: data.Incarnation,
         hub: hub_lib.Hub,
-        reader: log_reader.LogReader,
-        writer: log_writer.LogWriter,
+        keeper: claim_keeper.ClaimKeeper,
         recorder: timeline.Recorder,
     ):
         self._me = me
         self._hub = hub
-        self._reader = reader
-        self._writer = writer
+        self._keeper = keeper
         self._recorder = recorder
         self._logger = logs.part("claims")
+        self._zone_of: dict[str, str] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self.ask: Ask | None = None
+
+    def _home(self, caller: str) -> str:
+        return self._hub.state.groups.homes.get(caller, "")
+
+    # -- for the own entry -------------------------------------------------
 
     async def claim(
         self, record: records.ClaimMade
     ) -> data.ClaimVerdict | None:
         """Returns the verdict, or None where there is none to be had."""
         record = dataclasses.replace(record, holder=self._me)
-        known = claims.look_up(self._hub.state.claims, record)
-        if known.claim_id != record.claim_id:
-            # Already decided on the log: no append is needed to say so.
-            return known
-        if not (self._writer.reachable and self._reader.reachable):
-            return None
-        future = self._hub.expect(record)
-        try:
-            self._writer.submit(record)
-            verdict = await asyncio.wait_for(future, CLAIM_WAIT_S)
-        except (TimeoutError, log_writer.QueueFull):
-            self._give_up(record, future)
-            return None
+        zone = self._home(record.caller)
+        self._zone_of[record.claim_id] = zone
+        verdict = await self._decide(zone, record, only_look=False)
+        state = verdict.state.value if verdict else "not decided"
         self._recorder.add(
             timeline.EventKind.CLAIM,
-            f"claim is {verdict.state.value}",
+            f"claim is {state}, home {zone}",
             call_id=record.claim_id,
-            upstream=record.service,
+            model=record.service,
         )
+        settled_elsewhere = (
+            verdict is not None and verdict.state is not data.ClaimState.WON
+        )
+        if settled_elsewhere:
+            self._zone_of.pop(record.claim_id, None)
         return verdict
 
-    def _give_up(
-        self, record: records.ClaimMade, future: asyncio.Future
-    ) -> None:
-        self._hub.forget(record, future)
-        if self._writer.withdraw(record):
-            return
-        # The claim may be on the log already or get there later. The entry
-        # will not dispatch, so that must be said, or the key would stay
-        # in doubt for ever.
-        self._submit(records.ClaimSettled(record.claim_id, False, None))
+    async def look_up(
+        self, record: records.ClaimMade
+    ) -> data.ClaimVerdict | None:
+        """Returns what is known now of the claim that holds the name."""
+        zone = self._home(record.caller)
+        return await self._decide(zone, record, only_look=True)
 
     async def settle(self, settled: records.ClaimSettled) -> bool:
-        """Writes an outcome; tells whether it is on the log by now."""
-        future = self._hub.expect(settled)
-        if not self._submit(settled):
-            return False
-        try:
-            await asyncio.wait_for(future, CLAIM_WAIT_S)
-        except TimeoutError:
-            self._hub.forget(settled, future)
-            return False
+        """Passes an outcome on; tells whether the group keeps it."""
+        zone = self._zone_of.get(settled.claim_id, "")
+        for _ in range(SETTLE_TRIES):
+            leader = self._keeper.leader_of(zone)
+            if leader == self._me or (leader is None and not zone):
+                self._keeper.settle(zone, settled)
+                break
+            if leader is not None and await self._forward_outcome(
+                leader, zone, settled
+            ):
+                break
+            await asyncio.sleep(SETTLE_PAUSE_S)
+        else:
+            # Nobody of the group can be reached; the log is the last place.
+            self._keeper.settle("", settled)
+        self._zone_of.pop(settled.claim_id, None)
         return True
 
-    def look_up(self, record: records.ClaimMade) -> data.ClaimVerdict:
-        """Returns what is known now of the claim that holds the name."""
-        return claims.look_up(self._hub.state.claims, record)
-
-    def _submit(self, settled: records.ClaimSettled) -> bool:
-        try:
-            self._writer.submit(settled)
-        except log_writer.QueueFull:
-            # The claim stays open and is reported as unknown: it is never
-            # run again, which is what must hold.
-            self._logger.error(
-                "an outcome is lost, the log has been away for long",
-                claim_id=settled.claim_id,
-            )
-            return False
-        return True
+    def abandoned(self, claim_ids: set[str]) -> None:
+        """The entry went away without the outcome of these claims."""
+        task = asyncio.create_task(self._give_up(claim_ids))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _give_up(self, claim_ids: set[str]) -> None:
+        await asyncio.sleep(ABANDONED_S)
+        for claim_id in claim_ids:
+            if claim_id not in self._zone_of:
+                continue
+            # It may have run or not: said to be unknown, never run again.
+            unknown = records.ClaimSettled(claim_id, True, None)
+            await self.settle(unknown)
+
+    # -- deciding or forwarding ----------------------------------------------
+
+    async def _decide(
+        self, zone: str, record: records.ClaimMade, only_look: bool
+    ) -> data.ClaimVerdict | None:
+        leader = self._keeper.leader_of(zone)
+        if leader is None:
+            return None
+        if leader == self._me:
+            return await self.decide_here(zone, record, only_look)
+        request_id = uuid.uuid4().hex
+        forward = messages.ClaimForward(request_id, zone, record, only_look)
+        reply = await self.ask(leader, forward, request_id, CLAIM_WAIT_S)
+        if isinstance(reply, messages.ClaimReply):
+            return reply.verdict
+        return None
+
+    async def decide_here(
+        self, zone: str, record: records.ClaimMade, only_look: bool
+    ) -> data.ClaimVerdict | None:
+        """Decides at this steward, which should be the leader."""
+        if only_look:
+            return self._keeper.look_up(zone, record)
+        future = self._keeper.claim(zone, record)
+        done, _ = await asyncio.wait([future], timeout=FORWARD_WAIT_S)
+        if done:
+            return future.result()
+        future.add_done_callback(
+            lambda late: self._on_late(zone, late.result())
+        )
+        return None
+
+    def _on_late(self, zone: str, verdict: data.ClaimVerdict | None) -> None:
+        if verdict is not None and verdict.state is data.ClaimState.WON:
+            self._zone_of[verdict.claim_id] = zone
+            self.not_wanted(verdict.claim_id)
+
+    async def _forward_outcome(
+        self,
+        leader: data.Incarnation,
+        zone: str,
+        settled: records.ClaimSettled,
+    ) -> bool:
+        request_id = uuid.uuid4().hex
+        forward = messages.OutcomeForward(request_id, zone, settled)
+        reply = await self.ask(leader, forward, request_id, FORWARD_WAIT_S)
+        return isinstance(reply, messages.Done) and reply.ok
+
+    # -- for other stewards ----------------------------------------------------
+
+    async def on_forward(self, forward: messages.ClaimForward) -> object:
+        """Decides for another steward; returns the reply."""
+        verdict = await self.decide_here(
+            forward.zone, forward.claim, forward.only_look
+        )
+        return messages.ClaimReply(forward.request_id, verdict)
+
+    def on_outcome(self, forward: messages.OutcomeForward) -> object:
+        """Keeps another steward's outcome; returns the reply."""
+        ok = self._keeper.settle(forward.zone, forward.settled)
+        return messages.Done(forward.request_id, ok)
+
+    def not_wanted(self, claim_id: str) -> None:
+        """A claim was won for somebody who does not wait any more.
+
+        Its call was not dispatched and will not be.
+        """
+        task = asyncio.create_task(
+            self.settle(records.ClaimSettled(claim_id, False, None))
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/sesamecross/steward/links.py
+++ b/sesamecross/steward/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import dataclasses
 import random
@@ -13,6 +14,7 @@
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import codec
 from sesamecross.core import data
+from sesamecross.core import group_messages as gm
 from sesamecross.core import messages
 from sesamecross.ops import gossip
 from sesamecross.ops import membership as membership_lib
@@ -21,6 +23,9 @@
 from sesamecross.ops import timeline
 from sesamecross.ports import instances_http
 from sesamecross.runtime import logs
+from sesamecross.steward import claim_keeper
+from sesamecross.steward import claims_desk
+from sesamecross.steward import contacts as contacts_lib
 from sesamecross.steward import hub as hub_lib
 from sesamecross.transport import streams
 
@@ -29,6 +34,7 @@
 PEER_ROLE = "steward"
 INSTANCES_S = 2.0
 STATE_WAIT_S = 5.0
+ADDRESSES_KEPT = 5000
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,7 +60,19 @@
         recorder: timeline.Recorder,
         rng: random.Random,
         heartbeat_ms: int,
+        contacts: contacts_lib.Contacts,
+        keeper: claim_keeper.ClaimKeeper,
+        desk: claims_desk.ClaimsDesk,
     ):
+        self._contacts = contacts
+        self._keeper = keeper
+        self._desk = desk
+        keeper.post = self.post
+        desk.ask = self.ask
+        self._replies: dict[str, asyncio.Future] = {}
+        self._tasks: set[asyncio.Task] = set()
+        # Where members were, also after they left membership.
+        self._addresses: dict[data.Incarnation, data.Member] = {}
         self._me = me
         self._shared_key = shared_key
         self._hub = hub
@@ -141,9 +159,8 @@
     def _connect_missing(self) -> None:
         members = self._membership.known()
         now = asyncio.get_running_loop().time()
-        for name, member in overlay.links_of(
-            self._me.incarnation.instance, members
-        ).items():
+        wanted = overlay.links_of(self._me.incarnation.instance, members)
+        for name, member in (wanted | self._group_peers(members)).items():
             if name in self._open or name in self._connecting:
                 continue
             if now < self._retry_at.get(name, 0.0):
@@ -155,8 +172,29 @@
                 lambda _, name=name: self._connecting.pop(name, None)
             )
 
-    async def _connect(self, name: str, member: data.Member) -> None:
-        with contextlib.suppress(streams.StreamClosed):
+    def _group_peers(
+        self, members: dict[str, data.Member]
+    ) -> dict[str, data.Member]:
+        """Returns those with whom this steward has a part in a group."""
+        me = self._me.incarnation
+        peers = {}
+        for group in self._hub.state.groups.zones.values():
+            chain = group.chain
+            if not any(me in c.participants for c in chain):
+                continue
+            for config in chain:
+                for peer in config.participants:
+                    member = members.get(peer.instance)
+                    if member is None or member.incarnation != peer:
+                        # Gone from membership, but its end must be proved.
+                        member = self._addresses.get(peer)
+                    is_dead = peer in self._contacts.dead
+                    if peer != me and member is not None and not is_dead:
+                        peers[peer.instance] = member
+        return peers
+
+    async def _connect(self, name: str, member: data.Member) -> bool:
+        try:
             stream = await streams.connect(
                 member.address,
                 self._shared_key,
@@ -164,7 +202,85 @@
                 self._me.incarnation.instance,
                 self._recorder,
             )
-            asyncio.create_task(self.serve(stream, name))
+        except streams.StreamRefused:
+            # Nobody listens there, and a steward listens for as long as it
+            # lives: this incarnation is dead.
+            if member.incarnation.started:
+                self._keeper.proved_dead(member.incarnation)
+            return False
+        except streams.StreamClosed:
+            return False
+        self._spawn(self.serve(stream, name))
+        return True
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # -- messages between members of claim groups ---------------------------
+
+    def post(self, to: data.Incarnation, message: object) -> None:
+        """Sends a message if the peer can be reached; else it is lost."""
+        self._spawn(self._post(to, message))
+
+    async def _post(self, to: data.Incarnation, message: object) -> bool:
+        one = await self._stream_to(to)
+        if one is None:
+            return False
+        try:
+            self.bytes_sent += await one.stream.send(message)
+        except streams.StreamClosed:
+            return False
+        return True
+
+    async def _stream_to(self, to: data.Incarnation) -> _Open | None:
+        one = self._open.get(to.instance)
+        if one is not None:
+            return one
+        member = self._membership.known().get(to.instance)
+        if member is None or member.incarnation != to:
+            return None
+        if not await self._connect(to.instance, member):
+            return None
+        await asyncio.sleep(0)
+        return self._open.get(to.instance)
+
+    async def ask(
+        self,
+        to: data.Incarnation,
+        message: object,
+        request_id: str,
+        wait_s: float,
+    ) -> object | None:
+        """Sends a request to a peer; returns its reply, or None."""
+        future = asyncio.get_running_loop().create_future()
+        self._replies[request_id] = future
+        try:
+            async with asyncio.timeout(wait_s):
+                if not await self._post(to, message):
+                    return None
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self._replies.pop(request_id, None)
+
+    def _on_reply(self, reply: messages.ClaimReply | messages.Done) -> None:
+        future = self._replies.pop(reply.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+        elif isinstance(reply, messages.ClaimReply):
+            verdict = reply.verdict
+            if verdict is not None and verdict.state is data.ClaimState.WON:
+                self._desk.not_wanted(verdict.claim_id)
+
+    async def _on_forward(
+        self, one: _Open, forward: messages.ClaimForward
+    ) -> None:
+        reply = await self._desk.on_forward(forward)
+        with contextlib.suppress(streams.StreamClosed):
+            await one.stream.send(reply)
 
     async def serve(self, stream: streams.Stream, name: str) -> None:
         """Talks with one peer until the stream ends."""
@@ -196,6 +312,23 @@
                 if self.ready:
                     snapshot = replay.snapshot(self._hub.state)
                 await one.stream.send(messages.StateReply(request_id, snapshot))
+            case messages.ClaimForward():
+                self._spawn(self._on_forward(one, message))
+            case messages.OutcomeForward():
+                await one.stream.send(self._desk.on_outcome(message))
+            case messages.ClaimReply() | messages.Done():
+                self._on_reply(message)
+            case (
+                gm.ClaimAsk()
+                | gm.ClaimAck()
+                | gm.GroupFence()
+                | gm.GroupFenced()
+                | gm.ClaimWithdrawn()
+                | gm.ClaimTold()
+            ):
+                answer = self._keeper.on_message(message)
+                if answer is not None:
+                    await one.stream.send(answer)
             case messages.StateReply(request_id=request_id):
                 future = self._states.pop(request_id, None)
                 if future is not None and not future.done():
@@ -203,8 +336,20 @@
 
     def _on_heartbeat(self, one: _Open, heartbeat: messages.Heartbeat) -> None:
         one.link.zone = heartbeat.member.zone
-        instance = heartbeat.member.incarnation.instance
+        incarnation = heartbeat.member.incarnation
+        instance = incarnation.instance
+        earlier = self._membership.known().get(instance)
+        if (
+            earlier is not None
+            and earlier.incarnation.started
+            and earlier.incarnation != incarnation
+        ):
+            # Another process answers at the instance's address.
+            self._keeper.proved_dead(earlier.incarnation)
         self._heard[instance] = heartbeat
+        self._remember(heartbeat.member)
+        self._contacts.heard(heartbeat)
+        self._keeper.heard_from(incarnation)
         changes = self._membership.heard(
             heartbeat.member, heartbeat.leaving, self._clock.monotonic_ms()
         )
@@ -241,6 +386,8 @@
 
     async def _send_heartbeat(self, one: _Open) -> None:
         self._count += 1
+        instance = one.link.peer
+        self._contacts.sent(instance, self._count)
         heartbeat = messages.Heartbeat(
             self._me,
             self._count,
@@ -248,6 +395,8 @@
             self._hub.state.config.state.version,
             self.log_reachable,
             self.leaving,
+            self._contacts.echo_for(instance),
+            self._keeper.kept_in_dark,
         )
         self.bytes_sent += await one.stream.send(heartbeat)
 
@@ -278,6 +427,12 @@
         now_ms = self._clock.monotonic_ms()
         for member in self._hub.state.members.values():
             self._membership.introduce(member, now_ms)
+            self._remember(member)
+
+    def _remember(self, member: data.Member) -> None:
+        self._addresses[member.incarnation] = member
+        while len(self._addresses) > ADDRESSES_KEPT:
+            self._addresses.pop(next(iter(self._addresses)))
 
     async def _follow_list(self) -> None:
         while True:
@@ -301,6 +456,7 @@
     def _on_event(self, event: replay.Event) -> None:
         record_name = type(event.record).__name__
         if record_name == "MemberJoined":
+            self._remember(event.record.member)
             self._membership.introduce(
                 event.record.member, self._clock.monotonic_ms()
             )
--- a/sesamecross/steward/log_writer.py
+++ b/sesamecross/steward/log_writer.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import deque
 import random
 from typing import Any
 import uuid
@@ -58,7 +59,7 @@
         self._writer = writer
         self._recorder = recorder
         self._rng = rng
-        self._queue: list[tuple[Any, bytes]] = []
+        self._queue: deque[tuple[tuple[Any, ...], int]] = deque()
         self._wake = asyncio.Event()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -80,28 +81,24 @@
     def submit(self, record: Any) -> None:
         """Queues a record; its effect shows at replay.
 
+        Raises:
+          QueueFull: The log has been away for long.
+        """
+        self.submit_together((record,))
+
+    def submit_together(self, entries: tuple[Any, ...]) -> None:
+        """Queues records that must be on the log together or not at all.
+
         Raises:
           QueueFull: The log has been away for long.
         """
         if len(self._queue) >= MAX_QUEUE:
             raise QueueFull
-        self._queue.append((record, codec.encode(record)))
+        size = sum(len(codec.encode(entry)) for entry in entries)
+        self._queue.append((entries, size))
         self._idle.clear()
         self._wake.set()
 
-    def withdraw(self, record: Any) -> bool:
-        """Takes back a record that no append has carried yet.
-
-        Returns:
-          Whether it was still queued. False means that it may be on the log
-          or may get there.
-        """
-        for place, (queued, _) in enumerate(self._queue):
-            if queued is record:
-                del self._queue[place]
-                return True
-        return False
-
     async def flushed(self) -> None:
         """Waits until everything submitted has been answered for."""
         await self._idle.wait()
@@ -125,13 +122,13 @@
             )
 
     def _take(self) -> list[Any]:
-        group = []
+        group: list[Any] = []
         size = 0
         while self._queue and len(group) < MAX_GROUP:
-            size += len(self._queue[0][1])
+            size += self._queue[0][1]
             if group and size > MAX_GROUP_BYTES:
                 break
-            group.append(self._queue.pop(0)[0])
+            group.extend(self._queue.popleft()[0])
         return group
 
     async def _append(self, group: list[Any]) -> None:
--- a/sesamecross/steward/mover.py
+++ b/sesamecross/steward/mover.py
@@ -30,6 +30,7 @@
 
 RESEND_MS = 3000
 WATCH_S = 0.1
+HEAR_MS = 5000
 _LOADS_MODEL = data.OrderAction.LOAD_MODEL
 _LOADS_ADAPTER = data.OrderAction.LOAD_ADAPTER
 
@@ -52,6 +53,7 @@
         "_busy",
         "_locks",
         "_next_load_ms",
+        "_planning_since_ms",
         "_logger",
         "shortfalls",
         "moves_made",
@@ -85,6 +87,7 @@
         self._busy: dict[tuple[str, str], asyncio.Task] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._next_load_ms = 0
+        self._planning_since_ms: int | None = None
         self._logger = logs.part("mover")
         self.shortfalls: tuple[placement.Shortfall, ...] = ()
         self.moves_made = 0
@@ -102,6 +105,8 @@
             if lease is None or not self._reader.reachable:
                 continue
             self._watch_inherited()
+            if not self._has_heard_of_all():
+                continue
             plan = placement.plan(self.inputs())
             self._note_shortfalls(plan.shortfalls)
             for move in plan.moves:
@@ -119,6 +124,22 @@
         for task in self._busy.values():
             task.cancel()
 
+    def _has_heard_of_all(self) -> bool:
+        """Tells whether each engine has been asked since this start.
+
+        Before that a plan would see room nowhere and models nowhere.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if self._planning_since_ms is None:
+            self._planning_since_ms = now_ms
+        if now_ms - self._planning_since_ms >= HEAR_MS:
+            return True
+        engines = self._hub.state.config.declarations.engines()
+        return all(
+            self._reporter.report_of(engine.name) is not None
+            for engine in engines
+        )
+
     def inputs(self) -> placement.Inputs:
         """Returns what a plan is made from now."""
         state = self._hub.state
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -26,11 +26,13 @@
 class EntrySession:
     """The stream to the entry on the same instance."""
 
-    __slots__ = ("stream", "version", "_events")
+    __slots__ = ("stream", "version", "claims", "_events")
 
     def __init__(self, stream: streams.Stream):
         self.stream = stream
         self.version = -1
+        # Claims won for this entry whose outcome it has not told.
+        self.claims: set[str] = set()
         self._events: dict[str, asyncio.Future] = {}
 
     async def events(self, limit: int, call_id: str) -> list | None:
@@ -81,6 +83,10 @@
         self.entry: EntrySession | None = None
         self.on_entry: Callable[[EntrySession], Awaitable[None]] | None = None
 
+    # Others take a refused connection for a proof that this process is gone,
+    # so it must not live on without listening.
+    is_vital = True
+
     @property
     def name(self) -> str:
         """The prefix of its logs."""
@@ -149,6 +155,7 @@
         finally:
             if self.entry is session:
                 self.entry = None
+            self._desk.abandoned(session.claims)
             self._logger.info("entry is gone", entry=stream.hello.name)
 
     def _spawn(self, work: Awaitable[None]) -> None:
@@ -162,16 +169,18 @@
         with contextlib.suppress(streams.StreamClosed):
             match message:
                 case messages.ClaimRequest(request_id=request_id):
+                    session.claims.add(message.claim.claim_id)
                     verdict = await self._desk.claim(message.claim)
                     await session.stream.send(
                         messages.ClaimReply(request_id, verdict)
                     )
                 case messages.ClaimLookup(request_id=request_id):
-                    verdict = self._desk.look_up(message.claim)
+                    verdict = await self._desk.look_up(message.claim)
                     await session.stream.send(
                         messages.ClaimReply(request_id, verdict)
                     )
                 case messages.ClaimOutcome(request_id=request_id):
+                    session.claims.discard(message.settled.claim_id)
                     ok = await self._desk.settle(message.settled)
                     await session.stream.send(messages.Done(request_id, ok))
                 case messages.ViewTaken(version=version):
--- a/sesamecross/steward/starter.py
+++ b/sesamecross/steward/starter.py
@@ -93,6 +93,7 @@
         app.links.ready = True
         app.links.log_reachable = app.reader.reachable
         app.views.is_ready = True
+        app.keeper.is_ready = True
         self._join()
         version = app.hub.state.config.state.version
         self._logger.info("ready", source=source, version=version)
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -58,6 +58,10 @@
     """The stream ended, failed, or carried something invalid."""
 
 
+class StreamRefused(StreamClosed):
+    """The address refuses connections: the process that had it is gone."""
+
+
 class Stamper(Protocol):
     """Gives and takes the stamps that every message carries."""
 
@@ -190,6 +194,8 @@
             _connect(host, int(port), shared_key.encode(), role, name, stamper),
             HANDSHAKE_S,
         )
+    except ConnectionRefusedError as error:
+        raise StreamRefused(f"{address}: refused") from error
     except (OSError, EOFError, TimeoutError, frames.FrameError) as error:
         raise StreamClosed(f"{address}: {error or type(error).__name__}") from (
             error
