--- a/sesamecross/devtools/relay_bench.py
+++ b/sesamecross/devtools/relay_bench.py
@@ -27,6 +27,10 @@
 EXTRA = {
     "store": {"loads_per_second": 100, "full_speed_loads": 20},
     "models": {MODEL: {"replicas": 6}},
+    # The relay is measured, not admission: no call waits for room.
+    "upstreams": {
+        f"advice-model-{number}": {"concurrency": 200} for number in range(1, 7)
+    },
     "promises": {"advice": {"first_token_ms": 5000, "queue_ms": 20000}},
 }
 
--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -137,6 +137,12 @@
     drain.add_argument("upstream")
     drain.add_argument("--end", action="store_true", help="end the drain")
     drain.add_argument("--author", default=getpass.getuser())
+    claims = commands.add_parser(
+        "claims", parents=[common, online], help="give an operator's word"
+    )
+    claims.add_argument("word", choices=("clear-doubt", "release"))
+    claims.add_argument("name", help="the zone in doubt, or the caller")
+    claims.add_argument("--author", default=getpass.getuser())
 
 
 class CommandLine:
@@ -220,6 +226,8 @@
                 return self._timeline(flags)
             case "drain":
                 return self._drain(flags)
+            case "claims":
+                return self._claims(flags)
         raise AssertionError(flags.command)
 
     # -- where to ask ----------------------------------------------------
@@ -317,11 +325,49 @@
         )
         return outcomes.Outcome(code, document, tuple(lines), problems)
 
-    def _drain(self, flags: argparse.Namespace) -> outcomes.Outcome:
+    def _read_log(self, flags: argparse.Namespace) -> log_state.LogState:
         log = log_state.LogState(self._log_url(flags))
         read = log.refresh()
         if isinstance(read, Failure):
-            return outcomes.failed(outcomes.Exit.UNREACHABLE, [read.failure()])
+            raise errors.ProblemError(read.failure())
+        return log
+
+    def _append(
+        self, log: log_state.LogState, record: object, line: str
+    ) -> outcomes.Outcome:
+        appended = log.append(record)
+        if isinstance(appended, Failure):
+            return outcomes.failed(
+                outcomes.Exit.NOT_KNOWN_YET, [appended.failure()]
+            )
+        return outcomes.Outcome(
+            outcomes.Exit.OK, {"offset": appended.unwrap()}, (line,)
+        )
+
+    def _claims(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        log = self._read_log(flags)
+        state = log.state.groups
+        if flags.word == "clear-doubt":
+            group = state.zones.get(flags.name)
+            if group is None or not group.doubt:
+                return _nothing_to_do(f"{flags.name} is not in doubt")
+            return self._append(
+                log,
+                records.DoubtCleared(flags.name, flags.author),
+                f"{flags.name} decides claims again",
+            )
+        home = state.homes.get(flags.name)
+        declared = log.state.config.declarations.callers.get(flags.name)
+        if home is None or declared is None or declared.home_zone == home:
+            return _nothing_to_do(f"{flags.name} is at its declared home")
+        return self._append(
+            log,
+            records.HomeReleased(flags.name, home, 0, forced=True),
+            f"{flags.name} is decided in {declared.home_zone} from now on",
+        )
+
+    def _drain(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        log = self._read_log(flags)
         if flags.upstream not in log.state.config.declarations.upstreams:
             problem = errors.Problem(
                 "command line",
@@ -334,19 +380,23 @@
         marked = records.DrainMarked(
             flags.upstream, not flags.end, flags.author
         )
-        appended = log.append(marked)
-        if isinstance(appended, Failure):
-            return outcomes.failed(
-                outcomes.Exit.NOT_KNOWN_YET, [appended.failure()]
-            )
         what = "ends its drain" if flags.end else "drains"
-        return outcomes.Outcome(
-            outcomes.Exit.OK,
-            {"upstream": flags.upstream, "draining": not flags.end},
-            (f"{flags.upstream} {what}; open calls finish",),
+        return self._append(
+            log, marked, f"{flags.upstream} {what}; open calls finish"
         )
 
 
+def _nothing_to_do(reason: str) -> outcomes.Outcome:
+    problem = errors.Problem(
+        "command line",
+        "name",
+        reason,
+        "see `status` and the declarations; nothing was changed",
+        errors.Kind.REFUSED,
+    )
+    return outcomes.failed(outcomes.Exit.PROBLEMS, [problem])
+
+
 def _timeline_lines(
     form: str, events: list[timeline.TimelineEvent], missing: list[str]
 ) -> list[str]:
