Placement: models belong somewhere by declaration; surplus gives way

The holders of three zones had heard of different engines when they first planned, loaded must-stay models twice, and the surplus and its adapters took the room of declared replicas for good.

Change: ops.assignment gives each replica an engine by declarations alone, so holders agree at a cold start; displaced models are placed after those that are at home; surplus replicas and adapters give way to declared replicas.

--- a/sesamecross/ops/placement.py
+++ b/sesamecross/ops/placement.py
@@ -15,6 +15,7 @@
 import dataclasses
 
 from sesamecross.core import data
+from sesamecross.ops import assignment
 from sesamecross.ops import ledger
 from sesamecross.utils import rendezvous
 
@@ -139,26 +140,46 @@
 
 
 def _keep_reachable(draft: _Draft) -> None:
-    """Gives each model that must stay its first replica, largest first."""
+    """Gives each model that must stay its first replica, largest first.
+
+    Models that can go where they belong go first, so that one whose engine
+    is away does not push others out of theirs.
+    """
     models = draft.inputs.declarations.models.values()
-    for model in _by_size([m for m in models if m.must_stay]):
-        if draft.holders(model.name):
-            continue
-        upstream = _roomiest(draft, model)
+    missing = [
+        model
+        for model in _by_size([m for m in models if m.must_stay])
+        if not draft.holders(model.name)
+    ]
+    homes = assignment.homes(draft.inputs.declarations)
+    displaced = []
+    for model in missing:
+        home = next(iter(homes[model.name]), None)
+        if draft.free.get(home, -1) >= model.memory_mib:
+            _load_first(draft, model, home)
+        else:
+            displaced.append(model)
+    for model in displaced:
+        upstream = _place_for(draft, model)
         if upstream is not None:
-            draft.load(
-                upstream,
-                data.OrderAction.LOAD_MODEL,
-                model,
-                "must stay and is resident nowhere",
-            )
-            continue
-        _make_room(draft, model)
+            _load_first(draft, model, upstream)
+        else:
+            _make_room(draft, model)
+
+
+def _load_first(draft: _Draft, model: data.Model, upstream: str) -> None:
+    draft.load(
+        upstream,
+        data.OrderAction.LOAD_MODEL,
+        model,
+        "must stay and is resident nowhere",
+    )
 
 
-def _roomiest(
+def _place_for(
     draft: _Draft, model: data.Model, without: frozenset[str] = frozenset()
 ) -> str | None:
+    """Returns where a replica goes: where it belongs, or where is room."""
     fitting = [
         name
         for name, free in draft.free.items()
@@ -166,6 +187,10 @@
     ]
     if not fitting:
         return None
+    homes = assignment.homes(draft.inputs.declarations)
+    for home in homes.get(model.name, ()):
+        if home in fitting:
+            return home
     return max(
         fitting,
         key=lambda name: (
@@ -257,8 +282,9 @@
             wanted = 0
         holders = draft.holders(model.name)
         for _ in range(wanted - len(holders)):
-            upstream = _roomiest(draft, model, frozenset(holders))
+            upstream = _place_for(draft, model, frozenset(holders))
             if upstream is None:
+                _clear_surplus(draft, model, frozenset(holders))
                 break
             holders.append(upstream)
             draft.load(
@@ -269,6 +295,50 @@
             )
 
 
+def _clear_surplus(
+    draft: _Draft, model: data.Model, without: frozenset[str]
+) -> None:
+    """Asks for unloads of what nobody declared, to make room for a replica.
+
+    Replicas beyond the wanted number come about when holders of two zones
+    load the same model at once. Adapters give way too: a replica answers
+    calls that nothing else can, an adapter beside another replica may.
+    """
+    sizes = ledger.sizes_of(draft.inputs.declarations)
+    for upstream in sorted(draft.free):
+        if upstream in without:
+            continue
+        surplus = [
+            name
+            for name in sorted(draft.held[upstream])
+            if _is_surplus(draft, upstream, name)
+        ]
+        freed = sum(sizes.get(name, 0) for name in surplus)
+        if draft.free[upstream] + freed < model.memory_mib:
+            continue
+        for name in surplus:
+            if draft.free[upstream] >= model.memory_mib:
+                break
+            size = sizes.get(name, 0)
+            reason = f"makes room for a declared replica of {model.name}"
+            draft.unload(upstream, name, size, reason)
+        draft.free[upstream] = 0
+        return
+
+
+def _is_surplus(draft: _Draft, upstream: str, name: str) -> bool:
+    if name not in draft.inputs.accounts[upstream].firm:
+        return False
+    declarations = draft.inputs.declarations
+    if name in declarations.adapters:
+        return True
+    model = declarations.models.get(name)
+    if model is None or len(draft.holders(name)) <= model.replicas:
+        return False
+    sizes = ledger.sizes_of(declarations)
+    return _may_leave(draft, upstream, name, sizes)
+
+
 def _add_adapters(draft: _Draft) -> None:
     """Puts adapters beside their models, the most asked for first."""
     demand = draft.inputs.demand
--- a/sesamecross/ops/placement_test.py
+++ b/sesamecross/ops/placement_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sesamecross.core import data
+from sesamecross.ops import assignment
 from sesamecross.ops import ledger
 from sesamecross.ops import placement
 
@@ -87,6 +88,46 @@
     assert "makes room for b" in found.moves[0].reason
 
 
+def test_two_holders_that_hear_differently_load_nothing_twice():
+    # At a cold start the holders of two zones have heard of different
+    # engines. Each model belongs somewhere by declaration alone, so what
+    # one holder loads the other does not.
+    declared = declarations(
+        {f"e{n}": 100 for n in range(4)},
+        [(f"m{n}", 40, True, 1) for n in range(8)],
+    )
+    whole = accounts(declared, {})
+    seen = []
+    for missing in ("e0", "e3"):
+        partial = {k: v for k, v in whole.items() if k != missing}
+        inputs = placement.Inputs(declared, "z", partial, {})
+        seen.append(
+            {(m.target, m.upstream) for m in placement.plan(inputs).moves}
+        )
+    homes = assignment.homes(declared)
+    for loads in seen:
+        for target, upstream in loads:
+            home = homes[target][0]
+            assert upstream == home or home in ("e0", "e3")
+
+
+def test_surplus_gives_way_to_a_declared_replica():
+    # Two zones once loaded "b" at the same moment. The second copy takes
+    # the room of the replica that "a" is declared to have.
+    declared = declarations(
+        {"e1": 100, "e2": 100},
+        [("a", 50, True, 2), ("b", 50, True, 1)],
+    )
+    found = plan(declared, {"e1": ["a", "b"], "e2": ["b"]})
+    assert moves(found) == [(LOAD, "a", "e2")]
+    declared = declarations(
+        {"e1": 100, "e2": 100},
+        [("a", 60, True, 2), ("b", 40, True, 1), ("c", 40, True, 1)],
+    )
+    found = plan(declared, {"e1": ["a", "b"], "e2": ["b", "c"]})
+    assert moves(found) == [(UNLOAD, "b", "e2")]
+
+
 def test_what_fits_nowhere_is_a_shortfall_with_a_remedy():
     declared = declarations(
         {"e1": 100}, [("a", 60, True, 1), ("b", 60, True, 1)]
