Load and experiment tool; routing by learned slopes instead of a probe

The additive limit fell with each missed promise, also where the prompt phase and not the batch was the cause, and left engines half empty; the prefix history never forgot, so every engine looked cached.

Change: an open-loop load tool on seeded schedules and scenes against baselines; room follows from the learned line of time between tokens and the entry's even share; uncached prompts ahead count in the first token's estimate; the history learns from the engines' own word on cached tokens; prefixes have a home that all entries pick alike. ops.limits is gone.

--- /dev/null
+++ b/sesamecross/devtools/experiment.py
@@ -0,0 +1,173 @@
+"""Compares routing policies at equal load on equal accelerators.
+
+Why: attainment for each accelerator is the users' first measure. The same
+seeded schedules run against the product's policy and the baselines, each on
+a deployment of real processes on loopback.
+"""
+
+import json
+import pathlib
+import statistics
+
+import tomli_w
+
+from sesamecross.devtools import demo
+from sesamecross.devtools import deployment as deployment_lib
+from sesamecross.devtools import load as load_lib
+
+POLICIES = ("round-robin", "least-outstanding", "estimated")
+MODELS = ("report-a", "report-b", "digest-a")
+ENGINES = 4
+ENGINE_FLAGS = (
+    "--step-ms", "25", "--per-call-ms", "1.5", "--batch", "16",
+    "--prefill-ms-per-token", "0.35", "--prefix-blocks", "700",
+    "--threads", "300",
+)  # fmt: skip
+# Calls a second that the engines hold out with warm prefixes, measured by
+# hand with the first runs; phases are given in multiples of it.
+CAPACITY = 26.0
+
+KINDS = (
+    load_lib.Kind("report", MODELS[:2], 0.85, 24, 500, 60, 40, 320.0, 55.0),
+    load_lib.Kind("digest", MODELS[2:], 0.15, 4, 100, 300, 60, 5000.0, 200.0),
+)
+SCENES = {
+    "burst": (1.0, ""),
+    "overload": (3.0, ""),
+    "engine-lost": (0.8, "engine"),
+    "log-down": (0.8, "log"),
+}
+
+
+def _folder(path: pathlib.Path) -> pathlib.Path:
+    """Writes the declarations of the experiment."""
+    path.mkdir(parents=True, exist_ok=True)
+    tree = {
+        "regions": {"west": {}},
+        "zones": {f"west-{n}": {"region": "west"} for n in (1, 2)},
+        "upstreams": {
+            f"writer-{n}": {
+                "kind": "engine",
+                "zone": f"west-{n % 2 + 1}",
+                "url": "http://127.0.0.1:1",
+                "memory_mib": 81920,
+                "concurrency": 16,
+            }
+            for n in range(ENGINES)
+        },
+        "promises": {
+            "report": {"priority": 2, "queue_ms": 1500},
+            "digest": {
+                "first_token_ms": 5000,
+                "between_tokens_ms": 200,
+                "priority": 6,
+                "queue_ms": 20000,
+            },
+        },
+        "models": {
+            name: {
+                "memory_mib": 20000,
+                "promise": name.partition("-")[0],
+                "replicas": ENGINES,
+            }
+            for name in MODELS
+        },
+        "store": {"loads_per_second": 100, "full_speed_loads": 20},
+    }
+    (path / "10.toml").write_text(tomli_w.dumps(tree), encoding="utf-8")
+    return path
+
+
+def _start(policy: str, work: pathlib.Path) -> deployment_lib.Deployment:
+    shape = deployment_lib.Shape(
+        _folder(work / "folder"),
+        entries_per_zone=2,
+        engine_flags=ENGINE_FLAGS,
+        store_flags=("--loads-per-second", "100", "--load-s", "0.02"),
+        entry_settings={"policy": policy, "threads": 256},
+    )
+    deployment = deployment_lib.Deployment(shape, work / "run")
+    deployment.start_fakes()
+    deployment.start_instances()
+    demo.Operator(deployment).run("publish", str(deployment.config_dir))
+    deployment.wait_ready()
+    for url in deployment.engine_urls.values():
+        _wait_all_resident(url)
+    return deployment
+
+
+def _wait_all_resident(url: str) -> None:
+    deployment_lib.processes.wait_for(
+        lambda: (
+            set(MODELS)
+            <= set(
+                deployment_lib.processes.get_json(f"{url}/fake/stats")[
+                    "resident"
+                ]
+            )
+        ),
+        "all models on every engine",
+    )
+
+
+def _events(deployment: deployment_lib.Deployment, what: str) -> tuple:
+    """Returns what happens four seconds into the measured phase."""
+    if what == "engine":
+        engine = deployment.processes["engine-writer-0"]
+        return ((8.0, engine.kill),)
+    if what == "log":
+        url = f"{deployment.log_url}/fake/faults"
+        post = deployment_lib.processes.post_json
+        return ((8.0, lambda: post(url, {"outage": True})),)
+    return ()
+
+
+def run(
+    scene: str, policies: list[str], seeds: list[int], work: pathlib.Path
+) -> dict:
+    """Runs one scene; returns the figures by policy."""
+    factor, fault = SCENES[scene]
+    phases = (
+        load_lib.Phase(4.0, CAPACITY * 0.6, measured=False),
+        load_lib.Phase(10.0, CAPACITY * factor),
+    )
+    found: dict = {}
+    for policy in policies:
+        runs = []
+        deployment = None
+        try:
+            for seed in seeds:
+                if deployment is None:
+                    deployment = _start(policy, work / policy)
+                urls = [i.entry_url for i in deployment.instances]
+                load = load_lib.Load(urls, deployment_lib.CALLER_KEY)
+                arrivals = load_lib.schedule(KINDS, phases, len(urls), seed)
+                results = load.run(arrivals, _events(deployment, fault))
+                runs.append(load_lib.summary(results, phases[1].seconds))
+                if fault:
+                    deployment.stop()
+                    deployment = None
+        finally:
+            if deployment is not None:
+                deployment.stop()
+        found[policy] = _over_seeds(runs)
+    return found
+
+
+def _over_seeds(runs: list[dict]) -> dict:
+    attained = [one["all"]["attained"] for one in runs]
+    kept = [one["all"]["kept_per_s"] for one in runs]
+    return {
+        "attained_median": statistics.median(attained),
+        "attained_each": attained,
+        "kept_per_s_median": statistics.median(kept),
+        "last": runs[-1],
+    }
+
+
+def main(
+    scene: str, policies: list[str], seeds: list[int], work: pathlib.Path
+) -> int:
+    """Runs and prints; returns the exit code."""
+    print(json.dumps({scene: run(scene, policies, seeds, work)}, indent=2))
+    return 0
--- a/sesamecross/devtools/processes.py
+++ b/sesamecross/devtools/processes.py
@@ -4,6 +4,7 @@
 scaffolding: no program of the product starts another.
 """
 
+from collections.abc import Callable
 import pathlib
 import socket
 import subprocess
@@ -103,6 +104,21 @@
     return _http.request("POST", url, json=body).json()
 
 
+def wait_for(
+    holds: Callable[[], bool], what: str, timeout_s: float = READY_S
+) -> None:
+    """Waits until `holds` is true.
+
+    Raises:
+      NotReady: It was not in time.
+    """
+    until = time.monotonic() + timeout_s
+    while not holds():
+        if time.monotonic() > until:
+            raise NotReady(f"{what}: not within {timeout_s} s")
+        time.sleep(0.1)
+
+
 def wait_http(url: str, timeout_s: float = READY_S) -> None:
     """Waits until `url` answers 200.
 
--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -41,7 +41,7 @@
         place = routing.Place(settings.zone, settings.region, {})
         self._state = state_lib.EntryState(self.recorder)
         self._desk = model_desk.ModelDesk(
-            place, routing.Estimated(), clock, rng
+            place, routing.policy_of(settings.policy), clock, rng
         )
         self._link = steward_link.StewardLink(
             settings, self.recorder, self._on_view, self._state.take_demand
--- a/sesamecross/entry/model_call.py
+++ b/sesamecross/entry/model_call.py
@@ -101,6 +101,7 @@
             self._stream = self._next_stream()
             chunks = self._first_of(self._stream)
             if chunks:
+                self._desk.first_token(self._call.call_id)
                 return chunks
 
     def rest(self, sink: sinks.Sink) -> None:
@@ -282,7 +283,9 @@
             if self.attempts == 1:
                 first_ms = (self._first_s - self._began_s) * 1000
         whole_ms = (time.monotonic() - self._began_s) * 1000
-        return estimates.Observation(0.0, 0.0, first_ms, between_ms, whole_ms)
+        return estimates.Observation(
+            0.0, 0.0, first_ms, between_ms, whole_ms, self._check.cached_tokens
+        )
 
     def _note(self, kind: timeline.EventKind, what: str, upstream: str) -> None:
         self._recorder.add(
--- a/sesamecross/entry/model_desk.py
+++ b/sesamecross/entry/model_desk.py
@@ -104,6 +104,11 @@
                 self._dispatcher.finished(call_id, seen, complete, self._now())
             )
 
+    def first_token(self, call_id: str) -> None:
+        """The call's first token has come."""
+        with self._lock:
+            self._dispatcher.first_token(call_id)
+
     def failed(self, call_id: str, failure: dispatch.FailureKind) -> None:
         """An attempt failed; `next_action` tells what follows."""
         with self._lock:
--- a/sesamecross/ops/answer_check.py
+++ b/sesamecross/ops/answer_check.py
@@ -62,7 +62,14 @@
 class AnswerCheck:
     """The state of one call's answer over all its attempts."""
 
-    __slots__ = ("_call_id", "_text", "tokens", "renumbered", "done")
+    __slots__ = (
+        "_call_id",
+        "_text",
+        "tokens",
+        "renumbered",
+        "done",
+        "cached_tokens",
+    )
 
     def __init__(self, call_id: str):
         self._call_id = call_id
@@ -72,6 +79,7 @@
         # own numbers begin anew then.
         self.renumbered = False
         self.done = False
+        self.cached_tokens: int | None = None
 
     @property
     def text(self) -> str:
@@ -98,6 +106,8 @@
         if document.id != self._call_id:
             raise Wrong("event of another call")
         chunk = _chunk(event.data, document)
+        if document.usage is not None:
+            self.cached_tokens = _cached_tokens(document.usage)
         if not chunk.text:
             return chunk
         number = self._number(event)
@@ -115,6 +125,14 @@
         return int(event.event_id)
 
 
+def _cached_tokens(usage: dict[str, Any]) -> int | None:
+    details = usage.get("prompt_tokens_details")
+    if not isinstance(details, dict):
+        return None
+    cached = details.get("cached_tokens")
+    return cached if isinstance(cached, int) else None
+
+
 def _chunk(data: bytes, document: _Document) -> Chunk:
     text = ""
     finish_reason = None
--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -13,7 +13,6 @@
 from sesamecross.core import refusal
 from sesamecross.ops import call_queue
 from sesamecross.ops import estimates
-from sesamecross.ops import limits
 from sesamecross.ops import retry
 from sesamecross.ops import routing
 
@@ -67,6 +66,7 @@
     upstream: str = ""
     chosen: routing.Estimate | None = None
     attempts: int = 0
+    in_prefill: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
     last_failure: FailureKind | None = None
 
@@ -80,6 +80,7 @@
         "queue",
         "_place",
         "_policy",
+        "_is_limited",
         "_rng",
         "_open",
         "_turn",
@@ -94,6 +95,8 @@
         self.queue = call_queue.CallQueue()
         self._place = place
         self._policy = policy
+        # The baselines of experiments know no limits and no queue.
+        self._is_limited = isinstance(policy, routing.Estimated)
         self._rng = rng
         self._open: dict[str, _Open] = {}
         self._turn = 0
@@ -132,9 +135,7 @@
     def _new_state(
         self, declared: data.Upstream, region: str
     ) -> routing.UpstreamState:
-        share = declared.concurrency * 2 / self._entries
-        limit = limits.AdaptiveLimit(share, declared.concurrency * 2)
-        return routing.UpstreamState(declared, region, limit=limit)
+        return routing.UpstreamState(declared, region, entries=self._entries)
 
     def report(self, report: data.UpstreamReport, now_ms: int) -> None:
         """Takes in what an upstream said of itself."""
@@ -173,7 +174,9 @@
         if not servers:
             return [self._refuse(one, self._no_server(one))]
         # Nobody overtakes a call that waits for the same upstreams.
-        with_room = [u for u in servers if u.has_room()]
+        if not self._is_limited:
+            return [self._dispatch(one, servers, now_ms)]
+        with_room = _with_room(one.call, servers, now_ms)
         if with_room and not self.queue.ahead_of(call, now_ms):
             return [self._dispatch(one, with_room, now_ms)]
         wait_ms = self._wait_ms(call, servers, now_ms)
@@ -193,6 +196,17 @@
         ]
         return sorted(found, key=lambda u: u.declared.name)
 
+    def _holders(self, target: str) -> list[routing.UpstreamState]:
+        """Returns all that report `target`, whether they may serve or not.
+
+        The home of a prefix must not move when one of them is busy.
+        """
+        return [
+            u
+            for u in self.upstreams.values()
+            if u.report is not None and target in u.report.resident
+        ]
+
     def _no_server(self, one: _Open) -> refusal.Refusal:
         if isinstance(one.last_failure, Broken):
             return refusal.upstream_failed(
@@ -208,7 +222,10 @@
         now_ms: int,
     ) -> float:
         ahead = self.queue.ahead_of(call, now_ms) + 1
-        rate = sum(u.limit.value / u.speed.call_ms for u in servers)
+        rate = sum(
+            u.most(call.promise) / self._entries / u.speed.call_ms
+            for u in servers
+        )
         return ahead / max(rate, 1e-6)
 
     def _dispatch(
@@ -226,9 +243,12 @@
             now_ms,
             self._turn,
             self._rng,
+            routing.home_of(one.call, self._holders(one.call.target)),
         )
         state = self.upstreams[chosen.upstream]
         state.own += 1
+        state.prefill_tokens += chosen.uncached_tokens
+        one.in_prefill = True
         state.history.routed(one.call.blocks)
         one.upstream = chosen.upstream
         one.chosen = chosen
@@ -266,7 +286,8 @@
             return []
         state = self.upstreams.get(one.upstream)
         if state is not None:
-            self._learn(state, one, seen, complete, now_ms)
+            self._leave_prefill(one)
+            self._learn(state, one, seen, complete)
             state.own -= 1
         if complete:
             self.budget.succeeded()
@@ -278,22 +299,32 @@
         one: _Open,
         seen: estimates.Observation,
         complete: bool,
-        now_ms: int,
     ) -> None:
         state.breaker.succeeded()
         if not complete:
             return
+        if seen.cached_tokens is not None and one.attempts == 1:
+            state.history.observed(one.chosen.cached_tokens, seen.cached_tokens)
         seen = dataclasses.replace(
             seen,
             in_batch=one.chosen.in_batch + 1,
-            uncached_tokens=one.chosen.uncached_tokens,
+            uncached_tokens=one.chosen.prefill_tokens,
         )
         state.speed.observe(seen)
-        promise = one.call.promise
-        kept = (seen.first_ms or 0) <= promise.first_token_ms
-        if seen.between_ms is not None:
-            kept = kept and seen.between_ms <= promise.between_tokens_ms
-        state.limit.finished(kept, state.own, now_ms, state.speed.call_ms)
+
+    def first_token(self, call_id: str) -> None:
+        """A call has its first token: its prompt is worked off."""
+        one = self._open.get(call_id)
+        if one is not None:
+            self._leave_prefill(one)
+
+    def _leave_prefill(self, one: _Open) -> None:
+        state = self.upstreams.get(one.upstream)
+        if not one.in_prefill or state is None:
+            return
+        one.in_prefill = False
+        left = state.prefill_tokens - one.chosen.uncached_tokens
+        state.prefill_tokens = max(0.0, left)
 
     def failed(
         self, call_id: str, failure: FailureKind, now_ms: int
@@ -315,6 +346,7 @@
         state = self.upstreams.get(one.upstream)
         if state is None:
             return
+        self._leave_prefill(one)
         state.own -= 1
         match failure:
             case NotRun(leaving=True):
@@ -342,7 +374,7 @@
         allowed = free or (one.attempts < MAX_ATTEMPTS and self.budget.spend())
         if not servers or not allowed:
             return self._refuse(one, self._no_server(one))
-        with_room = [u for u in servers if u.has_room()]
+        with_room = _with_room(one.call, servers, now_ms)
         # A call that was admitted once does not queue again.
         action = self._dispatch(one, with_room or servers, now_ms)
         if free:
@@ -355,6 +387,7 @@
         self.queue.remove(call_id)
         one = self._open.pop(call_id, None)
         if one is not None and one.upstream in self.upstreams:
+            self._leave_prefill(one)
             self.upstreams[one.upstream].own -= 1
         return self._drain_queue(now_ms)
 
@@ -375,13 +408,17 @@
         actions: list[Action] = []
         if not len(self.queue):
             return actions
-        if not any(u.has_room() for u in self.upstreams.values()):
-            return actions
         for call in self.queue.in_order(now_ms):
             one = self._open[call.call_id]
             servers = self._servers(one, now_ms)
-            with_room = [u for u in servers if u.has_room()]
+            with_room = _with_room(call, servers, now_ms)
             if with_room:
                 self.queue.remove(call.call_id)
                 actions.append(self._dispatch(one, with_room, now_ms))
         return actions
+
+
+def _with_room(
+    call: routing.Call, servers: list[routing.UpstreamState], now_ms: int
+) -> list[routing.UpstreamState]:
+    return [u for u in servers if u.has_room(call.promise, now_ms)]
--- a/sesamecross/ops/estimates.py
+++ b/sesamecross/ops/estimates.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 # Each observation's weight falls by this factor with the next one.
 FORGET = 0.98
@@ -51,6 +52,12 @@
         base = (self._y - self._slope * self._x) / self._n
         self._base = max(0.0, base)
 
+    def where(self, y: float) -> float:
+        """Returns where the line reaches `y`; 0 if it begins above."""
+        if self._slope <= 0:
+            return math.inf if self._base <= y else 0.0
+        return max(0.0, (y - self._base) / self._slope)
+
     def at(self, x: float) -> float:
         """Returns the line's value at `x`."""
         return self._base + self._slope * x
@@ -76,6 +83,8 @@
       first_ms: From dispatch to the first token; None if none came.
       between_ms: Mean time between later tokens; None for fewer than two.
       whole_ms: From dispatch to the end.
+      cached_tokens: Prompt tokens that the engine says it had cached; None
+        where it does not say.
     """
 
     in_batch: float
@@ -83,6 +92,7 @@
     first_ms: float | None
     between_ms: float | None
     whole_ms: float
+    cached_tokens: int | None = None
 
 
 class UpstreamSpeed:
@@ -116,6 +126,10 @@
         """Estimates the time to the first token without waiting."""
         return self._first.at(uncached_tokens)
 
+    def most_calls(self, between_ms: float) -> float:
+        """Estimates how many calls keep a time between tokens."""
+        return self._between.where(between_ms)
+
     def between_ms(self, in_batch: float) -> float:
         """Estimates the time between tokens with so many calls."""
         return self._between.at(in_batch)
--- a/sesamecross/ops/prefixes.py
+++ b/sesamecross/ops/prefixes.py
@@ -11,7 +11,11 @@
 
 BLOCK_CHARS = 256
 CHARS_PER_TOKEN = 4
+BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
 BLOCKS_KEPT = 8192
+LEAST_BLOCKS = 32
+SHRINK = 0.97
+GROW = 0.5
 
 
 def block_names(target: str, prompt: str) -> tuple[int, ...]:
@@ -31,11 +35,12 @@
 class PrefixHistory:
     """Blocks routed to one upstream, the least recently used go first."""
 
-    __slots__ = ("_blocks", "_limit")
+    __slots__ = ("_blocks", "_limit", "_most")
 
     def __init__(self, limit: int = BLOCKS_KEPT):
         self._blocks: OrderedDict[int, None] = OrderedDict()
-        self._limit = limit
+        self._limit = float(limit)
+        self._most = limit
 
     def cached_tokens(self, names: tuple[int, ...]) -> int:
         """Returns how many leading tokens are probably cached."""
@@ -51,9 +56,25 @@
         for name in names:
             self._blocks[name] = None
             self._blocks.move_to_end(name)
+        self._forget()
+
+    def _forget(self) -> None:
         while len(self._blocks) > self._limit:
             self._blocks.popitem(last=False)
 
+    def observed(self, expected_tokens: float, cached_tokens: int) -> None:
+        """Learns how much the upstream keeps from what it says it had.
+
+        The upstream's cache is shared with other entries' calls, so its
+        size can't be declared. Fewer cached tokens than expected mean that
+        it forgets sooner than this history does.
+        """
+        if cached_tokens + BLOCK_TOKENS < expected_tokens:
+            self._limit = max(LEAST_BLOCKS, len(self._blocks) * SHRINK)
+        else:
+            self._limit = min(self._most, self._limit + GROW)
+        self._forget()
+
     def clear(self) -> None:
         """Forgets all: the upstream restarted with an empty cache."""
         self._blocks.clear()
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -12,9 +12,9 @@
 
 from sesamecross.core import data
 from sesamecross.ops import estimates
-from sesamecross.ops import limits
 from sesamecross.ops import prefixes
 from sesamecross.ops import retry
+from sesamecross.utils import rendezvous
 
 # What a report says of others' calls loses half its weight in this time.
 REPORT_HALF_LIFE_MS = 2000
@@ -24,6 +24,10 @@
 # Candidates within this factor of the best share the calls.
 SPREAD = 1.15
 SPREAD_MS = 5.0
+# Part of a prompt's blocks thought to be cached at its home upstream before
+# this entry has sent it there itself.
+HOME_TRUST = 0.5
+LEAST_CALLS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +47,17 @@
 
 Policy = RoundRobin | LeastOutstanding | Estimated
 
+_POLICIES: dict[str, Policy] = {
+    "estimated": Estimated(),
+    "least-outstanding": LeastOutstanding(),
+    "round-robin": RoundRobin(),
+}
+
+
+def policy_of(name: str) -> Policy:
+    """Returns the policy that settings name."""
+    return _POLICIES[name]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -71,7 +86,9 @@
 
     Attributes:
       own: Calls of this entry that are open there.
-      limit: How many of them there may be, learnt from latency.
+      entries: Entries that share the upstream.
+      prefill_tokens: Uncached prompt tokens of this entry's calls there that
+        have no first token yet.
       breaker: Keeps calls away after failures in a row.
       leaving_seen: The upstream itself said so, ahead of any report.
       absent: Targets that the upstream said it does not hold, by when it
@@ -84,9 +101,8 @@
     reported_ms: int = 0
     own_at_report: int = 0
     own: int = 0
-    limit: limits.AdaptiveLimit = dataclasses.field(
-        default_factory=lambda: limits.AdaptiveLimit(8.0, 64.0)
-    )
+    entries: int = 1
+    prefill_tokens: float = 0.0
     breaker: retry.Breaker = dataclasses.field(default_factory=retry.Breaker)
     speed: estimates.UpstreamSpeed = dataclasses.field(
         default_factory=estimates.UpstreamSpeed
@@ -117,9 +133,27 @@
             return False
         return target in report.resident
 
-    def has_room(self) -> bool:
-        """Tells whether one more call of this entry may be open there."""
-        return self.own + 1 <= self.limit.value
+    def most(self, promise: data.Promise) -> float:
+        """Estimates how many calls may be there for a promise to hold."""
+        most = self.speed.most_calls(promise.between_tokens_ms)
+        return min(max(most, LEAST_CALLS), self.declared.concurrency)
+
+    def has_room(self, promise: data.Promise, now_ms: int) -> bool:
+        """Tells whether one more call of this entry may be open there.
+
+        Reports lag, so an entry may always use its even share.
+        """
+        most = self.most(promise)
+        share = max(LEAST_CALLS, most / self.entries)
+        return self.own + 1 <= share or self.in_batch(now_ms) + 1 <= most
+
+    def prefill_ahead(self, now_ms: int) -> float:
+        """Estimates uncached prompt tokens that are worked on there.
+
+        Other entries' are not known; they are thought to be like the own.
+        """
+        others = self.in_batch(now_ms) / max(1, self.own)
+        return self.prefill_tokens * min(max(1.0, others), self.entries)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +167,8 @@
     keeps_promise: bool
     in_batch: float
     uncached_tokens: float
+    cached_tokens: float
+    prefill_tokens: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,18 +181,33 @@
 
 
 def estimate(
-    call: Call, upstream: UpstreamState, place: Place, now_ms: int
+    call: Call,
+    upstream: UpstreamState,
+    place: Place,
+    now_ms: int,
+    is_home: bool = False,
 ) -> Estimate:
-    """Returns what `call` would cost at `upstream` now."""
+    """Returns what `call` would cost at `upstream` now.
+
+    Args:
+      call: The call.
+      upstream: Where it would go.
+      place: Where this entry stands.
+      now_ms: Monotonic time.
+      is_home: Whether calls with this prompt's beginning go there.
+    """
     in_batch = upstream.in_batch(now_ms)
     cached = upstream.history.cached_tokens(call.blocks)
-    uncached = max(0, call.prompt_tokens - cached)
+    if is_home:
+        cached = max(cached, _home_tokens(call))
+    uncached = max(0.0, call.prompt_tokens - cached)
+    prefill = uncached + upstream.prefill_ahead(now_ms)
     speed = upstream.speed
     waits = max(0.0, in_batch + 1 - upstream.declared.concurrency)
     queue_ms = waits * speed.call_ms / upstream.declared.concurrency
     distance_ms = _distance_ms(upstream, place)
     between_ms = speed.between_ms(in_batch + 1)
-    first_ms = 2 * distance_ms + queue_ms + speed.first_ms(uncached)
+    first_ms = 2 * distance_ms + queue_ms + speed.first_ms(prefill)
     first_ms += between_ms
     waited_ms = now_ms - call.arrived_ms
     keeps = (
@@ -174,9 +225,28 @@
         keeps,
         in_batch,
         uncached,
+        cached,
+        prefill,
     )
 
 
+def _home_tokens(call: Call) -> float:
+    """Returns the tokens that a prompt's home upstream may have cached."""
+    return HOME_TRUST * len(call.blocks) * prefixes.BLOCK_TOKENS
+
+
+def home_of(call: Call, upstreams: Iterable[UpstreamState]) -> str:
+    """Returns where calls with this prompt's beginning should go.
+
+    All entries pick alike, so that a shared prefix is cached at one upstream
+    and not at as many as there are entries.
+    """
+    if not call.blocks:
+        return ""
+    names = (upstream.declared.name for upstream in upstreams)
+    return rendezvous.top(f"prefix/{call.blocks[0]}", names, 1)[0]
+
+
 def _distance_ms(upstream: UpstreamState, place: Place) -> float:
     if upstream.region != place.region:
         return float(place.region_ms.get(upstream.region, 30))
@@ -193,6 +263,7 @@
     now_ms: int,
     turn: int,
     rng: random.Random,
+    home: str = "",
 ) -> Estimate | None:
     """Returns the choice among candidates with room, or None without any.
 
@@ -204,9 +275,15 @@
       now_ms: Monotonic time.
       turn: Counts the calls of this entry, for taking turns.
       rng: Spreads the choice over about equal candidates.
+      home: Where calls with this prompt's beginning go, if that is known.
     """
     found = sorted(
-        (estimate(call, upstream, place, now_ms) for upstream in candidates),
+        (
+            estimate(
+                call, upstream, place, now_ms, upstream.declared.name == home
+            )
+            for upstream in candidates
+        ),
         key=lambda one: (one.cost_ms, one.upstream),
     )
     if not found:
--- a/sesamecross/parser/settings.py
+++ b/sesamecross/parser/settings.py
@@ -37,6 +37,8 @@
     Attributes:
       listen: Where callers' connections are accepted.
       steward: Address of the steward on the same instance.
+      policy: "estimated"; "least-outstanding" and "round-robin" are the
+        baselines of experiments, without limits and queue.
       balancer_lag_ms: How long the balancer may go on sending new calls
         after readiness fails.
       drain_ms: The longest that a planned stop waits for open calls.
@@ -48,6 +50,10 @@
     listen: Address
     steward: Address
     shared_key: SharedKey
+    policy: Annotated[
+        str,
+        msgspec.Meta(pattern="^(estimated|least-outstanding|round-robin)$"),
+    ] = "estimated"
     threads: Annotated[int, msgspec.Meta(ge=2, le=2000)] = 128
     max_connections: data.Positive = 1000
     max_head_bytes: data.Positive = 32_768
