Routing learns the prompt slope from what engines had cached

Cause: the slope of the first token over uncached prompt tokens was fitted to guesses made at dispatch; wrong guesses flatten it, and prefixes then decided nothing. The history also shrank for guesses that were not its own.

Change: the engine's own count of cached tokens is the fit's input; a prefix's home is trusted for 0.9 of its blocks.

--- a/sesamecross/devtools/experiment.py
+++ b/sesamecross/devtools/experiment.py
@@ -144,6 +144,7 @@
                 arrivals = load_lib.schedule(KINDS, phases, len(urls), seed)
                 results = load.run(arrivals, _events(deployment, fault))
                 runs.append(load_lib.summary(results, phases[1].seconds))
+                runs[-1]["engines"] = _engines(deployment)
                 if fault:
                     deployment.stop()
                     deployment = None
@@ -154,6 +155,17 @@
     return found
 
 
+def _engines(deployment: deployment_lib.Deployment) -> list[dict]:
+    """Returns each running engine's own figures."""
+    names = ("tokens_made", "prompt_tokens", "cached_tokens", "mean_batch")
+    found = []
+    for name, url in deployment.engine_urls.items():
+        if deployment.processes[f"engine-{name}"].is_running():
+            stats = deployment_lib.processes.get_json(f"{url}/fake/stats")
+            found.append({key: stats[key] for key in names})
+    return found
+
+
 def _over_seeds(runs: list[dict]) -> dict:
     attained = [one["all"]["attained"] for one in runs]
     kept = [one["all"]["kept_per_s"] for one in runs]
--- a/sesamecross/fakes/engine.py
+++ b/sesamecross/fakes/engine.py
@@ -172,6 +172,11 @@
                 "overcommit_attempts": memory.overcommit_attempts,
                 "stale_fences_refused": memory.stale_fences_refused,
                 "tokens_made": self._batch.tokens_made,
+                "prompt_tokens": self._batch.prompt_tokens,
+                "cached_tokens": self._batch.cached_tokens,
+                "mean_batch": round(
+                    self._batch.batch_sum / max(1, self._batch.steps), 2
+                ),
                 "busy_s": round(self._batch.busy_s, 3),
                 "orders": dict(memory.orders),
             }
--- a/sesamecross/fakes/engine_batch.py
+++ b/sesamecross/fakes/engine_batch.py
@@ -101,7 +101,10 @@
         self._running: list[Call] = []
         self.cache = PrefixCache(flags.prefix_blocks)
         self.tokens_made = 0
-        self.tokens_wasted = 0
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.steps = 0
+        self.batch_sum = 0
         self.busy_s = 0.0
         self.stalled = False
 
@@ -119,6 +122,8 @@
         with self._lock:
             cached = self.cache.use(model, call.prompt)
             call.cached_tokens = cached // 4
+            self.cached_tokens += cached // 4
+            self.prompt_tokens += len(call.prompt) // 4
             uncached = max(0, len(call.prompt) - cached) // 4
             call.prefill_left_ms = uncached * self._prefill_ms
             self._waiting.append(call)
@@ -146,6 +151,8 @@
             pause_s = self._step_s + self._per_call_s * len(running)
             time.sleep(pause_s)
             self.busy_s += pause_s
+            self.steps += 1
+            self.batch_sum += len(running)
             with self._lock:
                 self._step(pause_s * 1000)
 
--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -304,11 +304,13 @@
         if not complete:
             return
         if seen.cached_tokens is not None and one.attempts == 1:
-            state.history.observed(one.chosen.cached_tokens, seen.cached_tokens)
+            state.history.observed(
+                one.chosen.known_cached_tokens, seen.cached_tokens
+            )
         seen = dataclasses.replace(
             seen,
             in_batch=one.chosen.in_batch + 1,
-            uncached_tokens=one.chosen.prefill_tokens,
+            uncached_tokens=_worked_off(one, seen),
         )
         state.speed.observe(seen)
 
@@ -418,6 +420,20 @@
         return actions
 
 
+def _worked_off(one: _Open, seen: estimates.Observation) -> float:
+    """Returns the prompt tokens that were worked off for a call.
+
+    Where the engine says what it had cached, that counts and not the guess
+    at dispatch: a slope fitted to wrong guesses comes out too flat, and then
+    prefixes would no longer decide anything.
+    """
+    chosen = one.chosen
+    if seen.cached_tokens is None:
+        return chosen.prefill_tokens
+    ahead = chosen.prefill_tokens - chosen.uncached_tokens
+    return max(0.0, one.call.prompt_tokens - seen.cached_tokens) + ahead
+
+
 def _with_room(
     call: routing.Call, servers: list[routing.UpstreamState], now_ms: int
 ) -> list[routing.UpstreamState]:
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -26,7 +26,7 @@
 SPREAD_MS = 5.0
 # Part of a prompt's blocks thought to be cached at its home upstream before
 # this entry has sent it there itself.
-HOME_TRUST = 0.5
+HOME_TRUST = 0.9
 LEAST_CALLS = 2.0
 
 
@@ -158,7 +158,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Estimate:
-    """What a call would cost at one upstream, in milliseconds."""
+    """What a call would cost at one upstream, in milliseconds.
+
+    Attributes:
+      uncached_tokens: Of the call's prompt.
+      known_cached_tokens: By this entry's own history alone.
+      prefill_tokens: Uncached tokens of the call and of those ahead of it.
+    """
 
     upstream: str
     first_ms: float
@@ -167,7 +173,7 @@
     keeps_promise: bool
     in_batch: float
     uncached_tokens: float
-    cached_tokens: float
+    known_cached_tokens: float
     prefill_tokens: float
 
 
@@ -197,9 +203,8 @@
       is_home: Whether calls with this prompt's beginning go there.
     """
     in_batch = upstream.in_batch(now_ms)
-    cached = upstream.history.cached_tokens(call.blocks)
-    if is_home:
-        cached = max(cached, _home_tokens(call))
+    known = upstream.history.cached_tokens(call.blocks)
+    cached = max(known, _home_tokens(call)) if is_home else known
     uncached = max(0.0, call.prompt_tokens - cached)
     prefill = uncached + upstream.prefill_ahead(now_ms)
     speed = upstream.speed
@@ -225,7 +230,7 @@
         keeps,
         in_batch,
         uncached,
-        cached,
+        known,
         prefill,
     )
 
