Routing counts prompt work as a cost to everybody at the upstream

Cause: 72 of 311 calls went where their prefix was not cached, because the prompts ahead at the home were multiplied by the number of entries and made it look far worse than it was; and the cost to others of working a prompt off anew was not counted.

Change: only the own prompts ahead count, and each candidate's cost has the prompt work that the call brings there.

--- a/sesamecross/ops/estimates.py
+++ b/sesamecross/ops/estimates.py
@@ -28,6 +28,11 @@
         for x in (0.0, 2 * typical_x):
             self._add(x, base + slope * x, PRIOR_WEIGHT / 2)
 
+    @property
+    def slope(self) -> float:
+        """By how much y grows with x, never negative."""
+        return self._slope
+
     def _add(self, x: float, y: float, weight: float) -> None:
         self._n += weight
         self._x += weight * x
@@ -126,6 +131,10 @@
         """Estimates the time to the first token without waiting."""
         return self._first.at(uncached_tokens)
 
+    def prompt_ms(self, uncached_tokens: float) -> float:
+        """Estimates the work that uncached prompt tokens are."""
+        return self._first.slope * uncached_tokens
+
     def most_calls(self, between_ms: float) -> float:
         """Estimates how many calls keep a time between tokens."""
         return self._between.where(between_ms)
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -147,14 +147,6 @@
         share = max(LEAST_CALLS, most / self.entries)
         return self.own + 1 <= share or self.in_batch(now_ms) + 1 <= most
 
-    def prefill_ahead(self, now_ms: int) -> float:
-        """Estimates uncached prompt tokens that are worked on there.
-
-        Other entries' are not known; they are thought to be like the own.
-        """
-        others = self.in_batch(now_ms) / max(1, self.own)
-        return self.prefill_tokens * min(max(1.0, others), self.entries)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Estimate:
@@ -206,7 +198,7 @@
     known = upstream.history.cached_tokens(call.blocks)
     cached = max(known, _home_tokens(call)) if is_home else known
     uncached = max(0.0, call.prompt_tokens - cached)
-    prefill = uncached + upstream.prefill_ahead(now_ms)
+    prefill = uncached + upstream.prefill_tokens
     speed = upstream.speed
     waits = max(0.0, in_batch + 1 - upstream.declared.concurrency)
     queue_ms = waits * speed.call_ms / upstream.declared.concurrency
@@ -219,7 +211,8 @@
         waited_ms + first_ms <= call.promise.first_token_ms
         and between_ms <= call.promise.between_tokens_ms
     )
-    cost_ms = first_ms + 4 * between_ms
+    # Prompt work delays all others at the upstream as much as the call.
+    cost_ms = first_ms + 4 * between_ms + speed.prompt_ms(uncached)
     if upstream.region != place.region:
         cost_ms += PAID_TRAFFIC_MS
     return Estimate(
