--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: install demo up test lint bench
+.PHONY: install demo up test lint bench capacity
 
 install: .venv/installed
 
@@ -27,3 +27,6 @@
 
 bench: install
 	$(BIN)/sesamecross-relay-bench
+
+capacity: install
+	$(BIN)/sesamecross-capacity
--- a/sesamecross/core/data.py
+++ b/sesamecross/core/data.py
@@ -166,7 +166,7 @@
 class Claims:
     """How long and how large the answers to claimed calls are kept."""
 
-    remembered: Positive = 100_000
+    remembered: Positive = 10_000
     answer_bytes: Positive = 65_536
 
 
--- a/sesamecross/ops/membership.py
+++ b/sesamecross/ops/membership.py
@@ -58,12 +58,14 @@
 class Membership:
     """One steward's table of members. Deterministic; time is passed in."""
 
-    __slots__ = ("_me", "_suspect_ms", "_peers")
+    __slots__ = ("_me", "_suspect_ms", "_peers", "_watchers")
 
     def __init__(self, me: data.Member, suspect_ms: int):
         self._me = me
         self._suspect_ms = suspect_ms
         self._peers: dict[str, _Peer] = {}
+        # Who watches whom; worked out anew when members come or go.
+        self._watchers: dict[str, list[str]] | None = None
 
     def known(self) -> dict[str, data.Member]:
         """Returns all members by instance, the own one included."""
@@ -104,6 +106,7 @@
         if peer is not None and peer.member.incarnation == member.incarnation:
             return False
         self._peers[name] = _Peer(member, now_ms, well_since_ms=now_ms)
+        self._watchers = None
         return True
 
     def remove(self, incarnation: data.Incarnation) -> None:
@@ -111,6 +114,7 @@
         peer = self._peers.get(incarnation.instance)
         if peer is not None and peer.member.incarnation == incarnation:
             del self._peers[incarnation.instance]
+            self._watchers = None
 
     def heard(
         self, member: data.Member, leaving: bool, now_ms: int
@@ -139,16 +143,26 @@
     def tick(self, now_ms: int) -> list[Changed | Vote]:
         """Looks at the time that passed; returns what changed."""
         actions: list[Changed | Vote] = []
-        zone_of: dict[str, list[str]] = {}
-        for name, member in sorted(self.known().items()):
-            zone_of.setdefault(member.zone, []).append(name)
-        for name in sorted(self._peers):
+        for name, watchers in self._who_watches().items():
             peer = self._peers[name]
-            watchers = overlay.watchers(name, zone_of[peer.member.zone])
             actions.extend(self._vote(peer, watchers, now_ms))
             actions.extend(self._believe(peer, watchers, now_ms))
         return actions
 
+    def _who_watches(self) -> dict[str, list[str]]:
+        """Returns the watchers of each peer, by the peer's name, sorted."""
+        if self._watchers is None:
+            in_zone: dict[str, list[str]] = {}
+            for name, member in sorted(self.known().items()):
+                in_zone.setdefault(member.zone, []).append(name)
+            self._watchers = {
+                name: overlay.watchers(
+                    name, in_zone[self._peers[name].member.zone]
+                )
+                for name in sorted(self._peers)
+            }
+        return self._watchers
+
     def _vote(
         self, peer: _Peer, watchers: list[str], now_ms: int
     ) -> list[Vote]:
--- a/sesamecross/parser/settings.py
+++ b/sesamecross/parser/settings.py
@@ -75,7 +75,8 @@
       advertise: Where others reach that port, if not at `listen` itself.
       metrics_listen: Where metrics and health are served over HTTP.
       instances_url: The platform's list of instances; a hint that lags.
-      store_url: The weight store, asked only for its state.
+      snapshot_records: Log records after which a snapshot is appended;
+        well below what the log retains.
     """
 
     instance: str
@@ -93,6 +94,7 @@
     lease_lapse_ms: data.Positive = 8000
     report_ms: data.Positive = 500
     plan_ms: data.Positive = 500
+    snapshot_records: data.Positive = 2000
     gossip_fanout: data.Positive = 3
     log_level: str = "info"
     log_format: str = "json"
--- /dev/null
+++ b/sesamecross/scripts/capacity.py
@@ -0,0 +1,16 @@
+"""Measures the slopes that docs/CAPACITY.md works with."""
+
+import argparse
+import sys
+
+from sesamecross.devtools import capacity
+
+
+def main() -> int:
+    """Returns the exit code."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    return capacity.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -33,6 +33,7 @@
 from sesamecross.steward import mover as mover_lib
 from sesamecross.steward import reporter as reporter_lib
 from sesamecross.steward import server as server_lib
+from sesamecross.steward import snapshotter as snapshotter_lib
 from sesamecross.steward import starter
 from sesamecross.steward import views as views_lib
 
@@ -172,6 +173,14 @@
             self._membership,
         )
         self._starter.bind(self)
+        snapshotter = snapshotter_lib.Snapshotter(
+            self.me,
+            self.hub,
+            self.reader,
+            self.writer,
+            self._membership,
+            settings.snapshot_records,
+        )
         http = http_server.HttpServer(
             "http",
             settings.metrics_listen,
@@ -189,6 +198,7 @@
             self.lease,
             self.mover,
             self.views,
+            snapshotter,
             http,
         ]
 
--- a/sesamecross/steward/log_writer.py
+++ b/sesamecross/steward/log_writer.py
@@ -99,6 +99,19 @@
         self._idle.clear()
         self._wake.set()
 
+    def submit_alone(self, record: Any) -> None:
+        """Queues a record that must have an append of its own.
+
+        Raises:
+          QueueFull: The log has been away for long.
+        """
+        if len(self._queue) >= MAX_QUEUE:
+            raise QueueFull
+        # Larger than any group: nothing joins it, and it joins nothing.
+        self._queue.append(((record,), MAX_GROUP_BYTES + 1))
+        self._idle.clear()
+        self._wake.set()
+
     async def flushed(self) -> None:
         """Waits until everything submitted has been answered for."""
         await self._idle.wait()
--- a/sesamecross/steward/reporter.py
+++ b/sesamecross/steward/reporter.py
@@ -21,6 +21,10 @@
 REPORT_PREFIX = "report/"
 # An unreachable upstream is reported as such after this many tries.
 TRIES = 3
+# An unchanged report is spread again after this long, in seconds. Entries
+# discount load that was reported long ago, so a busy upstream's comes sooner.
+BUSY_REFRESH_S = 1.0
+IDLE_REFRESH_S = 5.0
 
 
 class Reporter:
@@ -35,6 +39,7 @@
         "_recorder",
         "_report_s",
         "_failures",
+        "_published",
         "_logger",
     )
 
@@ -56,6 +61,7 @@
         self._recorder = recorder
         self._report_s = report_ms / 1000
         self._failures: dict[str, int] = {}
+        self._published: dict[str, tuple[data.UpstreamReport, float]] = {}
         self._logger = logs.part("reporter")
 
     @property
@@ -101,6 +107,11 @@
             self._publish_unreachable(upstream)
         return None
 
+    @property
+    def changes(self) -> int:
+        """Grows with each report, own or heard of."""
+        return self._store.changes
+
     def report_of(self, upstream: str) -> data.UpstreamReport | None:
         """Returns the newest report that this steward knows."""
         plain = self._store.get(REPORT_PREFIX + upstream)
@@ -118,6 +129,15 @@
         )
 
     def _publish(self, report: data.UpstreamReport) -> None:
+        """Spreads a report, if it says something new or the last is old."""
+        same = dataclasses.replace(report, sequence=0)
+        before, at_s = self._published.get(report.upstream, (None, 0.0))
+        now_s = asyncio.get_running_loop().time()
+        busy = report.running or report.waiting
+        refresh_s = BUSY_REFRESH_S if busy else IDLE_REFRESH_S
+        if before == same and now_s - at_s < refresh_s:
+            return
+        self._published[report.upstream] = (same, now_s)
         stamp = self._recorder.now()
         item = gossip.Item(
             REPORT_PREFIX + report.upstream,
--- /dev/null
+++ b/sesamecross/steward/snapshotter.py
@@ -0,0 +1,99 @@
+"""Appends snapshots of the shared state ahead of the log's retention.
+
+Why: the log keeps records for a limited time, and instances keep nothing. A
+snapshot lets an instance start from the log alone though the first records
+have expired. Any steward may append one; they take turns by rendezvous, and
+one that is on the log already is not appended again.
+"""
+
+import asyncio
+
+from sesamecross.core import data
+from sesamecross.core import records
+from sesamecross.ops import membership as membership_lib
+from sesamecross.ops import replay
+from sesamecross.runtime import logs
+from sesamecross.steward import hub as hub_lib
+from sesamecross.steward import log_reader
+from sesamecross.steward import log_writer
+from sesamecross.utils import rendezvous
+
+TICK_S = 1.0
+
+
+class Snapshotter:
+    """Component that appends a snapshot when it is due and its turn."""
+
+    __slots__ = (
+        "_me",
+        "_hub",
+        "_reader",
+        "_writer",
+        "_membership",
+        "_every",
+        "_logger",
+        "_waits_for",
+    )
+
+    def __init__(
+        self,
+        me: data.Member,
+        hub: hub_lib.Hub,
+        reader: log_reader.LogReader,
+        writer: log_writer.LogWriter,
+        membership: membership_lib.Membership,
+        every: int,
+    ):
+        self._me = me
+        self._hub = hub
+        self._reader = reader
+        self._writer = writer
+        self._membership = membership
+        self._every = every
+        self._logger = logs.part("snapshots")
+        self._waits_for = -1
+
+    @property
+    def name(self) -> str:
+        """The prefix of its logs."""
+        return "snapshots"
+
+    async def run(self) -> None:
+        """Looks each second until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self._is_due():
+                self._append()
+
+    async def stop(self) -> None:
+        """Nothing is open between looks."""
+
+    def _is_due(self) -> bool:
+        replica = self._hub.replica
+        if not (self._reader.caught_up and self._writer.reachable):
+            return False
+        if replica.last_snapshot < self._waits_for:
+            # The own one is on its way.
+            return False
+        behind = replica.state.next_offset - 1 - replica.last_snapshot
+        if behind < self._every:
+            return False
+        # Who is asked changes with the distance, so that a steward that does
+        # not do its turn holds nothing up.
+        turn = behind // self._every
+        alive = self._membership.believed_alive()
+        first = rendezvous.top(f"snapshot/{turn}", alive, 1)
+        return first == [self._me.incarnation.instance]
+
+    def _append(self) -> None:
+        snapshot: records.StateSnapshot = replay.snapshot(self._hub.state)
+        try:
+            self._writer.submit_alone(snapshot)
+        except log_writer.QueueFull:
+            return
+        self._waits_for = snapshot.upto
+        self._logger.info(
+            "snapshot is appended",
+            offset=snapshot.upto,
+            bytes=len(snapshot.data),
+        )
--- a/sesamecross/steward/views.py
+++ b/sesamecross/steward/views.py
@@ -34,6 +34,7 @@
         "_number",
         "_sent_version",
         "_sent",
+        "_signs",
         "is_ready",
     )
 
@@ -54,6 +55,7 @@
         self._number = 0
         self._sent_version = -1
         self._sent: data.View | None = None
+        self._signs: tuple = ()
         self.is_ready = False
         server.on_entry = self._on_entry
 
@@ -79,15 +81,24 @@
 
     async def _send_if_changed(self, session: server_lib.EntrySession) -> None:
         config = self._hub.state.config.state
+        signs = (
+            self._reporter.changes,
+            config.version,
+            tuple(sorted(self._hub.state.draining)),
+            self._reader.reachable,
+            len(self._membership.believed_alive()),
+        )
+        if signs == self._signs and self._sent is not None:
+            # Nothing that a view is made of has changed.
+            return
+        self._signs = signs
         tree = config.tree if config.version != self._sent_version else None
         view = data.View(
             0,
             config.version,
             tree,
             tuple(self._reporter.reports()),
-            tuple(sorted(self._hub.state.draining)),
-            self._reader.reachable,
-            len(self._membership.believed_alive()),
+            *signs[2:],
         )
         if view == self._sent:
             return
@@ -96,6 +107,7 @@
         try:
             await session.stream.send(messages.ViewUpdate(numbered))
         except streams.StreamClosed:
+            self._signs = ()
             return
         self._sent_version = config.version
         self._sent = dataclasses.replace(view, tree=None)
--- /dev/null
+++ b/tests/agreement_test.py
@@ -0,0 +1,97 @@
+"""What all instances agree on, over real processes and log outages."""
+
+import json
+import time
+
+from sesamecross.devtools import demo
+from sesamecross.devtools import processes
+
+
+def versions(deployment):
+    document = json.loads(demo.Operator(deployment).run("status", "--json")[1])
+    return {
+        name: one.get("entry_version")
+        for name, one in document["instances"].items()
+    }
+
+
+def publish(deployment, text, *flags):
+    path = deployment.config_dir / "97-change.toml"
+    path.write_text(text)
+    return demo.Operator(deployment).run(
+        "publish", str(deployment.config_dir), "--json", *flags
+    )
+
+
+def test_an_instance_starts_while_the_log_is_down(fresh):
+    # C3: the log is down and an instance is replaced. It takes the state
+    # from a peer and serves with the configuration in force.
+    one = fresh()
+    instance = one.instances[0]
+    for role in ("steward", "entry"):
+        one.processes[f"{role}-{instance.name}"].kill()
+    processes.post_json(f"{one.log_url}/fake/faults", {"outage": True})
+    one.start_steward(instance)
+    one.start_entry(instance)
+    processes.wait_http(f"{instance.entry_url}/readyz")
+    status, _, _ = demo.Caller().chat(
+        instance.entry_url, "advice-fade", "peer", 3
+    )
+    assert status == 200
+
+
+def test_an_instance_starts_behind_expired_records(fresh):
+    # C4: the log has expired the first records, the configuration among
+    # them. A snapshot was appended ahead of that, and an instance that
+    # starts alone with the log comes to the same version.
+    one = fresh(steward_settings={"snapshot_records": 50})
+    before = versions(one)
+    until = time.monotonic() + 30
+    while not any(
+        "snapshot is appended" in process.log_text()
+        for name, process in one.processes.items()
+        if name.startswith("steward")
+    ):
+        assert time.monotonic() < until
+        time.sleep(0.2)
+    time.sleep(1.0)
+    processes.post_json(f"{one.log_url}/fake/faults", {"retention": 60})
+    instance = one.instances[0]
+    one.processes[f"steward-{instance.name}"].kill()
+    one.start_steward(instance)
+    until = time.monotonic() + 20
+    while versions(one) != before:
+        assert time.monotonic() < until
+        time.sleep(0.2)
+
+
+def test_racing_publishes_and_a_lost_answer(fresh):
+    # C1 and C2: of two changes from one base one is accepted and the other
+    # is told who was first; a change whose answer was lost counts once.
+    one = fresh()
+    base = str(
+        json.loads(demo.Operator(one).run("status", "--json")[1])["version"]
+    )
+    code, text = publish(one, "[weights]\nmoves = 3.0\n", "--base", base)
+    assert (code, json.loads(text)["outcome"]) == (0, "accepted")
+    code, text = publish(one, "[weights]\nmoves = 4.0\n", "--base", base)
+    document = json.loads(text)
+    assert (code, document["outcome"]) == (3, "superseded")
+    assert "superseded by" in document["problems"][0]["reason"]
+    processes.post_json(f"{one.log_url}/fake/faults", {"lose_answers": 2})
+    code, text = publish(one, "[weights]\nmoves = 5.0\n", "--wait")
+    assert code == 0
+    version = json.loads(text)["version"]
+    assert version == int(base) + 2
+    assert set(versions(one).values()) == {version}
+
+
+def test_rollback_is_a_new_version_with_old_content(fresh):
+    one = fresh()
+    operator = demo.Operator(one)
+    publish(one, "[weights]\nmoves = 3.0\n")
+    code, text = operator.run("rollback", "1", "--wait", "--json")
+    assert (code, json.loads(text)["version"]) == (0, 3)
+    (one.config_dir / "97-change.toml").unlink()
+    code, text = operator.run("diff", str(one.config_dir), "--json")
+    assert json.loads(text)["changes"] == []
