Past saturation only calls that can be on time are let in

Cause: at three times the burst's load 4.6 calls a second kept their promise, of 19 at the burst itself: each call let in late made others late.

Change: a call goes where its promise is kept by estimate or where there is spare room (0.6 of it); otherwise it waits and is refused in time.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -176,7 +176,7 @@
         # Nobody overtakes a call that waits for the same upstreams.
         if not self._is_limited:
             return [self._dispatch(one, servers, now_ms)]
-        with_room = _with_room(one.call, servers, now_ms)
+        with_room = _with_room(one.call, servers, self._place, now_ms)
         if with_room and not self.queue.ahead_of(call, now_ms):
             return [self._dispatch(one, with_room, now_ms)]
         wait_ms = self._wait_ms(call, servers, now_ms)
@@ -376,7 +376,7 @@
         allowed = free or (one.attempts < MAX_ATTEMPTS and self.budget.spend())
         if not servers or not allowed:
             return self._refuse(one, self._no_server(one))
-        with_room = _with_room(one.call, servers, now_ms)
+        with_room = _with_room(one.call, servers, self._place, now_ms)
         # A call that was admitted once does not queue again.
         action = self._dispatch(one, with_room or servers, now_ms)
         if free:
@@ -413,7 +413,7 @@
         for call in self.queue.in_order(now_ms):
             one = self._open[call.call_id]
             servers = self._servers(one, now_ms)
-            with_room = _with_room(call, servers, now_ms)
+            with_room = _with_room(call, servers, self._place, now_ms)
             if with_room:
                 self.queue.remove(call.call_id)
                 actions.append(self._dispatch(one, with_room, now_ms))
@@ -435,6 +435,30 @@
 
 
 def _with_room(
-    call: routing.Call, servers: list[routing.UpstreamState], now_ms: int
+    call: routing.Call,
+    servers: list[routing.UpstreamState],
+    place: routing.Place,
+    now_ms: int,
 ) -> list[routing.UpstreamState]:
-    return [u for u in servers if u.has_room(call.promise, now_ms)]
+    """Returns where a call may go now.
+
+    Past saturation each call that is let in late pushes others past their
+    promise too, and soon nobody's is kept. So a call goes where it keeps its
+    promise by estimate, or where there is spare room.
+    """
+    home = routing.home_of(call, servers)
+    return [
+        upstream
+        for upstream in servers
+        if upstream.has_room(call.promise, now_ms)
+        and (
+            upstream.has_spare_room(call.promise, now_ms)
+            or routing.estimate(
+                call,
+                upstream,
+                place,
+                now_ms,
+                upstream.declared.name == home,
+            ).keeps_promise
+        )
+    ]
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -28,6 +28,8 @@
 # this entry has sent it there itself.
 HOME_TRUST = 0.9
 LEAST_CALLS = 2.0
+# Up to this part of its room an upstream also takes calls that will be late.
+SPARE_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,6 +149,11 @@
         share = max(LEAST_CALLS, most / self.entries)
         return self.own + 1 <= share or self.in_batch(now_ms) + 1 <= most
 
+    def has_spare_room(self, promise: data.Promise, now_ms: int) -> bool:
+        """Tells whether a call that will be late harms nobody there."""
+        spare = self.most(promise) * SPARE_SHARE
+        return self.in_batch(now_ms) + 1 <= max(LEAST_CALLS, spare)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Estimate:
