--- a/tests/agreement_test.py
+++ b/tests/agreement_test.py
@@ -18,9 +18,15 @@
 def publish(deployment, text, *flags):
     path = deployment.config_dir / "97-change.toml"
     path.write_text(text)
-    return demo.Operator(deployment).run(
+    code, out = demo.Operator(deployment).run(
         "publish", str(deployment.config_dir), "--json", *flags
     )
+    return code, document_in(out)
+
+
+def document_in(out):
+    """Returns the JSON document behind the lines of progress."""
+    return json.loads(out[out.index("{") :])
 
 
 def test_an_instance_starts_while_the_log_is_down(fresh):
@@ -72,16 +78,15 @@
     base = str(
         json.loads(demo.Operator(one).run("status", "--json")[1])["version"]
     )
-    code, text = publish(one, "[weights]\nmoves = 3.0\n", "--base", base)
-    assert (code, json.loads(text)["outcome"]) == (0, "accepted")
-    code, text = publish(one, "[weights]\nmoves = 4.0\n", "--base", base)
-    document = json.loads(text)
+    code, document = publish(one, "[weights]\nmoves = 3.0\n", "--base", base)
+    assert (code, document["outcome"]) == (0, "accepted")
+    code, document = publish(one, "[weights]\nmoves = 4.0\n", "--base", base)
     assert (code, document["outcome"]) == (3, "superseded")
     assert "superseded by" in document["problems"][0]["reason"]
     processes.post_json(f"{one.log_url}/fake/faults", {"lose_answers": 2})
-    code, text = publish(one, "[weights]\nmoves = 5.0\n", "--wait")
+    code, document = publish(one, "[weights]\nmoves = 5.0\n", "--wait")
     assert code == 0
-    version = json.loads(text)["version"]
+    version = document["version"]
     assert version == int(base) + 2
     assert set(versions(one).values()) == {version}
 
@@ -91,7 +96,7 @@
     operator = demo.Operator(one)
     publish(one, "[weights]\nmoves = 3.0\n")
     code, text = operator.run("rollback", "1", "--wait", "--json")
-    assert (code, json.loads(text)["version"]) == (0, 3)
+    assert (code, document_in(text)["version"]) == (0, 3)
     (one.config_dir / "97-change.toml").unlink()
     code, text = operator.run("diff", str(one.config_dir), "--json")
     assert json.loads(text)["changes"] == []
