--- a/sesamecross/core/hlc.py
+++ b/sesamecross/core/hlc.py
@@ -18,18 +18,6 @@
     wall_ms: int
     count: int
 
-    def as_text(self) -> str:
-        """Returns the form used in headers between processes."""
-        return f"{self.wall_ms}.{self.count}"
-
-
-def stamp_from_text(text: str) -> Stamp | None:
-    """Returns the stamp in `text`, or None where it holds none."""
-    wall, _, count = text.partition(".")
-    if not (wall.isdecimal() and count.isdecimal()):
-        return None
-    return Stamp(int(wall), int(count))
-
 
 # A stamp further ahead than this is not believed: one broken clock must not
 # drag the order of every process into the future.
--- a/sesamecross/core/hlc_test.py
+++ b/sesamecross/core/hlc_test.py
@@ -27,13 +27,3 @@
     one = hlc.HybridClock(clock.ManualClock(1_000))
     one.receive(hlc.Stamp(1_000 + hlc.MAX_AHEAD_MS + 1, 0))
     assert one.now() == hlc.Stamp(1_000, 0)
-
-
-@pytest.mark.parametrize(
-    ("text", "stamp"),
-    [("12.3", hlc.Stamp(12, 3)), ("", None), ("x.1", None), ("1.-2", None)],
-)
-def test_text_form(text, stamp):
-    assert hlc.stamp_from_text(text) == stamp
-    if stamp:
-        assert stamp.as_text() == text
--- a/sesamecross/core/messages.py
+++ b/sesamecross/core/messages.py
@@ -52,25 +52,6 @@
     snapshot: records.StateSnapshot | None
 
 
-@codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordsRequest:
-    """A steward asks a peer for log records from an offset."""
-
-    request_id: str
-    from_offset: int
-
-
-@codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class RecordsReply:
-    """Log records that the peer still remembers, without gaps."""
-
-    request_id: str
-    first_offset: int
-    payloads: tuple[bytes, ...]
-
-
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspicionVote:
--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -409,6 +409,14 @@
         relayed: model_call.ModelCall,
     ) -> None:
         labels = {"model": wanted.model.name}
+        self._logger.info(
+            "call ended",
+            correlation_id=request.call_id,
+            target=wanted.target,
+            tokens=relayed.tokens,
+            attempts=relayed.attempts,
+            seconds=round(time.monotonic() - request.began_s, 3),
+        )
         self._metrics.count(
             "sesamecross_model_calls_total", "Calls to models.", labels
         )
@@ -467,6 +475,12 @@
             "Calls to plain services.",
             {"service": name},
         )
+        self._logger.info(
+            "service call ended",
+            correlation_id=request.call_id,
+            service=name,
+            status=outcome.status,
+        )
         if isinstance(outcome, refusal.Refusal):
             self._recorder.add(
                 timeline.EventKind.REFUSAL,
--- a/sesamecross/entry/model_desk.py
+++ b/sesamecross/entry/model_desk.py
@@ -8,7 +8,6 @@
 import queue
 import random
 import threading
-import time
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import data
@@ -127,19 +126,5 @@
         with self._lock:
             self._boxes.pop(call_id, None)
 
-    def is_resident_anywhere(self, target: str) -> bool:
-        """Tells whether some upstream may serve `target` now."""
-        with self._lock:
-            now_ms = self._now()
-            return any(
-                state.may_serve(target, now_ms)
-                for state in self._dispatcher.upstreams.values()
-            )
-
     def _now(self) -> int:
         return self._clock.monotonic_ms()
-
-
-def monotonic_s() -> float:
-    """Returns the machine's monotonic seconds, for measuring a call."""
-    return time.monotonic()
--- a/sesamecross/ops/replay.py
+++ b/sesamecross/ops/replay.py
@@ -56,11 +56,13 @@
     Attributes:
       result: Verdict, Lease, Intent or ClaimVerdict; None where the record
         did not count or has no result.
+      stamp: The writer's hybrid clock, for the time line.
     """
 
     offset: int
     record: Any
     result: Any
+    stamp: tuple[int, int] = (0, 0)
 
 
 class SharedState:
@@ -114,7 +116,7 @@
         for plain in envelope.entries:
             record = codec.from_plain(plain).value_or(None)
             result = self._apply_record(offset, record)
-            events.append(Event(offset, record, result))
+            events.append(Event(offset, record, result, envelope.stamp))
         return events
 
     def _remember(self, append_id: str) -> None:
--- a/sesamecross/parser/settings.py
+++ b/sesamecross/parser/settings.py
@@ -95,7 +95,6 @@
     report_ms: data.Positive = 500
     plan_ms: data.Positive = 500
     snapshot_records: data.Positive = 2000
-    gossip_fanout: data.Positive = 3
     log_level: str = "info"
     log_format: str = "json"
 
--- /dev/null
+++ b/sesamecross/runtime/launch.py
@@ -0,0 +1,47 @@
+"""Starts a process from its settings: the same for every program.
+
+Why: flags, settings, their errors, logs and the exit code must not differ
+from program to program.
+"""
+
+import argparse
+from collections.abc import Callable
+import os
+import sys
+from typing import Any
+
+from returns.result import Failure
+
+from sesamecross.parser import settings as settings_lib
+from sesamecross.runtime import application
+from sesamecross.runtime import logs
+
+
+def launch(
+    description: str,
+    settings_class: type,
+    make: Callable[[Any], application.Hooks],
+) -> int:
+    """Runs a program to its end.
+
+    Args:
+      description: What the program is, for its help.
+      settings_class: The record of its settings.
+      make: Makes the application object from checked settings.
+
+    Returns:
+      The exit code.
+    """
+    parser = argparse.ArgumentParser(description=description)
+    settings_lib.add_flags(parser, settings_class)
+    flags = parser.parse_args()
+    loaded = settings_lib.load(settings_class, flags, os.environ)
+    if isinstance(loaded, Failure):
+        for problem in loaded.failure():
+            print(problem, file=sys.stderr)
+        return application.EXIT_FAILED
+    settings = loaded.unwrap()
+    logs.configure(
+        settings.log_level, settings.log_format, instance=settings.instance
+    )
+    return application.Application(make(settings)).run()
--- a/sesamecross/scripts/entry.py
+++ b/sesamecross/scripts/entry.py
@@ -1,33 +1,17 @@
 """Runs an entry."""
 
-import argparse
-import os
 import sys
 
-from returns.result import Failure
-
 from sesamecross.entry import app
-from sesamecross.parser import settings as settings_lib
-from sesamecross.runtime import application
-from sesamecross.runtime import logs
+from sesamecross.parser import settings
+from sesamecross.runtime import launch
 
 
 def main() -> int:
     """Returns the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    settings_lib.add_flags(parser, settings_lib.EntrySettings)
-    flags = parser.parse_args()
-    loaded = settings_lib.load(settings_lib.EntrySettings, flags, os.environ)
-    if isinstance(loaded, Failure):
-        for problem in loaded.failure():
-            print(problem, file=sys.stderr)
-        return application.EXIT_FAILED
-    settings = loaded.unwrap()
-    logs.configure(
-        settings.log_level, settings.log_format, instance=settings.instance
+    return launch.launch(
+        __doc__, settings.EntrySettings, app.EntryApp.from_settings
     )
-    entry = app.EntryApp.from_settings(settings)
-    return application.Application(entry).run()
 
 
 if __name__ == "__main__":
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -62,7 +62,7 @@
         )
         self.metrics = metrics_lib.Metrics()
         self._rng = random.Random(os.urandom(8))
-        self.hub = hub_lib.Hub()
+        self.hub = hub_lib.Hub(self.recorder)
         self.hub.listen(self._on_event)
 
     @classmethod
--- a/sesamecross/steward/claims_desk.py
+++ b/sesamecross/steward/claims_desk.py
@@ -64,6 +64,9 @@
         self._zone_of[record.claim_id] = zone
         verdict = await self._decide(zone, record, only_look=False)
         state = verdict.state.value if verdict else "not decided"
+        self._logger.info(
+            "claim", correlation_id=record.claim_id, state=state, home=zone
+        )
         self._recorder.add(
             timeline.EventKind.CLAIM,
             f"claim is {state}, home {zone}",
--- a/sesamecross/steward/hub.py
+++ b/sesamecross/steward/hub.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from sesamecross.core import hlc
 from sesamecross.core import records
 from sesamecross.ops import catchup
 from sesamecross.ops import replay
+from sesamecross.ops import timeline
 
 Listener = Callable[[replay.Event], None]
 
@@ -34,9 +36,10 @@
 class Hub:
     """Holds the replica; runs on the event loop only."""
 
-    __slots__ = ("replica", "_listeners", "_waiters")
+    __slots__ = ("replica", "_listeners", "_waiters", "_recorder")
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: timeline.Recorder) -> None:
+        self._recorder = recorder
         self.replica = catchup.Replica(self._on_events)
         self._listeners: list[Listener] = []
         self._waiters: dict[tuple[str, str], list[asyncio.Future]] = {}
@@ -64,6 +67,8 @@
 
     def _on_events(self, events: list[replay.Event]) -> None:
         for event in events:
+            # What this record causes here sorts behind its writing.
+            self._recorder.receive(hlc.Stamp(*event.stamp))
             for listener in self._listeners:
                 listener(event)
             key = key_of(event.record)
