Heads and bodies have a time as a whole, not only between two bytes

A caller that trickles a byte within each allowed pause held one of the threads for as long as it liked.

Change: a reaper in the HTTP server cuts connections whose head or body takes longer than receive_ms; accepted connections that wait for a thread are bounded by max_connections.

--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -75,6 +75,7 @@
             settings.max_head_bytes,
             settings.max_body_bytes,
             settings.caller_idle_ms // 1000,
+            settings.receive_ms / 1000,
         )
         self._http = http_server.HttpServer(
             "http", settings.listen, app, limits
--- a/sesamecross/parser/settings.py
+++ b/sesamecross/parser/settings.py
@@ -59,6 +59,7 @@
     max_head_bytes: data.Positive = 32_768
     max_body_bytes: data.Positive = 4 * 1024 * 1024
     caller_idle_ms: data.Positive = 20_000
+    receive_ms: data.Positive = 30_000
     default_deadline_ms: data.Positive = 120_000
     balancer_lag_ms: data.NotNegative = 1000
     drain_ms: data.Positive = 60_000
--- a/sesamecross/runtime/http_server.py
+++ b/sesamecross/runtime/http_server.py
@@ -7,19 +7,25 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import json
 import socket
 import threading
+import time
 from typing import Any
 
 from cheroot import errors as cheroot_errors
+from cheroot import server
 from cheroot import wsgi
 
 from sesamecross.runtime import logs
 
 # A connection that sends its head or body slower than this is closed.
 DEFAULT_IDLE_S = 20
+DEFAULT_RECEIVE_S = 30.0
+_REAP_S = 0.2
 _JOIN_S = 5
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -28,13 +34,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds of one server. Times in seconds, sizes in bytes."""
+    """Bounds of one server. Times in seconds, sizes in bytes.
+
+    Attributes:
+      idle_s: The longest pause within a request.
+      receive_s: The longest that a head, or a body, may take as a whole.
+    """
 
     threads: int = 8
     max_connections: int = 1000
     max_head_bytes: int = 32_768
     max_body_bytes: int = 4 * 1024 * 1024
     idle_s: int = DEFAULT_IDLE_S
+    receive_s: float = DEFAULT_RECEIVE_S
 
 
 # Name of the `Connection` in a request's environment.
@@ -59,25 +71,82 @@
         """Whether the answer is chunked; known once its head is sent."""
         return self._request.chunked_write
 
+    @contextlib.contextmanager
+    def timed(self) -> Iterator[None]:
+        """Bounds the time of what the caller sends meanwhile."""
+        reaper = self._request.conn.server.reaper
+        reaper.begin(self._request.conn)
+        try:
+            yield
+        finally:
+            reaper.end(self._request.conn)
+
     def abort(self) -> None:
         """Makes the server close the connection without a proper end."""
         self._request.close_connection = True
         self._request.chunked_write = False
 
 
+class _Reaper:
+    """Cuts connections that take too long to send a head or a body.
+
+    A caller that sends a byte now and then never trips the pause between
+    two of them, and would hold a thread for as long as it likes; enough of
+    such callers would hold them all.
+    """
+
+    def __init__(self, receive_s: float):
+        self._receive_s = receive_s
+        self._lock = threading.Lock()
+        self._since: dict[Any, float] = {}
+
+    def begin(self, connection: Any) -> None:
+        with self._lock:
+            self._since[connection] = time.monotonic()
+
+    def end(self, connection: Any) -> None:
+        with self._lock:
+            self._since.pop(connection, None)
+
+    def reap(self) -> None:
+        """Shuts down what is overdue; its thread then sees the end."""
+        now = time.monotonic()
+        with self._lock:
+            for connection, since in list(self._since.items()):
+                if now - since < self._receive_s:
+                    continue
+                del self._since[connection]
+                with contextlib.suppress(OSError):
+                    connection.socket.shutdown(socket.SHUT_RDWR)
+
+
+class _TimedConnection(server.HTTPConnection):
+    """A connection whose heads are timed."""
+
+    def communicate(self) -> bool:
+        reaper = self.server.reaper
+        reaper.begin(self)
+        try:
+            return super().communicate()
+        finally:
+            reaper.end(self)
+
+
 class _ConnectionGateway(wsgi.Gateway_10):
     """Puts the connection into the environment of each request."""
 
     def get_environ(self) -> dict:
         environ = super().get_environ()
         environ[CONNECTION] = Connection(self.req)
+        # The head is whole; the body is timed when it is read.
+        self.req.conn.server.reaper.end(self.req.conn)
         return environ
 
 
 class HttpServer:
     """Serves a WSGI application from threads of its own."""
 
-    __slots__ = ("_server", "_thread", "_name", "_done")
+    __slots__ = ("_server", "_thread", "_name", "_done", "_reaper")
 
     def __init__(self, name: str, address: str, app: WsgiApp, limits: Limits):
         host, _, port = address.rpartition(":")
@@ -90,7 +159,12 @@
             request_queue_size=min(limits.max_connections, 1024),
             timeout=limits.idle_s,
             shutdown_timeout=_JOIN_S,
+            accepted_queue_size=limits.max_connections,
+            accepted_queue_timeout=1,
         )
+        self._reaper = _Reaper(limits.receive_s)
+        self._server.reaper = self._reaper
+        self._server.ConnectionClass = _TimedConnection
         self._server.max_request_header_size = limits.max_head_bytes
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.keep_alive_conn_limit = limits.max_connections
@@ -117,6 +191,11 @@
             target=self._serve, name=self._name, daemon=True
         )
         self._thread.start()
+        threading.Thread(target=self._reap, daemon=True).start()
+
+    def _reap(self) -> None:
+        while not self._done.wait(_REAP_S):
+            self._reaper.reap()
 
     def shut_down(self) -> None:
         """Closes the port and ends the threads."""
@@ -157,16 +236,8 @@
       SlowBody: The caller stalled, went away or sent too much.
     """
     try:
-        length = int(environ.get("CONTENT_LENGTH") or -1)
-        stream = environ["wsgi.input"]
-        if length >= 0:
-            body = stream.read(length)
-            if len(body) < length:
-                raise SlowBody("the body ended early")
-            return body
-        if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
-            return stream.read()
-        return b""
+        with environ[CONNECTION].timed():
+            return _read_whole(environ)
     except (
         OSError,
         ValueError,
@@ -175,6 +246,19 @@
         raise SlowBody(str(error)) from error
 
 
+def _read_whole(environ: dict) -> bytes:
+    length = int(environ.get("CONTENT_LENGTH") or -1)
+    stream = environ["wsgi.input"]
+    if length >= 0:
+        body = stream.read(length)
+        if len(body) < length:
+            raise SlowBody("the body ended early")
+        return body
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+        return stream.read()
+    return b""
+
+
 def answer(
     start_response: StartResponse,
     status: str,
