Reading the whole change once more: dead code out, one way to read the log

Change: LogState.read serves all commands; claims.look_up, the hub's names for records nobody waits for, and unused attributes are gone.

--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -67,7 +67,6 @@
             clock,
             self.recorder,
             metrics_lib.Metrics(),
-            rng,
         )
         limits = http_server.Limits(
             settings.threads,
--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import random
 import re
 import time
 from typing import Any
@@ -89,7 +88,6 @@
         clock: clock_lib.Clock,
         recorder: timeline.Recorder,
         metrics: metrics_lib.Metrics,
-        rng: random.Random,
     ):
         self._settings = settings
         self._state = state
@@ -100,7 +98,6 @@
         self._clock = clock
         self._recorder = recorder
         self._metrics = metrics
-        self._rng = rng
         self._logger = logs.part("http")
 
     def __call__(self, environ: dict, start_response: Any) -> Iterable[bytes]:
--- a/sesamecross/fakes/engine.py
+++ b/sesamecross/fakes/engine.py
@@ -23,7 +23,6 @@
         self._batch = engine_batch.Batch(flags)
         self._batch.start()
         self._lag_s = flags.report_lag_ms / 1000
-        self._adapters_of: dict[str, str] = {}
         self._lock = threading.Lock()
         self._sequence = 0
         self._late: list[tuple[float, tuple[int, int]]] = []
--- a/sesamecross/fakes/service.py
+++ b/sesamecross/fakes/service.py
@@ -12,7 +12,6 @@
     def __init__(self, name: str, listen: str, work_ms: int):
         super().__init__(name, listen, threads=64)
         self._name = name
-        self._work_s = work_ms / 1000
         self._lock = threading.Lock()
         self._runs: dict[str, int] = {}
         self._without_key = 0
--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -325,13 +325,6 @@
         )
         return outcomes.Outcome(code, document, tuple(lines), problems)
 
-    def _read_log(self, flags: argparse.Namespace) -> log_state.LogState:
-        log = log_state.LogState(self._log_url(flags))
-        read = log.refresh()
-        if isinstance(read, Failure):
-            raise errors.ProblemError(read.failure())
-        return log
-
     def _append(
         self, log: log_state.LogState, record: object, line: str
     ) -> outcomes.Outcome:
@@ -345,7 +338,7 @@
         )
 
     def _claims(self, flags: argparse.Namespace) -> outcomes.Outcome:
-        log = self._read_log(flags)
+        log = log_state.LogState.read(self._log_url(flags))
         state = log.state.groups
         if flags.word == "clear-doubt":
             group = state.zones.get(flags.name)
@@ -367,7 +360,7 @@
         )
 
     def _drain(self, flags: argparse.Namespace) -> outcomes.Outcome:
-        log = self._read_log(flags)
+        log = log_state.LogState.read(self._log_url(flags))
         if flags.upstream not in log.state.config.declarations.upstreams:
             problem = errors.Problem(
                 "command line",
--- a/sesamecross/operators/configuration.py
+++ b/sesamecross/operators/configuration.py
@@ -97,10 +97,7 @@
     checked = folder_lib.check(folder)
     if checked.declarations is None:
         return outcomes.failed(outcomes.Exit.PROBLEMS, checked.problems)
-    log = log_state.LogState(log_url)
-    read = log.refresh()
-    if isinstance(read, Failure):
-        return outcomes.failed(outcomes.Exit.UNREACHABLE, [read.failure()])
+    log = log_state.LogState.read(log_url)
     config = log.state.config.state
     changes = _changes(config.tree, checked.merged.tree)
     lines = _change_lines(changes) or ["no difference"]
@@ -187,10 +184,7 @@
     say: Say,
 ) -> outcomes.Outcome:
     """Publishes an older version's content as a new version."""
-    log = log_state.LogState(log_url)
-    read = log.refresh()
-    if isinstance(read, Failure):
-        return outcomes.failed(outcomes.Exit.UNREACHABLE, [read.failure()])
+    log = log_state.LogState.read(log_url)
     tree = log.state.config.tree_at(version)
     if tree is None:
         oldest = _oldest_kept(log.state.config)
@@ -230,10 +224,7 @@
     fleet: fleet_lib.Fleet | None,
     say: Say,
 ) -> outcomes.Outcome:
-    log = log_state.LogState(log_url)
-    read = log.refresh()
-    if isinstance(read, Failure):
-        return outcomes.failed(outcomes.Exit.UNREACHABLE, [read.failure()])
+    log = log_state.LogState.read(log_url)
     config = log.state.config
     known = config.state.verdicts.get(change_id)
     if known is None:
--- a/sesamecross/operators/log_state.py
+++ b/sesamecross/operators/log_state.py
@@ -30,6 +30,19 @@
         self._replica = catchup.Replica(lambda _events: None)
         self._url = url
 
+    @classmethod
+    def read(cls, url: str) -> "LogState":
+        """Returns a replica at the log's end.
+
+        Raises:
+          ProblemError: The log can't be read to its end.
+        """
+        log = cls(url)
+        result = log.refresh()
+        if isinstance(result, Failure):
+            raise errors.ProblemError(result.failure())
+        return log
+
     @property
     def state(self) -> replay.SharedState:
         """The state as of the last `refresh`."""
--- a/sesamecross/ops/claims.py
+++ b/sesamecross/ops/claims.py
@@ -122,15 +122,6 @@
     )
 
 
-def look_up(table: ClaimTable, claim: records.ClaimMade) -> data.ClaimVerdict:
-    """Returns what is known of an earlier claim under the same name."""
-    name = name_of(claim.caller, claim.service, claim.key)
-    known = table.by_name.get(name)
-    if known is None:
-        return data.ClaimVerdict(data.ClaimState.UNKNOWN, claim.claim_id)
-    return verdict_of(table, known, claim.call_digest)
-
-
 def holder_gone(table: ClaimTable, incarnation: data.Incarnation) -> None:
     """Notes that a claimer will never settle its open claims."""
     if incarnation not in table.gone:
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -130,9 +130,7 @@
             self.recorder,
             settings.report_ms,
         )
-        self.demand = demand_lib.Demand(
-            self.me, self._store, self._clock, self.recorder
-        )
+        self.demand = demand_lib.Demand(self.me, self._store, self.recorder)
         self.lease = lease_keeper.LeaseKeeper(
             self.me,
             settings,
--- a/sesamecross/steward/demand.py
+++ b/sesamecross/steward/demand.py
@@ -6,7 +6,6 @@
 
 import math
 
-from sesamecross.core import clock as clock_lib
 from sesamecross.core import data
 from sesamecross.ops import gossip
 from sesamecross.ops import timeline
@@ -20,21 +19,18 @@
 class Demand:
     """Smooths one entry's counts and sums up those of all."""
 
-    __slots__ = ("_me", "_store", "_clock", "_recorder", "_rates", "_last_ms")
+    __slots__ = ("_me", "_store", "_recorder", "_rates")
 
     def __init__(
         self,
         me: data.Member,
         store: gossip.Store,
-        clock: clock_lib.Clock,
         recorder: timeline.Recorder,
     ):
         self._me = me
         self._store = store
-        self._clock = clock
         self._recorder = recorder
         self._rates: dict[str, float] = {}
-        self._last_ms = clock.monotonic_ms()
 
     def report(self, calls: dict[str, int], interval_ms: int) -> None:
         """Takes in an entry's counts and publishes the smoothed rates."""
--- a/sesamecross/steward/hub.py
+++ b/sesamecross/steward/hub.py
@@ -1,7 +1,7 @@
 """The steward's replica, those who listen to it and those who wait on it.
 
-Why: claims, intents, leases and published changes are decided at replay, so
-whoever submitted a record waits here for its event.
+Why: leases, claims and published changes are decided at replay, so whoever
+depends on them listens here; who wrote an intent waits for its verdict.
 """
 
 import asyncio
@@ -17,19 +17,11 @@
 Listener = Callable[[replay.Event], None]
 
 
-def key_of(record: Any) -> tuple[str, str] | None:
+def key_of(record: Any) -> str | None:
     """Returns the name under which somebody may wait for a record."""
     match record:
-        case records.ClaimMade(claim_id=claim_id):
-            return ("claim", claim_id)
-        case records.ClaimSettled(claim_id=claim_id):
-            return ("settled", claim_id)
         case records.IntentWritten(order=order):
-            return ("intent", order.order_id)
-        case records.IntentResolved(order_id=order_id):
-            return ("resolved", order_id)
-        case records.MemberLeft(incarnation=incarnation):
-            return ("left", incarnation.instance)
+            return order.order_id
     return None
 
 
@@ -42,7 +34,7 @@
         self._recorder = recorder
         self.replica = catchup.Replica(self._on_events)
         self._listeners: list[Listener] = []
-        self._waiters: dict[tuple[str, str], list[asyncio.Future]] = {}
+        self._waiters: dict[str, list[asyncio.Future]] = {}
 
     @property
     def state(self) -> replay.SharedState:
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -17,8 +17,6 @@
 from sesamecross.steward import links as links_lib
 from sesamecross.transport import streams
 
-ENTRY_ROLE = "entry"
-OPERATOR_ROLE = "operator"
 EVENTS_WAIT_S = 2.0
 MAX_CONNECTIONS = 500
 
--- a/sesamecross/steward/views.py
+++ b/sesamecross/steward/views.py
@@ -11,7 +11,6 @@
 from sesamecross.core import data
 from sesamecross.core import messages
 from sesamecross.ops import membership as membership_lib
-from sesamecross.runtime import logs
 from sesamecross.steward import hub as hub_lib
 from sesamecross.steward import log_reader
 from sesamecross.steward import reporter as reporter_lib
@@ -30,7 +29,6 @@
         "_reader",
         "_server",
         "_membership",
-        "_logger",
         "_number",
         "_sent_version",
         "_sent",
@@ -51,7 +49,6 @@
         self._reporter = reporter
         self._reader = reader
         self._server = server
-        self._logger = logs.part("views")
         self._number = 0
         self._sent_version = -1
         self._sent: data.View | None = None
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -23,7 +23,6 @@
 # A peer that reads nothing for this long while we have something to say is
 # dropped, so that a stalled link can't hold memory.
 SEND_S = 10.0
-_WRITE_LIMIT_BYTES = 1024 * 1024
 
 
 @codec.register
