Gateway: the whole path on the platform, thin

One program on an instance: an event loop holds callers and upstreams, follows configuration and upstreams in the platform's store, and forwards. Wire names are decoded once in sesamecross/platform. No orders yet.

--- /dev/null
+++ b/sesamecross/gateway/app.py
@@ -0,0 +1,134 @@
+"""The gateway's application object: owns its parts, their start and end."""
+
+import asyncio
+import dataclasses
+import os
+import random
+
+from sesamecross.core import serving
+from sesamecross.gateway import catalog
+from sesamecross.gateway import follower
+from sesamecross.gateway import forwarder as forwarder_lib
+from sesamecross.gateway import listener
+from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import status
+from sesamecross.gateway import store_client
+from sesamecross.gateway import sweeper
+from sesamecross.ports import dialect as dialect_lib
+from sesamecross.ports import store
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import supervisor
+
+# The balancer needs two misses, a second apart, before it sends no new
+# connections; callers that it sent meanwhile are served.
+BALANCER_LAG_S = 2.6
+# Off the grace, for the last bytes to leave before the kill.
+GRACE_MARGIN_S = 0.6
+# Requests that are still new this long after the signal might not end within
+# the grace; they are told to go elsewhere at once.
+ACCEPT_S = 3.0
+_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapter:
+    """What a platform's adapter brings: forms and names, no decisions.
+
+    Attributes:
+      metrics_port: Where metrics are served, at the instance's own address.
+    """
+
+    store_codec: store.StoreCodec
+    dialect: dialect_lib.Dialect
+    configuration_topic: str
+    configuration_key: str
+    upstreams_topic: str
+    own_topic_prefix: str
+    decode_configuration: catalog.ConfigurationDecoder
+    decode_upstream: catalog.UpstreamDecoder
+    metrics_port: int
+
+
+class GatewayApp:
+    """Everything that one gateway process owns."""
+
+    def __init__(self, instance: serving.Instance, adapter: Adapter):
+        self._instance = instance
+        self._adapter = adapter
+        self._log = logs.part("gateway")
+        self._rng = random.Random(os.urandom(8))
+        self.metrics = metrics_lib.Metrics()
+        self.state = state_lib.State(instance)
+
+    @classmethod
+    def from_config(
+        cls, instance: serving.Instance, adapter: Adapter
+    ) -> "GatewayApp":
+        """Returns the application of one instance."""
+        return cls(instance, adapter)
+
+    def components(self) -> list[supervisor.Component]:
+        """Returns the parts in the order of their start."""
+        instance, adapter = self._instance, self._adapter
+        self.pool = pool_lib.Pool()
+        self.forwarder = forwarder_lib.Forwarder(
+            self.state, adapter.dialect, self.pool, self._rng, self.metrics
+        )
+        self._ready = status.StatusHandler(self.state, None)
+        metrics = status.StatusHandler(self.state, self.metrics)
+        self._front = listener.Listener(
+            "front", instance.front_address, self.forwarder
+        )
+        client = store_client.StoreClient(
+            instance.store_address, adapter.store_codec, self.metrics
+        )
+        configurations = follower.Follower(
+            client,
+            adapter.configuration_topic,
+            catalog.ConfigurationSink(
+                self.state,
+                adapter.configuration_key,
+                adapter.decode_configuration,
+            ),
+            self._rng,
+        )
+        upstreams = follower.Follower(
+            client,
+            adapter.upstreams_topic,
+            catalog.UpstreamSink(self.state, adapter.decode_upstream),
+            self._rng,
+        )
+        return [
+            self._front,
+            listener.Listener("ready", instance.ready_address, self._ready),
+            listener.Listener(
+                "metrics", f"{instance.ip}:{adapter.metrics_port}", metrics
+            ),
+            configurations,
+            upstreams,
+            sweeper.Sweeper(self.state, self.pool),
+        ]
+
+    async def drain(self) -> None:
+        """Finishes what callers asked for, within the grace.
+
+        Readiness fails at once, so that the balancer turns away; callers
+        that it still sends are served, and each answer tells its caller to
+        use another connection next.
+        """
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        self._ready.is_stopping = True
+        self.forwarder.is_closing = True
+        self._log.info("draining", open=self.forwarder.open_requests)
+        until_s = begun_s + self._instance.bounds.grace_s - GRACE_MARGIN_S
+        while loop.time() < until_s:
+            waited_s = loop.time() - begun_s
+            if waited_s >= ACCEPT_S:
+                self.forwarder.is_refusing = True
+            if waited_s >= BALANCER_LAG_S and not self.forwarder.open_requests:
+                break
+            await asyncio.sleep(_POLL_S)
+        self._log.info("drained", open=self.forwarder.open_requests)
--- /dev/null
+++ b/sesamecross/gateway/catalog.py
@@ -0,0 +1,101 @@
+"""Takes configuration and upstreams from the store into the state.
+
+Why: records may come from other writers, be unreadable, or arrive late. What
+can't be read names nothing; what is older than what is known changes
+nothing. Each change of belief is logged with the offset that brought it.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sesamecross.core import serving
+from sesamecross.gateway import state as state_lib
+from sesamecross.ports import store
+from sesamecross.runtime import logs
+
+ConfigurationDecoder = Callable[[bytes], serving.Configuration | None]
+UpstreamDecoder = Callable[[str, bytes], serving.Upstream | None]
+
+
+class ConfigurationSink:
+    """Takes the operators' newest configuration."""
+
+    __slots__ = ("_state", "_key", "_decode", "_log", "is_reachable")
+
+    def __init__(
+        self, state: state_lib.State, key: str, decode: ConfigurationDecoder
+    ):
+        self._state = state
+        self._key = key
+        self._decode = decode
+        self._log = logs.part("configuration")
+        self.is_reachable = False
+
+    def on_record(self, record: store.KeyedRecord) -> None:
+        """Takes one record."""
+        if record.key != self._key or record.value is None:
+            return
+        configuration = self._decode(record.value)
+        if configuration is None:
+            self._log.warning("unreadable", offset=record.offset)
+            return
+        before = self._state.version
+        if self._state.offer(configuration):
+            self._log.info(
+                "in force",
+                version=configuration.version,
+                before=before,
+                offset=record.offset,
+                routes=len(configuration.routes),
+            )
+
+    def on_whole(self, keys: set[str]) -> None:
+        """A configuration that is not listed stays in force."""
+
+    def on_reachable(self, is_reachable: bool) -> None:
+        """Notes whether the store answers."""
+        self.is_reachable = is_reachable
+
+
+class UpstreamSink:
+    """Takes the upstreams' entries."""
+
+    __slots__ = ("_state", "_decode", "_log")
+
+    def __init__(self, state: state_lib.State, decode: UpstreamDecoder):
+        self._state = state
+        self._decode = decode
+        self._log = logs.part("upstreams")
+
+    def on_record(self, record: store.KeyedRecord) -> None:
+        """Takes one record."""
+        directory = self._state.directory
+        now_s = asyncio.get_running_loop().time()
+        if record.value is None:
+            directory.lapsed(record.key, now_s)
+            self._log.info("lapsed", id=record.key, offset=record.offset)
+            return
+        entry = self._decode(record.key, record.value)
+        if entry is None:
+            self._log.warning("unreadable", id=record.key, offset=record.offset)
+            return
+        if directory.saw(entry):
+            self._log.info(
+                "seen",
+                id=record.key,
+                offset=record.offset,
+                address=entry.address,
+                leaving=entry.is_leaving,
+                born=entry.born_ms,
+                orders=entry.orders,
+                models=sorted(held.name for held in entry.models),
+            )
+
+    def on_whole(self, keys: set[str]) -> None:
+        """Entries that are not listed have lapsed."""
+        now_s = asyncio.get_running_loop().time()
+        self._state.directory.keep_only(keys, now_s)
+        self._state.has_upstreams = True
+
+    def on_reachable(self, is_reachable: bool) -> None:
+        """The follower logs it; what is known stays known."""
--- /dev/null
+++ b/sesamecross/gateway/event_relay.py
@@ -0,0 +1,85 @@
+"""Passes a stream's events on to a caller, over one or more runs.
+
+Why: an upstream can stop in the middle of an event. Only whole events are
+passed on, so that another run can go on behind the last one without a seam;
+the caller sees one answer with the first upstream's head.
+"""
+
+from sesamecross.core import serving
+from sesamecross.gateway import front
+
+_MAX_EVENT_BYTES = 1024 * 1024
+_END = b"\n\n"
+_ID = b"id:"
+
+
+class WrongEvent(Exception):
+    """The upstream sent something that is not the next event."""
+
+
+class EventRelay:
+    """The events of one request.
+
+    Attributes:
+      events: How many events were passed on.
+      last_id: Of the last event passed on, or empty.
+    """
+
+    __slots__ = ("events", "last_id", "_exchange", "_head", "_rest")
+
+    def __init__(self, exchange: front.Exchange):
+        self.events = 0
+        self.last_id = ""
+        self._exchange = exchange
+        self._head: tuple[int, list[serving.Header]] | None = None
+        self._rest = b""
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether all that arrived was whole events."""
+        return not self._rest.strip()
+
+    def begin_run(
+        self, status: int, headers: tuple[serving.Header, ...]
+    ) -> None:
+        """A run begins. The first run's head is the one passed on."""
+        self._rest = b""
+        if not self.events:
+            self._head = (status, list(headers))
+
+    def feed(self, data: bytes) -> None:
+        """Passes on the events completed by `data`.
+
+        Raises:
+          WrongEvent: An event is not the next one, or has no end.
+        """
+        whole, end, rest = (self._rest + data).rpartition(_END)
+        if len(rest) > _MAX_EVENT_BYTES:
+            raise WrongEvent("an event without end")
+        self._rest = rest
+        if not end:
+            return
+        whole += end
+        self._note_ids(whole)
+        if self._exchange.is_begun:
+            self._exchange.piece(whole)
+        else:
+            status, headers = self._head
+            self._exchange.begin(status, headers, whole)
+
+    def _note_ids(self, whole: bytes) -> None:
+        for event in whole.split(_END):
+            if not event.strip():
+                continue
+            self.events += 1
+            for line in event.split(b"\n"):
+                if line.startswith(_ID):
+                    self.last_id = line[len(_ID) :].strip().decode("latin-1")
+
+    def finish(self) -> None:
+        """Ends the caller's answer as complete."""
+        if self._exchange.is_begun:
+            self._exchange.end()
+        else:
+            status, headers = self._head
+            self._exchange.whole(status, headers, b"")
--- /dev/null
+++ b/sesamecross/gateway/forwarder.py
@@ -0,0 +1,427 @@
+"""Serves a request: finds its route and upstream, sends it, answers it.
+
+Why: one coroutine for each request follows it from the front door to its
+answer, so that its whole life can be read in one place. What is decided on
+the way is decided in `sesamecross.ops.fleet`; here are the waits.
+"""
+
+import asyncio
+import random
+
+from sesamecross.core import serving
+from sesamecross.gateway import attempt as attempt_lib
+from sesamecross.gateway import client_connection
+from sesamecross.gateway import event_relay
+from sesamecross.gateway import front
+from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import attempts
+from sesamecross.ops.fleet import choosing
+from sesamecross.ops.fleet import directory
+from sesamecross.ports import dialect as dialect_lib
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+
+# Where a caller is told to come back when nothing better is known.
+RETRY_AFTER_S = 0.5
+
+
+class Forwarder:
+    """Answers requests of callers."""
+
+    __slots__ = (
+        "_state",
+        "_dialect",
+        "_pool",
+        "_rng",
+        "_metrics",
+        "_log",
+        "_open",
+        "is_closing",
+        "is_refusing",
+    )
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        dialect: dialect_lib.Dialect,
+        pool: pool_lib.Pool,
+        rng: random.Random,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._state = state
+        self._dialect = dialect
+        self._pool = pool
+        self._rng = rng
+        self._metrics = metrics
+        self._log = logs.part("request")
+        self._open: set[asyncio.Task] = set()
+        self.is_closing = False
+        self.is_refusing = False
+
+    @property
+    def limits(self) -> serving.CallerLimits:
+        """The limits in force for callers."""
+        return self._state.limits
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are being answered."""
+        return len(self._open)
+
+    def read_request(
+        self, head: front.Head, body: bytes
+    ) -> serving.Request | None:
+        """Returns the request that a head and a body make."""
+        said = self._dialect.caller_head(head.headers)
+        host = next(v for n, v in head.headers if n == b"host")
+        return serving.Request(
+            head.method,
+            head.target,
+            host.decode("latin-1"),
+            tuple(head.headers),
+            body,
+            said.request_id,
+            said.deadline_s,
+            said.last_event_id,
+            said.call,
+        )
+
+    def rejected(self, status: int, reason: str) -> None:
+        """A request was refused for its form."""
+        self._log.warning("malformed", status=status, why=reason)
+
+    def handle(
+        self, request: serving.Request, exchange: front.Exchange
+    ) -> None:
+        """Starts to answer a request."""
+        one = _Serving(self, request, exchange)
+        task = asyncio.create_task(one.run())
+        one.task = task
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+
+class _Serving:
+    """One request on its way."""
+
+    __slots__ = (
+        "task",
+        "_owner",
+        "_request",
+        "_exchange",
+        "_route",
+        "_arrived_s",
+        "_ends_s",
+        "_progress",
+        "_relay",
+        "_connection",
+        "_upstream",
+        "_note",
+    )
+
+    def __init__(
+        self,
+        owner: Forwarder,
+        request: serving.Request,
+        exchange: front.Exchange,
+    ):
+        self.task: asyncio.Task | None = None
+        self._owner = owner
+        self._request = request
+        self._exchange = exchange
+        self._route: serving.Route | None = None
+        self._arrived_s = asyncio.get_running_loop().time()
+        self._ends_s = 0.0
+        self._progress = attempts.Progress()
+        self._relay: event_relay.EventRelay | None = None
+        self._connection: client_connection.ClientConnection | None = None
+        self._upstream: directory.KnownUpstream | None = None
+        self._note = ""
+
+    async def run(self) -> None:
+        """Answers the request, or gives up when the caller is gone."""
+        self._exchange.on_gone = self._on_gone
+        self._exchange.on_slow = self._on_slow
+        outcome = "failed"
+        try:
+            outcome = await self._run()
+        except asyncio.CancelledError:
+            outcome = "caller gone"
+        except Exception:
+            self._owner._log.exception("error", id=self._request.request_id)
+        finally:
+            if self._connection is not None:
+                self._connection.abort()
+            if not self._exchange.is_over:
+                # An error of ours: nothing may be promised.
+                self._fail(500)
+            self._report(outcome)
+
+    def _on_gone(self) -> None:
+        # A request that must not run twice is left to its end: it may be
+        # half done, and nobody else will do the other half.
+        is_once = (
+            self._route is not None
+            and self._route.kind is serving.RouteKind.ONCE
+            and self._connection is not None
+        )
+        if not is_once and self.task is not None:
+            self.task.cancel()
+
+    def _on_slow(self, is_slow: bool) -> None:
+        if self._connection is None:
+            return
+        if is_slow:
+            self._connection.pause()
+        else:
+            self._connection.resume()
+
+    # -- answers of our own --------------------------------------------
+
+    def _refuse(self, retry_after_s: float) -> str:
+        headers = self._owner._dialect.refusal(
+            self._request.request_id, retry_after_s
+        )
+        self._exchange.whole(503, headers, b"")
+        return "refused"
+
+    def _fail(self, status: int) -> str:
+        if self._exchange.is_begun:
+            self._exchange.cut()
+            return "cut"
+        headers = self._owner._dialect.refusal(self._request.request_id, None)
+        self._exchange.whole(status, headers, b"")
+        return f"status {status}"
+
+    # -- the request's way ---------------------------------------------
+
+    async def _run(self) -> str:
+        state = self._owner._state
+        if self._owner.is_refusing:
+            self._note = "stopping"
+            return self._refuse(0.0)
+        if not state.is_ready:
+            self._note = "no configuration yet"
+            return self._refuse(1.0)
+        request = self._request
+        path = request.path.decode("latin-1")
+        self._route = state.routes.find(request.host, path)
+        if self._route is None:
+            self._note = "no route"
+            return self._fail(404)
+        waits_s = self._route.timeout_s
+        if request.deadline_s is not None:
+            waits_s = min(waits_s, request.deadline_s)
+        self._ends_s = self._arrived_s + waits_s
+        if self._route.kind is serving.RouteKind.STREAM:
+            self._relay = event_relay.EventRelay(self._exchange)
+        return await self._until_answered()
+
+    async def _until_answered(self) -> str:
+        loop = asyncio.get_running_loop()
+        state = self._owner._state
+        tried: set[str] = set()
+        window = state.retry_window(self._route)
+        window.request(loop.time())
+        while True:
+            upstream = self._choose(tried)
+            if upstream is None:
+                return self._give_up("no upstream")
+            failure = await self._attempt(upstream)
+            match failure:
+                case attempt_lib.Whole() as whole:
+                    is_last = not self._may_replace(whole)
+                    if is_last:
+                        return self._deliver(whole)
+                    failure = attempts.FailedThere(whole.status)
+                case attempt_lib.Streamed():
+                    self._relay.finish()
+                    return "streamed"
+                case None:
+                    return self._out_of_time()
+            self._note = f"{self._note} {failure}".strip()
+            tried.add(upstream.entry.instance_id)
+            may_spend = self._progress.sends == 0 or window.spend(
+                loop.time(), state.instances
+            )
+            match attempts.after_failure(
+                self._route, failure, self._progress, may_spend
+            ):
+                case attempts.Next.DELIVER:
+                    return self._deliver(whole)
+                case attempts.Next.REFUSE:
+                    return self._give_up("refused everywhere")
+                case attempts.Next.FAIL:
+                    return self._fail(502)
+
+    def _choose(self, tried: set[str]) -> directory.KnownUpstream | None:
+        state = self._owner._state
+        now_s = asyncio.get_running_loop().time()
+        usable = []
+        for target in self._route.targets:
+            usable.extend(state.directory.usable(target.service, now_s))
+        call = self._request.call
+        if call is not None and self._route.is_model_call:
+            usable = [one for one in usable if one.holds(call)]
+        fresh = [one for one in usable if one.entry.instance_id not in tried]
+        return choosing.choose(
+            fresh or usable, state.place, now_s, self._owner._rng
+        )
+
+    def _may_replace(self, whole: attempt_lib.Whole) -> bool:
+        """Whether another upstream may be asked instead of this answer."""
+        return (
+            whole.status >= 500
+            and self._route.may_repeat
+            and not self._progress.has_output
+        )
+
+    def _deliver(self, whole: attempt_lib.Whole) -> str:
+        if self._exchange.is_begun:
+            return self._fail(502)
+        headers = self._owner._dialect.to_caller(whole.headers)
+        self._exchange.whole(whole.status, headers, whole.body)
+        return f"status {whole.status}"
+
+    def _give_up(self, why: str) -> str:
+        self._note = f"{self._note} {why}".strip()
+        if self._progress.ran_at:
+            return self._fail(502)
+        return self._refuse(RETRY_AFTER_S)
+
+    def _out_of_time(self) -> str:
+        if self._exchange.is_begun:
+            self._exchange.cut()
+            return "cut at its time"
+        if self._progress.ran_at:
+            return self._fail(504)
+        return self._refuse(RETRY_AFTER_S)
+
+    async def _attempt(
+        self, upstream: directory.KnownUpstream
+    ) -> attempt_lib.Outcome | None:
+        """Sends the request once; None when its time is over."""
+        loop = asyncio.get_running_loop()
+        left_s = self._ends_s - loop.time()
+        if left_s <= 0:
+            return None
+        address = upstream.entry.address
+        self._upstream = upstream
+        upstream.own_running += 1
+        begun_s = loop.time()
+        try:
+            try:
+                connection = await self._owner._pool.take(
+                    address, begun_s, left_s
+                )
+            except OSError as error:
+                upstream.health.failed(loop.time())
+                self._owner._pool.drop(address)
+                return attempts.NotSent(str(error) or type(error).__name__)
+            outcome = await self._send(upstream, connection)
+        finally:
+            upstream.own_running -= 1
+        self._learn(upstream, outcome, loop.time() - begun_s)
+        return outcome
+
+    async def _send(
+        self,
+        upstream: directory.KnownUpstream,
+        connection: client_connection.ClientConnection,
+    ) -> attempt_lib.Outcome | None:
+        loop = asyncio.get_running_loop()
+        entry = upstream.entry
+        request = self._request
+        left_s = self._ends_s - loop.time()
+        if left_s <= 0:
+            self._owner._pool.give(entry.address, connection)
+            return None
+        one = attempt_lib.Attempt(
+            loop,
+            request.request_id,
+            entry.instance_id,
+            self._relay,
+            self._owner._dialect,
+        )
+        passing = dialect_lib.Passing(
+            entry.instance_id,
+            left_s,
+            self._route.urgency if self._route.is_model_call else None,
+            self._relay.last_id if self._relay else "",
+        )
+        headers = self._owner._dialect.to_upstream(request, passing)
+        self._connection = connection
+        self._progress.sends += 1
+        self._progress.ran_at.add(entry.instance_id)
+        connection.send(
+            client_connection.request_bytes(
+                request.method, request.path, headers, request.body
+            ),
+            one,
+        )
+        await asyncio.wait([one.ended], timeout=left_s)
+        if not one.ended.done():
+            connection.abort()
+            self._connection = None
+            return None
+        self._connection = None
+        outcome = one.ended.result()
+        if isinstance(outcome, attempts.NotRun):
+            self._progress.ran_at.discard(entry.instance_id)
+        if self._relay is not None and self._relay.events:
+            self._progress.has_output = True
+        if isinstance(outcome, attempts.Lost):
+            connection.abort()
+        else:
+            self._owner._pool.give(entry.address, connection)
+        return outcome
+
+    def _learn(
+        self,
+        upstream: directory.KnownUpstream,
+        outcome: attempt_lib.Outcome | None,
+        took_s: float,
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        match outcome:
+            case attempt_lib.Whole(status):
+                if status >= 500:
+                    upstream.health.failed(now_s)
+                else:
+                    upstream.health.worked(now_s)
+                    upstream.learn_work(took_s)
+            case attempt_lib.Streamed():
+                upstream.health.worked(now_s)
+            case attempts.NotRun(is_other=True):
+                self._owner._state.directory.replaced(
+                    upstream.entry.instance_id
+                )
+            case attempts.NotRun(is_absent=False) | attempts.Lost():
+                upstream.health.failed(now_s)
+
+    def _report(self, outcome: str) -> None:
+        took_s = asyncio.get_running_loop().time() - self._arrived_s
+        route = self._route.name if self._route else ""
+        self._owner._metrics.count(
+            "sesamecross_requests_total",
+            "Requests of callers, by outcome.",
+            {"outcome": outcome},
+        )
+        self._owner._metrics.observe(
+            "sesamecross_request_seconds",
+            "From a request's arrival to the end of its answer.",
+            {},
+            took_s,
+        )
+        upstream = self._upstream
+        self._owner._log.info(
+            outcome,
+            id=self._request.request_id,
+            route=route,
+            upstream=upstream.entry.instance_id if upstream else "",
+            sends=self._progress.sends,
+            ms=round(took_s * 1000),
+            note=self._note,
+            config=self._owner._state.version,
+        )
--- /dev/null
+++ b/sesamecross/gateway/front.py
@@ -0,0 +1,451 @@
+"""The front door: callers' connections, their requests and answers.
+
+Why: what callers send decides what upstreams see, so framing is judged here
+and nowhere else: a request is read whole, within the operators' limits, and
+anything that two readers could take differently is refused. Callers keep
+connections open for many requests; each is answered in its turn.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+import http
+from typing import Protocol
+
+import httptools
+
+from sesamecross.core import serving
+
+# Requests that a caller may send ahead on one connection. Ahead of them the
+# connection is not read: a flood would be held in memory otherwise.
+_AHEAD_MOST = 4
+# What may wait for a slow caller before the upstream is read no further.
+WRITE_HIGH_BYTES = 64 * 1024
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_NO_BODY_STATUS = frozenset((204, 304))
+
+
+class Handler(Protocol):
+    """Who answers requests."""
+
+    @property
+    def limits(self) -> serving.CallerLimits:
+        """The limits in force."""
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether callers are told to use another connection next."""
+
+    def read_request(self, head: "Head", body: bytes) -> serving.Request | None:
+        """Returns the request; None where its headers make no sense."""
+
+    def handle(self, request: serving.Request, exchange: "Exchange") -> None:
+        """Answers a whole request through `exchange`, now or later."""
+
+    def rejected(self, status: int, reason: str) -> None:
+        """A request was refused before anybody looked at its meaning."""
+
+
+class Head:
+    """A request's head while it is read."""
+
+    __slots__ = ("method", "target", "headers", "size", "keeps_open")
+
+    def __init__(self) -> None:
+        self.method = b""
+        self.target = b""
+        self.headers: list[serving.Header] = []
+        self.size = 0
+        self.keeps_open = True
+
+
+def _status_line(status: int) -> bytes:
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Status"
+    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
+
+
+class Exchange:
+    """One request's answer. Whoever answers calls its methods in order.
+
+    Attributes:
+      on_gone: Called once if the caller goes away before the answer's end.
+      on_slow: Called with True when the caller reads too slowly, and with
+        False when it has caught up.
+    """
+
+    __slots__ = (
+        "on_gone",
+        "on_slow",
+        "_connection",
+        "_keeps_open",
+        "_is_head",
+        "_is_begun",
+        "_is_over",
+        "_closes_after",
+    )
+
+    def __init__(
+        self, connection: "FrontConnection", keeps_open: bool, is_head: bool
+    ):
+        self.on_gone: Callable[[], None] | None = None
+        self.on_slow: Callable[[bool], None] | None = None
+        self._connection = connection
+        self._keeps_open = keeps_open
+        self._is_head = is_head
+        self._is_begun = False
+        self._is_over = False
+        self._closes_after = False
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the head of an answer was sent."""
+        return self._is_begun
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the answer is sent, or the caller is gone."""
+        return self._is_over
+
+    def whole(
+        self, status: int, headers: list[serving.Header], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        if self._is_over:
+            return
+        self._is_begun = True
+        out = [_status_line(status), _lines(headers)]
+        if status not in _NO_BODY_STATUS:
+            out.append(b"content-length: %d\r\n" % len(body))
+        out.append(self._connection_line())
+        out.append(b"\r\n")
+        if not self._is_head:
+            out.append(body)
+        self._connection.write(b"".join(out))
+        self._end()
+
+    def begin(
+        self, status: int, headers: list[serving.Header], first: bytes
+    ) -> None:
+        """Sends the head of an answer in pieces, and its first piece."""
+        if self._is_over:
+            return
+        self._is_begun = True
+        out = [_status_line(status), _lines(headers)]
+        out.append(b"transfer-encoding: chunked\r\n")
+        out.append(self._connection_line())
+        out.append(b"\r\n")
+        out.append(_chunk(first))
+        self._connection.write(b"".join(out))
+
+    def piece(self, data: bytes) -> None:
+        """Sends a further piece."""
+        if not self._is_over and data:
+            self._connection.write(_chunk(data))
+
+    def end(self) -> None:
+        """Ends an answer in pieces as complete."""
+        if not self._is_over:
+            self._connection.write(b"0\r\n\r\n")
+            self._end()
+
+    def cut(self) -> None:
+        """Ends the connection: what was sent must not look complete."""
+        if not self._is_over:
+            self._is_over = True
+            self._connection.abort()
+
+    def gone(self) -> None:
+        """The caller went away."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+    def slow(self, is_slow: bool) -> None:
+        """The caller reads slowly, or has caught up."""
+        if self.on_slow is not None and not self._is_over:
+            self.on_slow(is_slow)
+
+    def _connection_line(self) -> bytes:
+        self._closes_after = (
+            not self._keeps_open or self._connection.is_to_close
+        )
+        if self._closes_after:
+            return b"connection: close\r\n"
+        return self._connection.keep_alive_line
+
+    def _end(self) -> None:
+        self._is_over = True
+        self._connection.answered(self._closes_after)
+
+
+def _lines(headers: list[serving.Header]) -> bytes:
+    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+class FrontConnection(asyncio.Protocol):
+    """A caller's connection."""
+
+    __slots__ = (
+        "_handler",
+        "_loop",
+        "_registry",
+        "_transport",
+        "_parser",
+        "_head",
+        "_body",
+        "_body_size",
+        "_rejection",
+        "_waiting",
+        "_exchange",
+        "_timer",
+        "_is_reading",
+        "_is_closing",
+    )
+
+    def __init__(
+        self,
+        handler: Handler,
+        loop: asyncio.AbstractEventLoop,
+        registry: set["FrontConnection"],
+    ):
+        self._handler = handler
+        self._loop = loop
+        self._registry = registry
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._head = Head()
+        self._body: list[bytes] = []
+        self._body_size = 0
+        # Status with which the request being read is refused.
+        self._rejection = 0
+        self._waiting: deque[tuple[Head, bytes]] = deque()
+        self._exchange: Exchange | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_reading = False
+        self._is_closing = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._exchange is None and not self._is_reading
+
+    @property
+    def is_to_close(self) -> bool:
+        """Whether the connection ends behind the answer under way."""
+        return self._is_closing or (
+            self._handler.is_closing and not self._waiting
+        )
+
+    @property
+    def keep_alive_line(self) -> bytes:
+        """Tells the caller how long the connection may stay idle."""
+        idle_s = int(self._handler.limits.idle_s)
+        return b"keep-alive: timeout=%d\r\n" % idle_s if idle_s else b""
+
+    # -- asyncio.Protocol ----------------------------------------------
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes the transport; the first head is due within its time."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        self._registry.add(self)
+        self._arm(self._handler.limits.idle_s)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self._is_closing:
+            return
+        if not self._is_reading:
+            # Even an empty line before a request starts its time.
+            self._arm(self._handler.limits.head_s)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject_now(400, "an upgrade of the protocol")
+        except httptools.HttpParserError as error:
+            self._reject_now(self._rejection or 400, str(error))
+        if self._is_reading and self._rejection:
+            self._reject_now(self._rejection, "over its limits")
+
+    def eof_received(self) -> bool:
+        """A caller that closes its side has gone away."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The caller is gone, whoever closed the connection."""
+        self._disarm()
+        self._registry.discard(self)
+        self._transport = None
+        self._is_closing = True
+        self._waiting.clear()
+        if self._exchange is not None:
+            exchange, self._exchange = self._exchange, None
+            exchange.gone()
+
+    def pause_writing(self) -> None:
+        """The caller reads slowly."""
+        if self._exchange is not None:
+            self._exchange.slow(True)
+
+    def resume_writing(self) -> None:
+        """The caller has caught up."""
+        if self._exchange is not None:
+            self._exchange.slow(False)
+
+    # -- httptools -----------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._head = Head()
+        self._body = []
+        self._body_size = 0
+        self._rejection = 0
+        self._is_reading = True
+
+    def on_url(self, data: bytes) -> None:
+        """A piece of the target."""
+        self._head.target += data
+        self._grow_head(len(data))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header; names are kept in lower case."""
+        # Two line ends and the colon count as well.
+        self._grow_head(len(name) + len(value) + 4)
+        self._head.headers.append((name.lower(), value))
+
+    def _grow_head(self, size: int) -> None:
+        self._head.size += size
+        if self._head.size > self._handler.limits.head_bytes:
+            self._rejection = 431
+
+    def on_headers_complete(self) -> None:
+        """Judges the framing before any of the body is read."""
+        head = self._head
+        head.method = self._parser.get_method()
+        head.keeps_open = self._parser.should_keep_alive()
+        if self._rejection:
+            return
+        lengths = [v for n, v in head.headers if n == b"content-length"]
+        codings = [v for n, v in head.headers if n == b"transfer-encoding"]
+        hosts = [v for n, v in head.headers if n == b"host"]
+        other_codings = [one for one in codings if one.lower() != b"chunked"]
+        # Two readers could see the request's end at two places, and one
+        # caller's bytes would become another one's request.
+        is_ambiguous = len(lengths) + len(codings) > 1 or other_codings
+        if is_ambiguous or len(hosts) != 1:
+            self._rejection = 400
+        elif lengths and int(lengths[0]) > self._handler.limits.body_bytes:
+            self._rejection = 413
+        elif any(n == b"expect" for n, _ in head.headers):
+            self._transport.write(_CONTINUE)
+        if not self._rejection:
+            # The body has a time of its own.
+            self._arm(self._handler.limits.idle_s)
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._body_size += len(data)
+        if self._body_size > self._handler.limits.body_bytes:
+            self._rejection = 413
+        elif not self._rejection:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The request is whole: it is answered in its turn."""
+        if self._rejection:
+            self._reject_now(self._rejection, "is refused")
+            return
+        if self._is_closing:
+            return
+        self._is_reading = False
+        self._disarm()
+        self._waiting.append((self._head, b"".join(self._body)))
+        if len(self._waiting) > _AHEAD_MOST:
+            self._transport.pause_reading()
+        self._next()
+
+    # -- answers -------------------------------------------------------
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes of the answer under way."""
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Ends the connection without an end of the answer."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Ends an idle connection."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def answered(self, closes: bool) -> None:
+        """The answer under way is sent."""
+        self._exchange = None
+        if self._transport is None:
+            return
+        if closes:
+            self.close()
+            return
+        if len(self._waiting) <= _AHEAD_MOST:
+            self._transport.resume_reading()
+        self._next()
+        if self.is_idle:
+            self._arm(self._handler.limits.idle_s)
+
+    def _next(self) -> None:
+        if self._exchange is not None or not self._waiting:
+            return
+        head, body = self._waiting.popleft()
+        is_head = head.method == b"HEAD"
+        self._exchange = Exchange(self, head.keeps_open, is_head)
+        request = self._handler.read_request(head, body)
+        if request is None:
+            self._handler.rejected(400, "headers make no sense")
+            self._exchange.whole(400, [], b"")
+            return
+        self._handler.handle(request, self._exchange)
+
+    def _reject_now(self, status: int, reason: str) -> None:
+        """Refuses what is being read, and what would follow it."""
+        if self._is_closing or self._transport is None:
+            return
+        self._is_closing = True
+        self._handler.rejected(status, reason)
+        if self._exchange is None:
+            head = _status_line(status)
+            tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
+            self._transport.write(head + tail)
+            self._transport.close()
+        # An answer under way ends first; `is_to_close` closes behind it.
+
+    # -- time ----------------------------------------------------------
+
+    def _arm(self, after_s: float) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(after_s, self._on_time)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_time(self) -> None:
+        self._timer = None
+        if self._is_reading:
+            self._reject_now(408, "the request came too slowly")
+        elif self._exchange is None:
+            self.close()
--- /dev/null
+++ b/sesamecross/gateway/state.py
@@ -0,0 +1,81 @@
+"""What this instance believes: configuration, upstreams, other instances.
+
+Why: the forwarder reads it, the followers and peers write it, and a test can
+make one up without any of them. A configuration's version never goes down
+within a process.
+"""
+
+from sesamecross.core import serving
+from sesamecross.ops.fleet import choosing
+from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import retry_window
+from sesamecross.ops.fleet import route_table
+
+
+class State:
+    """The beliefs of one instance.
+
+    Attributes:
+      instances: How many instances share the budgets, or None where that is
+        not known.
+      has_upstreams: Whether the upstreams were listed since the start.
+    """
+
+    __slots__ = (
+        "place",
+        "bounds",
+        "directory",
+        "routes",
+        "configuration",
+        "has_upstreams",
+        "instances",
+        "_windows",
+    )
+
+    def __init__(self, instance: serving.Instance):
+        self.place = choosing.Place(instance.zone, dict(instance.regions))
+        self.bounds = instance.bounds
+        self.directory = directory_lib.Directory(instance.bounds.drain_s)
+        self.routes = route_table.RouteTable(())
+        self.configuration: serving.Configuration | None = None
+        self.has_upstreams = False
+        self.instances: int | None = None
+        self._windows: dict[str, retry_window.RetryWindow] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.configuration is not None and self.has_upstreams
+
+    @property
+    def version(self) -> int:
+        """The configuration's version, or -1."""
+        return self.configuration.version if self.configuration else -1
+
+    @property
+    def limits(self) -> serving.CallerLimits:
+        """What callers may send."""
+        if self.configuration is None:
+            return serving.CallerLimits()
+        return self.configuration.limits
+
+    def offer(self, configuration: serving.Configuration) -> bool:
+        """Takes a configuration in if it is newer than the one in force."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.routes = route_table.RouteTable(configuration.routes)
+        return True
+
+    def retry_window(self, route: serving.Route) -> retry_window.RetryWindow:
+        """Returns the retry budget of a route's service."""
+        service = route.targets[0].service if route.targets else ""
+        window = self._windows.get(service)
+        if window is None:
+            window = retry_window.RetryWindow(
+                self.bounds.retry_share,
+                self.bounds.retry_extra,
+                self.bounds.retry_window_s,
+            )
+            self._windows[service] = window
+        return window
--- /dev/null
+++ b/sesamecross/gateway/sweeper.py
@@ -0,0 +1,37 @@
+"""Forgets what is over: upstreams long gone, connections idle too long."""
+
+import asyncio
+
+from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.runtime import logs
+
+EVERY_S = 0.5
+
+
+class Sweeper:
+    """Runs beside the rest for ever."""
+
+    is_vital = False
+    name = "sweeper"
+
+    __slots__ = ("_state", "_pool", "_log")
+
+    def __init__(self, state: state_lib.State, pool: pool_lib.Pool):
+        self._state = state
+        self._pool = pool
+        self._log = logs.part("upstreams")
+
+    async def run(self) -> None:
+        """Sweeps every half second."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(EVERY_S)
+            now_s = loop.time()
+            self._pool.sweep(now_s)
+            for known in self._state.directory.forget_gone(now_s):
+                self._pool.drop(known.entry.address)
+                self._log.info("forgotten", id=known.entry.instance_id)
+
+    async def stop(self) -> None:
+        """Nothing to finish."""
--- /dev/null
+++ b/sesamecross/ops/fleet/directory.py
@@ -0,0 +1,156 @@
+"""Which upstreams there are, and which of them may get new requests.
+
+Why: what is known of upstreams comes from several sides at different times:
+their own entries in the store, entries that lapse, answers that say another
+one has the address, attempts that fail. New requests must stop going to an
+upstream that leaves within the drain bound, and must not stop going to all
+of them because the store had an outage.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sesamecross.core import serving
+from sesamecross.ops.fleet import health as health_lib
+
+# An entry that lapsed is used for this part of the drain bound, as a last
+# choice: entries also lapse while the store is away, and are back within two
+# seconds of its return if their upstreams live.
+LAPSED_USE_SHARE = 0.75
+# Weight of the newest request in what is learned of an upstream's speed.
+WORK_LEARN = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class KnownUpstream:
+    """One life of an upstream and what this instance believes of it.
+
+    Attributes:
+      entry: What it last said of itself.
+      lapsed_s: When its entry was dropped from the store, or None.
+      is_leaving: It said that it leaves. Never taken back for one life: an
+        older entry that arrives late must not bring new requests there.
+      is_replaced: Another upstream answered at its address.
+      own_running, others_running: Requests there, of this instance and of
+        the others by their last word.
+      work_s: How long a request takes there, smoothed; 0 if none did yet.
+    """
+
+    entry: serving.Upstream
+    lapsed_s: float | None = None
+    is_leaving: bool = False
+    is_replaced: bool = False
+    health: health_lib.Health = dataclasses.field(
+        default_factory=health_lib.Health
+    )
+    own_running: int = 0
+    others_running: float = 0.0
+    work_s: float = 0.0
+
+    @property
+    def running(self) -> float:
+        """Requests there, this instance's and the others'."""
+        return self.own_running + self.others_running
+
+    def holds(self, call: serving.ModelCall) -> bool:
+        """Whether a call's model is there, and its adapter if it has one."""
+        for held in self.entry.models:
+            if held.name == call.model:
+                return not call.adapter or call.adapter in held.adapters
+        return False
+
+    def learn_work(self, took_s: float) -> None:
+        """Learns how long a request takes there."""
+        if not self.work_s:
+            self.work_s = took_s
+        self.work_s += (took_s - self.work_s) * WORK_LEARN
+
+
+class Directory:
+    """All upstreams that this instance has heard of."""
+
+    __slots__ = ("_known", "_drain_s")
+
+    def __init__(self, drain_s: float):
+        self._known: dict[str, KnownUpstream] = {}
+        self._drain_s = drain_s
+
+    def __iter__(self) -> Iterable[KnownUpstream]:
+        return iter(self._known.values())
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def get(self, instance_id: str) -> KnownUpstream | None:
+        """Returns one upstream by its id."""
+        return self._known.get(instance_id)
+
+    def saw(self, entry: serving.Upstream) -> bool:
+        """Takes in an upstream's entry; returns whether anything changed."""
+        known = self._known.get(entry.instance_id)
+        if known is None or known.entry.born_ms < entry.born_ms:
+            # The first one, or a restart under the same id: it holds and
+            # knows nothing of before.
+            self._known[entry.instance_id] = KnownUpstream(
+                entry, is_leaving=entry.is_leaving
+            )
+            return True
+        if entry.born_ms < known.entry.born_ms:
+            # A late entry of an earlier life.
+            return False
+        changed = known.entry != entry or known.lapsed_s is not None
+        known.lapsed_s = None
+        known.is_leaving = known.is_leaving or entry.is_leaving
+        known.entry = entry
+        return changed
+
+    def lapsed(self, instance_id: str, now_s: float) -> None:
+        """Takes in that an entry was dropped from the store."""
+        known = self._known.get(instance_id)
+        if known is not None and known.lapsed_s is None:
+            known.lapsed_s = now_s
+
+    def replaced(self, instance_id: str) -> None:
+        """Takes in that another upstream answers at the address."""
+        known = self._known.get(instance_id)
+        if known is not None:
+            known.is_replaced = True
+
+    def keep_only(self, instance_ids: Iterable[str], now_s: float) -> None:
+        """Takes in a whole list: what isn't on it has lapsed."""
+        listed = set(instance_ids)
+        for instance_id in self._known:
+            if instance_id not in listed:
+                self.lapsed(instance_id, now_s)
+
+    def forget_gone(self, now_s: float) -> list[KnownUpstream]:
+        """Drops what lapsed long ago; returns what was dropped."""
+        gone = [
+            known
+            for known in self._known.values()
+            if known.lapsed_s is not None
+            and now_s - known.lapsed_s >= self._drain_s
+            and not known.own_running
+        ]
+        for known in gone:
+            del self._known[known.entry.instance_id]
+        return gone
+
+    def usable(self, service: str, now_s: float) -> list[KnownUpstream]:
+        """Returns the upstreams of a service that may get new requests.
+
+        Those whose entries lapsed are among them only where no other is
+        left, and for a part of the drain bound only.
+        """
+        found = []
+        lapsed = []
+        for known in self._known.values():
+            if known.entry.service != service:
+                continue
+            if known.is_leaving or known.is_replaced:
+                continue
+            if known.lapsed_s is None:
+                found.append(known)
+            elif now_s - known.lapsed_s < self._drain_s * LAPSED_USE_SHARE:
+                lapsed.append(known)
+        return found or lapsed
--- /dev/null
+++ b/sesamecross/platform/program.py
@@ -0,0 +1,52 @@
+"""Puts the gateway on the users' platform."""
+
+import os
+import sys
+
+from returns.result import Failure
+
+from sesamecross.gateway import app
+from sesamecross.platform import catalog
+from sesamecross.platform import dialect
+from sesamecross.platform import settings
+from sesamecross.platform import store_codec
+from sesamecross.runtime import application
+from sesamecross.runtime import bounded_output
+from sesamecross.runtime import logs
+
+# Named in deploy/system.toml too; not among the ports that the platform
+# hands out.
+METRICS_PORT = 9464
+
+
+def adapter() -> app.Adapter:
+    """Returns the platform's forms and names."""
+    return app.Adapter(
+        store_codec.StoreCodec(),
+        dialect.PlatformDialect(),
+        store_codec.CONFIGURATION_TOPIC,
+        store_codec.CONFIGURATION_KEY,
+        store_codec.UPSTREAMS_TOPIC,
+        store_codec.OWN_TOPIC_PREFIX,
+        catalog.configuration,
+        catalog.upstream,
+        METRICS_PORT,
+    )
+
+
+def run(log_level: str) -> int:
+    """Runs a gateway from the settings file that the platform names.
+
+    Returns:
+      The exit code.
+    """
+    path = os.environ.get(settings.BOOT_VARIABLE, "")
+    loaded = settings.load(path)
+    if isinstance(loaded, Failure):
+        print(loaded.failure(), file=sys.stderr)
+        return application.EXIT_FAILED
+    instance = loaded.unwrap()
+    output = bounded_output.BoundedOutput(sys.stdout.fileno())
+    logs.configure(log_level, "json", output, instance=instance.name)
+    gateway = app.GatewayApp.from_config(instance, adapter())
+    return application.Application(gateway).run()
--- a/sesamecross/runtime/logs.py
+++ b/sesamecross/runtime/logs.py
@@ -7,6 +7,7 @@
 
 import logging
 import sys
+from typing import Any
 
 import structlog
 
@@ -18,14 +19,19 @@
 }
 
 
-def configure(level: str, log_format: str, **fixed: str) -> None:
-    """Sets up the process's logs on standard error.
+def configure(
+    level: str, log_format: str, stream: Any = None, **fixed: str
+) -> None:
+    """Sets up the process's logs.
 
     Args:
       level: One of debug, info, warning, error.
       log_format: "json" for lines of JSON, "text" for a terminal.
+      stream: Where lines go; standard error if it is None.
       **fixed: Fields that every line bears, such as the instance.
     """
+    if stream is None:
+        stream = sys.stderr
     if log_format == "text":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     else:
@@ -42,7 +48,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             _LEVELS.get(level, logging.INFO)
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
 
