--- /dev/null
+++ b/sesamecross/core/fleet_messages.py
@@ -0,0 +1,197 @@
+"""What gateways tell each other in datagrams.
+
+Why: each instance sees a small share of the requests. What it knows of the
+load at upstreams, of failures and of models under way comes from the others.
+The messages are `msgpack` arrays, checked field by field when they are read;
+they are sent again and again, so a lost one costs freshness and nothing else.
+
+A member reports to the hub of its availability zone, hubs exchange summaries,
+and each hub hands the merged view to its members.
+"""
+
+import msgspec
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests under way at an upstream.
+
+    Attributes:
+      running: Sent and not ended.
+      prompt_tokens: Of those among them that have no event yet.
+    """
+
+    upstream: str
+    running: int
+    prompt_tokens: int
+
+
+class TargetUse(msgspec.Struct, frozen=True, array_like=True):
+    """Requests under way at an engine for one model or adapter."""
+
+    upstream: str
+    target: str
+    running: int
+
+
+class TargetDemand(msgspec.Struct, frozen=True, array_like=True):
+    """How much a model or adapter is asked for.
+
+    Attributes:
+      target: MODEL or MODEL/ADAPTER.
+      rate: Requests a second, smoothed over some seconds.
+      waiting: Requests that wait for it to be loaded.
+      late: Of the recent requests, the share that missed their objective.
+    """
+
+    service: str
+    target: str
+    rate: float
+    waiting: int
+    late: float
+
+
+class Failing(msgspec.Struct, frozen=True, array_like=True):
+    """The recent share of failures at an upstream."""
+
+    upstream: str
+    share: float
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """An instance and how far it has come.
+
+    Attributes:
+      incarnation: Offset of its registration; grows with each start.
+      address: IP and port of datagrams, and of streams.
+      configuration: The version in force.
+      upstreams: Up to which offset it knows the upstreams' entries.
+    """
+
+    name: str
+    incarnation: int
+    zone: str
+    address: str
+    configuration: int
+    upstreams: int
+
+
+class LeaseNews(msgspec.Struct, frozen=True, array_like=True):
+    """Who gives orders to engines, as its holder says.
+
+    Attributes:
+      fence: The lease's fencing token; the largest one is the newest.
+      left_s: How long the lease was good for when this was sent.
+    """
+
+    holder: str
+    incarnation: int
+    fence: int
+    left_s: float
+
+
+class Report(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=1
+):
+    """A member's own figures, to the hub of its zone."""
+
+    me: Member
+    number: int
+    loads: list[UpstreamLoad] = []
+    uses: list[TargetUse] = []
+    demand: list[TargetDemand] = []
+    failing: list[Failing] = []
+    lease: LeaseNews | None = None
+
+
+class Summary(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=2
+):
+    """A zone's figures added up, from its hub to the other hubs."""
+
+    me: Member
+    number: int
+    members: list[Member] = []
+    loads: list[UpstreamLoad] = []
+    uses: list[TargetUse] = []
+    demand: list[TargetDemand] = []
+    failing: list[Failing] = []
+    lease: LeaseNews | None = None
+
+
+class View(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=3):
+    """All zones' figures, from a hub to a member of its zone.
+
+    Attributes:
+      taken: The number of the member's own report that is in the sums.
+    """
+
+    me: Member
+    number: int
+    taken: int
+    members: list[Member] = []
+    loads: list[UpstreamLoad] = []
+    uses: list[TargetUse] = []
+    demand: list[TargetDemand] = []
+    failing: list[Failing] = []
+    lease: LeaseNews | None = None
+
+
+class EnginePlace(msgspec.Struct, frozen=True, array_like=True):
+    """What an engine holds by the word of the lease's holder.
+
+    Attributes:
+      born_ms: Which life of the upstream is meant.
+      orders: Orders that it has accepted.
+      targets: Models and adapters that answer now.
+      arriving: Targets being loaded, and in how many seconds they answer.
+    """
+
+    upstream: str
+    born_ms: int
+    orders: int
+    targets: list[str]
+    arriving: list[tuple[str, float]]
+
+
+class Placement(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=4
+):
+    """What some engines hold, from the holder to everybody."""
+
+    me: Member
+    number: int
+    fence: int
+    engines: list[EnginePlace]
+
+
+class Want(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=5):
+    """A request waits for a target, to the lease's holder.
+
+    Attributes:
+      upstream: Where an adapter is wanted; empty leaves it to the holder.
+    """
+
+    me: Member
+    number: int
+    service: str
+    target: str
+    upstream: str
+
+
+Message = Report | Summary | View | Placement | Want
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Returns a message as bytes."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message | None:
+    """Returns the message in `data`, or None where there is none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -177,7 +177,6 @@
       address: IP and port.
       born_ms: Wall clock of its start by its own word; 0 if it says none.
         Together with `instance_id` it tells one life from the next.
-      orders: How many orders it had accepted.
       leaves_in_s: Time until it is gone, where it said so.
     """
 
@@ -188,7 +187,6 @@
     slots: int
     is_leaving: bool
     born_ms: int
-    orders: int
     models: tuple[HeldModel, ...] = ()
     copies: WeightCopies = WeightCopies()
     leaves_in_s: float | None = None
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -5,16 +5,24 @@
 import os
 import random
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import catalog
+from sesamecross.gateway import engine_client
 from sesamecross.gateway import follower
 from sesamecross.gateway import forwarder as forwarder_lib
+from sesamecross.gateway import joiner
+from sesamecross.gateway import lease_keeper
 from sesamecross.gateway import listener
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import order_desk
 from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import registrar
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import status
 from sesamecross.gateway import store_client
 from sesamecross.gateway import sweeper
+from sesamecross.gateway import sync
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
@@ -30,6 +38,8 @@
 # the grace; they are told to go elsewhere at once.
 ACCEPT_S = 3.0
 _POLL_S = 0.05
+# Smaller shares of failures are not worth telling.
+FAILING_LEAST = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,20 +94,38 @@
         client = store_client.StoreClient(
             instance.store_address, adapter.store_codec, self.metrics
         )
-        configurations = follower.Follower(
-            client,
-            adapter.configuration_topic,
+        known = catalog.Catalog(
             catalog.ConfigurationSink(
                 self.state,
                 adapter.configuration_key,
                 adapter.decode_configuration,
             ),
-            self._rng,
+            catalog.UpstreamSink(self.state, adapter.decode_upstream),
+        )
+        configurations = follower.Follower(
+            client, adapter.configuration_topic, known.configuration, self._rng
         )
         upstreams = follower.Follower(
+            client, adapter.upstreams_topic, known.upstreams, self._rng
+        )
+        self.mesh = mesh_lib.Mesh(self.state, self._figures, self.metrics)
+        self.lease = lease_keeper.LeaseKeeper(
             client,
-            adapter.upstreams_topic,
-            catalog.UpstreamSink(self.state, adapter.decode_upstream),
+            f"{adapter.own_topic_prefix}lease",
+            self.mesh,
+            instance.bounds.lease_s,
+        )
+        engines = engine_client.EngineClient(adapter.dialect, self.metrics)
+        orders = order_desk.OrderDesk(
+            self.state, self.mesh, self.lease, engines
+        )
+        self.forwarder.want = orders.want
+        address = f"{instance.ip}:{instance.ports[0]}"
+        self._registrar = registrar.Registrar(
+            client,
+            f"{adapter.own_topic_prefix}instances",
+            instance,
+            address,
             self._rng,
         )
         return [
@@ -109,8 +137,40 @@
             configurations,
             upstreams,
             sweeper.Sweeper(self.state, self.pool),
+            joiner.Joiner(self._registrar, self.mesh, instance),
+            self.mesh,
+            sync.SyncServer(self.mesh, self.state, known),
+            sync.SyncPuller(self.mesh, self.state, known),
+            self.lease,
+            sync.HolderWatch(
+                self.mesh, self.lease.is_candidate, self.lease.holder_ended
+            ),
+            orders,
         ]
 
+    def _figures(self) -> fm.Report:
+        """Returns what this instance has to tell the others."""
+        now_s = asyncio.get_running_loop().time()
+        loads = []
+        failing = []
+        for known in self.state.directory:
+            name = known.entry.instance_id
+            if known.own_running:
+                tokens = known.engine.own_prompt_tokens
+                loads.append(fm.UpstreamLoad(name, known.own_running, tokens))
+            share = known.health.failing(now_s)
+            if share >= FAILING_LEAST:
+                failing.append(fm.Failing(name, round(share, 2)))
+        return fm.Report(
+            self.mesh.me,
+            0,
+            loads,
+            self.forwarder.uses.rows(),
+            self.forwarder.demand.rows(now_s),
+            failing,
+            self.mesh.own_lease(now_s),
+        )
+
     async def drain(self) -> None:
         """Finishes what callers asked for, within the grace.
 
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -1,15 +1,19 @@
-"""Takes configuration and upstreams from the store into the state.
+"""Takes configuration and upstreams into the state, whoever brings them.
 
-Why: records may come from other writers, be unreadable, or arrive late. What
-can't be read names nothing; what is older than what is known changes
-nothing. Each change of belief is logged with the offset that brought it.
+Why: records come from the store, or from another instance where the store
+turns this one away. They may come from other writers, be unreadable, or
+arrive late. What can't be read names nothing; what is older than what is
+known changes nothing. Each change of belief is logged with the offset that
+brought it.
 """
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 from sesamecross.core import serving
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import raw_catalog
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 
@@ -20,7 +24,7 @@
 class ConfigurationSink:
     """Takes the operators' newest configuration."""
 
-    __slots__ = ("_state", "_key", "_decode", "_log", "is_reachable")
+    __slots__ = ("_state", "_key", "_decode", "_log", "raw")
 
     def __init__(
         self, state: state_lib.State, key: str, decode: ConfigurationDecoder
@@ -29,12 +33,14 @@
         self._key = key
         self._decode = decode
         self._log = logs.part("configuration")
-        self.is_reachable = False
+        self.raw = raw_catalog.RawCatalog()
 
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record."""
         if record.key != self._key or record.value is None:
             return
+        if not self.raw.take(record):
+            return
         configuration = self._decode(record.value)
         if configuration is None:
             self._log.warning("unreadable", offset=record.offset)
@@ -49,37 +55,42 @@
                 routes=len(configuration.routes),
             )
 
-    def on_whole(self, keys: set[str]) -> None:
+    def on_whole(self, keys: set[str], end: int) -> None:
         """A configuration that is not listed stays in force."""
 
-    def on_reachable(self, is_reachable: bool) -> None:
-        """Notes whether the store answers."""
-        self.is_reachable = is_reachable
+    def on_reached(self, end: int) -> None:
+        """All records before `end` were taken in."""
+        self.raw.reached(end)
 
 
 class UpstreamSink:
     """Takes the upstreams' entries."""
 
-    __slots__ = ("_state", "_decode", "_log")
+    __slots__ = ("_state", "_decode", "_log", "raw")
 
     def __init__(self, state: state_lib.State, decode: UpstreamDecoder):
         self._state = state
         self._decode = decode
         self._log = logs.part("upstreams")
+        self.raw = raw_catalog.RawCatalog()
 
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record."""
+        if not self.raw.take(record):
+            return
         directory = self._state.directory
         now_s = asyncio.get_running_loop().time()
         if record.value is None:
             directory.lapsed(record.key, now_s)
             self._log.info("lapsed", id=record.key, offset=record.offset)
+            self._state.touch()
             return
         entry = self._decode(record.key, record.value)
         if entry is None:
             self._log.warning("unreadable", id=record.key, offset=record.offset)
             return
         if directory.saw(entry):
+            self._state.touch()
             self._log.info(
                 "seen",
                 id=record.key,
@@ -87,15 +98,25 @@
                 address=entry.address,
                 leaving=entry.is_leaving,
                 born=entry.born_ms,
-                orders=entry.orders,
                 models=sorted(held.name for held in entry.models),
             )
 
-    def on_whole(self, keys: set[str]) -> None:
-        """Entries that are not listed have lapsed."""
-        now_s = asyncio.get_running_loop().time()
-        self._state.directory.keep_only(keys, now_s)
+    def on_whole(self, keys: set[str], end: int) -> None:
+        """Keys that are not listed were dropped unread."""
+        for key in sorted(self.raw.missing_from(keys)):
+            self.on_record(store.KeyedRecord(key, None, end - 1))
         self._state.has_upstreams = True
 
-    def on_reachable(self, is_reachable: bool) -> None:
-        """The follower logs it; what is known stays known."""
+    def on_reached(self, end: int) -> None:
+        """All records before `end` were taken in."""
+        self.raw.reached(end)
+        self._state.upstreams_offset = self.raw.end
+        self._state.has_upstreams = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Catalog:
+    """Both topics."""
+
+    configuration: ConfigurationSink
+    upstreams: UpstreamSink
--- /dev/null
+++ b/sesamecross/gateway/engine_client.py
@@ -0,0 +1,73 @@
+"""Calls to engines' own interfaces: reports and orders."""
+
+from sesamecross.core import serving
+from sesamecross.gateway import whole_call
+from sesamecross.ports import dialect as dialect_lib
+from sesamecross.runtime import metrics as metrics_lib
+
+# An engine answers within the round trip between regions; one that does not
+# answer an order may carry it out much later, so waiting longer is no use.
+CALL_S = 0.8
+
+
+class EngineClient:
+    """Calls engines over kept connections."""
+
+    __slots__ = ("_dialect", "_metrics", "_callers")
+
+    def __init__(
+        self, dialect: dialect_lib.Dialect, metrics: metrics_lib.Metrics
+    ):
+        self._dialect = dialect
+        self._metrics = metrics
+        self._callers: dict[str, whole_call.Caller] = {}
+
+    async def report(
+        self, upstream: serving.Upstream
+    ) -> serving.EngineReport | None:
+        """Asks an engine for its state; None where it gave no answer."""
+        call = self._dialect.report_call(upstream.instance_id)
+        outcome = await self._call(upstream.address, call)
+        self._count("report", outcome)
+        if not isinstance(outcome, whole_call.Answer) or outcome.status != 200:
+            return None
+        return self._dialect.report(outcome.body)
+
+    async def order(self, order: serving.EngineOrder) -> serving.OrderAnswer:
+        """Gives an engine an order."""
+        call = self._dialect.order_call(order)
+        outcome = await self._call(order.address, call)
+        self._count("order", outcome)
+        match outcome:
+            case whole_call.Answer(status):
+                return self._dialect.order_answer(status)
+            case whole_call.NotSent():
+                return serving.OrderAnswer.REFUSED
+        return serving.OrderAnswer.UNKNOWN
+
+    async def _call(
+        self, address: str, call: dialect_lib.ControlCall
+    ) -> whole_call.Outcome:
+        caller = self._callers.get(address)
+        if caller is None:
+            caller = whole_call.Caller(address)
+            self._callers[address] = caller
+        return await caller.call(
+            call.method, call.target, list(call.headers), call.body, CALL_S
+        )
+
+    def _count(self, what: str, outcome: whole_call.Outcome) -> None:
+        status = type(outcome).__name__
+        if isinstance(outcome, whole_call.Answer):
+            status = str(outcome.status)
+        self._metrics.count(
+            "sesamecross_engine_calls_total",
+            "Reports asked of engines and orders given, by outcome.",
+            {"call": what, "outcome": status},
+        )
+
+    def forget(self, address: str) -> None:
+        """Drops the connections to an engine that is gone."""
+        caller = self._callers.pop(address, None)
+        if caller is not None:
+            caller.forget()
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -5,6 +5,9 @@
 the caller sees one answer with the first upstream's head.
 """
 
+import asyncio
+from collections.abc import Callable
+
 from sesamecross.core import serving
 from sesamecross.gateway import front
 
@@ -23,13 +26,25 @@
     Attributes:
       events: How many events were passed on.
       last_id: Of the last event passed on, or empty.
+      on_first: Called at the next event.
+      first_s: When the first event came, or None.
     """
 
-    __slots__ = ("events", "last_id", "_exchange", "_head", "_rest")
+    __slots__ = (
+        "events",
+        "last_id",
+        "on_first",
+        "first_s",
+        "_exchange",
+        "_head",
+        "_rest",
+    )
 
     def __init__(self, exchange: front.Exchange):
         self.events = 0
         self.last_id = ""
+        self.first_s: float | None = None
+        self.on_first: Callable[[], None] | None = None
         self._exchange = exchange
         self._head: tuple[int, list[serving.Header]] | None = None
         self._rest = b""
@@ -60,6 +75,11 @@
         if not end:
             return
         whole += end
+        if self.first_s is None:
+            self.first_s = asyncio.get_running_loop().time()
+        if self.on_first is not None:
+            self.on_first()
+            self.on_first = None
         self._note_ids(whole)
         if self._exchange.is_begun:
             self._exchange.piece(whole)
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -30,11 +30,11 @@
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record; a value of None drops the key."""
 
-    def on_whole(self, keys: set[str]) -> None:
-        """All keys that there are: others are gone."""
+    def on_whole(self, keys: set[str], end: int) -> None:
+        """All keys that there are before `end`: others are gone."""
 
-    def on_reachable(self, is_reachable: bool) -> None:
-        """The store answers again, or no longer."""
+    def on_reached(self, end: int) -> None:
+        """All records before `end` were handed over."""
 
 
 class Follower:
@@ -118,7 +118,8 @@
             if not outcome.has_more or not outcome.records:
                 break
             after = outcome.records[-1].key
-        self._sink.on_whole(keys)
+        self._sink.on_whole(keys, start)
+        self._sink.on_reached(start)
         self._offset = start
         self._note(True, None)
         self._log.info("listed", topic=self._topic, keys=len(keys), end=start)
@@ -134,6 +135,7 @@
                 for record in records:
                     self._sink.on_record(record)
                 self._offset = next_offset
+                self._sink.on_reached(next_offset)
                 self._note(True, None)
                 return True
             case store.Expired(first):
@@ -152,7 +154,6 @@
         if reachable == self._reachable:
             return
         self._reachable = reachable
-        self._sink.on_reachable(reachable)
         if reachable:
             self._log.info("store answers", topic=self._topic)
         else:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random
 
 from sesamecross.core import serving
@@ -17,13 +18,24 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import attempts
 from sesamecross.ops.fleet import choosing
+from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
+from sesamecross.ops.fleet import engine_choice
+from sesamecross.ops.fleet import engine_state
+from sesamecross.ops.fleet import patience
+from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 
 # Where a caller is told to come back when nothing better is known.
 RETRY_AFTER_S = 0.5
+# A request that waits for a model says so again this often.
+WANT_AGAIN_S = 0.25
+
+
+def _nobody(service: str, target: str, upstream: str) -> None:
+    """Nobody gives orders yet."""
 
 
 class Forwarder:
@@ -37,6 +49,9 @@
         "_metrics",
         "_log",
         "_open",
+        "demand",
+        "uses",
+        "want",
         "is_closing",
         "is_refusing",
     )
@@ -56,6 +71,10 @@
         self._metrics = metrics
         self._log = logs.part("request")
         self._open: set[asyncio.Task] = set()
+        self.demand = demand_lib.Demand()
+        self.uses = target_uses.TargetUses()
+        # Tells who gives orders that a request waits for a target.
+        self.want: Callable[[str, str, str], None] = _nobody
         self.is_closing = False
         self.is_refusing = False
 
@@ -102,6 +121,58 @@
         task.add_done_callback(self._open.discard)
 
 
+class _Prompt:
+    """A prompt that an engine has to read: counted until its first event."""
+
+    __slots__ = (
+        "call",
+        "uses",
+        "instance_id",
+        "_engine",
+        "_tokens",
+        "_begun_s",
+        "_ahead",
+        "_is_read",
+    )
+
+    def __init__(
+        self,
+        engine: engine_state.EngineState | None,
+        tokens: int,
+        begun_s: float,
+        ahead: int,
+    ):
+        self.call: serving.ModelCall | None = None
+        self.uses: target_uses.TargetUses | None = None
+        self.instance_id = ""
+        self._engine = engine
+        self._tokens = tokens
+        self._begun_s = begun_s
+        self._ahead = ahead
+        self._is_read = False
+
+    def first_event(self) -> None:
+        """The prompt is read; learns how long that took."""
+        if self._is_read or self._engine is None:
+            return
+        self._read()
+        took_ms = (asyncio.get_running_loop().time() - self._begun_s) * 1000
+        line = self._engine.speed(self.call.model)
+        line.observe(self._ahead + self._tokens, took_ms)
+
+    def _read(self) -> None:
+        self._is_read = True
+        self._engine.own_prompt_tokens -= self._tokens
+
+    def end(self) -> None:
+        """The attempt is over, whether the prompt was read or not."""
+        if self._engine is None:
+            return
+        if not self._is_read:
+            self._read()
+        self.uses.end(self.instance_id, self.call)
+
+
 class _Serving:
     """One request on its way."""
 
@@ -117,6 +188,10 @@
         "_relay",
         "_connection",
         "_upstream",
+        "_choice",
+        "_tried",
+        "_back_s",
+        "_waited_s",
         "_note",
     )
 
@@ -137,6 +212,10 @@
         self._relay: event_relay.EventRelay | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._upstream: directory.KnownUpstream | None = None
+        self._choice: engine_choice.Choice | None = None
+        self._tried: set[str] = set()
+        self._back_s = RETRY_AFTER_S
+        self._waited_s = 0.0
         self._note = ""
 
     async def run(self) -> None:
@@ -214,6 +293,10 @@
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
         self._ends_s = self._arrived_s + waits_s
+        call = request.call
+        if call is not None and self._route.targets:
+            key = (self._route.targets[0].service, call.target)
+            self._owner.demand.asked(key, self._arrived_s)
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._exchange)
         return await self._until_answered()
@@ -221,11 +304,10 @@
     async def _until_answered(self) -> str:
         loop = asyncio.get_running_loop()
         state = self._owner._state
-        tried: set[str] = set()
         window = state.retry_window(self._route)
         window.request(loop.time())
         while True:
-            upstream = self._choose(tried)
+            upstream = await self._choose()
             if upstream is None:
                 return self._give_up("no upstream")
             failure = await self._attempt(upstream)
@@ -241,7 +323,7 @@
                 case None:
                     return self._out_of_time()
             self._note = f"{self._note} {failure}".strip()
-            tried.add(upstream.entry.instance_id)
+            self._tried.add(upstream.entry.instance_id)
             may_spend = self._progress.sends == 0 or window.spend(
                 loop.time(), state.instances
             )
@@ -255,19 +337,84 @@
                 case attempts.Next.FAIL:
                     return self._fail(502)
 
-    def _choose(self, tried: set[str]) -> directory.KnownUpstream | None:
+    async def _choose(self) -> directory.KnownUpstream | None:
+        if self._request.call is not None and self._route.is_model_call:
+            return await self._choose_engine(self._request.call)
+        usable = self._untried(self._usable())
+        now_s = asyncio.get_running_loop().time()
+        state = self._owner._state
+        return choosing.choose(usable, state.place, now_s, self._owner._rng)
+
+    def _usable(self) -> list[directory.KnownUpstream]:
         state = self._owner._state
         now_s = asyncio.get_running_loop().time()
         usable = []
         for target in self._route.targets:
             usable.extend(state.directory.usable(target.service, now_s))
-        call = self._request.call
-        if call is not None and self._route.is_model_call:
-            usable = [one for one in usable if one.holds(call)]
-        fresh = [one for one in usable if one.entry.instance_id not in tried]
-        return choosing.choose(
-            fresh or usable, state.place, now_s, self._owner._rng
-        )
+        return usable
+
+    def _untried(
+        self, usable: list[directory.KnownUpstream]
+    ) -> list[directory.KnownUpstream]:
+        fresh = [
+            one for one in usable if one.entry.instance_id not in self._tried
+        ]
+        return fresh or usable
+
+    async def _choose_engine(
+        self, call: serving.ModelCall
+    ) -> directory.KnownUpstream | None:
+        """Chooses an engine, and waits where the model is not loaded yet."""
+        loop = asyncio.get_running_loop()
+        owner = self._owner
+        service = self._route.targets[0].service
+        key = (service, call.target)
+        waits = False
+        begun_s = loop.time()
+        try:
+            while True:
+                now_s = loop.time()
+                choice = engine_choice.choose(
+                    call,
+                    self._untried(self._usable()),
+                    owner._state.place,
+                    now_s,
+                    owner._rng,
+                )
+                if choice is not None and not choice.lacks_adapter:
+                    self._choice = choice
+                    return choice.upstream
+                decision = patience.decide(
+                    self._route,
+                    self._arrived_s,
+                    self._ends_s,
+                    self._arrives_s(call),
+                    now_s,
+                )
+                if isinstance(decision, patience.ComeBack):
+                    self._back_s = decision.after_s
+                    return None
+                if not waits:
+                    waits = True
+                    owner.demand.waits(key, 1)
+                at = choice.upstream.entry.instance_id if choice else ""
+                owner.want(service, call.target if at else call.model, at)
+                await owner._state.changed(
+                    min(WANT_AGAIN_S, decision.until_s - now_s)
+                )
+        finally:
+            if waits:
+                owner.demand.waits(key, -1)
+                self._waited_s += loop.time() - begun_s
+
+    def _arrives_s(self, call: serving.ModelCall) -> float | None:
+        """Returns when the call's model is expected, where it is loaded."""
+        times = []
+        for known in self._usable():
+            at_s = known.engine.arrives_s(call.model)
+            if at_s is not None:
+                times.append(at_s)
+        return min(times, default=None)
 
     def _may_replace(self, whole: attempt_lib.Whole) -> bool:
         """Whether another upstream may be asked instead of this answer."""
@@ -288,7 +435,7 @@
         self._note = f"{self._note} {why}".strip()
         if self._progress.ran_at:
             return self._fail(502)
-        return self._refuse(RETRY_AFTER_S)
+        return self._refuse(self._back_s)
 
     def _out_of_time(self) -> str:
         if self._exchange.is_begun:
@@ -308,8 +455,10 @@
             return None
         address = upstream.entry.address
         self._upstream = upstream
+        self._progress.tries += 1
         upstream.own_running += 1
         begun_s = loop.time()
+        prompt = self._begin_prompt(upstream)
         try:
             try:
                 connection = await self._owner._pool.take(
@@ -322,9 +471,29 @@
             outcome = await self._send(upstream, connection)
         finally:
             upstream.own_running -= 1
+            prompt.end()
         self._learn(upstream, outcome, loop.time() - begun_s)
         return outcome
 
+    def _begin_prompt(self, upstream: directory.KnownUpstream) -> "_Prompt":
+        call = self._request.call
+        choice = self._choice
+        if call is None or choice is None or choice.upstream is not upstream:
+            return _Prompt(None, 0, 0.0, 0)
+        now_s = asyncio.get_running_loop().time()
+        engine = upstream.engine
+        ahead = engine.own_prompt_tokens + engine.others_prompt_tokens
+        engine.own_prompt_tokens += choice.fresh_tokens
+        engine.cache.sent(call)
+        self._owner.uses.begin(upstream.entry.instance_id, call)
+        prompt = _Prompt(engine, choice.fresh_tokens, now_s, ahead)
+        prompt.call = call
+        prompt.uses = self._owner.uses
+        prompt.instance_id = upstream.entry.instance_id
+        if self._relay is not None:
+            self._relay.on_first = prompt.first_event
+        return prompt
+
     async def _send(
         self,
         upstream: directory.KnownUpstream,
@@ -393,11 +562,15 @@
                     upstream.learn_work(took_s)
             case attempt_lib.Streamed():
                 upstream.health.worked(now_s)
+            case attempts.NotRun(is_absent=True):
+                call = self._request.call
+                if call is not None:
+                    upstream.engine.absent[call.target] = now_s
             case attempts.NotRun(is_other=True):
                 self._owner._state.directory.replaced(
                     upstream.entry.instance_id
                 )
-            case attempts.NotRun(is_absent=False) | attempts.Lost():
+            case attempts.NotRun() | attempts.NotSent() | attempts.Lost():
                 upstream.health.failed(now_s)
 
     def _report(self, outcome: str) -> None:
@@ -424,4 +597,24 @@
             ms=round(took_s * 1000),
             note=self._note,
             config=self._owner._state.version,
+            **self._engine_fields(),
         )
+
+    def _engine_fields(self) -> dict[str, object]:
+        """What decided where a model's request went, and what came of it."""
+        if self._request.call is None:
+            return {}
+        fields: dict[str, object] = {
+            "target": self._request.call.target,
+            "waited_ms": round(self._waited_s * 1000),
+        }
+        if self._relay is not None and self._relay.first_s is not None:
+            first_s = self._relay.first_s - self._arrived_s
+            fields["first_ms"] = round(first_s * 1000)
+            fields["events"] = self._relay.events
+        if self._choice is not None:
+            fields["expected_ms"] = round(self._choice.expected_s * 1000)
+            fields["prompt"] = self._choice.fresh_tokens
+            fields["ahead"] = self._choice.ahead_tokens
+            fields["running"] = round(self._choice.running)
+        return fields
--- /dev/null
+++ b/sesamecross/gateway/joiner.py
@@ -0,0 +1,42 @@
+"""Registers this start of the instance and joins the mesh, once."""
+
+import asyncio
+
+from sesamecross.core import serving
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import registrar as registrar_lib
+
+
+class Joiner:
+    """Component that ends once the instance takes part."""
+
+    is_vital = False
+    name = "joiner"
+
+    __slots__ = ("_registrar", "_mesh", "_instance")
+
+    def __init__(
+        self,
+        registrar: registrar_lib.Registrar,
+        mesh: mesh_lib.Mesh,
+        instance: serving.Instance,
+    ):
+        self._registrar = registrar
+        self._mesh = mesh
+        self._instance = instance
+
+    async def run(self) -> None:
+        """Registers, and opens the port for datagrams."""
+        joined = await self._registrar.join()
+        await self._mesh.open(self._instance.ip, self._instance.ports[0])
+        self._mesh.join(joined.me, joined.secret, joined.others)
+
+    async def stop(self) -> None:
+        """Takes the registration back, if there is one."""
+        if self._mesh.roster is not None:
+            async with asyncio.timeout(LEAVE_S):
+                await self._registrar.leave()
+
+
+# A planned stop does not wait longer for the store than this.
+LEAVE_S = 0.5
--- /dev/null
+++ b/sesamecross/gateway/lease_keeper.py
@@ -0,0 +1,231 @@
+"""Keeps the lease on the store: asks, renews, and proves a holder's death."""
+
+import asyncio
+import time
+
+import msgspec
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import store_client
+from sesamecross.ops.fleet import lease as lease_lib
+from sesamecross.ports import store
+from sesamecross.runtime import logs
+from sesamecross.utils import rendezvous
+
+LEASE_KEY = "lease"
+STEP_S = 0.1
+PROBE_EVERY_S = 0.4
+PROBE_S = 0.3
+# How many instances watch the holder.
+CANDIDATES = 3
+
+
+class _LeaseRecord(msgspec.Struct, frozen=True):
+    """The lease as it stands on the store; see `lease_lib.Record`."""
+
+    holder: str
+    incarnation: int
+    fence: int
+    is_released: bool
+
+
+def suspended_clock() -> float:
+    """Returns seconds of the clock that goes on while a machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class LeaseKeeper:
+    """Component around the lease's state machine."""
+
+    is_vital = False
+    name = "lease"
+
+    def __init__(
+        self,
+        client: store_client.StoreClient,
+        topic: str,
+        mesh: mesh_lib.Mesh,
+        gap_s: float,
+    ):
+        self._client = client
+        self._topic = topic
+        self._mesh = mesh
+        self._gap_s = gap_s
+        self._log = logs.part("lease")
+        self._probed_s = 0.0
+        self._held = False
+        self.machine: lease_lib.LeaseMachine | None = None
+
+    @property
+    def may_order(self) -> bool:
+        """Whether an order may leave at this very moment."""
+        machine = self.machine
+        return machine is not None and machine.may_order(suspended_clock())
+
+    @property
+    def holds(self) -> bool:
+        """Whether this instance is the holder."""
+        machine = self.machine
+        return machine is not None and machine.holds(suspended_clock())
+
+    @property
+    def fence(self) -> int:
+        """The fencing token of the own orders."""
+        return self.machine.fence
+
+    def is_candidate(self) -> bool:
+        """Whether this instance is among the next ones in line."""
+        return self._mesh.roster is not None and self._rank() < CANDIDATES
+
+    def holder_ended(self, holder: fm.Member) -> None:
+        """The holder's port refuses connections: its process is over."""
+        if self.machine is not None:
+            self._log.info("holder's process is over", holder=holder.name)
+            self.machine.holder_gone(
+                holder.name, holder.incarnation, suspended_clock()
+            )
+
+    async def run(self) -> None:
+        """Steps for ever."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            if self._mesh.roster is None:
+                continue
+            me = self._mesh.roster.me
+            if self.machine is None:
+                self.machine = lease_lib.LeaseMachine(
+                    me.name, me.incarnation, self._gap_s, suspended_clock()
+                )
+            await self._step()
+
+    async def stop(self) -> None:
+        """Gives the lease back, so that the next holder need not wait."""
+        if not self.holds:
+            return
+        me = self._mesh.roster.me
+        fence = self.machine.fence
+        record = _LeaseRecord(me.name, me.incarnation, fence, True)
+        self.machine.released(-1)
+        outcome = await self._client.append(
+            self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at=None
+        )
+        self._log.info("given back", fence=fence, outcome=str(outcome))
+        self._mesh.note_release()
+
+    async def _step(self) -> None:
+        now_s = suspended_clock()
+        heard = self._holder_heard()
+        if not heard:
+            await self._look_for_death(now_s)
+        step = self.machine.next_step(now_s, self._rank(), heard)
+        match step:
+            case lease_lib.Look():
+                await self._look()
+            case lease_lib.Write(at, fence):
+                await self._write(at, fence)
+        self._tell()
+
+    def _rank(self) -> int:
+        now_s = asyncio.get_running_loop().time()
+        me = self._mesh.roster.me.name
+        names = [member.name for member in self._mesh.roster.alive(now_s)]
+        order = rendezvous.top("lease", [*names, me], len(names) + 1)
+        return order.index(me)
+
+    def _holder_heard(self) -> bool:
+        lease = self._mesh.lease
+        roster = self._mesh.roster
+        if lease is None or lease.holder == roster.me.name:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        left_s = lease.left_s - (now_s - self._mesh.lease_heard_s)
+        return left_s > 0 and roster.is_alive(lease.holder, now_s)
+
+    async def _look_for_death(self, now_s: float) -> None:
+        """Tries to prove that the holder's process is over.
+
+        A port that refuses connections, or a later life of the instance, is
+        proof; silence is none: the holder may be cut off and alive.
+        """
+        record = self.machine.record
+        if record is None or record.holder in ("", self._mesh.me.name):
+            return
+        holder = self._mesh.roster.get(record.holder)
+        if holder is None:
+            return
+        if holder.incarnation > record.incarnation:
+            self.machine.holder_gone(record.holder, record.incarnation, now_s)
+            return
+        if now_s - self._probed_s < PROBE_EVERY_S:
+            return
+        self._probed_s = now_s
+        if await _refuses(holder.address):
+            self._log.info("holder's process is over", holder=record.holder)
+            self.machine.holder_gone(
+                record.holder, record.incarnation, suspended_clock()
+            )
+
+    async def _look(self) -> None:
+        outcome = await self._client.newest(self._topic, "")
+        if not isinstance(outcome, store.Newest):
+            return
+        record = None
+        for one in outcome.records:
+            if one.key == LEASE_KEY and one.value is not None:
+                record = _decode(one.value, one.offset)
+        self.machine.read(record, outcome.end, suspended_clock())
+
+    async def _write(self, at: int, fence: int) -> None:
+        me = self._mesh.roster.me
+        record = _LeaseRecord(me.name, me.incarnation, fence, False)
+        outcome = await self._client.append(
+            self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at=at
+        )
+        match outcome:
+            case store.Appended(offset):
+                self.machine.written(offset)
+            case store.Conflict():
+                self.machine.conflict()
+            case store.NotDone():
+                self.machine.not_written()
+
+    def _tell(self) -> None:
+        holds = self.holds
+        if holds != self._held:
+            self._held = holds
+            self._log.info(
+                "taken" if holds else "lost", fence=self.machine.fence
+            )
+        if holds:
+            me = self._mesh.roster.me
+            news = fm.LeaseNews(
+                me.name,
+                me.incarnation,
+                self.machine.fence,
+                self.machine.left_s(suspended_clock()),
+            )
+            self._mesh.note_lease(news, asyncio.get_running_loop().time())
+
+
+def _decode(value: bytes, offset: int) -> lease_lib.Record | None:
+    try:
+        wire = msgspec.msgpack.decode(value, type=_LeaseRecord)
+    except msgspec.MsgspecError:
+        return None
+    return lease_lib.Record(
+        wire.holder, wire.incarnation, offset, wire.fence, wire.is_released
+    )
+
+
+async def _refuses(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
--- /dev/null
+++ b/sesamecross/gateway/mesh.py
@@ -0,0 +1,439 @@
+"""Datagrams between instances: reports, summaries, views, placements, wants.
+
+Why: what instances tell each other is small, soon outdated and sent again,
+so a lost datagram is no loss, and one silent instance holds up nobody.
+Datagrams carry a keyed digest: the internal ports are open to whoever reaches
+the network, and a forged view could steer all requests to one upstream.
+"""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+import hmac
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import figures
+from sesamecross.ops.fleet import roster as roster_lib
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+
+DIGEST_BYTES = 12
+# Below what a path carries in one packet, with room for headers.
+MAX_DATAGRAM = 60_000
+# How often changes are told. Requests last seconds, so a view some tenths of
+# a second old is right within a few percent.
+TELL_S = 0.1
+# Zones and regions are priced by volume: their hubs speak less often.
+SUMMARY_S = 0.2
+# Says that a lease was given back.
+RELEASED_S = -1.0
+
+MessageListener = Callable[[fm.Message], None]
+FiguresSource = Callable[[], fm.Report]
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    """Feeds datagrams to the mesh."""
+
+    def __init__(self, mesh: "Mesh"):
+        self._mesh = mesh
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self._mesh.transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        self._mesh.received(data)
+
+    def error_received(self, error: Exception) -> None:
+        """An unreachable peer shows by its silence."""
+
+
+class Mesh:
+    """Component that speaks with the other instances.
+
+    Attributes:
+      sums: Figures of all instances but this one, by the last view.
+      lease: Who gives orders, by the newest word of it.
+    """
+
+    is_vital = False
+    name = "mesh"
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        report: FiguresSource,
+        metrics: metrics_lib.Metrics,
+    ):
+        self._state = state
+        self._report = report
+        self._metrics = metrics
+        self._log = logs.part("mesh")
+        self.transport: asyncio.DatagramTransport | None = None
+        self.roster: roster_lib.Roster | None = None
+        self._secret = b""
+        self._reports = figures.Latest()
+        self._summaries = figures.Latest()
+        self._number = 0
+        self._sent: dict[int, fm.Report] = {}
+        self._last_report: fm.Report | None = None
+        self._reported_s = 0.0
+        self._summary_s = 0.0
+        self._viewed: dict[str, float] = {}
+        self._hub = ""
+        self._placed = (-1, -1, -1)
+        self._listeners: list[MessageListener] = []
+        self.lease: fm.LeaseNews | None = None
+        self.lease_heard_s = 0.0
+        self.bytes_sent = 0
+
+    def listen(self, listener: MessageListener) -> None:
+        """Adds who hears placements, wants and their answers."""
+        self._listeners.append(listener)
+
+    def join(
+        self, me: fm.Member, secret: bytes, others: tuple[fm.Member, ...]
+    ) -> None:
+        """Begins to take part, once this start is registered."""
+        now_s = asyncio.get_running_loop().time()
+        self._secret = secret
+        self.roster = roster_lib.Roster(me, now_s)
+        self.roster.registered(others)
+
+    @property
+    def secret(self) -> str:
+        """What the instances share, as streams take it."""
+        return self._secret.hex()
+
+    @property
+    def me(self) -> fm.Member:
+        """This instance, with how far it has come."""
+        me = self.roster.me
+        return fm.Member(
+            me.name,
+            me.incarnation,
+            me.zone,
+            me.address,
+            self._state.version,
+            self._state.upstreams_offset,
+        )
+
+    async def run(self) -> None:
+        """Speaks for ever."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(TELL_S)
+            if self.roster is None or self.transport is None:
+                continue
+            now_s = loop.time()
+            self._tell_hub(now_s)
+            if self._is_hub(now_s):
+                self._tell_hubs(now_s)
+                self._tell_members(now_s)
+            self._believe(now_s)
+
+    async def open(self, ip: str, port: int) -> None:
+        """Binds the port for datagrams."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: _Protocol(self), local_addr=(ip, port)
+        )
+
+    async def stop(self) -> None:
+        """Closes the port."""
+        if self.transport is not None:
+            self.transport.close()
+
+    # -- sending -------------------------------------------------------
+
+    def send(self, message: fm.Message, to: fm.Member) -> None:
+        """Sends a message to one instance."""
+        self._send_bytes(self._seal(message), to)
+
+    def _seal(self, message: fm.Message) -> bytes:
+        payload = fm.encode(message)
+        return self._digest(payload) + payload
+
+    def _digest(self, payload: bytes) -> bytes:
+        digest = hashlib.blake2b(
+            payload, key=self._secret, digest_size=DIGEST_BYTES
+        )
+        return digest.digest()
+
+    def _send_bytes(self, data: bytes, to: fm.Member) -> None:
+        if len(data) > MAX_DATAGRAM:
+            self._log.error("a message is too large", bytes=len(data))
+            return
+        host, _, port = to.address.rpartition(":")
+        self.bytes_sent += len(data)
+        self.transport.sendto(data, (host, int(port)))
+
+    def next_number(self) -> int:
+        """Returns a number larger than all before."""
+        self._number += 1
+        return self._number
+
+    def broadcast(self, message: fm.Placement) -> None:
+        """Sends a placement to all hubs, which pass it on."""
+        if self.roster is None or self.transport is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        data = self._seal(message)
+        for zone in self._state.place.regions:
+            hub = self.roster.hub_of(zone, now_s)
+            if hub == self.roster.me.name:
+                self._pass_on(data, message.me.name, now_s)
+            elif hub is not None:
+                self._send_bytes(data, self.roster.get(hub))
+
+    def _pass_on(self, data: bytes, source: str, now_s: float) -> None:
+        """A hub hands a placement to the members of its zone."""
+        for member in self._members(now_s):
+            if member.name != source:
+                self._send_bytes(data, member)
+
+    def _members(self, now_s: float) -> list[fm.Member]:
+        zone = self.roster.me.zone
+        return [
+            member for member in self.roster.alive(now_s) if member.zone == zone
+        ]
+
+    def _is_hub(self, now_s: float) -> bool:
+        me = self.roster.me
+        return self.roster.hub_of(me.zone, now_s) == me.name
+
+    def _tell_hub(self, now_s: float) -> None:
+        me = self.roster.me
+        hub = self.roster.hub_of(me.zone, now_s)
+        if hub != self._hub:
+            self._log.info("hub", zone=me.zone, hub=hub, before=self._hub)
+            self._hub = hub
+            self._last_report = None
+        report = self._report()
+        is_due = now_s - self._reported_s >= roster_lib.HEARTBEAT_S
+        if not is_due and self._says_same(report):
+            return
+        self._number += 1
+        report = fm.Report(
+            self.me,
+            self._number,
+            report.loads,
+            report.uses,
+            report.demand,
+            report.failing,
+            report.lease,
+        )
+        self._last_report = report
+        self._reported_s = now_s
+        if hub == me.name:
+            self._reports.take(report, now_s)
+            return
+        self._sent[self._number] = report
+        for number in [n for n in self._sent if n <= self._number - 16]:
+            del self._sent[number]
+        self.send(report, self.roster.get(hub))
+
+    def _says_same(self, report: fm.Report) -> bool:
+        last = self._last_report
+        return last is not None and (
+            last.loads == report.loads
+            and last.uses == report.uses
+            and last.me.configuration == self._state.version
+        )
+
+    def _tell_hubs(self, now_s: float) -> None:
+        if now_s - self._summary_s < SUMMARY_S:
+            return
+        self._summary_s = now_s
+        reports = self._reports.fresh(now_s)
+        sums = figures.add_up(reports)
+        summary = fm.Summary(
+            self.me,
+            self.next_number(),
+            [report.me for report in reports],
+            sums.loads(),
+            sums.uses(),
+            list(sums.demand.values()),
+            sums.failures(),
+            self._lease_news(now_s),
+        )
+        data = self._seal(summary)
+        for zone in self._state.place.regions:
+            if zone == self.roster.me.zone:
+                continue
+            hub = self.roster.hub_of(zone, now_s)
+            if hub is not None:
+                self._send_bytes(data, self.roster.get(hub))
+
+    def _tell_members(self, now_s: float) -> None:
+        members = self._members(now_s)
+        if not members:
+            return
+        sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
+        sums = figures.add_up(sources)
+        listed = self._listed(sources)
+        loads = sums.loads()
+        failing = sums.failures()
+        lease = self._lease_news(now_s)
+        holder = lease.holder if lease else ""
+        for member in members:
+            is_holder = member.name == holder
+            view = fm.View(
+                self.me,
+                self.next_number(),
+                self._reports.number_of(member.name),
+                listed,
+                loads,
+                sums.uses() if is_holder else [],
+                list(sums.demand.values()) if is_holder else [],
+                failing,
+                lease,
+            )
+            self.send(view, member)
+
+    def _listed(self, sources: list[figures.Source]) -> list[fm.Member]:
+        listed = {self.me.name: self.me}
+        for source in sources:
+            members = [source.me]
+            if isinstance(source, fm.Summary):
+                members = source.members
+            for member in members:
+                listed[member.name] = member
+        return [listed[name] for name in sorted(listed)]
+
+    def _lease_news(self, now_s: float) -> fm.LeaseNews | None:
+        lease = self.lease
+        if lease is None:
+            return None
+        left_s = max(0.0, lease.left_s - (now_s - self.lease_heard_s))
+        if lease.left_s < 0:
+            left_s = RELEASED_S
+        return fm.LeaseNews(
+            lease.holder, lease.incarnation, lease.fence, left_s
+        )
+
+    def own_lease(self, now_s: float) -> fm.LeaseNews | None:
+        """Returns the lease as this instance knows it."""
+        return self._lease_news(now_s)
+
+    def note_release(self) -> None:
+        """The own lease was given back."""
+        now_s = asyncio.get_running_loop().time()
+        lease = self.lease
+        if lease is not None and lease.holder == self.roster.me.name:
+            released = fm.LeaseNews(
+                lease.holder, lease.incarnation, lease.fence, RELEASED_S
+            )
+            self.note_lease(released, now_s)
+
+    def note_lease(self, lease: fm.LeaseNews, now_s: float) -> None:
+        """Takes in news of the lease, if they are newer."""
+        known = self.lease
+        if known is not None and lease.fence <= known.fence:
+            known_left_s = known.left_s - (now_s - self.lease_heard_s)
+            is_release = lease.left_s < 0 <= known.left_s
+            is_renewal = lease.left_s > known_left_s and known.left_s >= 0
+            if lease.fence < known.fence or not (is_release or is_renewal):
+                return
+        self.lease = lease
+        self.lease_heard_s = now_s
+
+    # -- receiving -----------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        """Takes a datagram; one that is not authentic counts as none."""
+        if self.roster is None:
+            return
+        digest, payload = data[:DIGEST_BYTES], data[DIGEST_BYTES:]
+        if not hmac.compare_digest(digest, self._digest(payload)):
+            self._count("not-authentic")
+            return
+        message = fm.decode(payload)
+        if message is None:
+            self._count("unreadable")
+            return
+        now_s = asyncio.get_running_loop().time()
+        if message.me.name == self.roster.me.name:
+            return
+        if not self.roster.heard(message.me, now_s):
+            self._count("earlier-life")
+            return
+        match message:
+            case fm.Report():
+                self._reports.take(message, now_s)
+                self._hear_lease(message.lease, now_s)
+            case fm.Summary():
+                self._on_summary(message, now_s)
+            case fm.View():
+                self._on_view(message, now_s)
+            case fm.Placement():
+                # Hubs are believed in, not elected: where two instances both
+                # take themselves for one, a placement that came back would
+                # go round for ever.
+                if not self._is_new_placement(message):
+                    return
+                if self._is_hub(now_s):
+                    self._pass_on(data, message.me.name, now_s)
+                self._tell_listeners(message)
+            case fm.Want():
+                self._tell_listeners(message)
+
+    def _is_new_placement(self, message: fm.Placement) -> bool:
+        number = (message.fence, message.me.incarnation, message.number)
+        if number <= self._placed:
+            return False
+        self._placed = number
+        return True
+
+    def _count(self, what: str) -> None:
+        self._metrics.count(
+            "sesamecross_datagrams_dropped_total",
+            "Datagrams of instances that were dropped, by reason.",
+            {"why": what},
+        )
+
+    def _tell_listeners(self, message: fm.Message) -> None:
+        for listener in self._listeners:
+            listener(message)
+
+    def _hear_lease(self, lease: fm.LeaseNews | None, now_s: float) -> None:
+        if lease is not None:
+            self.note_lease(lease, now_s)
+
+    def _on_summary(self, message: fm.Summary, now_s: float) -> None:
+        if self._summaries.take(message, now_s):
+            for member in message.members:
+                self.roster.heard(member, now_s)
+            self._hear_lease(message.lease, now_s)
+
+    def _on_view(self, message: fm.View, now_s: float) -> None:
+        for member in message.members:
+            self.roster.heard(member, now_s)
+        self._hear_lease(message.lease, now_s)
+        taken = self._sent.get(message.taken)
+        own = [taken] if taken is not None else []
+        self._set_others(figures.add_up([message]), figures.add_up(own))
+
+    # -- beliefs -------------------------------------------------------
+
+    def _believe(self, now_s: float) -> None:
+        self._state.instances = 1 + len(self.roster.alive(now_s))
+        if not self._is_hub(now_s):
+            return
+        sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
+        own = [self._last_report] if self._last_report is not None else []
+        self._set_others(figures.add_up(sources), figures.add_up(own))
+
+    def _set_others(self, all_of: figures.Sums, own: figures.Sums) -> None:
+        """Sets what others do at upstreams: all there is but the own."""
+        for known in self._state.directory:
+            name = known.entry.instance_id
+            running = all_of.running.get(name, 0) - own.running.get(name, 0)
+            tokens = all_of.prompt_tokens.get(name, 0)
+            tokens -= own.prompt_tokens.get(name, 0)
+            known.others_running = max(0, running)
+            known.engine.others_prompt_tokens = max(0, tokens)
+            known.others_failing = all_of.failing.get(name, 0.0)
+        self._state.fleet_uses = all_of.in_use
+        self._state.fleet_demand = all_of.demand
--- /dev/null
+++ b/sesamecross/gateway/order_desk.py
@@ -0,0 +1,533 @@
+"""Gives orders to engines while this instance holds the lease.
+
+Why: the planner decides from books that have to be kept: what each engine
+holds, which order it has not answered, when a load is due. Everything here is
+forgotten when the lease is lost, and learned anew from the engines when it is
+taken: nothing has to be handed over.
+"""
+
+import asyncio
+from collections.abc import Mapping
+import dataclasses
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
+from sesamecross.gateway import engine_client
+from sesamecross.gateway import lease_keeper
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import engine_ledger
+from sesamecross.ops.fleet import load_budget
+from sesamecross.ops.fleet import placement_memory
+from sesamecross.ops.fleet import planner
+from sesamecross.runtime import logs
+
+TICK_S = 0.05
+# Planning looks at all engines and models; between two looks only what
+# somebody waits for is new.
+PLAN_S = 0.1
+# A want is repeated while the request waits; without that it lapses.
+WANT_S = 0.6
+# After a conflict or a lost answer, until the engine's report covers it.
+ASK_AGAIN_S = 0.25
+# All engines' places are told anew this often, for who missed them.
+REFRESH_S = 1.5
+# How long a load may be overdue before the engine is asked.
+OVERDUE_S = 0.15
+# A withdrawn model serves again if it was not unloaded by then: its requests
+# last longer than its room is worth waiting for.
+WITHDRAWN_S = 8.0
+# A model without requests is gone this soon after its unload was accepted.
+UNLOAD_S = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class _Desk:
+    """One engine's books and what is under way there."""
+
+    ledger: engine_ledger.EngineLedger
+    is_calling: bool = False
+    ask_s: float = 0.0
+    conflicts: int = 0
+    told: fm.EnginePlace | None = None
+
+
+class OrderDesk:
+    """Component that plans and orders."""
+
+    is_vital = False
+    name = "orders"
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        mesh: mesh_lib.Mesh,
+        lease: lease_keeper.LeaseKeeper,
+        client: engine_client.EngineClient,
+    ):
+        self._state = state
+        self._mesh = mesh
+        self._lease = lease
+        self._client = client
+        self._log = logs.part("orders")
+        self._desks: dict[str, _Desk] = {}
+        self._wants: dict[tuple[str, str, str], float] = {}
+        self._wanting: dict[str, set[str]] = {}
+        self._memory = placement_memory.PlacementMemory()
+        self._budgets: dict[str, load_budget.LoadBudget] = {}
+        self._withdrawn: dict[tuple[str, str], float] = {}
+        self._places: dict[str, Mapping[str, str]] = {}
+        self._is_active = False
+        self._planned_s = 0.0
+        self._refreshed_s = 0.0
+        self._calls: set[asyncio.Task] = set()
+        self._wake = asyncio.Event()
+        mesh.listen(self._on_message)
+
+    async def run(self) -> None:
+        """Works while the lease is held, for ever."""
+        while True:
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self._tick(asyncio.get_running_loop().time())
+
+    async def stop(self) -> None:
+        """Orders under way are left to themselves."""
+        for task in self._calls:
+            task.cancel()
+
+    # -- wants ---------------------------------------------------------
+
+    def want(self, service: str, target: str, upstream: str) -> None:
+        """A request of this instance waits for a target."""
+        lease = self._mesh.lease
+        if self._lease.holds:
+            self._note_want(service, target, upstream)
+        elif lease is not None and self._mesh.roster is not None:
+            holder = self._mesh.roster.get(lease.holder)
+            if holder is not None and self._mesh.transport is not None:
+                number = self._mesh.next_number()
+                self._mesh.send(
+                    fm.Want(self._mesh.me, number, service, target, upstream),
+                    holder,
+                )
+
+    def _on_message(self, message: fm.Message) -> None:
+        match message:
+            case fm.Want(me=me, service=service, target=target):
+                if self._lease.holds:
+                    self._wanting.setdefault(target, set()).add(me.name)
+                    self._note_want(service, target, message.upstream)
+            case fm.Placement():
+                self._take_placement(message)
+
+    def _note_want(self, service: str, target: str, upstream: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._wants[(service, target, upstream)] = now_s
+        self._planned_s = 0.0
+        self._wake.set()
+
+    # -- what is told --------------------------------------------------
+
+    def _take_placement(self, message: fm.Placement) -> None:
+        now_s = asyncio.get_running_loop().time()
+        lease = self._mesh.lease
+        if lease is not None and message.fence < lease.fence:
+            return
+        for place in message.engines:
+            known = self._state.directory.get(place.upstream)
+            if known is not None:
+                known.engine.take_place(place, now_s)
+        self._state.touch()
+
+    def _tell(self, now_s: float) -> None:
+        """Tells everybody what changed, and now and then everything."""
+        is_refresh = now_s - self._refreshed_s >= REFRESH_S
+        if is_refresh:
+            self._refreshed_s = now_s
+        changed = []
+        for desk in self._desks.values():
+            place = self._place_of(desk.ledger, now_s)
+            if is_refresh or _differs(desk.told, place):
+                desk.told = place
+                changed.append(place)
+        if not changed:
+            return
+        message = fm.Placement(
+            self._mesh.me,
+            self._mesh.next_number(),
+            self._lease.fence,
+            changed,
+        )
+        self._take_placement(message)
+        self._mesh.broadcast(message)
+        self._tell_wanting(message)
+
+    def _place_of(
+        self, ledger: engine_ledger.EngineLedger, now_s: float
+    ) -> fm.EnginePlace:
+        gone = {
+            name
+            for instance_id, name in self._withdrawn
+            if instance_id == ledger.instance_id
+        }
+        targets = {
+            target
+            for target in ledger.models | ledger.adapters
+            if target.partition("/")[0] not in gone
+        }
+        return fm.EnginePlace(
+            ledger.instance_id,
+            ledger.born_ms,
+            ledger.orders,
+            sorted(targets),
+            [
+                (target, round(at_s - now_s, 2))
+                for target, at_s in sorted(ledger.arriving.items())
+            ],
+        )
+
+    def _tell_wanting(self, message: fm.Placement) -> None:
+        """Who waits hears it directly, without the way over the hubs."""
+        told: set[str] = set()
+        for place in message.engines:
+            for target in place.targets:
+                told |= self._wanting.pop(target, set())
+        for name in told:
+            member = self._mesh.roster.get(name)
+            if member is not None:
+                self._mesh.send(message, member)
+
+    # -- the work ------------------------------------------------------
+
+    def _tick(self, now_s: float) -> None:
+        if not self._lease.may_order:
+            if self._is_active:
+                self._deactivate()
+            return
+        if not self._is_active:
+            self._log.info("begins", fence=self._lease.fence)
+            self._is_active = True
+        self._follow_directory(now_s)
+        self._ask(now_s)
+        for desk in self._desks.values():
+            desk.ledger.expected(now_s)
+        if now_s - self._planned_s >= PLAN_S:
+            self._planned_s = now_s
+            self._plan(now_s)
+        self._tell(now_s)
+
+    def _deactivate(self) -> None:
+        self._log.info("ends")
+        self._is_active = False
+        self._desks.clear()
+        self._budgets.clear()
+        self._wants.clear()
+        self._withdrawn.clear()
+        self._places.clear()
+        self._wanting.clear()
+
+    def _engine_spec(self, service: str) -> serving.EngineSpec | None:
+        configuration = self._state.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known.engine if known is not None else None
+
+    def _follow_directory(self, now_s: float) -> None:
+        seen = set()
+        for known in self._state.directory:
+            entry = known.entry
+            if self._engine_spec(entry.service) is None or known.is_replaced:
+                continue
+            if known.lapsed_s is not None:
+                continue
+            seen.add(entry.instance_id)
+            desk = self._desks.get(entry.instance_id)
+            if desk is None or desk.ledger.born_ms != entry.born_ms:
+                ledger = engine_ledger.EngineLedger(
+                    entry.instance_id, entry.born_ms
+                )
+                desk = _Desk(ledger)
+                self._desks[entry.instance_id] = desk
+            desk.ledger.entry(entry)
+        for instance_id in set(self._desks) - seen:
+            del self._desks[instance_id]
+
+    def _ask(self, now_s: float) -> None:
+        """Asks engines of which something is not known or overdue."""
+        for instance_id, desk in self._desks.items():
+            if desk.is_calling or now_s < desk.ask_s:
+                continue
+            ledger = desk.ledger
+            overdue = any(
+                "/" not in target and at_s + OVERDUE_S <= now_s
+                for target, at_s in ledger.arriving.items()
+            )
+            if ledger.is_certain and not overdue and desk.conflicts < 2:
+                continue
+            known = self._state.directory.get(instance_id)
+            if known is not None and not known.is_leaving:
+                desk.ask_s = now_s + ASK_AGAIN_S
+                self._spawn(self._report(desk, known))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _report(
+        self, desk: _Desk, known: directory_lib.KnownUpstream
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        desk.is_calling = True
+        asked_s = loop.time()
+        try:
+            report = await self._client.report(known.entry)
+        finally:
+            desk.is_calling = False
+        if report is None:
+            desk.ask_s = loop.time() + 2 * ASK_AGAIN_S
+            return
+        desk.ledger.report(report, asked_s, loop.time())
+        desk.conflicts = 0
+        self._wake.set()
+
+    # -- planning ------------------------------------------------------
+
+    def _plan(self, now_s: float) -> None:
+        by_service: dict[str, list[planner.Engine]] = {}
+        for instance_id, desk in self._desks.items():
+            known = self._state.directory.get(instance_id)
+            if known is None:
+                continue
+            by_service.setdefault(known.entry.service, []).append(
+                self._engine(desk, known, now_s)
+            )
+        self._wants = {
+            key: at_s
+            for key, at_s in self._wants.items()
+            if now_s - at_s < WANT_S
+        }
+        for service, engines in by_service.items():
+            self._plan_service(service, tuple(engines), now_s)
+
+    def _engine(
+        self,
+        desk: _Desk,
+        known: directory_lib.KnownUpstream,
+        now_s: float,
+    ) -> planner.Engine:
+        ledger = desk.ledger
+        is_loading = any("/" not in target for target in ledger.arriving)
+        return planner.Engine(
+            ledger,
+            free_for_order=(
+                not desk.is_calling
+                and ledger.is_certain
+                and not is_loading
+                and now_s >= desk.ask_s
+            ),
+            is_leaving=known.is_leaving,
+        )
+
+    def _plan_service(
+        self, service: str, engines: tuple[planner.Engine, ...], now_s: float
+    ) -> None:
+        spec = self._engine_spec(service)
+        budget = self._budget(service, spec, now_s)
+        at_once = max(1, round(spec.store_loads_per_s * _mean_load_s(spec)))
+        loading = sum(
+            1
+            for engine in engines
+            for target, at_s in engine.ledger.arriving.items()
+            if "/" not in target and target in self._memory.from_store
+        )
+        inputs = planner.Inputs(
+            spec,
+            engines,
+            self._memory.demand(
+                service, spec, self._state.fleet_demand, self._wants, now_s
+            ),
+            self._state.fleet_uses,
+            self._withdrawals(now_s),
+            self._places.get(service, {}),
+            tuple(
+                planner.AdapterWant(upstream, target)
+                for (of, target, upstream) in self._wants
+                if of == service and upstream and "/" in target
+            ),
+            store_loads=(
+                max(0, at_once - loading) if budget.allows(now_s) else 0
+            ),
+            now_s=now_s,
+        )
+        plan = planner.plan(inputs)
+        self._places[service] = plan.places
+        for step in plan.steps:
+            if step.kind is planner.StepKind.WITHDRAW:
+                self._withdraw(step, now_s)
+            elif not step.from_store or budget.allows(now_s):
+                self._give(service, step, budget, now_s)
+
+    def _withdraw(self, step: planner.Step, now_s: float) -> None:
+        """Instances are told to send no new requests for a model there."""
+        self._withdrawn[(step.instance_id, step.target)] = now_s
+        self._log.info(
+            "withdrawn",
+            upstream=step.instance_id,
+            target=step.target,
+            why=step.reason,
+        )
+
+    def _withdrawals(self, now_s: float) -> dict[tuple[str, str], float]:
+        """Returns what is withdrawn; forgets what was not followed up."""
+        self._withdrawn = {
+            (instance_id, name): at_s
+            for (instance_id, name), at_s in self._withdrawn.items()
+            if now_s - at_s < WITHDRAWN_S
+            and instance_id in self._desks
+            and name in self._desks[instance_id].ledger.models
+        }
+        return self._withdrawn
+
+    def _budget(
+        self, service: str, spec: serving.EngineSpec, now_s: float
+    ) -> load_budget.LoadBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._state.bounds
+            budget = load_budget.LoadBudget(
+                spec.store_loads_per_s,
+                bounds.loads_window_s,
+                bounds.loads_overage,
+                now_s,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _give(
+        self,
+        service: str,
+        step: planner.Step,
+        budget: load_budget.LoadBudget,
+        now_s: float,
+    ) -> None:
+        desk = self._desks[step.instance_id]
+        known = self._state.directory.get(step.instance_id)
+        if known is None or desk.is_calling:
+            return
+        model, _, adapter = step.target.partition("/")
+        order = serving.EngineOrder(
+            step.instance_id,
+            known.entry.address,
+            step.kind is planner.StepKind.LOAD,
+            model,
+            adapter,
+            desk.ledger.orders,
+            self._mesh.roster.me.name,
+            self._lease.fence,
+        )
+        if step.from_store:
+            budget.began(now_s)
+            self._memory.from_store.add(step.target)
+        elif "/" not in step.target:
+            self._memory.from_store.discard(step.target)
+        desk.is_calling = True
+        self._spawn(self._order(desk, step, order, budget))
+
+    async def _order(
+        self,
+        desk: _Desk,
+        step: planner.Step,
+        order: serving.EngineOrder,
+        budget: load_budget.LoadBudget,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        answer = serving.OrderAnswer.UNKNOWN
+        try:
+            # The lease is looked at again at the very last moment: this
+            # process may have slept since the plan was made.
+            if not self._lease.may_order:
+                return
+            answer = await self._client.order(order)
+        finally:
+            desk.is_calling = False
+        now_s = loop.time()
+        self._note_answer(desk, step, answer, sent_s, now_s, budget)
+        self._log.info(
+            "order",
+            upstream=step.instance_id,
+            loads=order.loads,
+            target=step.target,
+            why=step.reason,
+            from_store=step.from_store,
+            after=order.after_orders,
+            fence=order.fence,
+            answer=answer.value,
+            ms=round((now_s - sent_s) * 1000),
+        )
+        self._planned_s = 0.0
+        self._wake.set()
+
+    def _note_answer(
+        self,
+        desk: _Desk,
+        step: planner.Step,
+        answer: serving.OrderAnswer,
+        sent_s: float,
+        now_s: float,
+        budget: load_budget.LoadBudget,
+    ) -> None:
+        ledger = desk.ledger
+        loads = step.kind is planner.StepKind.LOAD
+        match answer:
+            case serving.OrderAnswer.ACCEPTED:
+                desk.conflicts = 0
+                ledger.accepted(
+                    loads, step.target, sent_s + step.takes_s, now_s
+                )
+                if not loads:
+                    desk.ask_s = now_s + UNLOAD_S
+            case serving.OrderAnswer.ALREADY:
+                desk.conflicts = 0
+                if loads:
+                    ledger.already(loads, step.target)
+                else:
+                    # An adapter that nothing uses goes at once.
+                    ledger.accepted(False, step.target, now_s, now_s)
+            case serving.OrderAnswer.CONFLICT:
+                # Another order is under way there, or one without an answer
+                # was carried out after all.
+                desk.conflicts += 1
+                desk.ask_s = now_s + ASK_AGAIN_S / 2
+            case serving.OrderAnswer.OTHER_LIFE:
+                self._state.directory.replaced(step.instance_id)
+            case serving.OrderAnswer.UNKNOWN:
+                if step.from_store:
+                    budget.unanswered(now_s)
+                ledger.is_certain = False
+                desk.ask_s = now_s + engine_ledger.REPORT_LAG_S
+            case _:
+                ledger.is_certain = False
+                desk.ask_s = now_s + ASK_AGAIN_S
+
+
+def _mean_load_s(spec: serving.EngineSpec) -> float:
+    times = [model.store_load_s for model in spec.models.values()]
+    return sum(times) / len(times) if times else 1.0
+
+
+def _differs(told: fm.EnginePlace | None, place: fm.EnginePlace) -> bool:
+    if told is None:
+        return True
+    return (
+        told.orders != place.orders
+        or told.targets != place.targets
+        or [name for name, _ in told.arriving]
+        != [name for name, _ in place.arriving]
+    )
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -5,6 +5,10 @@
 within a process.
 """
 
+import asyncio
+import contextlib
+
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.ops.fleet import choosing
 from sesamecross.ops.fleet import directory as directory_lib
@@ -19,6 +23,9 @@
       instances: How many instances share the budgets, or None where that is
         not known.
       has_upstreams: Whether the upstreams were listed since the start.
+      upstreams_offset: Up to where their entries are known.
+      fleet_demand, fleet_uses: Sums over all instances; only the lease's
+        holder is told.
     """
 
     __slots__ = (
@@ -29,7 +36,11 @@
         "configuration",
         "has_upstreams",
         "instances",
+        "upstreams_offset",
+        "fleet_demand",
+        "fleet_uses",
         "_windows",
+        "_changed",
     )
 
     def __init__(self, instance: serving.Instance):
@@ -40,8 +51,24 @@
         self.configuration: serving.Configuration | None = None
         self.has_upstreams = False
         self.instances: int | None = None
+        self.upstreams_offset = -1
+        self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
+        self.fleet_uses: dict[tuple[str, str], int] = {}
+        self._changed = asyncio.Event()
         self._windows: dict[str, retry_window.RetryWindow] = {}
 
+    def touch(self) -> None:
+        """Wakes who waits for a change of belief."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def changed(self, timeout_s: float) -> None:
+        """Waits for the next change of belief, or until the time is over."""
+        changed = self._changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
@@ -65,6 +92,7 @@
             return False
         self.configuration = configuration
         self.routes = route_table.RouteTable(configuration.routes)
+        self.touch()
         return True
 
     def retry_window(self, route: serving.Route) -> retry_window.RetryWindow:
--- a/sesamecross/ops/fleet/attempts.py
+++ b/sesamecross/ops/fleet/attempts.py
@@ -75,11 +75,13 @@
 
     Attributes:
       ran_at: Upstreams that may have run it.
+      tries: How often an upstream was chosen for it.
       sends: How often it was sent to any upstream.
       has_output: Whether some of an answer went to the caller.
     """
 
     ran_at: set[str] = dataclasses.field(default_factory=set)
+    tries: int = 0
     sends: int = 0
     has_output: bool = False
 
@@ -88,6 +90,8 @@
 # that keeps refusing is full, and each refused send draws on the budget that
 # all instances share.
 SENDS_MOST = 4
+# Connections that are refused or not accepted count here only.
+TRIES_MOST = 8
 
 
 def after_failure(
@@ -106,6 +110,8 @@
     """
     if not _may_send_again(route, failure, progress):
         return _final(failure, progress)
+    if progress.tries >= TRIES_MOST:
+        return _final(failure, progress)
     if progress.sends == 0:
         # Nothing arrived anywhere yet, so nothing is sent again.
         return Next.RETRY
--- a/sesamecross/ops/fleet/choosing.py
+++ b/sesamecross/ops/fleet/choosing.py
@@ -51,7 +51,7 @@
     return (
         place.distance_s(known.entry.zone)
         + work_s * (1 + waiting / slots)
-        + known.health.failing(now_s) * FAILURE_S
+        + known.failing(now_s) * FAILURE_S
     )
 
 
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import health as health_lib
 
 # An entry that lapsed is used for this part of the drain bound, as a last
@@ -33,6 +34,8 @@
       is_replaced: Another upstream answered at its address.
       own_running, others_running: Requests there, of this instance and of
         the others by their last word.
+      others_failing: The share of failures that others see.
+      engine: What it holds, if it is an engine.
       work_s: How long a request takes there, smoothed; 0 if none did yet.
     """
 
@@ -45,19 +48,20 @@
     )
     own_running: int = 0
     others_running: float = 0.0
+    others_failing: float = 0.0
     work_s: float = 0.0
+    engine: engine_state.EngineState = dataclasses.field(
+        default_factory=engine_state.EngineState
+    )
 
     @property
     def running(self) -> float:
         """Requests there, this instance's and the others'."""
         return self.own_running + self.others_running
 
-    def holds(self, call: serving.ModelCall) -> bool:
-        """Whether a call's model is there, and its adapter if it has one."""
-        for held in self.entry.models:
-            if held.name == call.model:
-                return not call.adapter or call.adapter in held.adapters
-        return False
+    def failing(self, now_s: float) -> float:
+        """The recent share of failures, by the own or the others' word."""
+        return max(self.health.failing(now_s), self.others_failing)
 
     def learn_work(self, took_s: float) -> None:
         """Learns how long a request takes there."""
--- /dev/null
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -0,0 +1,205 @@
+"""What an engine holds and may still come to hold, as its orders count.
+
+Why: an order can be lost, answered late, or carried out seconds later. Each
+order names how many orders the engine must have accepted before, so of all
+orders sent with one number at most one is ever carried out: a lost order that
+arrives late is void once another one was accepted. So it is enough that each
+order is sound for what the engine holds at that number; this ledger keeps
+what that is, and knows when it does not know.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+
+from sesamecross.core import serving
+from sesamecross.ops.fleet import engine_state
+
+# An engine describes itself as it was some tenths of a second ago. A report
+# that was asked for earlier than this after an order says nothing of it.
+REPORT_LAG_S = 0.35
+
+
+@dataclasses.dataclass(slots=True)
+class EngineLedger:
+    """One life of an engine, by the books of the one who orders.
+
+    Attributes:
+      orders: Orders that it has accepted.
+      models: Models that answer. adapters: adapters that answer, as targets.
+      arriving: Targets being loaded, and when they are expected.
+      departing: Models whose unload was accepted. The engine still lists them
+        until their last request has ended, and takes no further order.
+      is_certain: Whether all that it may hold is known: a load ordered by
+        somebody else shows in no list until it is complete.
+      settled_s: Until when nothing that it says of itself is believed.
+      loaded_s: When models and adapters were last loaded, by target.
+      last_entry: The engine's own entry that was last taken in.
+    """
+
+    instance_id: str
+    born_ms: int
+    orders: int = 0
+    models: set[str] = dataclasses.field(default_factory=set)
+    adapters: set[str] = dataclasses.field(default_factory=set)
+    arriving: dict[str, float] = dataclasses.field(default_factory=dict)
+    departing: set[str] = dataclasses.field(default_factory=set)
+    copies: serving.WeightCopies = serving.WeightCopies()
+    is_certain: bool = False
+    settled_s: float = 0.0
+    loaded_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    last_entry: serving.Upstream | None = None
+
+    def used_mb(self, spec: serving.EngineSpec) -> float:
+        """Returns the most that weights may take now."""
+        models = self.models | {t for t in self.arriving if "/" not in t}
+        # What departs is gone before the next order is accepted.
+        used = sum(_size(spec.models, name) for name in models)
+        for target in self.all_adapters():
+            model = spec.models.get(target.partition("/")[0])
+            used += model.adapter_mb if model else 0.0
+        return used
+
+    def all_adapters(self) -> set[str]:
+        """Returns the adapters that answer or will."""
+        return self.adapters | {t for t in self.arriving if "/" in t}
+
+    def holds_or_will(self, target: str) -> bool:
+        """Whether a target answers or is being loaded."""
+        return (
+            target in self.models
+            or target in self.adapters
+            or target in self.arriving
+        )
+
+    # -- what is heard -------------------------------------------------
+
+    def entry(self, entry: serving.Upstream) -> None:
+        """Takes in the engine's own entry, whenever it is another one.
+
+        An entry tells neither of orders under way nor how many there were.
+        What it lists beside the books, or lacks, is asked for.
+        """
+        if entry is self.last_entry:
+            return
+        self.last_entry = entry
+        self.copies = entry.copies
+        listed = engine_state.targets_of(entry.models)
+        for target in listed & set(self.arriving):
+            self._arrived(target)
+        models = {target for target in listed if "/" not in target}
+        if models - self.departing != self.models:
+            self.is_certain = False
+
+    def report(
+        self, report: serving.EngineReport, asked_s: float, now_s: float
+    ) -> None:
+        """Takes in the engine's answer to a question.
+
+        Args:
+          report: What it says.
+          asked_s: When it was asked.
+          now_s: Monotonic time.
+        """
+        self.copies = report.copies
+        if report.orders < self.orders:
+            return
+        is_new = report.orders > self.orders
+        if not is_new and asked_s < self.settled_s:
+            return
+        self.orders = report.orders
+        listed = engine_state.targets_of(report.models)
+        if report.is_busy and not is_new:
+            listed = {one for one in listed if not self._departs(one)}
+        else:
+            self.departing.clear()
+        arriving = {
+            target: now_s
+            for target in report.arriving_adapters
+            if target not in listed
+        }
+        if report.is_busy and not is_new:
+            arriving |= {
+                target: at_s
+                for target, at_s in self.arriving.items()
+                if target not in listed
+            }
+        self._set(listed)
+        self.arriving = arriving
+        self.is_certain = not report.is_busy or (self.is_certain and not is_new)
+
+    def _departs(self, target: str) -> bool:
+        return target.partition("/")[0] in self.departing
+
+    def _set(self, listed: set[str]) -> None:
+        self.models = {target for target in listed if "/" not in target}
+        self.adapters = {target for target in listed if "/" in target}
+        self.arriving = {
+            target: at_s
+            for target, at_s in self.arriving.items()
+            if target not in listed
+        }
+
+    def _arrived(self, target: str) -> None:
+        self.loaded_s[target] = self.arriving.pop(target, 0.0)
+        if "/" in target:
+            self.adapters.add(target)
+        else:
+            self.models.add(target)
+
+    # -- orders --------------------------------------------------------
+
+    def accepted(
+        self, loads: bool, target: str, eta_s: float, now_s: float
+    ) -> None:
+        """The engine accepted an order.
+
+        Args:
+          loads: Whether it loads.
+          target: Model or adapter.
+          eta_s: When a load is expected to be complete.
+          now_s: Monotonic time.
+        """
+        self.orders += 1
+        # An engine that accepts an order has carried out the one before.
+        self.departing.clear()
+        self.settled_s = now_s + REPORT_LAG_S
+        if loads:
+            self.arriving[target] = eta_s
+            return
+        self.models.discard(target)
+        self.adapters.discard(target)
+        if "/" not in target:
+            self.departing.add(target)
+            prefix = f"{target}/"
+            self.adapters = {
+                one for one in self.adapters if not one.startswith(prefix)
+            }
+
+    def already(self, loads: bool, target: str) -> None:
+        """The engine said that the order holds already."""
+        if loads:
+            self.arriving.pop(target, None)
+            (self.adapters if "/" in target else self.models).add(target)
+        else:
+            self.models.discard(target)
+            self.adapters.discard(target)
+
+    def expected(self, now_s: float) -> list[str]:
+        """Returns adapters whose time is over: they answer by now.
+
+        Adapters take milliseconds and are told of by nobody; a wrong guess
+        costs one send that the engine refuses unrun.
+        """
+        done = [
+            target
+            for target, at_s in self.arriving.items()
+            if "/" in target and at_s <= now_s
+        ]
+        for target in done:
+            self._arrived(target)
+        return done
+
+
+def _size(models: Mapping[str, serving.ServedModel], name: str) -> float:
+    model = models.get(name)
+    return model.weights_mb if model else 0.0
--- /dev/null
+++ b/sesamecross/ops/fleet/figures.py
@@ -0,0 +1,123 @@
+"""Adds up what instances report, and hands each what concerns it.
+
+Why: a hub keeps the last report of each member and the last summary of each
+other zone; sums are made from these, so that a lost or doubled datagram never
+counts twice. What is not renewed fades out with its sender.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sesamecross.core import fleet_messages as fm
+
+# A report older than this no longer counts; members send every 0.4 s at
+# least, summaries cross regions and may be lost.
+KEEP_S = 1.6
+
+Source = fm.Report | fm.Summary
+
+
+@dataclasses.dataclass(slots=True)
+class Sums:
+    """Figures of several sources, added up."""
+
+    running: dict[str, int]
+    prompt_tokens: dict[str, int]
+    in_use: dict[tuple[str, str], int]
+    demand: dict[tuple[str, str], fm.TargetDemand]
+    failing: dict[str, float]
+
+    def loads(self) -> list[fm.UpstreamLoad]:
+        """Returns the loads as they are sent."""
+        return [
+            fm.UpstreamLoad(upstream, running, self.prompt_tokens[upstream])
+            for upstream, running in self.running.items()
+        ]
+
+    def uses(self) -> list[fm.TargetUse]:
+        """Returns the use of models and adapters as it is sent."""
+        return [
+            fm.TargetUse(upstream, target, running)
+            for (upstream, target), running in self.in_use.items()
+        ]
+
+    def failures(self) -> list[fm.Failing]:
+        """Returns the shares of failures as they are sent."""
+        return [
+            fm.Failing(upstream, round(share, 2))
+            for upstream, share in self.failing.items()
+        ]
+
+
+def add_up(sources: Iterable[Source | fm.View]) -> Sums:
+    """Returns the sums over reports and summaries.
+
+    Shares of failures are not added: the largest one counts, as the source
+    that sends most to an upstream knows it best.
+    """
+    sums = Sums({}, {}, {}, {}, {})
+    for source in sources:
+        for load in source.loads:
+            name = load.upstream
+            sums.running[name] = sums.running.get(name, 0) + load.running
+            tokens = sums.prompt_tokens.get(name, 0) + load.prompt_tokens
+            sums.prompt_tokens[name] = tokens
+        for use in source.uses:
+            key = (use.upstream, use.target)
+            sums.in_use[key] = sums.in_use.get(key, 0) + use.running
+        for one in source.demand:
+            _add_demand(sums.demand, one)
+        for one in source.failing:
+            share = sums.failing.get(one.upstream, 0.0)
+            sums.failing[one.upstream] = max(share, one.share)
+    return sums
+
+
+def _add_demand(
+    demand: dict[tuple[str, str], fm.TargetDemand], one: fm.TargetDemand
+) -> None:
+    key = (one.service, one.target)
+    known = demand.get(key)
+    if known is None:
+        demand[key] = one
+        return
+    rate = known.rate + one.rate
+    late = 0.0
+    if rate > 0:
+        late = (known.rate * known.late + one.rate * one.late) / rate
+    waiting = known.waiting + one.waiting
+    demand[key] = fm.TargetDemand(one.service, one.target, rate, waiting, late)
+
+
+class Latest:
+    """The last message of each sender, as long as it is fresh."""
+
+    __slots__ = ("_messages",)
+
+    def __init__(self) -> None:
+        self._messages: dict[str, tuple[Source, float]] = {}
+
+    def take(self, message: Source, now_s: float) -> bool:
+        """Takes a message in, unless a later one of its sender is known."""
+        name = message.me.name
+        known = self._messages.get(name)
+        if known is not None:
+            earlier = known[0]
+            before = (earlier.me.incarnation, earlier.number)
+            if (message.me.incarnation, message.number) <= before:
+                return False
+        self._messages[name] = (message, now_s)
+        return True
+
+    def fresh(self, now_s: float) -> list[Source]:
+        """Returns the messages that still count."""
+        return [
+            message
+            for message, at_s in self._messages.values()
+            if now_s - at_s < KEEP_S
+        ]
+
+    def number_of(self, name: str) -> int:
+        """Returns the number of a sender's last message, or 0."""
+        known = self._messages.get(name)
+        return known[0].number if known else 0
--- /dev/null
+++ b/sesamecross/ops/fleet/roster.py
@@ -0,0 +1,123 @@
+"""Which instances there are, which of them live, and who is a zone's hub.
+
+Why: instances come and go at any time and the store lists only those that
+once registered. Life is judged by what is heard, directly or through a hub;
+the hub of a zone is picked alike by all of its members, without a vote: a
+wrong pick costs some datagrams and never an answer.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.utils import rendezvous
+
+# An instance that was not heard of for this long does not count. Members
+# send at least every HEARTBEAT_S (0.4 s); three in a row may get lost.
+ALIVE_S = 1.6
+HEARTBEAT_S = 0.4
+# Registered instances that were never heard of are tried this long after the
+# own start: all instances of a deployment start at about the same time.
+GRACE_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """An instance and when it was last heard of."""
+
+    member: fm.Member
+    heard_s: float | None
+
+
+class Roster:
+    """All other instances, and this one."""
+
+    __slots__ = ("me", "_known", "_began_s")
+
+    def __init__(self, me: fm.Member, now_s: float):
+        self.me = me
+        self._known: dict[str, Known] = {}
+        self._began_s = now_s
+
+    def registered(self, members: Iterable[fm.Member]) -> None:
+        """Takes in instances from the store's list."""
+        for member in members:
+            if member.name != self.me.name:
+                self._take(member, None)
+
+    def heard(self, member: fm.Member, now_s: float) -> bool:
+        """Takes in an instance that spoke or that a hub vouches for.
+
+        Returns:
+          False where it is an earlier life of an instance.
+        """
+        if member.name == self.me.name:
+            return False
+        return self._take(member, now_s)
+
+    def _take(self, member: fm.Member, heard_s: float | None) -> bool:
+        known = self._known.get(member.name)
+        if known is None:
+            self._known[member.name] = Known(member, heard_s)
+            return True
+        if member.incarnation < known.member.incarnation:
+            return False
+        if member.incarnation > known.member.incarnation:
+            known.heard_s = None
+        known.member = member
+        if heard_s is not None:
+            known.heard_s = heard_s
+        return True
+
+    def get(self, name: str) -> fm.Member | None:
+        """Returns an instance by its name."""
+        known = self._known.get(name)
+        return known.member if known else None
+
+    def is_alive(self, name: str, now_s: float) -> bool:
+        """Whether an instance was heard of lately."""
+        if name == self.me.name:
+            return True
+        known = self._known.get(name)
+        return (
+            known is not None
+            and known.heard_s is not None
+            and now_s - known.heard_s < ALIVE_S
+        )
+
+    def alive(self, now_s: float) -> list[fm.Member]:
+        """Returns the other instances that live, sorted by name."""
+        return [
+            known.member
+            for name, known in sorted(self._known.items())
+            if self.is_alive(name, now_s)
+        ]
+
+    def silent(self, now_s: float) -> list[fm.Member]:
+        """Returns the other instances that were not heard of lately."""
+        return [
+            known.member
+            for name, known in sorted(self._known.items())
+            if not self.is_alive(name, now_s)
+        ]
+
+    def hub_of(self, zone: str, now_s: float) -> str | None:
+        """Returns the name of a zone's hub, or None if nobody is there."""
+        is_early = now_s - self._began_s < GRACE_S
+        names = [
+            name
+            for name, known in self._known.items()
+            if known.member.zone == zone
+            and (
+                self.is_alive(name, now_s)
+                or (is_early and known.heard_s is None)
+            )
+        ]
+        if zone == self.me.zone:
+            names.append(self.me.name)
+        best = rendezvous.top(f"hub/{zone}", names, 1)
+        return best[0] if best else None
+
+    def forget(self, name: str) -> None:
+        """Drops an instance that said it leaves."""
+        self._known.pop(name, None)
--- a/sesamecross/platform/catalog.py
+++ b/sesamecross/platform/catalog.py
@@ -94,14 +94,13 @@
 
 
 class _WireUpstream(msgspec.Struct, frozen=True, rename="camel"):
+    # The wire's `sequence` counts the upstream's own writes here, and not
+    # the orders as it does in a report, so it is left out.
     service: str
     address: str
     zone: str
     state: str
     slots: int = 1
-    # The number of orders accepted; it has nothing to do with the record's
-    # own order.
-    sequence: int = 0
     born: int = 0
     models: list[WireHeldModel] = []
     available: WireCopies = WireCopies()
@@ -217,7 +216,6 @@
         wire.slots,
         wire.state == _DRAINING,
         wire.born,
-        wire.sequence,
         held_models(wire.models),
         copies(wire.available),
         leaves_in_s,
