--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -18,11 +18,16 @@
     Attributes:
       running: Sent and not ended.
       prompt_tokens: Of those among them that have no event yet.
+      hears, silent, refused: Instances that hear the upstream, get no sign of
+        life, or find its port closed.
     """
 
     upstream: str
     running: int
     prompt_tokens: int
+    hears: int = 0
+    silent: int = 0
+    refused: int = 0
 
 
 class TargetUse(msgspec.Struct, frozen=True, array_like=True):
@@ -51,10 +56,11 @@
 
 
 class Failing(msgspec.Struct, frozen=True, array_like=True):
-    """The recent share of failures at an upstream."""
+    """Recent outcomes at an upstream, faded: failures, and all of them."""
 
     upstream: str
-    share: float
+    failed: float
+    total: float
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -24,6 +24,7 @@
 from sesamecross.gateway import store_client
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
+from sesamecross.ops.fleet import reach
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
@@ -159,12 +160,28 @@
         failing = []
         for known in self.state.directory:
             name = known.entry.instance_id
-            if known.own_running:
-                tokens = known.engine.own_prompt_tokens
-                loads.append(fm.UpstreamLoad(name, known.own_running, tokens))
-            share = known.health.failing(now_s)
-            if share >= FAILING_LEAST:
-                failing.append(fm.Failing(name, round(share, 2)))
+            state = known.reach.state(now_s)
+            if known.own_running or state is not reach.State.UNKNOWN:
+                told = reach.Reports().plus(state)
+                loads.append(
+                    fm.UpstreamLoad(
+                        name,
+                        known.own_running,
+                        known.engine.own_prompt_tokens,
+                        told.hears,
+                        told.silent,
+                        told.refused,
+                    )
+                )
+            outcomes = known.health.outcomes(now_s)
+            if known.failing(now_s) >= FAILING_LEAST:
+                failing.append(
+                    fm.Failing(
+                        name,
+                        round(outcomes.failed, 1),
+                        round(outcomes.total, 1),
+                    )
+                )
         return fm.Report(
             self.mesh.me,
             0,
--- a/sesamecross/gateway/engine_client.py
+++ b/sesamecross/gateway/engine_client.py
@@ -5,9 +5,10 @@
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.runtime import metrics as metrics_lib
 
-# An engine answers within the round trip between regions; one that does not
-# answer an order may carry it out much later, so waiting longer is no use.
-CALL_S = 0.8
+# An engine answers within the round trip between regions, or twice that on a
+# new connection. One that does not answer an order may carry it out much
+# later, so waiting longer is no use; the order is sent again.
+CALL_S = 0.3
 
 
 class EngineClient:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -31,9 +31,6 @@
 
 # Where a caller is told to come back when nothing better is known.
 RETRY_AFTER_S = 0.5
-# A connection that is refused, or not accepted in time, says more than one
-# request that fails: the upstream is most likely gone.
-REFUSED_WEIGHT = 3.0
 # A request that waits for a model says so again this often.
 WANT_AGAIN_S = 0.25
 
@@ -166,7 +163,7 @@
         """The prompt is read; learns how long that took."""
         if self._is_read or self._engine is None:
             return
-        self._upstream.own_streaming += 1
+        self._upstream.reach.streaming += 1
         self._read()
         took_ms = (asyncio.get_running_loop().time() - self._begun_s) * 1000
         line = self._engine.speed(self.call.model)
@@ -183,7 +180,7 @@
         if self._engine is None:
             return
         if self._is_read:
-            self._upstream.own_streaming -= 1
+            self._upstream.reach.streaming -= 1
         else:
             self._read()
         self.uses.end(self.instance_id, self.call)
@@ -527,7 +524,11 @@
                     address, begun_s, left_s
                 )
             except OSError as error:
-                upstream.health.failed(loop.time(), REFUSED_WEIGHT)
+                upstream.health.failed(loop.time())
+                if isinstance(error, ConnectionRefusedError):
+                    upstream.reach.refused(loop.time())
+                else:
+                    upstream.reach.silent(loop.time())
                 self._owner._pool.drop(address)
                 return attempts.NotSent(str(error) or type(error).__name__)
             outcome = await self._send(upstream, connection)
@@ -617,6 +618,10 @@
         took_s: float,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
+        if not isinstance(
+            outcome, (attempts.Lost, attempts.NotSent, type(None))
+        ):
+            upstream.reach.heard(now_s)
         match outcome:
             case attempt_lib.Whole(status):
                 if status >= 500:
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -14,6 +14,8 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import figures
+from sesamecross.ops.fleet import health
+from sesamecross.ops.fleet import reach
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
@@ -33,6 +35,35 @@
 FiguresSource = Callable[[], fm.Report]
 
 
+def _others(
+    all_of: health.Outcomes | None, own: health.Outcomes | None
+) -> health.Outcomes:
+    """Returns outcomes of all instances less the own ones."""
+    if all_of is None:
+        return health.Outcomes()
+    if own is None:
+        return all_of
+    return health.Outcomes(
+        max(0.0, all_of.failed - own.failed),
+        max(0.0, all_of.total - own.total),
+    )
+
+
+def _others_reports(
+    all_of: reach.Reports | None, own: reach.Reports | None
+) -> reach.Reports:
+    """Returns the counts over all instances less the own ones."""
+    if all_of is None:
+        return reach.Reports()
+    if own is None:
+        return all_of
+    return reach.Reports(
+        max(0, all_of.hears - own.hears),
+        max(0, all_of.silent - own.silent),
+        max(0, all_of.refused - own.refused),
+    )
+
+
 class _Protocol(asyncio.DatagramProtocol):
     """Feeds datagrams to the mesh."""
 
@@ -434,6 +465,11 @@
             tokens -= own.prompt_tokens.get(name, 0)
             known.others_running = max(0, running)
             known.engine.others_prompt_tokens = max(0, tokens)
-            known.others_failing = all_of.failing.get(name, 0.0)
+            known.others_reports = _others_reports(
+                all_of.reports.get(name), own.reports.get(name)
+            )
+            known.others_outcomes = _others(
+                all_of.failing.get(name), own.failing.get(name)
+            )
         self._state.fleet_uses = all_of.in_use
         self._state.fleet_demand = all_of.demand
--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -31,9 +31,10 @@
 WANT_S = 0.6
 # After a conflict or a lost answer, until the engine's report covers it.
 ASK_AGAIN_S = 0.25
-# After it began to give orders, until all instances' demand has arrived by
-# way of their hubs. A model that nobody seems to ask for would be unloaded.
-DEMAND_S = 1.0
+# After it began to give orders, and after the first requests, until all
+# instances' demand has arrived by way of their hubs. What requests wait for is
+# told sooner than what they find: a busy model would be unloaded for it.
+DEMAND_S = 0.7
 # All engines' places are told anew this often, for who missed them.
 REFRESH_S = 1.5
 # How long a load may be overdue before the engine is asked.
@@ -275,7 +276,7 @@
             if ledger.is_certain and not overdue and desk.conflicts < 2:
                 continue
             known = self._state.directory.get(instance_id)
-            if known is not None and not known.seems_down(now_s):
+            if known is not None and not known.is_down(now_s):
                 desk.ask_s = now_s + ASK_AGAIN_S
                 self._spawn(self._report(desk, known))
 
@@ -336,7 +337,7 @@
                 and not is_loading
                 and now_s >= desk.ask_s
             ),
-            is_leaving=known.is_leaving or known.seems_down(now_s),
+            is_leaving=known.is_leaving or known.is_down(now_s),
         )
 
     def _plan_service(
@@ -354,22 +355,20 @@
             for target, at_s in engine.ledger.arriving.items()
             if "/" not in target and target in self._memory.from_store
         )
+        demand = self._memory.demand(
+            service,
+            spec,
+            self._state.fleet_demand,
+            self._state.fleet_uses,
+            {name for engine in engines for name in engine.ledger.all_models()},
+            self._wants,
+            now_s,
+        )
+        known_s = min(now_s - self._begun_s, self._memory.known_s(now_s))
         inputs = placement_data.Inputs(
             spec,
             engines,
-            self._memory.demand(
-                service,
-                spec,
-                self._state.fleet_demand,
-                self._state.fleet_uses,
-                {
-                    name
-                    for engine in engines
-                    for name in engine.ledger.all_models()
-                },
-                self._wants,
-                now_s,
-            ),
+            demand,
             self._state.fleet_uses,
             self._withdrawals(now_s),
             self._targets.get(service, {}),
@@ -381,7 +380,7 @@
             store_loads=(
                 max(0, at_once - loading) if budget.allows(now_s) else 0
             ),
-            knows_demand=now_s - self._begun_s >= DEMAND_S,
+            knows_demand=known_s >= DEMAND_S,
             now_s=now_s,
         )
         plan = placement_steps.plan(inputs)
@@ -549,10 +548,11 @@
             case serving.OrderAnswer.OTHER_LIFE:
                 self._state.directory.replaced(step.instance_id)
             case serving.OrderAnswer.UNKNOWN:
+                # It may be carried out at any time. Until then the books are
+                # right, and whatever is sent next bears the same number, so
+                # that only one of the two can count.
                 if step.from_store:
                     budget.unanswered(now_s)
-                ledger.is_certain = False
-                desk.ask_s = now_s + engine_ledger.REPORT_LAG_S
             case _:
                 ledger.is_certain = False
                 desk.ask_s = now_s + ASK_AGAIN_S
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -13,6 +13,7 @@
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import health as health_lib
+from sesamecross.ops.fleet import reach as reach_lib
 
 # An entry that lapsed is used for this part of the drain bound, as a last
 # choice: entries also lapse while the store is away, and are back within two
@@ -27,9 +28,6 @@
 WORK_LEARN = 0.1
 # From this share of failures on nothing new is sent, if anything else can do.
 DOWN_SHARE = 0.75
-# Streams bring events every 30 to 100 ms; pauses that are late but harmless
-# reach 0.4 s.
-QUIET_S = 0.8
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,9 +43,9 @@
       is_replaced: Another upstream answered at its address.
       own_running, others_running: Requests there, of this instance and of
         the others by their last word.
-      own_streaming: Own streams there that have begun.
-      heard_s: When the last event of any of them came.
-      others_failing: The share of failures that others see.
+      reach, others_reports: Whether this instance reaches it, and how many
+        others do.
+      others_outcomes: What became of the others' requests there.
       engine: What it holds, if it is an engine.
       work_s: How long a request takes there, smoothed; 0 if none did yet.
     """
@@ -61,9 +59,9 @@
     )
     own_running: int = 0
     others_running: float = 0.0
-    others_failing: float = 0.0
-    own_streaming: int = 0
-    heard_s: float = 0.0
+    others_outcomes: health_lib.Outcomes = health_lib.Outcomes()
+    reach: reach_lib.Reach = dataclasses.field(default_factory=reach_lib.Reach)
+    others_reports: reach_lib.Reports = reach_lib.Reports()
     work_s: float = 0.0
     engine: engine_state.EngineState = dataclasses.field(
         default_factory=engine_state.EngineState
@@ -80,19 +78,21 @@
         return self.own_running + self.others_running
 
     def failing(self, now_s: float) -> float:
-        """The recent share of failures, by the own or the others' word."""
-        return max(self.health.failing(now_s), self.others_failing)
+        """The recent share of failures, over all instances."""
+        return self.health.outcomes(now_s).plus(self.others_outcomes).share
 
     def seems_down(self, now_s: float) -> bool:
-        """Whether nearly everything fails there, or nothing comes any more.
+        """Whether this instance should send nothing new there."""
+        own = self.reach.state(now_s)
+        if own in (reach_lib.State.SILENT, reach_lib.State.REFUSED):
+            return True
+        return self.is_down(now_s)
 
-        An engine that went dark answers nobody and refuses nobody. Its own
-        streams show it: they bring events many times a second, and all of
-        them fall silent at once.
-        """
+    def is_down(self, now_s: float) -> bool:
+        """Whether it is down for all instances, or nearly everything fails."""
         if self.failing(now_s) >= DOWN_SHARE:
             return True
-        return self.own_streaming > 0 and now_s - self.heard_s > QUIET_S
+        return self.others_reports.plus(self.reach.state(now_s)).is_down
 
     def learn_work(self, took_s: float) -> None:
         """Learns how long a request takes there."""
--- a/sesamecross/ops/fleet/figures.py
+++ b/sesamecross/ops/fleet/figures.py
@@ -9,6 +9,8 @@
 import dataclasses
 
 from sesamecross.core import fleet_messages as fm
+from sesamecross.ops.fleet import health
+from sesamecross.ops.fleet import reach
 
 # A report older than this no longer counts; members send every 0.4 s at
 # least, summaries cross regions and may be lost.
@@ -23,14 +25,22 @@
 
     running: dict[str, int]
     prompt_tokens: dict[str, int]
+    reports: dict[str, reach.Reports]
     in_use: dict[tuple[str, str], int]
     demand: dict[tuple[str, str], fm.TargetDemand]
-    failing: dict[str, float]
+    failing: dict[str, health.Outcomes]
 
     def loads(self) -> list[fm.UpstreamLoad]:
         """Returns the loads as they are sent."""
         return [
-            fm.UpstreamLoad(upstream, running, self.prompt_tokens[upstream])
+            fm.UpstreamLoad(
+                upstream,
+                running,
+                self.prompt_tokens[upstream],
+                self.reports[upstream].hears,
+                self.reports[upstream].silent,
+                self.reports[upstream].refused,
+            )
             for upstream, running in self.running.items()
         ]
 
@@ -42,34 +52,34 @@
         ]
 
     def failures(self) -> list[fm.Failing]:
-        """Returns the shares of failures as they are sent."""
+        """Returns the outcomes as they are sent."""
         return [
-            fm.Failing(upstream, round(share, 2))
-            for upstream, share in self.failing.items()
+            fm.Failing(upstream, round(one.failed, 1), round(one.total, 1))
+            for upstream, one in self.failing.items()
         ]
 
 
 def add_up(sources: Iterable[Source | fm.View]) -> Sums:
-    """Returns the sums over reports and summaries.
-
-    Shares of failures are not added: the largest one counts, as the source
-    that sends most to an upstream knows it best.
-    """
-    sums = Sums({}, {}, {}, {}, {})
+    """Returns the sums over reports and summaries."""
+    sums = Sums({}, {}, {}, {}, {}, {})
     for source in sources:
         for load in source.loads:
             name = load.upstream
             sums.running[name] = sums.running.get(name, 0) + load.running
             tokens = sums.prompt_tokens.get(name, 0) + load.prompt_tokens
             sums.prompt_tokens[name] = tokens
+            known = sums.reports.get(name, reach.Reports())
+            told = reach.Reports(load.hears, load.silent, load.refused)
+            sums.reports[name] = known.with_all(told)
         for use in source.uses:
             key = (use.upstream, use.target)
             sums.in_use[key] = sums.in_use.get(key, 0) + use.running
         for one in source.demand:
             _add_demand(sums.demand, one)
         for one in source.failing:
-            share = sums.failing.get(one.upstream, 0.0)
-            sums.failing[one.upstream] = max(share, one.share)
+            known = sums.failing.get(one.upstream, health.Outcomes())
+            outcomes = health.Outcomes(one.failed, one.total)
+            sums.failing[one.upstream] = known.plus(outcomes)
     return sums
 
 
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -163,10 +163,10 @@
         if holder_heard and not self._holder_is_gone():
             return Rest()
         if self._record is None:
-            if now_s - self._looked_s < LOOK_S + rank * RANK_S:
-                return Rest()
             return self._look(now_s)
-        free_s = self._free_s() + rank * RANK_S
+        free_s = self._free_s()
+        if self._record.holder != self._name:
+            free_s += rank * RANK_S
         if now_s < free_s:
             return Rest()
         if self._looked_s < free_s:
--- a/sesamecross/ops/fleet/placement_memory.py
+++ b/sesamecross/ops/fleet/placement_memory.py
@@ -18,6 +18,8 @@
 # In the long memory all busy models are alike, so that one that has fallen
 # silent makes way within seconds, however busy it was.
 USUAL_MOST = 1.0
+# After a pause of this length, what is asked for has to be learned anew.
+PAUSE_S = 5.0
 # Prompt tokens of a request, until more is told of them.
 TYPICAL_TOKENS = 1000.0
 
@@ -37,14 +39,39 @@
       from_store: Targets whose last load came from the weight store.
     """
 
-    __slots__ = ("_usual", "_at_s", "_missed_s", "from_store")
+    __slots__ = (
+        "_usual",
+        "_at_s",
+        "_missed_s",
+        "_awake_s",
+        "_asked_s",
+        "from_store",
+    )
 
     def __init__(self) -> None:
         self._usual: dict[Key, float] = {}
         self._at_s: float | None = None
         self._missed_s: dict[Key, float] = {}
+        self._awake_s: float | None = None
+        self._asked_s = 0.0
         self.from_store: set[str] = set()
 
+    def known_s(self, now_s: float) -> float:
+        """Returns for how long the demand has been as it is.
+
+        That is since the first request after a long pause; while there is
+        none at all, nothing can be missed.
+        """
+        return math.inf if self._awake_s is None else now_s - self._awake_s
+
+    def _note_awake(self, is_asked: bool, now_s: float) -> None:
+        if is_asked:
+            if self._awake_s is None:
+                self._awake_s = now_s
+            self._asked_s = now_s
+        elif self._awake_s is not None and now_s - self._asked_s > PAUSE_S:
+            self._awake_s = None
+
     def demand(
         self,
         service: str,
@@ -77,6 +104,7 @@
         for of, target, _ in wants:
             if of == service and "/" not in target:
                 waiting[target] = max(1, waiting.get(target, 0))
+        self._note_awake(bool(rates or waiting), now_s)
         self._smooth(service, spec, rates, now_s)
         running: dict[str, int] = {}
         for (_, target), count in in_use.items():
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -15,16 +15,17 @@
 SETTLE_S = 0.3
 # An adapter is there after some milliseconds; a little more for the way.
 ADAPTER_S = 0.012
+# Loads from the store that are left for models that are asked for.
+SPARED_LOADS = 1
 
 
 def plan(inputs: data.Inputs) -> data.Plan:
     """Returns what each engine should hold, and what to do now."""
-    if not inputs.knows_demand:
-        # Adapters are asked for by name; what models are worth is not known.
-        draft = _Draft(inputs, {})
-        _order_adapters(draft)
-        return data.Plan(tuple(draft.steps), {})
-    target = placement_target.target(inputs)
+    if inputs.knows_demand:
+        target = placement_target.target(inputs)
+    else:
+        # What models are worth is not known: only free room is filled.
+        target = placement_target.fill(inputs)
     draft = _Draft(inputs, target)
     _order_adapters(draft)
     _order_models(draft)
@@ -101,7 +102,9 @@
     takes_s, from_store = inputs.load_time(engine, name)
     if not draft.may_order(engine):
         return
-    if from_store and draft.store_loads <= 0:
+    # What nobody asks for leaves the store to what somebody may ask for next.
+    spared = 0 if inputs.demand_for(name).is_asked else SPARED_LOADS
+    if from_store and draft.store_loads <= spared:
         return
     draft.order(
         data.Step(
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import math
 
 from sesamecross.ops.fleet import placement_data as data
 
@@ -34,8 +35,14 @@
 DISPLACE_TIMES = 1.5
 # Fairness: a model that is found nowhere counts double after this time.
 STARVED_S = 5.0
-# The requests of a model that makes way go on about this long.
-RUNNING_S = 2.5
+# A request of a model that makes way goes on about this long.
+RUNNING_S = 1.5
+# An unload of a model without requests.
+UNLOAD_S = 0.1
+# A place where requests have to end first is given up for one where a load
+# can begin within this. Nothing else changes it: models that alternate
+# between places would have room made for them everywhere.
+SOON_S = 0.25
 # A second place for a model of this load is worth a little, in room that is
 # free: its engine can fail, and halves are served sooner.
 SPARE_LOAD = 0.15
@@ -44,6 +51,14 @@
 MOVE_LOSS = 0.3
 # Room left over counts a little, so that models go where they fit closely.
 LEFT_OVER_COST = 0.3
+# A model that nobody asks for is worth this much in room that is as good as
+# free: one of many models is asked for next, and half of them would be found
+# nowhere. It counts over a longer time, as nothing else changes meanwhile.
+IDLE_VALUE = 0.02
+IDLE_HORIZON_S = 60.0
+# What its place is worth with no, one, and more other places. A model that
+# was given several is probably a busy one.
+IDLE_LOSSES = (IDLE_VALUE, 2 * IDLE_VALUE, 0.0)
 MOVES_MOST = 12
 
 
@@ -120,6 +135,7 @@
 def target(inputs: data.Inputs) -> data.Target:
     """Returns what each engine should hold."""
     draft = _Draft(inputs)
+    _take_sooner_places(draft)
     tried: set[str] = set()
     for _ in range(MOVES_MOST):
         move = _best_move(draft, tried)
@@ -129,6 +145,55 @@
     return {name: frozenset(held) for name, held in draft.held.items()}
 
 
+def fill(inputs: data.Inputs) -> data.Target:
+    """Returns what engines hold, and what fits beside it."""
+    draft = _Draft(
+        dataclasses.replace(
+            inputs,
+            target={
+                engine.name: frozenset(engine.ledger.all_models())
+                for engine in inputs.engines
+            },
+        )
+    )
+    for name in sorted(inputs.spec.models):
+        if not inputs.demand_for(name).waiting or draft.places.get(name):
+            continue
+        free = [one for one in draft.engines if _is_free(draft, one, name)]
+        if free:
+            draft.add(min(free, key=lambda one: (draft.load(one), one)), name)
+    return {name: frozenset(held) for name, held in draft.held.items()}
+
+
+def _take_sooner_places(draft: _Draft) -> None:
+    """Moves what waits for requests to end to where a load can begin now."""
+    for instance_id, engine in draft.engines.items():
+        for name in sorted(draft.held[instance_id]):
+            if engine.ledger.holds_or_will(name):
+                continue
+            if not draft.inputs.demand_for(name).is_asked:
+                continue
+            if _waits_for(draft, engine, name) <= SOON_S:
+                continue
+            draft.remove(instance_id, name)
+            to = _soonest_place(draft, name)
+            draft.add(to or instance_id, name)
+
+
+def _soonest_place(draft: _Draft, name: str) -> str | None:
+    """Returns an engine where a load can begin now and nothing is lost."""
+    rated = []
+    for instance_id, engine in draft.engines.items():
+        if instance_id in draft.places[name]:
+            continue
+        if draft.free(instance_id) < draft.inputs.size(name):
+            continue
+        if _waits_for(draft, engine, name) <= SOON_S:
+            takes_s, _ = draft.inputs.load_time(engine, name)
+            rated.append((draft.load(instance_id) + takes_s, instance_id))
+    return min(rated)[1] if rated else None
+
+
 def _apply(draft: _Draft, move: _Move) -> None:
     for victim in move.victims:
         draft.remove(move.instance_id, victim)
@@ -162,9 +227,9 @@
     room is free.
     """
     demand = draft.inputs.demand_for(name)
-    if not demand.is_asked:
-        return 0.0
     places = draft.places.get(name, ())
+    if not demand.is_asked:
+        return 0.0 if places else IDLE_VALUE
     if not places:
         return demand.value * (1.0 + demand.starved_s / STARVED_S)
     over = _over(draft, name, places)
@@ -233,10 +298,12 @@
     cost += LEFT_OVER_COST * left_over / inputs.spec.weights_mb
     if loss > 0 and gain < loss * DISPLACE_TIMES:
         return -1.0
-    win = gain * takes * (HORIZON_S - min(delay_s, HORIZON_S))
+    is_asked = inputs.demand_for(name).is_asked
+    horizon_s = HORIZON_S if is_asked else IDLE_HORIZON_S
+    win = gain * takes * max(0.0, horizon_s - delay_s)
     # An engine's load is everybody's wait there.
     win -= gain * busy
-    return win - loss * HORIZON_S - cost
+    return win - loss * horizon_s - cost
 
 
 def _waits_for(draft: _Draft, engine: data.Engine, name: str) -> float:
@@ -250,13 +317,20 @@
         wait_s += 1.0
     if missing_mb <= 0:
         return wait_s
-    idle_mb = sum(
-        inputs.size(one)
+    leaving = [
+        (running(inputs, engine.name, one), one)
         for one in ledger.models
         if one not in draft.held[engine.name]
-        and not running(inputs, engine.name, one)
-    )
-    return wait_s + (0.1 if idle_mb >= missing_mb else RUNNING_S)
+    ]
+    for requests, one in sorted(leaving):
+        if missing_mb <= 0:
+            break
+        missing_mb -= inputs.size(one)
+        wait_s += UNLOAD_S
+        if requests:
+            # The last of them to end counts.
+            wait_s += RUNNING_S * (1.0 + math.log(requests))
+    return wait_s
 
 
 def running(inputs: data.Inputs, instance_id: str, name: str) -> int:
@@ -306,9 +380,9 @@
     if name in ledger.arriving or inputs.now_s - loaded_s < STAY_S:
         return None
     demand = inputs.demand_for(name)
-    if not demand.is_asked:
-        return 0.0
     others = [one for one in draft.places[name] if one != instance_id]
+    if not demand.is_asked:
+        return IDLE_LOSSES[min(len(others), len(IDLE_LOSSES) - 1)]
     if others:
         share = demand.load / len(others)
         busy = min(draft.load(one) for one in others) + share
