Placement waits for what it does not know; the largest prompts get their turn

Cause 1: engines register over 2 s at the start, and the planner took the models of those that had not come yet for missing.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -35,6 +35,9 @@
 # instances' demand has arrived by way of their hubs. What requests wait for is
 # told sooner than what they find: a busy model would be unloaded for it.
 DEMAND_S = 0.7
+# After an engine came, until others that start with it have come as well: they
+# register within some seconds of each other.
+ENGINES_S = 4.0
 # All engines' places are told anew this often, for who missed them.
 REFRESH_S = 1.5
 # How long a load may be overdue before the engine is asked.
@@ -85,6 +88,7 @@
         self._is_active = False
         self._planned_s = 0.0
         self._begun_s = 0.0
+        self._engine_came_s = 0.0
         self._refreshed_s = 0.0
         self._calls: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
@@ -258,6 +262,7 @@
                     entry.instance_id, entry.born_ms
                 )
                 desk = _Desk(ledger)
+                self._engine_came_s = now_s
                 self._desks[entry.instance_id] = desk
             desk.ledger.entry(entry)
         for instance_id in set(self._desks) - seen:
@@ -381,6 +386,7 @@
                 max(0, at_once - loading) if budget.allows(now_s) else 0
             ),
             knows_demand=known_s >= DEMAND_S,
+            knows_engines=now_s - self._engine_came_s >= ENGINES_S,
             now_s=now_s,
         )
         plan = placement_steps.plan(inputs)
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -23,7 +23,7 @@
 # Prompt tokens a second that an engine gets to read: two thirds of what the
 # engines of the first deployments read when they do nothing else.
 READ_PER_S = 25_000.0
-# Tokens that may go at once: an ordinary prompt. A larger one goes alone.
+# Tokens that may go at once: an ordinary prompt.
 BURST_TOKENS = 1_500.0
 # What may be granted and not read yet: 0.2 s of reading. Engines slower than
 # the rate show by this.
@@ -112,9 +112,12 @@
         return granted
 
     def _has_room(self, tokens: int) -> bool:
-        if self._reading and self._unread + tokens > UNREAD_TOKENS:
+        # A prompt counts as no larger than this here: the largest ones would
+        # find room only when nobody else is there, which is never.
+        counted = min(tokens, BURST_TOKENS)
+        if self._reading and self._unread + counted > UNREAD_TOKENS:
             return False
-        return self._level <= 0.0 or self._level + tokens <= BURST_TOKENS
+        return self._level + counted <= BURST_TOKENS
 
     def next_s(self, now_s: float) -> float | None:
         """Returns when to look again, or None if nobody waits."""
--- a/sesamecross/ops/fleet/placement_data.py
+++ b/sesamecross/ops/fleet/placement_data.py
@@ -95,6 +95,8 @@
       wants: Adapters that requests wait for.
       store_loads: How many loads from the store may begin now.
       knows_demand: Whether all instances have told what they are asked for.
+      knows_engines: Whether no engine came lately: while they come, each may
+        hold what seems to be held nowhere.
     """
 
     spec: serving.EngineSpec
@@ -106,6 +108,7 @@
     wants: tuple[AdapterWant, ...]
     store_loads: int
     knows_demand: bool
+    knows_engines: bool
     now_s: float
 
     def demand_for(self, name: str) -> ModelDemand:
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -229,7 +229,8 @@
     demand = draft.inputs.demand_for(name)
     places = draft.places.get(name, ())
     if not demand.is_asked:
-        return 0.0 if places else IDLE_VALUE
+        is_missed = not places and draft.inputs.knows_engines
+        return IDLE_VALUE if is_missed else 0.0
     if not places:
         return demand.value * (1.0 + demand.starved_s / STARVED_S)
     over = _over(draft, name, places)
