A holder that the store does not answer renews by way of another instance

Now the renewal also goes by way of an instance that reaches the store; the condition of the write keeps it safe if both arrive.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -22,6 +22,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import status
 from sesamecross.gateway import store_client
+from sesamecross.gateway import store_proxy
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
 from sesamecross.ops.fleet import reach
@@ -113,6 +114,7 @@
         self.mesh = mesh_lib.Mesh(self.state, self._figures, self.metrics)
         self.lease = lease_keeper.LeaseKeeper(
             client,
+            store_proxy.StoreProxy(client, self.mesh),
             f"{adapter.own_topic_prefix}lease",
             self.mesh,
             instance.bounds.lease_s,
@@ -143,7 +145,9 @@
             sweeper.Sweeper(self.state, self.pool),
             joiner.Joiner(self._registrar, self.mesh, instance),
             self.mesh,
-            sync.SyncServer(self.mesh, self.state, known),
+            sync.SyncServer(
+                self.mesh, self.state, known, client, adapter.own_topic_prefix
+            ),
             sync.SyncPuller(self.mesh, self.state, known),
             self.lease,
             sync.HolderWatch(
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 
 from sesamecross.core import serving
@@ -31,6 +32,8 @@
 
 # Where a caller is told to come back when nothing better is known.
 RETRY_AFTER_S = 0.5
+# A request that waited longer than this for its model was late by that.
+WAITED_S = 0.1
 # A request that waits for a model says so again this often.
 WANT_AGAIN_S = 0.25
 
@@ -642,8 +645,29 @@
             case attempts.NotRun() | attempts.Lost():
                 upstream.health.failed(now_s)
 
+    def _note_lateness(self) -> None:
+        """Tells whether the engines of a model keep up with its requests.
+
+        A request that waited until its model was loaded says nothing of that.
+        """
+        call = self._request.call
+        relay = self._relay
+        if call is None or relay is None or self._waited_s > WAITED_S:
+            return
+        if self._choice is None:
+            return
+        first_s = math.inf
+        if relay.first_s is not None:
+            first_s = relay.first_s - self._arrived_s
+        was_late = (
+            first_s > self._route.objective_s or relay.gap_s > self._route.gap_s
+        )
+        key = (self._route.targets[0].service, call.target)
+        self._owner.demand.ended(key, was_late)
+
     def _report(self, outcome: str) -> None:
         took_s = asyncio.get_running_loop().time() - self._arrived_s
+        self._note_lateness()
         route = self._route.name if self._route else ""
         self._owner._metrics.count(
             "sesamecross_requests_total",
--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -8,6 +8,7 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import store_client
+from sesamecross.gateway import store_proxy
 from sesamecross.ops.fleet import lease as lease_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
@@ -44,11 +45,13 @@
     def __init__(
         self,
         client: store_client.StoreClient,
+        proxy: store_proxy.StoreProxy,
         topic: str,
         mesh: mesh_lib.Mesh,
         gap_s: float,
     ):
         self._client = client
+        self._proxy = proxy
         self._topic = topic
         self._mesh = mesh
         self._gap_s = gap_s
@@ -167,7 +170,7 @@
             )
 
     async def _look(self) -> None:
-        outcome = await self._client.newest(self._topic, "")
+        outcome = await self._proxy.newest(self._topic)
         if not isinstance(outcome, store.Newest):
             return
         record = None
@@ -179,8 +182,8 @@
     async def _write(self, at: int, fence: int) -> None:
         me = self._mesh.roster.me
         record = _LeaseRecord(me.name, me.incarnation, fence, False)
-        outcome = await self._client.append(
-            self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at=at
+        outcome = await self._proxy.append(
+            self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at
         )
         match outcome:
             case store.Appended(offset):
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -196,6 +196,9 @@
         if len(data) > MAX_DATAGRAM:
             self._log.error("a message is too large", bytes=len(data))
             return
+        if self.transport is None or self.transport.is_closing():
+            # The port is closed: this process is on its way out.
+            return
         host, _, port = to.address.rpartition(":")
         self.bytes_sent += len(data)
         self.transport.sendto(data, (host, int(port)))
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -20,6 +20,8 @@
 from sesamecross.gateway import catalog as catalog_lib
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import store_client
+from sesamecross.gateway import store_proxy
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.transport import streams
@@ -79,10 +81,14 @@
         mesh: mesh_lib.Mesh,
         state: state_lib.State,
         catalog: catalog_lib.Catalog,
+        client: store_client.StoreClient,
+        own_prefix: str,
     ):
         self._mesh = mesh
         self._state = state
         self._catalog = catalog
+        self._client = client
+        self._own_prefix = own_prefix
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
 
     async def run(self) -> None:
@@ -108,8 +114,14 @@
             )
             while True:
                 ask = await stream.receive()
-                if isinstance(ask, SyncAsk):
-                    await stream.send(self._answer(ask))
+                match ask:
+                    case SyncAsk():
+                        await stream.send(self._answer(ask))
+                    case store_proxy.AppendAsk() | store_proxy.NewestAsk():
+                        told = await store_proxy.serve(
+                            self._client, self._own_prefix, ask
+                        )
+                        await stream.send(told)
         except (streams.StreamClosed, asyncio.CancelledError):
             # The task is asyncio's own: a cancellation that left it would be
             # reported as an error of its callback.
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -22,9 +22,11 @@
 ADAPTER_S = 0.08
 # How long a request holds its slot, for the wait in front of a full batch.
 HOLD_S = 2.0
-# Each request in the batch makes every step a little longer: this much for
-# the whole of a typical stream.
-CROWD_S = 0.0015
+# One more request in a full batch makes everybody's events later, and in a
+# nearly empty one nobody's; the cost grows with the square of the share that
+# is taken. Between regions (45 ms) an engine a third full is as good as an
+# empty one.
+CROWD_S = 0.4
 NEAR_S = 0.01
 # A token of an ordinary stream, for how long a request will go on.
 TOKEN_S = 0.009
@@ -71,7 +73,7 @@
         place.distance_s(known.entry.zone)
         + first_ms / 1000
         + waiting / slots * HOLD_S
-        + known.running * CROWD_S
+        + (known.running / slots) ** 2 * CROWD_S
         + known.failing(now_s) * FAILURE_S
         + (ADAPTER_S if lacks else 0.0)
     )
--- a/sesamecross/ops/fleet/placement_data.py
+++ b/sesamecross/ops/fleet/placement_data.py
@@ -28,6 +28,7 @@
       load: How many engines its requests keep busy: by the time that their
         prompts take to read, or by their places in the batch.
       waiting: Requests that wait until it answers.
+      late: Of the requests that found it, the share that missed an objective.
       starved_s: For how long requests have found it nowhere.
     """
 
@@ -35,6 +36,7 @@
     usual: float
     load: float
     waiting: int
+    late: float = 0.0
     starved_s: float = 0.0
 
     @property
--- a/sesamecross/ops/fleet/placement_memory.py
+++ b/sesamecross/ops/fleet/placement_memory.py
@@ -94,11 +94,13 @@
           now_s: Monotonic time.
         """
         rates: dict[str, float] = {}
+        late: dict[str, float] = {}
         waiting: dict[str, int] = {}
         for (of, target), one in told.items():
             if of == service:
                 model = target.partition("/")[0]
                 rates[model] = rates.get(model, 0.0) + one.rate
+                late[model] = late.get(model, 0.0) + one.rate * one.late
                 if model == target:
                     waiting[model] = waiting.get(model, 0) + one.waiting
         for of, target, _ in wants:
@@ -116,6 +118,7 @@
                 self._usual.get((service, name), 0.0),
                 _load(spec, rates.get(name, 0.0), running.get(name, 0)),
                 waiting.get(name, 0),
+                late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
                 self._starved_s(service, name, waiting, held, now_s),
             )
             for name in spec.models
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -28,6 +28,9 @@
 # From this load on, an engine's streams pause for the prompts of others and
 # its batch is nearly full: what is beyond is late.
 FULL_SHARE = 0.7
+# This share is late by chance: prompts that are too large to be on time.
+LATE_SHARE = 0.15
+LATE_LOAD = 0.2
 # Models that were loaded stay at least this long: two that take turns in one
 # place serve nobody.
 STAY_S = 3.0
@@ -242,9 +245,19 @@
 
 
 def _over(draft: _Draft, name: str, places: Iterable[str]) -> float:
-    """Returns the share of a model's requests that its engines can't take."""
+    """Returns the share of a model's requests that its engines can't take.
+
+    That is the share that is late, beyond what is always late by chance, or
+    what exceeds the engines' time and places: lateness shows overload of any
+    cause, a second after it began.
+    """
     load = min(draft.load(one) for one in places)
-    return max(0.0, 1.0 - FULL_SHARE / load) if load > 0 else 0.0
+    excess = 1.0 - FULL_SHARE / load if load > 0 else 0.0
+    late = draft.inputs.demand_for(name).late - LATE_SHARE
+    if load < LATE_LOAD:
+        # A lightly loaded engine is not what makes them late.
+        late = 0.0
+    return max(0.0, excess, late)
 
 
 def _best_move_of(draft: _Draft, name: str, gain: float) -> _Move | None:
