--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -199,12 +199,14 @@
     The figures are some hundred ms old when they arrive.
 
     Attributes:
+      born_ms: Which life of the engine this is; 0 if it does not say.
       orders: Orders accepted since its start.
       is_busy: Whether an order is being carried out.
       arriving_adapters: MODEL/ADAPTER names in transit.
       kv_used: Tokens in memory that can't be given up.
     """
 
+    born_ms: int
     orders: int
     is_busy: bool
     models: tuple[HeldModel, ...]
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -28,6 +28,8 @@
 TELL_S = 0.1
 # Zones and regions are priced by volume: their hubs speak less often.
 SUMMARY_S = 0.2
+# How often a hub speaks to members of its zone that it does not hear.
+CALL_EVERY_S = 0.5
 # Says that a lease was given back.
 RELEASED_S = -1.0
 
@@ -113,6 +115,7 @@
         self._summary_s = 0.0
         self._viewed: dict[str, float] = {}
         self._hub = ""
+        self._called_s = 0.0
         self._placed = (-1, -1, -1)
         self._listeners: list[MessageListener] = []
         self.lease: fm.LeaseNews | None = None
@@ -233,6 +236,18 @@
             member for member in self.roster.alive(now_s) if member.zone == zone
         ]
 
+    def _unheard(self, now_s: float) -> list[fm.Member]:
+        """Returns silent members of the zone, now and then.
+
+        One that registered at the same moment may know of nobody, and take
+        itself for the hub: it learns of the others when one speaks to it.
+        """
+        if now_s - self._called_s < CALL_EVERY_S:
+            return []
+        self._called_s = now_s
+        zone = self.roster.me.zone
+        return [one for one in self.roster.silent(now_s) if one.zone == zone]
+
     def _is_hub(self, now_s: float) -> bool:
         me = self.roster.me
         return self.roster.hub_of(me.zone, now_s) == me.name
@@ -301,7 +316,7 @@
                 self._send_bytes(data, self.roster.get(hub))
 
     def _tell_members(self, now_s: float) -> None:
-        members = self._members(now_s)
+        members = self._members(now_s) + self._unheard(now_s)
         if not members:
             return
         sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -103,44 +103,67 @@
           asked_s: When it was asked.
           now_s: Monotonic time.
         """
+        if report.born_ms and report.born_ms != self.born_ms:
+            # Another life has the address: its entry will say so.
+            self.is_certain = False
+            return
         self.copies = report.copies
         if report.orders < self.orders:
             return
-        is_new = report.orders > self.orders
-        if not is_new and asked_s < self.settled_s:
-            return
-        self.orders = report.orders
         listed = engine_state.targets_of(report.models)
-        if report.is_busy and not is_new:
-            listed = {one for one in listed if not self._departs(one)}
-        else:
-            self.departing.clear()
-        arriving = {
-            target: now_s
-            for target in report.arriving_adapters
-            if target not in listed
-        }
-        if report.is_busy and not is_new:
-            arriving |= {
-                target: at_s
-                for target, at_s in self.arriving.items()
-                if target not in listed
-            }
-        self._set(listed)
-        self.arriving = arriving
-        self.is_certain = not report.is_busy or (self.is_certain and not is_new)
+        if report.orders > self.orders:
+            self._adopt(report, listed, now_s)
+        elif asked_s >= self.settled_s:
+            self._confirm(report, listed, now_s)
 
-    def _departs(self, target: str) -> bool:
-        return target.partition("/")[0] in self.departing
+    def _adopt(
+        self, report: serving.EngineReport, listed: set[str], now_s: float
+    ) -> None:
+        """Takes over what orders that these books don't know have done.
 
-    def _set(self, listed: set[str]) -> None:
+        While one of them is under way, what it loads is listed nowhere.
+        """
+        self.orders = report.orders
+        self.departing.clear()
         self.models = {target for target in listed if "/" not in target}
         self.adapters = {target for target in listed if "/" in target}
+        self.arriving = dict.fromkeys(
+            report.arriving_adapters - self.adapters, now_s
+        )
+        self.is_certain = not report.is_busy
+
+    def _confirm(
+        self, report: serving.EngineReport, listed: set[str], now_s: float
+    ) -> None:
+        """Completes the books by a report of the same count of orders.
+
+        Between two orders a model only comes, by the load under way, or goes,
+        by the unload under way. So a report never takes away another model:
+        it may have been made before the load was complete.
+        """
+        if report.is_busy:
+            listed = {one for one in listed if not self._departs(one)}
+        else:
+            self.departing.clear()
+        models = {target for target in listed if "/" not in target}
+        for target in models & set(self.arriving):
+            self._arrived(target)
+        self.models |= models
+        self.adapters |= listed - models
+        arriving = dict.fromkeys(
+            report.arriving_adapters - self.adapters, now_s
+        )
+        if report.is_busy or not self.is_certain:
+            arriving = self.arriving | arriving
         self.arriving = {
             target: at_s
-            for target, at_s in self.arriving.items()
-            if target not in listed
+            for target, at_s in arriving.items()
+            if target not in self.models and target not in self.adapters
         }
+        self.is_certain = self.is_certain or not report.is_busy
+
+    def _departs(self, target: str) -> bool:
+        return target.partition("/")[0] in self.departing
 
     def _arrived(self, target: str) -> None:
         self.loaded_s[target] = self.arriving.pop(target, 0.0)
--- a/sesamecross/platform/engine_api.py
+++ b/sesamecross/platform/engine_api.py
@@ -16,6 +16,7 @@
 
 
 class _WireReport(msgspec.Struct, frozen=True, rename="camel"):
+    born: int = 0
     models: list[catalog.WireHeldModel] = []
     busy: bool = False
     # Orders accepted since the engine's start.
@@ -39,6 +40,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
     return serving.EngineReport(
+        wire.born,
         wire.sequence,
         wire.busy,
         catalog.held_models(wire.models),
