Requests without a place are refused at once with the plan's time; planned places are exchanged

A busy model whose engine had died waited for such a place while idle room was promised to a model asked for once a second.

Change: the plan's expected times go out with the placement; a request waits only where its model will answer while its caller does, and is refused at once with that time otherwise; models whose loads have not begun exchange places by their worth.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -150,6 +150,8 @@
       orders: Orders that it has accepted.
       targets: Models and adapters that answer now.
       arriving: Targets being loaded, and in how many seconds they answer.
+      planned: Models that will be loaded here once there is room, and in how
+        many seconds they are expected to answer.
     """
 
     upstream: str
@@ -157,6 +159,7 @@
     orders: int
     targets: list[str]
     arriving: list[tuple[str, float]]
+    planned: list[tuple[str, float]]
 
 
 class Placement(
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -54,6 +54,7 @@
         "_log",
         "_open",
         "demand",
+        "missing",
         "uses",
         "want",
         "pacing",
@@ -77,6 +78,7 @@
         self._log = logs.part("request")
         self._open: set[asyncio.Task] = set()
         self.demand = demand_lib.Demand()
+        self.missing = patience.Missing()
         self.uses = target_uses.TargetUses()
         # Tells who gives orders that a request waits for a target.
         self.want: Callable[[str, str, str], None] = _nobody
@@ -406,21 +408,15 @@
                         return choice.upstream
                     self._release()
                     continue
-                decision = patience.decide(
-                    self._route,
-                    self._arrived_s,
-                    self._ends_s,
-                    self._arrives_s(call),
-                    now_s,
-                )
+                at = choice.upstream.entry.instance_id if choice else ""
+                owner.want(service, call.target if at else call.model, at)
+                decision = self._decide_wait(call, choice, now_s)
                 if isinstance(decision, patience.ComeBack):
                     self._back_s = decision.after_s
                     return None
                 if not waits:
                     waits = True
                     owner.demand.waits(key, 1)
-                at = choice.upstream.entry.instance_id if choice else ""
-                owner.want(service, call.target if at else call.model, at)
                 await owner._state.changed(
                     min(WANT_AGAIN_S, decision.until_s - now_s)
                 )
@@ -429,6 +425,25 @@
                 owner.demand.waits(key, -1)
                 self._waited_s += loop.time() - begun_s
 
+    def _decide_wait(
+        self,
+        call: serving.ModelCall,
+        choice: engine_choice.Choice | None,
+        now_s: float,
+    ) -> patience.Wait | patience.ComeBack:
+        """Decides whether to wait for a model, or an adapter it lacks."""
+        window = patience.Window(
+            self._arrived_s,
+            patience.leaves_s(self._route, self._arrived_s, self._ends_s),
+            self._ends_s,
+        )
+        if choice is not None:
+            return patience.decide_adapter(window, now_s)
+        missed_s = self._owner.missing.since(call.model, now_s)
+        return patience.decide_model(
+            window, self._arrives_s(call), missed_s, now_s
+        )
+
     def _rate_engines(
         self, call: serving.ModelCall, now_s: float
     ) -> engine_choice.Choice | None:
--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -89,6 +89,8 @@
         self._budgets: dict[str, load_budget.LoadBudget] = {}
         self._withdrawn: dict[tuple[str, str], float] = {}
         self._targets: dict[str, placement_data.Target] = {}
+        # When models that wait for room are expected, by engine and model.
+        self._planned: dict[str, dict[str, float]] = {}
         self._aimed_s: dict[str, float] = {}
         self._is_active = False
         self._planned_s = 0.0
@@ -195,6 +197,7 @@
             for target in ledger.models | ledger.adapters
             if target.partition("/")[0] not in gone
         }
+        planned = self._planned.get(ledger.instance_id, {})
         return fm.EnginePlace(
             ledger.instance_id,
             ledger.born_ms,
@@ -204,6 +207,11 @@
                 (target, round(at_s - now_s, 2))
                 for target, at_s in sorted(ledger.arriving.items())
             ],
+            [
+                (target, round(at_s - now_s, 2))
+                for target, at_s in sorted(planned.items())
+                if not ledger.holds_or_will(target)
+            ],
         )
 
     def _tell_wanting(self, message: fm.Placement) -> None:
@@ -245,6 +253,7 @@
         self._wants.clear()
         self._withdrawn.clear()
         self._targets.clear()
+        self._planned.clear()
         self._aimed_s.clear()
         self._wanting.clear()
 
@@ -418,6 +427,10 @@
         if self._targets.get(service) != target:
             self._log_target(service, inputs, target)
         self._targets[service] = target
+        for name, waits in placement_target.expected(inputs, target).items():
+            self._planned[name] = {
+                model: now_s + wait_s for model, wait_s in waits.items()
+            }
         return target
 
     def _log_target(
@@ -593,6 +606,10 @@
     return (
         told.orders != place.orders
         or told.targets != place.targets
-        or [name for name, _ in told.arriving]
-        != [name for name, _ in place.arriving]
+        or _names(told.arriving) != _names(place.arriving)
+        or _names(told.planned) != _names(place.planned)
     )
+
+
+def _names(expected: list[tuple[str, float]]) -> list[str]:
+    return [name for name, _ in expected]
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -79,10 +79,10 @@
         return absent_s is None or now_s - absent_s > ABSENT_S
 
     def arrives_s(self, target: str) -> float | None:
-        """Returns when a target will answer, or None if it isn't loaded."""
+        """Returns when a target will answer, or None if nobody plans it."""
         if self.place is None:
             return None
-        for name, eta_s in self.place.arriving:
+        for name, eta_s in (*self.place.arriving, *self.place.planned):
             if name == target:
                 return self.place_s + eta_s
         return None
--- a/sesamecross/ops/fleet/patience.py
+++ b/sesamecross/ops/fleet/patience.py
@@ -16,11 +16,20 @@
 GAP_PAUSES = 8.0
 # Off the caller's patience, for the way there and the prompt's reading.
 MARGIN_S = 0.3
-# A request whose model nobody loads yet waits this share of its patience for
-# news of it.
-UNKNOWN_SHARE = 0.35
-# When nothing is known of a load, it is about this far away.
-TYPICAL_LOAD_S = 2.0
+# A request for a model that nobody plans to load waits this long for news of
+# it: the way to the one who gives orders and back, between regions, and the
+# engine's answer to the order.
+NEWS_S = 0.2
+# After a pause of this length among the requests for a model, the next one
+# waits for news again.
+MISSED_AGAIN_S = 1.0
+# A request whose adapter is missing waits this share of its patience for it.
+ADAPTER_SHARE = 0.35
+# When a request that an adapter uses has probably ended.
+ADAPTER_BACK_S = 2.0
+# A model that has no place is about this far away: the requests of one that
+# makes way take 2 to 4 s to end, and the load 0.5 to 4 s.
+NO_PLACE_S = 4.0
 # Callers come back after at most a third of what is left of their time.
 BACK_SHARE = 1 / 3
 LEAST_BACK_S = 0.1
@@ -54,32 +63,80 @@
     return min(ends_s, arrived_s + patience_s(route)) - MARGIN_S
 
 
-def decide(
-    route: serving.Route,
-    arrived_s: float,
-    ends_s: float,
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """When a request arrived, and until when it can wait.
+
+    Attributes:
+      leaves_s: Until when it can be sent and still be served.
+      ends_s: When its time is over.
+    """
+
+    arrived_s: float
+    leaves_s: float
+    ends_s: float
+
+
+class Missing:
+    """Since when requests of one instance have found a model nowhere."""
+
+    __slots__ = ("_seen",)
+
+    def __init__(self) -> None:
+        # By model: the first and the last request that missed it.
+        self._seen: dict[str, tuple[float, float]] = {}
+
+    def since(self, model: str, now_s: float) -> float:
+        """Notes that a model is missed; returns since when it has been."""
+        first_s, last_s = self._seen.get(model, (now_s, now_s))
+        if now_s - last_s > MISSED_AGAIN_S:
+            # What was told of it then holds no longer.
+            first_s = now_s
+        self._seen[model] = (first_s, now_s)
+        return first_s
+
+
+def decide_model(
+    window: Window,
     arrives_s: float | None,
+    missed_s: float,
     now_s: float,
 ) -> Wait | ComeBack:
     """Decides whether a request waits for its model.
 
+    The pattern: more models are asked for than fit, and a request for one that
+    has no place was held for 0.6 s and refused then. A third of all refusals
+    were of this kind; the caller loses the time and learns nothing. Now the
+    first request that misses a model waits for news of it, and those behind it
+    are refused at once until there is a plan.
+
     Args:
-      route: Its route.
-      arrived_s: When it arrived.
-      ends_s: When its time is over.
-      arrives_s: When the model is expected; None if nobody loads it yet.
+      window: The request's times.
+      arrives_s: When the model is expected; None if nobody plans to load it.
+      missed_s: Since when requests at this instance have missed it.
       now_s: Monotonic time.
     """
-    last_s = leaves_s(route, arrived_s, ends_s)
     if arrives_s is None:
-        share_s = (last_s - arrived_s) * UNKNOWN_SHARE
-        until_s = arrived_s + share_s
+        until_s = min(window.leaves_s, missed_s + NEWS_S)
         if now_s < until_s:
             return Wait(until_s)
-        return ComeBack(_back_s(TYPICAL_LOAD_S, ends_s, now_s))
-    if arrives_s <= last_s and now_s < last_s:
-        return Wait(last_s)
-    return ComeBack(_back_s(arrives_s - now_s, ends_s, now_s))
+        return ComeBack(_back_s(NO_PLACE_S, window.ends_s, now_s))
+    if arrives_s <= window.leaves_s and now_s < window.leaves_s:
+        return Wait(window.leaves_s)
+    return ComeBack(_back_s(arrives_s - now_s, window.ends_s, now_s))
+
+
+def decide_adapter(window: Window, now_s: float) -> Wait | ComeBack:
+    """Decides whether a request waits for an adapter of a model that is there.
+
+    Adapters take some milliseconds; they wait only where all places for
+    adapters are in use.
+    """
+    waits_s = (window.leaves_s - window.arrived_s) * ADAPTER_SHARE
+    until_s = window.arrived_s + waits_s
+    if now_s < until_s:
+        return Wait(until_s)
+    return ComeBack(_back_s(ADAPTER_BACK_S, window.ends_s, now_s))
 
 
 def _back_s(wished_s: float, ends_s: float, now_s: float) -> float:
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -45,6 +45,8 @@
 # can begin within this. Nothing else changes it: models that alternate
 # between places would have room made for them everywhere.
 SOON_S = 0.25
+# Two models exchange places where one is worth this many times the other.
+EXCHANGE_TIMES = 2.0
 # A second place for a model of this load is worth a little, in room that is
 # free: its engine can fail, and halves are served sooner.
 SPARE_LOAD = 0.15
@@ -172,6 +174,7 @@
     """Returns what each engine should hold."""
     draft = _Draft(inputs, inputs.target)
     _take_sooner_places(draft)
+    _exchange_places(draft)
     tried: set[str] = set()
     for _ in range(MOVES_MOST):
         name = _most_worth(draft, tried)
@@ -197,6 +200,92 @@
     return {name: frozenset(held) for name, held in draft.held.items()}
 
 
+def expected(
+    inputs: data.Inputs, target: data.Target
+) -> dict[str, dict[str, float]]:
+    """Returns in how many seconds planned models will answer, by engine.
+
+    Those are the models that an engine should hold and does not load yet.
+    """
+    draft = _Draft(inputs, target)
+    waits: dict[str, dict[str, float]] = {}
+    for instance_id, engine in draft.engines.items():
+        ready_s = 0.0
+        waits[instance_id] = {}
+        for name in _not_begun(draft, instance_id):
+            ready_s = max(ready_s, _waits_for(draft, engine, name))
+            takes_s, _ = inputs.load_time(engine, name)
+            ready_s += takes_s
+            waits[instance_id][name] = ready_s
+    return waits
+
+
+def _not_begun(draft: _Draft, instance_id: str) -> list[str]:
+    """Returns what an engine should hold and does not load, by its worth."""
+    ledger = draft.engines[instance_id].ledger
+    names = [
+        name
+        for name in draft.held[instance_id]
+        if not ledger.holds_or_will(name)
+    ]
+    return sorted(
+        names, key=lambda name: (-draft.inputs.demand_for(name).value, name)
+    )
+
+
+def _exchange_places(draft: _Draft) -> None:
+    """Gives the places that are free soonest to the models worth most.
+
+    The pattern: an engine with a busy model dies. Places are planned one
+    after the other, so the idle room may be promised to a model that is asked
+    for now and then, while the busy one waits 3 to 5 s until the requests of
+    some other model have ended. As long as no load has begun, two models
+    exchange their places at no cost.
+    """
+    planned = [
+        (draft.inputs.demand_for(name).value, name, instance_id)
+        for instance_id in draft.engines
+        for name in _not_begun(draft, instance_id)
+        if draft.inputs.demand_for(name).is_asked
+    ]
+    planned.sort(key=lambda one: (-one[0], one[1:]))
+    moved: set[tuple[str, str]] = set()
+    for value, name, instance_id in planned:
+        if (name, instance_id) in moved:
+            continue
+        wait_s = _waits_for(draft, draft.engines[instance_id], name)
+        best = None
+        for lesser, other, other_id in planned:
+            if lesser * EXCHANGE_TIMES > value or (other, other_id) in moved:
+                continue
+            if not _may_exchange(draft, name, instance_id, other, other_id):
+                continue
+            other_s = _waits_for(draft, draft.engines[other_id], other)
+            gain_s = wait_s - other_s
+            if gain_s > SOON_S and (best is None or gain_s > best[0]):
+                best = (gain_s, other, other_id)
+        if best is not None:
+            _, other, other_id = best
+            draft.remove(instance_id, name)
+            draft.remove(other_id, other)
+            draft.add(other_id, name)
+            draft.add(instance_id, other)
+            moved |= {(other, other_id), (name, instance_id)}
+
+
+def _may_exchange(
+    draft: _Draft, name: str, instance_id: str, other: str, other_id: str
+) -> bool:
+    if instance_id == other_id:
+        return False
+    if other_id in draft.places[name] or instance_id in draft.places[other]:
+        return False
+    size = draft.inputs.size
+    return draft.free[other_id] + size(other) >= size(name) and draft.free[
+        instance_id
+    ] + size(name) >= size(other)
+
+
 def _take_sooner_places(draft: _Draft) -> None:
     """Moves what waits for requests to end to where a load can begin now."""
     for instance_id, engine in draft.engines.items():
--- /dev/null
+++ b/sesamecross/ops/fleet/placement_target_test.py
@@ -0,0 +1,130 @@
+"""Tests of which models engines should hold, by the load each one answers."""
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.ops.fleet import engine_ledger
+from sesamecross.ops.fleet import placement_data as data
+from sesamecross.ops.fleet import placement_target
+
+NAMES = ("busy", "rare", "other", "idle", "stays", "stays-too")
+SIZES = dict.fromkeys(NAMES, 40.0)
+ROOM_MB = 80.0
+LOAD_S = 2.0
+
+
+def spec(sizes=None) -> serving.EngineSpec:
+    models = {
+        name: serving.ServedModel(name, size, LOAD_S, 0.5, 0.3, 0, 1.0)
+        for name, size in (sizes or SIZES).items()
+    }
+    return serving.EngineSpec(64, 100_000, ROOM_MB, 8, 2.0, 6, models)
+
+
+def engine(name: str, *models: str) -> data.Engine:
+    ledger = engine_ledger.EngineLedger(name, 1)
+    ledger.models.update(models)
+    ledger.is_certain = True
+    ledger.loaded_s = dict.fromkeys(models, -100.0)
+    return data.Engine(ledger, free_for_order=True, is_leaving=False)
+
+
+def demand(rate: float, load: float = 0.1) -> data.ModelDemand:
+    return data.ModelDemand(rate, min(rate, 1.0), load, 0)
+
+
+def inputs(engines, demands, target, in_use=None) -> data.Inputs:
+    return data.Inputs(
+        spec(),
+        tuple(engines),
+        demands,
+        in_use or {},
+        {},
+        {name: frozenset(models) for name, models in target.items()},
+        (),
+        2,
+        True,
+        True,
+        0.0,
+    )
+
+
+def test_a_busy_model_gets_the_room_that_is_free_sooner():
+    """The only engine with the busiest model died.
+
+    Idle room at another engine had just been promised to a model that is
+    asked for once a second. The busy one was planned where a model in use has
+    to make way, and its callers were refused for 8 s, while the idle room was
+    being filled with the rare one.
+    """
+    # `other` serves twelve requests at e1 and makes way there; `idle` at e2
+    # serves none.
+    got = placement_target.target(
+        inputs(
+            [engine("e1", "other", "stays"), engine("e2", "idle", "stays-too")],
+            {
+                "busy": demand(18.0),
+                "rare": demand(0.7),
+                "stays": demand(3.0),
+                "stays-too": demand(3.0),
+            },
+            {"e1": ["busy", "stays"], "e2": ["rare", "stays-too"]},
+            {("e1", "other"): 12},
+        )
+    )
+    assert "busy" in got["e2"]
+
+
+def test_models_exchange_no_places_where_nothing_is_won():
+    """Both places are free at once: the plan stays as it was."""
+    before = {"e1": frozenset({"busy"}), "e2": frozenset({"rare"})}
+    got = placement_target.target(
+        inputs(
+            [engine("e1"), engine("e2")],
+            {"busy": demand(18.0), "rare": demand(0.7)},
+            before,
+        )
+    )
+    assert "busy" in got["e1"]
+    assert "rare" in got["e2"]
+
+
+@pytest.mark.parametrize(
+    ("engines", "target", "in_use", "expected"),
+    [
+        # Free room: the load alone.
+        ([engine("e1")], {"e1": ["busy"]}, {}, {"busy": LOAD_S}),
+        # Two loads, one after the other, the more valuable one first.
+        (
+            [engine("e1")],
+            {"e1": ["busy", "rare"]},
+            {},
+            {"busy": LOAD_S, "rare": 2 * LOAD_S},
+        ),
+        # What is held already is not expected.
+        ([engine("e1", "busy")], {"e1": ["busy"]}, {}, {}),
+        # An idle model makes way first.
+        (
+            [engine("e1", "idle", "other")],
+            {"e1": ["busy", "other"]},
+            {},
+            {"busy": LOAD_S + placement_target.UNLOAD_S},
+        ),
+        # One whose request has to end first.
+        (
+            [engine("e1", "idle", "other")],
+            {"e1": ["busy", "other"]},
+            {("e1", "idle"): 1},
+            {
+                "busy": LOAD_S
+                + placement_target.UNLOAD_S
+                + placement_target.RUNNING_S
+            },
+        ),
+    ],
+)
+def test_planned_models_are_expected_in_time(engines, target, in_use, expected):
+    demands = {"busy": demand(18.0), "rare": demand(0.7)}
+    given = inputs(engines, demands, target, in_use)
+    got = placement_target.expected(given, given.target)
+    assert got["e1"] == pytest.approx(expected)
