--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -210,6 +210,7 @@
         "_tried",
         "_full",
         "_back_s",
+        "_expected_s",
         "_waited_s",
         "_permit",
         "_paced_s",
@@ -238,6 +239,8 @@
         # Engines whose pacer refused the request.
         self._full: set[str] = set()
         self._back_s = RETRY_AFTER_S
+        # When the model was expected, by the last plan that was looked at.
+        self._expected_s: float | None = None
         self._waited_s = 0.0
         self._permit: pacing_lib.Permit | None = None
         self._paced_s = 0.0
@@ -445,9 +448,8 @@
         if choice is not None:
             return patience.decide_adapter(window, now_s)
         missed_s = self._owner.missing.since(call.model, now_s)
-        return patience.decide_model(
-            window, self._arrives_s(call), missed_s, now_s
-        )
+        self._expected_s = self._arrives_s(call)
+        return patience.decide_model(window, self._expected_s, missed_s, now_s)
 
     def _rate_engines(
         self, call: serving.ModelCall, now_s: float
@@ -732,9 +734,28 @@
             ms=round(took_s * 1000),
             note=self._note,
             config=self._owner._state.version,
+            **self._refusal_fields(outcome),
             **self._engine_fields(),
         )
 
+    def _refusal_fields(self, outcome: str) -> dict[str, object]:
+        """When a refused caller comes back, and what that rests on."""
+        if outcome != "refused":
+            return {}
+        fields: dict[str, object] = {"back_s": round(self._back_s, 2)}
+        call = self._request.call
+        if call is None or self._route is None:
+            return fields
+        now_s = asyncio.get_running_loop().time()
+        if self._expected_s is not None:
+            fields["expected_in_s"] = round(self._expected_s - now_s, 2)
+        told_s = [known.engine.place_s for known in self._usable()]
+        if told_s:
+            fields["plan_age_ms"] = round((now_s - max(told_s)) * 1000)
+        if self._full:
+            fields["full"] = sorted(self._full)
+        return fields
+
     def _engine_fields(self) -> dict[str, object]:
         """What decided where a model's request went, and what came of it."""
         if self._request.call is None:
--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -28,9 +28,17 @@
 # Planning looks at all engines and models; between two looks only what
 # somebody waits for is new.
 PLAN_S = 0.1
+# Wants arrive by the hundred a second where many models are missed, and each
+# asks for a plan: the next one comes no sooner than after this many times what
+# the last one took.
+PLAN_RESTS = 4.0
 # The target is looked at anew this often: a plan of 6 engines and 20 models
 # takes some milliseconds, and what it rests on changes no faster.
 TARGET_S = 0.15
+# And no sooner than after this many times what the last look took: at 56
+# engines and 135 models one takes 25 to 50 ms of a whole core, and the one who
+# plans has half of one and callers to serve.
+TARGET_RESTS = 5.0
 # A want is repeated while the request waits; without that it lapses.
 WANT_S = 0.6
 # After a conflict or a lost answer, until the engine's report covers it.
@@ -91,9 +99,12 @@
         self._targets: dict[str, placement_data.Target] = {}
         # When models that wait for room are expected, by engine and model.
         self._planned: dict[str, dict[str, float]] = {}
-        self._aimed_s: dict[str, float] = {}
+        # When the target is looked at next, by service.
+        self._aim_s: dict[str, float] = {}
         self._is_active = False
         self._planned_s = 0.0
+        # Until when no plan is made, whoever wants one.
+        self._rests_s = 0.0
         self._begun_s = 0.0
         self._engine_came_s = 0.0
         self._refreshed_s = 0.0
@@ -240,9 +251,11 @@
         self._ask(now_s)
         for desk in self._desks.values():
             desk.ledger.expected(now_s)
-        if now_s - self._planned_s >= PLAN_S:
+        if now_s - self._planned_s >= PLAN_S and now_s >= self._rests_s:
             self._planned_s = now_s
             self._plan(now_s)
+            took_s = asyncio.get_running_loop().time() - now_s
+            self._rests_s = now_s + took_s * PLAN_RESTS
         self._tell(now_s)
 
     def _deactivate(self) -> None:
@@ -254,7 +267,7 @@
         self._withdrawn.clear()
         self._targets.clear()
         self._planned.clear()
-        self._aimed_s.clear()
+        self._aim_s.clear()
         self._wanting.clear()
 
     def _engine_spec(self, service: str) -> serving.EngineSpec | None:
@@ -416,9 +429,8 @@
     ) -> placement_data.Target:
         """Returns what engines should hold; looks at it anew now and then."""
         now_s = inputs.now_s
-        if now_s - self._aimed_s.get(service, 0.0) < TARGET_S:
+        if now_s < self._aim_s.get(service, 0.0):
             return self._targets[service]
-        self._aimed_s[service] = now_s
         if inputs.knows_demand:
             target = placement_target.target(inputs)
         else:
@@ -431,6 +443,8 @@
             self._planned[name] = {
                 model: now_s + wait_s for model, wait_s in waits.items()
             }
+        took_s = asyncio.get_running_loop().time() - now_s
+        self._aim_s[service] = now_s + max(TARGET_S, took_s * TARGET_RESTS)
         return target
 
     def _log_target(
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -82,6 +82,8 @@
         "load",
         "_running",
         "_losses",
+        "_sizes",
+        "_roomy",
     )
 
     def __init__(self, inputs: data.Inputs, target: data.Target):
@@ -105,6 +107,10 @@
         self.load = dict.fromkeys(self.engines, 0.0)
         self._running = running_by_model(inputs)
         self._losses: dict[tuple[str, str], float | None] = {}
+        self._sizes = {
+            name: model.weights_mb for name, model in inputs.spec.models.items()
+        }
+        self._roomy: dict[str, list[tuple[float, str]]] = {}
         for instance_id, engine in self.engines.items():
             before = target.get(instance_id)
             if before is None:
@@ -115,7 +121,26 @@
 
     def fits(self, instance_id: str, name: str) -> bool:
         """Whether there is room for a model beside what should be held."""
-        return self.free[instance_id] >= self.inputs.size(name)
+        return self.free[instance_id] >= self._sizes[name]
+
+    def elsewhere_s(self, instance_id: str, name: str) -> float | None:
+        """Returns how long a load takes at the best other engine with room.
+
+        None where there is no room for it.
+        """
+        if name not in self._roomy:
+            size = self._sizes[name]
+            times = [
+                (self.inputs.load_time(self.engines[other], name)[0], other)
+                for other, free in self.free.items()
+                if free >= size
+            ]
+            # The second one counts where the best is the engine itself.
+            self._roomy[name] = sorted(times)[:2]
+        for time_s, other in self._roomy[name]:
+            if other != instance_id:
+                return time_s
+        return None
 
     def add(self, instance_id: str, name: str) -> None:
         """Adds a model to an engine."""
@@ -136,6 +161,7 @@
     def _spread(self, name: str, sign: float) -> None:
         """Adds a model's load to its engines, or takes it off them."""
         self._losses.clear()
+        self._roomy.clear()
         places = self.places[name]
         for instance_id in places:
             share = self.inputs.demand_for(name).load / len(places)
@@ -518,19 +544,9 @@
         return demand.rate * max(0.0, 1.0 - FULL_SHARE / max(busy, 1e-9))
     if demand.waiting:
         return None
-    elsewhere_s = _elsewhere_s(draft, instance_id, name)
+    elsewhere_s = draft.elsewhere_s(instance_id, name)
     if elsewhere_s is not None:
         # It is loaded there first: what waits is the model that comes, for
         # the length of the load.
         return MOVE_LOSS + demand.value * elsewhere_s / HORIZON_S
     return demand.value
-
-
-def _elsewhere_s(draft: _Draft, instance_id: str, name: str) -> float | None:
-    """Returns how long it takes to load a model where there is room."""
-    times = [
-        draft.inputs.load_time(engine, name)[0]
-        for other, engine in draft.engines.items()
-        if other != instance_id and draft.fits(other, name)
-    ]
-    return min(times, default=None)
