An instance that stops takes what ends before its kill

Change: plain requests are taken until their timeout no longer fits into the grace, short streams as well; idle connections are closed once the balancer knows.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -26,6 +26,7 @@
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
 from sesamecross.ops.fleet import reach
+from sesamecross.ops.fleet import stopping
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
@@ -37,9 +38,6 @@
 BALANCER_LAG_S = 2.6
 # Off the grace, for the last bytes to leave before the kill.
 GRACE_MARGIN_S = 0.6
-# Requests that are still new this long after the signal might not end within
-# the grace; they are told to go elsewhere at once.
-ACCEPT_S = 2.2
 _POLL_S = 0.05
 # Smaller shares of failures are not worth telling.
 FAILING_LEAST = 0.05
@@ -200,20 +198,19 @@
         """Finishes what callers asked for, within the grace.
 
         Readiness fails at once, so that the balancer turns away; callers
-        that it still sends are served, and each answer tells its caller to
-        use another connection next.
+        that it still sends are served if there is time, and each answer tells
+        its caller to use another connection next.
         """
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         self._ready.is_stopping = True
-        self.forwarder.is_closing = True
         self._log.info("draining", open=self.forwarder.open_requests)
         until_s = begun_s + self._instance.bounds.grace_s - GRACE_MARGIN_S
-        while loop.time() < until_s:
-            waited_s = loop.time() - begun_s
-            if waited_s >= ACCEPT_S:
-                self.forwarder.is_refusing = True
-            if waited_s >= BALANCER_LAG_S and not self.forwarder.open_requests:
-                break
+        self.forwarder.stop = stopping.Stop(begun_s, until_s)
+        await asyncio.sleep(BALANCER_LAG_S)
+        # Once: callers come back by way of the balancer, which sends them to
+        # an instance that stays. What connects from now on is about to ask.
+        self._front.close_idle()
+        while loop.time() < until_s and self.forwarder.open_requests:
             await asyncio.sleep(_POLL_S)
         self._log.info("drained", open=self.forwarder.open_requests)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from sesamecross.ops.fleet import engine_choice
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import patience
+from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.runtime import logs
@@ -58,8 +59,7 @@
         "uses",
         "want",
         "pacing",
-        "is_closing",
-        "is_refusing",
+        "stop",
     )
 
     def __init__(
@@ -83,14 +83,19 @@
         # Tells who gives orders that a request waits for a target.
         self.want: Callable[[str, str, str], None] = _nobody
         self.pacing: pacing_lib.Pacing | None = None
-        self.is_closing = False
-        self.is_refusing = False
+        # Set while this instance stops.
+        self.stop: stopping.Stop | None = None
 
     @property
     def limits(self) -> serving.CallerLimits:
         """The limits in force for callers."""
         return self._state.limits
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether callers are told to use another connection next."""
+        return self.stop is not None
+
     @property
     def open_requests(self) -> int:
         """How many requests are being answered."""
@@ -306,9 +311,6 @@
 
     async def _run(self) -> str:
         state = self._owner._state
-        if self._owner.is_refusing:
-            self._note = "stopping"
-            return self._refuse(0.0)
         if not state.is_ready:
             self._note = "no configuration yet"
             return self._refuse(1.0)
@@ -318,6 +320,13 @@
         if self._route is None:
             self._note = "no route"
             return self._fail(404)
+        stop = self._owner.stop
+        if stop is not None and not stop.has_time_for(
+            self._route, request.call, self._arrived_s
+        ):
+            self._note = "stopping"
+            self._back_s = 0.0
+            return self._refuse(0.0)
         waits_s = self._route.timeout_s
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -42,6 +42,10 @@
         """Accepts no more, and closes what is idle."""
         if self._server is not None:
             self._server.close()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes connections on which nothing is asked."""
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
--- /dev/null
+++ b/sesamecross/ops/fleet/stopping_test.py
@@ -0,0 +1,59 @@
+"""Tests of which requests an instance still takes while it stops."""
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.ops.fleet import stopping
+
+# The signal came at 100; everything has to be answered by 107.4.
+STOP = stopping.Stop(100.0, 107.4)
+NO_ADAPTER = ""
+
+
+def route(kind: serving.RouteKind, timeout_s: float) -> serving.Route:
+    return serving.Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        (),
+        1,
+        1,
+        timeout_s,
+        0.5,
+        0.25,
+        False,
+        kind is serving.RouteKind.STREAM,
+    )
+
+
+PLAIN = route(serving.RouteKind.ONCE, 2.0)
+STREAM = route(serving.RouteKind.STREAM, 12.0)
+
+
+@pytest.mark.parametrize(
+    ("of", "tokens", "now_s", "expected"),
+    [
+        # The balancer cannot know yet.
+        (STREAM, 900, 102.0, True),
+        (PLAIN, None, 102.0, True),
+        # A plain request ends by its timeout.
+        (PLAIN, None, 105.0, True),
+        (PLAIN, None, 105.5, False),
+        # Short streams end in time, long ones would be cut off.
+        (STREAM, 24, 105.0, True),
+        (STREAM, 300, 103.0, False),
+        (STREAM, 24, 106.5, False),
+    ],
+)
+def test_what_ends_before_the_kill_is_taken(of, tokens, now_s, expected):
+    """Callers of a rolling restart were refused by instances with time left.
+
+    Two seconds after its signal an instance refused everything, while the
+    balancer went on sending to it because its neighbours stopped as well. An
+    order takes 0.1 s, and five seconds were left.
+    """
+    call = None
+    if tokens is not None:
+        call = serving.ModelCall("m", NO_ADAPTER, 800, tokens, ())
+    assert STOP.has_time_for(of, call, now_s) is expected
