Hubs read the list of upstreams for their zones

Change: hubs read it, every 0.4 s; members fetch what they lack from their hub and read for themselves where it makes no progress. Waiting reads wait 25 s, not 12.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -26,6 +26,7 @@
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
 from sesamecross.ops.fleet import reach
+from sesamecross.ops.fleet import reading
 from sesamecross.ops.fleet import stopping
 from sesamecross.ports import dialect as dialect_lib
 from sesamecross.ports import store
@@ -106,10 +107,15 @@
         configurations = follower.Follower(
             client, adapter.configuration_topic, known.configuration, self._rng
         )
+        self.mesh = mesh_lib.Mesh(self.state, self._figures, self.metrics)
         upstreams = follower.Follower(
-            client, adapter.upstreams_topic, known.upstreams, self._rng
+            client,
+            adapter.upstreams_topic,
+            known.upstreams,
+            self._rng,
+            reading.READ_EVERY_S,
+            self.mesh.reads_store,
         )
-        self.mesh = mesh_lib.Mesh(self.state, self._figures, self.metrics)
         self.lease = lease_keeper.LeaseKeeper(
             client,
             store_proxy.StoreProxy(client, self.mesh),
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -35,6 +35,11 @@
         self._log = logs.part("configuration")
         self.raw = raw_catalog.RawCatalog()
 
+    @property
+    def end(self) -> int:
+        """Up to where records were taken in, or -1."""
+        return self.raw.end
+
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record."""
         if record.key != self._key or record.value is None:
@@ -74,6 +79,11 @@
         self._log = logs.part("upstreams")
         self.raw = raw_catalog.RawCatalog()
 
+    @property
+    def end(self) -> int:
+        """Up to where records were taken in, or -1."""
+        return self.raw.end
+
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record."""
         if not self.raw.take(record):
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -16,17 +16,24 @@
 from sesamecross.runtime import logs
 
 # How long a read waits for a record. Calls are paid for and a longer wait is
-# cheaper; a connection that went silent is found by probes after about 3 s.
-WAIT_S = 12.0
+# cheaper, and the store allows 30 s; a connection that went silent is found by
+# probes after about 3 s.
+WAIT_S = 25.0
 FIRST_PAUSE_S = 0.1
 # With this the bounds on configuration and leaving upstreams still hold when
 # the store is back: they allow 2.5 s and more.
 LONGEST_PAUSE_S = 0.8
+# How often a follower that does not read looks whether it is its turn.
+IDLE_S = 0.1
 
 
 class Sink(Protocol):
     """Who takes the records of a topic."""
 
+    @property
+    def end(self) -> int:
+        """Up to where records were taken in, whoever brought them, or -1."""
+
     def on_record(self, record: store.KeyedRecord) -> None:
         """Takes one record; a value of None drops the key."""
 
@@ -51,7 +58,8 @@
         "_offset",
         "_reachable",
         "_pause_s",
-        "_after_page_s",
+        "_every_s",
+        "_reads",
     )
 
     def __init__(
@@ -60,8 +68,19 @@
         topic: str,
         sink: Sink,
         rng: random.Random,
-        after_page_s: Callable[[], float] = lambda: 0.0,
+        every_s: float = 0.0,
+        reads: Callable[[], bool] = lambda: True,
     ):
+        """Sets the follower up.
+
+        Args:
+          client: The store.
+          topic: What is followed.
+          sink: Who takes the records.
+          rng: Spreads the pauses after failures.
+          every_s: Least time between two reads that brought something.
+          reads: Whether this instance reads now, or others do it for it.
+        """
         self._client = client
         self._topic = topic
         self._sink = sink
@@ -70,7 +89,8 @@
         self._offset: int | None = None
         self._reachable: bool | None = None
         self._pause_s = FIRST_PAUSE_S
-        self._after_page_s = after_page_s
+        self._every_s = every_s
+        self._reads = reads
 
     @property
     def name(self) -> str:
@@ -85,15 +105,17 @@
     async def run(self) -> None:
         """Lists, then reads on, for ever."""
         while True:
+            if self._offset is not None and not self._reads():
+                await asyncio.sleep(IDLE_S)
+                continue
             if self._offset is None:
                 is_done = await self._list()
             else:
                 is_done = await self._read_on()
             if is_done:
                 self._pause_s = FIRST_PAUSE_S
-                wait_s = self._after_page_s()
-                if wait_s > 0:
-                    await asyncio.sleep(wait_s)
+                if self._every_s > 0:
+                    await asyncio.sleep(self._every_s)
             else:
                 await asyncio.sleep(self._pause_s * self._rng.uniform(0.5, 1))
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
@@ -129,6 +151,8 @@
         # The first read after a failure doesn't wait, so that the store's
         # return shows at once.
         wait_s = WAIT_S if self._reachable else 0.0
+        # Others may have brought what this instance did not read itself.
+        self._offset = max(self._offset, self._sink.end)
         outcome = await self._client.read(self._topic, self._offset, wait_s)
         match outcome:
             case store.Page(records, next_offset):
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -16,6 +16,7 @@
 from sesamecross.ops.fleet import figures
 from sesamecross.ops.fleet import health
 from sesamecross.ops.fleet import reach
+from sesamecross.ops.fleet import reading
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
@@ -28,6 +29,9 @@
 TELL_S = 0.1
 # Zones and regions are priced by volume: their hubs speak less often.
 SUMMARY_S = 0.2
+# A view bears the list of all instances this often; it is the larger part of
+# it where there are many, and says little that is new.
+LIST_S = 0.4
 # How often a hub speaks to members of its zone that it does not hear.
 CALL_EVERY_S = 0.5
 # Says that a lease was given back.
@@ -113,8 +117,10 @@
         self._last_report: fm.Report | None = None
         self._reported_s = 0.0
         self._summary_s = 0.0
+        self._listed_s = 0.0
         self._viewed: dict[str, float] = {}
         self._hub = ""
+        self._hub_reading = reading.Hub()
         self._called_s = 0.0
         self._placed = (-1, -1, -1)
         self._listeners: list[MessageListener] = []
@@ -252,6 +258,13 @@
         me = self.roster.me
         return self.roster.hub_of(me.zone, now_s) == me.name
 
+    def reads_store(self) -> bool:
+        """Whether this instance reads the list of upstreams itself."""
+        if self.roster is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        return self._is_hub(now_s) or self._hub_reading.is_stalled(now_s)
+
     def _tell_hub(self, now_s: float) -> None:
         me = self.roster.me
         hub = self.roster.hub_of(me.zone, now_s)
@@ -321,7 +334,10 @@
             return
         sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
         sums = figures.add_up(sources)
-        listed = self._listed(sources)
+        listed = []
+        if now_s - self._listed_s >= LIST_S:
+            self._listed_s = now_s
+            listed = self._listed(sources)
         loads = sums.loads()
         failing = sums.failures()
         lease = self._lease_news(now_s)
@@ -457,6 +473,9 @@
             self._hear_lease(message.lease, now_s)
 
     def _on_view(self, message: fm.View, now_s: float) -> None:
+        if message.me.zone == self.roster.me.zone:
+            hub = message.me
+            self._hub_reading.spoke(hub.name, hub.upstreams, now_s)
         for member in message.members:
             self.roster.heard(member, now_s)
         self._hear_lease(message.lease, now_s)
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -22,6 +22,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_proxy
+from sesamecross.ops.fleet import reading
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.transport import streams
@@ -29,8 +30,6 @@
 ROLE = "gateway"
 ANSWER_S = 1.0
 STEP_S = 0.1
-# Being behind for less than this is the normal lag of the own reading.
-BEHIND_S = 0.3
 WATCH_PAUSE_S = 0.5
 
 
@@ -158,7 +157,7 @@
         self._catalog = catalog
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
         self._log = logs.part("sync")
-        self._behind_s: float | None = None
+        self._lag = reading.Lag()
         self._stream: streams.Stream | None = None
         self._source = ""
 
@@ -170,12 +169,15 @@
             if self._mesh.roster is None:
                 continue
             source = self._best_source(loop.time())
-            if source is None:
-                self._behind_s = None
-                continue
-            if self._behind_s is None:
-                self._behind_s = loop.time()
-            if loop.time() - self._behind_s >= BEHIND_S:
+            mine = (self._state.version, self._state.upstreams_offset)
+            best = None
+            if source is not None:
+                best = (source.configuration, source.upstreams)
+            lasts_s = self._lag.lasts_s(mine, best, loop.time())
+            patience_s = reading.MEMBER_PATIENCE_S
+            if self._mesh.reads_store():
+                patience_s = reading.READER_PATIENCE_S
+            if source is not None and lasts_s >= patience_s:
                 await self._pull(source)
 
     async def stop(self) -> None:
@@ -205,7 +207,11 @@
                 "no answer", source=source.name, why=str(error) or "timeout"
             )
             return
+        before = self._state.version
         self._take(answer)
+        if self._state.version == before and not self._mesh.reads_store():
+            # The usual way of a member; what changed is logged by itself.
+            return
         self._log.info(
             "caught up",
             source=source.name,
