--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -39,6 +39,7 @@
         "upstreams_offset",
         "fleet_demand",
         "fleet_uses",
+        "_name",
         "_windows",
         "_changed",
     )
@@ -46,6 +47,7 @@
     def __init__(self, instance: serving.Instance):
         self.place = choosing.Place(instance.zone, dict(instance.regions))
         self.bounds = instance.bounds
+        self._name = instance.name
         self.directory = directory_lib.Directory(instance.bounds.drain_s)
         self.routes = route_table.RouteTable(())
         self.configuration: serving.Configuration | None = None
@@ -104,6 +106,7 @@
                 self.bounds.retry_share,
                 self.bounds.retry_extra,
                 self.bounds.retry_window_s,
+                retry_window.part_of(f"{self._name}/{service}"),
             )
             self._windows[service] = window
         return window
--- a/sesamecross/ops/fleet/retry_window.py
+++ b/sesamecross/ops/fleet/retry_window.py
@@ -4,11 +4,16 @@
 twice, and what is left would break down under it. Over any window the sends
 beyond the first of each request may be a share of the requests, and a fixed
 extra. Each instance takes the share of its own requests, which adds up to
-the share of all, and an equal part of the extra.
+the share of all, and an equal part of the extra. Where instances are many,
+these come to less than a whole retry for each; so each also has a fraction of
+its own, spread evenly, by which its part is rounded: some get one, and all
+together get what there is.
 """
 
 from collections import deque
 
+import xxhash
+
 # An instance that does not know how many others there are takes a part of
 # the extra as if there were this many.
 INSTANCES_UNKNOWN = 100
@@ -17,15 +22,30 @@
 _MARGIN = 0.7
 
 
+def part_of(name: str) -> float:
+    """Returns an instance's fraction, between 0 and 1, spread over names."""
+    return xxhash.xxh32_intdigest(name.encode()) / 2**32
+
+
 class RetryWindow:
     """One instance's part of the budget of one service."""
 
-    __slots__ = ("_share", "_extra", "_window_s", "_requests", "_repeats")
+    __slots__ = (
+        "_share",
+        "_extra",
+        "_window_s",
+        "_part",
+        "_requests",
+        "_repeats",
+    )
 
-    def __init__(self, share: float, extra: float, window_s: float):
+    def __init__(
+        self, share: float, extra: float, window_s: float, part: float
+    ):
         self._share = share
         self._extra = extra
         self._window_s = window_s
+        self._part = part
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -45,7 +65,7 @@
         self._forget(now_s)
         parts = max(1, instances or INSTANCES_UNKNOWN)
         allowed = self._share * len(self._requests) + self._extra / parts
-        if len(self._repeats) + 1 > allowed * _MARGIN:
+        if len(self._repeats) + 1 > allowed * _MARGIN + self._part:
             return False
         self._repeats.append(now_s)
         return True
