SIGHUP and changed settings files are taken in; neither ends a process

Change: the application handles the signal; the gateway reads its settings anew then, and every 2 s, takes bounds and zones in at once and logs what holds from the next start.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -19,6 +19,7 @@
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import pool as pool_lib
 from sesamecross.gateway import registrar
+from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import status
 from sesamecross.gateway import store_client
@@ -66,20 +67,39 @@
 class GatewayApp:
     """Everything that one gateway process owns."""
 
-    def __init__(self, instance: serving.Instance, adapter: Adapter):
+    def __init__(
+        self,
+        instance: serving.Instance,
+        adapter: Adapter,
+        load: reloader.SettingsSource,
+    ):
         self._instance = instance
         self._adapter = adapter
         self._log = logs.part("gateway")
         self._rng = random.Random(os.urandom(8))
         self.metrics = metrics_lib.Metrics()
         self.state = state_lib.State(instance)
+        self._reloader = reloader.Reloader(self.state, load)
 
     @classmethod
     def from_config(
-        cls, instance: serving.Instance, adapter: Adapter
+        cls,
+        instance: serving.Instance,
+        adapter: Adapter,
+        load: reloader.SettingsSource,
     ) -> "GatewayApp":
-        """Returns the application of one instance."""
-        return cls(instance, adapter)
+        """Returns the application of one instance.
+
+        Args:
+          instance: Its settings.
+          adapter: The platform's forms and names.
+          load: Reads the settings anew.
+        """
+        return cls(instance, adapter, load)
+
+    def reload(self) -> None:
+        """Looks at the settings again."""
+        self._reloader.reload()
 
     def components(self) -> list[supervisor.Component]:
         """Returns the parts in the order of their start."""
@@ -147,6 +167,7 @@
             configurations,
             upstreams,
             sweeper.Sweeper(self.state, self.pool),
+            self._reloader,
             joiner.Joiner(self._registrar, self.mesh, instance),
             self.mesh,
             sync.SyncServer(
--- /dev/null
+++ b/sesamecross/gateway/reloader.py
@@ -0,0 +1,81 @@
+"""Takes changed settings in while the gateway runs.
+
+Why: operators change a settings file and send SIGHUP, or only change it. A
+process that ends by either cuts off all streams that it relays, and so does
+one that binds its addresses anew. So what can change in place does, and what
+can't is logged: it holds from the next start.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Failure
+from returns.result import Result
+
+from sesamecross.core import errors
+from sesamecross.core import serving
+from sesamecross.gateway import state as state_lib
+from sesamecross.runtime import logs
+
+# How often the file is looked at without a signal. Reading and decoding it
+# takes under a millisecond.
+EVERY_S = 2.0
+
+SettingsSource = Callable[[], Result[serving.Instance, errors.Problem]]
+
+
+class Reloader:
+    """Component that keeps the settings in force up to date."""
+
+    is_vital = False
+    name = "reloader"
+
+    def __init__(self, state: state_lib.State, load: SettingsSource):
+        self._state = state
+        self._load = load
+        self._wake = asyncio.Event()
+        self._log = logs.part("settings")
+        # What was complained about last, to say it once.
+        self._refused = ""
+        self._loaded: serving.Instance | None = None
+
+    def reload(self) -> None:
+        """Looks at the settings now."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Looks now and then, for ever."""
+        while True:
+            is_asked = True
+            try:
+                async with asyncio.timeout(EVERY_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                is_asked = False
+            self._wake.clear()
+            self._look(is_asked)
+
+    async def stop(self) -> None:
+        """Nothing to finish."""
+
+    def _look(self, is_asked: bool) -> None:
+        loaded = self._load()
+        if isinstance(loaded, Failure):
+            reason = str(loaded.failure())
+            if is_asked or reason != self._refused:
+                self._log.error("not taken, the old ones stay", why=reason)
+            self._refused = reason
+            return
+        self._refused = ""
+        instance = loaded.unwrap()
+        if instance == self._loaded:
+            if is_asked:
+                self._log.info("reloaded, nothing changed")
+            return
+        self._loaded = instance
+        changed = self._state.take_settings(instance)
+        self._log.info(
+            "reloaded",
+            in_force=sorted(changed.in_force),
+            from_next_start=sorted(changed.from_next_start),
+        )
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
@@ -16,6 +17,14 @@
 from sesamecross.ops.fleet import route_table
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsChange:
+    """What new settings change at once, and what they can't."""
+
+    in_force: frozenset[str]
+    from_next_start: frozenset[str]
+
+
 class State:
     """The beliefs of one instance.
 
@@ -39,7 +48,7 @@
         "upstreams_offset",
         "fleet_demand",
         "fleet_uses",
-        "_name",
+        "_instance",
         "_windows",
         "_changed",
     )
@@ -47,7 +56,7 @@
     def __init__(self, instance: serving.Instance):
         self.place = choosing.Place(instance.zone, dict(instance.regions))
         self.bounds = instance.bounds
-        self._name = instance.name
+        self._instance = instance
         self.directory = directory_lib.Directory(instance.bounds.drain_s)
         self.routes = route_table.RouteTable(())
         self.configuration: serving.Configuration | None = None
@@ -59,6 +68,29 @@
         self._changed = asyncio.Event()
         self._windows: dict[str, retry_window.RetryWindow] = {}
 
+    def take_settings(self, instance: serving.Instance) -> SettingsChange:
+        """Takes new settings in; returns what changed.
+
+        Bounds and the map of zones hold at once. Addresses, ports and the
+        name stay until the next start: others know this instance by them.
+        """
+        before = self._instance
+        changed = {
+            field.name
+            for field in dataclasses.fields(serving.Instance)
+            if getattr(before, field.name) != getattr(instance, field.name)
+        }
+        at_once = changed & {"bounds", "regions"}
+        self._instance = dataclasses.replace(
+            before, bounds=instance.bounds, regions=instance.regions
+        )
+        if at_once:
+            self.place = choosing.Place(before.zone, dict(instance.regions))
+            self.bounds = instance.bounds
+            self.directory.drain_s = instance.bounds.drain_s
+            self._windows.clear()
+        return SettingsChange(frozenset(at_once), frozenset(changed - at_once))
+
     def touch(self) -> None:
         """Wakes who waits for a change of belief."""
         changed, self._changed = self._changed, asyncio.Event()
@@ -106,7 +138,7 @@
                 self.bounds.retry_share,
                 self.bounds.retry_extra,
                 self.bounds.retry_window_s,
-                retry_window.part_of(f"{self._name}/{service}"),
+                retry_window.part_of(f"{self._instance.name}/{service}"),
             )
             self._windows[service] = window
         return window
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -102,13 +102,17 @@
 
 
 class Directory:
-    """All upstreams that this instance has heard of."""
+    """All upstreams that this instance has heard of.
 
-    __slots__ = ("_known", "_drain_s")
+    Attributes:
+      drain_s: The bound on new requests to one that leaves.
+    """
+
+    __slots__ = ("_known", "drain_s")
 
     def __init__(self, drain_s: float):
         self._known: dict[str, KnownUpstream] = {}
-        self._drain_s = drain_s
+        self.drain_s = drain_s
 
     def __iter__(self) -> Iterable[KnownUpstream]:
         return iter(self._known.values())
@@ -165,7 +169,7 @@
             known
             for known in self._known.values()
             if known.lapsed_s is not None
-            and now_s - known.lapsed_s >= self._drain_s
+            and now_s - known.lapsed_s >= self.drain_s
             and not known.own_running
         ]
         for known in gone:
@@ -189,7 +193,7 @@
                 continue
             if known.lapsed_s is None:
                 found.append(known)
-            elif now_s - known.lapsed_s < self._drain_s * LAPSED_USE_SHARE:
+            elif now_s - known.lapsed_s < self.drain_s * LAPSED_USE_SHARE:
                 lapsed.append(known)
         return found or lapsed
 
@@ -220,9 +224,9 @@
         self, known: KnownUpstream, lasts_s: float, now_s: float
     ) -> bool:
         gone_s = now_s - known.leaving_s
-        if gone_s >= self._drain_s * LEAVING_USE_SHARE:
+        if gone_s >= self.drain_s * LEAVING_USE_SHARE:
             return False
         stays_s = known.entry.leaves_in_s
         if stays_s is None:
-            stays_s = self._drain_s + LINGER_S
+            stays_s = self.drain_s + LINGER_S
         return gone_s + lasts_s < stays_s
--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -1,5 +1,6 @@
 """Puts the gateway on the users' platform."""
 
+import functools
 import os
 import sys
 
@@ -41,12 +42,13 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    loaded = settings.load(path)
+    load = functools.partial(settings.load, path)
+    loaded = load()
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return application.EXIT_FAILED
     instance = loaded.unwrap()
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     logs.configure(log_level, "json", output, instance=instance.name)
-    gateway = app.GatewayApp.from_config(instance, adapter())
+    gateway = app.GatewayApp.from_config(instance, adapter(), load)
     return application.Application(gateway).run()
--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -2,12 +2,14 @@
 
 Why: signals, start, stop order and the exit code are the same in every
 process. The first signal begins a graceful stop; a second one cuts it short.
+SIGHUP stops nothing: processes that can take new settings in do so.
 """
 
 import asyncio
 import os
 import signal
 from typing import Protocol
+from typing import runtime_checkable
 
 from sesamecross.runtime import logs
 from sesamecross.runtime import supervisor
@@ -27,6 +29,14 @@
         """Finishes open work before the components stop."""
 
 
+@runtime_checkable
+class Reloads(Protocol):
+    """Hooks of a process whose settings can change while it runs."""
+
+    def reload(self) -> None:
+        """Looks at the settings again."""
+
+
 class Application:
     """Runs one process until a signal or a failure."""
 
@@ -47,6 +57,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        # Without a handler this signal would end the process.
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         tree = supervisor.Supervisor(self._hooks.components())
         tree.start()
         self._log.info("started", pid=os.getpid())
@@ -67,6 +79,11 @@
         self._log.info("stopped", code=code)
         return code
 
+    def _on_reload(self) -> None:
+        self._log.info("reload requested")
+        if isinstance(self._hooks, Reloads):
+            self._hooks.reload()
+
     def _on_signal(self) -> None:
         self._signals += 1
         if self._signals > 1:
--- /dev/null
+++ b/sesamecross/runtime/application_test.py
@@ -0,0 +1,74 @@
+"""Tests of a process's life: signals that stop it, and one that does not."""
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from sesamecross.runtime import application
+
+
+class _Hooks:
+    """A process without components that counts what it is told."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.reloaded = asyncio.Event()
+
+    def components(self) -> list:
+        return []
+
+    async def drain(self) -> None:
+        self.calls.append("drain")
+
+    def reload(self) -> None:
+        self.calls.append("reload")
+        self.reloaded.set()
+
+
+class _NoReload:
+    """A process that takes no settings in while it runs."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def components(self) -> list:
+        return []
+
+    async def drain(self) -> None:
+        self.calls.append("drain")
+
+
+async def _run(hooks, signals) -> int:
+    running = asyncio.create_task(application.Application(hooks)._run())
+    for number in signals:
+        # Until the signal handlers are in place and the last was handled.
+        for _ in range(20):
+            await asyncio.sleep(0)
+        os.kill(os.getpid(), number)
+        if number == signal.SIGHUP and hasattr(hooks, "reloaded"):
+            await hooks.reloaded.wait()
+            hooks.reloaded.clear()
+    return await running
+
+
+@pytest.mark.parametrize(
+    ("make", "expected"),
+    [(_Hooks, ["reload", "reload", "drain"]), (_NoReload, ["drain"])],
+)
+def test_a_process_goes_on_when_its_settings_change(make, expected):
+    """Streams of 70 instances were cut off when settings files changed.
+
+    The platform sends SIGHUP then, which ends a process that has no handler
+    for it.
+    """
+
+    async def play():
+        hooks = make()
+        code = await _run(hooks, [signal.SIGHUP, signal.SIGHUP, signal.SIGTERM])
+        return hooks, code
+
+    hooks, code = asyncio.run(play())
+    assert code == application.EXIT_OK
+    assert hooks.calls == expected
