The search for an engine and the count of a prompt stand by themselves

Cause: forwarder.py had grown to 801 lines with three jobs.

Change: gateway/engine_search.py finds an engine for a request and waits for its model or its turn; gateway/prompt.py counts a prompt until its first event; the forwarder follows the request (544 lines).

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -147,9 +147,9 @@
         orders = order_desk.OrderDesk(
             self.state, self.mesh, self.lease, engines
         )
-        self.forwarder.want = orders.want
+        self.forwarder.engines.want = orders.want
         pacing = pacing_lib.Pacing(self.state, self.mesh)
-        self.forwarder.pacing = pacing
+        self.forwarder.engines.pacing = pacing
         address = f"{instance.ip}:{instance.ports[0]}"
         self._registrar = registrar.Registrar(
             client,
@@ -216,7 +216,7 @@
             0,
             loads,
             self.forwarder.uses.rows(),
-            self.forwarder.demand.rows(now_s),
+            self.forwarder.engines.demand.rows(now_s),
             failing,
             self.mesh.own_lease(now_s),
         )
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -6,25 +6,21 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import math
 import random
 
 from sesamecross.core import serving
 from sesamecross.gateway import attempt as attempt_lib
 from sesamecross.gateway import client_connection
+from sesamecross.gateway import engine_search
 from sesamecross.gateway import event_relay
 from sesamecross.gateway import front
-from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import prompt as prompt_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import attempts
 from sesamecross.ops.fleet import choosing
-from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
-from sesamecross.ops.fleet import engine_choice
-from sesamecross.ops.fleet import engine_state
-from sesamecross.ops.fleet import patience
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
@@ -35,12 +31,6 @@
 RETRY_AFTER_S = 0.5
 # A request that waited longer than this for its model was late by that.
 WAITED_S = 0.1
-# A request that waits for a model says so again this often.
-WANT_AGAIN_S = 0.25
-
-
-def _nobody(service: str, target: str, upstream: str) -> None:
-    """Nobody gives orders yet."""
 
 
 class Forwarder:
@@ -54,11 +44,8 @@
         "_metrics",
         "_log",
         "_open",
-        "demand",
-        "missing",
+        "engines",
         "uses",
-        "want",
-        "pacing",
         "stop",
     )
 
@@ -77,12 +64,8 @@
         self._metrics = metrics
         self._log = logs.part("request")
         self._open: set[asyncio.Task] = set()
-        self.demand = demand_lib.Demand()
-        self.missing = patience.Missing()
+        self.engines = engine_search.EngineParts(state, rng)
         self.uses = target_uses.TargetUses()
-        # Tells who gives orders that a request waits for a target.
-        self.want: Callable[[str, str, str], None] = _nobody
-        self.pacing: pacing_lib.Pacing | None = None
         # Set while this instance stops.
         self.stop: stopping.Stop | None = None
 
@@ -134,68 +117,6 @@
         task.add_done_callback(self._open.discard)
 
 
-class _Prompt:
-    """A prompt that an engine has to read: counted until its first event."""
-
-    __slots__ = (
-        "call",
-        "uses",
-        "on_read",
-        "instance_id",
-        "_upstream",
-        "_engine",
-        "_tokens",
-        "_begun_s",
-        "_ahead",
-        "_is_read",
-    )
-
-    def __init__(
-        self,
-        upstream: directory.KnownUpstream,
-        engine: engine_state.EngineState | None,
-        tokens: int,
-        begun_s: float,
-        ahead: int,
-    ):
-        self.call: serving.ModelCall | None = None
-        self.uses: target_uses.TargetUses | None = None
-        self.on_read: Callable[[], None] | None = None
-        self.instance_id = ""
-        self._upstream = upstream
-        self._engine = engine
-        self._tokens = tokens
-        self._begun_s = begun_s
-        self._ahead = ahead
-        self._is_read = False
-
-    def first_event(self) -> None:
-        """The prompt is read; learns how long that took."""
-        if self._is_read or self._engine is None:
-            return
-        self._upstream.reach.streaming += 1
-        self._read()
-        took_ms = (asyncio.get_running_loop().time() - self._begun_s) * 1000
-        line = self._engine.speed(self.call.model)
-        line.observe(self._ahead + self._tokens, took_ms)
-
-    def _read(self) -> None:
-        self._is_read = True
-        if self.on_read is not None:
-            self.on_read()
-        self._engine.own_prompt_tokens -= self._tokens
-
-    def end(self) -> None:
-        """The attempt is over, whether the prompt was read or not."""
-        if self._engine is None:
-            return
-        if self._is_read:
-            self._upstream.reach.streaming -= 1
-        else:
-            self._read()
-        self.uses.end(self.instance_id, self.call)
-
-
 class _Serving:
     """One request on its way."""
 
@@ -211,14 +132,9 @@
         "_relay",
         "_connection",
         "_upstream",
-        "_choice",
+        "_search",
         "_tried",
-        "_full",
         "_back_s",
-        "_expected_s",
-        "_waited_s",
-        "_permit",
-        "_paced_s",
         "_note",
     )
 
@@ -239,16 +155,10 @@
         self._relay: event_relay.EventRelay | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._upstream: directory.KnownUpstream | None = None
-        self._choice: engine_choice.Choice | None = None
+        # Set where the request is for a model.
+        self._search: engine_search.EngineSearch | None = None
         self._tried: set[str] = set()
-        # Engines whose pacer refused the request.
-        self._full: set[str] = set()
         self._back_s = RETRY_AFTER_S
-        # When the model was expected, by the last plan that was looked at.
-        self._expected_s: float | None = None
-        self._waited_s = 0.0
-        self._permit: pacing_lib.Permit | None = None
-        self._paced_s = 0.0
         self._note = ""
 
     async def run(self) -> None:
@@ -265,7 +175,8 @@
         finally:
             if self._connection is not None:
                 self._connection.abort()
-            self._release()
+            if self._search is not None:
+                self._search.release()
             if not self._exchange.is_over:
                 # An error of ours: nothing may be promised.
                 self._fail(500)
@@ -331,10 +242,15 @@
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
         self._ends_s = self._arrived_s + waits_s
-        call = request.call
-        if call is not None and self._route.targets:
-            key = (self._route.targets[0].service, call.target)
-            self._owner.demand.asked(key, self._arrived_s)
+        if request.call is not None and self._route.is_model_call:
+            self._search = engine_search.EngineSearch(
+                self._owner.engines,
+                self._route,
+                request.call,
+                self._arrived_s,
+                self._ends_s,
+            )
+            self._owner.engines.demand.asked(self._search.key, self._arrived_s)
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._exchange)
         return await self._until_answered()
@@ -376,173 +292,23 @@
                     return self._fail(502)
 
     async def _choose(self) -> directory.KnownUpstream | None:
-        if self._request.call is not None and self._route.is_model_call:
-            return await self._choose_engine(self._request.call)
-        usable = self._untried(self._usable())
-        now_s = asyncio.get_running_loop().time()
-        state = self._owner._state
-        return choosing.choose(usable, state.place, now_s, self._owner._rng)
-
-    def _usable(self) -> list[directory.KnownUpstream]:
+        if self._search is not None:
+            found = await self._search.find(frozenset(self._tried))
+            if found is None:
+                self._back_s = self._search.back_s
+            return found
         state = self._owner._state
         now_s = asyncio.get_running_loop().time()
         usable = []
         for target in self._route.targets:
             usable.extend(state.directory.usable(target.service, now_s))
-        return usable
-
-    def _untried(
-        self, usable: list[directory.KnownUpstream]
-    ) -> list[directory.KnownUpstream]:
         fresh = [
             one for one in usable if one.entry.instance_id not in self._tried
         ]
-        return fresh or usable
-
-    async def _choose_engine(
-        self, call: serving.ModelCall
-    ) -> directory.KnownUpstream | None:
-        """Chooses an engine, and waits where the model is not loaded yet."""
-        loop = asyncio.get_running_loop()
-        owner = self._owner
-        service = self._route.targets[0].service
-        key = (service, call.target)
-        waits = False
-        begun_s = loop.time()
-        try:
-            while True:
-                now_s = loop.time()
-                choice = self._rate_engines(call, now_s)
-                if choice is not None and not choice.lacks_adapter:
-                    if not await self._pace(choice):
-                        if self._another_engine(call, choice):
-                            continue
-                        return None
-                    if self._is_still_good(choice.upstream, call):
-                        self._choice = choice
-                        return choice.upstream
-                    self._release()
-                    continue
-                at = choice.upstream.entry.instance_id if choice else ""
-                owner.want(service, call.target if at else call.model, at)
-                decision = self._decide_wait(call, choice, now_s)
-                if isinstance(decision, patience.ComeBack):
-                    self._back_s = decision.after_s
-                    return None
-                if not waits:
-                    waits = True
-                    owner.demand.waits(key, 1)
-                await owner._state.changed(
-                    min(WANT_AGAIN_S, decision.until_s - now_s)
-                )
-        finally:
-            if waits:
-                owner.demand.waits(key, -1)
-                self._waited_s += loop.time() - begun_s
-
-    def _decide_wait(
-        self,
-        call: serving.ModelCall,
-        choice: engine_choice.Choice | None,
-        now_s: float,
-    ) -> patience.Wait | patience.ComeBack:
-        """Decides whether to wait for a model, or an adapter it lacks."""
-        window = patience.Window(
-            self._arrived_s,
-            patience.leaves_s(self._route, self._arrived_s, self._ends_s),
-            self._ends_s,
-        )
-        if choice is not None:
-            return patience.decide_adapter(window, now_s)
-        missed_s = self._owner.missing.since(call.model, now_s)
-        self._expected_s = self._arrives_s(call)
-        return patience.decide_model(window, self._expected_s, missed_s, now_s)
-
-    def _rate_engines(
-        self, call: serving.ModelCall, now_s: float
-    ) -> engine_choice.Choice | None:
-        """Returns the best engine, one that leaves only as the last choice."""
-        state = self._owner._state
-        rng = self._owner._rng
-        candidates = [
-            known
-            for known in self._untried(self._usable())
-            if known.entry.instance_id not in self._full
-        ]
-        choice = engine_choice.choose(call, candidates, state.place, now_s, rng)
-        if choice is not None:
-            return choice
-        lasts_s = call.output_tokens * engine_choice.TOKEN_S
-        leaving = []
-        for target in self._route.targets:
-            leaving.extend(
-                state.directory.leaving(target.service, lasts_s, now_s)
-            )
-        return engine_choice.choose(call, leaving, state.place, now_s, rng)
-
-    def _is_still_good(
-        self, known: directory.KnownUpstream, call: serving.ModelCall
-    ) -> bool:
-        """Whether an engine may get the request now that its turn has come.
-
-        The wait for a turn lasts up to 1.7 s. An engine that began to leave
-        meanwhile must get nothing new, and one may have dropped the model.
-        """
-        now_s = asyncio.get_running_loop().time()
-        lasts_s = call.output_tokens * engine_choice.TOKEN_S
-        return self._owner._state.directory.takes(
-            known, lasts_s, now_s
-        ) and known.engine.holds(known.entry, call.target, now_s)
-
-    async def _pace(self, choice: engine_choice.Choice) -> bool:
-        """Waits until the engine may get one more prompt to read."""
-        route = self._route
-        leaves_s = patience.leaves_s(route, self._arrived_s, self._ends_s)
-        read_s = choice.expected_s
-        begun_s = asyncio.get_running_loop().time()
-        answer = await self._owner.pacing.ask(
-            choice.upstream,
-            choice.fresh_tokens,
-            self._arrived_s + route.objective_s - read_s,
-            leaves_s,
-        )
-        now_s = asyncio.get_running_loop().time()
-        self._paced_s += now_s - begun_s
-        match answer:
-            case pacing_lib.Refused(after_s=after_s):
-                self._back_s = patience.back_s(after_s, self._ends_s, now_s)
-                return False
-        self._permit = answer
-        return True
-
-    def _another_engine(
-        self, call: serving.ModelCall, full: engine_choice.Choice
-    ) -> bool:
-        """Leaves out a full engine; returns whether another one will do."""
-        self._full.add(full.upstream.entry.instance_id)
-        now_s = asyncio.get_running_loop().time()
-        return any(
-            known.engine.holds(known.entry, call.target, now_s)
-            and not known.seems_down(now_s)
-            for known in self._usable()
-            if known.entry.instance_id not in self._full
+        return choosing.choose(
+            fresh or usable, state.place, now_s, self._owner._rng
         )
 
-    def _release(self) -> None:
-        """The prompt was read, or is not sent."""
-        if self._permit is not None:
-            self._owner.pacing.read(self._permit)
-            self._permit = None
-
-    def _arrives_s(self, call: serving.ModelCall) -> float | None:
-        """Returns when the call's model is expected, where it is loaded."""
-        times = []
-        for known in self._usable():
-            at_s = known.engine.arrives_s(call.model)
-            if at_s is not None:
-                times.append(at_s)
-        return min(times, default=None)
-
     def _may_replace(self, whole: attempt_lib.Whole) -> bool:
         """Whether another upstream may be asked instead of this answer."""
         return (
@@ -602,29 +368,25 @@
             outcome = await self._send(upstream, connection)
         finally:
             upstream.own_running -= 1
-            prompt.end()
+            if prompt is not None:
+                prompt.end()
         self._learn(upstream, outcome, loop.time() - begun_s)
         return outcome
 
-    def _begin_prompt(self, upstream: directory.KnownUpstream) -> "_Prompt":
-        call = self._request.call
-        choice = self._choice
-        if call is None or choice is None or choice.upstream is not upstream:
-            return _Prompt(upstream, None, 0, 0.0, 0)
-        now_s = asyncio.get_running_loop().time()
-        engine = upstream.engine
-        ahead = engine.own_prompt_tokens + engine.others_prompt_tokens
-        engine.own_prompt_tokens += choice.fresh_tokens
-        engine.cache.sent(call)
-        self._owner.uses.begin(upstream.entry.instance_id, call)
-        prompt = _Prompt(upstream, engine, choice.fresh_tokens, now_s, ahead)
-        prompt.call = call
-        prompt.uses = self._owner.uses
-        prompt.instance_id = upstream.entry.instance_id
+    def _begin_prompt(
+        self, upstream: directory.KnownUpstream
+    ) -> prompt_lib.Prompt | None:
+        if self._search is None or self._search.choice is None:
+            return None
+        prompt = prompt_lib.Prompt(
+            self._search.choice,
+            self._request.call,
+            self._owner.uses,
+            self._search.release,
+        )
         if self._relay is not None:
             self._relay.upstream = upstream
             self._relay.on_first = prompt.first_event
-            prompt.on_read = self._release
         return prompt
 
     async def _send(
@@ -715,11 +477,11 @@
 
         A request that waited until its model was loaded says nothing of that.
         """
-        call = self._request.call
+        search = self._search
         relay = self._relay
-        if call is None or relay is None or self._waited_s > WAITED_S:
+        if search is None or relay is None or search.choice is None:
             return
-        if self._choice is None:
+        if search.waited_s > WAITED_S:
             return
         first_s = math.inf
         if relay.first_s is not None:
@@ -727,8 +489,7 @@
         was_late = (
             first_s > self._route.objective_s or relay.gap_s > self._route.gap_s
         )
-        key = (self._route.targets[0].service, call.target)
-        self._owner.demand.ended(key, was_late)
+        self._owner.engines.demand.ended(search.key, was_late)
 
     def _report(self, outcome: str) -> None:
         took_s = asyncio.get_running_loop().time() - self._arrived_s
@@ -764,28 +525,15 @@
         if outcome != "refused":
             return {}
         fields: dict[str, object] = {"back_s": round(self._back_s, 2)}
-        call = self._request.call
-        if call is None or self._route is None:
-            return fields
-        now_s = asyncio.get_running_loop().time()
-        if self._expected_s is not None:
-            fields["expected_in_s"] = round(self._expected_s - now_s, 2)
-        told_s = [known.engine.place_s for known in self._usable()]
-        if told_s:
-            fields["plan_age_ms"] = round((now_s - max(told_s)) * 1000)
-        if self._full:
-            fields["full"] = sorted(self._full)
+        if self._search is not None:
+            fields |= self._search.refusal_fields()
         return fields
 
     def _engine_fields(self) -> dict[str, object]:
         """What decided where a model's request went, and what came of it."""
-        if self._request.call is None:
+        if self._search is None:
             return {}
-        fields: dict[str, object] = {
-            "target": self._request.call.target,
-            "waited_ms": round(self._waited_s * 1000),
-            "paced_ms": round(self._paced_s * 1000),
-        }
+        fields = self._search.fields()
         if self._relay is not None and self._relay.first_s is not None:
             first_s = self._relay.first_s - self._arrived_s
             fields["first_ms"] = round(first_s * 1000)
@@ -793,9 +541,4 @@
             fields["gap_ms"] = round(self._relay.gap_s * 1000)
             gap_at_s = self._relay.gap_at_s - self._arrived_s
             fields["gap_at_ms"] = round(gap_at_s * 1000)
-        if self._choice is not None:
-            fields["expected_ms"] = round(self._choice.expected_s * 1000)
-            fields["prompt"] = self._choice.fresh_tokens
-            fields["ahead"] = self._choice.ahead_tokens
-            fields["running"] = round(self._choice.running)
         return fields
--- a/sesamecross/ops/fleet/reading.py
+++ b/sesamecross/ops/fleet/reading.py
@@ -14,8 +14,8 @@
 may turn away just that one.
 """
 
-# Between two reads of the list by one instance. At 0.4 s six hubs made 900 calls
-# in 60 s, two thirds of all that 23 instances made.
+# Between two reads of the list by one instance. At 0.4 s six hubs made 900
+# calls in 60 s, two thirds of all that 23 instances made.
 READ_EVERY_S = 0.7
 # Upstreams renew their records every 1 to 1.2 s, so the list moves on several
 # times a second. A hub that has read nothing for this long may be unable to.
