--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -19,6 +19,7 @@
 from sesamecross.ops.fleet import engine_ledger
 from sesamecross.ops.fleet import load_budget
 from sesamecross.ops.fleet import placement_data
+from sesamecross.ops.fleet import placement_exchange
 from sesamecross.ops.fleet import placement_memory
 from sesamecross.ops.fleet import placement_steps
 from sesamecross.ops.fleet import placement_target
@@ -439,7 +440,7 @@
         if self._targets.get(service) != target:
             self._log_target(service, inputs, target)
         self._targets[service] = target
-        for name, waits in placement_target.expected(inputs, target).items():
+        for name, waits in placement_exchange.expected(inputs, target).items():
             self._planned[name] = {
                 model: now_s + wait_s for model, wait_s in waits.items()
             }
--- /dev/null
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -0,0 +1,217 @@
+"""The target of placement while it is changed, and what a change loses.
+
+Why: which models each engine should hold is looked at by many small moves.
+What they ask for thousands of times in one plan (free room, load, what is lost
+when a model makes way, how long an engine needs) is kept here.
+"""
+
+import math
+
+from sesamecross.ops.fleet import placement_data as data
+
+# From this load on, an engine's streams pause for the prompts of others and
+# its batch is nearly full: what is beyond is late.
+FULL_SHARE = 0.7
+# Models that were loaded stay at least this long: two that take turns in one
+# place serve nobody.
+STAY_S = 3.0
+# Demand for a model lasts about this long; gains and losses count over it.
+HORIZON_S = 8.0
+# What it costs that a model moves elsewhere first, in requests a second.
+MOVE_LOSS = 0.3
+# A request of a model that makes way goes on about this long.
+RUNNING_S = 1.5
+# An unload of a model without requests.
+UNLOAD_S = 0.1
+# A model that nobody asks for is worth this much in room that is as good as
+# free: one of many models is asked for next, and half of them would be found
+# nowhere.
+IDLE_VALUE = 0.02
+# What its place is worth with no, one, and more other places. A model that
+# was given several is probably a busy one.
+IDLE_LOSSES = (IDLE_VALUE, 2 * IDLE_VALUE, 0.0)
+
+
+class Draft:
+    """The target while it is changed.
+
+    What is asked of it thousands of times for one plan is kept and not worked
+    out: free room, load, and the requests under way.
+    """
+
+    __slots__ = (
+        "inputs",
+        "engines",
+        "held",
+        "places",
+        "free",
+        "load",
+        "_running",
+        "_losses",
+        "_sizes",
+        "_roomy",
+    )
+
+    def __init__(self, inputs: data.Inputs, target: data.Target):
+        self.inputs = inputs
+        self.engines = {
+            engine.name: engine
+            for engine in inputs.engines
+            if not engine.is_leaving
+        }
+        # What each engine should hold, and where each model should be.
+        self.held: dict[str, set[str]] = {name: set() for name in self.engines}
+        self.places: dict[str, set[str]] = {
+            name: set() for name in inputs.spec.models
+        }
+        # MB beside what should be held and the adapters, and how busy an
+        # engine's models keep it.
+        self.free = {
+            name: inputs.spec.weights_mb - _adapters_mb(inputs, engine)
+            for name, engine in self.engines.items()
+        }
+        self.load = dict.fromkeys(self.engines, 0.0)
+        self._running = running_by_model(inputs)
+        self._losses: dict[tuple[str, str], float | None] = {}
+        self._sizes = {
+            name: model.weights_mb for name, model in inputs.spec.models.items()
+        }
+        self._roomy: dict[str, list[tuple[float, str]]] = {}
+        for instance_id, engine in self.engines.items():
+            before = target.get(instance_id)
+            if before is None:
+                before = engine.ledger.all_models()
+            for model in sorted(before):
+                if model in self.places and self.fits(instance_id, model):
+                    self.add(instance_id, model)
+
+    def fits(self, instance_id: str, name: str) -> bool:
+        """Whether there is room for a model beside what should be held."""
+        return self.free[instance_id] >= self._sizes[name]
+
+    def elsewhere_s(self, instance_id: str, name: str) -> float | None:
+        """Returns how long a load takes at the best other engine with room.
+
+        None where there is no room for it.
+        """
+        if name not in self._roomy:
+            size = self._sizes[name]
+            times = [
+                (self.inputs.load_time(self.engines[other], name)[0], other)
+                for other, free in self.free.items()
+                if free >= size
+            ]
+            # The second one counts where the best is the engine itself.
+            self._roomy[name] = sorted(times)[:2]
+        for time_s, other in self._roomy[name]:
+            if other != instance_id:
+                return time_s
+        return None
+
+    def add(self, instance_id: str, name: str) -> None:
+        """Adds a model to an engine."""
+        self._spread(name, -1.0)
+        self.held[instance_id].add(name)
+        self.places[name].add(instance_id)
+        self._spread(name, 1.0)
+        self.free[instance_id] -= self.inputs.size(name)
+
+    def remove(self, instance_id: str, name: str) -> None:
+        """Takes a model from an engine."""
+        self._spread(name, -1.0)
+        self.held[instance_id].discard(name)
+        self.places[name].discard(instance_id)
+        self._spread(name, 1.0)
+        self.free[instance_id] += self.inputs.size(name)
+
+    def _spread(self, name: str, sign: float) -> None:
+        """Adds a model's load to its engines, or takes it off them."""
+        self._losses.clear()
+        self._roomy.clear()
+        places = self.places[name]
+        for instance_id in places:
+            share = self.inputs.demand_for(name).load / len(places)
+            self.load[instance_id] += sign * share
+
+    def running(self, instance_id: str, name: str) -> int:
+        """Returns the requests under way for a model and its adapters."""
+        return self._running.get((instance_id, name), 0)
+
+    def loss(self, instance_id: str, name: str) -> float | None:
+        """Returns what `_loss` does."""
+        key = (instance_id, name)
+        if key not in self._losses:
+            self._losses[key] = _loss(self, instance_id, name)
+        return self._losses[key]
+
+
+def running_by_model(inputs: data.Inputs) -> dict[tuple[str, str], int]:
+    """Returns the requests under way by engine and model."""
+    running: dict[tuple[str, str], int] = {}
+    for (instance_id, target), count in inputs.in_use.items():
+        key = (instance_id, target.partition("/")[0])
+        running[key] = running.get(key, 0) + count
+    return running
+
+
+def _adapters_mb(inputs: data.Inputs, engine: data.Engine) -> float:
+    total = 0.0
+    for target in engine.ledger.all_adapters():
+        model = inputs.spec.models.get(target.partition("/")[0])
+        total += model.adapter_mb if model else 0.0
+    return total
+
+
+def waits_for(draft: Draft, engine: data.Engine, name: str) -> float:
+    """Returns how long an engine needs until a load can begin."""
+    inputs = draft.inputs
+    ledger = engine.ledger
+    missing_mb = ledger.used_mb(inputs.spec) + inputs.size(name)
+    missing_mb -= inputs.spec.weights_mb
+    wait_s = 0.0
+    if any("/" not in target for target in ledger.arriving):
+        wait_s += 1.0
+    if missing_mb <= 0:
+        return wait_s
+    leaving = [
+        (draft.running(engine.name, one), one)
+        for one in ledger.models
+        if one not in draft.held[engine.name]
+    ]
+    for requests, one in sorted(leaving):
+        if missing_mb <= 0:
+            break
+        missing_mb -= inputs.size(one)
+        wait_s += UNLOAD_S
+        if requests:
+            # The last of them to end counts.
+            wait_s += RUNNING_S * (1.0 + math.log(requests))
+    return wait_s
+
+
+def _loss(draft: Draft, instance_id: str, name: str) -> float | None:
+    """Returns what is lost, in requests a second, when a model makes way.
+
+    None where it must stay: it was loaded only now.
+    """
+    inputs = draft.inputs
+    ledger = draft.engines[instance_id].ledger
+    loaded_s = ledger.loaded_s.get(name, -STAY_S)
+    if name in ledger.arriving or inputs.now_s - loaded_s < STAY_S:
+        return None
+    demand = inputs.demand_for(name)
+    others = [one for one in draft.places[name] if one != instance_id]
+    if not demand.is_asked:
+        return IDLE_LOSSES[min(len(others), len(IDLE_LOSSES) - 1)]
+    if others:
+        share = demand.load / len(others)
+        busy = min(draft.load[one] for one in others) + share
+        return demand.rate * max(0.0, 1.0 - FULL_SHARE / max(busy, 1e-9))
+    if demand.waiting:
+        return None
+    elsewhere_s = draft.elsewhere_s(instance_id, name)
+    if elsewhere_s is not None:
+        # It is loaded there first: what waits is the model that comes, for
+        # the length of the load.
+        return MOVE_LOSS + demand.value * elsewhere_s / HORIZON_S
+    return demand.value
--- /dev/null
+++ b/sesamecross/ops/fleet/placement_exchange.py
@@ -0,0 +1,141 @@
+"""Places that were planned and are not being filled yet change hands.
+
+Why: a place that was planned may have to wait until the requests of the model
+that makes way have ended, 3 to 5 s. As long as no load has begun, the plan can
+still send the models that are worth most to where a load begins soonest.
+"""
+
+from sesamecross.ops.fleet import placement_data as data
+from sesamecross.ops.fleet import placement_draft
+
+# A place where requests have to end first is given up for one where a load
+# can begin within this. Nothing else changes it: models that alternate
+# between places would have room made for them everywhere.
+SOON_S = 0.25
+# Two models exchange places where one is worth this many times the other.
+EXCHANGE_TIMES = 2.0
+
+
+def expected(
+    inputs: data.Inputs, target: data.Target
+) -> dict[str, dict[str, float]]:
+    """Returns in how many seconds planned models will answer, by engine.
+
+    Those are the models that an engine should hold and does not load yet.
+    """
+    draft = placement_draft.Draft(inputs, target)
+    waits: dict[str, dict[str, float]] = {}
+    for instance_id, engine in draft.engines.items():
+        ready_s = 0.0
+        waits[instance_id] = {}
+        for name in _not_begun(draft, instance_id):
+            ready_s = max(
+                ready_s, placement_draft.waits_for(draft, engine, name)
+            )
+            takes_s, _ = inputs.load_time(engine, name)
+            ready_s += takes_s
+            waits[instance_id][name] = ready_s
+    return waits
+
+
+def _not_begun(draft: placement_draft.Draft, instance_id: str) -> list[str]:
+    """Returns what an engine should hold and does not load, by its worth."""
+    ledger = draft.engines[instance_id].ledger
+    names = [
+        name
+        for name in draft.held[instance_id]
+        if not ledger.holds_or_will(name)
+    ]
+    return sorted(
+        names, key=lambda name: (-draft.inputs.demand_for(name).value, name)
+    )
+
+
+def exchange(draft: placement_draft.Draft) -> None:
+    """Gives the places that are free soonest to the models worth most.
+
+    The pattern: an engine with a busy model dies. Places are planned one
+    after the other, so the idle room may be promised to a model that is asked
+    for now and then, while the busy one waits 3 to 5 s until the requests of
+    some other model have ended. As long as no load has begun, two models
+    exchange their places at no cost.
+    """
+    planned = [
+        (draft.inputs.demand_for(name).value, name, instance_id)
+        for instance_id in draft.engines
+        for name in _not_begun(draft, instance_id)
+        if draft.inputs.demand_for(name).is_asked
+    ]
+    planned.sort(key=lambda one: (-one[0], one[1:]))
+    moved: set[tuple[str, str]] = set()
+    for value, name, instance_id in planned:
+        if (name, instance_id) in moved:
+            continue
+        wait_s = placement_draft.waits_for(
+            draft, draft.engines[instance_id], name
+        )
+        best = None
+        for lesser, other, other_id in planned:
+            if lesser * EXCHANGE_TIMES > value or (other, other_id) in moved:
+                continue
+            if not _may_exchange(draft, name, instance_id, other, other_id):
+                continue
+            other_s = placement_draft.waits_for(
+                draft, draft.engines[other_id], other
+            )
+            gain_s = wait_s - other_s
+            if gain_s > SOON_S and (best is None or gain_s > best[0]):
+                best = (gain_s, other, other_id)
+        if best is not None:
+            _, other, other_id = best
+            draft.remove(instance_id, name)
+            draft.remove(other_id, other)
+            draft.add(other_id, name)
+            draft.add(instance_id, other)
+            moved |= {(other, other_id), (name, instance_id)}
+
+
+def _may_exchange(
+    draft: placement_draft.Draft,
+    name: str,
+    instance_id: str,
+    other: str,
+    other_id: str,
+) -> bool:
+    if instance_id == other_id:
+        return False
+    if other_id in draft.places[name] or instance_id in draft.places[other]:
+        return False
+    size = draft.inputs.size
+    return draft.free[other_id] + size(other) >= size(name) and draft.free[
+        instance_id
+    ] + size(name) >= size(other)
+
+
+def take_sooner(draft: placement_draft.Draft) -> None:
+    """Moves what waits for requests to end to where a load can begin now."""
+    for instance_id, engine in draft.engines.items():
+        for name in sorted(draft.held[instance_id]):
+            if engine.ledger.holds_or_will(name):
+                continue
+            if not draft.inputs.demand_for(name).is_asked:
+                continue
+            if placement_draft.waits_for(draft, engine, name) <= SOON_S:
+                continue
+            draft.remove(instance_id, name)
+            to = _soonest_place(draft, name)
+            draft.add(to or instance_id, name)
+
+
+def _soonest_place(draft: placement_draft.Draft, name: str) -> str | None:
+    """Returns an engine where a load can begin now and nothing is lost."""
+    rated = []
+    for instance_id, engine in draft.engines.items():
+        if instance_id in draft.places[name]:
+            continue
+        if not draft.fits(instance_id, name):
+            continue
+        if placement_draft.waits_for(draft, engine, name) <= SOON_S:
+            takes_s, _ = draft.inputs.load_time(engine, name)
+            rated.append((draft.load[instance_id] + takes_s, instance_id))
+    return min(rated)[1] if rated else None
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -8,7 +8,7 @@
 """
 
 from sesamecross.ops.fleet import placement_data as data
-from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_draft
 
 # After a model was withdrawn, until no instance sends to it any more: what
 # instances tell each other arrives within this.
@@ -51,7 +51,7 @@
         self.steps: list[data.Step] = []
         self.taken: set[str] = set()
         self.store_loads = inputs.store_loads
-        self.running = placement_target.running_by_model(inputs)
+        self.running = placement_draft.running_by_model(inputs)
 
     def order(self, step: data.Step) -> None:
         """Adds an order."""
--- a/sesamecross/ops/fleet/placement_target_test.py
+++ b/sesamecross/ops/fleet/placement_target_test.py
@@ -5,6 +5,8 @@
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_ledger
 from sesamecross.ops.fleet import placement_data as data
+from sesamecross.ops.fleet import placement_draft
+from sesamecross.ops.fleet import placement_exchange
 from sesamecross.ops.fleet import placement_target
 
 NAMES = ("busy", "rare", "other", "idle", "stays", "stays-too")
@@ -108,7 +110,7 @@
             [engine("e1", "idle", "other")],
             {"e1": ["busy", "other"]},
             {},
-            {"busy": LOAD_S + placement_target.UNLOAD_S},
+            {"busy": LOAD_S + placement_draft.UNLOAD_S},
         ),
         # One whose request has to end first.
         (
@@ -117,8 +119,8 @@
             {("e1", "idle"): 1},
             {
                 "busy": LOAD_S
-                + placement_target.UNLOAD_S
-                + placement_target.RUNNING_S
+                + placement_draft.UNLOAD_S
+                + placement_draft.RUNNING_S
             },
         ),
     ],
@@ -126,5 +128,5 @@
 def test_planned_models_are_expected_in_time(engines, target, in_use, expected):
     demands = {"busy": demand(18.0), "rare": demand(0.7)}
     given = inputs(engines, demands, target, in_use)
-    got = placement_target.expected(given, given.target)
+    got = placement_exchange.expected(given, given.target)
     assert got["e1"] == pytest.approx(expected)
