--- /dev/null
+++ b/sesamecross/gateway/front_test.py
@@ -0,0 +1,219 @@
+"""Tests of the front door: framing, limits, and what is never passed on."""
+
+import asyncio
+import re
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.gateway import front
+
+LIMITS = serving.CallerLimits(
+    head_bytes=400, body_bytes=100, head_s=3.0, idle_s=15.0
+)
+
+
+class _Timer:
+    def cancel(self) -> None:
+        """Never fires in these tests."""
+
+
+class _Loop:
+    def call_later(self, after_s, call, *args) -> _Timer:
+        return _Timer()
+
+
+class _Transport(asyncio.Transport):
+    """Keeps what was written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.is_closed = False
+
+    def write(self, data) -> None:
+        if not self.is_closed:
+            self.written += data
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def abort(self) -> None:
+        self.is_closed = True
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def pause_reading(self) -> None:
+        """Nothing is read from here."""
+
+    def resume_reading(self) -> None:
+        """Nothing is read from here."""
+
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        """Nothing is buffered here."""
+
+
+class _Handler:
+    """Answers every request at once, and keeps what it was asked."""
+
+    def __init__(self) -> None:
+        self.limits = LIMITS
+        self.is_closing = False
+        self.requests: list[tuple[bytes, bytes, bytes]] = []
+
+    def read_request(self, head, body):
+        self.requests.append((head.method, head.target, body))
+        return object()
+
+    def handle(self, request, exchange) -> None:
+        exchange.whole(200, [(b"x-answer", b"yes")], b"ok")
+
+    def rejected(self, status, reason) -> None:
+        """Counted by what was written."""
+
+
+def play(pieces) -> tuple[_Handler, _Transport]:
+    handler, transport = _Handler(), _Transport()
+    connection = front.FrontConnection(handler, _Loop(), set())
+    connection.connection_made(transport)
+    for piece in pieces:
+        connection.data_received(piece)
+    return handler, transport
+
+
+def statuses(transport: _Transport) -> list[int]:
+    """Returns the statuses answered; a body ends without a line end."""
+    found = re.findall(rb"HTTP/1\.1 (\d{3}) ", transport.written)
+    return [int(status) for status in found]
+
+
+HOST = b"Host: a.example\r\n"
+POST = b"POST /a/b HTTP/1.1\r\n" + HOST
+GET = b"GET /a/ HTTP/1.1\r\n" + HOST + b"\r\n"
+HIDDEN = b"GET /hidden/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+GOOD = [
+    (GET, [(b"GET", b"/a/", b"")]),
+    (
+        POST + b"Content-Length: 5\r\n\r\nhello",
+        [(b"POST", b"/a/b", b"hello")],
+    ),
+    (
+        POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\n\r\n",
+        [(b"POST", b"/a/b", b"hello")],
+    ),
+    # Two requests sent together are answered in their turn.
+    (
+        POST + b"Content-Length: 2\r\n\r\nhi" + GET,
+        [(b"POST", b"/a/b", b"hi"), (b"GET", b"/a/", b"")],
+    ),
+]
+
+
+@pytest.mark.parametrize(("data", "expected"), GOOD)
+def test_requests_are_read_whole_however_they_arrive(data, expected):
+    for size in (1, 2, 7, len(data)):
+        pieces = [data[i : i + size] for i in range(0, len(data), size)]
+        handler, transport = play(pieces)
+        assert handler.requests == expected
+        assert statuses(transport) == [200] * len(expected)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        # Two readers would see the request end at two places, and the rest
+        # would become another caller's request.
+        (
+            POST
+            + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"0\r\n\r\n"
+            + HIDDEN,
+            400,
+        ),
+        (
+            POST + b"Content-Length: 0\r\nContent-Length: 40\r\n\r\n" + HIDDEN,
+            400,
+        ),
+        (
+            POST
+            + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"
+            + HIDDEN,
+            400,
+        ),
+        (
+            POST
+            + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"
+            + b"\r\n0\r\n\r\n"
+            + HIDDEN,
+            400,
+        ),
+        (POST + b"Content-Length: -1\r\n\r\n" + HIDDEN, 400),
+        (POST + b"Content-Length: 5, 5\r\n\r\nhello" + HIDDEN, 400),
+        (POST + b"Content-Length : 5\r\n\r\nhello" + HIDDEN, 400),
+        (POST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n" + HIDDEN, 400),
+        (b"POST /a HTTP/1.1\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\n" + HOST + HOST + b"\r\n", 400),
+        (b"no request at all\r\n\r\n", 400),
+        # Over the limits: told so before any of it is kept.
+        (POST + b"Content-Length: 101\r\n\r\n", 413),
+        (
+            POST
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"65\r\n"
+            + b"x" * 101
+            + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (POST + b"X-Long: " + b"x" * 400 + b"\r\n\r\n", 431),
+    ],
+)
+def test_what_two_readers_could_take_differently_is_refused(data, status):
+    """A request hidden in another one's body ran under a name of its own."""
+    for size in (1, 16, len(data)):
+        pieces = [data[i : i + size] for i in range(0, len(data), size)]
+        handler, transport = play(pieces)
+        assert handler.requests == []
+        assert statuses(transport) == [status]
+        assert transport.is_closed
+        assert b"connection: close" in transport.written
+
+
+BYTES = st.one_of(
+    st.binary(max_size=60),
+    st.sampled_from(
+        [
+            GET,
+            POST,
+            HOST,
+            HIDDEN,
+            b"Content-Length: 5\r\n",
+            b"Content-Length: 0\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"\r\n",
+            b"5\r\nhello\r\n",
+            b"0\r\n\r\n",
+            b"hello",
+            b"HTTP/1.1 200 OK\r\n\r\n",
+        ]
+    ),
+)
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(pieces=st.lists(BYTES, max_size=12), cut=st.integers(1, 9))
+def test_any_bytes_are_read_alike_however_they_are_cut(pieces, cut):
+    """What is asked depends on the bytes, not on where packets end."""
+    data = b"".join(pieces)
+    whole, first = play([data] if data else [])
+    parts, second = play([data[i : i + cut] for i in range(0, len(data), cut)])
+    assert parts.requests == whole.requests
+    assert statuses(second) == statuses(first)
+    # Whoever was refused is not listened to any more.
+    refused = [one for one in statuses(first) if one >= 400]
+    assert len(refused) <= 1
