--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -48,6 +48,8 @@
       rate: Requests a second, smoothed over some seconds.
       waiting: Requests that wait for it to be loaded.
       late: Of the recent requests, the share that missed their objective.
+      place_s: How long a request takes its place in a batch, on average; 0
+        until one has ended.
     """
 
     service: str
@@ -55,6 +57,7 @@
     rate: float
     waiting: int
     late: float
+    place_s: float
 
 
 class Failing(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -103,6 +103,11 @@
         """How long the request waited for its model or adapter."""
         return self._waited_s
 
+    @property
+    def held_s(self) -> float:
+        """How long the request was held here: for its model, for its turn."""
+        return self._waited_s + self._paced_s
+
     async def find(
         self, tried: frozenset[str]
     ) -> directory.KnownUpstream | None:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -273,6 +273,7 @@
                     failure = attempts.FailedThere(whole.status)
                 case attempt_lib.Streamed():
                     self._relay.finish()
+                    self._note_place()
                     return "streamed"
                 case None:
                     return self._out_of_time()
@@ -472,6 +473,16 @@
             case attempts.NotRun() | attempts.Lost():
                 upstream.health.failed(now_s)
 
+    def _note_place(self) -> None:
+        """Tells how long the request took a place in an engine's batch."""
+        search = self._search
+        if search is None:
+            return
+        took_s = asyncio.get_running_loop().time() - self._arrived_s
+        self._owner.engines.demand.took_place(
+            search.key, max(0.0, took_s - search.held_s)
+        )
+
     def _note_lateness(self) -> None:
         """Tells whether the engines of a model keep up with its requests.
 
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -17,6 +17,8 @@
 # A rate below this is as good as none and is no longer told.
 RATE_LEAST = 0.01
 LATE_WEIGHT = 0.1
+# Weight of the newest request in how long one takes its place in a batch.
+PLACE_WEIGHT = 0.1
 
 Key = tuple[str, str]
 
@@ -27,6 +29,7 @@
     at_s: float = 0.0
     waiting: int = 0
     late: float = 0.0
+    place_s: float = 0.0
 
     def now(self, now_s: float) -> float:
         """Returns the rate, faded to now."""
@@ -56,6 +59,13 @@
         meter = self._meters.setdefault(key, _Meter())
         meter.late += (float(was_late) - meter.late) * LATE_WEIGHT
 
+    def took_place(self, key: Key, lasted_s: float) -> None:
+        """Notes how long a request was at an engine, from sending to end."""
+        meter = self._meters.setdefault(key, _Meter())
+        if not meter.place_s:
+            meter.place_s = lasted_s
+        meter.place_s += (lasted_s - meter.place_s) * PLACE_WEIGHT
+
     def rows(self, now_s: float) -> list[fm.TargetDemand]:
         """Returns what is asked for now; forgets what no longer is."""
         rows = []
@@ -67,7 +77,11 @@
                 continue
             rows.append(
                 fm.TargetDemand(
-                    *key, round(rate, 3), meter.waiting, round(meter.late, 2)
+                    *key,
+                    round(rate, 3),
+                    meter.waiting,
+                    round(meter.late, 2),
+                    round(meter.place_s, 3),
                 )
             )
         return rows
--- a/sesamecross/ops/fleet/figures.py
+++ b/sesamecross/ops/fleet/figures.py
@@ -95,8 +95,20 @@
     late = 0.0
     if rate > 0:
         late = (known.rate * known.late + one.rate * one.late) / rate
+    place_s = _mean_place_s(known, one)
     waiting = known.waiting + one.waiting
-    demand[key] = fm.TargetDemand(one.service, one.target, rate, waiting, late)
+    demand[key] = fm.TargetDemand(
+        one.service, one.target, rate, waiting, late, place_s
+    )
+
+
+def _mean_place_s(one: fm.TargetDemand, other: fm.TargetDemand) -> float:
+    """Returns the mean over those of whom one has ended."""
+    told = [row for row in (one, other) if row.place_s > 0]
+    rate = sum(row.rate for row in told)
+    if rate <= 0:
+        return max((row.place_s for row in told), default=0.0)
+    return sum(row.rate * row.place_s for row in told) / rate
 
 
 class Latest:
--- a/sesamecross/ops/fleet/placement_memory.py
+++ b/sesamecross/ops/fleet/placement_memory.py
@@ -26,10 +26,25 @@
 Key = tuple[str, str]
 
 
-def _load(spec: serving.EngineSpec, rate: float, running: int) -> float:
-    """Returns how many engines a model's requests keep busy."""
+def _load(
+    spec: serving.EngineSpec, rate: float, places: float, running: int
+) -> float:
+    """Returns how many engines a model's requests keep busy.
+
+    By the prompts that they read, or by the places that they take. Places are
+    counted by what is asked for and not only by what runs: engines with 12
+    places are full at a quarter of their reading rate, requests beyond are
+    refused, and what runs is no more than there is room for. On a calm day
+    335 of 1,081 requests were turned away while half of the engines idled.
+
+    Args:
+      spec: The engines.
+      rate: Requests a second.
+      places: Places that these take, if all of them are served.
+      running: Requests under way.
+    """
     read_s = TYPICAL_TOKENS * engine_state.START_PROMPT_MS / 1000
-    return max(rate * read_s, running / max(1, spec.slots))
+    return max(rate * read_s, max(places, running) / max(1, spec.slots))
 
 
 class PlacementMemory:
@@ -95,11 +110,14 @@
         """
         rates: dict[str, float] = {}
         late: dict[str, float] = {}
+        places: dict[str, float] = {}
         waiting: dict[str, int] = {}
         for (of, target), one in told.items():
             if of == service:
                 model = target.partition("/")[0]
                 rates[model] = rates.get(model, 0.0) + one.rate
+                taken = one.rate * one.place_s
+                places[model] = places.get(model, 0.0) + taken
                 late[model] = late.get(model, 0.0) + one.rate * one.late
                 if model == target:
                     waiting[model] = waiting.get(model, 0) + one.waiting
@@ -116,7 +134,12 @@
             name: placement_data.ModelDemand(
                 rates.get(name, 0.0),
                 self._usual.get((service, name), 0.0),
-                _load(spec, rates.get(name, 0.0), running.get(name, 0)),
+                _load(
+                    spec,
+                    rates.get(name, 0.0),
+                    places.get(name, 0.0),
+                    running.get(name, 0),
+                ),
                 waiting.get(name, 0),
                 late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
                 self._starved_s(service, name, waiting, held, now_s),
--- /dev/null
+++ b/sesamecross/ops/fleet/placement_memory_test.py
@@ -0,0 +1,68 @@
+"""Tests of how busy a model's requests keep engines."""
+
+import pytest
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
+from sesamecross.ops.fleet import demand as demand_lib
+from sesamecross.ops.fleet import figures
+from sesamecross.ops.fleet import placement_memory
+
+STREAM_S = 1.6
+KEY = ("s", "m")
+
+
+def load(slots: int, rate: float, place_s: float, running: int = 0) -> float:
+    model = serving.ServedModel("m", 40.0, 2.0, 0.5, 0.3, 0, 1.0)
+    spec = serving.EngineSpec(slots, 66_000, 200.0, 8, 2.0, 8, {"m": model})
+    told = {KEY: fm.TargetDemand("s", "m", rate, 0, 0.0, place_s)}
+    demand = placement_memory.PlacementMemory().demand(
+        "s", spec, told, {("e1", "m"): running}, {"m"}, {}, 100.0
+    )
+    return demand["m"].load
+
+
+@pytest.mark.parametrize(
+    ("slots", "rate", "place_s", "running", "expected"),
+    [
+        # A small batch is full long before the engine reads all it can:
+        # 15 requests a second take 24 places, two engines of 12.
+        (12, 15.0, STREAM_S, 11, 2.0),
+        # A large one has room, and prompts are what counts.
+        (64, 15.0, STREAM_S, 24, 0.45),
+        # Short answers take their places for a moment.
+        (12, 15.0, 0.1, 2, 0.45),
+        # None has ended yet: what runs is all that is known.
+        (12, 1.0, 0.0, 12, 1.0),
+    ],
+)
+def test_load_counts_places_that_are_asked_for(
+    slots, rate, place_s, running, expected
+):
+    """A third of a calm day's requests were refused while engines idled.
+
+    Engines had 12 places. One was full, requests beyond were turned away, and
+    as no more ran than there was room for, the model got no second engine.
+    """
+    assert load(slots, rate, place_s, running) == pytest.approx(expected)
+
+
+def test_how_long_requests_take_is_learned_where_some_have_ended():
+    demand = demand_lib.Demand()
+    demand.asked(KEY, 0.0)
+    assert demand.rows(0.0)[0].place_s == 0.0
+    for _ in range(60):
+        demand.took_place(KEY, STREAM_S)
+    row = demand.rows(0.0)[0]
+    assert row.place_s == pytest.approx(STREAM_S)
+    # An instance that has seen none end does not pull the mean down.
+    unknown = fm.TargetDemand("s", "m", 9.0, 0, 0.0, 0.0)
+    me = fm.Member("a", 1, "z", "a:1", 1, 1)
+    sums = figures.add_up(
+        [
+            fm.Report(me, 1, demand=[row]),
+            fm.Report(me, 1, demand=[unknown]),
+        ]
+    )
+    assert sums.demand[KEY].place_s == pytest.approx(STREAM_S)
+    assert sums.demand[KEY].rate == pytest.approx(9.5)
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -25,7 +25,10 @@
 LOAD_COST = 0.5
 # This share is late by chance: prompts that are too large to be on time.
 LATE_SHARE = 0.15
-LATE_LOAD = 0.2
+# Lateness says that a model needs another engine only where its engines are at
+# least this busy: one with 12 places got eight engines for the work of four, as
+# each further one was late while it was loaded.
+LATE_LOAD = 0.5
 # A model that is asked for makes way only where this much more is won.
 DISPLACE_TIMES = 1.5
 # Fairness: a model that is found nowhere counts double after this time.
