Records of the store are sent between instances as one type

store_proxy and sync each had a record of key, value and offset and each its own translation, which differed only in how a missing value was sent (empty bytes or none). One type and one pair of functions in store_messages serve both; 37 lines fewer in the two modules. No behaviour changes: an empty value and none both drop the key.

--- a/sesamecross/gateway/store_proxy.py
+++ b/sesamecross/gateway/store_proxy.py
@@ -15,6 +15,7 @@
 from sesamecross.core import hlc
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import store_client
+from sesamecross.gateway import store_messages
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.transport import streams
@@ -45,16 +46,6 @@
     topic: str
 
 
-@codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreRecord:
-    """A record of the store."""
-
-    key: str
-    value: bytes
-    offset: int
-
-
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreTold:
@@ -69,7 +60,7 @@
     is_done: bool
     is_conflict: bool
     offset: int
-    records: tuple[StoreRecord, ...] = ()
+    records: tuple[store_messages.StoreRecord, ...] = ()
 
 
 async def serve(
@@ -90,15 +81,7 @@
         case store.Conflict(end):
             return StoreTold(True, True, end)
         case store.Newest(records=records, end=end):
-            return StoreTold(
-                True,
-                False,
-                end,
-                tuple(
-                    StoreRecord(one.key, one.value or b"", one.offset)
-                    for one in records
-                ),
-            )
+            return StoreTold(True, False, end, store_messages.encoded(records))
     return StoreTold(False, False, -1)
 
 
@@ -144,10 +127,7 @@
         told = await self._by_another(NewestAsk(topic))
         if told is None or not told.is_done:
             return outcome
-        records = tuple(
-            store.KeyedRecord(one.key, one.value or None, one.offset)
-            for one in told.records
-        )
+        records = store_messages.decoded(told.records)
         return store.Newest(records, False, told.offset)
 
     async def _by_another(self, ask: AppendAsk | NewestAsk) -> StoreTold | None:
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -21,6 +21,7 @@
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
+from sesamecross.gateway import store_messages
 from sesamecross.gateway import store_proxy
 from sesamecross.ops.fleet import reading
 from sesamecross.ports import store
@@ -42,33 +43,17 @@
     upstreams_end: int
 
 
-@codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncRecord:
-    """A record of the store; no value drops the key."""
-
-    key: str
-    value: bytes | None
-    offset: int
-
-
 @codec.register
 @dataclasses.dataclass(frozen=True, slots=True)
 class SyncAnswer:
     """What the asking instance lacks."""
 
-    configuration: tuple[SyncRecord, ...]
+    configuration: tuple[store_messages.StoreRecord, ...]
     configuration_end: int
-    upstreams: tuple[SyncRecord, ...]
+    upstreams: tuple[store_messages.StoreRecord, ...]
     upstreams_end: int
 
 
-def _wire(
-    records: tuple[store.KeyedRecord, ...],
-) -> tuple[SyncRecord, ...]:
-    return tuple(SyncRecord(one.key, one.value, one.offset) for one in records)
-
-
 class SyncServer:
     """Component that answers other instances."""
 
@@ -133,9 +118,9 @@
         if ask.configuration < self._state.version:
             newer = configuration.since(0)
         return SyncAnswer(
-            _wire(newer),
+            store_messages.encoded(newer),
             configuration.end,
-            _wire(upstreams.since(max(0, ask.upstreams_end))),
+            store_messages.encoded(upstreams.since(max(0, ask.upstreams_end))),
             upstreams.end,
         )
 
@@ -247,10 +232,8 @@
             ),
             (self._catalog.upstreams, answer.upstreams, answer.upstreams_end),
         ):
-            for one in records:
-                sink.on_record(
-                    store.KeyedRecord(one.key, one.value, one.offset)
-                )
+            for one in store_messages.decoded(records):
+                sink.on_record(one)
             if end >= 0:
                 sink.on_reached(end)
 
