What engines hold is told by a module of its own

order_desk.py was 630 lines with two jobs: planning and ordering, and telling all instances where models are. No behaviour changes.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -14,6 +14,7 @@
 from sesamecross.gateway import engine_client
 from sesamecross.gateway import lease_keeper
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import placement_teller
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import engine_ledger
@@ -51,8 +52,6 @@
 # After an engine came, until others that start with it have come as well: they
 # register within some seconds of each other.
 ENGINES_S = 4.0
-# All engines' places are told anew this often, for who missed them.
-REFRESH_S = 1.5
 # How long a load may be overdue before the engine is asked.
 OVERDUE_S = 0.15
 # A withdrawn model serves again if it was not unloaded by then: its requests
@@ -70,7 +69,6 @@
     is_calling: bool = False
     ask_s: float = 0.0
     conflicts: int = 0
-    told: fm.EnginePlace | None = None
 
 
 class OrderDesk:
@@ -93,7 +91,7 @@
         self._log = logs.part("orders")
         self._desks: dict[str, _Desk] = {}
         self._wants: dict[tuple[str, str, str], float] = {}
-        self._wanting: dict[str, set[str]] = {}
+        self._teller = placement_teller.PlacementTeller(state, mesh)
         self._memory = placement_memory.PlacementMemory()
         self._budgets: dict[str, load_budget.LoadBudget] = {}
         self._withdrawn: dict[tuple[str, str], float] = {}
@@ -108,7 +106,6 @@
         self._rests_s = 0.0
         self._begun_s = 0.0
         self._engine_came_s = 0.0
-        self._refreshed_s = 0.0
         self._calls: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         mesh.listen(self._on_message)
@@ -149,10 +146,10 @@
         match message:
             case fm.Want(me=me, service=service, target=target):
                 if self._lease.holds:
-                    self._wanting.setdefault(target, set()).add(me.name)
+                    self._teller.waits(target, me.name)
                     self._note_want(service, target, message.upstream)
             case fm.Placement():
-                self._take_placement(message)
+                self._teller.take(message)
 
     def _note_want(self, service: str, target: str, upstream: str) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -160,82 +157,20 @@
         self._planned_s = 0.0
         self._wake.set()
 
-    # -- what is told --------------------------------------------------
-
-    def _take_placement(self, message: fm.Placement) -> None:
-        now_s = asyncio.get_running_loop().time()
-        lease = self._mesh.lease
-        if lease is not None and message.fence < lease.fence:
-            return
-        for place in message.engines:
-            known = self._state.directory.get(place.upstream)
-            if known is not None:
-                known.engine.take_place(place, now_s)
-        self._state.touch()
-
     def _tell(self, now_s: float) -> None:
-        """Tells everybody what changed, and now and then everything."""
-        is_refresh = now_s - self._refreshed_s >= REFRESH_S
-        if is_refresh:
-            self._refreshed_s = now_s
-        changed = []
-        for desk in self._desks.values():
-            place = self._place_of(desk.ledger, now_s)
-            if is_refresh or _differs(desk.told, place):
-                desk.told = place
-                changed.append(place)
-        if not changed:
-            return
-        message = fm.Placement(
-            self._mesh.me,
-            self._mesh.next_number(),
-            self._lease.fence,
-            changed,
-        )
-        self._take_placement(message)
-        self._mesh.broadcast(message)
-        self._tell_wanting(message)
-
-    def _place_of(
-        self, ledger: engine_ledger.EngineLedger, now_s: float
-    ) -> fm.EnginePlace:
-        gone = {
-            name
-            for instance_id, name in self._withdrawn
-            if instance_id == ledger.instance_id
-        }
-        targets = {
-            target
-            for target in ledger.models | ledger.adapters
-            if target.partition("/")[0] not in gone
-        }
-        planned = self._planned.get(ledger.instance_id, {})
-        return fm.EnginePlace(
-            ledger.instance_id,
-            ledger.born_ms,
-            ledger.orders,
-            sorted(targets),
-            [
-                (target, round(at_s - now_s, 2))
-                for target, at_s in sorted(ledger.arriving.items())
-            ],
-            [
-                (target, round(at_s - now_s, 2))
-                for target, at_s in sorted(planned.items())
-                if not ledger.holds_or_will(target)
-            ],
-        )
+        places = [
+            placement_teller.place_of(
+                desk.ledger,
+                self._withdrawn_at(instance_id),
+                self._planned.get(instance_id, {}),
+                now_s,
+            )
+            for instance_id, desk in self._desks.items()
+        ]
+        self._teller.tell(places, self._lease.fence, now_s)
 
-    def _tell_wanting(self, message: fm.Placement) -> None:
-        """Who waits hears it directly, without the way over the hubs."""
-        told: set[str] = set()
-        for place in message.engines:
-            for target in place.targets:
-                told |= self._wanting.pop(target, set())
-        for name in told:
-            member = self._mesh.roster.get(name)
-            if member is not None:
-                self._mesh.send(message, member)
+    def _withdrawn_at(self, instance_id: str) -> set[str]:
+        return {model for at, model in self._withdrawn if at == instance_id}
 
     # -- the work ------------------------------------------------------
 
@@ -269,7 +204,7 @@
         self._targets.clear()
         self._planned.clear()
         self._aim_s.clear()
-        self._wanting.clear()
+        self._teller.forget()
 
     def _engine_spec(self, service: str) -> serving.EngineSpec | None:
         configuration = self._state.configuration
@@ -613,18 +548,3 @@
 def _mean_load_s(spec: serving.EngineSpec) -> float:
     times = [model.store_load_s for model in spec.models.values()]
     return sum(times) / len(times) if times else 1.0
-
-
-def _differs(told: fm.EnginePlace | None, place: fm.EnginePlace) -> bool:
-    if told is None:
-        return True
-    return (
-        told.orders != place.orders
-        or told.targets != place.targets
-        or _names(told.arriving) != _names(place.arriving)
-        or _names(told.planned) != _names(place.planned)
-    )
-
-
-def _names(expected: list[tuple[str, float]]) -> list[str]:
-    return [name for name, _ in expected]
