A start tells in its log whether the one before it ended without a stop

Seen in the incident: a process that a signal's default action ends writes no line, so its own logs could not tell that end from a kill or a planned stop; only the platform's exit codes could. What outlives a process is its registration in the store, which a planned stop takes back. The next start of the instance finds it and logs a warning with its incarnation. No call is added: the list is read anyway.

--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -65,9 +65,13 @@
     async def join(self) -> Joined:
         """Returns once this start is registered, however long that takes."""
         nonce = secrets.token_hex(8)
+        is_first = True
         while True:
             records = await self._list()
             if records is not None:
+                if is_first:
+                    is_first = False
+                    self._tell_earlier(records)
                 joined = await self._join_by(records, nonce)
                 if joined is not None:
                     self._log.info(
@@ -78,6 +82,20 @@
                     return joined
             await asyncio.sleep(RETRY_S * self._rng.uniform(0.5, 1.0))
 
+    def _tell_earlier(self, records: dict[str, store.KeyedRecord]) -> None:
+        """Logs whether the start before this one ended in order.
+
+        A process that a signal or the kernel ends writes no line of it, and
+        nothing on the instance outlives it. Its registration does: a planned
+        stop takes it back.
+        """
+        earlier = records.get(INSTANCE_PREFIX + self._instance.name)
+        if earlier is not None:
+            self._log.warning(
+                "earlier start ended without a stop",
+                incarnation=earlier.offset,
+            )
+
     async def _list(self) -> dict[str, store.KeyedRecord] | None:
         found: dict[str, store.KeyedRecord] = {}
         after = ""
