A test of the planned stop: behind the drain the front door still takes requests

A harness of the gateway's front door, forwarder and drain on loopback, with an upstream that answers when the test says so; there was none for the application object.

The listener tells where it listens, for tests that let the system choose the port.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -110,7 +110,7 @@
         )
         self._ready = status.StatusHandler(self.state, None)
         metrics = status.StatusHandler(self.state, self.metrics)
-        self._front = listener.Listener(
+        self.front = listener.Listener(
             "front", instance.front_address, self.forwarder
         )
         client = store_client.StoreClient(
@@ -164,7 +164,7 @@
             self._rng,
         )
         return [
-            self._front,
+            self.front,
             listener.Listener("ready", instance.ready_address, self._ready),
             listener.Listener(
                 "metrics", f"{instance.ip}:{adapter.metrics_port}", metrics
@@ -242,7 +242,7 @@
         await asyncio.sleep(BALANCER_LAG_S)
         # Once: callers come back by way of the balancer, which sends them to
         # an instance that stays. What connects from now on is about to ask.
-        self._front.close_idle()
+        self.front.close_idle()
         while loop.time() < until_s and self.forwarder.open_requests:
             await asyncio.sleep(_POLL_S)
         self._log.info("drained", open=self.forwarder.open_requests)
--- /dev/null
+++ b/sesamecross/gateway/app_test.py
@@ -0,0 +1,270 @@
+"""Tests of the gateway's planned stop: what its callers see of it.
+
+The gateway's front door, its forwarder and its drain run in this process on
+real loopback sockets, with an upstream that answers when the test says so.
+What is around them (store, datagrams, leases) is not started.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+import pytest
+from returns.result import Success
+
+from sesamecross.core import serving
+from sesamecross.gateway import app as app_lib
+from sesamecross.platform import program
+from sesamecross.runtime import supervisor
+
+# No test waits so long; it only ends one that would hang.
+HANG_S = 10.0
+# Long enough for a drain that does not wait to end, where a test has to show
+# that it does wait. Nothing is asserted on it.
+MEANWHILE_S = 0.3
+
+INSTANCE = serving.Instance(
+    "front-1",
+    "z1",
+    "r1",
+    "127.0.0.1",
+    "127.0.0.1:0",
+    "127.0.0.1:0",
+    (0, 0),
+    "127.0.0.1:1",
+    {"z1": "r1"},
+    1.0,
+    serving.Bounds(grace_s=600.0),
+)
+EVENTS = b"id: 1\ndata: a\n\n"
+
+
+def route(name: str, kind: serving.RouteKind) -> serving.Route:
+    return serving.Route(
+        name,
+        "h",
+        f"/{name}/",
+        kind,
+        (serving.Target("s", 1.0),),
+        1,
+        1,
+        # No limit that could end a request before the stop does.
+        500.0,
+        1.0,
+        1.0,
+        False,
+        False,
+    )
+
+
+CONFIGURATION = serving.Configuration(
+    1,
+    (
+        route("once", serving.RouteKind.ONCE),
+        route("plain", serving.RouteKind.IDEMPOTENT),
+        route("stream", serving.RouteKind.STREAM),
+    ),
+    {"s": serving.Service("s", "/", 100, None)},
+    serving.CallerLimits(),
+)
+
+
+class Upstream:
+    """An upstream that answers when it is told to.
+
+    Attributes:
+      arrived: Set once a request has come.
+      answers: Set where answers may be given.
+      body: Of its whole answers.
+      requests: The paths that it was asked for.
+    """
+
+    def __init__(self) -> None:
+        self.arrived = asyncio.Event()
+        self.answers = asyncio.Event()
+        self.body = b"done"
+        self.requests: list[bytes] = []
+        self.address = ""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            while True:
+                try:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    break
+                await self._answer(head, writer)
+        writer.close()
+
+    async def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        lines = head.split(b"\r\n")
+        path = lines[0].split(b" ")[1]
+        request_id = next(
+            line for line in lines if line.lower().startswith(b"request-id:")
+        )
+        out = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n" + request_id
+        self.requests.append(path)
+        if path.startswith(b"/stream/"):
+            out += b"\r\nContent-Type: text/event-stream"
+            out += b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+            out += b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
+            writer.write(out)
+            self.arrived.set()
+            await self.answers.wait()
+            writer.write(b"0\r\n\r\n")
+            return
+        self.arrived.set()
+        await self.answers.wait()
+        out += b"\r\nContent-Length: %d\r\n\r\n" % len(self.body)
+        writer.write(out + self.body)
+
+
+@dataclasses.dataclass
+class Played:
+    """A gateway that runs, and the upstream behind it."""
+
+    app: app_lib.GatewayApp
+    upstream: Upstream
+    tree: supervisor.Supervisor
+
+    def end_process(self) -> None:
+        """Does what the process's end does: what is unsent is lost."""
+        for connection in list(self.app.front.connections):
+            connection.abort()
+
+    async def connect(self) -> "Caller":
+        host, _, port = self.app.front.address.rpartition(":")
+        return Caller(*await asyncio.open_connection(host, int(port)))
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self.reader = reader
+        self.writer = writer
+
+    def ask(self, path: str) -> None:
+        self.writer.write(
+            f"GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n\r\n".encode()
+        )
+
+    async def status(self) -> int | None:
+        """Returns the answer's status; None where the connection ended."""
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, OSError):
+            return None
+        return int(head.split(b" ")[1])
+
+    async def rest(self) -> bytes:
+        """Returns what came up to the end of the connection."""
+        pieces = []
+        with contextlib.suppress(OSError):
+            while piece := await self.reader.read(65536):
+                pieces.append(piece)
+        return b"".join(pieces)
+
+
+class Held:
+    """A component whose stop takes until the test lets it go."""
+
+    is_vital = False
+    name = "held"
+
+    def __init__(self) -> None:
+        self.is_stopping = asyncio.Event()
+        self.may_stop = asyncio.Event()
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def stop(self) -> None:
+        self.is_stopping.set()
+        await self.may_stop.wait()
+
+
+async def until(condition) -> None:
+    """Waits for something that the test does not cause itself."""
+    async with asyncio.timeout(HANG_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@contextlib.asynccontextmanager
+async def playing(
+    *others, is_configured: bool = True, bounds: serving.Bounds | None = None
+) -> AsyncIterator[Played]:
+    upstream = Upstream()
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    instance = dataclasses.replace(INSTANCE, bounds=bounds or INSTANCE.bounds)
+    app = app_lib.GatewayApp.from_config(
+        instance, program.adapter(), lambda: Success(instance)
+    )
+    app.components()
+    tree = supervisor.Supervisor([app.front, *others])
+    tree.start()
+    await until(lambda: app.front.address)
+    if is_configured:
+        app.state.offer(CONFIGURATION)
+        app.state.has_upstreams = True
+        entry = serving.Upstream("u1", "s", f"{host}:{port}", "z1", 9, False, 1)
+        app.state.directory.saw(entry, asyncio.get_running_loop().time())
+    played = Played(app, upstream, tree)
+    async with asyncio.timeout(HANG_S):
+        yield played
+        played.end_process()
+        await tree.stop()
+        server.close()
+
+
+@pytest.fixture(autouse=True)
+def no_lag(monkeypatch):
+    """The balancer of these tests knows at once that an instance stops."""
+    monkeypatch.setattr(app_lib, "BALANCER_LAG_S", 0.0)
+
+
+@pytest.mark.parametrize("is_new", [False, True], ids=["kept", "new"])
+def test_after_the_drain_nothing_is_taken(is_new):
+    """A request in a planned stop was sent to an upstream and then cut off.
+
+    The drain was over, and the parts of the process stopped one after the
+    other, the front door last: behind calls to the store that took a second.
+    Callers that came meanwhile were served as ever, until the process ended.
+    """
+
+    async def play():
+        held = Held()
+        async with playing(held) as played:
+            # Its answer has begun, so nothing tells it to use another one.
+            kept = await played.connect()
+            kept.ask("/stream/")
+            await played.upstream.arrived.wait()
+            assert await kept.status() == 200
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            played.upstream.answers.set()
+            await kept.reader.readuntil(b"\r\n0\r\n\r\n")
+            await drain
+            stop = asyncio.create_task(played.tree.stop())
+            await held.is_stopping.wait()
+            status = None
+            try:
+                caller = await played.connect() if is_new else kept
+                caller.ask("/once/")
+                status = await caller.status()
+            except OSError:
+                assert is_new
+            held.may_stop.set()
+            await stop
+            return status, played.upstream.requests
+
+    status, requests = asyncio.run(play())
+    assert requests == [b"/stream/"]
+    assert status in (None, 503)
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -23,6 +23,14 @@
         self._server: asyncio.Server | None = None
         self.connections: set[front.FrontConnection] = set()
 
+    @property
+    def address(self) -> str:
+        """Where it listens, once it does; empty before."""
+        if self._server is None or not self._server.sockets:
+            return ""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
     async def run(self) -> None:
         """Listens until cancelled."""
         loop = asyncio.get_running_loop()
