The end of a drain closes the front door before anything else stops

Callers saw: in a planned stop, requests that came after the drain was over were sent to upstreams as ever, and the end of the process cut them off. Cause: the parts stop in the reverse order of their start, the front door last, behind the lease's and the registration's calls to the store; until then it accepted and served. The drain's last look at the open requests closed nothing.

Now the drain's end, in one step of the loop with that last look, ends the stop's time: whatever is handled later is refused with 503, not run, come back at once. Then the port closes, behind one turn of the loop in which who waits in its queue is accepted, and idle connections close; this has 0.15 s, within the margin that is kept off the grace. A request is so either counted by the last look or refused.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -40,6 +40,9 @@
 BALANCER_LAG_S = 2.6
 # Off the grace, for the last bytes to leave before the kill.
 GRACE_MARGIN_S = 0.6
+# Of that, for callers' connections to come to their end: some round trips
+# within a region.
+END_S = 0.15
 _POLL_S = 0.05
 # Smaller shares of failures are not worth telling.
 FAILING_LEAST = 0.05
@@ -232,6 +235,10 @@
         Readiness fails at once, so that the balancer turns away; callers
         that it still sends are served if there is time, and each answer tells
         its caller to use another connection next.
+
+        At the end the front door closes before any other part stops: these
+        call the store, which can take a second, and what the front took
+        meanwhile would be cut off by the process's end.
         """
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
@@ -245,4 +252,6 @@
         self.front.close_idle()
         while loop.time() < until_s and self.forwarder.open_requests:
             await asyncio.sleep(_POLL_S)
+        self.forwarder.take_no_more()
+        await self.front.end(END_S)
         self._log.info("drained", open=self.forwarder.open_requests)
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -129,6 +129,7 @@
     app: app_lib.GatewayApp
     upstream: Upstream
     tree: supervisor.Supervisor
+    address: str
 
     def end_process(self) -> None:
         """Does what the process's end does: what is unsent is lost."""
@@ -136,7 +137,7 @@
             connection.abort()
 
     async def connect(self) -> "Caller":
-        host, _, port = self.app.front.address.rpartition(":")
+        host, _, port = self.address.rpartition(":")
         return Caller(*await asyncio.open_connection(host, int(port)))
 
 
@@ -216,7 +217,7 @@
         app.state.has_upstreams = True
         entry = serving.Upstream("u1", "s", f"{host}:{port}", "z1", 9, False, 1)
         app.state.directory.saw(entry, asyncio.get_running_loop().time())
-    played = Played(app, upstream, tree)
+    played = Played(app, upstream, tree, app.front.address)
     async with asyncio.timeout(HANG_S):
         yield played
         played.end_process()
@@ -236,7 +237,8 @@
 
     The drain was over, and the parts of the process stopped one after the
     other, the front door last: behind calls to the store that took a second.
-    Callers that came meanwhile were served as ever, until the process ended.
+    Callers that came meanwhile were served as ever, until the process ended:
+    the drain looked once whether anything was open and closed no door.
     """
 
     async def play():
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -84,6 +84,10 @@
         """How many requests are being answered."""
         return len(self._open)
 
+    def take_no_more(self) -> None:
+        """Refuses all that arrives from now on: the process is about to end."""
+        self.stop = self.stop.ended(asyncio.get_running_loop().time())
+
     def read_request(
         self, head: front.Head, body: bytes
     ) -> serving.Request | None:
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -7,6 +7,8 @@
 # Connections that wait to be accepted. The platform's balancer hands over
 # all of a zone's callers at once when another instance stops.
 BACKLOG = 1024
+# How often an end looks whether all connections are gone.
+_POLL_S = 0.02
 
 
 class Listener:
@@ -46,6 +48,24 @@
         )
         await asyncio.Event().wait()
 
+    async def end(self, within_s: float) -> None:
+        """Accepts no more, and lets the connections come to their end.
+
+        Requests that crossed this are still answered, by a handler that
+        refuses. Answers under way go out meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + within_s
+        # Who was told that it is connected waits in a queue, and would be
+        # reset if the port closed first.
+        await _turn()
+        if self._server is not None:
+            self._server.close()
+        self.close_idle()
+        while self.connections and loop.time() < until_s:
+            await asyncio.sleep(_POLL_S)
+            self.close_idle()
+
     async def stop(self) -> None:
         """Accepts no more, and closes what is idle."""
         if self._server is not None:
@@ -57,3 +77,13 @@
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
+
+
+async def _turn() -> None:
+    """Lets the loop handle whatever the sockets hold at this moment.
+
+    A task that yields once goes on before the events that were found
+    meanwhile; only the second time they have been handled.
+    """
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
--- a/sesamecross/ops/fleet/stopping.py
+++ b/sesamecross/ops/fleet/stopping.py
@@ -7,7 +7,8 @@
 of such a day, and most of these callers had one more attempt.
 
 So whatever ends surely before the kill is taken, and only long streams are
-sent elsewhere: a stream that the kill cuts off is worse than a refusal.
+sent elsewhere: a stream that the kill cuts off is worse than a refusal. From
+the end on nothing is taken at all: the process is on its way out.
 """
 
 import dataclasses
@@ -37,6 +38,10 @@
     begun_s: float
     ends_s: float
 
+    def ended(self, now_s: float) -> "Stop":
+        """Returns the same stop, with nothing to be taken from now on."""
+        return dataclasses.replace(self, ends_s=now_s)
+
     def has_time_for(
         self,
         route: serving.Route,
@@ -44,6 +49,8 @@
         now_s: float,
     ) -> bool:
         """Whether a request that arrives now is answered before the end."""
+        if now_s >= self.ends_s:
+            return False
         if now_s - self.begun_s < ACCEPT_S:
             return True
         lasts_s = route.timeout_s
--- a/sesamecross/ops/fleet/stopping_test.py
+++ b/sesamecross/ops/fleet/stopping_test.py
@@ -29,6 +29,7 @@
 
 PLAIN = route(serving.RouteKind.ONCE, 2.0)
 STREAM = route(serving.RouteKind.STREAM, 12.0)
+EMPTY = route(serving.RouteKind.ONCE, 0.0)
 
 
 @pytest.mark.parametrize(
@@ -44,6 +45,7 @@
         (STREAM, 24, 105.0, True),
         (STREAM, 300, 103.0, False),
         (STREAM, 24, 106.5, False),
+        (EMPTY, None, 107.4, False),
     ],
 )
 def test_what_ends_before_the_kill_is_taken(of, tokens, now_s, expected):
@@ -57,3 +59,14 @@
     if tokens is not None:
         call = serving.ModelCall("m", NO_ADAPTER, 800, tokens, ())
     assert STOP.has_time_for(of, call, now_s) is expected
+
+
+@pytest.mark.parametrize("now_s", [100.0, 101.0, 106.0])
+def test_nothing_is_taken_once_the_stop_has_ended(now_s):
+    """A stop that had nothing left to answer ended early, at 101 of 107.4 s.
+
+    Requests went on being taken, since the balancer could not know yet or
+    there was time by the clock, and the process's end cut them off.
+    """
+    ended = STOP.ended(100.0)
+    assert not ended.has_time_for(PLAIN, None, now_s)
