--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -270,3 +270,30 @@
     status, requests = asyncio.run(play())
     assert requests == [b"/stream/"]
     assert status in (None, 503)
+
+
+@pytest.mark.parametrize("is_at_end", [False, True], ids=["after lag", "end"])
+def test_a_request_that_waits_to_be_read_is_answered(is_at_end):
+    """A caller's request met a reset: it had arrived, but was not read yet.
+
+    The process was busy as its stop closed idle connections. Idle meant that
+    no byte of a request was parsed; bytes that waited in the socket were not
+    looked at, and closing on them resets the connection.
+    """
+
+    async def play():
+        async with playing() as played:
+            played.upstream.answers.set()
+            caller = await played.connect()
+            caller.ask("/plain/")
+            assert await caller.status() == 200
+            await caller.reader.readexactly(4)
+            # Without a turn of the loop between the send and the close.
+            caller.ask("/plain/")
+            if is_at_end:
+                await played.app.front.end(HANG_S)
+            else:
+                await played.app.drain()
+            return await caller.status()
+
+    assert asyncio.run(play()) == 200
