Idle connections close behind one more read

Callers saw a reset in place of an answer: their request had arrived before the stop closed idle connections, but idle meant that no byte of a request was parsed, and the kernel resets a connection that is closed on unread bytes.

Closing an idle connection (in a stop, and when its idle time is over) now arms a timer of zero: the loop polls the sockets once more before it, and a request that is found there takes the timer back. The drain looks for open requests behind a poll, so that such a request is answered and not just refused. What arrives between that read and the close, microseconds, is still reset unread. There is no work per event; an idle close costs one more turn.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -250,8 +250,11 @@
         # Once: callers come back by way of the balancer, which sends them to
         # an instance that stays. What connects from now on is about to ask.
         self.front.close_idle()
-        while loop.time() < until_s and self.forwarder.open_requests:
+        while loop.time() < until_s:
+            # First, as requests may have arrived that are not read yet.
             await asyncio.sleep(_POLL_S)
+            if not self.forwarder.open_requests:
+                break
         self.forwarder.take_no_more()
         await self.front.end(END_S)
         self._log.info("drained", open=self.forwarder.open_requests)
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -278,7 +278,7 @@
 
     The process was busy as its stop closed idle connections. Idle meant that
     no byte of a request was parsed; bytes that waited in the socket were not
-    looked at, and closing on them resets the connection.
+    looked at, and the kernel resets a connection that is closed on them.
     """
 
     async def play():
--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -386,8 +386,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_if_idle(self) -> None:
+        """Ends the connection if nothing is asked on it, also not by now.
+
+        A request may wait in the socket while the loop is busy elsewhere.
+        Closing on it resets the connection, though the caller did all in
+        time; so the loop reads once more before.
+        """
+        if self.is_idle and not self._is_closing:
+            self._disarm()
+            self._timer = self._loop.call_later(0, self._close_if_still_idle)
+
+    def _close_if_still_idle(self) -> None:
+        self._timer = None
+        if self.is_idle:
+            self.close()
+
     def close(self) -> None:
-        """Ends an idle connection."""
+        """Ends the connection behind what was written."""
         self._is_closing = True
         if self._transport is not None:
             self._transport.close()
@@ -447,5 +463,5 @@
         self._timer = None
         if self._is_reading:
             self._reject_now(408, "the request came too slowly")
-        elif self._exchange is None:
-            self.close()
+        else:
+            self.close_if_idle()
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -71,12 +71,12 @@
         if self._server is not None:
             self._server.close()
         self.close_idle()
+        await _turn()
 
     def close_idle(self) -> None:
-        """Closes connections on which nothing is asked."""
+        """Closes connections on which nothing is asked, behind one turn."""
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close()
+            connection.close_if_idle()
 
 
 async def _turn() -> None:
