Tests of a drain that ends while a caller still reads or sends

A caller that reads slowly got 5,640,191 of 7,000,000 bytes of its answer, since the drain ended with the rest in the process's buffer. A caller that had sent half of a body as the drain began was refused, or would have been cut off where the process ends sooner.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -297,3 +297,61 @@
             return await caller.status()
 
     assert asyncio.run(play()) == 200
+
+
+def test_an_answer_that_a_caller_reads_slowly_leaves_whole():
+    """A large answer was cut off in a planned stop, in the middle.
+
+    Its caller was on a slow link. The request counted as answered once the
+    last byte was in the process's own buffer; the drain ended, the process
+    with it, and what was in the buffer never left.
+    """
+
+    async def play():
+        async with playing() as played:
+            # More than the kernel's buffers take.
+            played.upstream.body = b"x" * 7_000_000
+            played.upstream.answers.set()
+            caller = await played.connect()
+            caller.ask("/plain/")
+            await played.upstream.arrived.wait()
+            await until(lambda: not played.app.forwarder.open_requests)
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            reading = asyncio.create_task(caller.rest())
+            await drain
+            played.end_process()
+            head, _, body = (await reading).partition(b"\r\n\r\n")
+            return head, len(body)
+
+    head, size = asyncio.run(play())
+    assert head.startswith(b"HTTP/1.1 200")
+    assert size == 7_000_000
+
+
+def test_a_request_that_is_being_sent_is_awaited():
+    """A planned stop closed connections on callers that were sending.
+
+    One had sent the head of its request and half of the body when the last
+    open request was answered. The drain looked at whole requests only, so the
+    process ended on this one.
+    """
+
+    async def play():
+        async with playing() as played:
+            played.upstream.answers.set()
+            caller = await played.connect()
+            caller.writer.write(
+                b"POST /once/ HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n"
+                b"Content-Length: 4\r\n\r\nha"
+            )
+            front = played.app.front
+            await until(lambda: any(not c.is_idle for c in front.connections))
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            caller.writer.write(b"lf")
+            status = await caller.status()
+            await drain
+            return status
+
+    assert asyncio.run(play()) == 200
