The drain waits for callers' connections, not just for open requests

Callers on slow links saw large answers cut off in a planned stop, and callers that were sending a request lost it. Cause: the drain asked how many requests are open; a request counts from its last byte read to its last byte written into the process's buffer, so what is being sent, and what still has to leave, was nobody's.

A connection now says whether it is busy: a request being read or answered, or bytes that have not left. The drain waits for the open requests and for these, within the grace as before; a caller that never reads holds it no longer than that.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -229,6 +229,14 @@
             self.mesh.own_lease(now_s),
         )
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether the process's end would cut anything off.
+
+        A request whose caller went away can still be open.
+        """
+        return self.forwarder.open_requests > 0 or self.front.is_busy
+
     async def drain(self) -> None:
         """Finishes what callers asked for, within the grace.
 
@@ -253,7 +261,7 @@
         while loop.time() < until_s:
             # First, as requests may have arrived that are not read yet.
             await asyncio.sleep(_POLL_S)
-            if not self.forwarder.open_requests:
+            if not self._is_busy:
                 break
         self.forwarder.take_no_more()
         await self.front.end(END_S)
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -303,8 +303,8 @@
     """A large answer was cut off in a planned stop, in the middle.
 
     Its caller was on a slow link. The request counted as answered once the
-    last byte was in the process's own buffer; the drain ended, the process
-    with it, and what was in the buffer never left.
+    last byte was in the process's own buffer; the drain, which counted open
+    requests, ended, the process with it, and the buffer never left.
     """
 
     async def play():
--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -238,6 +238,21 @@
         """Whether no request is being read or answered."""
         return self._exchange is None and not self._is_reading
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered, or an answer leaves.
+
+        An answer's last bytes are in the process for as long as its caller
+        reads slowly, and are lost with the process.
+        """
+        if self._transport is None:
+            return False
+        if self._exchange is not None:
+            return True
+        if self._is_reading and not self._is_closing:
+            return True
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def is_to_close(self) -> bool:
         """Whether the connection ends behind the answer under way."""
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -33,6 +33,11 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered, or an answer leaves."""
+        return any(connection.is_busy for connection in self.connections)
+
     async def run(self) -> None:
         """Listens until cancelled."""
         loop = asyncio.get_running_loop()
