Tests of a drain whose grace changes, or is shorter than the balancer's lag

The drain goes by the grace of the process's start: with 0.7 s at the start and 600 s in force it broke off a request that would have been answered, with the figures the other way round it was still waiting when the hang guard ended the test.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -355,3 +355,67 @@
             return status
 
     assert asyncio.run(play()) == 200
+
+
+def with_grace(grace_s: float) -> serving.Bounds:
+    return dataclasses.replace(INSTANCE.bounds, grace_s=grace_s)
+
+
+@pytest.mark.parametrize(
+    ("at_start", "at_signal", "in_drain", "status"),
+    [
+        # Longer than at the start: the answer is waited for.
+        pytest.param(0.7, 600.0, 600.0, 200, id="longer before"),
+        pytest.param(0.7, 0.9, 600.0, 200, id="longer in the drain"),
+        # Shorter: the drain ends in time for the rest of the stop.
+        pytest.param(600.0, 0.7, 0.7, None, id="shorter before"),
+        pytest.param(600.0, 600.0, 0.7, None, id="shorter in the drain"),
+    ],
+)
+def test_the_grace_in_force_bounds_the_drain(
+    at_start, at_signal, in_drain, status
+):
+    """A process was killed in the middle of its drain, with all its callers.
+
+    The settings file had named a shorter grace for some time, and the process
+    had taken it in; but the drain went by the settings of the start. With a
+    longer grace it broke requests off that had seconds left.
+    """
+
+    async def play():
+        async with playing(bounds=with_grace(at_start)) as played:
+            played.app.state.bounds = with_grace(at_signal)
+            caller = await played.connect()
+            caller.ask("/once/")
+            await played.upstream.arrived.wait()
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            played.app.state.bounds = with_grace(in_drain)
+            if status is None:
+                await drain
+                return None
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            if drain.done():
+                played.end_process()
+            played.upstream.answers.set()
+            answered = await caller.status()
+            await drain
+            return answered
+
+    assert asyncio.run(play()) == status
+
+
+def test_a_grace_shorter_than_the_balancers_lag_is_kept(monkeypatch):
+    """With a grace of 2 s a process was killed before its drain looked once.
+
+    It slept for as long as the balancer needs to turn away, 2.6 s, however
+    short the grace.
+    """
+    monkeypatch.setattr(app_lib, "BALANCER_LAG_S", 500.0)
+
+    async def play():
+        async with playing(bounds=with_grace(0.7)) as played:
+            await played.app.drain()
+
+    asyncio.run(play())
