A drain goes by the grace in force, also where it changes meanwhile

Callers of an instance whose settings file had come to name a shorter grace were cut off by the kill in the middle of its drain; with a longer grace requests were broken off that had seconds left. Cause: new bounds go into the state that the other parts read, and the drain read those of the process's start.

The drain now reads the grace in force at each of its looks, 20 a second, and tells the forwarder, whose choice of what still ends in time follows. At the signal it has the settings file looked at, which may be up to two seconds newer than what is in force.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -1,6 +1,7 @@
 """The gateway's application object: owns its parts, their start and end."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import os
 import random
@@ -252,17 +253,38 @@
         begun_s = loop.time()
         self._ready.is_stopping = True
         self._log.info("draining", open=self.forwarder.open_requests)
-        until_s = begun_s + self._instance.bounds.grace_s - GRACE_MARGIN_S
-        self.forwarder.stop = stopping.Stop(begun_s, until_s)
+        # The file may name another grace than when it was last looked at.
+        self._reloader.reload()
+        self.forwarder.stop = self._stop(begun_s)
         await asyncio.sleep(BALANCER_LAG_S)
         # Once: callers come back by way of the balancer, which sends them to
         # an instance that stays. What connects from now on is about to ask.
         self.front.close_idle()
-        while loop.time() < until_s:
-            # First, as requests may have arrived that are not read yet.
-            await asyncio.sleep(_POLL_S)
-            if not self._is_busy:
-                break
+        await self._wait_while(lambda: self._is_busy, begun_s)
         self.forwarder.take_no_more()
         await self.front.end(END_S)
         self._log.info("drained", open=self.forwarder.open_requests)
+
+    def _stop(self, begun_s: float) -> stopping.Stop:
+        """Returns the stop by the grace in force.
+
+        The platform goes by the settings as they are, so that a drain by those
+        of the start would be killed midway, or end early.
+        """
+        grace_s = self.state.bounds.grace_s
+        return stopping.Stop(begun_s, begun_s + grace_s - GRACE_MARGIN_S)
+
+    async def _wait_while(
+        self, condition: Callable[[], bool], begun_s: float
+    ) -> None:
+        """Waits while something holds, until the stop's time is over."""
+        loop = asyncio.get_running_loop()
+        while True:
+            # Settings may change meanwhile.
+            self.forwarder.stop = self._stop(begun_s)
+            if loop.time() >= self.forwarder.stop.ends_s:
+                return
+            # Slept first, as requests may have arrived that are not read yet.
+            await asyncio.sleep(_POLL_S)
+            if not condition():
+                return
