A drain waits for the balancer no longer than its grace

With a grace of two seconds the process would have been killed asleep: the drain slept through the balancer's lag, 2.6 s, before it looked at the time at all. The lag is now waited for as everything else in a drain is, while there is time. At the end of a grace that short, idle connections close and the front door ends as it does behind a long one.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -255,8 +255,8 @@
         self._log.info("draining", open=self.forwarder.open_requests)
         # The file may name another grace than when it was last looked at.
         self._reloader.reload()
-        self.forwarder.stop = self._stop(begun_s)
-        await asyncio.sleep(BALANCER_LAG_S)
+        known_s = begun_s + BALANCER_LAG_S
+        await self._wait_while(lambda: loop.time() < known_s, begun_s)
         # Once: callers come back by way of the balancer, which sends them to
         # an instance that stays. What connects from now on is about to ask.
         self.front.close_idle()
