Tests of what callers are told at the end of a stop's grace

Half of a request met a broken connection. Six rows are red and listed; a stream that is cut without its end is green already.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -15,6 +15,7 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import app as app_lib
+from sesamecross.gateway import pool as pool_lib
 from sesamecross.platform import program
 from sesamecross.runtime import supervisor
 
@@ -419,3 +420,82 @@
             await played.app.drain()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("path", "is_sent", "status"),
+    [
+        # Sent nowhere: the caller may ask elsewhere, at once.
+        ("/once/", False, 503),
+        ("/plain/", False, 503),
+        ("/stream/", False, 503),
+        # It may have run, so nothing is promised.
+        ("/once/", True, 502),
+        ("/plain/", True, 502),
+    ],
+)
+def test_what_is_open_at_the_graces_end_is_told_the_truth(
+    monkeypatch, path, is_sent, status
+):
+    """A request that waited for its turn met a 500 as its instance stopped.
+
+    It had been sent nowhere, and its caller did not dare to ask elsewhere.
+    Nobody told requests of the grace's end: the end of the process cancelled
+    them, and they took it for a fault.
+    """
+
+    async def never(*_):
+        await asyncio.Event().wait()
+
+    if not is_sent:
+        monkeypatch.setattr(pool_lib.Pool, "take", never)
+
+    async def play():
+        async with playing(bounds=with_grace(0.9)) as played:
+            caller = await played.connect()
+            caller.ask(path)
+            await until(lambda: played.app.forwarder.open_requests)
+            if is_sent:
+                await played.upstream.arrived.wait()
+            await played.app.drain()
+            played.end_process()
+            return await caller.status()
+
+    assert asyncio.run(play()) == status
+
+
+def test_a_stream_that_the_grace_cuts_does_not_look_complete():
+    """A stream that outlasts its instance's grace ends without its end."""
+
+    async def play():
+        async with playing(bounds=with_grace(0.9)) as played:
+            caller = await played.connect()
+            caller.ask("/stream/")
+            assert await caller.status() == 200
+            await played.app.drain()
+            played.end_process()
+            return await caller.rest()
+
+    received = asyncio.run(play())
+    assert EVENTS in received
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_half_a_request_at_the_graces_end_is_refused():
+    """A caller sent its request too slowly for the rest of a planned stop.
+
+    Its connection broke, though nothing of the request was used. Half of a
+    request is nobody's in a drain: it is no open request yet.
+    """
+
+    async def play():
+        async with playing(bounds=with_grace(0.9)) as played:
+            caller = await played.connect()
+            caller.writer.write(b"POST /once/ HTTP/1.1\r\nHost: h\r\n")
+            front = played.app.front
+            await until(lambda: any(not c.is_idle for c in front.connections))
+            await played.app.drain()
+            played.end_process()
+            return await caller.status()
+
+    assert asyncio.run(play()) == 503
