At the grace's end each open request is told what became of it

Callers of a stopping instance met a 500, which promises nothing, though their request had waited for its turn and been sent nowhere; they did not dare to ask elsewhere. Cause: the drain only counted requests; the end of the process cancelled them, and each took the cancellation for a fault of its own.

The end of the drain now gives each of them up: sent nowhere, it is refused with 503, not run, come back at once; sent, it gets 502, which promises nothing; begun, its connection is cut without an end.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -261,7 +261,7 @@
         # an instance that stays. What connects from now on is about to ask.
         self.front.close_idle()
         await self._wait_while(lambda: self._is_busy, begun_s)
-        self.forwarder.take_no_more()
+        self.forwarder.end()
         await self.front.end(END_S)
         self._log.info("drained", open=self.forwarder.open_requests)
 
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -9,13 +9,16 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import math
 
 import pytest
 from returns.result import Success
 
 from sesamecross.core import serving
 from sesamecross.gateway import app as app_lib
+from sesamecross.gateway import forwarder as forwarder_lib
 from sesamecross.gateway import pool as pool_lib
+from sesamecross.ops.fleet import stopping
 from sesamecross.platform import program
 from sesamecross.runtime import supervisor
 
@@ -441,7 +444,7 @@
 
     It had been sent nowhere, and its caller did not dare to ask elsewhere.
     Nobody told requests of the grace's end: the end of the process cancelled
-    them, and they took it for a fault.
+    them, and each took that for a fault of ours.
     """
 
     async def never(*_):
@@ -464,6 +467,30 @@
     assert asyncio.run(play()) == status
 
 
+def test_a_request_of_the_very_last_moment_is_refused(monkeypatch):
+    """The end of a drain came between a request's arrival and its first step.
+
+    A task that is cancelled before its first step never runs at all, so
+    nobody answered the caller.
+    """
+    handle = forwarder_lib.Forwarder.handle
+
+    def handle_and_end(self, request, exchange) -> None:
+        handle(self, request, exchange)
+        self.stop = stopping.Stop(0.0, math.inf)
+        self.end()
+
+    monkeypatch.setattr(forwarder_lib.Forwarder, "handle", handle_and_end)
+
+    async def play():
+        async with playing() as played:
+            caller = await played.connect()
+            caller.ask("/plain/")
+            return await caller.status(), played.upstream.requests
+
+    assert asyncio.run(play()) == (503, [])
+
+
 def test_a_stream_that_the_grace_cuts_does_not_look_complete():
     """A stream that outlasts its instance's grace ends without its end."""
 
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -63,7 +63,7 @@
         self._rng = rng
         self._metrics = metrics
         self._log = logs.part("request")
-        self._open: set[asyncio.Task] = set()
+        self._open: set[_Serving] = set()
         self.engines = engine_search.EngineParts(state, rng)
         self.uses = target_uses.TargetUses()
         # Set while this instance stops.
@@ -84,9 +84,15 @@
         """How many requests are being answered."""
         return len(self._open)
 
-    def take_no_more(self) -> None:
-        """Refuses all that arrives from now on: the process is about to end."""
+    def end(self) -> None:
+        """Takes no more, and gives up what is open: the process is to end.
+
+        Whoever asked hears now what became of the request. The end of the
+        process would only break it off, or have it fail as by a fault.
+        """
         self.stop = self.stop.ended(asyncio.get_running_loop().time())
+        for one in list(self._open):
+            one.give_up()
 
     def read_request(
         self, head: front.Head, body: bytes
@@ -117,8 +123,8 @@
         one = _Serving(self, request, exchange)
         task = asyncio.create_task(one.run())
         one.task = task
-        self._open.add(task)
-        task.add_done_callback(self._open.discard)
+        self._open.add(one)
+        task.add_done_callback(lambda _: self._open.discard(one))
 
 
 class _Serving:
@@ -140,6 +146,8 @@
         "_tried",
         "_back_s",
         "_note",
+        "_is_begun",
+        "_is_given_up",
     )
 
     def __init__(
@@ -164,9 +172,12 @@
         self._tried: set[str] = set()
         self._back_s = RETRY_AFTER_S
         self._note = ""
+        self._is_begun = False
+        self._is_given_up = False
 
     async def run(self) -> None:
         """Answers the request, or gives up when the caller is gone."""
+        self._is_begun = True
         self._exchange.on_gone = self._on_gone
         self._exchange.on_slow = self._on_slow
         outcome = "failed"
@@ -174,6 +185,8 @@
             outcome = await self._run()
         except asyncio.CancelledError:
             outcome = "caller gone"
+            if self._is_given_up:
+                outcome = self._stopped()
         except Exception:
             self._owner._log.exception("error", id=self._request.request_id)
         finally:
@@ -186,6 +199,23 @@
                 self._fail(500)
             self._report(outcome)
 
+    def give_up(self) -> None:
+        """Ends the request with what is true of it: the process is to end."""
+        self._is_given_up = True
+        # A task that is cancelled before its first step never takes one, and
+        # nobody would answer.
+        if self._is_begun:
+            self.task.cancel()
+
+    def _stopped(self) -> str:
+        if self._exchange.is_over:
+            return "caller gone"
+        self._note = f"{self._note} the stop's time is over".strip()
+        if self._exchange.is_begun or self._progress.ran_at:
+            return self._fail(502)
+        self._back_s = 0.0
+        return self._refuse(0.0)
+
     def _on_gone(self) -> None:
         # A request that must not run twice is left to its end: it may be
         # half done, and nobody else will do the other half.
@@ -225,6 +255,8 @@
     # -- the request's way ---------------------------------------------
 
     async def _run(self) -> str:
+        if self._is_given_up:
+            return self._stopped()
         state = self._owner._state
         if not state.is_ready:
             self._note = "no configuration yet"
