Tests of answers that a reset loses, as the door closes on bytes it has not read

On loopback, a caller that sends ahead got 4,034 of 400,000 bytes of the answer that told it of the connection's end; one that was still sending a body too large was reset before it could read its 413.

--- a/sesamecross/gateway/front_test.py
+++ b/sesamecross/gateway/front_test.py
@@ -1,7 +1,9 @@
 """Tests of the front door: framing, limits, and what is never passed on."""
 
 import asyncio
+import contextlib
 import re
+import socket
 
 from hypothesis import given
 from hypothesis import settings
@@ -10,7 +12,10 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import front
+from sesamecross.gateway import listener
 
+# No test waits so long; it only ends one that would hang.
+HANG_S = 10.0
 LIMITS = serving.CallerLimits(
     head_bytes=400, body_bytes=100, head_s=3.0, idle_s=15.0
 )
@@ -217,3 +222,96 @@
     # Whoever was refused is not listened to any more.
     refused = [one for one in statuses(first) if one >= 400]
     assert len(refused) <= 1
+
+
+class _Closing(_Handler):
+    """Tells callers to use another connection; answers are large."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closing = True
+        self.caller: socket.socket | None = None
+
+    def handle(self, request, exchange) -> None:
+        # The caller's next request is on its way as the answer goes out.
+        self.caller.send(GET)
+        exchange.whole(200, [], b"x" * 400_000)
+
+
+def test_bytes_behind_the_last_request_do_not_lose_its_answer():
+    """A caller's last answer was cut off in a planned stop.
+
+    The answer said that the connection closes. The caller, which sends ahead,
+    had already sent its next request: closing on unread bytes resets the
+    connection, and the kernel throws away what has not left.
+    """
+
+    async def play() -> bytes:
+        loop = asyncio.get_running_loop()
+        handler = _Closing()
+        door = listener.Listener("front", "127.0.0.1:0", handler)
+        task = asyncio.create_task(door.run())
+        while not door.address:
+            await asyncio.sleep(0)
+        caller = socket.socket()
+        # As on a real way, little of the answer arrives at once.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        host, _, port = door.address.rpartition(":")
+        await loop.sock_connect(caller, (host, int(port)))
+        handler.caller = caller
+        await loop.sock_sendall(caller, GET)
+        while not handler.requests:
+            await asyncio.sleep(0)
+        # Turns enough for a close that does not wait.
+        for _ in range(20):
+            await asyncio.sleep(0)
+        received = b""
+        with contextlib.suppress(OSError):
+            async with asyncio.timeout(HANG_S):
+                while piece := await loop.sock_recv(caller, 65536):
+                    received += piece
+        caller.close()
+        await door.stop()
+        task.cancel()
+        return received
+
+    head, _, body = asyncio.run(play()).partition(b"\r\n\r\n")
+    assert b"connection: close" in head
+    assert len(body) == 400_000
+
+
+def test_a_caller_that_still_sends_is_told_that_its_request_is_too_large():
+    """A caller met a reset in place of its 413, and sent the body again.
+
+    It was still sending as the refusal went out. The door closed at once on
+    bytes that it had not read, and that resets the connection.
+    """
+
+    async def play() -> tuple[bytes, bool]:
+        door = listener.Listener("front", "127.0.0.1:0", _Handler())
+        task = asyncio.create_task(door.run())
+        while not door.address:
+            await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(
+            *door.address.rsplit(":", 1)
+        )
+        writer.write(POST + b"Content-Length: 5000000\r\n\r\n")
+        received = b""
+        was_reset = False
+        try:
+            async with asyncio.timeout(HANG_S):
+                for _ in range(50):
+                    writer.write(b"x" * 100_000)
+                    await writer.drain()
+                received = await reader.read()
+        except OSError:
+            was_reset = True
+        writer.close()
+        await door.stop()
+        task.cancel()
+        return received, was_reset
+
+    received, was_reset = asyncio.run(play())
+    assert not was_reset
+    assert received.startswith(b"HTTP/1.1 413 ")
