A connection that we end is read on until the caller closes it

Callers lost answers to a reset: of one that ended its connection in a planned stop 4,034 of 400,000 bytes arrived, since the caller had sent ahead; a body too large was reset in place of its 413. Cause: the door closed at once, on bytes that it had not read, and the kernel then resets the connection and throws away what has not left.

Where the door decides on the end (a stop, a refusal for form) it now ends only its own direction, and reads and throws away until the caller closes, at most 2 s from the last byte written. Where the caller itself said that nothing follows, and on idle connections, the close is at once as before, so that such calls cost no wake-up more; on an idle connection a request that crosses the close stays unread, and its caller knows that.

--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+import contextlib
 import http
 from typing import Protocol
 
@@ -21,6 +22,10 @@
 _AHEAD_MOST = 4
 # What may wait for a slow caller before the upstream is read no further.
 WRITE_HIGH_BYTES = 64 * 1024
+# How long a connection that ends goes on being read, so that its last answer
+# arrives: some round trips between regions, and some of a slow link. Callers
+# that read the answer close before.
+LINGER_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _NO_BODY_STATUS = frozenset((204, 304))
 
@@ -180,7 +185,7 @@
 
     def _end(self) -> None:
         self._is_over = True
-        self._connection.answered(self._closes_after)
+        self._connection.answered(self._closes_after, self._keeps_open)
 
 
 def _lines(headers: list[serving.Header]) -> bytes:
@@ -344,6 +349,9 @@
 
     def on_headers_complete(self) -> None:
         """Judges the framing before any of the body is read."""
+        if self._is_closing:
+            # Behind a last answer nothing more is said.
+            return
         head = self._head
         head.method = self._parser.get_method()
         head.keeps_open = self._parser.should_keep_alive()
@@ -423,13 +431,37 @@
         if self._transport is not None:
             self._transport.close()
 
-    def answered(self, closes: bool) -> None:
-        """The answer under way is sent."""
+    def _finish(self) -> None:
+        """Ends the connection so that what was written still arrives.
+
+        The caller may be sending still, for it learns only from this answer
+        that nobody reads on. A close on bytes that were not read resets the
+        connection, and what the caller has not received by then is lost. So
+        only the own direction ends; what comes is read and thrown away until
+        the caller closes, for a while.
+        """
+        self._is_closing = True
+        # The caller may be gone already; its reset is on the way to us.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._transport.resume_reading()
+        self._arm(LINGER_S)
+
+    def answered(self, closes: bool, may_follow: bool) -> None:
+        """The answer under way is sent.
+
+        Args:
+          closes: It told the caller that the connection ends.
+          may_follow: The caller may have sent more behind its request.
+        """
         self._exchange = None
         if self._transport is None:
             return
         if closes:
-            self.close()
+            if may_follow:
+                self._finish()
+            else:
+                self.close()
             return
         if len(self._waiting) <= _AHEAD_MOST:
             self._transport.resume_reading()
@@ -460,7 +492,7 @@
             head = _status_line(status)
             tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
             self._transport.write(head + tail)
-            self._transport.close()
+            self._finish()
         # An answer under way ends first; `is_to_close` closes behind it.
 
     # -- time ----------------------------------------------------------
@@ -476,7 +508,18 @@
 
     def _on_time(self) -> None:
         self._timer = None
-        if self._is_reading:
+        if self._is_closing:
+            # An answer under way ends the connection by itself.
+            if self._exchange is None:
+                self._end_linger()
+        elif self._is_reading:
             self._reject_now(408, "the request came too slowly")
         else:
             self.close_if_idle()
+
+    def _end_linger(self) -> None:
+        if self._transport.get_write_buffer_size() > 0:
+            # A slow caller is still at the answer.
+            self._arm(LINGER_S)
+        else:
+            self._transport.close()
--- a/sesamecross/gateway/front_test.py
+++ b/sesamecross/gateway/front_test.py
@@ -32,7 +32,7 @@
 
 
 class _Transport(asyncio.Transport):
-    """Keeps what was written."""
+    """Keeps what was written; closed once nothing more can be."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -46,6 +46,12 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def write_eof(self) -> None:
+        self.is_closed = True
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def abort(self) -> None:
         self.is_closed = True
 
