Half of a request at the end of a stop is refused, not cut off

A caller that sent its request slowly met a broken connection as its instance's grace ended. Cause: half of a request is no open request, so nobody answered for it.

--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -489,12 +489,25 @@
         self._is_closing = True
         self._handler.rejected(status, reason)
         if self._exchange is None:
-            head = _status_line(status)
-            tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
-            self._transport.write(head + tail)
-            self._finish()
+            self._write_empty(status, b"")
         # An answer under way ends first; `is_to_close` closes behind it.
 
+    def refuse_half(self) -> None:
+        """Refuses a request that is only half there: the process is to end.
+
+        Nothing of it was used, so it was not run, and its caller may send it
+        elsewhere at once.
+        """
+        if self._is_reading and not self._is_closing and self._exchange is None:
+            self._is_closing = True
+            self._write_empty(503, b"retry-after: 0\r\n")
+
+    def _write_empty(self, status: int, lines: bytes) -> None:
+        head = _status_line(status) + lines
+        tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
+        self._transport.write(head + tail)
+        self._finish()
+
     # -- time ----------------------------------------------------------
 
     def _arm(self, after_s: float) -> None:
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -57,7 +57,8 @@
         """Accepts no more, and lets the connections come to their end.
 
         Requests that crossed this are still answered, by a handler that
-        refuses. Answers under way go out meanwhile.
+        refuses; those that are half there are refused here. Answers under way
+        go out meanwhile.
         """
         loop = asyncio.get_running_loop()
         until_s = loop.time() + within_s
@@ -66,6 +67,8 @@
         await _turn()
         if self._server is not None:
             self._server.close()
+        for connection in self.connections:
+            connection.refuse_half()
         self.close_idle()
         while self.connections and loop.time() < until_s:
             await asyncio.sleep(_POLL_S)
