Tests of callers' limits that change on an open connection

With the idle limit raised from 15 to 60 s a connection closed at 15 s; with it lowered in the middle of a stream, 5 s after the end, though the head had promised 15 s.

--- a/sesamecross/gateway/front_test.py
+++ b/sesamecross/gateway/front_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import re
 import socket
 
@@ -321,3 +322,180 @@
     received, was_reset = asyncio.run(play())
     assert not was_reset
     assert received.startswith(b"HTTP/1.1 413 ")
+
+
+class _HeldHandler(_Handler):
+    """Leaves the answers to the test."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.exchanges: list[front.Exchange] = []
+
+    def handle(self, request, exchange) -> None:
+        self.exchanges.append(exchange)
+
+
+class _Timed:
+    """A connection on a clock that stands until the test moves it."""
+
+    def __init__(self) -> None:
+        self.handler = _HeldHandler()
+        self.transport = _Transport()
+        self.loop = _ClockLoop()
+        self.connection = front.FrontConnection(self.handler, self.loop, set())
+        self.connection.connection_made(self.transport)
+
+    def limit(self, **changed) -> None:
+        self.handler.limits = dataclasses.replace(
+            self.handler.limits, **changed
+        )
+
+    def answer_whole(self) -> None:
+        self.handler.exchanges.pop().whole(200, [], b"ok")
+
+
+class _ClockTimer:
+    def __init__(self, at_s: float, call):
+        self.at_s = at_s
+        self.call = call
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        self.is_cancelled = True
+
+
+class _ClockLoop:
+    """Timers by a clock of the test's own."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.timers: list[_ClockTimer] = []
+
+    def time(self) -> float:
+        return self.now_s
+
+    def call_later(self, after_s, call, *args) -> _ClockTimer:
+        timer = _ClockTimer(self.now_s + after_s, call)
+        self.timers.append(timer)
+        return timer
+
+    def go_on(self, by_s: float) -> None:
+        until_s = self.now_s + by_s
+        while due := [
+            one
+            for one in self.timers
+            if not one.is_cancelled and one.at_s <= until_s
+        ]:
+            first = min(due, key=lambda one: one.at_s)
+            self.timers.remove(first)
+            self.now_s = max(self.now_s, first.at_s)
+            first.call()
+        self.now_s = until_s
+
+
+def test_an_idle_connection_stays_by_the_limit_in_force():
+    """Callers met closed connections after operators raised the idle limit.
+
+    They reuse a connection for four fifths of the limit by the newest
+    configuration; each connection kept the limit from when it became idle.
+    """
+    one = _Timed()
+    one.connection.data_received(GET)
+    one.answer_whole()
+    one.loop.go_on(5.0)
+    one.limit(idle_s=60.0)
+    one.loop.go_on(43.0)
+    assert not one.transport.is_closed
+    one.loop.go_on(12.0)
+    assert one.transport.is_closed
+
+
+def test_an_idle_connection_stays_as_long_as_its_caller_was_told():
+    """A caller's stream began under one idle limit and ended under a shorter.
+
+    Its head had promised 15 s; the connection was closed 5 s after the end,
+    on the caller's next request.
+    """
+    one = _Timed()
+    one.connection.data_received(GET)
+    exchange = one.handler.exchanges.pop()
+    exchange.begin(200, [], b"first")
+    assert b"keep-alive: timeout=15\r\n" in one.transport.written
+    one.limit(idle_s=5.0)
+    exchange.end()
+    one.loop.go_on(14.0)
+    assert not one.transport.is_closed
+    one.loop.go_on(2.0)
+    assert one.transport.is_closed
+
+
+@pytest.mark.parametrize(
+    ("begun", "raised"),
+    [
+        pytest.param(b"POST /a HTTP/1.1\r\n", "head_s", id="head"),
+        pytest.param(POST + b"Content-Length: 2\r\n\r\nh", "idle_s", id="body"),
+    ],
+)
+def test_a_request_may_take_as_long_as_the_limit_in_force(begun, raised):
+    """A slow caller met a 408 after operators had given callers more time."""
+    one = _Timed()
+    one.connection.data_received(begun)
+    one.limit(**{raised: 60.0})
+    one.loop.go_on(50.0)
+    assert one.transport.written == b""
+    one.loop.go_on(11.0)
+    assert statuses(one.transport) == [408]
+
+
+@pytest.mark.parametrize(
+    ("pieces", "lowered"),
+    [
+        pytest.param(
+            [
+                POST + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                b"6\r\n world\r\n0\r\n\r\n",
+            ],
+            {"body_bytes": 8},
+            id="chunked body",
+        ),
+        pytest.param(
+            [POST + b"Content-Le", b"ngth: 11\r\n\r\nhello world"],
+            {"body_bytes": 8},
+            id="body with a length",
+        ),
+        pytest.param(
+            [POST, b"X-Long: " + b"x" * 200 + b"\r\n\r\n"],
+            {"head_bytes": 100},
+            id="head",
+        ),
+    ],
+)
+def test_a_request_is_read_under_the_limits_of_its_begin(pieces, lowered):
+    """A request was refused with 413 that every caller would call proper.
+
+    Operators lowered the limit of bodies while this one was being sent; the
+    rest of it was held against the new limit.
+    """
+    one = _Timed()
+    one.connection.data_received(pieces[0])
+    one.limit(**lowered)
+    one.connection.data_received(pieces[1])
+    assert len(one.handler.requests) == 1
+    one.answer_whole()
+    assert statuses(one.transport) == [200]
+    # The next one begins under the new limits.
+    one.connection.data_received(b"".join(pieces))
+    assert len(one.handler.requests) == 1
+    assert one.transport.is_closed
+
+
+def test_an_answer_under_way_outlives_the_time_of_bad_bytes_behind_it():
+    """What a caller sent behind its request made no sense; that one stands."""
+    one = _Timed()
+    one.connection.data_received(GET)
+    one.connection.data_received(b"no request at all\r\n\r\n")
+    one.loop.go_on(100.0)
+    assert not one.transport.is_closed
+    one.answer_whole()
+    assert statuses(one.transport) == [200]
+    assert one.transport.is_closed
