A caller's time is judged by the limits in force when it is over

Callers reuse a connection for four fifths of the idle limit by the newest configuration, and met closed connections where operators had just raised it; where it was lowered during an answer, the connection closed sooner than the answer's head had told. Cause: each timer kept the limit that was in force when it was armed, and an answer's end armed it anew whatever the head had promised.

When a timer fires, the limit in force then decides: where it allows more, the timer is armed for the rest. An idle connection stays at least as long as its caller was told last. It is looked at only when a timer fires. The heads' and bodies' times go the same way.

--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -212,6 +212,9 @@
         "_waiting",
         "_exchange",
         "_timer",
+        "_given_s",
+        "_promised_s",
+        "_is_in_head",
         "_is_reading",
         "_is_closing",
     )
@@ -235,6 +238,11 @@
         self._waiting: deque[tuple[Head, bytes]] = deque()
         self._exchange: Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # What the timer was armed with, of the caller's time.
+        self._given_s = 0.0
+        # How long the caller was last told that it may stay idle.
+        self._promised_s = 0.0
+        self._is_in_head = False
         self._is_reading = False
         self._is_closing = False
 
@@ -269,6 +277,7 @@
     def keep_alive_line(self) -> bytes:
         """Tells the caller how long the connection may stay idle."""
         idle_s = int(self._handler.limits.idle_s)
+        self._promised_s = idle_s
         return b"keep-alive: timeout=%d\r\n" % idle_s if idle_s else b""
 
     # -- asyncio.Protocol ----------------------------------------------
@@ -278,7 +287,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         self._registry.add(self)
-        self._arm(self._handler.limits.idle_s)
+        self._arm_limit()
 
     def data_received(self, data: bytes) -> None:
         """Parses what came."""
@@ -286,7 +295,8 @@
             return
         if not self._is_reading:
             # Even an empty line before a request starts its time.
-            self._arm(self._handler.limits.head_s)
+            self._is_in_head = True
+            self._arm_limit()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -352,6 +362,7 @@
         if self._is_closing:
             # Behind a last answer nothing more is said.
             return
+        self._is_in_head = False
         head = self._head
         head.method = self._parser.get_method()
         head.keeps_open = self._parser.should_keep_alive()
@@ -372,7 +383,7 @@
             self._transport.write(_CONTINUE)
         if not self._rejection:
             # The body has a time of its own.
-            self._arm(self._handler.limits.idle_s)
+            self._arm_limit()
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body."""
@@ -467,7 +478,8 @@
             self._transport.resume_reading()
         self._next()
         if self.is_idle:
-            self._arm(self._handler.limits.idle_s)
+            self._is_in_head = False
+            self._arm_limit()
 
     def _next(self) -> None:
         if self._exchange is not None or not self._waiting:
@@ -510,6 +522,24 @@
 
     # -- time ----------------------------------------------------------
 
+    @property
+    def _allowed_s(self) -> float:
+        """How long the caller may take for what it is at.
+
+        By the limits in force; but nobody stays idle for less than it was
+        told, whatever operators changed since.
+        """
+        limits = self._handler.limits
+        if self._is_in_head:
+            return limits.head_s
+        if self._is_reading:
+            return limits.idle_s
+        return max(limits.idle_s, self._promised_s)
+
+    def _arm_limit(self) -> None:
+        self._given_s = self._allowed_s
+        self._arm(self._given_s)
+
     def _arm(self, after_s: float) -> None:
         self._disarm()
         self._timer = self._loop.call_later(after_s, self._on_time)
@@ -525,6 +555,12 @@
             # An answer under way ends the connection by itself.
             if self._exchange is None:
                 self._end_linger()
+            return
+        # Operators may have given callers more time since it was armed.
+        allowed_s, given_s = self._allowed_s, self._given_s
+        if allowed_s > given_s:
+            self._given_s = allowed_s
+            self._arm(allowed_s - given_s)
         elif self._is_reading:
             self._reject_now(408, "the request came too slowly")
         else:
