A request is held to no smaller limits than those of its begin

Callers met 413 or 431 for requests that were proper when they began to send them: operators had lowered a limit meanwhile, and each piece was held against the newest one. Callers don't ask again after these. A request now counts as too large only where it is over the limits of its begin and those in force; the second look comes only behind the first, so that a request within its limits costs one comparison as before.

--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -208,6 +208,7 @@
         "_head",
         "_body",
         "_body_size",
+        "_limits",
         "_rejection",
         "_waiting",
         "_exchange",
@@ -233,6 +234,8 @@
         self._head = Head()
         self._body: list[bytes] = []
         self._body_size = 0
+        # Those in force as the request began that is being read.
+        self._limits = handler.limits
         # Status with which the request being read is refused.
         self._rejection = 0
         self._waiting: deque[tuple[Head, bytes]] = deque()
@@ -336,6 +339,7 @@
     def on_message_begin(self) -> None:
         """A request begins."""
         self._head = Head()
+        self._limits = self._handler.limits
         self._body = []
         self._body_size = 0
         self._rejection = 0
@@ -353,10 +357,25 @@
         self._head.headers.append((name.lower(), value))
 
     def _grow_head(self, size: int) -> None:
-        self._head.size += size
-        if self._head.size > self._handler.limits.head_bytes:
+        head = self._head
+        head.size += size
+        if (
+            head.size > self._limits.head_bytes
+            and head.size > self._handler.limits.head_bytes
+        ):
             self._rejection = 431
 
+    def _is_body_over(self, size: int) -> bool:
+        """Whether a body is too large by all limits that it is held to.
+
+        Operators may lower them while it is being sent; its caller could not
+        know, and would not ask again after a 413.
+        """
+        return (
+            size > self._limits.body_bytes
+            and size > self._handler.limits.body_bytes
+        )
+
     def on_headers_complete(self) -> None:
         """Judges the framing before any of the body is read."""
         if self._is_closing:
@@ -377,7 +396,7 @@
         is_ambiguous = len(lengths) + len(codings) > 1 or other_codings
         if is_ambiguous or len(hosts) != 1:
             self._rejection = 400
-        elif lengths and int(lengths[0]) > self._handler.limits.body_bytes:
+        elif lengths and self._is_body_over(int(lengths[0])):
             self._rejection = 413
         elif any(n == b"expect" for n, _ in head.headers):
             self._transport.write(_CONTINUE)
@@ -388,7 +407,7 @@
     def on_body(self, data: bytes) -> None:
         """A piece of the body."""
         self._body_size += len(data)
-        if self._body_size > self._handler.limits.body_bytes:
+        if self._is_body_over(self._body_size):
             self._rejection = 413
         elif not self._rejection:
             self._body.append(data)
