A test of a stop that the store's silence holds beyond its grace

Played on a clock of the test's own: a drain that has something open up to its end, then the components' stops, with a store that never answers.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -10,16 +10,21 @@
 import contextlib
 import dataclasses
 import math
+import selectors
+import types
 
 import pytest
 from returns.result import Success
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import app as app_lib
 from sesamecross.gateway import forwarder as forwarder_lib
 from sesamecross.gateway import pool as pool_lib
+from sesamecross.gateway import store_client
 from sesamecross.ops.fleet import stopping
 from sesamecross.platform import program
+from sesamecross.ports import store
 from sesamecross.runtime import supervisor
 
 # No test waits so long; it only ends one that would hang.
@@ -526,3 +531,68 @@
             return await caller.status()
 
     assert asyncio.run(play()) == 503
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Does not wait: the time that it would wait for has passed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout=None):
+        assert timeout is not None, "everybody waits, for nothing"
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class _JumpingLoop(asyncio.SelectorEventLoop):
+    """An event loop on a clock of its own, for tests without sockets."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        return self._jumping.now_s
+
+
+@pytest.mark.parametrize("grace_s", [2.0, 4.0, 8.0])
+def test_a_stop_ends_in_its_grace_while_the_store_is_silent(
+    monkeypatch, grace_s
+):
+    """A process was killed at its grace's end, in the middle of its stop.
+
+    Its drain had used the grace up to the margin, and the store was silent:
+    the lease's release waited 1 s for an answer, the registration's end half
+    a second more. The margin is 0.6 s.
+    """
+
+    async def silent(*_, **__):
+        await asyncio.sleep(store_client.CALL_S)
+        return store.Unknown("no answer in time")
+
+    monkeypatch.setattr(store_client.StoreClient, "append", silent)
+    monkeypatch.setattr(forwarder_lib.Forwarder, "open_requests", 1)
+    instance = dataclasses.replace(INSTANCE, bounds=with_grace(grace_s))
+
+    async def play() -> float:
+        loop = asyncio.get_running_loop()
+        app = app_lib.GatewayApp.from_config(
+            instance, program.adapter(), lambda: Success(instance)
+        )
+        components = app.components()
+        me = fm.Member("front-1", 1, "z1", "127.0.0.1:1", -1, -1)
+        app.mesh.join(me, b"secret", ())
+        app.lease.machine = types.SimpleNamespace(
+            holds=lambda now_s: True, fence=3, released=lambda offset: None
+        )
+        begun_s = loop.time()
+        await app.drain()
+        for component in reversed(components):
+            with contextlib.suppress(TimeoutError):
+                await component.stop()
+        return loop.time() - begun_s
+
+    with asyncio.Runner(loop_factory=_JumpingLoop) as runner:
+        assert runner.run(play()) <= grace_s
