A stop leaves the store's calls no more than is left of the grace

An instance whose drain had used its grace was killed in the middle of its stop while the store was silent: the release of the lease waited 1 s for an answer, the registration's end half a second more, and the margin kept off the grace is 0.6 s.

The end of the drain now gives each of the two parts at most 0.4 of what is left of the grace; behind a drain that ends early they have their 1 s and 0.5 s as before. A call that is given up has left by then where the store was reached, and mostly takes effect all the same; where it does not, the next holder waits for the lease's time.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -44,6 +44,9 @@
 # Of that, for callers' connections to come to their end: some round trips
 # within a region.
 END_S = 0.15
+# Of what is left of the grace then, for each of the two parts that call the
+# store as they stop. The rest is for the process's own end.
+STORE_SHARE = 0.4
 _POLL_S = 0.05
 # Smaller shares of failures are not worth telling.
 FAILING_LEAST = 0.05
@@ -167,6 +170,7 @@
             address,
             self._rng,
         )
+        self._joiner = joiner.Joiner(self._registrar, self.mesh, instance)
         return [
             self.front,
             listener.Listener("ready", instance.ready_address, self._ready),
@@ -177,7 +181,7 @@
             upstreams,
             sweeper.Sweeper(self.state, self.pool),
             self._reloader,
-            joiner.Joiner(self._registrar, self.mesh, instance),
+            self._joiner,
             self.mesh,
             sync.SyncServer(
                 self.mesh, self.state, known, client, adapter.own_topic_prefix
@@ -263,8 +267,21 @@
         await self._wait_while(lambda: self._is_busy, begun_s)
         self.forwarder.end()
         await self.front.end(END_S)
+        self._bound_store_calls(begun_s)
         self._log.info("drained", open=self.forwarder.open_requests)
 
+    def _bound_store_calls(self, begun_s: float) -> None:
+        """Leaves the parts that call the store no more than is left.
+
+        A silent store would hold them for 1.5 s, beyond the grace of a drain
+        that ended at its end, and the process would be killed.
+        """
+        now_s = asyncio.get_running_loop().time()
+        left_s = max(0.0, begun_s + self.state.bounds.grace_s - now_s)
+        share_s = left_s * STORE_SHARE
+        self.lease.release_s = min(lease_keeper.RELEASE_S, share_s)
+        self._joiner.leave_s = min(joiner.LEAVE_S, share_s)
+
     def _stop(self, begun_s: float) -> stopping.Stop:
         """Returns the stop by the grace in force.
 
--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -6,14 +6,22 @@
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import registrar as registrar_lib
 
+# A planned stop does not wait longer for the store than this.
+LEAVE_S = 0.5
+
 
 class Joiner:
-    """Component that ends once the instance takes part."""
+    """Component that ends once the instance takes part.
+
+    Attributes:
+      leave_s: How long `stop` waits for the store; a process whose grace ends
+        sets less.
+    """
 
     is_vital = False
     name = "joiner"
 
-    __slots__ = ("_registrar", "_mesh", "_instance")
+    __slots__ = ("leave_s", "_registrar", "_mesh", "_instance")
 
     def __init__(
         self,
@@ -21,6 +29,7 @@
         mesh: mesh_lib.Mesh,
         instance: serving.Instance,
     ):
+        self.leave_s = LEAVE_S
         self._registrar = registrar
         self._mesh = mesh
         self._instance = instance
@@ -34,9 +43,5 @@
     async def stop(self) -> None:
         """Takes the registration back, if there is one."""
         if self._mesh.roster is not None:
-            async with asyncio.timeout(LEAVE_S):
+            async with asyncio.timeout(self.leave_s):
                 await self._registrar.leave()
-
-
-# A planned stop does not wait longer for the store than this.
-LEAVE_S = 0.5
--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the lease on the store: asks, renews, and proves a holder's death."""
 
 import asyncio
+import contextlib
 import time
 
 import msgspec
@@ -20,6 +21,8 @@
 PROBE_S = 0.3
 # How many instances watch the holder.
 CANDIDATES = 3
+# A planned stop does not wait longer for the store to take the lease back.
+RELEASE_S = store_client.CALL_S
 
 
 class _LeaseRecord(msgspec.Struct, frozen=True):
@@ -37,7 +40,12 @@
 
 
 class LeaseKeeper:
-    """Component around the lease's state machine."""
+    """Component around the lease's state machine.
+
+    Attributes:
+      release_s: How long `stop` waits for the store; a process whose grace
+        ends sets less.
+    """
 
     is_vital = False
     name = "lease"
@@ -58,6 +66,7 @@
         self._log = logs.part("lease")
         self._probed_s = 0.0
         self._held = False
+        self.release_s = RELEASE_S
         self.machine: lease_lib.LeaseMachine | None = None
 
     @property
@@ -110,9 +119,14 @@
         fence = self.machine.fence
         record = _LeaseRecord(me.name, me.incarnation, fence, True)
         self.machine.released(-1)
-        outcome = await self._client.append(
-            self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at=None
-        )
+        value = msgspec.msgpack.encode(record)
+        outcome = "no answer in time"
+        # The call has left by then, and mostly takes effect all the same.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.release_s):
+                outcome = await self._client.append(
+                    self._topic, LEASE_KEY, value, at=None
+                )
         self._log.info("given back", fence=fence, outcome=str(outcome))
         self._mesh.note_release()
 
