--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -596,3 +596,92 @@
 
     with asyncio.Runner(loop_factory=_JumpingLoop) as runner:
         assert runner.run(play()) <= grace_s
+
+
+def test_a_stop_before_the_first_configuration_is_a_stop_as_any():
+    """An instance that is stopped in its start refuses and ends in order."""
+
+    async def play():
+        async with playing(is_configured=False) as played:
+            caller = await played.connect()
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.sleep(0)
+            caller.ask("/plain/")
+            status = await caller.status()
+            await drain
+            return status
+
+    assert asyncio.run(play()) == 503
+
+
+def test_a_stop_in_the_moment_of_the_start_ends():
+    """No part has taken its first step when the signal's event is seen."""
+
+    async def play():
+        app = app_lib.GatewayApp.from_config(
+            INSTANCE, program.adapter(), lambda: Success(INSTANCE)
+        )
+        tree = supervisor.Supervisor(app.components()[:1])
+        tree.start()
+        async with asyncio.timeout(HANG_S):
+            await app.drain()
+            await tree.stop()
+
+    asyncio.run(play())
+
+
+def test_new_settings_in_a_drain_change_it_and_end_nothing():
+    """Settings change, and a signal says so, while an instance drains."""
+
+    async def play():
+        async with playing() as played:
+            app = played.app
+            caller = await played.connect()
+            caller.ask("/once/")
+            await played.upstream.arrived.wait()
+            drain = asyncio.create_task(app.drain())
+            await asyncio.sleep(0)
+            app.reload()
+            app.state.take_settings(
+                dataclasses.replace(INSTANCE, bounds=with_grace(500.0))
+            )
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            played.upstream.answers.set()
+            status = await caller.status()
+            await drain
+            return status
+
+    assert asyncio.run(play()) == 200
+
+
+def test_a_route_that_goes_does_not_end_its_requests():
+    """Configurations take a route away, and its upstream, under a request.
+
+    The route, its service and the upstream's entry all go while the answer
+    is awaited; the answer is delivered, and the next request finds no route.
+    """
+
+    async def play():
+        async with playing() as played:
+            state = played.app.state
+            caller = await played.connect()
+            caller.ask("/once/")
+            await played.upstream.arrived.wait()
+            state.offer(
+                dataclasses.replace(
+                    CONFIGURATION, version=2, routes=(), services={}
+                )
+            )
+            state.directory.keep_only((), -1000.0)
+            swept = state.directory.forget_gone(
+                asyncio.get_running_loop().time()
+            )
+            for known in state.directory:
+                played.app.pool.drop(known.entry.address)
+            played.upstream.answers.set()
+            first = await caller.status()
+            await caller.reader.readexactly(4)
+            caller.ask("/once/")
+            return first, await caller.status(), swept
+
+    assert asyncio.run(play()) == (200, 404, [])
