A test of an upstream's connection that is kept while nobody reads it

A caller that reads slowly pauses the reading of its upstream. Where that happens in the read that holds the stream's end, the connection goes back to the kept ones and stays paused: the next request on it is sent and its answer never read.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -20,6 +20,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import app as app_lib
 from sesamecross.gateway import forwarder as forwarder_lib
+from sesamecross.gateway import front as front_lib
 from sesamecross.gateway import pool as pool_lib
 from sesamecross.gateway import store_client
 from sesamecross.ops.fleet import stopping
@@ -685,3 +686,34 @@
             return first, await caller.status(), swept
 
     assert asyncio.run(play()) == (200, 404, [])
+
+
+def test_a_stream_that_ends_at_a_slow_caller_leaves_its_connection_usable(
+    monkeypatch,
+):
+    """A request got no answer until its timeout, from an upstream at ease.
+
+    The stream before it on that connection had a slow caller, so reading the
+    upstream was paused, in the very read that held the stream's end. The
+    connection went back to the kept ones as it was, and nobody read on it.
+    """
+    write = front_lib.FrontConnection.write
+
+    def write_slowly(self, data: bytes) -> None:
+        write(self, data)
+        # As a transport whose buffer is full.
+        self.pause_writing()
+
+    monkeypatch.setattr(front_lib.FrontConnection, "write", write_slowly)
+
+    async def play():
+        async with playing() as played:
+            played.upstream.answers.set()
+            caller = await played.connect()
+            caller.ask("/stream/")
+            assert await caller.status() == 200
+            await caller.reader.readuntil(b"\r\n0\r\n\r\n")
+            caller.ask("/plain/")
+            return await caller.status(), played.app.pool.opened
+
+    assert asyncio.run(play()) == (200, 1)
