An upstream's connection is read again once its answer is whole

Callers waited until their timeout for an upstream that was at ease: their request went out on a kept connection whose reading was still paused for the caller before, a slow one, since the pause came in the read that held that stream's end, and who resumes is the request, which was over. Also a drain would wait for such a request.

The end of an answer now resumes its connection, whoever paused it; where nothing is paused that is two comparisons for a request.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -265,6 +265,9 @@
         if receiver is None:
             return
         self._receiver = None
+        # Its caller may have been slow up to the end. Unread, a kept
+        # connection would give the next request no answer.
+        self.resume()
         self.idle_since_s = self._loop.time()
         if self._transport is None:
             self._is_spoilt = True
