A test of a request that waits for its model into a planned stop

With 20 s of grace a request for 1,500 tokens, which had waited for its model since before the signal, was sent during the drain, and its stream began: at the rate that the stop's choice goes by it takes 31 s, so the end of the grace would cut it off.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -19,6 +19,7 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import app as app_lib
+from sesamecross.gateway import engine_search
 from sesamecross.gateway import forwarder as forwarder_lib
 from sesamecross.gateway import front as front_lib
 from sesamecross.gateway import pool as pool_lib
@@ -74,6 +75,9 @@
         route("once", serving.RouteKind.ONCE),
         route("plain", serving.RouteKind.IDEMPOTENT),
         route("stream", serving.RouteKind.STREAM),
+        dataclasses.replace(
+            route("model", serving.RouteKind.STREAM), is_model_call=True
+        ),
     ),
     {"s": serving.Service("s", "/", 100, None)},
     serving.CallerLimits(),
@@ -117,7 +121,7 @@
         )
         out = b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n" + request_id
         self.requests.append(path)
-        if path.startswith(b"/stream/"):
+        if path.startswith((b"/stream/", b"/model/")):
             out += b"\r\nContent-Type: text/event-stream"
             out += b"\r\nTransfer-Encoding: chunked\r\n\r\n"
             out += b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
@@ -160,10 +164,9 @@
         self.reader = reader
         self.writer = writer
 
-    def ask(self, path: str) -> None:
-        self.writer.write(
-            f"GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n\r\n".encode()
-        )
+    def ask(self, path: str, lines: str = "") -> None:
+        head = f"GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n"
+        self.writer.write(f"{head}{lines}\r\n".encode())
 
     async def status(self) -> int | None:
         """Returns the answer's status; None where the connection ended."""
@@ -717,3 +720,37 @@
             return await caller.status(), played.app.pool.opened
 
     assert asyncio.run(play()) == (200, 1)
+
+
+def test_a_request_that_waited_too_long_in_a_stop_is_not_sent(monkeypatch):
+    """A stream was cut off at its instance's end, some seconds after its begin.
+
+    Its request had come before the stop and waited for its model. As the model
+    was there, too little of the grace was left for so many tokens; nobody
+    looked, and an engine began on what the kill would cut off.
+    """
+    monkeypatch.setattr(stopping, "ACCEPT_S", 0.0)
+    found = asyncio.Event()
+
+    async def play():
+        async with playing(bounds=with_grace(20.0)) as played:
+            known = next(iter(played.app.state.directory))
+
+            async def find(*_):
+                await found.wait()
+                return known
+
+            monkeypatch.setattr(engine_search.EngineSearch, "find", find)
+            caller = await played.connect()
+            # 1,500 tokens take half a minute, and the grace is 20 s.
+            caller.ask("/model/", "Model: m\r\nToken-Usage: 800,1500\r\n")
+            await until(lambda: played.app.forwarder.open_requests)
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.sleep(0)
+            found.set()
+            status = await caller.status()
+            played.end_process()
+            await drain
+            return status, played.upstream.requests
+
+    assert asyncio.run(play()) == (503, [])
