A request that waited into a stop is sent only if it still ends in time

Callers had streams cut off seconds after their begin: their requests had waited for a model, also since before the signal, and were sent with too little of the grace left. Cause: whether a request still ends in time was judged as it arrived, and never again behind a wait.

A request to a model is now judged again as its engine is found, while this instance stops and nothing of it has run anywhere; without time it is refused with 503, not run, come back at once. Others are not judged twice: they don't wait. Outside of a stop it is one comparison for an attempt.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -726,8 +726,9 @@
     """A stream was cut off at its instance's end, some seconds after its begin.
 
     Its request had come before the stop and waited for its model. As the model
-    was there, too little of the grace was left for so many tokens; nobody
-    looked, and an engine began on what the kill would cut off.
+    was there, too little of the grace was left for so many tokens; that was
+    only looked at as a request arrived, and an engine began on what the kill
+    would cut off.
     """
     monkeypatch.setattr(stopping, "ACCEPT_S", 0.0)
     found = asyncio.Event()
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -300,6 +300,10 @@
             upstream = await self._choose()
             if upstream is None:
                 return self._give_up("no upstream")
+            if self._is_too_late():
+                self._note = f"{self._note} waited into the stop".strip()
+                self._back_s = 0.0
+                return self._refuse(0.0)
             failure = await self._attempt(upstream)
             match failure:
                 case attempt_lib.Whole() as whole:
@@ -328,6 +332,18 @@
                 case attempts.Next.FAIL:
                     return self._fail(502)
 
+    def _is_too_late(self) -> bool:
+        """Whether a request that waited here would be cut by the stop's end.
+
+        Only requests to models wait, for seconds; the others were judged a
+        moment ago, as they arrived. What has run anywhere goes on.
+        """
+        stop = self._owner.stop
+        if stop is None or self._search is None or self._progress.ran_at:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return not stop.has_time_for(self._route, self._request.call, now_s)
+
     async def _choose(self) -> directory.KnownUpstream | None:
         if self._search is not None:
             found = await self._search.find(frozenset(self._tried))
