--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -265,10 +265,15 @@
         # an instance that stays. What connects from now on is about to ask.
         self.front.close_idle()
         await self._wait_while(lambda: self._is_busy, begun_s)
+        given_up = self.forwarder.open_requests
         self.forwarder.end()
         await self.front.end(END_S)
         self._bound_store_calls(begun_s)
-        self._log.info("drained", open=self.forwarder.open_requests)
+        # Connections that are left have unsent bytes, or callers that don't
+        # close; the process's end closes them.
+        self._log.info(
+            "drained", open=given_up, connections=len(self.front.connections)
+        )
 
     def _bound_store_calls(self, begun_s: float) -> None:
         """Leaves the parts that call the store no more than is left.
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -755,3 +755,23 @@
             return status, played.upstream.requests
 
     assert asyncio.run(play()) == (503, [])
+
+
+def test_a_connection_that_never_asks_ends_in_order():
+    """A caller that connects in a stop and asks nothing sees a plain end."""
+
+    async def play():
+        async with playing() as played:
+            first = await played.connect()
+            first.ask("/once/")
+            await played.upstream.arrived.wait()
+            drain = asyncio.create_task(played.app.drain())
+            await asyncio.wait([drain], timeout=MEANWHILE_S)
+            silent = await played.connect()
+            played.upstream.answers.set()
+            assert await first.status() == 200
+            await drain
+            # Raises where the connection was reset.
+            return await silent.reader.read()
+
+    assert asyncio.run(play()) == b""
--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -531,6 +531,7 @@
         """
         if self._is_reading and not self._is_closing and self._exchange is None:
             self._is_closing = True
+            self._handler.rejected(503, "half there as the process ends")
             self._write_empty(503, b"retry-after: 0\r\n")
 
     def _write_empty(self, status: int, lines: bytes) -> None:
