A test of short graces: open requests have them up to the last sixth

What an upstream is at work on in the last sixth of the grace may end with the process; before, it is cut off. With a grace of 2 s the drain ended at 0.70 of it, with 3 s at 0.82, with 8 s behind five sixths.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -775,3 +775,37 @@
             return await silent.reader.read()
 
     assert asyncio.run(play()) == b""
+
+
+@pytest.mark.parametrize("grace_s", [2.0, 3.0, 8.0])
+def test_open_requests_have_the_grace_up_to_its_last_sixth(
+    monkeypatch, grace_s
+):
+    """With a grace of 2 s a stream was cut off 0.6 s before its time was over.
+
+    What an upstream is still at work on in the last sixth of the grace may
+    end with the process. The margin for the process's own end was the same
+    for any grace, and larger than that sixth where the grace is short.
+    """
+    monkeypatch.setattr(forwarder_lib.Forwarder, "open_requests", 1)
+    ended_s = []
+    monkeypatch.setattr(
+        forwarder_lib.Forwarder,
+        "end",
+        lambda self: ended_s.append(asyncio.get_running_loop().time()),
+    )
+    instance = dataclasses.replace(INSTANCE, bounds=with_grace(grace_s))
+
+    async def play() -> float:
+        app = app_lib.GatewayApp.from_config(
+            instance, program.adapter(), lambda: Success(instance)
+        )
+        app.components()
+        begun_s = asyncio.get_running_loop().time()
+        await app.drain()
+        return begun_s
+
+    with asyncio.Runner(loop_factory=_JumpingLoop) as runner:
+        begun_s = runner.run(play())
+    share = (ended_s[0] - begun_s) / grace_s
+    assert 5 / 6 <= share < 1
