The margin off a grace is never more than its last sixth

Streams at an instance with a grace of 2 s were cut off 0.6 s before its end, though an upstream at work may only be broken off in the last sixth, 0.33 s. The margin for the process's own end was one figure for any grace. It is now 0.6 s or a sixth, whichever is less; the parts that call the store share what is left of it as before, and the stop with 2 s still ends within its grace while the store is silent.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -39,8 +39,10 @@
 # The balancer needs two misses, a second apart, before it sends no new
 # connections; callers that it sent meanwhile are served.
 BALANCER_LAG_S = 2.6
-# Off the grace, for the last bytes to leave before the kill.
+# Off the grace, for the last bytes to leave before the kill; of a short grace
+# no more than the sixth in which open requests may end with the process.
 GRACE_MARGIN_S = 0.6
+GRACE_MARGIN_SHARE = 1 / 6
 # Of that, for callers' connections to come to their end: some round trips
 # within a region.
 END_S = 0.15
@@ -294,7 +296,8 @@
         of the start would be killed midway, or end early.
         """
         grace_s = self.state.bounds.grace_s
-        return stopping.Stop(begun_s, begun_s + grace_s - GRACE_MARGIN_S)
+        margin_s = min(GRACE_MARGIN_S, grace_s * GRACE_MARGIN_SHARE)
+        return stopping.Stop(begun_s, begun_s + grace_s - margin_s)
 
     async def _wait_while(
         self, condition: Callable[[], bool], begun_s: float
