--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -1,6 +1,7 @@
 """The gateway's application object: owns its parts, their start and end."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import os
 import random
@@ -38,8 +39,16 @@
 # The balancer needs two misses, a second apart, before it sends no new
 # connections; callers that it sent meanwhile are served.
 BALANCER_LAG_S = 2.6
-# Off the grace, for the last bytes to leave before the kill.
+# Off the grace, for the last bytes to leave before the kill; of a short grace
+# no more than the sixth in which open requests may end with the process.
 GRACE_MARGIN_S = 0.6
+GRACE_MARGIN_SHARE = 1 / 6
+# Of that, for callers' connections to come to their end: some round trips
+# within a region.
+END_S = 0.15
+# Of what is left of the grace then, for each of the two parts that call the
+# store as they stop. The rest is for the process's own end.
+STORE_SHARE = 0.4
 _POLL_S = 0.05
 # Smaller shares of failures are not worth telling.
 FAILING_LEAST = 0.05
@@ -110,7 +119,7 @@
         )
         self._ready = status.StatusHandler(self.state, None)
         metrics = status.StatusHandler(self.state, self.metrics)
-        self._front = listener.Listener(
+        self.front = listener.Listener(
             "front", instance.front_address, self.forwarder
         )
         client = store_client.StoreClient(
@@ -163,8 +172,9 @@
             address,
             self._rng,
         )
+        self._joiner = joiner.Joiner(self._registrar, self.mesh, instance)
         return [
-            self._front,
+            self.front,
             listener.Listener("ready", instance.ready_address, self._ready),
             listener.Listener(
                 "metrics", f"{instance.ip}:{adapter.metrics_port}", metrics
@@ -173,7 +183,7 @@
             upstreams,
             sweeper.Sweeper(self.state, self.pool),
             self._reloader,
-            joiner.Joiner(self._registrar, self.mesh, instance),
+            self._joiner,
             self.mesh,
             sync.SyncServer(
                 self.mesh, self.state, known, client, adapter.own_topic_prefix
@@ -226,23 +236,80 @@
             self.mesh.own_lease(now_s),
         )
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether the process's end would cut anything off.
+
+        A request whose caller went away can still be open.
+        """
+        return self.forwarder.open_requests > 0 or self.front.is_busy
+
     async def drain(self) -> None:
         """Finishes what callers asked for, within the grace.
 
         Readiness fails at once, so that the balancer turns away; callers
         that it still sends are served if there is time, and each answer tells
         its caller to use another connection next.
+
+        At the end the front door closes before any other part stops: these
+        call the store, which can take a second, and what the front took
+        meanwhile would be cut off by the process's end.
         """
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         self._ready.is_stopping = True
         self._log.info("draining", open=self.forwarder.open_requests)
-        until_s = begun_s + self._instance.bounds.grace_s - GRACE_MARGIN_S
-        self.forwarder.stop = stopping.Stop(begun_s, until_s)
-        await asyncio.sleep(BALANCER_LAG_S)
+        # The file may name another grace than when it was last looked at.
+        self._reloader.reload()
+        known_s = begun_s + BALANCER_LAG_S
+        await self._wait_while(lambda: loop.time() < known_s, begun_s)
         # Once: callers come back by way of the balancer, which sends them to
         # an instance that stays. What connects from now on is about to ask.
-        self._front.close_idle()
-        while loop.time() < until_s and self.forwarder.open_requests:
+        self.front.close_idle()
+        await self._wait_while(lambda: self._is_busy, begun_s)
+        given_up = self.forwarder.open_requests
+        self.forwarder.end()
+        await self.front.end(END_S)
+        self._bound_store_calls(begun_s)
+        # Connections that are left have unsent bytes, or callers that don't
+        # close; the process's end closes them.
+        self._log.info(
+            "drained", open=given_up, connections=len(self.front.connections)
+        )
+
+    def _bound_store_calls(self, begun_s: float) -> None:
+        """Leaves the parts that call the store no more than is left.
+
+        A silent store would hold them for 1.5 s, beyond the grace of a drain
+        that ended at its end, and the process would be killed.
+        """
+        now_s = asyncio.get_running_loop().time()
+        left_s = max(0.0, begun_s + self.state.bounds.grace_s - now_s)
+        share_s = left_s * STORE_SHARE
+        self.lease.release_s = min(lease_keeper.RELEASE_S, share_s)
+        self._joiner.leave_s = min(joiner.LEAVE_S, share_s)
+
+    def _stop(self, begun_s: float) -> stopping.Stop:
+        """Returns the stop by the grace in force.
+
+        The platform goes by the settings as they are, so that a drain by those
+        of the start would be killed midway, or end early.
+        """
+        grace_s = self.state.bounds.grace_s
+        margin_s = min(GRACE_MARGIN_S, grace_s * GRACE_MARGIN_SHARE)
+        return stopping.Stop(begun_s, begun_s + grace_s - margin_s)
+
+    async def _wait_while(
+        self, condition: Callable[[], bool], begun_s: float
+    ) -> None:
+        """Waits while something holds, until the stop's time is over."""
+        loop = asyncio.get_running_loop()
+        while True:
+            # Settings may change meanwhile.
+            self.forwarder.stop = self._stop(begun_s)
+            if loop.time() >= self.forwarder.stop.ends_s:
+                return
+            # Slept first, as requests may have arrived that are not read yet.
             await asyncio.sleep(_POLL_S)
-        self._log.info("drained", open=self.forwarder.open_requests)
+            if not condition():
+                return
--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+import contextlib
 import http
 from typing import Protocol
 
@@ -21,6 +22,10 @@
 _AHEAD_MOST = 4
 # What may wait for a slow caller before the upstream is read no further.
 WRITE_HIGH_BYTES = 64 * 1024
+# How long a connection that ends goes on being read, so that its last answer
+# arrives: some round trips between regions, and some of a slow link. Callers
+# that read the answer close before.
+LINGER_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _NO_BODY_STATUS = frozenset((204, 304))
 
@@ -180,7 +185,7 @@
 
     def _end(self) -> None:
         self._is_over = True
-        self._connection.answered(self._closes_after)
+        self._connection.answered(self._closes_after, self._keeps_open)
 
 
 def _lines(headers: list[serving.Header]) -> bytes:
@@ -203,10 +208,14 @@
         "_head",
         "_body",
         "_body_size",
+        "_limits",
         "_rejection",
         "_waiting",
         "_exchange",
         "_timer",
+        "_given_s",
+        "_promised_s",
+        "_is_in_head",
         "_is_reading",
         "_is_closing",
     )
@@ -225,11 +234,18 @@
         self._head = Head()
         self._body: list[bytes] = []
         self._body_size = 0
+        # Those in force as the request began that is being read.
+        self._limits = handler.limits
         # Status with which the request being read is refused.
         self._rejection = 0
         self._waiting: deque[tuple[Head, bytes]] = deque()
         self._exchange: Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # What the timer was armed with, of the caller's time.
+        self._given_s = 0.0
+        # How long the caller was last told that it may stay idle.
+        self._promised_s = 0.0
+        self._is_in_head = False
         self._is_reading = False
         self._is_closing = False
 
@@ -238,6 +254,21 @@
         """Whether no request is being read or answered."""
         return self._exchange is None and not self._is_reading
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered, or an answer leaves.
+
+        An answer's last bytes are in the process for as long as its caller
+        reads slowly, and are lost with the process.
+        """
+        if self._transport is None:
+            return False
+        if self._exchange is not None:
+            return True
+        if self._is_reading and not self._is_closing:
+            return True
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def is_to_close(self) -> bool:
         """Whether the connection ends behind the answer under way."""
@@ -249,6 +280,7 @@
     def keep_alive_line(self) -> bytes:
         """Tells the caller how long the connection may stay idle."""
         idle_s = int(self._handler.limits.idle_s)
+        self._promised_s = idle_s
         return b"keep-alive: timeout=%d\r\n" % idle_s if idle_s else b""
 
     # -- asyncio.Protocol ----------------------------------------------
@@ -258,7 +290,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         self._registry.add(self)
-        self._arm(self._handler.limits.idle_s)
+        self._arm_limit()
 
     def data_received(self, data: bytes) -> None:
         """Parses what came."""
@@ -266,7 +298,8 @@
             return
         if not self._is_reading:
             # Even an empty line before a request starts its time.
-            self._arm(self._handler.limits.head_s)
+            self._is_in_head = True
+            self._arm_limit()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -306,6 +339,7 @@
     def on_message_begin(self) -> None:
         """A request begins."""
         self._head = Head()
+        self._limits = self._handler.limits
         self._body = []
         self._body_size = 0
         self._rejection = 0
@@ -323,12 +357,31 @@
         self._head.headers.append((name.lower(), value))
 
     def _grow_head(self, size: int) -> None:
-        self._head.size += size
-        if self._head.size > self._handler.limits.head_bytes:
+        head = self._head
+        head.size += size
+        if (
+            head.size > self._limits.head_bytes
+            and head.size > self._handler.limits.head_bytes
+        ):
             self._rejection = 431
 
+    def _is_body_over(self, size: int) -> bool:
+        """Whether a body is too large by all limits that it is held to.
+
+        Operators may lower them while it is being sent; its caller could not
+        know, and would not ask again after a 413.
+        """
+        return (
+            size > self._limits.body_bytes
+            and size > self._handler.limits.body_bytes
+        )
+
     def on_headers_complete(self) -> None:
         """Judges the framing before any of the body is read."""
+        if self._is_closing:
+            # Behind a last answer nothing more is said.
+            return
+        self._is_in_head = False
         head = self._head
         head.method = self._parser.get_method()
         head.keeps_open = self._parser.should_keep_alive()
@@ -343,18 +396,18 @@
         is_ambiguous = len(lengths) + len(codings) > 1 or other_codings
         if is_ambiguous or len(hosts) != 1:
             self._rejection = 400
-        elif lengths and int(lengths[0]) > self._handler.limits.body_bytes:
+        elif lengths and self._is_body_over(int(lengths[0])):
             self._rejection = 413
         elif any(n == b"expect" for n, _ in head.headers):
             self._transport.write(_CONTINUE)
         if not self._rejection:
             # The body has a time of its own.
-            self._arm(self._handler.limits.idle_s)
+            self._arm_limit()
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body."""
         self._body_size += len(data)
-        if self._body_size > self._handler.limits.body_bytes:
+        if self._is_body_over(self._body_size):
             self._rejection = 413
         elif not self._rejection:
             self._body.append(data)
@@ -386,25 +439,66 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_if_idle(self) -> None:
+        """Ends the connection if nothing is asked on it, also not by now.
+
+        A request may wait in the socket while the loop is busy elsewhere.
+        Closing on it resets the connection, though the caller did all in
+        time; so the loop reads once more before.
+        """
+        if self.is_idle and not self._is_closing:
+            self._disarm()
+            self._timer = self._loop.call_later(0, self._close_if_still_idle)
+
+    def _close_if_still_idle(self) -> None:
+        self._timer = None
+        if self.is_idle:
+            self.close()
+
     def close(self) -> None:
-        """Ends an idle connection."""
+        """Ends the connection behind what was written."""
         self._is_closing = True
         if self._transport is not None:
             self._transport.close()
 
-    def answered(self, closes: bool) -> None:
-        """The answer under way is sent."""
+    def _finish(self) -> None:
+        """Ends the connection so that what was written still arrives.
+
+        The caller may be sending still, for it learns only from this answer
+        that nobody reads on. A close on bytes that were not read resets the
+        connection, and what the caller has not received by then is lost. So
+        only the own direction ends; what comes is read and thrown away until
+        the caller closes, for a while.
+        """
+        self._is_closing = True
+        # The caller may be gone already; its reset is on the way to us.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._transport.resume_reading()
+        self._arm(LINGER_S)
+
+    def answered(self, closes: bool, may_follow: bool) -> None:
+        """The answer under way is sent.
+
+        Args:
+          closes: It told the caller that the connection ends.
+          may_follow: The caller may have sent more behind its request.
+        """
         self._exchange = None
         if self._transport is None:
             return
         if closes:
-            self.close()
+            if may_follow:
+                self._finish()
+            else:
+                self.close()
             return
         if len(self._waiting) <= _AHEAD_MOST:
             self._transport.resume_reading()
         self._next()
         if self.is_idle:
-            self._arm(self._handler.limits.idle_s)
+            self._is_in_head = False
+            self._arm_limit()
 
     def _next(self) -> None:
         if self._exchange is not None or not self._waiting:
@@ -426,14 +520,46 @@
         self._is_closing = True
         self._handler.rejected(status, reason)
         if self._exchange is None:
-            head = _status_line(status)
-            tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
-            self._transport.write(head + tail)
-            self._transport.close()
+            self._write_empty(status, b"")
         # An answer under way ends first; `is_to_close` closes behind it.
 
+    def refuse_half(self) -> None:
+        """Refuses a request that is only half there: the process is to end.
+
+        Nothing of it was used, so it was not run, and its caller may send it
+        elsewhere at once.
+        """
+        if self._is_reading and not self._is_closing and self._exchange is None:
+            self._is_closing = True
+            self._handler.rejected(503, "half there as the process ends")
+            self._write_empty(503, b"retry-after: 0\r\n")
+
+    def _write_empty(self, status: int, lines: bytes) -> None:
+        head = _status_line(status) + lines
+        tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
+        self._transport.write(head + tail)
+        self._finish()
+
     # -- time ----------------------------------------------------------
 
+    @property
+    def _allowed_s(self) -> float:
+        """How long the caller may take for what it is at.
+
+        By the limits in force; but nobody stays idle for less than it was
+        told, whatever operators changed since.
+        """
+        limits = self._handler.limits
+        if self._is_in_head:
+            return limits.head_s
+        if self._is_reading:
+            return limits.idle_s
+        return max(limits.idle_s, self._promised_s)
+
+    def _arm_limit(self) -> None:
+        self._given_s = self._allowed_s
+        self._arm(self._given_s)
+
     def _arm(self, after_s: float) -> None:
         self._disarm()
         self._timer = self._loop.call_later(after_s, self._on_time)
@@ -445,7 +571,24 @@
 
     def _on_time(self) -> None:
         self._timer = None
-        if self._is_reading:
+        if self._is_closing:
+            # An answer under way ends the connection by itself.
+            if self._exchange is None:
+                self._end_linger()
+            return
+        # Operators may have given callers more time since it was armed.
+        allowed_s, given_s = self._allowed_s, self._given_s
+        if allowed_s > given_s:
+            self._given_s = allowed_s
+            self._arm(allowed_s - given_s)
+        elif self._is_reading:
             self._reject_now(408, "the request came too slowly")
-        elif self._exchange is None:
-            self.close()
+        else:
+            self.close_if_idle()
+
+    def _end_linger(self) -> None:
+        if self._transport.get_write_buffer_size() > 0:
+            # A slow caller is still at the answer.
+            self._arm(LINGER_S)
+        else:
+            self._transport.close()
--- a/sesamecross/gateway/front_test.py
+++ b/sesamecross/gateway/front_test.py
@@ -1,7 +1,10 @@
 """Tests of the front door: framing, limits, and what is never passed on."""
 
 import asyncio
+import contextlib
+import dataclasses
 import re
+import socket
 
 from hypothesis import given
 from hypothesis import settings
@@ -10,7 +13,10 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import front
+from sesamecross.gateway import listener
 
+# No test waits so long; it only ends one that would hang.
+HANG_S = 10.0
 LIMITS = serving.CallerLimits(
     head_bytes=400, body_bytes=100, head_s=3.0, idle_s=15.0
 )
@@ -27,7 +33,7 @@
 
 
 class _Transport(asyncio.Transport):
-    """Keeps what was written."""
+    """Keeps what was written; closed once nothing more can be."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -41,6 +47,12 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def write_eof(self) -> None:
+        self.is_closed = True
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def abort(self) -> None:
         self.is_closed = True
 
@@ -217,3 +229,273 @@
     # Whoever was refused is not listened to any more.
     refused = [one for one in statuses(first) if one >= 400]
     assert len(refused) <= 1
+
+
+class _Closing(_Handler):
+    """Tells callers to use another connection; answers are large."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closing = True
+        self.caller: socket.socket | None = None
+
+    def handle(self, request, exchange) -> None:
+        # The caller's next request is on its way as the answer goes out.
+        self.caller.send(GET)
+        exchange.whole(200, [], b"x" * 400_000)
+
+
+def test_bytes_behind_the_last_request_do_not_lose_its_answer():
+    """A caller's last answer was cut off in a planned stop.
+
+    The answer said that the connection closes. The caller, which sends ahead,
+    had already sent its next request: closing on unread bytes resets the
+    connection, and the kernel throws away what has not left.
+    """
+
+    async def play() -> bytes:
+        loop = asyncio.get_running_loop()
+        handler = _Closing()
+        door = listener.Listener("front", "127.0.0.1:0", handler)
+        task = asyncio.create_task(door.run())
+        while not door.address:
+            await asyncio.sleep(0)
+        caller = socket.socket()
+        # As on a real way, little of the answer arrives at once.
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        host, _, port = door.address.rpartition(":")
+        await loop.sock_connect(caller, (host, int(port)))
+        handler.caller = caller
+        await loop.sock_sendall(caller, GET)
+        while not handler.requests:
+            await asyncio.sleep(0)
+        # Turns enough for a close that does not wait.
+        for _ in range(20):
+            await asyncio.sleep(0)
+        received = b""
+        with contextlib.suppress(OSError):
+            async with asyncio.timeout(HANG_S):
+                while piece := await loop.sock_recv(caller, 65536):
+                    received += piece
+        caller.close()
+        await door.stop()
+        task.cancel()
+        return received
+
+    head, _, body = asyncio.run(play()).partition(b"\r\n\r\n")
+    assert b"connection: close" in head
+    assert len(body) == 400_000
+
+
+def test_a_caller_that_still_sends_is_told_that_its_request_is_too_large():
+    """A caller met a reset in place of its 413, and sent the body again.
+
+    It was still sending as the refusal went out. The door closed at once on
+    bytes that it had not read, and that resets the connection.
+    """
+
+    async def play() -> tuple[bytes, bool]:
+        door = listener.Listener("front", "127.0.0.1:0", _Handler())
+        task = asyncio.create_task(door.run())
+        while not door.address:
+            await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(
+            *door.address.rsplit(":", 1)
+        )
+        writer.write(POST + b"Content-Length: 5000000\r\n\r\n")
+        received = b""
+        was_reset = False
+        try:
+            async with asyncio.timeout(HANG_S):
+                for _ in range(50):
+                    writer.write(b"x" * 100_000)
+                    await writer.drain()
+                received = await reader.read()
+        except OSError:
+            was_reset = True
+        writer.close()
+        await door.stop()
+        task.cancel()
+        return received, was_reset
+
+    received, was_reset = asyncio.run(play())
+    assert not was_reset
+    assert received.startswith(b"HTTP/1.1 413 ")
+
+
+class _HeldHandler(_Handler):
+    """Leaves the answers to the test."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.exchanges: list[front.Exchange] = []
+
+    def handle(self, request, exchange) -> None:
+        self.exchanges.append(exchange)
+
+
+class _Timed:
+    """A connection on a clock that stands until the test moves it."""
+
+    def __init__(self) -> None:
+        self.handler = _HeldHandler()
+        self.transport = _Transport()
+        self.loop = _ClockLoop()
+        self.connection = front.FrontConnection(self.handler, self.loop, set())
+        self.connection.connection_made(self.transport)
+
+    def limit(self, **changed) -> None:
+        self.handler.limits = dataclasses.replace(
+            self.handler.limits, **changed
+        )
+
+    def answer_whole(self) -> None:
+        self.handler.exchanges.pop().whole(200, [], b"ok")
+
+
+class _ClockTimer:
+    def __init__(self, at_s: float, call):
+        self.at_s = at_s
+        self.call = call
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        self.is_cancelled = True
+
+
+class _ClockLoop:
+    """Timers by a clock of the test's own."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self.timers: list[_ClockTimer] = []
+
+    def time(self) -> float:
+        return self.now_s
+
+    def call_later(self, after_s, call, *args) -> _ClockTimer:
+        timer = _ClockTimer(self.now_s + after_s, call)
+        self.timers.append(timer)
+        return timer
+
+    def go_on(self, by_s: float) -> None:
+        until_s = self.now_s + by_s
+        while due := [
+            one
+            for one in self.timers
+            if not one.is_cancelled and one.at_s <= until_s
+        ]:
+            first = min(due, key=lambda one: one.at_s)
+            self.timers.remove(first)
+            self.now_s = max(self.now_s, first.at_s)
+            first.call()
+        self.now_s = until_s
+
+
+def test_an_idle_connection_stays_by_the_limit_in_force():
+    """Callers met closed connections after operators raised the idle limit.
+
+    They reuse a connection for four fifths of the limit by the newest
+    configuration; each connection kept the limit from when it became idle.
+    """
+    one = _Timed()
+    one.connection.data_received(GET)
+    one.answer_whole()
+    one.loop.go_on(5.0)
+    one.limit(idle_s=60.0)
+    one.loop.go_on(43.0)
+    assert not one.transport.is_closed
+    one.loop.go_on(12.0)
+    assert one.transport.is_closed
+
+
+def test_an_idle_connection_stays_as_long_as_its_caller_was_told():
+    """A caller's stream began under one idle limit and ended under a shorter.
+
+    Its head had promised 15 s; the connection was closed 5 s after the end,
+    on the caller's next request.
+    """
+    one = _Timed()
+    one.connection.data_received(GET)
+    exchange = one.handler.exchanges.pop()
+    exchange.begin(200, [], b"first")
+    assert b"keep-alive: timeout=15\r\n" in one.transport.written
+    one.limit(idle_s=5.0)
+    exchange.end()
+    one.loop.go_on(14.0)
+    assert not one.transport.is_closed
+    one.loop.go_on(2.0)
+    assert one.transport.is_closed
+
+
+@pytest.mark.parametrize(
+    ("begun", "raised"),
+    [
+        pytest.param(b"POST /a HTTP/1.1\r\n", "head_s", id="head"),
+        pytest.param(POST + b"Content-Length: 2\r\n\r\nh", "idle_s", id="body"),
+    ],
+)
+def test_a_request_may_take_as_long_as_the_limit_in_force(begun, raised):
+    """A slow caller met a 408 after operators had given callers more time."""
+    one = _Timed()
+    one.connection.data_received(begun)
+    one.limit(**{raised: 60.0})
+    one.loop.go_on(50.0)
+    assert one.transport.written == b""
+    one.loop.go_on(11.0)
+    assert statuses(one.transport) == [408]
+
+
+@pytest.mark.parametrize(
+    ("pieces", "lowered"),
+    [
+        pytest.param(
+            [
+                POST + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                b"6\r\n world\r\n0\r\n\r\n",
+            ],
+            {"body_bytes": 8},
+            id="chunked body",
+        ),
+        pytest.param(
+            [POST + b"Content-Le", b"ngth: 11\r\n\r\nhello world"],
+            {"body_bytes": 8},
+            id="body with a length",
+        ),
+        pytest.param(
+            [POST, b"X-Long: " + b"x" * 200 + b"\r\n\r\n"],
+            {"head_bytes": 100},
+            id="head",
+        ),
+    ],
+)
+def test_a_request_is_read_under_the_limits_of_its_begin(pieces, lowered):
+    """A request was refused with 413 that every caller would call proper.
+
+    Operators lowered the limit of bodies while this one was being sent; the
+    rest of it was held against the new limit.
+    """
+    one = _Timed()
+    one.connection.data_received(pieces[0])
+    one.limit(**lowered)
+    one.connection.data_received(pieces[1])
+    assert len(one.handler.requests) == 1
+    one.answer_whole()
+    assert statuses(one.transport) == [200]
+    # The next one begins under the new limits.
+    one.connection.data_received(b"".join(pieces))
+    assert len(one.handler.requests) == 1
+    assert one.transport.is_closed
+
+
+def test_an_answer_under_way_outlives_the_time_of_bad_bytes_behind_it():
+    """What a caller sent behind its request made no sense; that one stands."""
+    one = _Timed()
+    one.connection.data_received(GET)
+    one.connection.data_received(b"no request at all\r\n\r\n")
+    one.loop.go_on(100.0)
+    assert not one.transport.is_closed
+    one.answer_whole()
+    assert statuses(one.transport) == [200]
+    assert one.transport.is_closed
