Failing tests: settings files that are no text end a process

A settings file that is cut in the middle of a character, or damaged so that the parser of TOML fails without calling it a syntax error (nesting, numbers of thousands of digits), leaves load() as an exception.

--- a/sesamecross/parser/settings_test.py
+++ b/sesamecross/parser/settings_test.py
@@ -63,3 +63,27 @@
     (problem,) = loaded.failure()
     assert (problem.key, problem.kind) == (key, kind)
     assert problem.file.endswith(file)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param(b"\xff\xfe\x00", id="no text"),
+        pytest.param('zone = "Slí'.encode()[:-1], id="half a character"),
+        pytest.param(b"a = " + b"[" * 100_000, id="nested deeply"),
+        pytest.param(b"a = " + b"9" * 5_000, id="a number of 5000 digits"),
+    ],
+)
+def test_what_is_no_text_is_a_problem_and_no_crash(tmp_path, content):
+    """A process ended with a traceback in place of a message.
+
+    Its file was damaged in a way that the parser of TOML does not call an
+    error of the syntax: nested too deeply, or a number too long to convert.
+    """
+    path = tmp_path / "entry.toml"
+    path.write_bytes(content)
+    flags = argparse.Namespace(settings=str(path))
+    loaded = settings.load(settings.EntrySettings, flags, {})
+    assert isinstance(loaded, Failure)
+    (problem,) = loaded.failure()
+    assert problem.kind is errors.Kind.SYNTAX
