Settings that are no text are a problem with its remedy, and no crash

Seen by operators: a traceback and exit code 1 at the start; while running, a component that fails at each look and, after eleven failures, ends the process with all streams of its callers. Cause: the two readers of settings caught the parser's syntax error alone, and the parser has other ways to fail. ValueError covers all of the text's own errors (encoding, digits), RecursionError the nesting; errors of a value are caught before them.

--- a/sesamecross/parser/toml_files.py
+++ b/sesamecross/parser/toml_files.py
@@ -106,7 +106,9 @@
         )
     try:
         return tomllib.loads(data.decode("utf-8"))
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Beside errors of the syntax: half of a character, a number of
+        # thousands of digits, tables nested deeply.
         return errors.Problem(
             path.name,
             "",
--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -66,10 +66,12 @@
         wire = msgspec.convert(tree, _WireSettings)
     except OSError as error:
         return Failure(_problem(path, str(error), errors.Kind.UNREADABLE))
-    except tomllib.TOMLDecodeError as error:
-        return Failure(_problem(path, str(error), errors.Kind.SYNTAX))
     except msgspec.ValidationError as error:
         return Failure(_problem(path, str(error), errors.Kind.BAD_VALUE))
+    except (ValueError, RecursionError) as error:
+        # Half of a character, a number of thousands of digits and tables
+        # nested deeply are no syntax errors to the parser, but these.
+        return Failure(_problem(path, str(error), errors.Kind.SYNTAX))
     return Success(_instance(wire))
 
 
