Failing tests: settings without sense come into force

Reversed or impossible ports, times that are negative, infinite or no number, ratios outside their range, an own zone that the map lacks, addresses that are none: 26 of 28 such files were taken without a word (an empty list of ports is refused), and one with a huge range of ports ended in an error of memory. 27 tests fail; eight unusual files with sense have to stay allowed, and are.

--- a/sesamecross/platform/settings_test.py
+++ b/sesamecross/platform/settings_test.py
@@ -60,3 +60,72 @@
     assert isinstance(loaded, Failure)
     assert loaded.failure().kind is errors.Kind.SYNTAX
     assert settings.BOOT_VARIABLE in loaded.failure().remedy
+
+
+# What is replaced in whole settings, by what, and the key that is named.
+SENSELESS = [
+    ("[7380, 7395]", "[7395, 7380]", "internalPorts"),
+    ("[7380, 7395]", "[0, 7395]", "internalPorts"),
+    ("[7380, 7395]", "[7380, 70000]", "internalPorts"),
+    ("[7380, 7395]", "[-9, 9999999999999]", "internalPorts"),
+    ("[7380, 7395]", "[]", "internalPorts"),
+    ("heartbeatMs = 1200", "heartbeatMs = 0", "heartbeatMs"),
+    ("heartbeatMs = 1200", "heartbeatMs = nan", "heartbeatMs"),
+    ("heartbeatMs = 1200", "heartbeatMs = -1", "heartbeatMs"),
+    ('z1 = "r1"', "", "zones"),
+    ('nodeName = "front-1"', 'nodeName = ""', "nodeName"),
+    ('nodeName = "front-1"', f'nodeName = "{"é" * 200}"', "nodeName"),
+    ('"10.0.0.1:80"', '"10.0.0.1"', "listen.front"),
+    ('"10.0.0.1:80"', '"10.0.0.1:99999"', "listen.front"),
+    ('"10.0.0.1:81"', '"here:81"', "listen.ready"),
+    ('"10.9.0.1:90"', '""', "platform.address"),
+    ('ip = "10.0.0.1"', 'ip = "10.0.0"', "ip"),
+    ("drainMs = 4000", "drainMs = inf", "drainMs"),
+    ("drainMs = 4000", "drainMs = nan", "drainMs"),
+    ("drainMs = 4000", "drainMs = -1", "drainMs"),
+    ("drainMs = 4000", "drainMs = 1e30", "drainMs"),
+    ("drainMs = 4000", "graceS = -0.1", "graceS"),
+    ("drainMs = 4000", "leaseMs = nan", "leaseMs"),
+    ("drainMs = 4000", "budgetWindowS = 0", "budgetWindowS"),
+    ("drainMs = 4000", "ceilingWindowS = 0", "ceilingWindowS"),
+    ("drainMs = 4000", "retryBudgetRatio = 1.5", "retryBudgetRatio"),
+    ("drainMs = 4000", "retryBudgetRatio = -0.1", "retryBudgetRatio"),
+    ("drainMs = 4000", "budgetExtra = inf", "budgetExtra"),
+    ("drainMs = 4000", "ceilingOverage = nan", "ceilingOverage"),
+]
+
+
+@pytest.mark.parametrize(("whole", "senseless", "key"), SENSELESS)
+def test_values_without_sense_are_refused_and_named(
+    tmp_path, whole, senseless, key
+):
+    """A slip in a settings file ended processes, or came into force.
+
+    Reversed ports made an empty list whose first entry the start takes; a
+    drain bound that is no number made each comparison with it false, so that
+    upstreams which had left were used on. Nothing looked at the values.
+    """
+    assert whole in WHOLE
+    loaded = load(tmp_path, WHOLE.replace(whole, senseless).encode())
+    assert isinstance(loaded, Failure)
+    assert loaded.failure().kind is errors.Kind.BAD_VALUE
+    assert key in str(loaded.failure())
+
+
+# The least that is allowed must not be taken for a slip.
+ALLOWED = [
+    ("[7380, 7395]", "[7380, 7380]"),
+    ("drainMs = 4000", "drainMs = 0"),
+    ("drainMs = 4000", "leaseMs = 0"),
+    ("drainMs = 4000", "retryBudgetRatio = 0"),
+    ("drainMs = 4000", "retryBudgetRatio = 1"),
+    ("drainMs = 4000", "budgetExtra = 0"),
+    ("drainMs = 4000", "reuseAfterS = 0"),
+    ("drainMs = 4000", "tomorrowsBound = nan"),
+]
+
+
+@pytest.mark.parametrize(("whole", "unusual"), ALLOWED)
+def test_unusual_values_with_sense_are_taken(tmp_path, whole, unusual):
+    assert whole in WHOLE
+    load(tmp_path, WHOLE.replace(whole, unusual).encode()).unwrap()
