Settings without sense are refused, each with its key

Seen by operators: a slip such as reversed ports ended the process by an index out of range, and a drain bound that was no number came into force and made all comparisons with it false. Cause: types were checked, values were not. Now each figure has a range, ports, addresses and the own zone are looked at, and one message names every key at fault; unknown fields are still ignored, and zero stays allowed where it means none.

--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -3,9 +3,13 @@
 Why: a process learns its addresses, its availability zone and the bounds it
 is held to from this file alone. Fields that are not known are ignored, since
 the platform adds new ones; one that is missing or of another type is an
-error with its remedy, all of them in one message.
+error with its remedy, all of them in one message. So is a value without
+sense: a bound that is no number makes every comparison with it false, and
+ports that are no range leave nothing to listen on.
 """
 
+import dataclasses
+import ipaddress
 import pathlib
 import tomllib
 
@@ -19,6 +23,15 @@
 
 BOOT_VARIABLE = "SESAMECROSS_BOOT"
 MS = 0.001
+# No time of these settings is longer than a day; the platform's are seconds.
+LONGEST_S = 86_400.0
+# A window of no length would divide what is counted in it by nothing.
+SHORTEST_WINDOW_S = 0.001
+# Far above what a deployment counts, and exact as a float.
+LARGEST_COUNT = 1e9
+# A name is part of a key of the store, which has 255 bytes.
+LONGEST_NAME_BYTES = 200
+LAST_PORT = 65_535
 
 
 class _WireListen(msgspec.Struct, frozen=True):
@@ -72,9 +85,104 @@
         # Half of a character, a number of thousands of digits and tables
         # nested deeply are no syntax errors to the parser, but these.
         return Failure(_problem(path, str(error), errors.Kind.SYNTAX))
+    found = _senseless(wire)
+    if found:
+        reason = ", ".join(f"{key} {why}" for key, why in found)
+        return Failure(_problem(path, reason, errors.Kind.BAD_VALUE))
     return Success(_instance(wire))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Figure:
+    """A figure and the range in which it has sense, both ends included."""
+
+    key: str
+    value: float
+    least: float
+    most: float
+
+    @property
+    def is_senseless(self) -> bool:
+        """Whether it is outside its range, or no number."""
+        # A comparison with what is no number is false.
+        return not self.least <= self.value <= self.most
+
+
+def _figures(wire: _WireSettings) -> list[_Figure]:
+    bounds = wire.bounds
+    shortest_ms = SHORTEST_WINDOW_S / MS
+    longest_ms = LONGEST_S / MS
+    return [
+        _Figure("heartbeatMs", wire.heartbeat_ms, shortest_ms, longest_ms),
+        _Figure("bounds.drainMs", bounds.drain_ms, 0, longest_ms),
+        _Figure("bounds.graceS", bounds.grace_s, 0, LONGEST_S),
+        _Figure("bounds.configApplyMs", bounds.config_apply_ms, 0, longest_ms),
+        _Figure("bounds.retryBudgetRatio", bounds.retry_budget_ratio, 0, 1),
+        _Figure("bounds.budgetExtra", bounds.budget_extra, 0, LARGEST_COUNT),
+        _Figure(
+            "bounds.budgetWindowS",
+            bounds.budget_window_s,
+            SHORTEST_WINDOW_S,
+            LONGEST_S,
+        ),
+        _Figure("bounds.leaseMs", bounds.lease_ms, 0, longest_ms),
+        _Figure(
+            "bounds.ceilingWindowS",
+            bounds.ceiling_window_s,
+            SHORTEST_WINDOW_S,
+            LONGEST_S,
+        ),
+        _Figure(
+            "bounds.ceilingOverage", bounds.ceiling_overage, 0, LARGEST_COUNT
+        ),
+        _Figure("bounds.reuseAfterS", bounds.reuse_after_s, 0, LONGEST_S),
+    ]
+
+
+def _senseless(wire: _WireSettings) -> list[tuple[str, str]]:
+    """Returns the keys whose values have no sense, each with the reason."""
+    found = [
+        (one.key, f"is {one.value}, not from {one.least:g} to {one.most:g}")
+        for one in _figures(wire)
+        if one.is_senseless
+    ]
+    first, last = wire.internal_ports
+    if not 1 <= first <= last <= LAST_PORT:
+        found.append(
+            ("internalPorts", f"{first} to {last} is no range of ports")
+        )
+    if wire.zone not in wire.zones:
+        found.append(("zones", f"lacks the own zone {wire.zone!r}"))
+    if not 1 <= len(wire.node_name.encode()) <= LONGEST_NAME_BYTES:
+        found.append(("nodeName", f"has not 1 to {LONGEST_NAME_BYTES} bytes"))
+    if not _is_ip(wire.ip):
+        found.append(("ip", f"is {wire.ip!r}, no IPv4 address"))
+    for key, address in (
+        ("listen.front", wire.listen.front),
+        ("listen.ready", wire.listen.ready),
+        ("platform.address", wire.platform.address),
+    ):
+        if not _is_address(address):
+            found.append((key, f"is {address!r}, not IP:PORT"))
+    return found
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    # Other digits than these count as digits too, but make no port.
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        return False
+    return _is_ip(host) and 1 <= int(port) <= LAST_PORT
+
+
 def _problem(path: str, reason: str, kind: errors.Kind) -> errors.Problem:
     return errors.Problem(
         path,
