Settings are read in two steps: what the file holds, and what it says

No change of behaviour. Who reads a file anew has to see whether it is still being written, and for that its bytes count, not what was understood of them. The reloader's sleep can be given by a test.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -71,7 +71,7 @@
         self,
         instance: serving.Instance,
         adapter: Adapter,
-        load: reloader.SettingsSource,
+        source: reloader.SettingsSource,
     ):
         self._instance = instance
         self._adapter = adapter
@@ -79,23 +79,23 @@
         self._rng = random.Random(os.urandom(8))
         self.metrics = metrics_lib.Metrics()
         self.state = state_lib.State(instance)
-        self._reloader = reloader.Reloader(self.state, load)
+        self._reloader = reloader.Reloader(self.state, source)
 
     @classmethod
     def from_config(
         cls,
         instance: serving.Instance,
         adapter: Adapter,
-        load: reloader.SettingsSource,
+        source: reloader.SettingsSource,
     ) -> "GatewayApp":
         """Returns the application of one instance.
 
         Args:
           instance: Its settings.
           adapter: The platform's forms and names.
-          load: Reads the settings anew.
+          source: Where the settings are read anew.
         """
-        return cls(instance, adapter, load)
+        return cls(instance, adapter, source)
 
     def reload(self) -> None:
         """Looks at the settings again."""
--- a/sesamecross/gateway/reloader.py
+++ b/sesamecross/gateway/reloader.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Protocol
 
 from returns.result import Failure
 from returns.result import Result
@@ -21,7 +23,15 @@
 # takes under a millisecond.
 EVERY_S = 2.0
 
-SettingsSource = Callable[[], Result[serving.Instance, errors.Problem]]
+
+class SettingsSource(Protocol):
+    """Where settings come from, and how they are read."""
+
+    def read(self) -> Result[bytes, errors.Problem]:
+        """Returns what the file holds now."""
+
+    def decode(self, data: bytes) -> Result[serving.Instance, errors.Problem]:
+        """Returns the settings in `data`, or what is wrong with them."""
 
 
 class Reloader:
@@ -30,9 +40,15 @@
     is_vital = False
     name = "reloader"
 
-    def __init__(self, state: state_lib.State, load: SettingsSource):
+    def __init__(
+        self,
+        state: state_lib.State,
+        source: SettingsSource,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ):
         self._state = state
-        self._load = load
+        self._source = source
+        self._sleep = sleep
         self._wake = asyncio.Event()
         self._log = logs.part("settings")
         # What was complained about last, to say it once.
@@ -59,7 +75,7 @@
         """Nothing to finish."""
 
     def _look(self, is_asked: bool) -> None:
-        loaded = self._load()
+        loaded = self._source.read().bind(self._source.decode)
         if isinstance(loaded, Failure):
             reason = str(loaded.failure())
             if is_asked or reason != self._refused:
--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -24,45 +24,71 @@
     1.0,
     serving.Bounds(),
 )
+OPERATORS = dataclasses.replace(
+    INSTANCE, bounds=dataclasses.replace(INSTANCE.bounds, drain_s=4.0)
+)
+CHANGED = dataclasses.replace(
+    INSTANCE,
+    bounds=dataclasses.replace(INSTANCE.bounds, drain_s=3.0),
+    front_address="10.0.0.1:8080",
+)
+CUT = errors.Problem("f", "", "cut short", "correct it", errors.Kind.SYNTAX)
+GONE = errors.Problem("f", "", "gone", "correct it", errors.Kind.UNREADABLE)
 
+# What each text of the file says. A text that was cut at the end of a line
+# may be whole for a parser: then defaults stand where it was cut.
+MEANINGS = {
+    b"operators": Success(OPERATORS),
+    b"oper": Success(INSTANCE),
+    b"changed": Success(CHANGED),
+    b"chang": Failure(CUT),
+}
 
-def run(answers) -> state_lib.State:
-    """Gives the reloader one answer after the other; returns the state."""
-    state = state_lib.State(INSTANCE)
-    pending = list(answers)
+
+class _File:
+    """A file of which each reading brings the next text, the last for ever."""
+
+    def __init__(self, texts):
+        self.texts = list(texts)
+
+    def read(self):
+        text = self.texts.pop(0) if len(self.texts) > 1 else self.texts[0]
+        return Failure(GONE) if text is None else Success(text)
+
+    def decode(self, text):
+        return MEANINGS[text]
+
+
+def run(state, texts, signals=1) -> None:
+    """Lets the reloader read one text after the other."""
 
     async def play():
-        one = reloader.Reloader(state, lambda: pending.pop(0))
+        file = _File(texts)
+        one = reloader.Reloader(state, file, lambda _: asyncio.sleep(0))
         task = asyncio.create_task(one.run())
-        while pending:
+        for _ in range(signals):
             one.reload()
-            await asyncio.sleep(0)
-        for _ in range(3):
-            await asyncio.sleep(0)
+            for _ in range(10 * len(texts)):
+                await asyncio.sleep(0)
+        assert not task.done()
         task.cancel()
 
     asyncio.run(play())
-    return state
 
 
 def test_new_bounds_hold_at_once_and_new_addresses_do_not():
-    bounds = dataclasses.replace(INSTANCE.bounds, drain_s=4.0)
-    changed = dataclasses.replace(
-        INSTANCE, bounds=bounds, front_address="10.0.0.1:8080"
-    )
-    state = run([Success(changed)])
-    assert state.bounds.drain_s == 4.0
-    assert state.directory.drain_s == 4.0
+    state = state_lib.State(INSTANCE)
+    run(state, [b"changed"])
+    assert state.bounds.drain_s == 3.0
+    assert state.directory.drain_s == 3.0
     assert state._instance.front_address == INSTANCE.front_address
-    told = state.take_settings(changed)
+    told = state.take_settings(CHANGED)
     assert told.in_force == frozenset()
     assert told.from_next_start == {"front_address"}
 
 
 def test_settings_that_cannot_be_read_change_nothing():
     """An operator saved half a file; all instances read it within seconds."""
-    problem = errors.Problem(
-        "f", "", "cut short", "correct it", errors.Kind.SYNTAX
-    )
-    state = run([Failure(problem), Failure(problem), Success(INSTANCE)])
-    assert state.bounds == INSTANCE.bounds
+    state = state_lib.State(OPERATORS)
+    run(state, [b"chang", b"chang", None], signals=3)
+    assert state.bounds == OPERATORS.bounds
--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -1,6 +1,5 @@
 """Puts the gateway on the users' platform."""
 
-import functools
 import os
 import sys
 
@@ -42,13 +41,14 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    load = functools.partial(settings.load, path)
-    loaded = load()
+    loaded = settings.load(path)
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return application.EXIT_FAILED
     instance = loaded.unwrap()
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     logs.configure(log_level, "json", output, instance=instance.name)
-    gateway = app.GatewayApp.from_config(instance, adapter(), load)
+    gateway = app.GatewayApp.from_config(
+        instance, adapter(), settings.SettingsFile(path)
+    )
     return application.Application(gateway).run()
--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -73,23 +73,56 @@
 
 def load(path: str) -> Result[serving.Instance, errors.Problem]:
     """Returns the settings in the file, or what is wrong with them."""
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-        tree = tomllib.loads(text)
-        wire = msgspec.convert(tree, _WireSettings)
-    except OSError as error:
-        return Failure(_problem(path, str(error), errors.Kind.UNREADABLE))
-    except msgspec.ValidationError as error:
-        return Failure(_problem(path, str(error), errors.Kind.BAD_VALUE))
-    except (ValueError, RecursionError) as error:
-        # Half of a character, a number of thousands of digits and tables
-        # nested deeply are no syntax errors to the parser, but these.
-        return Failure(_problem(path, str(error), errors.Kind.SYNTAX))
-    found = _senseless(wire)
-    if found:
-        reason = ", ".join(f"{key} {why}" for key, why in found)
-        return Failure(_problem(path, reason, errors.Kind.BAD_VALUE))
-    return Success(_instance(wire))
+    file = SettingsFile(path)
+    return file.read().bind(file.decode)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFile:
+    """The file: its bytes, and what they say.
+
+    Both are apart so that who reads it anew can see whether it is still
+    being written.
+    """
+
+    path: str
+
+    def read(self) -> Result[bytes, errors.Problem]:
+        """Returns what the file holds now."""
+        try:
+            return Success(pathlib.Path(self.path).read_bytes())
+        except OSError as error:
+            return self._problem(str(error), errors.Kind.UNREADABLE)
+
+    def decode(self, data: bytes) -> Result[serving.Instance, errors.Problem]:
+        """Returns the settings in `data`, or what is wrong with them."""
+        try:
+            tree = tomllib.loads(data.decode("utf-8"))
+            wire = msgspec.convert(tree, _WireSettings)
+        except msgspec.ValidationError as error:
+            return self._problem(str(error), errors.Kind.BAD_VALUE)
+        except (ValueError, RecursionError) as error:
+            # Half of a character, a number of thousands of digits and tables
+            # nested deeply are no syntax errors to the parser, but these.
+            return self._problem(str(error), errors.Kind.SYNTAX)
+        found = _senseless(wire)
+        if found:
+            reason = ", ".join(f"{key} {why}" for key, why in found)
+            return self._problem(reason, errors.Kind.BAD_VALUE)
+        return Success(_instance(wire))
+
+    def _problem(
+        self, reason: str, kind: errors.Kind
+    ) -> Result[serving.Instance, errors.Problem]:
+        return Failure(
+            errors.Problem(
+                self.path,
+                "",
+                reason,
+                f"correct the file that {BOOT_VARIABLE} names",
+                kind,
+            )
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,16 +216,6 @@
     return _is_ip(host) and 1 <= int(port) <= LAST_PORT
 
 
-def _problem(path: str, reason: str, kind: errors.Kind) -> errors.Problem:
-    return errors.Problem(
-        path,
-        "",
-        reason,
-        f"correct the file that {BOOT_VARIABLE} names",
-        kind,
-    )
-
-
 def _instance(wire: _WireSettings) -> serving.Instance:
     first, last = wire.internal_ports
     bounds = wire.bounds
