Failing tests: a settings file that is being written is taken

The reloader reads the file once, at the signal or now and then. Where the text is cut at the end of a line it is whole for the parser, and the defaults of what is missing come into force in place of the operators' bounds.

--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import pytest
 from returns.result import Failure
 from returns.result import Success
 
@@ -92,3 +93,35 @@
     state = state_lib.State(OPERATORS)
     run(state, [b"chang", b"chang", None], signals=3)
     assert state.bounds == OPERATORS.bounds
+
+
+# What is read one after the other, and the bound on leaving then.
+WRITTEN = [
+    pytest.param([b"oper", b"operators"], 4.0, id="cut, then whole"),
+    pytest.param([b"chang", b"oper", b"operators"], 4.0, id="cut twice"),
+    pytest.param([None, b"oper", b"changed"], 3.0, id="away, cut, whole"),
+    pytest.param([b"changed", b"oper", None], 4.0, id="whole, cut, away"),
+    pytest.param([b"oper", b"changed", b"oper", b"changed"], 3.0, id="slow"),
+]
+
+
+@pytest.mark.parametrize(("texts", "drain_s"), WRITTEN)
+def test_a_file_that_is_being_written_is_not_taken(texts, drain_s, monkeypatch):
+    """For a moment upstreams that had left got requests for too long.
+
+    Settings were read while they were written. The text ended before the
+    operators' bounds and was whole for the parser, so defaults came into
+    force, and stayed until the next look.
+    """
+    taken = []
+    take = state_lib.State.take_settings
+
+    def note(state, instance):
+        taken.append(instance.bounds.drain_s)
+        return take(state, instance)
+
+    monkeypatch.setattr(state_lib.State, "take_settings", note)
+    state = state_lib.State(OPERATORS)
+    run(state, texts)
+    assert state.bounds.drain_s == drain_s
+    assert INSTANCE.bounds.drain_s not in taken
