Settings that change are taken once two looks have found the same

Seen by callers, in the tests: for up to two seconds the defaults of bounds replaced the operators', because half a file that ends with a line is whole TOML. Cause: one look can't tell. Now a text counts once it is still the same 0.25 s later, at a signal as well as now and then; a file that goes on changing is looked at until it rests. A text that was taken in is not decoded again. A first look that changes nothing leaves no line.

--- a/sesamecross/gateway/reloader.py
+++ b/sesamecross/gateway/reloader.py
@@ -4,6 +4,10 @@
 process that ends by either cuts off all streams that it relays, and so does
 one that binds its addresses anew. So what can change in place does, and what
 can't is logged: it holds from the next start.
+
+A file is read while it is written. Cut at the end of a line it may be whole
+for a parser, and defaults would replace what the operators set further down.
+So a text is taken in once two looks, a little apart, have found the same.
 """
 
 import asyncio
@@ -22,6 +26,12 @@
 # How often the file is looked at without a signal. Reading and decoding it
 # takes under a millisecond.
 EVERY_S = 2.0
+# Two looks this far apart that find the same: the file is written. Writing a
+# few kilobytes takes milliseconds; the longest bound on taking changes in is
+# some seconds.
+SETTLE_S = 0.25
+
+_Found = Result[bytes, errors.Problem]
 
 
 class SettingsSource(Protocol):
@@ -53,7 +63,8 @@
         self._log = logs.part("settings")
         # What was complained about last, to say it once.
         self._refused = ""
-        self._loaded: serving.Instance | None = None
+        # What the file held when its settings were last taken in.
+        self._taken: _Found | None = None
 
     def reload(self) -> None:
         """Looks at the settings now."""
@@ -69,13 +80,20 @@
             except TimeoutError:
                 is_asked = False
             self._wake.clear()
-            self._look(is_asked)
+            await self._look(is_asked)
 
     async def stop(self) -> None:
         """Nothing to finish."""
 
-    def _look(self, is_asked: bool) -> None:
-        loaded = self._source.read().bind(self._source.decode)
+    async def _look(self, is_asked: bool) -> None:
+        found = self._source.read()
+        if found == self._taken:
+            self._refused = ""
+            if is_asked:
+                self._log.info("reloaded, nothing changed")
+            return
+        found = await self._settled(found)
+        loaded = found.bind(self._source.decode)
         if isinstance(loaded, Failure):
             reason = str(loaded.failure())
             if is_asked or reason != self._refused:
@@ -83,15 +101,20 @@
             self._refused = reason
             return
         self._refused = ""
-        instance = loaded.unwrap()
-        if instance == self._loaded:
-            if is_asked:
-                self._log.info("reloaded, nothing changed")
-            return
-        self._loaded = instance
-        changed = self._state.take_settings(instance)
-        self._log.info(
-            "reloaded",
-            in_force=sorted(changed.in_force),
-            from_next_start=sorted(changed.from_next_start),
-        )
+        self._taken = found
+        changed = self._state.take_settings(loaded.unwrap())
+        if is_asked or changed.in_force or changed.from_next_start:
+            self._log.info(
+                "reloaded",
+                in_force=sorted(changed.in_force),
+                from_next_start=sorted(changed.from_next_start),
+            )
+
+    async def _settled(self, found: _Found) -> _Found:
+        """Returns what the file holds once it no longer changes."""
+        while True:
+            await self._sleep(SETTLE_S)
+            again = self._source.read()
+            if again == found:
+                return again
+            found = again
--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -111,7 +111,8 @@
 
     Settings were read while they were written. The text ended before the
     operators' bounds and was whole for the parser, so defaults came into
-    force, and stayed until the next look.
+    force, and stayed until the next look. One look can't tell: only a text
+    that is still the same a moment later is all there is.
     """
     taken = []
     take = state_lib.State.take_settings
