--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -1,5 +1,6 @@
 """Puts the gateway on the users' platform."""
 
+import functools
 import os
 import sys
 
@@ -12,6 +13,7 @@
 from sesamecross.platform import store_codec
 from sesamecross.runtime import application
 from sesamecross.runtime import bounded_output
+from sesamecross.runtime import first_settings
 from sesamecross.runtime import logs
 
 # Named in deploy/system.toml too; not among the ports that the platform
@@ -41,7 +43,7 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    loaded = settings.load(path)
+    loaded = first_settings.read(functools.partial(settings.load, path))
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return application.EXIT_FAILED
--- a/sesamecross/runtime/first_settings_test.py
+++ b/sesamecross/runtime/first_settings_test.py
@@ -74,7 +74,8 @@
     """Processes ended in the second in which their settings changed.
 
     One that started while its file was being written read half of it, took
-    that for an operator's mistake, and ended with code 1.
+    that for an operator's mistake, and ended with code 1. Half a file and a
+    mistake look alike; only some time tells them apart.
     """
     _, start = launched(tmp_path, monkeypatch, texts)
     with pytest.raises(_Started) as started:
--- a/sesamecross/runtime/launch.py
+++ b/sesamecross/runtime/launch.py
@@ -6,14 +6,18 @@
 
 import argparse
 from collections.abc import Callable
+import functools
 import os
+import pathlib
 import sys
 from typing import Any
 
 from returns.result import Failure
 
+from sesamecross.core import errors
 from sesamecross.parser import settings as settings_lib
 from sesamecross.runtime import application
+from sesamecross.runtime import first_settings
 from sesamecross.runtime import logs
 
 
@@ -35,7 +39,10 @@
     parser = argparse.ArgumentParser(description=description)
     settings_lib.add_flags(parser, settings_class)
     flags = parser.parse_args()
-    loaded = settings_lib.load(settings_class, flags, os.environ)
+    loaded = first_settings.read(
+        functools.partial(settings_lib.load, settings_class, flags, os.environ),
+        functools.partial(_is_of_file, flags.settings),
+    )
     if isinstance(loaded, Failure):
         for problem in loaded.failure():
             print(problem, file=sys.stderr)
@@ -45,3 +52,11 @@
         settings.log_level, settings.log_format, instance=settings.instance
     )
     return application.Application(make(settings)).run()
+
+
+def _is_of_file(path: str | None, problems: list[errors.Problem]) -> bool:
+    """Whether a problem is the file's, which may still be being written."""
+    if not path:
+        return False
+    name = pathlib.Path(path).name
+    return any(pathlib.Path(one.file).name == name for one in problems)
