Failing tests: each reload gives the whole retry budget again

Any changed bound clears the windows in which repeats are counted. Five reloads in five seconds let an instance spend its part again each time, and requests under way go on spending from the window of before, which new figures no longer reach.

--- /dev/null
+++ b/sesamecross/gateway/state_test.py
@@ -0,0 +1,98 @@
+"""Tests of what new settings change in an instance's beliefs."""
+
+import dataclasses
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.gateway import state as state_lib
+
+INSTANCE = serving.Instance(
+    "front-1",
+    "z1",
+    "r1",
+    "10.0.0.1",
+    "10.0.0.1:80",
+    "10.0.0.1:81",
+    (7380, 7381),
+    "10.9.0.1:90",
+    {"z1": "r1"},
+    1.0,
+    serving.Bounds(retry_share=0.2, retry_extra=20.0, retry_window_s=10.0),
+)
+ROUTE = serving.Route(
+    "r",
+    "h",
+    "/",
+    serving.RouteKind.IDEMPOTENT,
+    (serving.Target("s", 1.0),),
+    5,
+    3,
+    5.0,
+    1.0,
+    0.0,
+    False,
+    False,
+)
+
+
+def bounds(**changes) -> serving.Instance:
+    changed = dataclasses.replace(INSTANCE.bounds, **changes)
+    return dataclasses.replace(INSTANCE, bounds=changed)
+
+
+def spend_all(window, now_s: float) -> int:
+    """Spends until nothing is left; returns how often."""
+    return sum(window.spend(now_s, 1) for _ in range(1000))
+
+
+def test_a_reload_does_not_give_the_retry_budget_again():
+    """Engines got several times the retries that all instances may send.
+
+    They failed while settings changed a few times: each change of any bound
+    forgot what had been spent, and the whole budget was there once more. What
+    requests under way spent was counted where nobody looked any more.
+    """
+    state = state_lib.State(INSTANCE)
+    held = state.retry_window(ROUTE)
+    allowed = spend_all(held, 100.0)
+    assert allowed > 0
+    again = 0
+    for number in range(1, 6):
+        state.take_settings(bounds(drain_s=2.5 + number))
+        again += spend_all(state.retry_window(ROUTE), 100.0 + number)
+        again += spend_all(held, 100.0 + number)
+    assert again == 0
+
+
+# The bounds that change, and whether more may be spent then.
+CHANGES = [
+    ({"retry_extra": 40.0}, True),
+    ({"retry_extra": 2.0}, False),
+    ({"retry_share": 1.0}, True),
+    ({"retry_share": 0.0}, False),
+    # What was spent 2 s ago is forgotten by a window of 1 s.
+    ({"retry_window_s": 1.0}, True),
+]
+
+
+@pytest.mark.parametrize(("changes", "is_more"), CHANGES)
+def test_new_figures_of_the_retry_budget_hold_for_requests_under_way(
+    changes, is_more
+):
+    """A changed retry budget did not hold for requests under way."""
+    state = state_lib.State(INSTANCE)
+    held = state.retry_window(ROUTE)
+    for _ in range(100):
+        held.request(100.0)
+    assert spend_all(held, 100.0) > 0
+    state.take_settings(bounds(**changes))
+    assert (spend_all(held, 102.0) > 0) is is_more
+
+
+def test_a_smaller_retry_budget_holds_at_once():
+    state = state_lib.State(INSTANCE)
+    for _ in range(100):
+        state.retry_window(ROUTE).request(100.0)
+    state.take_settings(bounds(retry_extra=0.0, retry_share=0.0))
+    assert spend_all(state.retry_window(ROUTE), 100.0) <= 1
