New settings change the figures of the retry budget, not what was spent

Seen by upstreams: while settings changed a few times, each failing request was repeated as if nothing had been spent in the window, so that several times the bound on repeats could arrive. Cause: taking new bounds threw the windows away. They now live on and go by the new figures, for requests under way too. A longer window does not bring back what a shorter one has forgotten.

--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -88,7 +88,10 @@
             self.place = choosing.Place(before.zone, dict(instance.regions))
             self.bounds = instance.bounds
             self.directory.drain_s = instance.bounds.drain_s
-            self._windows.clear()
+            for window in self._windows.values():
+                # New windows would forget what was spent, and requests under
+                # way would keep the old ones.
+                window.hold_to(*self._retry_figures())
         return SettingsChange(frozenset(at_once), frozenset(changed - at_once))
 
     def touch(self) -> None:
@@ -135,10 +138,12 @@
         window = self._windows.get(service)
         if window is None:
             window = retry_window.RetryWindow(
-                self.bounds.retry_share,
-                self.bounds.retry_extra,
-                self.bounds.retry_window_s,
+                *self._retry_figures(),
                 retry_window.part_of(f"{self._instance.name}/{service}"),
             )
             self._windows[service] = window
         return window
+
+    def _retry_figures(self) -> tuple[float, float, float]:
+        bounds = self.bounds
+        return bounds.retry_share, bounds.retry_extra, bounds.retry_window_s
--- a/sesamecross/gateway/state_test.py
+++ b/sesamecross/gateway/state_test.py
@@ -51,7 +51,8 @@
 
     They failed while settings changed a few times: each change of any bound
     forgot what had been spent, and the whole budget was there once more. What
-    requests under way spent was counted where nobody looked any more.
+    requests under way spent was counted where nobody looked any more. What
+    was spent is no setting, so it must outlive them.
     """
     state = state_lib.State(INSTANCE)
     held = state.retry_window(ROUTE)
--- a/sesamecross/ops/fleet/retry_window.py
+++ b/sesamecross/ops/fleet/retry_window.py
@@ -42,13 +42,17 @@
     def __init__(
         self, share: float, extra: float, window_s: float, part: float
     ):
-        self._share = share
-        self._extra = extra
-        self._window_s = window_s
+        self.hold_to(share, extra, window_s)
         self._part = part
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def hold_to(self, share: float, extra: float, window_s: float) -> None:
+        """Goes by these figures from now on; what was spent stays spent."""
+        self._share = share
+        self._extra = extra
+        self._window_s = window_s
+
     def request(self, now_s: float) -> None:
         """Counts a request of a caller."""
         self._requests.append(now_s)
