A new lease gap holds for the next change of hands, without a start

Operators were told that the bounds were in force, while the next holder of the lease kept the gap of its own start: too short where they had raised it. Cause: the keeper was given a number.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -146,7 +146,7 @@
             store_proxy.StoreProxy(client, self.mesh),
             f"{adapter.own_topic_prefix}lease",
             self.mesh,
-            instance.bounds.lease_s,
+            lambda: self.state.bounds.lease_s,
         )
         engines = engine_client.EngineClient(adapter.dialect, self.metrics)
         orders = order_desk.OrderDesk(
--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the lease on the store: asks, renews, and proves a holder's death."""
 
 import asyncio
+from collections.abc import Callable
 import time
 
 import msgspec
@@ -48,8 +49,18 @@
         proxy: store_proxy.StoreProxy,
         topic: str,
         mesh: mesh_lib.Mesh,
-        gap_s: float,
+        gap_s: Callable[[], float],
     ):
+        """Sets the keeper up.
+
+        Args:
+          client: The store.
+          proxy: The store by way of others, where it turns this one away.
+          topic: Where the lease is kept.
+          mesh: What the other instances say.
+          gap_s: The least time between the orders of two holders, as it holds
+            now: settings change while the instance runs.
+        """
         self._client = client
         self._proxy = proxy
         self._topic = topic
@@ -98,8 +109,9 @@
             me = self._mesh.roster.me
             if self.machine is None:
                 self.machine = lease_lib.LeaseMachine(
-                    me.name, me.incarnation, self._gap_s, suspended_clock()
+                    me.name, me.incarnation, self._gap_s(), suspended_clock()
                 )
+            self.machine.gap_s = self._gap_s()
             await self._step()
 
     async def stop(self) -> None:
--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -53,7 +53,8 @@
     """Two instances gave orders closer to each other than operators allow.
 
     They had raised the gap while the instances ran. The log said that the
-    new bounds were in force, but the next holder kept the gap of its start.
+    new bounds were in force, but the next holder kept the gap of its start,
+    which it had been given as a number.
     """
     gateway = app.GatewayApp.from_config(
         INSTANCE, program.adapter(), settings.SettingsFile("")
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -73,12 +73,16 @@
 
 
 class LeaseMachine:
-    """One instance's part. Deterministic: times are handed in."""
+    """One instance's part. Deterministic: times are handed in.
+
+    Attributes:
+      gap_s: The least time between the orders of two holders.
+    """
 
     __slots__ = (
         "_name",
         "_incarnation",
-        "_gap_s",
+        "gap_s",
         "_record",
         "_end",
         "_seen_s",
@@ -97,7 +101,7 @@
     def __init__(self, name: str, incarnation: int, gap_s: float, now_s: float):
         self._name = name
         self._incarnation = incarnation
-        self._gap_s = gap_s
+        self.gap_s = gap_s
         # The newest record known, and when it was first seen.
         self._record: Record | None = None
         self._end = 0
@@ -215,10 +219,10 @@
         if self._record.holder in ("", self._name):
             return self._seen_s
         if self._record.is_released:
-            return self._seen_s + self._gap_s
+            return self._seen_s + self.gap_s
         if self._holder_is_gone():
-            return self._gone_s + self._gap_s
-        return self._seen_s + LEASE_S + self._gap_s
+            return self._gone_s + self.gap_s
+        return self._seen_s + LEASE_S + self.gap_s
 
     # -- what happened -------------------------------------------------
 
