New bounds on loads hold while the lease is held, and so does a new rate

Operators raised or lowered the bound on loads from the weight store, or its rate in a configuration; the holder of the lease went on with the figures of its first order to that service until it lost the lease. Cause: the budget copied them. It is now told the figures of the moment whenever it is asked for, and what has begun stays counted.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -489,16 +489,18 @@
     def _budget(
         self, service: str, spec: serving.EngineSpec, now_s: float
     ) -> load_budget.LoadBudget:
+        bounds = self._state.bounds
+        figures = (
+            spec.store_loads_per_s,
+            bounds.loads_window_s,
+            bounds.loads_overage,
+        )
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._state.bounds
-            budget = load_budget.LoadBudget(
-                spec.store_loads_per_s,
-                bounds.loads_window_s,
-                bounds.loads_overage,
-                now_s,
-            )
+            budget = load_budget.LoadBudget(*figures, now_s)
             self._budgets[service] = budget
+        # Settings and configurations change while the lease is held.
+        budget.hold_to(*figures)
         return budget
 
     def _give(
--- a/sesamecross/gateway/order_desk_test.py
+++ b/sesamecross/gateway/order_desk_test.py
@@ -63,7 +63,7 @@
 
     Operators changed the bounds, or the store's rate in a configuration. The
     log said that they were in force; the holder of the lease went on with
-    what had held when it first gave an order.
+    what had held when it first gave an order, as its budget kept a copy.
     """
     gateway = app.GatewayApp.from_config(
         INSTANCE, program.adapter(), settings.SettingsFile("")
--- a/sesamecross/ops/fleet/load_budget.py
+++ b/sesamecross/ops/fleet/load_budget.py
@@ -18,20 +18,23 @@
 class LoadBudget:
     """Loads begun by one holder of the lease."""
 
-    __slots__ = ("_rate", "_window_s", "_most", "_begun", "_reserved")
+    __slots__ = ("_window_s", "_most", "_begun", "_reserved")
 
     def __init__(
         self, rate: float, window_s: float, overage: float, now_s: float
     ):
-        self._rate = rate
-        self._window_s = window_s
-        self._most = rate * window_s * overage + BURST - 1.0
+        self.hold_to(rate, window_s, overage)
         # The holder before may have begun as many as the rate allows within
         # the window, of which the lease's gap has passed.
         before = int(rate * window_s / 2)
         self._begun: deque[float] = deque([now_s] * before)
         self._reserved: deque[float] = deque()
 
+    def hold_to(self, rate: float, window_s: float, overage: float) -> None:
+        """Goes by these figures from now on; what has begun stays counted."""
+        self._window_s = window_s
+        self._most = rate * window_s * overage + BURST - 1.0
+
     def allows(self, now_s: float) -> bool:
         """Whether one more load may begin now."""
         while self._begun and now_s - self._begun[0] >= self._window_s:
