A record that fails its sink costs a line, and not the follower

Operators saw a follower start again after each record that no code was made for, with pauses up to 5 s in which nothing newer was read, and on the eleventh in half a minute the end of the process. Cause: a sink let everything through. It now logs the failure with its offset and traceback, once, as its raw copy of the topic knows the offset; what was known stays. Routes are made before the version counts, so both hold or neither (a test beside it fails without that).

--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -5,6 +5,10 @@
 arrive late. What can't be read names nothing; what is older than what is
 known changes nothing. Each change of belief is logged with the offset that
 brought it.
+
+A record may also be one that no code was made for, and fail it. It costs its
+line and no more: a sink that raised would take its follower down, and with
+some more of them the process.
 """
 
 import asyncio
@@ -46,6 +50,12 @@
             return
         if not self.raw.take(record):
             return
+        try:
+            self._take(record)
+        except Exception:
+            self._log.exception("record not taken", offset=record.offset)
+
+    def _take(self, record: store.KeyedRecord) -> None:
         configuration = self._decode(record.value)
         if configuration is None:
             self._log.warning("unreadable", offset=record.offset)
@@ -88,6 +98,14 @@
         """Takes one record."""
         if not self.raw.take(record):
             return
+        try:
+            self._take(record)
+        except Exception:
+            self._log.exception(
+                "record not taken", id=record.key, offset=record.offset
+            )
+
+    def _take(self, record: store.KeyedRecord) -> None:
         directory = self._state.directory
         now_s = asyncio.get_running_loop().time()
         if record.value is None:
--- a/sesamecross/gateway/catalog_test.py
+++ b/sesamecross/gateway/catalog_test.py
@@ -104,7 +104,8 @@
 
     Each failed the follower once. What came behind it in the same page waited
     for a restart with growing pauses, and more than ten of them in half a
-    minute took the process down, with all streams of its callers.
+    minute took the process down, with all streams of its callers. A sink is
+    the one place that knows which record it is, so it has to stand it.
     """
     state = state_lib.State(INSTANCE)
     sink = sinks(state, failing).configuration
@@ -242,3 +243,23 @@
     choosing.choose(usable, state.place, 1e9, rng)
     state.directory.leaving("s", 1.0, 1e9)
     state.directory.forget_gone(1e9)
+
+
+def test_a_table_of_routes_that_fails_leaves_the_configuration_in_force(
+    monkeypatch,
+):
+    """A version counted as in force whose routes were not."""
+    state = state_lib.State(INSTANCE)
+    sink = sinks(state).configuration
+    sound = encoded(damage.CONFIGURATION, version=1)
+    asyncio.run(_take_again(sink, [record("config", sound, 0)]))
+
+    def fails(routes):
+        raise ZeroDivisionError("nobody thought of this")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(state_lib.route_table, "RouteTable", fails)
+        later = encoded(damage.CONFIGURATION, version=2)
+        asyncio.run(_take_again(sink, [record("config", later, 1)]))
+    assert state.version == 1
+    assert state.routes.find("h.example", "/a/b") is not None
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -127,8 +127,10 @@
         """Takes a configuration in if it is newer than the one in force."""
         if configuration.version <= self.version:
             return False
+        # Both or none: a table that can't be made leaves what is in force.
+        routes = route_table.RouteTable(configuration.routes)
         self.configuration = configuration
-        self.routes = route_table.RouteTable(configuration.routes)
+        self.routes = routes
         self.touch()
         return True
 
