Failing test: a component's pauses stay as long as they once grew

The supervisor doubles the pause before each restart, up to 5 s, and never goes back, however long the component ran well since. The time by which restarts are counted can be given by a test; nothing else changes.

--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -37,6 +37,32 @@
         """Finishes what was begun; called once before `run` is cancelled."""
 
 
+class Time(Protocol):
+    """The time by which restarts are counted, and how it passes."""
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Lets time pass."""
+
+
+class LoopTime:
+    """The event loop's time."""
+
+    __slots__ = ()
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time."""
+        return asyncio.get_running_loop().time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Lets time pass."""
+        await asyncio.sleep(seconds)
+
+
 class ComponentFailed(Exception):
     """A component failed more often than a restart can help."""
 
@@ -51,9 +77,10 @@
 class Supervisor:
     """Starts components in order, restarts them, stops them in reverse."""
 
-    __slots__ = ("_children", "_log", "_failed")
+    __slots__ = ("_children", "_time", "_log", "_failed")
 
-    def __init__(self, components: list[Component]):
+    def __init__(self, components: list[Component], time: Time | None = None):
+        self._time = time or LoopTime()
         self._children = [_Child(component) for component in components]
         self._log = logs.part("supervisor")
         self._failed: asyncio.Future | None = None
@@ -101,11 +128,11 @@
                     component=child.component.name,
                     pause_s=pause,
                 )
-            await asyncio.sleep(pause)
+            await self._time.sleep(pause)
             pause = min(pause * 2, LONGEST_PAUSE_S)
 
     def _may_restart(self, child: _Child) -> bool:
-        now = asyncio.get_running_loop().time()
+        now = self._time.now_s
         child.failures = [
             at for at in child.failures if now - at < RESTART_WINDOW_S
         ]
--- a/sesamecross/runtime/supervisor_test.py
+++ b/sesamecross/runtime/supervisor_test.py
@@ -1,6 +1,7 @@
 """Tests of the supervisor: restarts, giving up, stopping for certain."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -70,3 +71,79 @@
     # An entry was told to stop and did not: its link to the steward had just
     # got an answer when it was cancelled, and went on for ever.
     assert run(Stubborn(0), 0.1) is None
+
+
+class Played:
+    """Works for the given times, one after the other, and fails after each."""
+
+    name = "played"
+
+    def __init__(self, clock, lasts_s):
+        self.clock = clock
+        self.lasts_s = iter(lasts_s)
+        self.runs = 0
+
+    async def run(self):
+        self.runs += 1
+        lasts_s = next(self.lasts_s, None)
+        if lasts_s is None:
+            await asyncio.Event().wait()
+        self.clock.now_s += lasts_s
+        raise OSError("told to fail")
+
+    async def stop(self):
+        pass
+
+
+class Clock:
+    """The loop's time, moved by what is slept, and the pauses."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+        self.pauses = []
+
+    async def sleep(self, seconds):
+        self.pauses.append(seconds)
+        self.now_s += seconds
+        await asyncio.sleep(0)
+
+
+def play(component_of, most=40):
+    """Lets a component fail; returns the pauses, and why it was given up."""
+    clock = Clock()
+    component = component_of(clock)
+
+    async def story():
+        tree = supervisor.Supervisor([component], clock)
+        tree.start()
+        failed = asyncio.create_task(tree.failed())
+        for _ in range(most * 4):
+            if failed.done() or len(clock.pauses) >= most:
+                break
+            await asyncio.sleep(0)
+        error = failed.exception() if failed.done() else None
+        failed.cancel()
+        await tree.stop()
+        return error
+
+    return clock.pauses, asyncio.run(story())
+
+
+def test_a_component_that_ran_well_is_started_again_at_once():
+    """After some resets in a day the store was not read for 5 s at each one.
+
+    A follower's pauses grow while it fails, and never went back: the failures
+    of the morning held up the restart of the evening.
+    """
+    lasts_s = [0.0] * 6 + [supervisor.RESTART_WINDOW_S + 1.0] + [0.0]
+    pauses, error = play(lambda clock: Played(clock, lasts_s))
+    assert error is None
+    first_s = supervisor.FIRST_PAUSE_S
+    assert pauses[:6] == [first_s * 2**n for n in range(6)]
+    assert pauses[6:8] == [first_s, first_s * 2]
+
+
+def test_a_component_that_keeps_failing_is_given_up():
+    pauses, error = play(lambda clock: Played(clock, itertools.repeat(0.0)))
+    assert isinstance(error, supervisor.ComponentFailed)
+    assert len(pauses) == supervisor.RESTARTS_ALLOWED
