A component that ran well is started again after the first pause

Operators saw components that fail on something passing, such as resets, come back 5 s later instead of 0.1 s: the pause grew with each failure of the whole life of the process. It goes back once a run has lasted as long as the window in which failures are counted (30 s), so a series that would end the process is still slowed down and still ends it.

--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -113,6 +113,7 @@
     async def _keep_running(self, child: _Child) -> None:
         pause = FIRST_PAUSE_S
         while True:
+            begun_s = self._time.now_s
             try:
                 await child.component.run()
                 return
@@ -123,6 +124,9 @@
                 if is_vital or not self._may_restart(child):
                     self._give_up(child, error)
                     return
+                if self._time.now_s - begun_s >= RESTART_WINDOW_S:
+                    # It ran well: what failed before is over.
+                    pause = FIRST_PAUSE_S
                 self._log.exception(
                     "component failed and is started again",
                     component=child.component.name,
--- a/sesamecross/runtime/supervisor_test.py
+++ b/sesamecross/runtime/supervisor_test.py
@@ -133,7 +133,8 @@
     """After some resets in a day the store was not read for 5 s at each one.
 
     A follower's pauses grow while it fails, and never went back: the failures
-    of the morning held up the restart of the evening.
+    of the morning held up the restart of the evening. A run as long as the
+    window in which failures are counted now ends their series.
     """
     lasts_s = [0.0] * 6 + [supervisor.RESTART_WINDOW_S + 1.0] + [0.0]
     pauses, error = play(lambda clock: Played(clock, lasts_s))
