--- a/sesamecross/runtime/supervisor_test.py
+++ b/sesamecross/runtime/supervisor_test.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from sesamecross.gateway import reloader
+from sesamecross.gateway import sweeper
 from sesamecross.runtime import supervisor
 
 
@@ -148,3 +150,27 @@
     pauses, error = play(lambda clock: Played(clock, itertools.repeat(0.0)))
     assert isinstance(error, supervisor.ComponentFailed)
     assert len(pauses) == supervisor.RESTARTS_ALLOWED
+
+
+class Helper(Played):
+    """A component without which callers are served."""
+
+    is_helper = True
+
+
+def test_a_helper_that_keeps_failing_does_not_end_the_process():
+    """All streams of an instance were cut because it could not look at a file.
+
+    What looks for changed settings failed at each look, was given up after
+    half a minute, and took the process down, which served its callers well.
+    """
+    pauses, error = play(lambda clock: Helper(clock, itertools.repeat(0.0)))
+    assert error is None
+    assert len(pauses) == 40
+    assert pauses[-1] == supervisor.LONGEST_PAUSE_S
+
+
+@pytest.mark.parametrize("component", [reloader.Reloader, sweeper.Sweeper])
+def test_what_callers_do_not_need_is_a_helper(component):
+    assert component.is_helper
+    assert not component.is_vital
