--- a/sesamecross/gateway/reloader.py
+++ b/sesamecross/gateway/reloader.py
@@ -48,6 +48,7 @@
     """Component that keeps the settings in force up to date."""
 
     is_vital = False
+    is_helper = True
     name = "reloader"
 
     def __init__(
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -13,6 +13,7 @@
     """Runs beside the rest for ever."""
 
     is_vital = False
+    is_helper = True
     name = "sweeper"
 
     __slots__ = ("_state", "_pool", "_log")
--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -3,7 +3,8 @@
 Why: a component that fails on something passing, such as a reset, is started
 again with growing pauses while the others go on; one that keeps failing
 takes the process down, so that the platform replaces it instead of leaving
-half a process that answers health checks.
+half a process that answers health checks. Not so a helper, without which
+callers are served: the end of the process would cut off all of them.
 """
 
 import asyncio
@@ -23,7 +24,9 @@
     """A part of a process with a life of its own.
 
     One with a true `is_vital` is not started again: its failure ends the
-    process.
+    process. One with a true `is_helper` is started again however often it
+    fails: callers are served without it, and a new process would mend nothing
+    that a new start of the component doesn't.
     """
 
     @property
@@ -120,8 +123,7 @@
             except asyncio.CancelledError:
                 raise
             except Exception as error:
-                is_vital = getattr(child.component, "is_vital", False)
-                if is_vital or not self._may_restart(child):
+                if not self._may_restart(child):
                     self._give_up(child, error)
                     return
                 if self._time.now_s - begun_s >= RESTART_WINDOW_S:
@@ -136,6 +138,10 @@
             pause = min(pause * 2, LONGEST_PAUSE_S)
 
     def _may_restart(self, child: _Child) -> bool:
+        if getattr(child.component, "is_vital", False):
+            return False
+        if getattr(child.component, "is_helper", False):
+            return True
         now = self._time.now_s
         child.failures = [
             at for at in child.failures if now - at < RESTART_WINDOW_S
--- a/sesamecross/runtime/supervisor_test.py
+++ b/sesamecross/runtime/supervisor_test.py
@@ -163,6 +163,7 @@
 
     What looks for changed settings failed at each look, was given up after
     half a minute, and took the process down, which served its callers well.
+    All components were alike to the supervisor.
     """
     pauses, error = play(lambda clock: Helper(clock, itertools.repeat(0.0)))
     assert error is None
