Failing tests: one service's odd engines stop the orders for all

A configuration with a figure that no code was made for (a rate of 1e308 loads a second, a load that lasts as long) fails the plan of its service at each try, and with it the giver of orders for every service.

--- a/sesamecross/gateway/order_desk_test.py
+++ b/sesamecross/gateway/order_desk_test.py
@@ -1,9 +1,16 @@
 """Tests of the giver of orders: the bounds on loads that hold now."""
 
+import asyncio
 import dataclasses
+from unittest import mock
 
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
 import pytest
+import structlog
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import app
 from sesamecross.gateway import order_desk
@@ -88,3 +95,146 @@
     spec = dataclasses.replace(SPEC, store_loads_per_s=1.0)
     # The window is over, so only the figures of now count.
     assert begin_all(desk, spec, 110.0) <= 1.0 * 5.0 + 2.0
+
+
+MODEL = serving.ServedModel("m", 40.0, 2.0, 1.0, 0.5, 2, 1.0)
+SOUND = serving.EngineSpec(8, 1000, 100.0, 4, 2.0, 1, {"m": MODEL})
+
+
+def held(name: str, service: str, **changes) -> serving.Upstream:
+    return dataclasses.replace(
+        serving.Upstream(
+            name,
+            service,
+            "10.0.0.9:80",
+            "z1",
+            8,
+            False,
+            5,
+            (serving.HeldModel("m", frozenset({"a1"})),),
+        ),
+        **changes,
+    )
+
+
+def planned(specs, upstreams, steps=6) -> order_desk.OrderDesk:
+    """Lets the giver of orders work for a while; it must not fail."""
+
+    async def play():
+        gateway = app.GatewayApp.from_config(
+            INSTANCE, program.adapter(), settings.SettingsFile("")
+        )
+        desk = desk_of(gateway)
+        me = fm.Member("front-1", 7, "z1", "127.0.0.1:7380", -1, -1)
+        gateway.mesh.join(me, b"", ())
+        desk._lease = mock.Mock(may_order=True, holds=True, fence=3)
+        # Engines are not asked; what they registered is what there is.
+        desk._spawn = lambda work: work.close()
+        services = {
+            name: serving.Service(name, "/", 10, spec)
+            for name, spec in specs.items()
+        }
+        gateway.state.offer(
+            serving.Configuration(1, (), services, serving.CallerLimits())
+        )
+        now_s = 1000.0
+        for one in upstreams:
+            gateway.state.directory.saw(one, now_s)
+        loop = asyncio.get_running_loop()
+        for _ in range(steps):
+            now_s += 3.0
+            for key in (("s", "m", ""), ("s", "n", "u0"), ("s", "m/a2", "u0")):
+                desk._wants[key] = now_s
+            with mock.patch.object(loop, "time", lambda: now_s):  # noqa: B023
+                desk._tick(now_s)
+        return desk
+
+    return asyncio.run(play())
+
+
+ODD_SPECS = [
+    pytest.param({"store_loads_per_s": 1e308}, id="a rate beyond numbers"),
+    pytest.param({"store_loads_per_s": 1e18}, id="a rate beyond memory"),
+    pytest.param(
+        {"models": {"m": dataclasses.replace(MODEL, store_load_s=1e308)}},
+        id="a load that lasts for ever",
+    ),
+    pytest.param({"store_loads_per_s": 0.0}, id="no loads"),
+    pytest.param({"slots": 0, "kv_tokens": 0, "weights_mb": 0.0}, id="no room"),
+    pytest.param({"slots": -1, "kv_tokens": -1}, id="negative room"),
+    pytest.param({"models": {}}, id="no models"),
+]
+
+
+@pytest.mark.parametrize("odd", ODD_SPECS)
+def test_one_services_odd_engines_do_not_stop_the_orders_of_others(odd):
+    """The holder of the lease ended, and then the next one, and so on.
+
+    A configuration gave one service a figure that no code was made for. The
+    plan for it failed, at each try, and with it the giver of orders, which
+    was given up after half a minute, in one instance after the other.
+    """
+    specs = {"s": dataclasses.replace(SOUND, **odd), "t": SOUND}
+    with structlog.testing.capture_logs() as lines:
+        desk = planned(specs, [held("u0", "s"), held("u1", "t")])
+    assert "u1" in desk._targets["t"]
+    failures = [line for line in lines if line.get("exc_info")]
+    # Once for each version of the configuration, not at each try.
+    assert len(failures) <= 1
+
+
+FIGURE = st.one_of(
+    st.sampled_from([0.0, -1.0, 1e-300, 1e18, 1e308, -1e308]),
+    st.floats(-100, 100),
+)
+COUNT = st.one_of(
+    st.sampled_from([0, -1, 1, 2**62, -(2**62)]), st.integers(-100, 100)
+)
+
+
+def mostly(sound, odd):
+    return st.one_of(st.just(sound), st.just(sound), odd)
+
+
+MODELS = st.lists(
+    st.builds(
+        serving.ServedModel,
+        st.sampled_from(["m", "n", "", "m/a1"]),
+        mostly(40.0, FIGURE),
+        mostly(2.0, FIGURE),
+        mostly(1.0, FIGURE),
+        mostly(0.5, FIGURE),
+        mostly(2, COUNT),
+        mostly(1.0, FIGURE),
+    ),
+    max_size=3,
+).map(lambda models: {one.name: one for one in models})
+SPECS = st.builds(
+    serving.EngineSpec,
+    mostly(8, COUNT),
+    mostly(1000, COUNT),
+    mostly(100.0, FIGURE),
+    mostly(4, COUNT),
+    mostly(2.0, FIGURE),
+    mostly(1, COUNT),
+    MODELS,
+)
+
+
+@hypothesis_settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    spec=SPECS,
+    slots=mostly(8, COUNT),
+    leaves_in_s=st.one_of(st.none(), FIGURE),
+)
+def test_no_configuration_stops_the_giver_of_orders(spec, slots, leaves_in_s):
+    """Whatever operators declare, the orders of other services go on."""
+    upstreams = [
+        held("u0", "s", slots=slots),
+        held("u1", "s", is_leaving=True, leaves_in_s=leaves_in_s),
+        held("u2", "s", models=()),
+        held("u3", "t"),
+    ]
+    with structlog.testing.capture_logs():
+        desk = planned({"s": spec, "t": SOUND}, upstreams)
+    assert "u3" in desk._targets["t"]
