A service that can't be planned costs its own orders, and not all of them

Cause: all services were planned in one go, and a failure left it. Each is now planned by itself; a failure is logged with its traceback once for each configuration. A rate of loads no longer costs memory by its size.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -102,6 +102,8 @@
         self._planned: dict[str, dict[str, float]] = {}
         # When the target is looked at next, by service.
         self._aim_s: dict[str, float] = {}
+        # The configuration with which a service's plan failed.
+        self._failed_plans: dict[str, int] = {}
         self._is_active = False
         self._planned_s = 0.0
         # Until when no plan is made, whoever wants one.
@@ -353,7 +355,21 @@
             if now_s - at_s < WANT_S
         }
         for service, engines in by_service.items():
-            self._plan_service(service, tuple(engines), now_s)
+            try:
+                self._plan_service(service, tuple(engines), now_s)
+            except Exception:
+                self._note_failed_plan(service)
+
+    def _note_failed_plan(self, service: str) -> None:
+        """Tells of a plan that failed, once for each configuration.
+
+        It fails again at each try until operators declare something else. If
+        it went further, no service would get orders any more, here and at
+        each instance that takes over.
+        """
+        if self._failed_plans.get(service) != self._state.version:
+            self._failed_plans[service] = self._state.version
+            self._log.exception("a service can't be planned", service=service)
 
     def _engine(
         self,
--- a/sesamecross/gateway/order_desk_test.py
+++ b/sesamecross/gateway/order_desk_test.py
@@ -172,7 +172,8 @@
 
     A configuration gave one service a figure that no code was made for. The
     plan for it failed, at each try, and with it the giver of orders, which
-    was given up after half a minute, in one instance after the other.
+    was given up after half a minute, in one instance after the other. All
+    services were planned in one go.
     """
     specs = {"s": dataclasses.replace(SOUND, **odd), "t": SOUND}
     with structlog.testing.capture_logs() as lines:
--- a/sesamecross/ops/fleet/load_budget.py
+++ b/sesamecross/ops/fleet/load_budget.py
@@ -13,6 +13,9 @@
 # the next holder of the lease, who does not know of this one's last loads,
 # needs as much again.
 BURST = 3.0
+# No store begins as many loads within a window; a rate that says so is a slip
+# and must not cost an entry in memory for each of them.
+BEFORE_MOST = 10_000
 
 
 class LoadBudget:
@@ -26,7 +29,7 @@
         self.hold_to(rate, window_s, overage)
         # The holder before may have begun as many as the rate allows within
         # the window, of which the lease's gap has passed.
-        before = int(rate * window_s / 2)
+        before = int(max(0.0, min(rate * window_s / 2, BEFORE_MOST)))
         self._begun: deque[float] = deque([now_s] * before)
         self._reserved: deque[float] = deque()
 
