Settings are looked at once more as soon as a process runs

Operators changed a file while an instance started, between its reading and the moment from which it takes signals; the change held two seconds later, at the first look of its own. Since the first look takes what the tests write, a new one shows that a signal makes it look.

--- a/sesamecross/gateway/reloader.py
+++ b/sesamecross/gateway/reloader.py
@@ -72,8 +72,12 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Looks now and then, for ever."""
+        """Looks at once, and then now and then, for ever."""
+        # The file may have changed since the start read it, when nobody took
+        # a signal yet.
+        is_asked = False
         while True:
+            await self._look(is_asked)
             is_asked = True
             try:
                 async with asyncio.timeout(EVERY_S):
@@ -81,7 +85,6 @@
             except TimeoutError:
                 is_asked = False
             self._wake.clear()
-            await self._look(is_asked)
 
     async def stop(self) -> None:
         """Nothing to finish."""
--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -100,13 +100,39 @@
     """A bound that operators had just lowered did not hold for two seconds.
 
     The file changed after the process had read it and before it could take a
-    signal; nobody looked until the next look of its own.
+    signal; nobody looked until the next look of its own. So the first look
+    is at the start.
     """
     state = state_lib.State(INSTANCE)
     run(state, [b"changed"], signals=0)
     assert state.bounds.drain_s == 3.0
 
 
+def test_a_signal_makes_the_reloader_look():
+    """An operator's new bound held only at the next look now and then."""
+    state = state_lib.State(INSTANCE)
+    seen = []
+
+    async def turns():
+        for _ in range(20):
+            await asyncio.sleep(0)
+        seen.append(state.bounds.drain_s)
+
+    async def play():
+        file = _File([b"operators"])
+        one = reloader.Reloader(state, file, lambda _: asyncio.sleep(0))
+        task = asyncio.create_task(one.run())
+        await turns()
+        file.texts = [b"changed"]
+        await turns()
+        one.reload()
+        await turns()
+        task.cancel()
+
+    asyncio.run(play())
+    assert seen == [4.0, 4.0, 3.0]
+
+
 # What is read one after the other, and the bound on leaving then.
 WRITTEN = [
     pytest.param([b"oper", b"operators"], 4.0, id="cut, then whole"),
