Failing tests: a damaged record of the own topics fails its reader

A registration or a lease that is nested too deeply leaves its decoder as RecursionError, so that no instance can join, or take the lease, while the record stands.

--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -86,3 +86,15 @@
         asyncio.run(play())
     kept_s = first_order_s(steps[-1])
     assert gap_s <= kept_s < gap_s + 1.0
+
+
+@pytest.mark.parametrize(
+    "damaged",
+    [b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0", b"", b"\xff", b"\x80"],
+)
+def test_a_damaged_lease_is_none(damaged):
+    """Nobody could take the lease, and no orders were given.
+
+    The lease's record could not be read, and reading it failed at each try.
+    """
+    assert lease_keeper._decode(damaged, 5) is None
