A damaged registration or lease names nothing, like every other record

Operators would see instances that never join, or a lease that nobody takes, while one record in the system's own topics can't be read. Cause: the decoders of both expected the library's errors alone, and nesting beyond its depth is another one. Both now name it.

--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -226,7 +226,8 @@
 def _decode(value: bytes, offset: int) -> lease_lib.Record | None:
     try:
         wire = msgspec.msgpack.decode(value, type=_LeaseRecord)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
+        # The latter where a record is nested deeply.
         return None
     return lease_lib.Record(
         wire.holder, wire.incarnation, offset, wire.fence, wire.is_released
--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -95,6 +95,7 @@
 def test_a_damaged_lease_is_none(damaged):
     """Nobody could take the lease, and no orders were given.
 
-    The lease's record could not be read, and reading it failed at each try.
+    The lease's record could not be read, and reading it failed at each try
+    in a way that the decoder did not expect.
     """
     assert lease_keeper._decode(damaged, 5) is None
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -153,5 +153,6 @@
         return None
     try:
         return msgspec.msgpack.decode(value, type=_Registration)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
+        # The latter where a record is nested deeply.
         return None
--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -54,7 +54,7 @@
     """No instance could join any more.
 
     One record among the registrations could not be read; reading the list
-    failed on it at each try.
+    failed on it at each try, in a way that the decoder did not expect.
     """
     backend = _Store(
         {
