--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -1,8 +1,9 @@
-"""Tests of registering a start of an instance, and of what it tells."""
+"""Tests of registering a start of an instance, also among damaged records."""
 
 import asyncio
 import random
 
+import msgspec
 import pytest
 import structlog
 
@@ -11,14 +12,21 @@
 from sesamecross.ports import store
 
 TOPIC = "instances"
+DEEP = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+OTHER = msgspec.msgpack.encode(
+    {"zone": "z1", "address": "10.0.0.2:7380", "nonce": "n"}
+)
 
 
 class _Store:
     """Keeps the newest record of each key, and answers at once."""
 
-    def __init__(self) -> None:
-        self.records: dict[str, store.KeyedRecord] = {}
-        self.end = 0
+    def __init__(self, **values: bytes) -> None:
+        self.records = {
+            key: store.KeyedRecord(key, value, offset)
+            for offset, (key, value) in enumerate(values.items())
+        }
+        self.end = len(values)
 
     async def newest(self, _topic, _after):
         return store.Newest(tuple(self.records.values()), False, self.end)
@@ -91,3 +99,31 @@
     warnings = [one for one in lines if one["log_level"] == "warning"]
     assert [one["event"] for one in warnings] == told
     assert lines[-1]["event"] == "joined"
+
+
+@pytest.mark.parametrize(
+    "damaged", [DEEP, b"", b"\xff", b"\x80", b"\xc1", msgspec.msgpack.encode(7)]
+)
+def test_a_damaged_registration_names_no_instance(damaged, monkeypatch):
+    """No instance could join any more.
+
+    One record among the registrations could not be read; reading the list
+    failed on it at each try, in a way that the decoder did not expect.
+    """
+    client = _Store(
+        **{
+            registrar.SECRET_KEY: b"a2V5",
+            registrar.INSTANCE_PREFIX + "front-2": OTHER,
+            registrar.INSTANCE_PREFIX + "front-3": damaged,
+        }
+    )
+    one = one_start(client, "front-1")
+
+    async def play():
+        async with asyncio.timeout(10):
+            return await one.join()
+
+    monkeypatch.setattr(registrar, "RETRY_S", 0.0)
+    joined = asyncio.run(play())
+    assert joined.secret == b"key"
+    assert [member.name for member in joined.others] == ["front-2"]
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -88,7 +88,10 @@
             self.place = choosing.Place(before.zone, dict(instance.regions))
             self.bounds = instance.bounds
             self.directory.drain_s = instance.bounds.drain_s
-            self._windows.clear()
+            for window in self._windows.values():
+                # New windows would forget what was spent, and requests under
+                # way would keep the old ones.
+                window.hold_to(*self._retry_figures())
         return SettingsChange(frozenset(at_once), frozenset(changed - at_once))
 
     def touch(self) -> None:
@@ -124,8 +127,10 @@
         """Takes a configuration in if it is newer than the one in force."""
         if configuration.version <= self.version:
             return False
+        # Both or none: a table that can't be made leaves what is in force.
+        routes = route_table.RouteTable(configuration.routes)
         self.configuration = configuration
-        self.routes = route_table.RouteTable(configuration.routes)
+        self.routes = routes
         self.touch()
         return True
 
@@ -135,10 +140,12 @@
         window = self._windows.get(service)
         if window is None:
             window = retry_window.RetryWindow(
-                self.bounds.retry_share,
-                self.bounds.retry_extra,
-                self.bounds.retry_window_s,
+                *self._retry_figures(),
                 retry_window.part_of(f"{self._instance.name}/{service}"),
             )
             self._windows[service] = window
         return window
+
+    def _retry_figures(self) -> tuple[float, float, float]:
+        bounds = self.bounds
+        return bounds.retry_share, bounds.retry_extra, bounds.retry_window_s
--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -13,6 +13,7 @@
 from sesamecross.platform import store_codec
 from sesamecross.runtime import application
 from sesamecross.runtime import bounded_output
+from sesamecross.runtime import first_settings
 from sesamecross.runtime import logs
 
 # Named in deploy/system.toml too; not among the ports that the platform
@@ -42,13 +43,14 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    load = functools.partial(settings.load, path)
-    loaded = load()
+    loaded = first_settings.read(functools.partial(settings.load, path))
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return application.EXIT_FAILED
     instance = loaded.unwrap()
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     logs.configure(log_level, "json", output, instance=instance.name)
-    gateway = app.GatewayApp.from_config(instance, adapter(), load)
+    gateway = app.GatewayApp.from_config(
+        instance, adapter(), settings.SettingsFile(path)
+    )
     return application.Application(gateway).run()
--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -3,7 +3,8 @@
 Why: a component that fails on something passing, such as a reset, is started
 again with growing pauses while the others go on; one that keeps failing
 takes the process down, so that the platform replaces it instead of leaving
-half a process that answers health checks.
+half a process that answers health checks. Not so a helper, without which
+callers are served: the end of the process would cut off all of them.
 """
 
 import asyncio
@@ -23,7 +24,9 @@
     """A part of a process with a life of its own.
 
     One with a true `is_vital` is not started again: its failure ends the
-    process.
+    process. One with a true `is_helper` is started again however often it
+    fails: callers are served without it, and a new process would mend nothing
+    that a new start of the component doesn't.
     """
 
     @property
@@ -37,6 +40,32 @@
         """Finishes what was begun; called once before `run` is cancelled."""
 
 
+class Time(Protocol):
+    """The time by which restarts are counted, and how it passes."""
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Lets time pass."""
+
+
+class LoopTime:
+    """The event loop's time."""
+
+    __slots__ = ()
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time."""
+        return asyncio.get_running_loop().time()
+
+    async def sleep(self, seconds: float) -> None:
+        """Lets time pass."""
+        await asyncio.sleep(seconds)
+
+
 class ComponentFailed(Exception):
     """A component failed more often than a restart can help."""
 
@@ -51,9 +80,10 @@
 class Supervisor:
     """Starts components in order, restarts them, stops them in reverse."""
 
-    __slots__ = ("_children", "_log", "_failed")
+    __slots__ = ("_children", "_time", "_log", "_failed")
 
-    def __init__(self, components: list[Component]):
+    def __init__(self, components: list[Component], time: Time | None = None):
+        self._time = time or LoopTime()
         self._children = [_Child(component) for component in components]
         self._log = logs.part("supervisor")
         self._failed: asyncio.Future | None = None
@@ -86,26 +116,33 @@
     async def _keep_running(self, child: _Child) -> None:
         pause = FIRST_PAUSE_S
         while True:
+            begun_s = self._time.now_s
             try:
                 await child.component.run()
                 return
             except asyncio.CancelledError:
                 raise
             except Exception as error:
-                is_vital = getattr(child.component, "is_vital", False)
-                if is_vital or not self._may_restart(child):
+                if not self._may_restart(child):
                     self._give_up(child, error)
                     return
+                if self._time.now_s - begun_s >= RESTART_WINDOW_S:
+                    # It ran well: what failed before is over.
+                    pause = FIRST_PAUSE_S
                 self._log.exception(
                     "component failed and is started again",
                     component=child.component.name,
                     pause_s=pause,
                 )
-            await asyncio.sleep(pause)
+            await self._time.sleep(pause)
             pause = min(pause * 2, LONGEST_PAUSE_S)
 
     def _may_restart(self, child: _Child) -> bool:
-        now = asyncio.get_running_loop().time()
+        if getattr(child.component, "is_vital", False):
+            return False
+        if getattr(child.component, "is_helper", False):
+            return True
+        now = self._time.now_s
         child.failures = [
             at for at in child.failures if now - at < RESTART_WINDOW_S
         ]
