--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -5,7 +5,9 @@
 the platform adds new ones; one that is missing or of another type is an
 error with its remedy, all of them in one message. So is a value without
 sense: a bound that is no number makes every comparison with it false, and
-ports that are no range leave nothing to listen on.
+ports that are no range leave nothing to listen on. What is only unusual is
+taken: a bound of zero belongs to a part of the rules that is not in force, and
+a process that refuses to start serves nobody.
 """
 
 import dataclasses
@@ -25,8 +27,6 @@
 MS = 0.001
 # No time of these settings is longer than a day; the platform's are seconds.
 LONGEST_S = 86_400.0
-# A window of no length would divide what is counted in it by nothing.
-SHORTEST_WINDOW_S = 0.001
 # Far above what a deployment counts, and exact as a float.
 LARGEST_COUNT = 1e9
 # A name is part of a key of the store, which has 255 bytes.
@@ -142,28 +142,22 @@
 
 def _figures(wire: _WireSettings) -> list[_Figure]:
     bounds = wire.bounds
-    shortest_ms = SHORTEST_WINDOW_S / MS
     longest_ms = LONGEST_S / MS
     return [
-        _Figure("heartbeatMs", wire.heartbeat_ms, shortest_ms, longest_ms),
+        _Figure("heartbeatMs", wire.heartbeat_ms, 0, longest_ms),
         _Figure("bounds.drainMs", bounds.drain_ms, 0, longest_ms),
         _Figure("bounds.graceS", bounds.grace_s, 0, LONGEST_S),
         _Figure("bounds.configApplyMs", bounds.config_apply_ms, 0, longest_ms),
-        _Figure("bounds.retryBudgetRatio", bounds.retry_budget_ratio, 0, 1),
-        _Figure("bounds.budgetExtra", bounds.budget_extra, 0, LARGEST_COUNT),
         _Figure(
-            "bounds.budgetWindowS",
-            bounds.budget_window_s,
-            SHORTEST_WINDOW_S,
-            LONGEST_S,
+            "bounds.retryBudgetRatio",
+            bounds.retry_budget_ratio,
+            0,
+            LARGEST_COUNT,
         ),
+        _Figure("bounds.budgetExtra", bounds.budget_extra, 0, LARGEST_COUNT),
+        _Figure("bounds.budgetWindowS", bounds.budget_window_s, 0, LONGEST_S),
         _Figure("bounds.leaseMs", bounds.lease_ms, 0, longest_ms),
-        _Figure(
-            "bounds.ceilingWindowS",
-            bounds.ceiling_window_s,
-            SHORTEST_WINDOW_S,
-            LONGEST_S,
-        ),
+        _Figure("bounds.ceilingWindowS", bounds.ceiling_window_s, 0, LONGEST_S),
         _Figure(
             "bounds.ceilingOverage", bounds.ceiling_overage, 0, LARGEST_COUNT
         ),
@@ -183,8 +177,6 @@
         found.append(
             ("internalPorts", f"{first} to {last} is no range of ports")
         )
-    if wire.zone not in wire.zones:
-        found.append(("zones", f"lacks the own zone {wire.zone!r}"))
     if not 1 <= len(wire.node_name.encode()) <= LONGEST_NAME_BYTES:
         found.append(("nodeName", f"has not 1 to {LONGEST_NAME_BYTES} bytes"))
     if not outside.is_ip(wire.ip):
@@ -211,7 +203,8 @@
         wire.listen.ready,
         tuple(range(first, last + 1)),
         wire.platform.address,
-        dict(wire.zones),
+        # The own region is also named by itself, where the map lacks it.
+        {wire.zone: wire.region, **wire.zones},
         wire.heartbeat_ms * MS,
         serving.Bounds(
             bounds.drain_ms * MS,
