--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -84,6 +84,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """Settings that stay as they were at the start."""
+
+    instance: serving.Instance
+
+    def read(self) -> Success[bytes]:
+        return Success(b"")
+
+    def decode(self, _data: bytes) -> Success[serving.Instance]:
+        return Success(self.instance)
+
+
 class Upstream:
     """An upstream that answers when it is told to.
 
@@ -219,7 +232,7 @@
     host, port = server.sockets[0].getsockname()
     instance = dataclasses.replace(INSTANCE, bounds=bounds or INSTANCE.bounds)
     app = app_lib.GatewayApp.from_config(
-        instance, program.adapter(), lambda: Success(instance)
+        instance, program.adapter(), Unchanged(instance)
     )
     app.components()
     tree = supervisor.Supervisor([app.front, *others])
@@ -583,7 +596,7 @@
     async def play() -> float:
         loop = asyncio.get_running_loop()
         app = app_lib.GatewayApp.from_config(
-            instance, program.adapter(), lambda: Success(instance)
+            instance, program.adapter(), Unchanged(instance)
         )
         components = app.components()
         me = fm.Member("front-1", 1, "z1", "127.0.0.1:1", -1, -1)
@@ -623,7 +636,7 @@
 
     async def play():
         app = app_lib.GatewayApp.from_config(
-            INSTANCE, program.adapter(), lambda: Success(INSTANCE)
+            INSTANCE, program.adapter(), Unchanged(INSTANCE)
         )
         tree = supervisor.Supervisor(app.components()[:1])
         tree.start()
@@ -798,7 +811,7 @@
 
     async def play() -> float:
         app = app_lib.GatewayApp.from_config(
-            instance, program.adapter(), lambda: Success(instance)
+            instance, program.adapter(), Unchanged(instance)
         )
         app.components()
         begun_s = asyncio.get_running_loop().time()
@@ -809,3 +822,39 @@
         begun_s = runner.run(play())
     share = (ended_s[0] - begun_s) / grace_s
     assert 5 / 6 <= share < 1
+
+
+def test_a_taken_port_of_the_metrics_ends_no_instance():
+    """An instance ended at each start: another program had its metrics' port.
+
+    All that listens was vital, also what only metrics are read from, and the
+    failure of a vital part ends the process with all its callers' streams.
+    """
+
+    async def play() -> bool:
+        taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = taken.sockets[0].getsockname()[1]
+        adapter = dataclasses.replace(program.adapter(), metrics_port=port)
+        app = app_lib.GatewayApp.from_config(
+            INSTANCE, adapter, Unchanged(INSTANCE)
+        )
+        listeners = [
+            one
+            for one in app.components()
+            if one.name in ("front", "ready", "metrics")
+        ]
+        tree = supervisor.Supervisor(listeners)
+        tree.start()
+        failed = asyncio.create_task(tree.failed())
+        await until(lambda: app.front.address)
+        # The metrics' listener fails in the same turns in which the front
+        # gets its port.
+        for _ in range(20):
+            await asyncio.sleep(0)
+        ended = failed.done()
+        failed.cancel()
+        await tree.stop()
+        taken.close()
+        return ended
+
+    assert not asyncio.run(play())
