A port that is taken for metrics ends no instance

An instance ended at each start, with code 1, where another program had the port of its metrics; callers would have been served without it.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -176,8 +176,12 @@
         return [
             self.front,
             listener.Listener("ready", instance.ready_address, self._ready),
+            # Callers are served without it, also where its port is taken.
             listener.Listener(
-                "metrics", f"{instance.ip}:{adapter.metrics_port}", metrics
+                "metrics",
+                f"{instance.ip}:{adapter.metrics_port}",
+                metrics,
+                is_vital=False,
             ),
             configurations,
             upstreams,
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -12,14 +12,34 @@
 
 
 class Listener:
-    """Accepts connections and gives them a handler."""
+    """Accepts connections and gives them a handler.
 
-    is_vital = True
-
-    __slots__ = ("name", "_address", "_handler", "_server", "connections")
+    Attributes:
+      is_vital: Whether the process ends where it can't listen. One that
+        callers need is vital.
+      is_helper: The opposite; it is tried again for ever.
+    """
 
-    def __init__(self, name: str, address: str, handler: front.Handler):
+    __slots__ = (
+        "name",
+        "is_vital",
+        "is_helper",
+        "_address",
+        "_handler",
+        "_server",
+        "connections",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        handler: front.Handler,
+        is_vital: bool = True,
+    ):
         self.name = name
+        self.is_vital = is_vital
+        self.is_helper = not is_vital
         self._address = address
         self._handler = handler
         self._server: asyncio.Server | None = None
