Tests: signals that come while a program starts end it

Operators saw instances counted as failed, code 129 or 143, that had only been told of new settings or asked to stop while they started. Each of the nine programs that serve is run by itself and sends itself a signal at its first import.

--- /dev/null
+++ b/tests/signals_test.py
@@ -0,0 +1,185 @@
+"""Tests of planned signals: none ends a process or cuts a request.
+
+Each program runs by itself and sends itself signals at a given age; see
+`signal_player.py`. No upstream, store or peer answers.
+"""
+
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+import tomli_w
+
+from sesamecross.runtime import application
+
+PLAYER = pathlib.Path(__file__).with_name("signal_player.py")
+# The longest that a run may take before it counts as hung; they take 0.2 to
+# 4 s.
+HUNG_S = 60.0
+STARTED = "application: started"
+RELOAD = "application: reload requested"
+STOP = "application: stop requested"
+STOPPED = "application: stopped"
+
+# An address of its own for each process: a gateway's port for metrics is the
+# same everywhere, and other test runs may be under way beside this one.
+_numbers = itertools.count(1)
+
+
+def _own_ip() -> str:
+    high, low = divmod(os.getpid() % 30_000, 250)
+    return f"127.{high + 1}.{low + 1}.{next(_numbers)}"
+
+
+def _gateway_settings(ip: str) -> dict:
+    return {
+        "nodeName": "front-1",
+        "ip": ip,
+        "zone": "west-a",
+        "region": "west",
+        "internalPorts": [7380, 7395],
+        "zones": {"west-a": "west"},
+        "listen": {"front": f"{ip}:8149", "ready": f"{ip}:8141"},
+        "platform": {"address": f"{ip}:8142"},
+    }
+
+
+def _gateway(ip: str, work: pathlib.Path) -> tuple[list[str], dict[str, str]]:
+    path = work / "node.toml"
+    path.write_text(tomli_w.dumps(_gateway_settings(ip)), encoding="utf-8")
+    return [], {"SESAMECROSS_BOOT": str(path)}
+
+
+def _entry(ip: str, _work: pathlib.Path) -> tuple[list[str], dict[str, str]]:
+    flags = {"listen": f"{ip}:8001", "steward": f"{ip}:8002"}
+    return _own_flags(flags | {"balancer_lag_ms": "0"}), {}
+
+
+def _steward(ip: str, _work: pathlib.Path) -> tuple[list[str], dict[str, str]]:
+    flags = {
+        "listen": f"{ip}:8001",
+        "metrics_listen": f"{ip}:8002",
+        "log_url": f"http://{ip}:8003",
+        "instances_url": f"http://{ip}:8004",
+    }
+    return _own_flags(flags), {}
+
+
+def _own_flags(flags: dict[str, str]) -> list[str]:
+    common = {"instance": "one", "zone": "a", "region": "r"}
+    common["shared_key"] = "key-of-sixteen-and-more"
+    return [
+        text
+        for name, value in (common | flags).items()
+        for text in (f"--{name.replace('_', '-')}", value)
+    ]
+
+
+def _fake(*flags: str):
+    def prepare(ip: str, _work: pathlib.Path):
+        listen = f"{ip}:8001"
+        return ["--listen", listen, "--log-level", "info", *flags], {}
+
+    return prepare
+
+
+PROGRAMS = {
+    "gateway": _gateway,
+    "entry": _entry,
+    "steward": _steward,
+    "fake_engine": _fake(
+        "--memory-mib", "9", "--store-url", "http://127.0.0.1:1"
+    ),
+    "fake_service": _fake(),
+    "fake_log": _fake(),
+    "fake_store": _fake(),
+    "fake_instances": _fake(),
+    "fault_proxy": _fake(),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Played:
+    """How a run ended and what it wrote."""
+
+    code: int
+    output: str
+
+    def lines(self, event: str) -> list[dict]:
+        """Returns the log lines with this event."""
+        found = []
+        for line in self.output.splitlines():
+            if line.startswith("{"):
+                fields = json.loads(line)
+                if fields["event"] == event:
+                    found.append(fields)
+        return found
+
+
+def _play(
+    program: str,
+    work: pathlib.Path,
+    plan: dict[str, list[str]],
+    drains: bool = False,
+) -> _Played:
+    """Runs a program with signals at given ages.
+
+    Args:
+      drains: Whether the program's own drain runs when it is asked to stop.
+    """
+    flags, variables = PROGRAMS[program](_own_ip(), work)
+    run = subprocess.run(
+        [
+            sys.executable,
+            str(PLAYER),
+            json.dumps(plan),
+            f"sesamecross.scripts.{program}",
+            *flags,
+        ],
+        env=os.environ | variables | {"PLAYER_DRAINS": "1" if drains else "0"},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=HUNG_S,
+        check=False,
+    )
+    for age, names in plan.items():
+        for name in names:
+            assert f"played: {age} {name}\n" in run.stdout, run.stdout
+    return _Played(run.returncode, run.stdout)
+
+
+@pytest.mark.parametrize("name", ["SIGTERM", "SIGINT"])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_stop_during_the_start_is_an_orderly_end(program, name, tmp_path):
+    """An instance that was stopped while it started counted as failed.
+
+    The platform asks a process to stop while it still imports its modules.
+    The signal's default action ended it with code -15 (-2 and a traceback
+    for an interrupt) and without a line in the log.
+    """
+    played = _play(program, tmp_path, {"import": [name]})
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(STOP)
+    assert not played.lines(STARTED)
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_settings_change_during_the_start_ends_nothing(program, tmp_path):
+    """A process ended when its settings changed while it started.
+
+    The platform sends SIGHUP to a process that still imports its modules and
+    has no handler yet; the signal's default action ended it. The request must
+    be remembered too: the settings may have been read before they changed.
+    """
+    plan = {"import": ["SIGHUP"], "running": ["SIGTERM"]}
+    played = _play(program, tmp_path, plan)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(RELOAD)
+    assert played.lines(STARTED)
