Tests: signals after the loop has closed change the exit code

Operators saw processes that had stopped in good order counted as failed, because new settings or a second request to stop came in their last moments. Each of the nine programs sends itself signals when main has returned and again while the interpreter takes its modules apart. Sent one by one to the log's fake: after main SIGHUP 129 and SIGTERM 143, at the teardown 129, 143 and, for SIGINT, 130.

--- a/tests/signal_player.py
+++ b/tests/signal_player.py
@@ -40,14 +40,20 @@
     """Sends the signals of a plan."""
 
     def __init__(self, plan: dict[str, list[str]]):
-        self._plan = plan
+        self._plan = {
+            age: [(name, getattr(signal, name)) for name in names]
+            for age, names in plan.items()
+        }
+        # The interpreter forgets what modules hold before it ends.
+        self._write = os.write
+        self._raise = signal.raise_signal
 
     def send(self, age: str) -> None:
         """Sends the signals of an age; the process may not survive it."""
-        for name in self._plan.get(age, ()):
+        for name, number in self._plan.get(age, ()):
             # Past the streams of Python, which are gone in the end.
-            os.write(2, f"played: {age} {name}\n".encode())
-            signal.raise_signal(getattr(signal, name))
+            self._write(2, f"played: {age} {name}\n".encode())
+            self._raise(number)
 
 
 class _FirstImport:
--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -183,3 +183,18 @@
     assert played.code == application.EXIT_OK, played.output
     assert played.lines(RELOAD)
     assert played.lines(STARTED)
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_an_end_keeps_its_own_exit_code(program, tmp_path):
+    """A process that had stopped in good order was counted as failed.
+
+    Its loop took the handlers away as it closed. Signals that came after it,
+    before the process was gone, met the default action: code 129 for new
+    settings, 143 for the stop being asked for once more.
+    """
+    late = ["SIGHUP", "SIGTERM", "SIGINT", "SIGTERM", "SIGINT"]
+    plan = {"running": ["SIGTERM"], "atexit": late, "teardown": late}
+    played = _play(program, tmp_path, plan)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(STOPPED)[0]["code"] == application.EXIT_OK
