Tests: being asked twice for a stop cuts answers off

Callers of an entry or a gateway saw their answers break off when both the platform and an operator asked the process to stop: any two signals count as somebody who wants it gone, code 3.

--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -72,3 +72,52 @@
     hooks, code = asyncio.run(play())
     assert code == application.EXIT_OK
     assert hooks.calls == expected
+
+
+class _Stopping:
+    """A process that gets further signals while it drains."""
+
+    def __init__(self, numbers):
+        self.calls: list[str] = []
+        self._numbers = numbers
+
+    def components(self) -> list:
+        return []
+
+    async def drain(self) -> None:
+        for number in self._numbers:
+            os.kill(os.getpid(), number)
+            for _ in range(20):
+                await asyncio.sleep(0)
+        self.calls.append("drained")
+
+
+@pytest.mark.parametrize(
+    ("first", "later", "ends"),
+    [
+        ("SIGTERM", "SIGTERM", []),
+        ("SIGTERM", "SIGTERM+SIGTERM", []),
+        ("SIGTERM", "SIGINT", []),
+        ("SIGTERM", "SIGHUP+SIGINT+SIGTERM", []),
+        ("SIGINT", "SIGTERM", []),
+        ("SIGINT", "SIGTERM+SIGTERM", []),
+        ("SIGINT", "SIGINT", [application.EXIT_CUT_SHORT]),
+        ("SIGTERM", "SIGINT+SIGINT", [application.EXIT_CUT_SHORT]),
+    ],
+)
+def test_only_a_second_interrupt_cuts_a_stop_short(
+    first, later, ends, monkeypatch
+):
+    """A stop that was asked for twice cut off all answers under way.
+
+    The platform and an operator had each asked for the same stop. The process
+    counted signals of any kind and took the second for somebody at a terminal
+    who wants it gone.
+    """
+    ended: list[int] = []
+    monkeypatch.setattr(os, "_exit", ended.append)
+    hooks = _Stopping([getattr(signal, name) for name in later.split("+")])
+    code = asyncio.run(_run(hooks, [getattr(signal, first)]))
+    assert ended == ends
+    assert hooks.calls == ["drained"]
+    assert code == application.EXIT_OK
--- a/tests/calls_test.py
+++ b/tests/calls_test.py
@@ -288,6 +288,25 @@
             call.result()
 
 
+def test_an_entry_that_is_asked_to_stop_twice_finishes_its_calls(fresh):
+    # The platform and an operator asked for the same stop; the second SIGTERM
+    # ended the entry with code 3 and cut its callers' answers off.
+    one = fresh()
+    instance = one.instances[0]
+    entry = one.processes[f"entry-{instance.name}"]
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        call = pool.submit(
+            demo.Caller().chat, instance.entry_url, MODEL, "twice", 200
+        )
+        time.sleep(0.5)
+        entry.popen.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        entry.popen.send_signal(signal.SIGTERM)
+        status, body, _ = call.result()
+    assert (status, numbers(body)) == (200, list(range(1, 201)))
+    assert entry.wait() == 0
+
+
 def test_an_entry_serves_on_its_last_view_without_its_steward(fresh):
     # The steward is killed. Calls to models go on; a call that needs a
     # claim is refused, and nothing false is said of it.
--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -198,3 +198,17 @@
     played = _play(program, tmp_path, plan)
     assert played.code == application.EXIT_OK, played.output
     assert played.lines(STOPPED)[0]["code"] == application.EXIT_OK
+
+
+@pytest.mark.parametrize("first", ["SIGTERM", "SIGINT"])
+def test_a_gateway_drains_whoever_asks_again(first, tmp_path):
+    """A second request to stop cut off the answers that a gateway relayed.
+
+    The platform and an operator had each asked for the same stop. The second
+    signal ended the process with code 3 in the middle of its drain.
+    """
+    again = {"SIGTERM": ["SIGTERM", "SIGINT"], "SIGINT": ["SIGTERM"]}[first]
+    plan = {"running": [first], "draining": again}
+    played = _play("gateway", tmp_path, plan, drains=True)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines("gateway: drained")
