Tests: signals of log rotation end every program

Operators whose tools send SIGUSR1 or SIGUSR2 when they rotate logs would see each process end, with all its callers' streams: nothing handles these signals, and their default action is the end. Nine programs get both at each age of theirs. Seen: all nine end at the first SIGUSR1, during their imports; sent one by one to the log's fake it ends with 138 and 140 (128 + 10 and 12) during its imports, after main and at the teardown too.

--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -212,3 +212,24 @@
     played = _play("gateway", tmp_path, plan, drains=True)
     assert played.code == application.EXIT_OK, played.output
     assert played.lines("gateway: drained")
+
+
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_signals_for_the_rotation_of_logs_end_nothing(program, tmp_path):
+    """A tool that rotates logs ended the processes whose logs it rotates.
+
+    It sends SIGUSR1 or SIGUSR2 so that a program opens its logs anew. Ours
+    write to a descriptor that they are given and have no use for it, but the
+    signal's default action ends a process that has no handler.
+    """
+    names = ["SIGUSR1", "SIGUSR2"]
+    plan = {
+        "import": names,
+        "running": [*names, "SIGTERM"],
+        "draining": names,
+        "atexit": names,
+        "teardown": names,
+    }
+    played = _play(program, tmp_path, plan)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(STARTED)
