Tests: an error in the hook for new settings leaves no line

Operators would find no line of a hook that fails on new settings: the loop prints it past the process's log. Ruled out on the way: that such an error ends the process; in the run it went on to an orderly stop with code 0 after two failing SIGHUPs.

--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -1,12 +1,25 @@
 """Tests of a process's life: signals that stop it, and one that does not."""
 
 import asyncio
+import io
+import json
 import os
 import signal
 
 import pytest
+import structlog
 
 from sesamecross.runtime import application
+from sesamecross.runtime import logs
+
+
+@pytest.fixture
+def log():
+    """Returns a function that gives the fields of each line so far."""
+    stream = io.StringIO()
+    logs.configure("info", "json", stream)
+    yield lambda: [json.loads(line) for line in stream.getvalue().splitlines()]
+    structlog.reset_defaults()
 
 
 class _Hooks:
@@ -121,3 +134,33 @@
     assert ended == ends
     assert hooks.calls == ["drained"]
     assert code == application.EXIT_OK
+
+
+class _BadReload(_Hooks):
+    """A process whose hook for new settings fails."""
+
+    def reload(self) -> None:
+        super().reload()
+        raise ValueError("half a file")
+
+
+def test_a_hook_that_fails_on_new_settings_ends_nothing(log):
+    """An error in a hook left no line among the process's own.
+
+    It came out as the loop's own text on standard error, which nobody reads
+    as lines of the log. The process went on, and must.
+    """
+
+    async def play():
+        hooks = _BadReload()
+        code = await _run(hooks, [signal.SIGHUP, signal.SIGHUP, signal.SIGTERM])
+        return hooks, code
+
+    hooks, code = asyncio.run(play())
+    failed = [
+        line for line in log() if line["event"] == "application: reload failed"
+    ]
+    assert [line["level"] for line in failed] == ["error", "error"]
+    assert "half a file" in failed[0]["exception"]
+    assert hooks.calls == ["reload", "reload", "drain"]
+    assert code == application.EXIT_OK
