Tests: from its lines nobody can tell how a process ended

On call, a stop by the platform, by somebody at a terminal and after a failure look alike in the log, and a signal that changes nothing leaves no line; a tool that signals in a loop leaves a line each.

--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -164,3 +164,89 @@
     assert "half a file" in failed[0]["exception"]
     assert hooks.calls == ["reload", "reload", "drain"]
     assert code == application.EXIT_OK
+
+
+def _of(lines: list[dict], event: str) -> list[dict]:
+    return [line for line in lines if line["event"] == f"application: {event}"]
+
+
+@pytest.mark.parametrize(
+    ("first", "later", "received"),
+    [
+        ("SIGTERM", "SIGTERM", {"SIGTERM": 2}),
+        ("SIGINT", "SIGTERM+SIGHUP", {"SIGINT": 1, "SIGTERM": 1, "SIGHUP": 1}),
+    ],
+)
+def test_a_log_tells_what_asked_for_an_end(
+    first, later, received, log, monkeypatch
+):
+    """Nobody could tell from its lines why a process had ended.
+
+    A stop by the platform, by somebody at a terminal and after a failure
+    looked the same, and signals that changed nothing left no line.
+    """
+    # An end in mid-play would end the test run as well.
+    monkeypatch.setattr(os, "_exit", lambda code: None)
+    hooks = _Stopping([getattr(signal, name) for name in later.split("+")])
+    asyncio.run(_run(hooks, [getattr(signal, first)]))
+    lines = log()
+    told = [
+        (line["signal"], line["phase"]) for line in lines if "signal" in line
+    ]
+    again = [(name, "stopping") for name in later.split("+")]
+    assert told == [(first, "running"), *again]
+    (stopped,) = _of(lines, "stopped")
+    assert stopped["pid"] == os.getpid()
+    assert stopped["code"] == application.EXIT_OK
+    assert stopped["asked_by"] == first
+    assert stopped["signals"] == received
+
+
+class _Failing(_NoReload):
+    """A process whose only component fails for good."""
+
+    is_vital = True
+    name = "failing"
+
+    def components(self) -> list:
+        return [self]
+
+    async def run(self) -> None:
+        raise ValueError("broken")
+
+    async def stop(self) -> None:
+        """Nothing to finish."""
+
+
+def test_a_log_tells_that_a_failure_ended_a_process(log):
+    """A process that had failed and one that was stopped ended alike.
+
+    The last line bore the exit code, and what asked for the end had to be
+    guessed from the lines before it.
+    """
+    assert asyncio.run(_run(_Failing(), [])) == application.EXIT_FAILED
+    (stopped,) = _of(log(), "stopped")
+    assert stopped["code"] == application.EXIT_FAILED
+    assert stopped["asked_by"] == "a failure"
+
+
+def test_a_flood_of_signals_does_not_flood_the_log(log):
+    """A tool that signals in a loop filled the log with a line for each.
+
+    Programs that write to standard error have no bound of their own. Each
+    signal still does its work, and the last line tells how many came.
+    """
+    flood = 1000
+
+    async def play():
+        hooks = _Hooks()
+        signals = [signal.SIGHUP] * flood + [signal.SIGTERM]
+        await _run(hooks, signals)
+        return hooks
+
+    hooks = asyncio.run(play())
+    assert hooks.calls.count("reload") == flood
+    lines = log()
+    assert len(_of(lines, "reload requested")) < flood / 10
+    (stopped,) = _of(lines, "stopped")
+    assert stopped["signals"] == {"SIGHUP": flood, "SIGTERM": 1}
--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -110,15 +110,15 @@
     code: int
     output: str
 
+    @property
+    def log(self) -> list[dict]:
+        """The fields of each log line."""
+        lines = self.output.splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
     def lines(self, event: str) -> list[dict]:
         """Returns the log lines with this event."""
-        found = []
-        for line in self.output.splitlines():
-            if line.startswith("{"):
-                fields = json.loads(line)
-                if fields["event"] == event:
-                    found.append(fields)
-        return found
+        return [fields for fields in self.log if fields["event"] == event]
 
 
 def _play(
@@ -233,3 +233,32 @@
     played = _play(program, tmp_path, plan)
     assert played.code == application.EXIT_OK, played.output
     assert played.lines(STARTED)
+
+
+def test_a_log_tells_each_signal_by_the_phase_in_which_it_came(tmp_path):
+    """Nobody could tell from a process's lines what its signals had done.
+
+    A signal that came before the start, or that changed nothing, left no
+    line; the last one did not say what had asked for the end.
+    """
+    plan = {
+        "import": ["SIGHUP", "SIGUSR1"],
+        "running": ["SIGUSR2", "SIGTERM"],
+        "draining": ["SIGTERM", "SIGINT"],
+    }
+    played = _play("entry", tmp_path, plan)
+    told = [
+        (fields["signal"], fields["phase"])
+        for fields in played.log
+        if "signal" in fields
+    ]
+    assert sorted(told) == [
+        ("SIGHUP", "before the start"),
+        ("SIGINT", "stopping"),
+        ("SIGTERM", "running"),
+        ("SIGTERM", "stopping"),
+        ("SIGUSR1", "before the start"),
+        ("SIGUSR2", "running"),
+    ]
+    (stopped,) = played.lines(STOPPED)
+    assert stopped["asked_by"] == "SIGTERM"
