Signals are held from a program's first import on

Operators saw instances counted as failed that got new settings or a stop while they started. Now each script opens an inbox before it imports anything that takes time. Python's own handlers count the signals there, so that a flood of one can't hide another, and the application takes the counts as soon as its loop runs: new settings are looked at, a stop that came first starts nothing and ends with code 0.

--- a/sesamecross/fakes/base.py
+++ b/sesamecross/fakes/base.py
@@ -17,6 +17,7 @@
 from sesamecross.runtime import http_server
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics
+from sesamecross.runtime import signals
 
 REASONS = {
     200: "200 OK",
@@ -159,7 +160,9 @@
     return result
 
 
-def run(flags: argparse.Namespace, server: FakeServer) -> int:
+def run(
+    flags: argparse.Namespace, server: FakeServer, inbox: signals.Inbox
+) -> int:
     """Runs a fake's process to its end."""
     logs.configure(flags.log_level, "json", instance=flags.name)
-    return application.Application(server).run()
+    return application.Application(server, inbox).run()
--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -14,6 +14,7 @@
 from sesamecross.runtime import application
 from sesamecross.runtime import bounded_output
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 # Named in deploy/system.toml too; not among the ports that the platform
 # hands out.
@@ -35,9 +36,13 @@
     )
 
 
-def run(log_level: str) -> int:
+def run(log_level: str, inbox: signals.Inbox) -> int:
     """Runs a gateway from the settings file that the platform names.
 
+    Args:
+      log_level: The least that is logged.
+      inbox: Gets the process's signals.
+
     Returns:
       The exit code.
     """
@@ -51,4 +56,4 @@
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     logs.configure(log_level, "json", output, instance=instance.name)
     gateway = app.GatewayApp.from_config(instance, adapter(), load)
-    return application.Application(gateway).run()
+    return application.Application(gateway, inbox).run()
--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -12,6 +12,8 @@
 from typing import runtime_checkable
 
 from sesamecross.runtime import logs
+from sesamecross.runtime import signal_watch
+from sesamecross.runtime import signals
 from sesamecross.runtime import supervisor
 
 EXIT_OK = 0
@@ -34,16 +36,17 @@
     """Hooks of a process whose settings can change while it runs."""
 
     def reload(self) -> None:
-        """Looks at the settings again."""
+        """Looks at the settings again; may be called before the start."""
 
 
 class Application:
     """Runs one process until a signal or a failure."""
 
-    __slots__ = ("_hooks", "_log", "_signals", "_stopping")
+    __slots__ = ("_hooks", "_inbox", "_log", "_signals", "_stopping")
 
-    def __init__(self, hooks: Hooks):
+    def __init__(self, hooks: Hooks, inbox: signals.Inbox):
         self._hooks = hooks
+        self._inbox = inbox
         self._log = logs.part("application")
         self._signals = 0
         self._stopping: asyncio.Event | None = None
@@ -55,10 +58,15 @@
     async def _run(self) -> int:
         self._stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
-        # Without a handler this signal would end the process.
-        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        with signal_watch.watching(loop, self._take_signals):
+            # Those that came before the loop ran.
+            self._take_signals()
+            if self._stopping.is_set():
+                self._log.info("stopped", code=EXIT_OK)
+                return EXIT_OK
+            return await self._live()
+
+    async def _live(self) -> int:
         tree = supervisor.Supervisor(self._hooks.components())
         tree.start()
         self._log.info("started", pid=os.getpid())
@@ -79,6 +87,14 @@
         self._log.info("stopped", code=code)
         return code
 
+    def _take_signals(self) -> None:
+        for number, count in self._inbox.take().items():
+            if number == signal.SIGHUP:
+                self._on_reload()
+            else:
+                for _ in range(count):
+                    self._on_signal()
+
     def _on_reload(self) -> None:
         self._log.info("reload requested")
         if isinstance(self._hooks, Reloads):
--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -1,6 +1,7 @@
 """Tests of a process's life: signals that stop it, and one that does not."""
 
 import asyncio
+import contextlib
 import io
 import json
 import os
@@ -11,6 +12,7 @@
 
 from sesamecross.runtime import application
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals as signals_lib
 
 
 @pytest.fixture
@@ -53,8 +55,28 @@
         self.calls.append("drain")
 
 
+@contextlib.contextmanager
+def _inbox():
+    """Holds the signals of the test run for as long as a test needs it."""
+    former = {
+        number: signal.getsignal(number) for number in signals_lib.PLANNED
+    }
+    try:
+        yield signals_lib.Inbox.open()
+    finally:
+        for number, handler in former.items():
+            signal.signal(number, handler)
+
+
 async def _run(hooks, signals) -> int:
-    running = asyncio.create_task(application.Application(hooks)._run())
+    with _inbox() as inbox:
+        return await _play(
+            application.Application(hooks, inbox), hooks, signals
+        )
+
+
+async def _play(one, hooks, signals) -> int:
+    running = asyncio.create_task(one._run())
     for number in signals:
         # Until the signal handlers are in place and the last was handled.
         for _ in range(20):
--- a/sesamecross/runtime/launch.py
+++ b/sesamecross/runtime/launch.py
@@ -15,12 +15,14 @@
 from sesamecross.parser import settings as settings_lib
 from sesamecross.runtime import application
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 
 def launch(
     description: str,
     settings_class: type,
     make: Callable[[Any], application.Hooks],
+    inbox: signals.Inbox,
 ) -> int:
     """Runs a program to its end.
 
@@ -28,6 +30,7 @@
       description: What the program is, for its help.
       settings_class: The record of its settings.
       make: Makes the application object from checked settings.
+      inbox: Gets the process's signals.
 
     Returns:
       The exit code.
@@ -44,4 +47,4 @@
     logs.configure(
         settings.log_level, settings.log_format, instance=settings.instance
     )
-    return application.Application(make(settings)).run()
+    return application.Application(make(settings), inbox).run()
--- /dev/null
+++ b/sesamecross/runtime/signals.py
@@ -0,0 +1,80 @@
+"""Holds the planned signals of a process, from its first import to its end.
+
+Why: the platform and operators send signals at any age of a process. Where a
+signal has no handler its default action ends the process and cuts off all
+requests that it serves. So the signals are caught before anything that takes
+time is imported, and kept until the application asks for them.
+
+What is left open is the start of the interpreter itself, before the first
+line of a program: there nobody can catch a signal.
+
+This module imports nothing that takes time, and neither do the packages that
+it is in.
+"""
+
+from collections.abc import Callable
+import signal
+
+# What the platform, operators and their tools send as a matter of course.
+# SIGQUIT is left out: it stays the way to get rid of a process that hangs.
+PLANNED = (
+    signal.SIGTERM,
+    signal.SIGINT,
+    signal.SIGHUP,
+)
+_STOPS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Inbox:
+    """The signals that came and that nobody has taken yet.
+
+    They are counted by Python's own handlers, which run in the main thread.
+    A count by signal can't overflow, as a buffer of single signals could when
+    a flood of one of them comes before the application runs.
+    """
+
+    __slots__ = ("_arrived",)
+
+    def __init__(self) -> None:
+        self._arrived = _none_arrived()
+
+    @classmethod
+    def open(cls) -> "Inbox":
+        """Returns an inbox that from now on gets the planned signals."""
+        inbox = cls()
+        for number in PLANNED:
+            signal.signal(number, inbox._on_signal)
+            # Calls that are under way in libraries go on.
+            signal.siginterrupt(number, False)
+        return inbox
+
+    @property
+    def is_stop_asked(self) -> bool:
+        """Whether a stop was asked for that nobody has taken yet."""
+        return any(self._arrived[number] for number in _STOPS)
+
+    def take(self) -> dict[signal.Signals, int]:
+        """Returns how often each signal came since this was last asked."""
+        arrived, self._arrived = self._arrived, _none_arrived()
+        return {number: count for number, count in arrived.items() if count}
+
+    def _on_signal(self, number: int, _frame: object) -> None:
+        # No call between reading and writing the count: another signal's
+        # handler can't come between them.
+        self._arrived[number] += 1
+
+
+def _none_arrived() -> dict[signal.Signals, int]:
+    return dict.fromkeys(PLANNED, 0)
+
+
+def held(body: Callable[[Inbox], int]) -> int:
+    """Runs a program while its signals are held.
+
+    A script calls this first and imports what it runs in `body`: the imports
+    take 0.2 to 0.35 s, in which signals have to be held already.
+
+    Returns:
+      The exit code that `body` returns.
+    """
+    return body(Inbox.open())
--- a/sesamecross/scripts/fake_engine.py
+++ b/sesamecross/scripts/fake_engine.py
@@ -2,12 +2,19 @@
 
 import sys
 
-from sesamecross.fakes import base
-from sesamecross.fakes import engine
+from sesamecross.runtime import signals
 
 
 def main() -> int:
     """Returns the exit code."""
+    return signals.held(_run)
+
+
+def _run(inbox: signals.Inbox) -> int:
+    # Deferred until signals are held: see `signals.held`.
+    from sesamecross.fakes import base
+    from sesamecross.fakes import engine
+
     parser = base.parser(__doc__)
     parser.add_argument("--memory-mib", type=int, required=True)
     parser.add_argument("--store-url", required=True)
@@ -20,7 +27,7 @@
     parser.add_argument("--prefix-blocks", type=int, default=4096)
     parser.add_argument("--report-lag-ms", type=int, default=500)
     flags = parser.parse_args()
-    return base.run(flags, engine.EngineServer(flags))
+    return base.run(flags, engine.EngineServer(flags), inbox)
 
 
 if __name__ == "__main__":
--- a/sesamecross/scripts/fake_instances.py
+++ b/sesamecross/scripts/fake_instances.py
@@ -2,17 +2,24 @@
 
 import sys
 
-from sesamecross.fakes import base
-from sesamecross.fakes import instances
+from sesamecross.runtime import signals
 
 
 def main() -> int:
     """Returns the exit code."""
+    return signals.held(_run)
+
+
+def _run(inbox: signals.Inbox) -> int:
+    # Deferred until signals are held: see `signals.held`.
+    from sesamecross.fakes import base
+    from sesamecross.fakes import instances
+
     parser = base.parser(__doc__)
     parser.add_argument("--lag-ms", type=int, default=2000)
     flags = parser.parse_args()
     server = instances.InstancesServer(flags.name, flags.listen, flags.lag_ms)
-    return base.run(flags, server)
+    return base.run(flags, server, inbox)
 
 
 if __name__ == "__main__":
--- a/sesamecross/scripts/fake_store.py
+++ b/sesamecross/scripts/fake_store.py
@@ -2,12 +2,19 @@
 
 import sys
 
-from sesamecross.fakes import base
-from sesamecross.fakes import store
+from sesamecross.runtime import signals
 
 
 def main() -> int:
     """Returns the exit code."""
+    return signals.held(_run)
+
+
+def _run(inbox: signals.Inbox) -> int:
+    # Deferred until signals are held: see `signals.held`.
+    from sesamecross.fakes import base
+    from sesamecross.fakes import store
+
     parser = base.parser(__doc__)
     parser.add_argument("--loads-per-second", type=float, default=2.5)
     parser.add_argument("--full-speed-loads", type=int, default=6)
@@ -15,7 +22,7 @@
     parser.add_argument("--load-s", type=float, default=0.3)
     flags = parser.parse_args()
     server = store.StoreServer(flags.name, flags.listen, flags)
-    return base.run(flags, server)
+    return base.run(flags, server, inbox)
 
 
 if __name__ == "__main__":
--- a/sesamecross/scripts/fault_proxy.py
+++ b/sesamecross/scripts/fault_proxy.py
@@ -2,12 +2,19 @@
 
 import sys
 
-from sesamecross.fakes import base
-from sesamecross.fakes import proxy
+from sesamecross.runtime import signals
 
 
 def main() -> int:
     """Returns the exit code."""
+    return signals.held(_run)
+
+
+def _run(inbox: signals.Inbox) -> int:
+    # Deferred until signals are held: see `signals.held`.
+    from sesamecross.fakes import base
+    from sesamecross.fakes import proxy
+
     parser = base.parser(__doc__)
     parser.add_argument(
         "--link",
@@ -17,7 +24,7 @@
     )
     flags = parser.parse_args()
     server = proxy.ProxyServer(flags.name, flags.listen, flags.link)
-    return base.run(flags, server)
+    return base.run(flags, server, inbox)
 
 
 if __name__ == "__main__":
--- a/sesamecross/scripts/steward.py
+++ b/sesamecross/scripts/steward.py
@@ -2,15 +2,22 @@
 
 import sys
 
-from sesamecross.parser import settings
-from sesamecross.runtime import launch
-from sesamecross.steward import app
+from sesamecross.runtime import signals
 
 
 def main() -> int:
     """Returns the exit code."""
+    return signals.held(_run)
+
+
+def _run(inbox: signals.Inbox) -> int:
+    # Deferred until signals are held: see `signals.held`.
+    from sesamecross.parser import settings
+    from sesamecross.runtime import launch
+    from sesamecross.steward import app
+
     return launch.launch(
-        __doc__, settings.StewardSettings, app.StewardApp.from_settings
+        __doc__, settings.StewardSettings, app.StewardApp.from_settings, inbox
     )
 
 
