A process that has stopped ignores planned signals until it is gone

Operators saw processes that had stopped in good order counted as failed, code 129 or 143. Cause: the interpreter resets handlers written in Python to the default action before it takes its modules apart, and a loop that closes does so still earlier. When the program's body has returned, its exit code is settled; from then on the signals are ignored by the system itself, which the interpreter leaves as it is.

--- a/sesamecross/runtime/signals.py
+++ b/sesamecross/runtime/signals.py
@@ -58,6 +58,16 @@
         arrived, self._arrived = self._arrived, _none_arrived()
         return {number: count for number, count in arrived.items() if count}
 
+    def close(self) -> None:
+        """Has the planned signals ignored until the process is gone.
+
+        The interpreter takes handlers of its own kind away before it ends,
+        and the default action would then change the exit code. What is
+        ignored stays ignored. The signals leave no trace from here on.
+        """
+        for number in PLANNED:
+            signal.signal(number, signal.SIG_IGN)
+
     def _on_signal(self, number: int, _frame: object) -> None:
         # No call between reading and writing the count: another signal's
         # handler can't come between them.
@@ -77,4 +87,8 @@
     Returns:
       The exit code that `body` returns.
     """
-    return body(Inbox.open())
+    inbox = Inbox.open()
+    try:
+        return body(inbox)
+    finally:
+        inbox.close()
