Only a second interrupt cuts a stop short

Callers of an entry and a gateway saw their answers break off, code 3, when the platform and an operator both asked for the same stop. Cause: two signals of any kind counted as somebody who wants the process gone. A stop is now idempotent; only interrupts are counted, and the second one, which a person at a terminal sends, ends the process at once as before.

The test that a second SIGTERM ends an entry at once asked for the fault: no rule lets a repeated request for a planned stop cut answers off. It is replaced by one as strict for the second SIGINT, beside the new one.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -1,8 +1,10 @@
 """The application object: owns a process's life from start to exit code.
 
 Why: signals, start, stop order and the exit code are the same in every
-process. The first signal begins a graceful stop; a second one cuts it short.
-SIGHUP stops nothing: processes that can take new settings in do so.
+process. SIGTERM or SIGINT begins a graceful stop. Asking for a stop is
+idempotent: the platform and operators may each ask for the same one. Only a
+second SIGINT, of somebody at a terminal who wants the process gone, cuts it
+short. SIGHUP stops nothing: processes that can take new settings in do so.
 """
 
 import asyncio
@@ -42,13 +44,13 @@
 class Application:
     """Runs one process until a signal or a failure."""
 
-    __slots__ = ("_hooks", "_inbox", "_log", "_signals", "_stopping")
+    __slots__ = ("_hooks", "_inbox", "_log", "_interrupts", "_stopping")
 
     def __init__(self, hooks: Hooks, inbox: signals.Inbox):
         self._hooks = hooks
         self._inbox = inbox
         self._log = logs.part("application")
-        self._signals = 0
+        self._interrupts = 0
         self._stopping: asyncio.Event | None = None
 
     def run(self) -> int:
@@ -92,17 +94,17 @@
             if number == signal.SIGHUP:
                 self._on_reload()
             else:
-                for _ in range(count):
-                    self._on_signal()
+                self._on_stop(number, count)
 
     def _on_reload(self) -> None:
         self._log.info("reload requested")
         if isinstance(self._hooks, Reloads):
             self._hooks.reload()
 
-    def _on_signal(self) -> None:
-        self._signals += 1
-        if self._signals > 1:
+    def _on_stop(self, number: signal.Signals, count: int) -> None:
+        if number == signal.SIGINT:
+            self._interrupts += count
+        if self._interrupts > 1:
             # Somebody wants the process gone now. Claims that are open stay
             # open on the log and are reported as unknown, never run again.
             self._log.warning("second signal, stopping at once")
