Signals of log rotation are told and ignored

Operators whose tools send SIGUSR1 or SIGUSR2 as they rotate logs would have seen every process end with its callers' streams, code 138 or 140. Cause: no handler, so that the default action acted. Both are now among the signals that are held from the first import to the end of the process; our programs write to a descriptor that they are given, so there is nothing to open anew, and a line says that the signal was ignored.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -4,7 +4,8 @@
 process. SIGTERM or SIGINT begins a graceful stop. Asking for a stop is
 idempotent: the platform and operators may each ask for the same one. Only a
 second SIGINT, of somebody at a terminal who wants the process gone, cuts it
-short. SIGHUP stops nothing: processes that can take new settings in do so.
+short. SIGHUP stops nothing: processes that can take new settings in do so. The
+signals of tools that rotate logs are told and ignored.
 """
 
 import asyncio
@@ -91,10 +92,13 @@
 
     def _take_signals(self) -> None:
         for number, count in self._inbox.take().items():
-            if number == signal.SIGHUP:
-                self._on_reload()
-            else:
-                self._on_stop(number, count)
+            match number:
+                case signal.SIGTERM | signal.SIGINT:
+                    self._on_stop(number, count)
+                case signal.SIGHUP:
+                    self._on_reload()
+                case _:
+                    self._log.info("signal ignored", signal=number.name)
 
     def _on_reload(self) -> None:
         self._log.info("reload requested")
--- a/sesamecross/runtime/signals.py
+++ b/sesamecross/runtime/signals.py
@@ -21,6 +21,9 @@
     signal.SIGTERM,
     signal.SIGINT,
     signal.SIGHUP,
+    # Tools that rotate logs send these.
+    signal.SIGUSR1,
+    signal.SIGUSR2,
 )
 _STOPS = (signal.SIGTERM, signal.SIGINT)
 
