An error in the hook for new settings is a line of the process's log

Operators would have found no line of a hook that fails on new settings: the loop printed the error past the process's log, as text among lines of JSON. The application now catches it, logs it with its trace as application: reload failed, and goes on with the settings that it has; the signals that came with it are handled as well.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -103,7 +103,11 @@
     def _on_reload(self) -> None:
         self._log.info("reload requested")
         if isinstance(self._hooks, Reloads):
-            self._hooks.reload()
+            try:
+                self._hooks.reload()
+            except Exception:
+                # The old settings serve on; the process must not end.
+                self._log.exception("reload failed")
 
     def _on_stop(self, number: signal.Signals, count: int) -> None:
         if number == signal.SIGINT:
