Tests: a process that waits for a thread at its end ignores interrupts

Somebody at a terminal could not end a process that had drained and waited for a job in a thread: the loop no longer looked at its signals once the application's own part was over, while its close waits for such jobs without a bound.

--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import threading
 
 import pytest
 import structlog
@@ -14,6 +15,9 @@
 from sesamecross.runtime import logs
 from sesamecross.runtime import signals as signals_lib
 
+# How often somebody presses the key before a test gives up.
+INTERRUPTS = 100
+
 
 @pytest.fixture
 def log():
@@ -188,6 +192,54 @@
     assert code == application.EXIT_OK
 
 
+class _HangsAtItsEnd(_NoReload):
+    """A process with a job in a thread that outlasts its loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_cut = threading.Event()
+        self._closes = threading.Event()
+
+    def components(self) -> list:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(os.kill, os.getpid(), signal.SIGTERM)
+        loop.run_in_executor(None, self._hang)
+        wait_for_threads = loop.shutdown_default_executor
+
+        async def close() -> None:
+            self._closes.set()
+            await wait_for_threads()
+
+        loop.shutdown_default_executor = close
+        return []
+
+    def _hang(self) -> None:
+        self._closes.wait()
+        for _ in range(INTERRUPTS):
+            os.kill(os.getpid(), signal.SIGINT)
+            if self.is_cut.wait(0.05):
+                return
+
+
+def test_a_process_that_hangs_at_its_end_can_be_interrupted(monkeypatch):
+    """Nobody at a terminal could end a process that waited for a thread.
+
+    It had done its work and waited for jobs in threads, for as long as they
+    took. Interrupts were held, but nobody asked for them any more.
+    """
+    hooks = _HangsAtItsEnd()
+    ends: list[int] = []
+
+    def end(code: int) -> None:
+        ends.append(code)
+        hooks.is_cut.set()
+
+    monkeypatch.setattr(os, "_exit", end)
+    with _inbox() as inbox:
+        application.Application(hooks, inbox).run()
+    assert ends[:1] == [application.EXIT_CUT_SHORT]
+
+
 def _of(lines: list[dict], event: str) -> list[dict]:
     return [line for line in lines if line["event"] == f"application: {event}"]
 
