A process that waits for threads at its end still hears interrupts

Somebody at a terminal could not end a process that had drained and waited for a job in a thread. Cause: the loop's close waits for such jobs without a bound, after the application had stopped looking at its signals. The application now waits for them itself while it still looks, so that a second interrupt cuts the wait short as at any other time, and the last line is written when nothing is left to wait for.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -64,10 +64,14 @@
         with signal_watch.watching(loop, self._take_signals):
             # Those that came before the loop ran.
             self._take_signals()
-            if self._stopping.is_set():
-                self._log.info("stopped", code=EXIT_OK)
-                return EXIT_OK
-            return await self._live()
+            code = EXIT_OK
+            if not self._stopping.is_set():
+                code = await self._live()
+            # The loop's close would wait for jobs in threads too, but when
+            # nobody looks at signals any more and for as long as they take.
+            await loop.shutdown_default_executor()
+            self._log.info("stopped", code=code)
+        return code
 
     async def _live(self) -> int:
         tree = supervisor.Supervisor(self._hooks.components())
@@ -87,7 +91,6 @@
         await tree.stop()
         for task in (stopping, failed):
             task.cancel()
-        self._log.info("stopped", code=code)
         return code
 
     def _take_signals(self) -> None:
