Each signal and each end leave a line that says what came and why

On call nobody could tell from a process's lines why it had ended. Each signal now has a line with its name, the phase in which it came and what is done about it; the last line bears process id, exit code, what asked for the end and how often each signal came. The texts of events stay.

Errors of the hooks at the start and in the drain ended a process past its log, in the drain without a stop of its components. They are lines now and the end is in order, code 1; the two cases of the new test failed on the code before. Two interrupts before the start start nothing and end with code 0: there is nothing to cut short.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -15,6 +15,7 @@
 from typing import runtime_checkable
 
 from sesamecross.runtime import logs
+from sesamecross.runtime import signal_log
 from sesamecross.runtime import signal_watch
 from sesamecross.runtime import signals
 from sesamecross.runtime import supervisor
@@ -22,6 +23,10 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_CUT_SHORT = 3
+# What asked for an end, where it was no signal.
+FAILURE = "a failure"
+
+Phase = signal_log.Phase
 
 
 class Hooks(Protocol):
@@ -45,13 +50,25 @@
 class Application:
     """Runs one process until a signal or a failure."""
 
-    __slots__ = ("_hooks", "_inbox", "_log", "_interrupts", "_stopping")
+    __slots__ = (
+        "_asked_by",
+        "_hooks",
+        "_inbox",
+        "_interrupts",
+        "_log",
+        "_phase",
+        "_signal_log",
+        "_stopping",
+    )
 
     def __init__(self, hooks: Hooks, inbox: signals.Inbox):
         self._hooks = hooks
         self._inbox = inbox
         self._log = logs.part("application")
+        self._signal_log = signal_log.SignalLog(self._log)
+        self._phase = Phase.BEFORE_START
         self._interrupts = 0
+        self._asked_by = ""
         self._stopping: asyncio.Event | None = None
 
     def run(self) -> int:
@@ -67,58 +84,110 @@
             code = EXIT_OK
             if not self._stopping.is_set():
                 code = await self._live()
+            self._phase = Phase.STOPPED
             # The loop's close would wait for jobs in threads too, but when
             # nobody looks at signals any more and for as long as they take.
             await loop.shutdown_default_executor()
-            self._log.info("stopped", code=code)
+            self._tell_end(code)
         return code
 
     async def _live(self) -> int:
-        tree = supervisor.Supervisor(self._hooks.components())
-        tree.start()
+        try:
+            tree = supervisor.Supervisor(self._hooks.components())
+            tree.start()
+        except Exception:
+            self._log.exception("not started")
+            self._asked_by = FAILURE
+            return EXIT_FAILED
+        self._phase = Phase.RUNNING
         self._log.info("started", pid=os.getpid())
         stopping = asyncio.create_task(self._stopping.wait())
         failed = asyncio.create_task(tree.failed())
         await asyncio.wait(
             [stopping, failed], return_when=asyncio.FIRST_COMPLETED
         )
+        self._phase = Phase.STOPPING
         code = EXIT_OK
         if failed.done():
             self._log.error("failed", reason=repr(failed.exception()))
+            self._asked_by = FAILURE
             code = EXIT_FAILED
         else:
-            await self._hooks.drain()
+            code = await self._drain()
         await tree.stop()
         for task in (stopping, failed):
             task.cancel()
         return code
 
+    async def _drain(self) -> int:
+        try:
+            await self._hooks.drain()
+        except Exception:
+            # The components still have to stop in their order.
+            self._log.exception("drain failed")
+            return EXIT_FAILED
+        return EXIT_OK
+
+    def _tell_end(self, code: int) -> None:
+        self._log.info(
+            "stopped",
+            pid=os.getpid(),
+            code=code,
+            asked_by=self._asked_by,
+            signals=self._signal_log.received,
+        )
+
     def _take_signals(self) -> None:
         for number, count in self._inbox.take().items():
             match number:
                 case signal.SIGTERM | signal.SIGINT:
                     self._on_stop(number, count)
                 case signal.SIGHUP:
-                    self._on_reload()
+                    self._on_reload(number, count)
                 case _:
-                    self._log.info("signal ignored", signal=number.name)
-
-    def _on_reload(self) -> None:
-        self._log.info("reload requested")
-        if isinstance(self._hooks, Reloads):
-            try:
-                self._hooks.reload()
-            except Exception:
-                # The old settings serve on; the process must not end.
-                self._log.exception("reload failed")
+                    self._tell("signal ignored", number, count, "nothing")
+
+    def _tell(
+        self, event: str, number: signal.Signals, count: int, action: str
+    ) -> None:
+        self._signal_log.tell(event, number, count, self._phase, action)
+
+    def _on_reload(self, number: signal.Signals, count: int) -> None:
+        event = "reload requested"
+        if not isinstance(self._hooks, Reloads):
+            self._tell(event, number, count, "nothing, no settings to take in")
+            return
+        if self._phase is Phase.STOPPED:
+            self._tell(event, number, count, "nothing, has stopped")
+            return
+        self._tell(event, number, count, "looks at the settings")
+        try:
+            self._hooks.reload()
+        except Exception:
+            # The old settings serve on; the process must not end.
+            self._log.exception("reload failed")
 
     def _on_stop(self, number: signal.Signals, count: int) -> None:
+        is_cut = False
         if number == signal.SIGINT:
             self._interrupts += count
-        if self._interrupts > 1:
+            # Before the start there is nothing to cut short.
+            has_begun = self._phase is not Phase.BEFORE_START
+            is_cut = has_begun and self._interrupts > 1
+        action = "stops already"
+        if is_cut:
+            action = "stops at once"
+        elif self._phase is Phase.BEFORE_START:
+            action = "starts nothing"
+        elif not self._stopping.is_set():
+            action = "stops"
+        self._tell("stop requested", number, count, action)
+        if is_cut:
             # Somebody wants the process gone now. Claims that are open stay
             # open on the log and are reported as unknown, never run again.
             self._log.warning("second signal, stopping at once")
+            self._asked_by = f"second {number.name}"
+            self._tell_end(EXIT_CUT_SHORT)
             os._exit(EXIT_CUT_SHORT)
-        self._log.info("stop requested")
+        self._asked_by = self._asked_by or number.name
         self._stopping.set()
--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -304,6 +304,57 @@
     assert stopped["asked_by"] == "a failure"
 
 
+class _BadStart(_NoReload):
+    """A process whose parts can't be made."""
+
+    def components(self) -> list:
+        raise OSError("address in use")
+
+
+class _BadDrain(_NoReload):
+    """A process whose drain fails, with a component that has to stop."""
+
+    name = "stops"
+
+    def components(self) -> list:
+        return [self]
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def drain(self) -> None:
+        raise ValueError("broken")
+
+    async def stop(self) -> None:
+        self.calls.append("stop")
+
+
+@pytest.mark.parametrize(
+    ("make", "sent", "event", "calls", "asked_by"),
+    [
+        (_BadStart, [], "not started", [], "a failure"),
+        (_BadDrain, [signal.SIGTERM], "drain failed", ["stop"], "SIGTERM"),
+    ],
+)
+def test_an_error_in_a_hook_is_told_and_ends_in_order(
+    make, sent, event, calls, asked_by, log
+):
+    """A process whose hook failed ended without its last line.
+
+    The error went past the log as text, and where it came in the drain the
+    components were not stopped.
+    """
+    hooks = make()
+    assert asyncio.run(_run(hooks, sent)) == application.EXIT_FAILED
+    lines = log()
+    (told,) = _of(lines, event)
+    assert "exception" in told
+    (stopped,) = _of(lines, "stopped")
+    assert stopped["code"] == application.EXIT_FAILED
+    assert stopped["asked_by"] == asked_by
+    assert hooks.calls == calls
+
+
 def test_a_flood_of_signals_does_not_flood_the_log(log):
     """A tool that signals in a loop filled the log with a line for each.
 
