--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -15,6 +15,7 @@
 from sesamecross.runtime import bounded_output
 from sesamecross.runtime import first_settings
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 # Named in deploy/system.toml too; not among the ports that the platform
 # hands out.
@@ -36,9 +37,13 @@
     )
 
 
-def run(log_level: str) -> int:
+def run(log_level: str, inbox: signals.Inbox) -> int:
     """Runs a gateway from the settings file that the platform names.
 
+    Args:
+      log_level: The least that is logged.
+      inbox: Gets the process's signals.
+
     Returns:
       The exit code.
     """
@@ -53,4 +58,4 @@
     gateway = app.GatewayApp.from_config(
         instance, adapter(), settings.SettingsFile(path)
     )
-    return application.Application(gateway).run()
+    return application.Application(gateway, inbox).run()
--- a/sesamecross/runtime/launch.py
+++ b/sesamecross/runtime/launch.py
@@ -19,12 +19,14 @@
 from sesamecross.runtime import application
 from sesamecross.runtime import first_settings
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 
 def launch(
     description: str,
     settings_class: type,
     make: Callable[[Any], application.Hooks],
+    inbox: signals.Inbox,
 ) -> int:
     """Runs a program to its end.
 
@@ -32,6 +34,7 @@
       description: What the program is, for its help.
       settings_class: The record of its settings.
       make: Makes the application object from checked settings.
+      inbox: Gets the process's signals.
 
     Returns:
       The exit code.
@@ -51,7 +54,7 @@
     logs.configure(
         settings.log_level, settings.log_format, instance=settings.instance
     )
-    return application.Application(make(settings)).run()
+    return application.Application(make(settings), inbox).run()
 
 
 def _is_of_file(path: str | None, problems: list[errors.Problem]) -> bool:
