Failing tests: a start that waits hears no stop; a failed part cuts all callers off

A start that waits up to 3 s for its settings file takes no SIGTERM meanwhile and ends with code 1 instead of 0. Where a component is given up, the process stops its parts without draining: open requests are cut off. The set-up of first_settings_test.py hands an inbox over, as the programs do.

--- a/sesamecross/runtime/application_test.py
+++ b/sesamecross/runtime/application_test.py
@@ -375,3 +375,43 @@
     assert len(_of(lines, "reload requested")) < flood / 10
     (stopped,) = _of(lines, "stopped")
     assert stopped["signals"] == {"SIGHUP": flood, "SIGTERM": 1}
+
+
+class _Fails:
+    """A component that is given up at its first failure."""
+
+    is_vital = True
+    name = "vital"
+
+    def __init__(self, calls: list[str]):
+        self._calls = calls
+
+    async def run(self) -> None:
+        raise OSError("told to fail")
+
+    async def stop(self) -> None:
+        self._calls.append("stop")
+
+
+class _Failing(_NoReload):
+    """A process with a component that fails."""
+
+    def components(self) -> list:
+        return [_Fails(self.calls)]
+
+
+def test_a_failed_component_cuts_no_requests_off():
+    """All streams of an instance were cut because one of its parts had failed.
+
+    A part that keeps failing takes its process down, so that the platform
+    replaces it; but its callers were served well meanwhile. The parts stopped
+    without waiting for open requests, as only a signal led to the drain.
+    """
+
+    async def play():
+        hooks = _Failing()
+        return hooks, await _run(hooks, [])
+
+    hooks, code = asyncio.run(play())
+    assert code == application.EXIT_FAILED
+    assert hooks.calls == ["drain", "stop"]
--- a/sesamecross/runtime/first_settings_test.py
+++ b/sesamecross/runtime/first_settings_test.py
@@ -1,13 +1,17 @@
 """Tests of a process that starts while its settings file is written."""
 
+import signal
 import sys
 import time
 
 import pytest
 
 from sesamecross.parser import settings
+from sesamecross.runtime import application
+from sesamecross.runtime import first_settings
 from sesamecross.runtime import launch
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 WHOLE = """
 instance = "e1"
@@ -34,6 +38,8 @@
         self.path = path
         self.texts = list(texts)
         self.slept_s = 0.0
+        self.inbox: signals.Inbox | None = None
+        self.is_stopped = False
         self.write()
 
     def write(self):
@@ -47,6 +53,9 @@
 
     def sleep(self, seconds):
         self.slept_s += seconds
+        if self.is_stopped:
+            # As the signal's handler does.
+            self.inbox._on_signal(signal.SIGTERM, None)
         self.write()
 
 
@@ -57,7 +66,11 @@
     monkeypatch.setattr(time, "sleep", writer.sleep)
     monkeypatch.setattr(logs, "configure", lambda *_, **__: None)
     monkeypatch.setattr(sys, "argv", ["entry", *flags, "--settings", str(path)])
-    return writer, lambda: launch.launch("", settings.EntrySettings, _start)
+    inbox = signals.Inbox()
+    writer.inbox = inbox
+    return writer, lambda: launch.launch(
+        "", settings.EntrySettings, _start, inbox
+    )
 
 
 WRITTEN = [
@@ -100,3 +113,17 @@
     assert start() == 1
     assert "flag --threads" in capsys.readouterr().err
     assert writer.slept_s == 0
+
+
+def test_a_stop_is_heard_while_a_start_waits_for_its_file(
+    tmp_path, monkeypatch
+):
+    """A process that was told to stop went on waiting for three seconds.
+
+    Its settings file was half written, and it looked at the file only. Then
+    it ended with code 1, as if it had failed.
+    """
+    writer, start = launched(tmp_path, monkeypatch, [WHOLE[:40]])
+    writer.is_stopped = True
+    assert start() == application.EXIT_OK
+    assert writer.slept_s == first_settings.EVERY_S
