A start that waits for its settings file hears a stop

A process told to stop while its settings file was half written slept on for up to three seconds and ended with code 1, as if it had failed. The wait looks at the signals between two looks at the file now, and the code is 0 then.

--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -48,10 +48,10 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    loaded = first_settings.read(functools.partial(settings.load, path))
+    loaded = first_settings.read(functools.partial(settings.load, path), inbox)
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
-        return application.EXIT_FAILED
+        return application.code_without_start(inbox)
     instance = loaded.unwrap()
     output = bounded_output.BoundedOutput(sys.stdout.fileno())
     logs.configure(log_level, "json", output, instance=instance.name)
--- a/sesamecross/platform/program_test.py
+++ b/sesamecross/platform/program_test.py
@@ -10,6 +10,7 @@
 from sesamecross.platform import settings_test
 from sesamecross.runtime import bounded_output
 from sesamecross.runtime import logs
+from sesamecross.runtime import signals
 
 WHOLE = settings_test.WHOLE
 
@@ -51,7 +52,7 @@
     monkeypatch.setattr(app.GatewayApp, "from_config", _start)
     monkeypatch.setenv(settings.BOOT_VARIABLE, str(path))
     with pytest.raises(_Started) as started:
-        program.run("info")
+        program.run("info", signals.Inbox())
     assert started.value.args[0].bounds.drain_s == 4.0
 
 
@@ -64,6 +65,6 @@
     slept_s = []
     monkeypatch.setattr(time, "sleep", slept_s.append)
     monkeypatch.setenv(settings.BOOT_VARIABLE, str(path))
-    assert program.run("info") == 1
+    assert program.run("info", signals.Inbox()) == 1
     assert settings.BOOT_VARIABLE in capsys.readouterr().err
     assert sum(slept_s) < 5
--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -29,6 +29,14 @@
 Phase = signal_log.Phase
 
 
+def code_without_start(inbox: signals.Inbox) -> int:
+    """Returns the exit code of a process that has no settings to start with.
+
+    One that was told to stop meanwhile has not failed.
+    """
+    return EXIT_OK if inbox.is_stop_asked else EXIT_FAILED
+
+
 class Hooks(Protocol):
     """What a kind of process brings."""
 
--- a/sesamecross/runtime/first_settings.py
+++ b/sesamecross/runtime/first_settings.py
@@ -14,6 +14,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from sesamecross.runtime import signals
+
 # Together three seconds. Writing a few kilobytes takes milliseconds, also
 # where it is done in steps; the platform replaces a process only after it has
 # ended.
@@ -26,18 +28,22 @@
 
 def read(
     load: Callable[[], Result[_Settings, _Error]],
+    inbox: signals.Inbox,
     may_pass: Callable[[_Error], bool] = lambda _: True,
 ) -> Result[_Settings, _Error]:
     """Returns the settings once they can be read, or their last error.
 
     Args:
       load: Reads them.
+      inbox: Gets the process's signals; who asks for a stop ends the wait.
       may_pass: Whether an error may go by itself.
     """
     loaded = load()
     for look in range(1, LOOKS):
         if isinstance(loaded, Success) or not may_pass(loaded.failure()):
             break
+        if inbox.is_stop_asked:
+            break
         if look == 1:
             print(
                 f"settings can't be read yet ({loaded.failure()}),"
--- a/sesamecross/runtime/launch.py
+++ b/sesamecross/runtime/launch.py
@@ -44,12 +44,13 @@
     flags = parser.parse_args()
     loaded = first_settings.read(
         functools.partial(settings_lib.load, settings_class, flags, os.environ),
+        inbox,
         functools.partial(_is_of_file, flags.settings),
     )
     if isinstance(loaded, Failure):
         for problem in loaded.failure():
             print(problem, file=sys.stderr)
-        return application.EXIT_FAILED
+        return application.code_without_start(inbox)
     settings = loaded.unwrap()
     logs.configure(
         settings.log_level, settings.log_format, instance=settings.instance
