A failed component ends its process by way of the drain

All streams of an instance were cut when one part failed for good: the process stopped its parts at once, since only a signal led to the drain. The other parts serve what is open as well as before, so open requests are finished within the grace, readiness fails meanwhile, and the code is 1 as before. The test that showed it passes.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -120,8 +120,8 @@
             self._log.error("failed", reason=repr(failed.exception()))
             self._asked_by = FAILURE
             code = EXIT_FAILED
-        else:
-            code = await self._drain()
+        # Also where a part failed: the others still serve what is open.
+        code = max(code, await self._drain())
         await tree.stop()
         for task in (stopping, failed):
             task.cancel()
