--- a/sesamecross/devtools/processes.py
+++ b/sesamecross/devtools/processes.py
@@ -5,7 +5,10 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
+import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
@@ -38,7 +41,21 @@
 
     __slots__ = ("name", "popen", "log_path", "command")
 
-    def __init__(self, name: str, command: list[str], log_path: pathlib.Path):
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log_path: pathlib.Path,
+        variables: Mapping[str, str] | None = None,
+    ):
+        """Starts the process.
+
+        Args:
+          name: What tests and logs call it.
+          command: The program and its arguments.
+          log_path: Where its output goes.
+          variables: Added to this process's own environment.
+        """
         self.name = name
         self.command = command
         self.log_path = log_path
@@ -48,6 +65,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                env={**os.environ, **(variables or {})},
                 # An interrupt at the terminal reaches the runner only, which
                 # then stops everything in order.
                 start_new_session=True,
@@ -67,6 +85,11 @@
         if self.is_running():
             self.popen.terminate()
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal, unless the process has ended."""
+        if self.is_running():
+            self.popen.send_signal(number)
+
     def kill(self) -> None:
         """Ends the process at once."""
         if self.is_running():
@@ -105,9 +128,12 @@
 
 
 def wait_for(
-    holds: Callable[[], bool], what: str, timeout_s: float = READY_S
+    holds: Callable[[], bool],
+    what: str,
+    timeout_s: float = READY_S,
+    pause_s: float = 0.1,
 ) -> None:
-    """Waits until `holds` is true.
+    """Waits until `holds` is true, and looks again after each pause.
 
     Raises:
       NotReady: It was not in time.
@@ -116,7 +142,7 @@
     while not holds():
         if time.monotonic() > until:
             raise NotReady(f"{what}: not within {timeout_s} s")
-        time.sleep(0.1)
+        time.sleep(pause_s)
 
 
 def wait_http(url: str, timeout_s: float = READY_S) -> None:
