Test: planning goes on when an engine ends between two looks at the target

Cause, seen in the log of a gateway under planned events: "component failed and is started again", orders, KeyError of an engine's id in placement_steps. The target is looked at anew every 0.15 s, steps are planned every 0.1 s; an engine that leaves, lapses, falls silent or refuses in between is in the target and not among the engines.

--- /dev/null
+++ b/sesamecross/gateway/order_desk_test.py
@@ -0,0 +1,159 @@
+"""Tests of who gives orders to engines."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.gateway import order_desk
+from sesamecross.gateway import state as state_lib
+
+SERVICE = "writers"
+MODEL = "trail-writer"
+BORN_MS = 1000
+INSTANCE = serving.Instance(
+    "front-1",
+    "z1",
+    "r1",
+    "10.0.0.1",
+    "10.0.0.1:80",
+    "10.0.0.1:81",
+    (7380, 7381),
+    "10.9.0.1:90",
+    {"z1": "r1"},
+    1.0,
+    serving.Bounds(),
+)
+SPEC = serving.EngineSpec(
+    16,
+    100_000,
+    80.0,
+    0,
+    1.0,
+    5,
+    {MODEL: serving.ServedModel(MODEL, 40.0, 1.0, 0.5, 0.3, 0, 1.0)},
+)
+CONFIGURATION = serving.Configuration(
+    1,
+    (),
+    {SERVICE: serving.Service(SERVICE, "/health", 100, SPEC)},
+    serving.CallerLimits(),
+)
+HELD = (serving.HeldModel(MODEL, frozenset()),)
+
+
+class _Lease:
+    """Is held for ever."""
+
+    may_order = True
+    holds = True
+    fence = 1
+
+
+class _Mesh:
+    """Nobody else is there."""
+
+    me = None
+    roster = None
+    lease = None
+
+    def __init__(self) -> None:
+        self.told: list[object] = []
+
+    def listen(self, listener) -> None:
+        """Nothing is heard."""
+
+    def next_number(self) -> int:
+        return 1
+
+    def broadcast(self, message) -> None:
+        self.told.append(message)
+
+
+class _Engines:
+    """Each engine reports the one model."""
+
+    async def report(self, entry) -> serving.EngineReport:
+        return serving.EngineReport(
+            BORN_MS,
+            0,
+            False,
+            HELD,
+            frozenset(),
+            serving.WeightCopies(),
+            0,
+            0,
+            0,
+            100_000,
+        )
+
+    async def order(self, order) -> serving.OrderAnswer:
+        return serving.OrderAnswer.ACCEPTED
+
+
+def entry(name: str) -> serving.Upstream:
+    return serving.Upstream(
+        name, SERVICE, "10.0.1.1:90", "z1", 16, False, BORN_MS, HELD
+    )
+
+
+def leaves(directory, now_s: float) -> None:
+    leaving = dataclasses.replace(entry("e1"), is_leaving=True)
+    directory.saw(leaving, now_s)
+
+
+def lapses(directory, now_s: float) -> None:
+    directory.lapsed("e1", now_s)
+
+
+def falls_silent(directory, now_s: float) -> None:
+    directory.get("e1").reach.silent(now_s)
+
+
+def refuses(directory, now_s: float) -> None:
+    directory.get("e1").reach.refused(now_s)
+
+
+@pytest.mark.parametrize("ends", [leaves, lapses, falls_silent, refuses])
+@pytest.mark.parametrize("later_s", [0.12, 0.2])
+def test_planning_goes_on_when_an_engine_ends(ends, later_s):
+    """An engine leaves, and whoever gives orders fails.
+
+    What engines should hold is looked at anew every 0.15 s, the next steps
+    are planned every 0.1 s. A plan in between found an engine in the target
+    that was not among those in use any more, and failed. The part that gives
+    orders was started again after a pause, each longer than the last, and
+    requests for models were refused meanwhile.
+    """
+    state = state_lib.State(INSTANCE)
+    state.offer(CONFIGURATION)
+    mesh = _Mesh()
+    desk = order_desk.OrderDesk(state, mesh, _Lease(), _Engines())
+    loop = asyncio.new_event_loop()
+    now = [100.0]
+    loop.time = lambda: now[0]
+
+    async def play() -> None:
+        for name in ("e1", "e2"):
+            state.directory.saw(entry(name), now[0])
+        desk._tick(now[0])
+        for _ in range(3):
+            # The reports arrive.
+            await asyncio.sleep(0)
+        ends(state.directory, now[0])
+        mesh.told.clear()
+        now[0] += later_s
+        desk._tick(now[0])
+        await desk.stop()
+
+    try:
+        loop.run_until_complete(play())
+    finally:
+        loop.close()
+    held = {
+        place.upstream: place.targets
+        for message in mesh.told
+        for place in message.engines
+    }
+    assert held["e2"] == [MODEL]
