Planned events: a caller that has read nothing yet; the site on its own

Cause: no state under way had an answer that waits for its caller, and the test file held the site of stand-ins beside the table.

Change: a fifth request under way, a large answer that is unread; the site moves to fakes/platform_site.py, and services by which answers are held or not are named there.

--- /dev/null
+++ b/sesamecross/fakes/platform_site.py
@@ -0,0 +1,198 @@
+"""A small site of the platform: a store, upstreams, one gateway as a process.
+
+Why: a test of what a gateway does while something planned happens needs
+upstreams whose answers it holds, others that answer at once, and operators'
+configurations in the platform's words.
+"""
+
+import concurrent.futures
+import pathlib
+from typing import Any
+
+from sesamecross.fakes import platform_caller
+from sesamecross.fakes import platform_instance
+from sesamecross.fakes import platform_store
+from sesamecross.fakes import platform_upstream
+
+WRITERS, LEDGER, DESK, ARCHIVE = "writers", "ledger", "desk", "archive"
+# Routes by the service that they lead to; one path for each.
+PATHS = {
+    WRITERS: "/reports/today",
+    LEDGER: "/passes/new",
+    DESK: "/book/new",
+    ARCHIVE: "/old/all",
+}
+KINDS = {
+    WRITERS: "streaming",
+    LEDGER: "unsafe",
+    DESK: "unsafe",
+    ARCHIVE: "unsafe",
+}
+# Their answers are held until the test lets go; the others answer at once.
+BY_HAND = (WRITERS, LEDGER)
+# Longer than any test: no request may end by its time. Requests to the desk
+# come while a process stops, and would be refused if they could outlast it.
+TIMEOUTS_MS = {
+    WRITERS: 120_000,
+    LEDGER: 120_000,
+    DESK: 10_000,
+    ARCHIVE: 120_000,
+}
+IDLE_MS = 120_000
+# Versions go up in uneven steps.
+VERSION_STEP = 7
+ANSWER_BYTES = 200
+# More than the kernel holds for a caller whose machine takes 4 KB unread.
+ARCHIVE_BYTES = 6 * 1024 * 1024
+
+
+def route(
+    service: str, timeout_share: float, path_prefix: str = ""
+) -> dict[str, Any]:
+    """Returns a route to a service, by its own path or another one."""
+    return {
+        "name": f"route {path_prefix or service}",
+        "hostname": platform_caller.HOST,
+        "pathPrefix": path_prefix or PATHS[service].rpartition("/")[0] + "/",
+        "kind": KINDS[service],
+        "service": service,
+        "maxAttempts": 1,
+        "timeoutMs": TIMEOUTS_MS[service] * timeout_share,
+        "targetLatencyMs": 500,
+        "targetGapMs": 250 if service == WRITERS else 0,
+        "priority": 1,
+        "sessionAffinity": service == WRITERS,
+    }
+
+
+def configuration(
+    version: int,
+    timeout_share: float = 1.0,
+    idle_ms: int = IDLE_MS,
+    without: tuple[str, ...] = (),
+    more_routes: int = 0,
+) -> dict[str, Any]:
+    """Returns a configuration in full, as operators write it."""
+    routes = [route(one, timeout_share) for one in PATHS if one not in without]
+    routes.extend(
+        route(DESK, timeout_share, f"/more/{number}/")
+        for number in range(more_routes)
+    )
+    model = {
+        "name": platform_caller.MODEL,
+        "weightsMb": 1000,
+        "loadS": 0.1,
+        "adapters": 0,
+        "adapterMb": 0,
+    }
+    engine = {
+        "slots": 16,
+        "kvCapacity": 100_000,
+        "weightsMb": 8000,
+        "adapterSlots": 0,
+        "loadsPerS": 10,
+        "stride": 5,
+        "models": [model],
+    }
+    services = [
+        {"name": one, "healthPath": "/health", "maxConnections": 100}
+        for one in PATHS
+    ]
+    services[0]["engine"] = engine
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeoutMs": IDLE_MS,
+            "idleTimeoutMs": idle_ms,
+        },
+    }
+
+
+class PlatformSite:
+    """A store, upstreams, and one gateway as a process."""
+
+    def __init__(self, work: pathlib.Path):
+        self.store = platform_store.PlatformStore("127.0.0.1:0")
+        self.store.start()
+        self.gateway = platform_instance.PlatformInstance(
+            work, self.store.server.address
+        )
+        # The newest of each service, and those that they replaced.
+        self.upstreams: dict[str, platform_upstream.PlatformUpstream] = {}
+        self._replaced: list[platform_upstream.PlatformUpstream] = []
+        self.version = 0
+
+    def stop(self) -> None:
+        """Ends all."""
+        self.gateway.kill()
+        # Each takes half a second to end.
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            ended = [pool.submit(one.shut_down) for one in self.all_upstreams()]
+            ended.append(pool.submit(self.store.shut_down))
+        for one in ended:
+            one.result()
+
+    def begin(self) -> None:
+        """Puts everything as it is before an event."""
+        self.publish()
+        for service in PATHS:
+            if service not in self.upstreams:
+                self.add_upstream(service)
+            if service in BY_HAND:
+                self.upstreams[service].hold()
+        if not self.gateway.is_running:
+            self.gateway.start()
+            self.gateway.wait_ready()
+        self.wait_known()
+
+    def publish(self, **changes: Any) -> None:
+        """Writes the next version of the configuration."""
+        self.version += VERSION_STEP
+        self.store.publish(configuration(self.version, **changes))
+
+    def add_upstream(
+        self, service: str
+    ) -> platform_upstream.PlatformUpstream | None:
+        """Starts the next upstream of a service; returns the one before."""
+        before = self.upstreams.get(service)
+        if before is not None:
+            self._replaced.append(before)
+        one = platform_upstream.PlatformUpstream(
+            self.store,
+            f"i-{service}-{len(self._replaced)}",
+            service,
+            platform_instance.ZONE,
+            (platform_caller.MODEL,) if service == WRITERS else (),
+            ARCHIVE_BYTES if service == ARCHIVE else ANSWER_BYTES,
+        )
+        one.start()
+        if service not in BY_HAND:
+            one.let_go()
+        self.upstreams[service] = one
+        return before
+
+    def wait_known(self) -> None:
+        """Waits until the gateway knows all that the store holds."""
+        self.gateway.wait_line("configuration: in force", version=self.version)
+        for one in self.upstreams.values():
+            self.gateway.wait_line("upstreams: seen", id=one.instance_id)
+
+    def all_upstreams(self) -> list[platform_upstream.PlatformUpstream]:
+        """Returns the upstreams of all services, also those replaced."""
+        return [*self.upstreams.values(), *self._replaced]
+
+    def runs_of(self, request_id: str) -> list[platform_upstream.Run]:
+        """Returns all runs of one request."""
+        return [
+            run
+            for one in self.all_upstreams()
+            for run in one.runs_of(request_id)
+        ]
+
+    def call(self, service: str, **how: Any) -> platform_caller.Call:
+        """Returns a call on the route of a service."""
+        return platform_caller.Call(self.gateway.front, PATHS[service], **how)
--- a/tests/planned_events_test.py
+++ b/tests/planned_events_test.py
@@ -11,10 +11,8 @@
 """
 
 from collections.abc import Callable
-import concurrent.futures
 import contextlib
 import dataclasses
-import pathlib
 import signal
 from typing import Any
 
@@ -23,23 +21,12 @@
 from sesamecross.devtools import processes
 from sesamecross.fakes import platform_caller
 from sesamecross.fakes import platform_instance
-from sesamecross.fakes import platform_store
+from sesamecross.fakes import platform_site
 from sesamecross.fakes import platform_upstream
 
-WRITERS, LEDGER, DESK = "writers", "ledger", "desk"
-# Routes by the service that they lead to; one path for each.
-PATHS = {WRITERS: "/reports/today", LEDGER: "/passes/new", DESK: "/book/new"}
-KINDS = {WRITERS: "streaming", LEDGER: "unsafe", DESK: "unsafe"}
-# Longer than any play: no request may end by its time. Requests to the desk
-# come while a process stops, and would be refused if they could outlast it.
-TIMEOUTS_MS = {WRITERS: 120_000, LEDGER: 120_000, DESK: 10_000}
-IDLE_MS = 120_000
 MORE_ROUTES = 250
 REFUSED = 503
-# Versions go up in uneven steps.
-VERSION_STEP = 7
-# More than the kernel holds for a caller whose machine takes 4 KB unread.
-LARGE_BYTES = 6 * 1024 * 1024
+# What a slow caller's machine takes unread.
 SMALL_BUFFER_BYTES = 4096
 # For how long requests are held while a process stops: longer than the 2.6 s
 # that a stop lasts where nothing is under way. One that ends sooner is not
@@ -47,163 +34,10 @@
 HELD_S = 3.5
 
 
-def route(
-    service: str, timeout_share: float, path_prefix: str = ""
-) -> dict[str, Any]:
-    """Returns a route to a service, by its own path or another one."""
-    return {
-        "name": f"route {path_prefix or service}",
-        "hostname": platform_caller.HOST,
-        "pathPrefix": path_prefix or PATHS[service].rpartition("/")[0] + "/",
-        "kind": KINDS[service],
-        "service": service,
-        "maxAttempts": 1,
-        "timeoutMs": TIMEOUTS_MS[service] * timeout_share,
-        "targetLatencyMs": 500,
-        "targetGapMs": 250 if service == WRITERS else 0,
-        "priority": 1,
-        "sessionAffinity": service == WRITERS,
-    }
-
-
-def configuration(
-    version: int,
-    timeout_share: float = 1.0,
-    idle_ms: int = IDLE_MS,
-    without: tuple[str, ...] = (),
-    more_routes: int = 0,
-) -> dict[str, Any]:
-    """Returns a configuration in full, as operators write it."""
-    routes = [route(one, timeout_share) for one in PATHS if one not in without]
-    routes.extend(
-        route(DESK, timeout_share, f"/more/{number}/")
-        for number in range(more_routes)
-    )
-    model = {
-        "name": platform_caller.MODEL,
-        "weightsMb": 1000,
-        "loadS": 0.1,
-        "adapters": 0,
-        "adapterMb": 0,
-    }
-    engine = {
-        "slots": 16,
-        "kvCapacity": 100_000,
-        "weightsMb": 8000,
-        "adapterSlots": 0,
-        "loadsPerS": 10,
-        "stride": 5,
-        "models": [model],
-    }
-    services = [
-        {"name": one, "healthPath": "/health", "maxConnections": 100}
-        for one in PATHS
-    ]
-    services[0]["engine"] = engine
-    return {
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "limits": {
-            "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 1_000_000,
-            "headerTimeoutMs": IDLE_MS,
-            "idleTimeoutMs": idle_ms,
-        },
-    }
-
-
-class Site:
-    """A store, upstreams, and one gateway as a process."""
-
-    def __init__(self, work: pathlib.Path):
-        self.store = platform_store.PlatformStore("127.0.0.1:0")
-        self.store.start()
-        self.gateway = platform_instance.PlatformInstance(
-            work, self.store.server.address
-        )
-        # The newest of each service, and those that they replaced.
-        self.upstreams: dict[str, platform_upstream.PlatformUpstream] = {}
-        self._replaced: list[platform_upstream.PlatformUpstream] = []
-        self.version = 0
-
-    def stop(self) -> None:
-        """Ends all."""
-        self.gateway.kill()
-        # Each takes half a second to end.
-        with concurrent.futures.ThreadPoolExecutor() as pool:
-            ended = [pool.submit(one.shut_down) for one in self.all_upstreams()]
-            ended.append(pool.submit(self.store.shut_down))
-        for one in ended:
-            one.result()
-
-    def begin(self, answer_bytes: int = 200) -> None:
-        """Puts everything as it is before an event."""
-        self.publish()
-        for service in PATHS:
-            if service not in self.upstreams:
-                self.add_upstream(service, answer_bytes)
-            # The desk answers at once, the others when the test lets go.
-            if service != DESK:
-                self.upstreams[service].hold()
-        if not self.gateway.is_running:
-            self.gateway.start()
-            self.gateway.wait_ready()
-        self.wait_known()
-
-    def publish(self, **changes: Any) -> None:
-        """Writes the next version of the configuration."""
-        self.version += VERSION_STEP
-        self.store.publish(configuration(self.version, **changes))
-
-    def add_upstream(
-        self, service: str, answer_bytes: int = 200
-    ) -> platform_upstream.PlatformUpstream | None:
-        """Starts the next upstream of a service; returns the one before."""
-        before = self.upstreams.get(service)
-        if before is not None:
-            self._replaced.append(before)
-        one = platform_upstream.PlatformUpstream(
-            self.store,
-            f"i-{service}-{len(self._replaced)}",
-            service,
-            platform_instance.ZONE,
-            (platform_caller.MODEL,) if service == WRITERS else (),
-            answer_bytes,
-        )
-        one.start()
-        if service == DESK:
-            one.let_go()
-        self.upstreams[service] = one
-        return before
-
-    def wait_known(self) -> None:
-        """Waits until the gateway knows all that the store holds."""
-        self.gateway.wait_line("configuration: in force", version=self.version)
-        for one in self.upstreams.values():
-            self.gateway.wait_line("upstreams: seen", id=one.instance_id)
-
-    def all_upstreams(self) -> list[platform_upstream.PlatformUpstream]:
-        """Returns the upstreams of all services, also those replaced."""
-        return [*self.upstreams.values(), *self._replaced]
-
-    def runs_of(self, request_id: str) -> list[platform_upstream.Run]:
-        """Returns all runs of one request."""
-        return [
-            run
-            for one in self.all_upstreams()
-            for run in one.runs_of(request_id)
-        ]
-
-    def call(self, service: str, **how: Any) -> platform_caller.Call:
-        """Returns a call on the route of a service."""
-        return platform_caller.Call(self.gateway.front, PATHS[service], **how)
-
-
 # -- events ---------------------------------------------------------------
 
 
-def hang_up(site: Site) -> None:
+def hang_up(site: platform_site.PlatformSite) -> None:
     """SIGHUP; the file is as it was."""
 
     def act() -> None:
@@ -215,13 +49,13 @@
     site.gateway.wait_new_line("settings: reloaded", act)
 
 
-def hang_up_ten_times(site: Site) -> None:
+def hang_up_ten_times(site: platform_site.PlatformSite) -> None:
     """Ten SIGHUPs, one after the other."""
     for _ in range(10):
         hang_up(site)
 
 
-def half_written_settings(site: Site) -> None:
+def half_written_settings(site: platform_site.PlatformSite) -> None:
     """SIGHUP in the middle of writing the file, and one when it is whole."""
     gateway = site.gateway
     text = gateway.settings_text(drain_ms=2600)
@@ -237,7 +71,7 @@
     gateway.wait_new_line("settings: reloaded", act, in_force=["bounds"])
 
 
-def replaced_settings(site: Site) -> None:
+def replaced_settings(site: platform_site.PlatformSite) -> None:
     """A new file without a signal; the new address waits for a start."""
     gateway = site.gateway
     text = gateway.settings_text(drain_ms=2700, front_port=8150)
@@ -249,10 +83,12 @@
     )
 
 
-def new_versions(*changes: dict[str, Any]) -> Callable[[Site], None]:
+def new_versions(
+    *changes: dict[str, Any],
+) -> Callable[[platform_site.PlatformSite], None]:
     """Returns the event of versions one right behind the other."""
 
-    def happens(site: Site) -> None:
+    def happens(site: platform_site.PlatformSite) -> None:
         for one in changes:
             site.publish(**one)
         site.gateway.wait_line("configuration: in force", version=site.version)
@@ -261,21 +97,21 @@
 
 
 TIMEOUTS = {"timeout_share": 0.9}
-NO_ROUTE = {"without": (WRITERS, LEDGER)}
+NO_ROUTE = {"without": (*platform_site.BY_HAND, platform_site.ARCHIVE)}
 ROUTES = {"more_routes": MORE_ROUTES}
 IDLE = {"idle_ms": 100_000}
 
 
 def _replaced_upstreams(
-    site: Site,
+    site: platform_site.PlatformSite,
 ) -> list[platform_upstream.PlatformUpstream]:
     """Adds others for those at which requests are, and returns the latter."""
-    replaced = [site.add_upstream(one) for one in (WRITERS, LEDGER)]
+    replaced = [site.add_upstream(one) for one in platform_site.BY_HAND]
     site.wait_known()
     return replaced
 
 
-def upstreams_leave(site: Site) -> None:
+def upstreams_leave(site: platform_site.PlatformSite) -> None:
     """The upstreams at which requests are say that they leave."""
     leaving = _replaced_upstreams(site)
     for one in leaving:
@@ -286,7 +122,7 @@
         )
 
 
-def upstreams_removed(site: Site) -> None:
+def upstreams_removed(site: platform_site.PlatformSite) -> None:
     """The entries of the upstreams at which requests are vanish."""
     removed = _replaced_upstreams(site)
     for one in removed:
@@ -295,14 +131,14 @@
         site.gateway.wait_line("upstreams: lapsed", id=one.instance_id)
 
 
-def stop(site: Site) -> None:
+def stop(site: platform_site.PlatformSite) -> None:
     """SIGTERM."""
     site.gateway.wait_new_line(
         "gateway: draining", lambda: site.gateway.signal(signal.SIGTERM)
     )
 
 
-def stop_and_hang_up(site: Site) -> None:
+def stop_and_hang_up(site: platform_site.PlatformSite) -> None:
     """SIGTERM, and SIGHUP while the process stops."""
     stop(site)
     site.gateway.wait_new_line(
@@ -311,7 +147,7 @@
     )
 
 
-def hang_up_and_stop(site: Site) -> None:
+def hang_up_and_stop(site: platform_site.PlatformSite) -> None:
     """SIGHUP, and SIGTERM right behind it."""
 
     def act() -> None:
@@ -321,7 +157,7 @@
     site.gateway.wait_new_line("application: reload requested", act)
 
 
-def stop_twice(site: Site) -> None:
+def stop_twice(site: platform_site.PlatformSite) -> None:
     """SIGTERM, and once more while the process stops."""
     stop(site)
     # Whatever it says of the second one: each signal leaves a line.
@@ -340,7 +176,7 @@
     """
 
     name: str
-    happens: Callable[[Site], None]
+    happens: Callable[[platform_site.PlatformSite], None]
     ends: bool = False
 
 
@@ -393,23 +229,32 @@
     seen: dict[str, Seen]
 
 
+def answered_unread(site: platform_site.PlatformSite) -> platform_caller.Call:
+    """Returns a call whose large answer waits in the gateway, unread."""
+    call = site.call(platform_site.ARCHIVE, receive_buffer=SMALL_BUFFER_BYTES)
+    call.send()
+    site.gateway.wait_line("request: status 200", id=call.request_id)
+    return call
+
+
 class UnderWay:
     """Requests at chosen points of their way."""
 
-    def __init__(self, site: Site):
+    def __init__(self, site: platform_site.PlatformSite):
         self._site = site
-        self._stream = site.call(WRITERS)
+        self._stream = site.call(platform_site.WRITERS)
         processes.wait_for(self._begin_stream, "a stream is under way")
-        self._unanswered = site.call(LEDGER)
+        self._unanswered = site.call(platform_site.LEDGER)
         self._unanswered.send()
         processes.wait_for(
             lambda: site.runs_of(self._unanswered.request_id),
             "the plain call runs",
             pause_s=0.01,
         )
-        self._half_sent = site.call(DESK)
+        self._unread = answered_unread(site)
+        self._half_sent = site.call(platform_site.DESK)
         self._half_sent.send_half()
-        before = site.call(DESK)
+        before = site.call(platform_site.DESK)
         before.send()
         assert before.finish().status == 200
         self._kept = before.connection
@@ -425,7 +270,7 @@
             return True
         assert self._stream.finish().status == REFUSED
         self._stream.close()
-        self._stream = self._site.call(WRITERS)
+        self._stream = self._site.call(platform_site.WRITERS)
         return False
 
     def finish(self, ends: bool) -> dict[str, Seen]:
@@ -439,6 +284,7 @@
         seen = {
             "half-sent body": self._seen(self._half_sent),
             "kept connection": self._ask_on_kept(may_close=ends),
+            "unread answer": self._seen(self._unread),
         }
         if ends:
             hold(self._site)
@@ -449,13 +295,13 @@
         return seen
 
     def _ask_on_kept(self, may_close: bool) -> Seen:
-        call = self._site.call(DESK, kept=self._kept)
+        call = self._site.call(platform_site.DESK, kept=self._kept)
         call.send()
         seen = self._seen(call)
         if may_close and not seen.answer.status and not seen.runs:
             # The request crossed the close, and nobody passed it on: its
             # caller asks again, on a new connection.
-            call = self._site.call(DESK)
+            call = self._site.call(platform_site.DESK)
             call.send()
             seen = self._seen(call)
         return seen
@@ -466,10 +312,16 @@
         return Seen(call.body, answer, self._site.runs_of(call.request_id))
 
 
-UNDER_WAY = ("stream", "unanswered call", "half-sent body", "kept connection")
+UNDER_WAY = (
+    "stream",
+    "unanswered call",
+    "unread answer",
+    "half-sent body",
+    "kept connection",
+)
 
 
-def hold(site: Site) -> None:
+def hold(site: platform_site.PlatformSite) -> None:
     """Lets the time pass in which a stop ends, if nothing keeps it."""
     with contextlib.suppress(processes.NotReady):
         processes.wait_for(
@@ -477,7 +329,7 @@
         )
 
 
-def play(site: Site, event: Event) -> Played:
+def play(site: platform_site.PlatformSite, event: Event) -> Played:
     """Lets an event happen while requests are under way."""
     site.begin()
     under_way = UnderWay(site)
@@ -499,7 +351,7 @@
 @pytest.fixture(scope="module")
 def lasting_site(tmp_path_factory):
     """For the events that end nothing."""
-    site = Site(tmp_path_factory.mktemp("lasting"))
+    site = platform_site.PlatformSite(tmp_path_factory.mktemp("lasting"))
     yield site
     site.stop()
 
@@ -507,7 +359,7 @@
 @pytest.fixture
 def own_site(tmp_path):
     """For one test."""
-    site = Site(tmp_path)
+    site = platform_site.PlatformSite(tmp_path)
     yield site
     site.stop()
 
@@ -518,7 +370,7 @@
     event = request.param
     if not event.ends:
         return play(request.getfixturevalue("lasting_site"), event)
-    site = Site(tmp_path_factory.mktemp("ending"))
+    site = platform_site.PlatformSite(tmp_path_factory.mktemp("ending"))
     try:
         return play(site, event)
     finally:
@@ -539,7 +391,17 @@
     )
     run = seen.runs[0]
     assert run.body == seen.sent
-    assert seen.answer == platform_caller.Answer(200, run.signature, run.answer)
+    assert_own_whole_answer(seen.answer, run)
+
+
+def assert_own_whole_answer(
+    answer: platform_caller.Answer, run: platform_upstream.Run
+) -> None:
+    """Fails unless a caller got exactly what its upstream answered."""
+    assert (answer.status, answer.signature) == (200, run.signature)
+    # By length first: a difference of megabytes is not readable.
+    assert len(answer.body) == len(run.answer)
+    assert answer.body == run.answer
 
 
 def test_slow_caller_gets_the_rest_from_a_process_that_stops(own_site):
@@ -548,11 +410,8 @@
     The upstream's answer is whole and the request done, but most of its bytes
     still wait in the process for the caller. If it ends then, they are lost.
     """
-    own_site.begin(answer_bytes=LARGE_BYTES)
-    call = own_site.call(LEDGER, receive_buffer=SMALL_BUFFER_BYTES)
-    call.send()
-    own_site.upstreams[LEDGER].let_go()
-    own_site.gateway.wait_line("request: status 200", id=call.request_id)
+    own_site.begin()
+    call = answered_unread(own_site)
     stop(own_site)
     # It should not end: it still has bytes for its caller.
     hold(own_site)
@@ -560,8 +419,5 @@
     call.close()
     assert answer.error == ""
     (run,) = own_site.runs_of(call.request_id)
-    assert (answer.status, answer.signature) == (200, run.signature)
-    # Compared by length first: a difference of megabytes is not readable.
-    assert len(answer.body) == len(run.answer)
-    assert answer.body == run.answer
+    assert_own_whole_answer(answer, run)
     assert own_site.gateway.exit_code() == 0
