--- a/sesamecross/runtime/signal_log.py
+++ b/sesamecross/runtime/signal_log.py
@@ -11,9 +11,9 @@
 import time
 from typing import Any
 
-# For each signal by itself, so that a flood of one hides no other. Planned
-# signals are minutes apart; a handful at once is somebody trying.
-LINES_AT_ONCE = 10.0
+# For each signal by itself, so that a flood of one hides no other. Planned work
+# comes in series, of some dozens of signals at the most; each keeps its line.
+LINES_AT_ONCE = 40.0
 LINES_PER_S = 1.0
 
 
