Tools stop what they started, whichever signal comes

Whoever closed the terminal of make up or make demo, or ended the experiment or the relay's bench by SIGTERM, found up to 24 processes still running.

Cause: the children are sessions of their own, so only the tool can stop them, and the signal's default action (SIGHUP; SIGTERM outside of make up) ended the tool first. An interrupt in the middle of the stop raised in the finally clause and cut the stop short. A line printed before the stop to a terminal that is gone would have raised there too.

Mend, in one place (devtools/runner.py) for all four tools: SIGINT, SIGTERM and SIGHUP become one exception, raised once; it is held back while a process is started and registered and while a deployment is stopped, so no child is unknown and no stop is cut short. The stop runs again if the exception met its first line; it is idempotent. SIGKILL can't be handled and leaves the children.

--- a/sesamecross/devtools/demo.py
+++ b/sesamecross/devtools/demo.py
@@ -8,13 +8,13 @@
 import concurrent.futures
 import io
 import pathlib
-import signal
 import threading
 import time
 
 import urllib3
 
 from sesamecross.devtools import deployment as deployment_lib
+from sesamecross.devtools import runner as runner_lib
 from sesamecross.operators import command_line
 
 EXAMPLE = pathlib.Path("examples/namib")
@@ -92,24 +92,24 @@
 
 def run_demo(say: Say) -> int:
     """Runs the whole path once; returns the exit code."""
+    return runner_lib.Runner().run(lambda runner: _demo(runner, say))
+
+
+def _demo(runner: runner_lib.Runner, say: Say) -> int:
     began = time.monotonic()
-    deployment = deployment_lib.Deployment(shape(), WORK)
-    code = 1
-    try:
-        failures = _tell(deployment, say)
-        code = 1 if failures else 0
-        for failure in failures:
-            say(f"FAILED: {failure}")
-    finally:
-        say("\nStopping everything, the callers' side first.")
-        codes = deployment.stop()
-        bad = {name: c for name, c in codes.items() if c != 0}
-        if bad:
-            say(f"FAILED: exit codes {bad}")
-            code = 1
-    say(f"All {len(codes)} processes have stopped with exit code 0.")
+    deployment = runner.deployment(shape(), WORK)
+    failures = _tell(deployment, say)
+    for failure in failures:
+        say(f"FAILED: {failure}")
+    say("\nStopping everything, the callers' side first.")
+    codes = deployment.stop()
+    bad = {name: code for name, code in codes.items() if code != 0}
+    if bad:
+        say(f"FAILED: exit codes {bad}")
+    else:
+        say(f"All {len(codes)} processes have stopped with exit code 0.")
     say(f"The demo took {time.monotonic() - began:.1f} s.")
-    return code
+    return 1 if failures or bad else 0
 
 
 def _tell(deployment: deployment_lib.Deployment, say: Say) -> list[str]:
@@ -244,27 +244,18 @@
 
 def run_up(say: Say) -> int:
     """Keeps a deployment running until a signal; returns the exit code."""
-    stop = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stop.set())
-    deployment = deployment_lib.Deployment(shape(), WORK)
+    return runner_lib.Runner().run(lambda runner: _up(runner, say))
+
+
+def _up(runner: runner_lib.Runner, say: Say) -> int:
+    deployment = runner.deployment(shape(), WORK)
     try:
-        deployment.start_fakes()
-        deployment.start_instances()
-        operator = Operator(deployment)
-        code, text = operator.run(
-            "publish", str(deployment.config_dir), "--author", "up"
-        )
-        say(text.rstrip())
-        if code != 0:
+        if not _start(deployment, say):
             return 1
-        deployment.wait_ready()
-        deployment.wait_resident(set(deployment.declared.models))
-        write_files(deployment)
         say("Ready. Addresses are in .demo/env, processes in .demo/pids.")
-        stop.wait()
-        say("Stopping.")
-    finally:
+        threading.Event().wait()
+    except runner_lib.StopAsked:
+        # Nothing is said before the stop: the terminal may be gone.
         codes = deployment.stop()
     failed = {
         name: code
@@ -274,3 +265,19 @@
     if failed:
         say(f"Some processes did not stop cleanly: {failed}")
     return 1 if failed else 0
+
+
+def _start(deployment: deployment_lib.Deployment, say: Say) -> bool:
+    """Starts all and writes the addresses; tells whether it could."""
+    deployment.start_fakes()
+    deployment.start_instances()
+    code, text = Operator(deployment).run(
+        "publish", str(deployment.config_dir), "--author", "up"
+    )
+    say(text.rstrip())
+    if code != 0:
+        return False
+    deployment.wait_ready()
+    deployment.wait_resident(set(deployment.declared.models))
+    write_files(deployment)
+    return True
--- a/sesamecross/devtools/deployment.py
+++ b/sesamecross/devtools/deployment.py
@@ -5,6 +5,8 @@
 its end, as an operator would override them.
 """
 
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import pathlib
 import shutil
@@ -67,7 +69,23 @@
 class Deployment:
     """Starts, names and stops the processes."""
 
-    def __init__(self, shape: Shape, work: pathlib.Path):
+    def __init__(
+        self,
+        shape: Shape,
+        work: pathlib.Path,
+        held: Callable[
+            [], contextlib.AbstractContextManager
+        ] = contextlib.nullcontext,
+    ):
+        """Lays a deployment out; nothing is started.
+
+        Args:
+          shape: What to start.
+          work: Folder of its own, emptied first.
+          held: Keeps interruptions back while a process is started or the
+            deployment is stopped; a runner brings it.
+        """
+        self._held = held
         self.shape = shape
         self.work = work
         self.config_dir = work / "config"
@@ -177,8 +195,9 @@
 
     def _start(self, name: str, command: list[str]) -> processes.Process:
         log_path = self.work / "logs" / f"{name}.log"
-        process = processes.Process(name, command, log_path)
-        self.processes[name] = process
+        with self._held():
+            process = processes.Process(name, command, log_path)
+            self.processes[name] = process
         return process
 
     def start_fakes(self) -> None:
@@ -357,6 +376,10 @@
 
     def stop(self) -> dict[str, int | None]:
         """Stops all gracefully, callers' side first; returns exit codes."""
+        with self._held():
+            return self._stop()
+
+    def _stop(self) -> dict[str, int | None]:
         codes: dict[str, int | None] = {}
         for role in ("entry", "steward", ""):
             group = [
--- a/sesamecross/devtools/experiment.py
+++ b/sesamecross/devtools/experiment.py
@@ -14,6 +14,7 @@
 from sesamecross.devtools import demo
 from sesamecross.devtools import deployment as deployment_lib
 from sesamecross.devtools import load as load_lib
+from sesamecross.devtools import runner as runner_lib
 
 POLICIES = ("round-robin", "least-outstanding", "estimated")
 MODELS = ("report-a", "report-b", "digest-a")
@@ -78,7 +79,9 @@
     return path
 
 
-def _start(policy: str, work: pathlib.Path) -> deployment_lib.Deployment:
+def _start(
+    runner: runner_lib.Runner, policy: str, work: pathlib.Path
+) -> deployment_lib.Deployment:
     shape = deployment_lib.Shape(
         _folder(work / "folder"),
         entries_per_zone=2,
@@ -86,7 +89,7 @@
         store_flags=("--loads-per-second", "100", "--load-s", "0.02"),
         entry_settings={"policy": policy, "threads": 256},
     )
-    deployment = deployment_lib.Deployment(shape, work / "run")
+    deployment = runner.deployment(shape, work / "run")
     deployment.start_fakes()
     deployment.start_instances()
     demo.Operator(deployment).run("publish", str(deployment.config_dir))
@@ -123,7 +126,11 @@
 
 
 def run(
-    scene: str, policies: list[str], seeds: list[int], work: pathlib.Path
+    runner: runner_lib.Runner,
+    scene: str,
+    policies: list[str],
+    seeds: list[int],
+    work: pathlib.Path,
 ) -> dict:
     """Runs one scene; returns the figures by policy."""
     factor, fault = SCENES[scene]
@@ -135,22 +142,20 @@
     for policy in policies:
         runs = []
         deployment = None
-        try:
-            for seed in seeds:
-                if deployment is None:
-                    deployment = _start(policy, work / policy)
-                urls = [i.entry_url for i in deployment.instances]
-                load = load_lib.Load(urls, deployment_lib.CALLER_KEY)
-                arrivals = load_lib.schedule(KINDS, phases, len(urls), seed)
-                results = load.run(arrivals, _events(deployment, fault))
-                runs.append(load_lib.summary(results, phases[1].seconds))
-                runs[-1]["engines"] = _engines(deployment)
-                if fault:
-                    deployment.stop()
-                    deployment = None
-        finally:
-            if deployment is not None:
+        for seed in seeds:
+            if deployment is None:
+                deployment = _start(runner, policy, work / policy)
+            urls = [i.entry_url for i in deployment.instances]
+            load = load_lib.Load(urls, deployment_lib.CALLER_KEY)
+            arrivals = load_lib.schedule(KINDS, phases, len(urls), seed)
+            results = load.run(arrivals, _events(deployment, fault))
+            runs.append(load_lib.summary(results, phases[1].seconds))
+            runs[-1]["engines"] = _engines(deployment)
+            if fault:
                 deployment.stop()
+                deployment = None
+        if deployment is not None:
+            deployment.stop()
         found[policy] = _over_seeds(runs)
     return found
 
@@ -181,5 +186,10 @@
     scene: str, policies: list[str], seeds: list[int], work: pathlib.Path
 ) -> int:
     """Runs and prints; returns the exit code."""
-    print(json.dumps({scene: run(scene, policies, seeds, work)}, indent=2))
-    return 0
+
+    def tool(runner: runner_lib.Runner) -> int:
+        found = run(runner, scene, policies, seeds, work)
+        print(json.dumps({scene: found}, indent=2))
+        return 0
+
+    return runner_lib.Runner().run(tool)
--- a/sesamecross/devtools/relay_bench.py
+++ b/sesamecross/devtools/relay_bench.py
@@ -16,6 +16,7 @@
 
 from sesamecross.devtools import demo
 from sesamecross.devtools import deployment as deployment_lib
+from sesamecross.devtools import runner as runner_lib
 from sesamecross.devtools import usage
 
 MODEL = "advice-fade"
@@ -94,7 +95,9 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def run(work: pathlib.Path, streams: int, rounds: int) -> dict:
+def run(
+    runner: runner_lib.Runner, work: pathlib.Path, streams: int, rounds: int
+) -> dict:
     """Measures and returns the figures."""
     shape = deployment_lib.Shape(
         demo.EXAMPLE,
@@ -104,16 +107,13 @@
         extra=EXTRA,
         entry_settings={"threads": 256},
     )
-    deployment = deployment_lib.Deployment(shape, work)
-    try:
-        deployment.start_fakes()
-        deployment.start_instances()
-        demo.Operator(deployment).run("publish", str(deployment.config_dir))
-        deployment.wait_ready()
-        _wait_replicas(deployment)
-        return _measure(deployment, streams, rounds)
-    finally:
-        deployment.stop()
+    deployment = runner.deployment(shape, work)
+    deployment.start_fakes()
+    deployment.start_instances()
+    demo.Operator(deployment).run("publish", str(deployment.config_dir))
+    deployment.wait_ready()
+    _wait_replicas(deployment)
+    return _measure(deployment, streams, rounds)
 
 
 def _holders(deployment: deployment_lib.Deployment) -> list[str]:
@@ -198,5 +198,9 @@
 
 def main(work: pathlib.Path, streams: int, rounds: int) -> int:
     """Measures and prints; returns the exit code."""
-    print(json.dumps(run(work, streams, rounds), indent=2))
-    return 0
+
+    def tool(runner: runner_lib.Runner) -> int:
+        print(json.dumps(run(runner, work, streams, rounds), indent=2))
+        return 0
+
+    return runner_lib.Runner().run(tool)
--- a/tests/tools_test.py
+++ b/tests/tools_test.py
@@ -52,7 +52,8 @@
 
     The tools' children are sessions of their own, so only the tool can stop
     them. A signal that the tool did not handle ended it before that, and so
-    did a second one in the middle of the stop.
+    did a second one in the middle of the stop. `devtools/runner.py` makes one
+    exception of them, held back while a process is started or stopped.
     """
     work = tmp_path.resolve()
     (work / "examples").symlink_to(EXAMPLES)
