Requests at a server that closes its port are reset: failing tests

A caller's whole request that stood in the buffers of an instance at the moment of its planned stop got no answer: a kept connection was closed without one, a new one was reset. A caller that still sent its body when it was refused, on a connection that ends with the answer, met a broken pipe in place of the 503.

--- a/sesamecross/runtime/http_server_test.py
+++ b/sesamecross/runtime/http_server_test.py
@@ -3,6 +3,7 @@
 import socket
 import time
 
+from cheroot import connections
 import pytest
 
 from sesamecross.runtime import http_server
@@ -60,3 +61,88 @@
             piece = third.recv(4096)
             assert piece, answer
             answer += piece
+
+
+def busy(environ, start_response):
+    """Refuses without a look at the body, as a process that stops does."""
+    return http_server.answer(start_response, "503 Service Unavailable", b"no")
+
+
+def answers_at_stop(monkeypatch, before):
+    """Stops a server; `before` acts when it has looked for work at last.
+
+    Returns:
+      What `before` returned.
+    """
+    limits = http_server.Limits(threads=2)
+    one = http_server.HttpServer("test", "127.0.0.1:0", busy, limits)
+    one.start()
+    found = []
+    library_stop = connections.ConnectionManager.stop
+
+    def stop(manager):
+        library_stop(manager)
+        found.append(before(one, kept))
+
+    try:
+        kept = connect(one)
+        kept.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = b""
+        while not answer.endswith(b"no"):
+            answer += kept.recv(4096)
+        monkeypatch.setattr(connections.ConnectionManager, "stop", stop)
+    finally:
+        one.shut_down()
+    return found[0]
+
+
+def on_kept(_server, kept):
+    kept.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    return kept
+
+
+def on_new(server, _kept):
+    new = connect(server)
+    new.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    return new
+
+
+@pytest.mark.parametrize("before", [on_kept, on_new])
+def test_a_request_that_came_before_the_port_closed_is_answered(
+    monkeypatch, before
+):
+    """A caller's order was reset at an instance that stopped by plan.
+
+    The order stood in the instance's buffers when it last looked for work.
+    Its connection was closed with the order unread, so that its caller could
+    not know whether it had run.
+    """
+    caller = answers_at_stop(monkeypatch, before)
+    answer = b""
+    while piece := caller.recv(4096):
+        answer += piece
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Connection: close" in answer
+    assert answer.endswith(b"no")
+
+
+@pytest.mark.parametrize("connection", ["keep-alive", "close"])
+def test_a_refusal_reaches_a_caller_that_still_sends_its_body(connection):
+    """A caller got a reset in place of its refusal.
+
+    The refusal was written before the body was read. Where the connection
+    ended with it, it was closed with the body unread, and the caller's
+    system met a reset while it still sent.
+    """
+    limits = http_server.Limits(threads=2)
+    one = http_server.HttpServer("test", "127.0.0.1:0", busy, limits)
+    one.start()
+    length = limits.max_body_bytes
+    head = f"Connection: {connection}\r\nContent-Length: {length}\r\n\r\n"
+    try:
+        with connect(one) as caller:
+            caller.sendall(b"POST / HTTP/1.1\r\nHost: x\r\n" + head.encode())
+            caller.sendall(b"x" * length)
+            assert caller.recv(4096).startswith(b"HTTP/1.1 503")
+    finally:
+        one.shut_down()
