An HTTP server answers what it was sent before its port closed

A caller whose request reached an instance in the last moment of its planned stop saw its connection reset or closed, and could not know whether the request had run; so did one whose body was still on its way when it was refused on a connection that ended with the answer.

Cause: between the library's last look for work and the closing of the port and of kept connections, requests went on arriving (it polls every 10 ms and opens a connection to itself meanwhile); a connection whose answer had just been written was closed without a look; and a body was read to its end only where the connection was kept.

Mend (runtime/http_ending.py): after its loop has ended the server takes in what waits at the port, closes the port, then takes in what waits on kept connections; a thread that has just answered looks for a next request. Each is given to the application, and its answer says Connection: close. Bodies are read before the answer's head, within the time that a body may take. What is left is the time between two system calls.

--- a/sesamecross/runtime/http_server.py
+++ b/sesamecross/runtime/http_server.py
@@ -20,6 +20,7 @@
 from cheroot import server
 from cheroot import wsgi
 
+from sesamecross.runtime import http_ending
 from sesamecross.runtime import logs
 
 # A connection that sends its head or body slower than this is closed.
@@ -123,6 +124,8 @@
 class _TimedConnection(server.HTTPConnection):
     """A connection whose heads are timed."""
 
+    RequestHandlerClass = http_ending.Request
+
     def communicate(self) -> bool:
         reaper = self.server.reaper
         reaper.begin(self)
@@ -151,7 +154,7 @@
     def __init__(self, name: str, address: str, app: WsgiApp, limits: Limits):
         host, _, port = address.rpartition(":")
         self._name = name
-        self._server = wsgi.Server(
+        self._server = http_ending.Server(
             (host, int(port)),
             app,
             numthreads=limits.threads,
@@ -197,8 +200,16 @@
         while not self._done.wait(_REAP_S):
             self._reaper.reap()
 
+    def leave(self) -> None:
+        """Ends each connection with the next answer on it."""
+        self._server.leaving = True
+
     def shut_down(self) -> None:
-        """Closes the port and ends the threads."""
+        """Closes the port and ends the threads.
+
+        Requests that are whole by then are given to the application.
+        """
+        self.leave()
         self._server.stop()
         if self._thread is not None:
             self._thread.join(_JOIN_S)
--- a/sesamecross/runtime/http_server_test.py
+++ b/sesamecross/runtime/http_server_test.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server's bounds on what callers send."""
 
 import socket
+import threading
 import time
 
 from cheroot import connections
@@ -68,14 +69,27 @@
     return http_server.answer(start_response, "503 Service Unavailable", b"no")
 
 
-def answers_at_stop(monkeypatch, before):
+class Held(list):
+    """A body after which the server's thread waits before it goes on."""
+
+    gate = threading.Event()
+
+    def close(self):
+        assert self.gate.wait(10)
+
+
+def busy_held(environ, start_response):
+    return Held(busy(environ, start_response))
+
+
+def answers_at_stop(monkeypatch, app, before):
     """Stops a server; `before` acts when it has looked for work at last.
 
     Returns:
       What `before` returned.
     """
     limits = http_server.Limits(threads=2)
-    one = http_server.HttpServer("test", "127.0.0.1:0", busy, limits)
+    one = http_server.HttpServer("test", "127.0.0.1:0", app, limits)
     one.start()
     found = []
     library_stop = connections.ConnectionManager.stop
@@ -90,6 +104,8 @@
         answer = b""
         while not answer.endswith(b"no"):
             answer += kept.recv(4096)
+        while app is busy and not one._server._connections._num_connections:
+            time.sleep(0.01)
         monkeypatch.setattr(connections.ConnectionManager, "stop", stop)
     finally:
         one.shut_down()
@@ -107,17 +123,27 @@
     return new
 
 
-@pytest.mark.parametrize("before", [on_kept, on_new])
+def on_answered(_server, kept):
+    kept.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    Held.gate.set()
+    return kept
+
+
+@pytest.mark.parametrize(
+    ("app", "before"),
+    [(busy, on_kept), (busy, on_new), (busy_held, on_answered)],
+)
 def test_a_request_that_came_before_the_port_closed_is_answered(
-    monkeypatch, before
+    monkeypatch, app, before
 ):
     """A caller's order was reset at an instance that stopped by plan.
 
     The order stood in the instance's buffers when it last looked for work.
     Its connection was closed with the order unread, so that its caller could
-    not know whether it had run.
+    not know whether it had run. `http_ending` looks once more, at the port,
+    at kept connections, and at those whose answer has just been written.
     """
-    caller = answers_at_stop(monkeypatch, before)
+    caller = answers_at_stop(monkeypatch, app, before)
     answer = b""
     while piece := caller.recv(4096):
         answer += piece
@@ -132,7 +158,7 @@
 
     The refusal was written before the body was read. Where the connection
     ended with it, it was closed with the body unread, and the caller's
-    system met a reset while it still sent.
+    system met a reset while it still sent. The body is read to its end now.
     """
     limits = http_server.Limits(threads=2)
     one = http_server.HttpServer("test", "127.0.0.1:0", busy, limits)
