The entry counts a call and refuses it in one step

A call that came at the moment at which an entry began to refuse could run on while the entry was taken apart, and its stream was cut off by a planned stop.

Cause: a flag was read first and the call counted later, while the drain set the flag and then read the count; a thread that stood between its two steps was seen by neither side. Mend: the state counts a call in, or returns the refusal, under the lock under which the drain's flag is set. After the flag is set no count grows, so an empty count stays empty. A caller without a known key now gets 401 while the entry refuses, as at all other times.

--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -100,7 +100,7 @@
         self._state.stopping = True
         self.recorder.add(timeline.EventKind.DRAIN, "readiness fails")
         await asyncio.sleep(self._settings.balancer_lag_ms / 1000)
-        self._state.refusing = True
+        self._state.refuse_calls()
         left_s = self._settings.drain_ms / 1000
         said_s = DRAIN_SAY_S
         while self._state.active and left_s > 0:
--- a/sesamecross/entry/app_test.py
+++ b/sesamecross/entry/app_test.py
@@ -39,7 +39,7 @@
 
     Its thread had looked whether calls are refused just before they were, and
     was counted as open just after the drain had seen that no call is. The two
-    looks were not one step.
+    looks were not one step; now the counting itself refuses.
     """
     entry = app_lib.EntryApp.from_settings(SETTINGS)
     entry._state._known = state_lib.Known(
--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -110,15 +110,13 @@
             # Nothing is known yet, so nothing can be promised or checked.
             answer = self._unclaimed(request, refusal.no_upstream("any call"))
             return self._refuse(request, answer, start_response)
-        if self._state.refusing:
-            answer = self._unclaimed(request, refusal.stopping())
-            return self._refuse(request, answer, start_response)
         caller = self._caller(request, known)
         if caller is None:
             answer = refusal.unauthorized()
             return self._refuse(request, answer, start_response)
-        if not self._state.begin(caller):
-            answer = self._unclaimed(request, refusal.overloaded(1))
+        refused = self._state.begin(caller)
+        if refused is not None:
+            answer = self._unclaimed(request, refused)
             return self._refuse(request, answer, start_response)
         return self._counted(request, caller, known, start_response)
 
--- a/sesamecross/entry/state.py
+++ b/sesamecross/entry/state.py
@@ -8,6 +8,7 @@
 import threading
 
 from sesamecross.core import data
+from sesamecross.core import refusal
 from sesamecross.ops import timeline
 from sesamecross.parser import declarations as declarations_lib
 from sesamecross.runtime import logs
@@ -35,7 +36,7 @@
         "_demand",
         "_recorder",
         "_logger",
-        "refusing",
+        "_refusing",
         "stopping",
     )
 
@@ -47,8 +48,8 @@
         self._demand: dict[str, int] = {}
         self._recorder = recorder
         self._logger = logs.part("entry")
+        self._refusing = False
         self.stopping = False
-        self.refusing = False
 
     @property
     def known(self) -> Known | None:
@@ -95,15 +96,26 @@
             )
         return changed
 
-    def begin(self, caller: data.Caller) -> bool:
-        """Counts a call in; False where its caller has too many open."""
+    def refuse_calls(self) -> None:
+        """From now on no call is counted in.
+
+        It is one step with the counting: whoever sees no open call after it
+        can rely on that.
+        """
         with self._lock:
+            self._refusing = True
+
+    def begin(self, caller: data.Caller) -> refusal.Refusal | None:
+        """Counts a call in, or returns why it is refused."""
+        with self._lock:
+            if self._refusing:
+                return refusal.stopping()
             open_calls = self._of_caller.get(caller.name, 0)
             if open_calls >= caller.concurrency:
-                return False
+                return refusal.overloaded(1)
             self._of_caller[caller.name] = open_calls + 1
             self._active += 1
-            return True
+            return None
 
     def end(self, caller: data.Caller) -> None:
         """Counts a call out."""
