Connections outlive the entry's drain: a failing test

A caller that keeps its connection to an entry learnt nothing of a planned stop until the connection was closed under its next request, and could not know whether that had run. The test asks on one connection before and after the drain; the second answer bore no Connection header at all.

--- a/sesamecross/entry/app_test.py
+++ b/sesamecross/entry/app_test.py
@@ -1,6 +1,7 @@
 """Tests of the entry's planned stop."""
 
 import asyncio
+import http.client
 import json
 
 from sesamecross.core import data
@@ -62,3 +63,28 @@
     assert heads == ["503 Service Unavailable"]
     assert document["type"].endswith(":stopping")
     assert document["executed"] == "no"
+
+
+def test_answers_in_a_drain_end_their_connections():
+    """A caller's next order met the end of a connection that it had kept.
+
+    The entry went on keeping connections alive until it stopped, and closed
+    them then. Whoever sent a request on one at that moment could not know
+    whether it had run.
+    """
+    entry = app_lib.EntryApp.from_settings(SETTINGS)
+    entry._http.start()
+    try:
+        caller = http.client.HTTPConnection(entry._http.address, timeout=10)
+        heads = []
+        for drains in (False, True):
+            if drains:
+                asyncio.run(entry.drain())
+            caller.request("GET", "/healthz")
+            answer = caller.getresponse()
+            answer.read()
+            heads.append(answer.getheader("Connection"))
+        caller.close()
+    finally:
+        entry._http.shut_down()
+    assert heads == [None, "close"]
