Answers of an entry that drains end their connections

Callers with kept connections were told nothing of a planned stop; at its end the connections were closed, and a request sent at that moment was lost without a word. Cause: the server kept each connection alive until its port closed. Mend: the drain's first step makes the server end each connection with its next answer (Connection: close, body read, closed in order), while new calls are still taken for the balancer's lag.

--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -94,10 +94,13 @@
     async def drain(self) -> None:
         """Lets the balancer notice, then lets open calls finish.
 
-        Readiness fails first. New calls are still taken while the balancer
-        may send them, then they are refused as not run.
+        Readiness fails first, and each answer from then on ends its
+        connection, so that few are left to close in the end. New calls are
+        still taken while the balancer may send them, then they are refused
+        as not run.
         """
         self._state.stopping = True
+        self._http.leave()
         self.recorder.add(timeline.EventKind.DRAIN, "readiness fails")
         await asyncio.sleep(self._settings.balancer_lag_ms / 1000)
         self._state.refuse_calls()
--- a/sesamecross/entry/app_test.py
+++ b/sesamecross/entry/app_test.py
@@ -70,7 +70,8 @@
 
     The entry went on keeping connections alive until it stopped, and closed
     them then. Whoever sent a request on one at that moment could not know
-    whether it had run.
+    whether it had run. From the drain's first moment an answer says that its
+    connection ends.
     """
     entry = app_lib.EntryApp.from_settings(SETTINGS)
     entry._http.start()
