An entry tells all outcomes of claims before it stops

Whoever repeated an order whose first sending was answered by an entry in the last moment of its planned stop was told that its outcome is unknown, though it had run and been answered.

Cause: the link closed its stream as the first step of its stop, while outcomes of claims waited to be sent or to be confirmed (the log or the caller's home zone may take seconds). Mend: the stop waits until each outcome is confirmed, at most as long as any reply is waited for (6 s), and says so in its log where one is not. The HTTP server has ended its threads by then, so no outcome is added later.

--- a/sesamecross/entry/steward_link.py
+++ b/sesamecross/entry/steward_link.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import concurrent.futures
+import contextlib
 import uuid
 
 from sesamecross.core import data
@@ -21,6 +22,7 @@
 RECONNECT_S = 0.2
 DEMAND_S = 1.0
 REPLY_S = 6.0
+CONFIRM_STEP_S = 0.02
 
 
 class StewardLink:
@@ -66,7 +68,23 @@
             await asyncio.sleep(RECONNECT_S)
 
     async def stop(self) -> None:
-        """Closes the stream."""
+        """Closes the stream, once all outcomes are confirmed.
+
+        One that is not told is written down as unknown by the steward, and a
+        repetition of an order that ran would not get its answer.
+        """
+        # What other threads have settled is kept in the loop's next turn.
+        await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPLY_S):
+                while self._outcomes:
+                    await asyncio.sleep(CONFIRM_STEP_S)
+        if self._outcomes:
+            self._logger.warning(
+                "outcomes of claims are not confirmed",
+                claims=len(self._outcomes),
+                remedy="stop an instance's entry before its steward",
+            )
         if self._stream is not None:
             self._stream.close()
 
--- a/sesamecross/entry/steward_link_test.py
+++ b/sesamecross/entry/steward_link_test.py
@@ -43,7 +43,8 @@
 
     Its entry stopped by plan right after the answer and closed the stream to
     its steward with the outcome still to be told. The steward wrote the claim
-    down as unknown, and the order's repetition got that.
+    down as unknown, and the order's repetition got that. The link waits for
+    the steward's word now, as long as it waits for any.
     """
 
     async def story():
