A steward's stop goes to its end also with a full queue

Operators who stopped a steward by plan after a long outage of the log saw exit code 1 and a traceback, and an alert of a process that ended by itself; its entry's stream and its peers' were not closed in order.

Cause: the two records of a leave are submitted without regard for QueueFull. Mend: both places take it, write a warning and go on. Nothing depends on those records: the lease lapses after lease_lapse_ms, and the address that refuses connections proves the steward's end.

Before: both rows of the test failed with QueueFull; after: both pass in one run.

--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -209,11 +209,11 @@
         if self.reader.reachable:
             handed_over = await self.keeper.handed_over(HAND_OVER_S)
             self._logger.info("claims are handed over", done=handed_over)
-        if self.writer.reachable:
-            self.writer.submit(records.MemberLeft(self.me.incarnation))
         try:
+            if self.writer.reachable:
+                self.writer.submit(records.MemberLeft(self.me.incarnation))
             await asyncio.wait_for(self.writer.flushed(), LEAVE_WAIT_S)
-        except TimeoutError:
+        except (TimeoutError, log_writer.QueueFull):
             self._logger.warning("the log is away, leaving without a record")
 
     def status(self, request_id: str) -> messages.StatusReply:
--- a/sesamecross/steward/app_test.py
+++ b/sesamecross/steward/app_test.py
@@ -30,7 +30,8 @@
 
     The log had been away for so long that the queue for it was full. The
     record that gives the lease back, or that of the leave, did not fit; the
-    error went through the drain, and no component was stopped in order.
+    error went through the drain, and no component was stopped in order. Now
+    it is logged: the lease lapses, and the refused address proves the end.
     """
 
     async def story():
--- a/sesamecross/steward/lease_keeper.py
+++ b/sesamecross/steward/lease_keeper.py
@@ -96,7 +96,12 @@
         lease = self.held()
         if lease is None:
             return
-        self._writer.submit(records.LeaseReleased(lease.zone, lease.offset))
+        try:
+            self._writer.submit(records.LeaseReleased(lease.zone, lease.offset))
+        except log_writer.QueueFull:
+            # Others take it after its lapse; the stop itself must go on.
+            self._logger.warning("the queue for the log is full, lease lapses")
+            return
         self._logger.info("lease is given back")
 
     def _tick(self, now_ms: int) -> None:
