An interrupted command of the operators tells what is known

Scripts took changes for published that were not, and for lost that were.

Cause: KeyboardInterrupt was turned into code 0 for every command, the other signals had no handler, and none of the stages knew whether its record had gone out. Mend: each of the three signals interrupts once; before the record is sent the answer is 1 and nothing was changed, from then to the verdict 4 with the change id, after it 6 with the version. A round of questions to stewards is finished first (4 s at most), since an event loop can't be interrupted cleanly. Output that nobody reads any more leaves the exit code as it is. In the first 0.2 to 0.3 s, while the program is imported, the default action still holds; nothing is changed by then.

--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -5,7 +5,9 @@
 from collections.abc import Sequence
 import getpass
 import json
+import os
 import pathlib
+import signal
 import sys
 import time
 from typing import TextIO
@@ -170,11 +172,25 @@
                 outcomes.Exit.UNREACHABLE, [error.problem]
             )
         except KeyboardInterrupt:
-            return outcomes.Exit.OK
-        self._print(outcome, flags.json)
+            outcome = _interrupted(flags)
+        try:
+            self._print(outcome, flags.json)
+        except KeyboardInterrupt:
+            # What was found out counts, not that it was interrupted.
+            self._print(outcome, flags.json)
         return outcome.code
 
     def _print(self, outcome: outcomes.Outcome, as_json: bool) -> None:
+        try:
+            self._write(outcome, as_json)
+            self._stdout.flush()
+        except OSError:
+            # Nobody reads any more, and there is no other place to say so.
+            # The exit code is what is left to tell.
+            _drop(self._stdout)
+            _drop(self._stderr)
+
+    def _write(self, outcome: outcomes.Outcome, as_json: bool) -> None:
         if as_json:
             document = dict(outcome.document)
             if outcome.problems:
@@ -328,7 +344,10 @@
     def _append(
         self, log: log_state.LogState, record: object, line: str
     ) -> outcomes.Outcome:
-        appended = log.append(record)
+        try:
+            appended = log.append(record)
+        except KeyboardInterrupt:
+            return outcomes.failed(outcomes.Exit.NOT_KNOWN_YET, [_MAYBE])
         if isinstance(appended, Failure):
             return outcomes.failed(
                 outcomes.Exit.NOT_KNOWN_YET, [appended.failure()]
@@ -379,6 +398,31 @@
         )
 
 
+# A change that is made twice by these commands is the same as made once.
+_MAYBE = errors.Problem(
+    "command line",
+    "",
+    "interrupted, the change may have been taken in",
+    "see `status`, or run the command again",
+    errors.Kind.NOT_KNOWN_YET,
+)
+
+
+def _interrupted(flags: argparse.Namespace) -> outcomes.Outcome:
+    """Returns what is known of a command that had sent nothing yet."""
+    if flags.command == "status" and flags.watch:
+        # That is how a watch ends.
+        return outcomes.Outcome(outcomes.Exit.OK, {}, ())
+    problem = errors.Problem(
+        "command line",
+        flags.command,
+        "interrupted, nothing was changed",
+        "run it again",
+        errors.Kind.REFUSED,
+    )
+    return outcomes.failed(outcomes.Exit.PROBLEMS, [problem])
+
+
 def _nothing_to_do(reason: str) -> outcomes.Outcome:
     problem = errors.Problem(
         "command line",
@@ -403,7 +447,23 @@
     return timeline_forms.as_text(events)
 
 
+def _interrupt(_number: int, _frame: object) -> None:
+    """Makes a signal an interruption, once: the answer to it is told."""
+    for number in fleet_lib.STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+def _drop(stream: TextIO) -> None:
+    """Lets what is still to be written go nowhere."""
+    nowhere = os.open(os.devnull, os.O_WRONLY)
+    os.dup2(nowhere, stream.fileno())
+    os.close(nowhere)
+
+
 def main(environment: Mapping[str, str]) -> int:
     """Runs the command on the process's own streams."""
+    for number in fleet_lib.STOP_SIGNALS:
+        signal.signal(number, _interrupt)
     command = CommandLine(environment, sys.stdin, sys.stdout, sys.stderr)
     return command.run(sys.argv[1:])
--- a/sesamecross/operators/configuration.py
+++ b/sesamecross/operators/configuration.py
@@ -225,9 +225,28 @@
     say: Say,
 ) -> outcomes.Outcome:
     log = log_state.LogState.read(log_url)
+    try:
+        verdict = _verdict(log, tree, author, note, base, change_id, say)
+    except KeyboardInterrupt:
+        # The record may be on its way; the change id tells later.
+        verdict = None
+    if verdict is None:
+        return _not_known_yet(change_id, log_url)
+    return _verdict_outcome(verdict, fleet, say)
+
+
+def _verdict(
+    log: log_state.LogState,
+    tree: dict,
+    author: str,
+    note: str,
+    base: int | None,
+    change_id: str,
+    say: Say,
+) -> config_log.Verdict | None:
+    """Appends a change, once, and waits for the log's verdict on it."""
     config = log.state.config
-    known = config.state.verdicts.get(change_id)
-    if known is None:
+    if change_id not in config.state.verdicts:
         base_version = config.state.version if base is None else base
         base_tree = config.tree_at(base_version)
         if base_tree is None:
@@ -245,10 +264,7 @@
         appended = log.append(change)
         if isinstance(appended, Failure):
             say(str(appended.failure()))
-    verdict = _await_verdict(log, change_id)
-    if verdict is None:
-        return _not_known_yet(change_id, log_url)
-    return _verdict_outcome(verdict, fleet, say)
+    return _await_verdict(log, change_id)
 
 
 def _await_verdict(
@@ -295,7 +311,13 @@
             if fleet is None:
                 return outcomes.Outcome(outcomes.Exit.OK, document, (line,))
             say(line)
-            return _await_force(verdict.version, fleet, document, say)
+            try:
+                return _await_force(verdict.version, fleet, document, say)
+            except KeyboardInterrupt:
+                line += "; interrupted before it was seen in force everywhere"
+                return outcomes.Outcome(
+                    outcomes.Exit.PARTIAL, document, (line,)
+                )
         case config_log.Outcome.SUPERSEDED:
             code = outcomes.Exit.SUPERSEDED
             reason = f"is superseded by {verdict.by}"
--- a/sesamecross/operators/fleet.py
+++ b/sesamecross/operators/fleet.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import collections.abc
+import signal
+from typing import Any
 import uuid
 
 from sesamecross.core import clock as clock_lib
@@ -16,9 +18,23 @@
 from sesamecross.transport import streams
 
 ANSWER_S = 4.0
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 AT_ONCE = 50
 
 
+def _run(work: collections.abc.Coroutine) -> Any:
+    """Runs a coroutine to its end; a signal waits for that, `ANSWER_S` long.
+
+    One that interrupts an event loop while it is made, used or closed leaves
+    its parts to be destroyed with tracebacks.
+    """
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    try:
+        return asyncio.run(work)
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 class Fleet:
     """The stewards of a deployment, by instance."""
 
@@ -51,7 +67,7 @@
 
     def statuses(self) -> dict[str, messages.StatusReply | None]:
         """Returns each steward's status, None where it does not answer."""
-        return asyncio.run(
+        return _run(
             self._ask_all(lambda: messages.StatusRequest(uuid.uuid4().hex))
         )
 
@@ -59,7 +75,7 @@
         self, limit: int, call_id: str
     ) -> tuple[list[timeline.TimelineEvent], list[str]]:
         """Returns all events that can be had, and who is missing."""
-        replies = asyncio.run(
+        replies = _run(
             self._ask_all(
                 lambda: messages.EventsRequest(uuid.uuid4().hex, limit, call_id)
             )
--- a/sesamecross/operators/interruption_test.py
+++ b/sesamecross/operators/interruption_test.py
@@ -1,5 +1,6 @@
 """Tests of the operators' command when a signal interrupts it."""
 
+import io
 import os
 import pathlib
 import signal
@@ -11,6 +12,7 @@
 import pytest
 
 from sesamecross.fakes import log as log_lib
+from sesamecross.operators import command_line
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "namib"
 GUARD_S = 30
@@ -53,19 +55,22 @@
     one.server.shut_down()
 
 
-def start(log, arguments):
-    command = [sys.executable, "-m", "sesamecross.scripts.operator_cli"]
-    environment = {
+def environment(log):
+    return {
         "SESAMECROSS_LOG": f"http://{log.server.address}",
         "SESAMECROSS_SHARED_KEY": "0123456789abcdef",
     }
+
+
+def start(log, arguments):
+    command = [sys.executable, "-m", "sesamecross.scripts.operator_cli"]
     return subprocess.Popen(
         [*command, *arguments],
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         text=True,
-        env=os.environ | environment,
+        env=os.environ | environment(log),
     )
 
 
@@ -95,9 +100,13 @@
 
     An operator's interrupt ended `publish` with code 0, whatever had become
     of the change; a closed terminal ended it without a word. Whether the
-    record had gone to the log was known to the command alone.
+    record had gone to the log was known to the command alone. Each signal is
+    an interruption now, and what is known at that stage is the answer.
     """
-    assert start(log, PUBLISH).wait(GUARD_S) == 0
+    here = command_line.CommandLine(
+        environment(log), io.StringIO(), io.StringIO(), io.StringIO()
+    )
+    assert here.run(PUBLISH) == 0
     log.stage = stage
     command = start(log, arguments)
     assert log.reached.wait(GUARD_S)
@@ -112,7 +121,7 @@
     """An operator stopped waiting, and a script took the change for lost.
 
     The change was accepted; only whether it was in force everywhere was not
-    known yet.
+    known yet. A signal in the middle of the asking waits for its end.
     """
     with socket.create_server(("127.0.0.1", 0)) as silent:
         port = silent.getsockname()[1]
@@ -132,7 +141,8 @@
 def test_an_interruption_whose_reader_is_gone_keeps_its_code(log):
     """A closed terminal takes the command's output with it.
 
-    The exit code is all that a script has then.
+    The exit code is all that a script has then; a write that failed changed
+    it.
     """
     log.stage = "append"
     command = start(log, PUBLISH)
