A changed declaration forgets calls under way: failing tests

Callers met refusals (no-upstream) in the moment in which a change of an engine's declaration came into force, and afterwards an engine got more calls than its declared limit: the entry's count of its own calls there went to -2 after two calls that the change had found under way.

--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -238,3 +238,54 @@
         (action,) = one.submit(call(1), 0)
         chosen.add(action.upstream)
     assert len(chosen) > 1
+
+
+def end_finished(one, call_id):
+    one.finished(call_id, SEEN, True, 0)
+
+
+def end_failed(one, call_id):
+    one.failed(call_id, dispatch.NotRun(leaving=True), 0)
+
+
+def end_abandoned(one, call_id):
+    one.abandoned(call_id, 0)
+
+
+@pytest.mark.parametrize("end", [end_finished, end_failed, end_abandoned])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        [declared(["e1"], 3)],
+        [declared([]), declared(["e1"], 2)],
+    ],
+    ids=["limit changed", "removed and declared anew"],
+)
+def test_calls_under_way_stay_counted_where_they_are(changes, end):
+    """An engine got more calls than declared after a change of its limit.
+
+    The change replaced what the entry knew of the engine while calls were
+    under way there. Their ends were counted off the new record, which had
+    never counted them, so that it let that many too many in.
+    """
+    one = desk(["e1"], 2)
+    fill(one, 2)
+    for change in changes:
+        one.configure(change, 1)
+    for number in range(2):
+        end(one, f"call{number}")
+    state = one.upstreams["e1"]
+    assert (state.own, state.prefill_tokens) == (0, 0)
+
+
+def test_a_changed_declaration_refuses_no_call():
+    """Calls were refused while a new configuration came into force.
+
+    The change of a limit threw away what the engine had reported, so that no
+    upstream was known to hold the model until the view's reports were taken
+    in, a moment later.
+    """
+    one = desk(["e1"], 2)
+    one.configure(declared(["e1"], 3), 1)
+    (action,) = one.submit(call(1), 0)
+    assert isinstance(action, dispatch.Dispatch)
