A call stays counted where it is when declarations change

Callers were refused (no-upstream) in the moment in which a change of an engine's declaration came into force at an entry, and afterwards the engine got more calls at once than declared, as many as the change had found under way.

Cause: any change of a declaration, such as its limit, replaced the entry's whole record of the engine: its report, what had been learnt of its speed, and the count of open calls, whose ends were then counted off the new record. Mend: at the same address the record is kept and only its declaration changes; and a call holds on to the record that counted it, so that also after a removal and a new declaration no end is counted elsewhere.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -62,8 +62,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Open:
+    """A call that is waiting or dispatched.
+
+    Attributes:
+      state: Where the call is counted. A configuration may give its upstream
+        another record meanwhile, which has never counted it.
+    """
+
     call: routing.Call
     upstream: str = ""
+    state: routing.UpstreamState | None = None
     chosen: routing.Estimate | None = None
     attempts: int = 0
     in_prefill: bool = False
@@ -129,8 +137,13 @@
         for name, declared in engines.items():
             region = declarations.zones[declared.zone].region
             known = self.upstreams.get(name)
-            if known is None or known.declared != declared:
+            if known is None or known.declared.url != declared.url:
                 self.upstreams[name] = self._new_state(declared, region)
+                continue
+            # The same engine under other limits: what it reported and the
+            # calls that are open there stay known.
+            known.declared = declared
+            known.region = region
 
     def _new_state(
         self, declared: data.Upstream, region: str
@@ -246,6 +259,7 @@
             routing.home_of(one.call, self._holders(one.call.target)),
         )
         state = self.upstreams[chosen.upstream]
+        one.state = state
         state.own += 1
         state.prefill_tokens += chosen.uncached_tokens
         one.in_prefill = True
@@ -282,13 +296,11 @@
           now_ms: Monotonic time.
         """
         one = self._open.pop(call_id, None)
-        if one is None or not one.upstream:
+        if one is None or one.state is None:
             return []
-        state = self.upstreams.get(one.upstream)
-        if state is not None:
-            self._leave_prefill(one)
-            self._learn(state, one, seen, complete)
-            state.own -= 1
+        self._leave_prefill(one)
+        self._learn(one.state, one, seen, complete)
+        one.state.own -= 1
         if complete:
             self.budget.succeeded()
         return self._drain_queue(now_ms)
@@ -321,7 +333,7 @@
             self._leave_prefill(one)
 
     def _leave_prefill(self, one: _Open) -> None:
-        state = self.upstreams.get(one.upstream)
+        state = one.state
         if not one.in_prefill or state is None:
             return
         one.in_prefill = False
@@ -339,13 +351,14 @@
         one.excluded.add(one.upstream)
         one.last_failure = failure
         one.upstream = ""
+        one.state = None
         actions = [self._retry(one, failure, now_ms)]
         return actions + self._drain_queue(now_ms)
 
     def _note_failure(
         self, one: _Open, failure: FailureKind, now_ms: int
     ) -> None:
-        state = self.upstreams.get(one.upstream)
+        state = one.state
         if state is None:
             return
         self._leave_prefill(one)
@@ -388,9 +401,9 @@
         """The caller went away while its call waited."""
         self.queue.remove(call_id)
         one = self._open.pop(call_id, None)
-        if one is not None and one.upstream in self.upstreams:
+        if one is not None and one.state is not None:
             self._leave_prefill(one)
-            self.upstreams[one.upstream].own -= 1
+            one.state.own -= 1
         return self._drain_queue(now_ms)
 
     def tick(self, now_ms: int) -> list[Action]:
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -266,7 +266,8 @@
 
     The change replaced what the entry knew of the engine while calls were
     under way there. Their ends were counted off the new record, which had
-    never counted them, so that it let that many too many in.
+    never counted them, so that it let that many too many in. A call holds on
+    to the record that counted it.
     """
     one = desk(["e1"], 2)
     fill(one, 2)
@@ -283,7 +284,7 @@
 
     The change of a limit threw away what the engine had reported, so that no
     upstream was known to hold the model until the view's reports were taken
-    in, a moment later.
+    in, a moment later. At the same address it is the same engine.
     """
     one = desk(["e1"], 2)
     one.configure(declared(["e1"], 3), 1)
