A call outlives a change of its service's upstreams

A caller's order that was under way while a configuration removed or replaced the upstreams of its service was answered by a bare error, and its key stayed in progress, as the won claim was never settled.

Cause: the service was looked up when the request's head came, its upstreams in the declarations in force at the attempt; the time between holds the body, the claim and earlier attempts. A name that was gone raised KeyError. Mend: each attempt asks the newest declaration of the service, and names that are not declared are passed over; where none is left the call is refused as not run and its claim is settled so.

--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -134,9 +134,13 @@
           The outcome, and the upstream's name where it failed there.
         """
         known = self._state.known
+        # The service may have been declared anew since the call came.
+        service = known.declarations.services.get(
+            request.service.name, request.service
+        )
         with self._lock:
             upstream = self._router.choose(
-                request.service,
+                service,
                 known.declarations.upstreams,
                 known.draining,
                 excluded,
--- a/sesamecross/entry/service_call_test.py
+++ b/sesamecross/entry/service_call_test.py
@@ -76,7 +76,8 @@
 
     Its claim had just been won when a configuration removed the upstream that
     the service had when the order arrived. The choice stumbled over the name,
-    and the error left the claim unsettled.
+    and the error left the claim unsettled. The newest declaration is asked
+    now, and names that it lacks are passed over.
     """
     recorder = timeline.Recorder("e", "z", clock.ManualClock(1000))
     state = state_lib.EntryState(recorder)
--- a/sesamecross/ops/service_routing.py
+++ b/sesamecross/ops/service_routing.py
@@ -48,11 +48,16 @@
         excluded: frozenset[str],
         now_ms: int,
     ) -> data.Upstream | None:
-        """Returns the upstream for one call, or None if there is none."""
+        """Returns the upstream for one call, or None if there is none.
+
+        A call may be older than the declarations, so a service may name
+        upstreams that are not declared any more.
+        """
         names = [
             name
             for name in service.upstreams
-            if name not in draining
+            if name in upstreams
+            and name not in draining
             and name not in excluded
             and self._breaker(name).allows(now_ms)
         ]
