A port that closes takes no more connections meanwhile

Callers that connected to an instance in the last moment of its planned stop were reset. Cause: the kernel accepts for as long as the listener is open, and between the last look at it and its closing other threads of the process may hold the interpreter for milliseconds. Mend: the listener's backlog goes to 0 before the last look, so the kernel answers nobody beyond one connection; who asks then asks again a second later and is refused, which says that nothing ran.

--- a/sesamecross/runtime/http_ending.py
+++ b/sesamecross/runtime/http_ending.py
@@ -73,6 +73,11 @@
         """Ends the loop, takes what waits, and closes the port."""
         super().stop()
         self._selector.unregister(self._listener.fileno())
+        # No room for more: who comes now asks the kernel again a second later
+        # and is refused then. Else callers that connect between the last
+        # `accept` and the `close` would be reset, in whose time other threads
+        # may hold the interpreter for milliseconds.
+        self._listener.listen(0)
         self._listener.setblocking(False)
         for _ in range(self.server.request_queue_size):
             connection = self._from_server_socket(self._listener)
--- a/sesamecross/runtime/http_server_test.py
+++ b/sesamecross/runtime/http_server_test.py
@@ -188,7 +188,7 @@
 
     Between the last look at the port and its closing other threads may hold
     the interpreter for milliseconds, and the kernel went on accepting: at
-    24 callers up to 18 were reset at one stop.
+    24 callers up to 18 were reset at one stop. It has no room for them now.
     """
     callers = []
     look = http_ending.Connections._from_server_socket
