A call with half an answer is said not to have run: a failing test

When all engines of a deployment were stopped by SIGTERM, three callers with some 9,000 bytes of their answers got a last event no-upstream with executed no: the last attempt had found a port closed, and only that attempt was asked. The test plays a broken attempt, then one that was not run; the refusal says no.

--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -290,3 +290,20 @@
     one.configure(declared(["e1"], 3), 1)
     (action,) = one.submit(call(1), 0)
     assert isinstance(action, dispatch.Dispatch)
+
+
+def test_a_call_that_began_somewhere_is_not_said_to_be_not_run():
+    """A caller with half an answer was told that its call had not run.
+
+    Its engine was stopped in the middle of the answer, and so were the
+    others: the next attempt found a port closed. Only that last attempt was
+    asked whether anything had run.
+    """
+    one = desk(["e1", "e2"], 4)
+    one.submit(call(1), 0)
+    (again,) = one.failed("call1", dispatch.Broken(), 0)
+    assert isinstance(again, dispatch.Dispatch)
+    for name in ("e1", "e2"):
+        one.report(report(name, leaving=True, sequence=2), 0)
+    (refused,) = one.failed("call1", dispatch.NotRun(), 0)
+    assert refused.refusal.executed is refusal.Executed.UNKNOWN
