A refusal counts every attempt of a call, not only the last

Callers whose engine was stopped in the middle of their answer, with no other to go on, were told no-upstream, executed no, though they held a part of the answer. Cause: the dispatcher kept the kind of the last failure alone, and the last attempt is often one that found a port closed. Mend: it keeps whether any attempt may have begun; the refusal is upstream-failed, executed unknown, then.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -65,6 +65,7 @@
     """A call that is waiting or dispatched.
 
     Attributes:
+      may_have_run: Whether any of its attempts may have begun.
       state: Where the call is counted. A configuration may give its upstream
         another record meanwhile, which has never counted it.
     """
@@ -76,7 +77,7 @@
     attempts: int = 0
     in_prefill: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
-    last_failure: FailureKind | None = None
+    may_have_run: bool = False
 
 
 class Dispatcher:
@@ -221,7 +222,7 @@
         ]
 
     def _no_server(self, one: _Open) -> refusal.Refusal:
-        if isinstance(one.last_failure, Broken):
+        if one.may_have_run:
             return refusal.upstream_failed(
                 refusal.Executed.UNKNOWN,
                 "Send the call again; model calls may be repeated",
@@ -349,7 +350,7 @@
             return []
         self._note_failure(one, failure, now_ms)
         one.excluded.add(one.upstream)
-        one.last_failure = failure
+        one.may_have_run |= isinstance(failure, Broken)
         one.upstream = ""
         one.state = None
         actions = [self._retry(one, failure, now_ms)]
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -297,7 +297,7 @@
 
     Its engine was stopped in the middle of the answer, and so were the
     others: the next attempt found a port closed. Only that last attempt was
-    asked whether anything had run.
+    asked whether anything had run; each attempt counts now.
     """
     one = desk(["e1", "e2"], 4)
     one.submit(call(1), 0)
