Failing test: an engine is told to hold nothing until it has reported

The giver of orders tells an empty place for an engine as soon as it sees it, before the first report; a request for a model that the engine's own entry lists is refused.

--- a/sesamecross/gateway/order_desk_test.py
+++ b/sesamecross/gateway/order_desk_test.py
@@ -152,6 +152,36 @@
     return asyncio.run(play())
 
 
+# What an engine's own entry lists, a target, and whether it answers there.
+LISTED = [
+    pytest.param(("a1",), "m", True, id="a model"),
+    pytest.param(("a1",), "m/a1", True, id="an adapter"),
+    pytest.param(("a1",), "m/a2", False, id="another adapter"),
+    pytest.param(None, "m", False, id="an empty engine"),
+]
+
+
+@pytest.mark.parametrize(("adapters", "target", "holds"), LISTED)
+def test_an_engine_that_has_not_reported_holds_what_its_entry_lists(
+    adapters, target, holds
+):
+    """A request for a model was refused, though an engine held it.
+
+    The engine had just registered, with the model in its entry. Whoever gives
+    orders had not yet got its first report, or could not reach it at all, and
+    told everybody that it held nothing. All instances believe that word more
+    than the engine's own, and told the caller to come back in some seconds.
+    """
+    models = ()
+    if adapters is not None:
+        models = (serving.HeldModel("m", frozenset(adapters)),)
+    entry = held("u0", "s", models=models)
+    # In `planned` no engine reports; its clock ends at 1018 s.
+    desk = planned({"s": SOUND}, [entry])
+    engine = desk._state.directory.get("u0").engine
+    assert engine.holds(entry, target, 1018.0) is holds
+
+
 ODD_SPECS = [
     pytest.param({"store_loads_per_s": 1e308}, id="a rate beyond numbers"),
     pytest.param({"store_loads_per_s": 1e18}, id="a rate beyond memory"),
