Nothing is told of an engine that has not reported to the giver of orders

Callers were refused with a time to come back of some seconds, though a freshly registered engine listed their model. The giver of orders told its books on the engine from the first moment on, when they were empty, and all instances believe that word more than the engine's entry; where it could not reach the engine, for as long as it held the lease. The same came after each change of holder, for engines that had accepted no order yet.

A place is told from the engine's first report on. Room, orders and certainty go by the books as before: nothing is added to them, so memory is overcommitted no sooner, and a model is withdrawn only where the books have it.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -160,6 +160,13 @@
         self._wake.set()
 
     def _tell(self, now_s: float) -> None:
+        """Tells what engines hold, of those that have reported.
+
+        The books on the others are empty. All instances believe what is told
+        more than an engine's own entry, and would refuse requests for models
+        that it lists. Of an engine that nothing is told of, its entry counts,
+        or what was told before this instance took the lease.
+        """
         places = [
             placement_teller.place_of(
                 desk.ledger,
@@ -168,6 +175,7 @@
                 now_s,
             )
             for instance_id, desk in self._desks.items()
+            if desk.ledger.is_heard
         ]
         self._teller.tell(places, self._lease.fence, now_s)
 
--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -31,6 +31,8 @@
         until their last request has ended, and takes no further order.
       is_certain: Whether all that it may hold is known: a load ordered by
         somebody else shows in no list until it is complete.
+      is_heard: Whether the engine has reported to these books yet. Until then
+        they are empty, whatever it holds.
       settled_s: Until when nothing that it says of itself is believed.
       loaded_s: When models and adapters were last loaded, by target.
       last_entry: The engine's own entry that was last taken in.
@@ -45,6 +47,7 @@
     departing: set[str] = dataclasses.field(default_factory=set)
     copies: serving.WeightCopies = serving.WeightCopies()
     is_certain: bool = False
+    is_heard: bool = False
     settled_s: float = 0.0
     loaded_s: dict[str, float] = dataclasses.field(default_factory=dict)
     last_entry: serving.Upstream | None = None
@@ -110,6 +113,7 @@
         self.copies = report.copies
         if report.orders < self.orders:
             return
+        self.is_heard = True
         listed = engine_state.targets_of(report.models)
         if report.orders > self.orders:
             self._adopt(report, listed, now_s)
--- a/sesamecross/ops/fleet/engine_ledger_test.py
+++ b/sesamecross/ops/fleet/engine_ledger_test.py
@@ -71,6 +71,29 @@
     assert ledger.used_mb(spec()) == SIZES["large"]
 
 
+@pytest.mark.parametrize(
+    ("told", "is_heard"),
+    [
+        (None, False),
+        # Another life has the address: nothing is known of this one.
+        (report(born=9, models=["other"]), False),
+        (report(models=["small"]), True),
+        # What it holds besides what is under way is known.
+        (report(is_busy=True, models=["small"]), True),
+        (report(orders=3, is_busy=True, models=["small"]), True),
+    ],
+)
+def test_an_engine_is_heard_once_it_has_reported(told, is_heard):
+    """What an entry lists is no report: it counts neither way."""
+    ledger = engine_ledger.EngineLedger("e", 1)
+    listed = (serving.HeldModel("large"),)
+    ledger.entry(serving.Upstream("e", "s", "a:1", "z", 8, False, 1, listed))
+    if told is not None:
+        ledger.report(told, asked_s=1.0, now_s=1.1)
+    assert ledger.is_heard is is_heard
+    assert ledger.models == ({"small"} if is_heard else set())
+
+
 @pytest.mark.parametrize(
     ("told", "certain", "models"),
     [
