Failing test: a model's route without targets answers 500

A configuration may hold a route without targets (no service, or weights of nothing). Requests for models there end with an IndexError and a 500, which promises nothing; plain requests get a 503 with a time to come back.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -770,6 +770,35 @@
     assert asyncio.run(play()) == (503, [])
 
 
+@pytest.mark.parametrize("path", ["/model/", "/plain/"])
+def test_a_route_without_targets_is_refused_with_a_time(path):
+    """Callers of a model's route that goes nowhere got a 500.
+
+    Operators had declared a route without service, or with weights of nothing.
+    The demand for a model is counted for the first target's service, and
+    there was none: an IndexError. A 500 promises nothing, so callers did not
+    try again what must run once, though it had run nowhere.
+    """
+
+    async def play():
+        async with playing() as played:
+            routes = tuple(
+                dataclasses.replace(one, targets=())
+                for one in CONFIGURATION.routes
+            )
+            newer = dataclasses.replace(CONFIGURATION, version=2, routes=routes)
+            played.app.state.offer(newer)
+            caller = await played.connect()
+            caller.ask(path, "Model: m\r\nToken-Usage: 800,15\r\n")
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            return head, played.upstream.requests
+
+    head, requests = asyncio.run(play())
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: " in head.lower()
+    assert requests == []
+
+
 def test_a_connection_that_never_asks_ends_in_order():
     """A caller that connects in a stop and asks nothing sees a plain end."""
 
