A model's route without targets is refused with a time to come back

Callers of a model's route without targets got a 500: the demand is counted for the first target's service, there was none, and an IndexError ended the request. A 500 promises nothing, so unsafe requests were not repeated though they had run nowhere. The forwarder now refuses such a request with a 503 and the usual half second before any search, for plain routes as before; the target's lack is noted in the log. Routes with targets take the same way as before.

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -95,7 +95,7 @@
 
     @property
     def key(self) -> demand_lib.Key:
-        """The service and what is asked of it."""
+        """The service and what is asked of it; the route has a target."""
         return (self._route.targets[0].service, self._call.target)
 
     @property
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -274,6 +274,11 @@
             self._note = "stopping"
             self._back_s = 0.0
             return self._refuse(0.0)
+        if not self._route.targets:
+            # Operators declared no service, or weights of nothing: it has run
+            # nowhere, and may once they declare one.
+            self._note = "route without targets"
+            return self._refuse(self._back_s)
         waits_s = self._route.timeout_s
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
