Failing test: a lease that is given back is taken again by its giver

While a stopping holder waits for the store's answer to the release, its steps go on: they find the lease free and take it once more, before or after the release lands, or a renewal's late answer makes it the holder again.

--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -12,6 +13,7 @@
 from sesamecross.ops.fleet import lease as lease_lib
 from sesamecross.platform import program
 from sesamecross.platform import settings
+from sesamecross.ports import store
 
 INSTANCE = serving.Instance(
     "front-1",
@@ -99,3 +101,131 @@
     in a way that the decoder did not expect.
     """
     assert lease_keeper._decode(damaged, 5) is None
+
+
+class _Topic:
+    """The lease's topic on a store that answers as the test says.
+
+    It stands for the client and for the proxy alike.
+
+    Attributes:
+      now_s: The clock that counts suspension.
+      writes: Appends that took effect, of the lease and of its release.
+      is_slow: Whether a renewal's answer waits for `answers`.
+      release: How an append without condition, the release, is carried out.
+    """
+
+    def __init__(self, release) -> None:
+        self.now_s = START_S
+        self.writes: list[lease_keeper._LeaseRecord] = []
+        self.is_slow = False
+        self.answers = asyncio.Event()
+        self.release = release
+
+    def take(self, value: bytes) -> store.Appended:
+        self.writes.append(
+            msgspec.msgpack.decode(value, type=lease_keeper._LeaseRecord)
+        )
+        return store.Appended(len(self.writes) - 1)
+
+    async def newest(self, *_) -> store.Newest:
+        records = ()
+        if self.writes:
+            value = msgspec.msgpack.encode(self.writes[-1])
+            at = len(self.writes) - 1
+            records = (store.KeyedRecord(lease_keeper.LEASE_KEY, value, at),)
+        return store.Newest(records, False, len(self.writes))
+
+    async def append(
+        self, topic: str, key: str, value: bytes, at: int | None
+    ) -> store.AppendOutcome:
+        if at is None:
+            return await self.release(self, value)
+        if at != len(self.writes):
+            return store.Conflict(len(self.writes))
+        answer = self.take(value)
+        if self.is_slow:
+            await self.answers.wait()
+        return answer
+
+    async def let_pass(self, steps: int) -> None:
+        """Lets the keeper take steps, a tenth of a second each."""
+        for _ in range(steps):
+            self.now_s += 0.1
+            for _ in range(5):
+                await asyncio.sleep(0)
+
+
+async def lands_late(topic: _Topic, value: bytes) -> store.AppendOutcome:
+    await topic.let_pass(14)
+    return topic.take(value)
+
+
+async def is_answered_late(topic: _Topic, value: bytes) -> store.AppendOutcome:
+    answer = topic.take(value)
+    await topic.let_pass(14)
+    return answer
+
+
+async def comes_before_the_renewals_answer(
+    topic: _Topic, value: bytes
+) -> store.AppendOutcome:
+    answer = topic.take(value)
+    topic.answers.set()
+    await topic.let_pass(14)
+    return answer
+
+
+def keeper_at(topic: _Topic, monkeypatch) -> lease_keeper.LeaseKeeper:
+    """Returns a keeper of an instance that the others know."""
+    gateway = app.GatewayApp.from_config(
+        INSTANCE, program.adapter(), settings.SettingsFile("")
+    )
+    gateway.components()
+    gateway.mesh.join(ME, b"secret", ())
+    keeper = gateway.lease
+    keeper._client = keeper._proxy = topic
+    monkeypatch.setattr(lease_keeper, "suspended_clock", lambda: topic.now_s)
+    monkeypatch.setattr(lease_keeper, "STEP_S", 0)
+    return keeper
+
+
+@pytest.mark.parametrize(
+    ("release", "is_renewing"),
+    [
+        (lands_late, False),
+        (is_answered_late, False),
+        (comes_before_the_renewals_answer, True),
+    ],
+)
+def test_a_lease_that_is_given_back_is_not_taken_again(
+    monkeypatch, release, is_renewing
+):
+    """After a planned stop of the holder nobody gave orders for seconds.
+
+    The holder gave the lease back, and the store took long to answer. Until
+    it did, the holder's own steps went on: they found the lease free, and
+    took it once more, or a renewal's late answer made it the holder again.
+    Its process ended then, and the others waited for a holder that was gone.
+    """
+
+    async def play():
+        topic = _Topic(release)
+        keeper = keeper_at(topic, monkeypatch)
+        running = asyncio.create_task(keeper.run())
+        while not keeper.holds:
+            await topic.let_pass(1)
+        if is_renewing:
+            topic.is_slow = True
+            taken = len(topic.writes)
+            while len(topic.writes) == taken:
+                await topic.let_pass(1)
+        before = len(topic.writes)
+        await keeper.stop()
+        assert not running.done()
+        running.cancel()
+        return topic.writes[before:], keeper.holds
+
+    written, holds = asyncio.run(play())
+    assert [record.is_released for record in written] == [True]
+    assert not holds
