Who gives the lease back takes it no more

After a planned stop of the holder requests for models that were not loaded were refused for seconds longer than need be: the stopping holder waited for the store's answer to the release, up to 1.5 s, and its steps went on meanwhile. Its own lease is free to itself at once, so it looked, and wrote it anew about 0.4 s later; the others then counted 4 s and the gap from a record of a process that was gone. A renewal whose answer came late did the same. No orders left, as these stop first; two never ordered at once.

The lease's machine is over once it gave the lease back: it takes no step, and neither reads nor late answers make it the holder again. A renewal that is still under way has a condition on the topic's end, so it lands before the release or not at all.

--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -96,6 +96,7 @@
         "_fence",
         "_valid_s",
         "_first_order_s",
+        "_is_over",
     )
 
     def __init__(self, name: str, incarnation: int, gap_s: float, now_s: float):
@@ -120,6 +121,10 @@
         self._fence: int | None = None
         self._valid_s = 0.0
         self._first_order_s = 0.0
+        # Given back: this life of the instance takes the lease no more. Its
+        # process waits for the store's answer and ends; a lease that it took
+        # meanwhile would bind the others to a holder that is gone.
+        self._is_over = False
 
     @property
     def record(self) -> Record | None:
@@ -154,6 +159,8 @@
           holder_heard: Whether the others hear the holder, and it says that
             its lease is good.
         """
+        if self._is_over:
+            return Rest()
         if self._fence is not None and now_s >= self._valid_s:
             # Not renewed in time: somebody else may hold it by now.
             self._fence = None
@@ -234,6 +241,8 @@
           end: Where the topic ends.
           now_s: When the answer came, not when it was asked for.
         """
+        if self._is_over:
+            return
         self._must_look = False
         if record is None:
             record = Record("", 0, -1, -1, True)
@@ -256,6 +265,8 @@
 
     def written(self, offset: int) -> None:
         """The last write succeeded; `offset` is where the record stands."""
+        if self._is_over:
+            return
         fence = offset if self._fence is None else self._fence
         self._end = offset + 1
         record = Record(self._name, self._incarnation, offset, fence, False)
@@ -286,7 +297,8 @@
             self._gone_s = now_s
 
     def released(self, offset: int) -> None:
-        """The lease was given back; no order follows."""
+        """The lease was given back; no order and no write follows."""
+        self._is_over = True
         self._record = Record(
             self._name, self._incarnation, offset, self.fence, True
         )
