Failing test: nobody hears that the holder gave the lease back

The stopping holder only notes the release for its next report, and the mesh, which tells every tenth of a second, is stopped right after it. The instances that would take the lease go on to rest on what they heard of the holder.

--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -229,3 +229,67 @@
     written, holds = asyncio.run(play())
     assert [record.is_released for record in written] == [True]
     assert not holds
+
+
+class _Transport:
+    """Keeps the datagrams by address."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, list[bytes]] = {}
+
+    def is_closing(self) -> bool:
+        return False
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        host, port = address
+        self.sent.setdefault(f"{host}:{port}", []).append(data)
+
+
+async def is_refused(*_) -> store.AppendOutcome:
+    return store.NotDone("turned away")
+
+
+@pytest.mark.parametrize("release", [is_answered_late, is_refused])
+@pytest.mark.parametrize("others", [1, lease_keeper.CANDIDATES])
+def test_the_next_in_line_hear_that_the_lease_was_given_back(
+    monkeypatch, release, others
+):
+    """After a planned stop of the holder nobody gave orders for seconds.
+
+    It noted that the lease was given back, for its next report to say so. The
+    mesh tells every tenth of a second, and was stopped before. The others
+    went on to rest, as they had heard that the lease was good for seconds.
+    """
+    members = [
+        fm.Member(f"front-{i}", 7, "z1", f"127.0.0.1:740{i}", -1, -1)
+        for i in range(2, 2 + others)
+    ]
+
+    async def play():
+        monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: START_S)
+        topic = _Topic(release)
+        keeper = keeper_at(topic, monkeypatch)
+        mesh = keeper._mesh
+        mesh.transport = _Transport()
+        for member in members:
+            mesh.roster.heard(member, START_S)
+        running = asyncio.create_task(keeper.run())
+        while not keeper.holds:
+            await topic.let_pass(1)
+        await topic.let_pass(1)
+        peers = []
+        for member in members:
+            peer = keeper_at(topic, monkeypatch)
+            peer._mesh.join(member, b"secret", (ME,))
+            peer._mesh.roster.heard(ME, START_S)
+            peer._mesh.note_lease(mesh.lease, START_S)
+            assert peer._holder_heard()
+            peers.append(peer)
+        await keeper.stop()
+        running.cancel()
+        for member, peer in zip(members, peers, strict=True):
+            for data in mesh.transport.sent.get(member.address, []):
+                peer._mesh.received(data)
+        return [peer._holder_heard() for peer in peers]
+
+    assert asyncio.run(play()) == [False] * others
