A holder that stops tells the next in line that the lease is free

Requests for models were refused for seconds after each planned stop of the holder: the release stood on the store, but was noted only for the next report, and the mesh was stopped before it. The others rested on the lease that they had last heard of (up to 3.5 s), or, where they saw the process end, for the 2 s in which its machine may return, before they looked at the store at all.

The release is sent at once, in a datagram of its own, to the three instances that are next in line; their reports tell the rest. It leaves after the store's answer, as before: who looks too early finds a held lease and counts 4 s from there. It only ends their rest: taking the lease goes by the store's record and its gap as before, so that no two hold. Where the store refused the release it is told as well; the lookers then wait as for any holder.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -244,7 +244,22 @@
     upstream: str
 
 
-Message = Report | Summary | View | Placement | Want | Ask | Grant | Read
+class Released(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=9
+):
+    """The holder gave the lease back: to those who may take it next.
+
+    Its process ends at once, so that no report would leave in time.
+    """
+
+    me: Member
+    number: int
+    lease: LeaseNews
+
+
+Message = (
+    Report | Summary | View | Placement | Want | Ask | Grant | Read | Released
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -140,7 +140,9 @@
                     self._topic, LEASE_KEY, value, at=None
                 )
         self._log.info("given back", fence=fence, outcome=str(outcome))
-        self._mesh.note_release()
+        # Not before the store has it: who looks too early finds a lease that
+        # is still held, and waits until it would have run out.
+        self._mesh.tell_release(self._next_in_line())
 
     async def _step(self) -> None:
         now_s = suspended_clock()
@@ -162,6 +164,13 @@
         order = rendezvous.top("lease", [*names, me], len(names) + 1)
         return order.index(me)
 
+    def _next_in_line(self) -> list[fm.Member]:
+        """Returns who takes the lease once this instance is gone."""
+        now_s = asyncio.get_running_loop().time()
+        alive = {one.name: one for one in self._mesh.roster.alive(now_s)}
+        names = rendezvous.top("lease", alive, CANDIDATES)
+        return [alive[name] for name in names]
+
     def _holder_heard(self) -> bool:
         lease = self._mesh.lease
         roster = self._mesh.roster
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import hashlib
 import hmac
 
@@ -427,15 +428,25 @@
         """Returns the lease as this instance knows it."""
         return self._lease_news(now_s)
 
-    def note_release(self) -> None:
-        """The own lease was given back."""
+    def tell_release(self, members: Iterable[fm.Member]) -> None:
+        """The own lease was given back.
+
+        Args:
+          members: Who may take it next. They are told at once: this port is
+            closed before the next report is due, and until they hear of it
+            they rest, as the holder's last word was that it holds.
+        """
         now_s = asyncio.get_running_loop().time()
         lease = self.lease
-        if lease is not None and lease.holder == self.roster.me.name:
-            released = fm.LeaseNews(
-                lease.holder, lease.incarnation, lease.fence, RELEASED_S
-            )
-            self.note_lease(released, now_s)
+        if lease is None or lease.holder != self.roster.me.name:
+            return
+        released = fm.LeaseNews(
+            lease.holder, lease.incarnation, lease.fence, RELEASED_S
+        )
+        self.note_lease(released, now_s)
+        message = fm.Released(self.me, self.next_number(), released)
+        for member in members:
+            self.send(message, member)
 
     def note_lease(self, lease: fm.LeaseNews, now_s: float) -> None:
         """Takes in news of the lease, if they are newer."""
@@ -486,6 +497,8 @@
                 if self._is_hub(now_s):
                     self._pass_on(data, message.me.name, now_s)
                 self._tell_listeners(message)
+            case fm.Released(lease=lease):
+                self._hear_lease(lease, now_s)
             case fm.Want() | fm.Ask() | fm.Grant() | fm.Read():
                 self._tell_listeners(message)
 
