Failing tests: who waits for a turn hears nothing when its giver stops

An instance that gives the turns at an engine answers an ask with a word that it was heard, and stops without another. The asker waits out its patience and is refused, though the engine has room.

--- /dev/null
+++ b/sesamecross/gateway/pacing_test.py
@@ -0,0 +1,160 @@
+"""Tests of turns at an engine while the instance that gives them stops."""
+
+import asyncio
+import types
+
+import pytest
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.gateway import pacing as pacing_lib
+from sesamecross.ops.fleet import roster as roster_lib
+from sesamecross.utils import rendezvous
+
+NOW_S = 100.0
+NAMES = ["i1", "i2", "i3"]
+# An engine that `i1` paces, and `i2` once `i1` is gone.
+ENGINE = next(
+    name
+    for name in (f"e{number}" for number in range(1000))
+    if rendezvous.top(f"pacer/{name}", NAMES, 2) == ["i1", "i2"]
+)
+
+
+class _Mesh:
+    """Hands messages to the others at once."""
+
+    def __init__(self, name: str, net: dict[str, "_Mesh"]):
+        self.me = fm.Member(name, 7, "z1", "127.0.0.1:7380", 0, 0)
+        self.roster = roster_lib.Roster(self.me, NOW_S)
+        self.transport = object()
+        self._net = net
+        self._listeners = []
+        self._number = 0
+        net[name] = self
+
+    def listen(self, listener) -> None:
+        self._listeners.append(listener)
+
+    def next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def send(self, message: fm.Message, member: fm.Member) -> None:
+        for listener in self._net[member.name]._listeners:
+            listener(message)
+
+
+class _Fleet:
+    """Three instances and one engine, whose batch is full at first."""
+
+    def __init__(self, slots: int) -> None:
+        entry = types.SimpleNamespace(
+            instance_id=ENGINE, zone="z1", slots=slots
+        )
+        self.engine = types.SimpleNamespace(entry=entry, running=slots)
+        state = types.SimpleNamespace(
+            directory={ENGINE: self.engine},
+            place=types.SimpleNamespace(
+                regions={"z1": "r1"}, distance_s=lambda _: 0.0
+            ),
+        )
+        net: dict[str, _Mesh] = {}
+        meshes = [_Mesh(name, net) for name in NAMES]
+        for mesh in meshes:
+            for other in meshes:
+                mesh.roster.heard(other.me, NOW_S)
+        self.of = {
+            mesh.me.name: pacing_lib.Pacing(state, mesh) for mesh in meshes
+        }
+
+    def ask(self, name: str, spare_s: float) -> asyncio.Task:
+        asked = self.of[name].ask(
+            self.engine, 100, NOW_S + spare_s, NOW_S + 1.7
+        )
+        return asyncio.create_task(asked)
+
+
+def play(work) -> object:
+    """Runs a test while its clock stands still: no wait runs out."""
+    loop = asyncio.new_event_loop()
+    loop.time = lambda: NOW_S
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        loop.close()
+
+
+async def settle() -> None:
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+# Who asks, and the time to spare of each ask; places; who may send at once.
+STOPS = [
+    pytest.param([("i2", 0.5)], 16, [0], id="the next one's own"),
+    pytest.param([("i3", 0.5)], 16, [0], id="a third one's"),
+    pytest.param([("i1", 0.5)], 16, [0], id="the stopping one's own"),
+    pytest.param(
+        [("i2", 0.9), ("i3", 0.2), ("i3", 0.6)], 2, [1], id="one place for many"
+    ),
+]
+
+
+@pytest.mark.parametrize(("asks", "slots", "sent"), STOPS)
+def test_who_waits_for_a_turn_asks_the_next_when_its_giver_stops(
+    asks, slots, sent
+):
+    """A request was held for 1.7 s and refused, though its engine had room.
+
+    It waited for a turn, and the instance that gives them had heard it. That
+    instance stopped and said nothing; nobody else was asked, as it had heard.
+    Not all that wait may go at once then: that would overfill the engine.
+    """
+
+    async def stop():
+        fleet = _Fleet(slots)
+        tasks = [fleet.ask(*one) for one in asks]
+        await settle()
+        assert not any(task.done() for task in tasks)
+        fleet.engine.running = 0
+        await fleet.of["i1"].stop()
+        await settle()
+        done = [i for i, task in enumerate(tasks) if task.done()]
+        permits = [tasks[i].result() for i in done]
+        for task in tasks:
+            task.cancel()
+        await settle()
+        return done, [(one.pacer, one.is_open) for one in permits]
+
+    # The next one gave the turns, by its own count.
+    assert play(stop()) == (sent, [("i2", True)] * len(sent))
+
+
+@pytest.mark.parametrize("asker", NAMES)
+def test_who_asks_an_instance_that_stops_asks_the_next(asker):
+    """Where its stop takes long it went on to give turns and keep waits."""
+
+    async def stop():
+        fleet = _Fleet(16)
+        await fleet.of["i1"].stop()
+        fleet.engine.running = 0
+        task = fleet.ask(asker, 0.5)
+        await settle()
+        assert task.done()
+        return task.result().pacer
+
+    assert play(stop()) == "i2"
+
+
+def test_where_all_stop_requests_go_without_a_turn():
+    async def stop():
+        fleet = _Fleet(16)
+        task = fleet.ask("i3", 0.5)
+        await settle()
+        for one in fleet.of.values():
+            await one.stop()
+        await settle()
+        assert task.done()
+        return task.result().is_open
+
+    assert play(stop()) is False
