An instance that stops sends those who wait for its turns to the next one

Requests were held for up to 1.7 s and refused with a time to come back, though their engine had room: they waited for a turn, the instance that gives the turns at that engine had said that it heard them, and it stopped without a further word. An ask that was heard is not repeated, and nobody else was asked.

A stopping instance now answers all that wait with a verdict of its own, in the order of their turns, and every later ask too until its port is closed; whoever gets it leaves that life of the instance out when it looks for who gives turns. They ask that one with their own time to spare instead of being let go: as many prompts at once as waited would overfill the batch. Instances that were started before this verdict existed drop it as unreadable and wait as they did.

What the next one can't know is which prompts were granted and not read yet; the batch's count of streams tells it some tenths of a second later, as at each change before.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -216,11 +216,13 @@
       WAIT: It was heard; another answer follows.
       SEND: The prompt may be sent now.
       REFUSE: Its turn will not come while its caller waits.
+      LEAVE: Who was asked stops, and gives no more turns: ask the next one.
     """
 
     WAIT = 0
     SEND = 1
     REFUSE = 2
+    LEAVE = 3
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=7):
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -48,6 +48,9 @@
         self._asked: dict[int, asyncio.Future[fm.Grant]] = {}
         # Asks that their pacer has heard and not granted yet.
         self._heard: set[int] = set()
+        # Instances that said that they stop, or this one, by name: which life.
+        # They count as alive for a second more, and would be asked in vain.
+        self._left: dict[str, int] = {}
         mesh.listen(self._on_message)
 
     async def run(self) -> None:
@@ -60,7 +63,25 @@
                     del self._pacers[upstream]
 
     async def stop(self) -> None:
-        """Who asked goes without an answer."""
+        """Tells all that wait here to ask whoever decides next.
+
+        They were told that they were heard, and would wait for nothing until
+        they are refused. They don't go without a turn: that many prompts at
+        once would make one long pause for every stream in the batch. They are
+        told in the order of their turns, and each bears its own time to spare,
+        so that the next one grants them in this order too.
+        """
+        if self._mesh.roster is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._note_left(self._mesh.me)
+        pacers, self._pacers = self._pacers, {}
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+        for pacer in pacers.values():
+            for name, number in pacer.waiting(now_s):
+                self._tell_leave(name, number)
 
     # -- asking --------------------------------------------------------
 
@@ -79,10 +100,28 @@
           due_s: Until when the request has to be sent to be on time.
           until_s: Until when waiting makes sense.
         """
+        while True:
+            pacer = self._pacer_of(known)
+            if pacer is None:
+                upstream = known.entry.instance_id
+                return Permit(upstream, 0, "", is_open=False)
+            answer = await self._ask_one(pacer, known, tokens, due_s, until_s)
+            if answer is not None:
+                return answer
+
+    async def _ask_one(
+        self,
+        pacer: str,
+        known: directory_lib.KnownUpstream,
+        tokens: int,
+        due_s: float,
+        until_s: float,
+    ) -> Permit | Refused | None:
+        """Asks one instance; None where it stops, and another is to be asked.
+
+        It is asked no more then, so that a search ends after all of them.
+        """
         upstream = known.entry.instance_id
-        pacer = self._pacer_of(known)
-        if pacer is None:
-            return Permit(upstream, 0, "", is_open=False)
         loop = asyncio.get_running_loop()
         number = self._mesh.next_number()
         permit = Permit(upstream, number, pacer)
@@ -111,9 +150,12 @@
         if not granted.done():
             self.read(permit)
             return Refused(pacer_lib.OVERLOAD_BACK_S)
-        if granted.result().verdict is fm.Verdict.REFUSE:
-            permit.is_open = False
-            return Refused(granted.result().after_s)
+        match granted.result():
+            case fm.Grant(verdict=fm.Verdict.REFUSE, after_s=after_s):
+                permit.is_open = False
+                return Refused(after_s)
+            case fm.Grant(verdict=fm.Verdict.LEAVE):
+                return None
         return permit
 
     def _pacer_of(self, known: directory_lib.KnownUpstream) -> str | None:
@@ -122,7 +164,13 @@
         if roster is None or self._mesh.transport is None:
             return None
         now_s = asyncio.get_running_loop().time()
-        members = [*roster.alive(now_s), roster.me]
+        members = [
+            member
+            for member in (*roster.alive(now_s), roster.me)
+            if not self._has_left(member)
+        ]
+        if not members:
+            return None
         zone = known.entry.zone
         regions = self._state.place.regions
         near = [member for member in members if member.zone == zone]
@@ -132,6 +180,12 @@
         names = [member.name for member in near or members]
         return rendezvous.top(f"pacer/{known.entry.instance_id}", names, 1)[0]
 
+    def _note_left(self, member: fm.Member) -> None:
+        self._left[member.name] = member.incarnation
+
+    def _has_left(self, member: fm.Member) -> bool:
+        return self._left.get(member.name) == member.incarnation
+
     def _send_ask(
         self, permit: Permit, tokens: int, due_s: float, until_s: float
     ) -> None:
@@ -173,7 +227,9 @@
                 if pacer is not None:
                     pacer.read((me.name, number))
                     self._grant(upstream)
-            case fm.Grant(number=number, verdict=verdict):
+            case fm.Grant(me=me, number=number, verdict=verdict):
+                if verdict is fm.Verdict.LEAVE:
+                    self._note_left(me)
                 asked = self._asked.get(number)
                 if asked is None or asked.done():
                     return
@@ -183,6 +239,10 @@
                     asked.set_result(message)
 
     def _on_ask(self, message: fm.Ask) -> None:
+        if self._has_left(self._mesh.me):
+            # The others' asks arrive until the port is closed.
+            self._tell_leave(message.me.name, message.number)
+            return
         now_s = asyncio.get_running_loop().time()
         upstream = message.upstream
         pacer = self._pacers.setdefault(upstream, pacer_lib.Pacer())
@@ -220,6 +280,9 @@
             self._send(fm.Grant(me, number, fm.Verdict.REFUSE, back_s), name)
         self._look_again(upstream)
 
+    def _tell_leave(self, name: str, number: int) -> None:
+        self._send(fm.Grant(self._mesh.me, number, fm.Verdict.LEAVE), name)
+
     def _look_again(self, upstream: str) -> None:
         """Looks at an engine's asks when the next one may go."""
         loop = asyncio.get_running_loop()
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -172,16 +172,23 @@
         if known is not None:
             self._unread -= known[0]
 
+    def waiting(self, now_s: float) -> tuple[Key, ...]:
+        """Returns who waits, in the order of their turns."""
+        return tuple(ask.key for ask in self._in_order(now_s))
+
+    def _in_order(self, now_s: float) -> list[_Ask]:
+        return sorted(
+            self._waiting.values(),
+            key=lambda ask: (ask.due_s < now_s, ask.due_s, ask.key),
+        )
+
     def grant(self, batch: Batch, now_s: float) -> Decisions:
         """Returns who may send now, and who may never."""
         self._forget(now_s)
         self._pass_time(now_s)
         granted = []
         places = self._places(batch, now_s)
-        order = sorted(
-            self._waiting.values(),
-            key=lambda ask: (ask.due_s < now_s, ask.due_s, ask.key),
-        )
+        order = self._in_order(now_s)
         for ask in order:
             if len(granted) >= places or not self._has_room(ask):
                 break
