Failing test: a late release takes the place of the next holder's lease

A stopping holder writes its release without a condition. Where the store carries it out seconds later it stands behind the next holder's record: others find the lease free while that one still gives orders. The topic that the other cases use now judges the condition of a release too; they pass as before.

--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -112,7 +112,7 @@
       now_s: The clock that counts suspension.
       writes: Appends that took effect, of the lease and of its release.
       is_slow: Whether a renewal's answer waits for `answers`.
-      release: How an append without condition, the release, is carried out.
+      release: How the release is carried out.
     """
 
     def __init__(self, release) -> None:
@@ -122,7 +122,9 @@
         self.answers = asyncio.Event()
         self.release = release
 
-    def take(self, value: bytes) -> store.Appended:
+    def take(self, value: bytes, at: int | None) -> store.AppendOutcome:
+        if at not in (None, len(self.writes)):
+            return store.Conflict(len(self.writes))
         self.writes.append(
             msgspec.msgpack.decode(value, type=lease_keeper._LeaseRecord)
         )
@@ -139,11 +141,11 @@
     async def append(
         self, topic: str, key: str, value: bytes, at: int | None
     ) -> store.AppendOutcome:
-        if at is None:
-            return await self.release(self, value)
-        if at != len(self.writes):
-            return store.Conflict(len(self.writes))
-        answer = self.take(value)
+        if msgspec.msgpack.decode(
+            value, type=lease_keeper._LeaseRecord
+        ).is_released:
+            return await self.release(self, value, at)
+        answer = self.take(value, at)
         if self.is_slow:
             await self.answers.wait()
         return answer
@@ -156,21 +158,25 @@
                 await asyncio.sleep(0)
 
 
-async def lands_late(topic: _Topic, value: bytes) -> store.AppendOutcome:
+async def lands_late(
+    topic: _Topic, value: bytes, at: int | None
+) -> store.AppendOutcome:
     await topic.let_pass(14)
-    return topic.take(value)
+    return topic.take(value, at)
 
 
-async def is_answered_late(topic: _Topic, value: bytes) -> store.AppendOutcome:
-    answer = topic.take(value)
+async def is_answered_late(
+    topic: _Topic, value: bytes, at: int | None
+) -> store.AppendOutcome:
+    answer = topic.take(value, at)
     await topic.let_pass(14)
     return answer
 
 
 async def comes_before_the_renewals_answer(
-    topic: _Topic, value: bytes
+    topic: _Topic, value: bytes, at: int | None
 ) -> store.AppendOutcome:
-    answer = topic.take(value)
+    answer = topic.take(value, at)
     topic.answers.set()
     await topic.let_pass(14)
     return answer
@@ -231,6 +237,36 @@
     assert not holds
 
 
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_release_that_lands_after_the_next_holder_took_over_changes_nothing(
+    monkeypatch, is_answered
+):
+    """Two instances gave orders closer to each other than operators allow.
+
+    A holder stopped, and the store carried its release out seconds later, as
+    the next one held the lease. Whoever read the topic then found it free;
+    the next holder went on until its renewal failed.
+    """
+    other = lease_keeper._LeaseRecord("front-2", 5, 9, False)
+
+    async def lands_after_another(topic, value, at):
+        topic.writes.append(other)
+        answer = topic.take(value, at)
+        return answer if is_answered else store.Unknown("cut")
+
+    async def play():
+        topic = _Topic(lands_after_another)
+        keeper = keeper_at(topic, monkeypatch)
+        running = asyncio.create_task(keeper.run())
+        while not keeper.holds:
+            await topic.let_pass(1)
+        await keeper.stop()
+        running.cancel()
+        return topic.writes[-1]
+
+    assert asyncio.run(play()) == other
+
+
 class _Transport:
     """Keeps the datagrams by address."""
 
