A release is written only where the lease is still the own one

A stopping holder wrote its release without a condition. Carried out by the store seconds later, when the next one held the lease, it stood behind that one's record: a third one found the lease free and could order after the gap, while the holder went on until its next renewal failed, or up to 3.5 s where the store did not answer it.

The release now has a renewal's condition, the topic's end as last known. Where a renewal of its own has landed without its answer, the conflict is looked into once: if the newest record is this life's own lease, the release is written behind it, within the same time as before; otherwise it is left, and the others count the lease out.

--- a/sesamecross/gateway/lease_keeper.py
+++ b/sesamecross/gateway/lease_keeper.py
@@ -130,20 +130,46 @@
         me = self._mesh.roster.me
         fence = self.machine.fence
         record = _LeaseRecord(me.name, me.incarnation, fence, True)
-        self.machine.released(-1)
-        value = msgspec.msgpack.encode(record)
+        at = self.machine.released(-1)
         outcome = "no answer in time"
         # The call has left by then, and mostly takes effect all the same.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.release_s):
-                outcome = await self._client.append(
-                    self._topic, LEASE_KEY, value, at=None
-                )
+                outcome = await self._release(record, at)
         self._log.info("given back", fence=fence, outcome=str(outcome))
         # Not before the store has it: who looks too early finds a lease that
         # is still held, and waits until it would have run out.
         self._mesh.tell_release(self._next_in_line())
 
+    async def _release(
+        self, record: _LeaseRecord, at: int
+    ) -> store.AppendOutcome:
+        """Writes the release, only where the lease is still the own one.
+
+        The store may carry it out seconds later. Without a condition it would
+        stand behind the next holder's record, and a third one would find the
+        lease free while that one gives orders.
+        """
+        value = msgspec.msgpack.encode(record)
+        outcome = await self._client.append(self._topic, LEASE_KEY, value, at)
+        if not isinstance(outcome, store.Conflict):
+            return outcome
+        # Mostly a renewal of its own, whose answer had not come.
+        newest = await self._client.newest(self._topic, "")
+        if not isinstance(newest, store.Newest):
+            return outcome
+        found = _lease_in(newest)
+        if found is None or found.is_released:
+            return outcome
+        if (found.holder, found.incarnation) != (
+            record.holder,
+            record.incarnation,
+        ):
+            return outcome
+        return await self._client.append(
+            self._topic, LEASE_KEY, value, newest.end
+        )
+
     async def _step(self) -> None:
         now_s = suspended_clock()
         heard = self._holder_heard()
@@ -208,11 +234,7 @@
         outcome = await self._proxy.newest(self._topic)
         if not isinstance(outcome, store.Newest):
             return
-        record = None
-        for one in outcome.records:
-            if one.key == LEASE_KEY and one.value is not None:
-                record = _decode(one.value, one.offset)
-        self.machine.read(record, outcome.end, suspended_clock())
+        self.machine.read(_lease_in(outcome), outcome.end, suspended_clock())
 
     async def _write(self, at: int, fence: int) -> None:
         me = self._mesh.roster.me
@@ -246,6 +268,14 @@
             self._mesh.note_lease(news, asyncio.get_running_loop().time())
 
 
+def _lease_in(newest: store.Newest) -> lease_lib.Record | None:
+    record = None
+    for one in newest.records:
+        if one.key == LEASE_KEY and one.value is not None:
+            record = _decode(one.value, one.offset)
+    return record
+
+
 def _decode(value: bytes, offset: int) -> lease_lib.Record | None:
     try:
         wire = msgspec.msgpack.decode(value, type=_LeaseRecord)
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -296,11 +296,17 @@
             self._gone = (holder, incarnation)
             self._gone_s = now_s
 
-    def released(self, offset: int) -> None:
-        """The lease was given back; no order and no write follows."""
+    def released(self, offset: int) -> int:
+        """The lease is given back; no order and no other write follows.
+
+        Returns:
+          Where the topic ends, as far as is known: the release is written
+          only if it ends there.
+        """
         self._is_over = True
         self._record = Record(
             self._name, self._incarnation, offset, self.fence, True
         )
         self._fence = None
         self._valid_s = 0.0
+        return self._end
