--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -216,11 +216,13 @@
       WAIT: It was heard; another answer follows.
       SEND: The prompt may be sent now.
       REFUSE: Its turn will not come while its caller waits.
+      LEAVE: Who was asked stops, and gives no more turns: ask the next one.
     """
 
     WAIT = 0
     SEND = 1
     REFUSE = 2
+    LEAVE = 3
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=7):
@@ -244,7 +246,22 @@
     upstream: str
 
 
-Message = Report | Summary | View | Placement | Want | Ask | Grant | Read
+class Released(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=9
+):
+    """The holder gave the lease back: to those who may take it next.
+
+    Its process ends at once, so that no report would leave in time.
+    """
+
+    me: Member
+    number: int
+    lease: LeaseNews
+
+
+Message = (
+    Report | Summary | View | Placement | Want | Ask | Grant | Read | Released
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
