Failing tests: a process hears no signal that its parent had blocked

Cause: a process inherits the mask of blocked signals. The inbox sets handlers and leaves the mask, so that the system never calls them: neither SIGHUP nor SIGTERM is heard, and the stop ends with the kill.

Change: a table over all programs, with signals blocked and with signals ignored by whoever starts them.

--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -4,11 +4,13 @@
 `signal_player.py`. No upstream, store or peer answers.
 """
 
+from collections.abc import Callable
 import dataclasses
 import itertools
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -16,6 +18,7 @@
 import tomli_w
 
 from sesamecross.runtime import application
+from sesamecross.runtime import signals
 
 PLAYER = pathlib.Path(__file__).with_name("signal_player.py")
 # The longest that a run may take before it counts as hung; they take 0.2 to
@@ -126,11 +129,13 @@
     work: pathlib.Path,
     plan: dict[str, list[str]],
     drains: bool = False,
+    before: Callable[[], object] | None = None,
 ) -> _Played:
     """Runs a program with signals at given ages.
 
     Args:
       drains: Whether the program's own drain runs when it is asked to stop.
+      before: What whoever starts the program does to its process first.
     """
     flags, variables = PROGRAMS[program](_own_ip(), work)
     run = subprocess.run(
@@ -148,6 +153,7 @@
         text=True,
         timeout=HUNG_S,
         check=False,
+        preexec_fn=before,
     )
     for age, names in plan.items():
         for name in names:
@@ -200,6 +206,32 @@
     assert played.lines(STOPPED)[0]["code"] == application.EXIT_OK
 
 
+def _block_signals() -> None:
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals.PLANNED)
+
+
+def _ignore_signals() -> None:
+    for number in signals.PLANNED:
+        signal.signal(number, signal.SIG_IGN)
+
+
+@pytest.mark.parametrize("before", [_block_signals, _ignore_signals])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_signals_are_heard_whatever_the_parent_did(program, before, tmp_path):
+    """A process heard neither new settings nor its stop, and was killed.
+
+    Whoever had started it kept signals from itself meanwhile, and a process
+    inherits which signals are blocked. Its handlers were set, but the system
+    never called them: the stop waited until the grace was over, and the kill
+    cut off what was open.
+    """
+    plan = {"import": ["SIGHUP"], "running": ["SIGTERM"]}
+    played = _play(program, tmp_path, plan, before=before)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(RELOAD)
+    assert played.lines(STOP)
+
+
 @pytest.mark.parametrize("first", ["SIGTERM", "SIGINT"])
 def test_a_gateway_drains_whoever_asks_again(first, tmp_path):
     """A second request to stop cut off the answers that a gateway relayed.
