Signals that a parent had blocked are heard

Cause: handlers alone do not lift the mask that a process inherits.

Change: the inbox unblocks the planned signals once their handlers are set.

--- a/sesamecross/runtime/signals.py
+++ b/sesamecross/runtime/signals.py
@@ -51,6 +51,9 @@
             signal.signal(number, inbox._on_signal)
             # Calls that are under way in libraries go on.
             signal.siginterrupt(number, False)
+        # A process inherits what its parent had blocked; blocked signals wait
+        # for ever, and a stop would end with the kill.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, PLANNED)
         return inbox
 
     @property
