Failing tests: unread logs lose a stop; nohup, pipes and huge settings files

Cause, by test: - Entry, steward and the stand-ins log to standard error by blocking writes. The line that tells of a stop is written before the stop is begun. Where its reader is gone the write raises in the loop's callback; where it stands still it never returns. Either way the stop is lost.

--- a/sesamecross/operators/interruption_test.py
+++ b/sesamecross/operators/interruption_test.py
@@ -62,7 +62,7 @@
     }
 
 
-def start(log, arguments):
+def start(log, arguments, before=None):
     command = [sys.executable, "-m", "sesamecross.scripts.operator_cli"]
     return subprocess.Popen(
         [*command, *arguments],
@@ -71,6 +71,7 @@
         stderr=subprocess.STDOUT,
         text=True,
         env=os.environ | environment(log),
+        preexec_fn=before,
     )
 
 
@@ -150,3 +151,24 @@
     command.stdout.close()
     command.send_signal(signal.SIGHUP)
     assert command.wait(GUARD_S) == 4
+
+
+def ignore_hang_ups():
+    """Does what `nohup` does."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def test_a_command_under_nohup_outlives_its_terminal(log):
+    """A publish that was to go on without its terminal was interrupted.
+
+    An operator started it with `nohup` and closed the terminal. The command
+    took the signal back that `nohup` had set to be ignored, and ended with
+    the verdict unknown.
+    """
+    log.stage = "append"
+    command = start(log, PUBLISH, ignore_hang_ups)
+    assert log.reached.wait(GUARD_S)
+    command.send_signal(signal.SIGHUP)
+    log.release.set()
+    said, _ = command.communicate(timeout=GUARD_S)
+    assert (command.returncode, "accepted" in said) == (0, True), said
--- a/sesamecross/platform/settings_test.py
+++ b/sesamecross/platform/settings_test.py
@@ -1,11 +1,16 @@
 """Tests of the settings file: half written, wrong, or with odd values."""
 
+import os
+import threading
+
 import pytest
 from returns.result import Failure
 
 from sesamecross.core import errors
 from sesamecross.platform import settings
 
+# Only a guard against hanging; a read takes under a millisecond.
+HANG_S = 10.0
 WHOLE = """
 nodeName = "front-1"
 ip = "10.0.0.1"
@@ -135,3 +140,32 @@
     """An instance of a new zone did not start: the map of zones was older."""
     text = WHOLE.replace('z1 = "r1"', "").encode()
     assert load(tmp_path, text).unwrap().regions == {"z1": "r1", "z2": "r2"}
+
+
+def test_a_file_that_is_no_file_of_bytes_holds_nobody_up(tmp_path):
+    """An instance answered nobody, and heard no stop, for as long as it ran.
+
+    Where the settings file had been there was a pipe. Reading it waits for
+    who writes, in the thread that serves all callers and takes the signals.
+    """
+    path = tmp_path / "node.toml"
+    os.mkfifo(path)
+    read = []
+    thread = threading.Thread(
+        target=lambda: read.append(settings.load(str(path))), daemon=True
+    )
+    thread.start()
+    thread.join(HANG_S)
+    assert isinstance(read and read[0], Failure)
+
+
+def test_a_file_far_beyond_all_settings_is_a_problem(tmp_path):
+    """Callers waited for seconds, and a process went over its memory.
+
+    A file that is no settings file had got in their place. It was read whole
+    and parsed at under 2 MB a second, in the thread that serves all callers.
+    """
+    more = b"".join(b"x%d = 1\n" % number for number in range(100_000))
+    loaded = load(tmp_path, more + WHOLE.encode())
+    assert isinstance(loaded, Failure)
+    assert loaded.failure().kind is errors.Kind.UNREADABLE
--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -24,6 +25,9 @@
 # The longest that a run may take before it counts as hung; they take 0.2 to
 # 4 s.
 HUNG_S = 60.0
+# The longest that a stop may take before it counts as hung; they take 0.1 to
+# 4 s.
+STOPS_S = 15.0
 STARTED = "application: started"
 RELOAD = "application: reload requested"
 STOP = "application: stop requested"
@@ -294,3 +298,52 @@
     ]
     (stopped,) = played.lines(STOPPED)
     assert stopped["asked_by"] == "SIGTERM"
+
+
+def _is_gone(reader: int, _process: subprocess.Popen) -> None:
+    os.close(reader)
+
+
+def _stands_still(_reader: int, process: subprocess.Popen) -> None:
+    # A description of its own of the same pipe: the process's stays as it is.
+    flags = os.O_WRONLY | os.O_NONBLOCK
+    writer = os.open(f"/proc/{process.pid}/fd/2", flags)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"\n")
+    os.close(writer)
+
+
+@pytest.mark.parametrize("reader_ends", [_is_gone, _stands_still])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_stop_needs_nobody_who_reads_the_log(program, reader_ends, tmp_path):
+    """A process whose log nobody read did not stop, and was killed.
+
+    What collected the lines had ended, or stood still, before the stop. The
+    line that tells of the signal is written before the stop is begun: the
+    write failed, or never returned, and the stop was lost with it.
+    """
+    flags, variables = PROGRAMS[program](_own_ip(), tmp_path)
+    reader, writer = os.pipe()
+    process = subprocess.Popen(
+        [sys.executable, "-m", f"sesamecross.scripts.{program}", *flags],
+        env=os.environ | variables,
+        stdin=subprocess.DEVNULL,
+        stdout=writer,
+        stderr=writer,
+    )
+    os.close(writer)
+    try:
+        told = b""
+        while STARTED.encode() not in told:
+            piece = os.read(reader, 4096)
+            assert piece, told
+            told += piece
+        reader_ends(reader, process)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STOPS_S) == application.EXIT_OK
+    finally:
+        process.kill()
+        process.wait()
+        with contextlib.suppress(OSError):
+            os.close(reader)
