A settings file is read at once, and no further than settings reach

Cause: the file was opened so that a pipe in its place waits for a writer, and read whole whatever its size, in the thread that serves all callers.

Change: it is opened without waiting, and refused over 256 KiB.

--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -11,7 +11,7 @@
 """
 
 import dataclasses
-import pathlib
+import os
 import tomllib
 
 import msgspec
@@ -31,6 +31,9 @@
 LARGEST_COUNT = 1e9
 # A name is part of a key of the store, which has 255 bytes.
 LONGEST_NAME_BYTES = 200
+# Four times the longest template that the platform fills in. The parser takes
+# 1.5 MB a second, so that callers wait 0.2 s for the largest file at the most.
+LARGEST_FILE_BYTES = 256 * 1024
 
 
 class _WireListen(msgspec.Struct, frozen=True):
@@ -87,11 +90,17 @@
     path: str
 
     def read(self) -> Result[bytes, errors.Problem]:
-        """Returns what the file holds now."""
+        """Returns what the file holds now; never waits for who writes it."""
         try:
-            return Success(pathlib.Path(self.path).read_bytes())
+            with open(self.path, "rb", opener=_open_at_once) as file:
+                # None is a pipe on which nothing is written now.
+                data = file.read(LARGEST_FILE_BYTES + 1) or b""
         except OSError as error:
             return self._problem(str(error), errors.Kind.UNREADABLE)
+        if len(data) > LARGEST_FILE_BYTES:
+            reason = f"is over {LARGEST_FILE_BYTES} bytes, no settings file"
+            return self._problem(reason, errors.Kind.UNREADABLE)
+        return Success(data)
 
     def decode(self, data: bytes) -> Result[serving.Instance, errors.Problem]:
         """Returns the settings in `data`, or what is wrong with them."""
@@ -124,6 +133,12 @@
         )
 
 
+def _open_at_once(path: str, flags: int) -> int:
+    # A pipe in the file's place would wait here for a writer, and with it the
+    # thread that serves all callers.
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Figure:
     """A figure and the range in which it has sense, both ends included."""
