--- a/tests/signals_test.py
+++ b/tests/signals_test.py
@@ -4,11 +4,14 @@
 `signal_player.py`. No upstream, store or peer answers.
 """
 
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import itertools
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -16,11 +19,15 @@
 import tomli_w
 
 from sesamecross.runtime import application
+from sesamecross.runtime import signals
 
 PLAYER = pathlib.Path(__file__).with_name("signal_player.py")
 # The longest that a run may take before it counts as hung; they take 0.2 to
 # 4 s.
 HUNG_S = 60.0
+# The longest that a stop may take before it counts as hung; they take 0.1 to
+# 4 s.
+STOPS_S = 15.0
 STARTED = "application: started"
 RELOAD = "application: reload requested"
 STOP = "application: stop requested"
@@ -126,11 +133,13 @@
     work: pathlib.Path,
     plan: dict[str, list[str]],
     drains: bool = False,
+    before: Callable[[], object] | None = None,
 ) -> _Played:
     """Runs a program with signals at given ages.
 
     Args:
       drains: Whether the program's own drain runs when it is asked to stop.
+      before: What whoever starts the program does to its process first.
     """
     flags, variables = PROGRAMS[program](_own_ip(), work)
     run = subprocess.run(
@@ -148,6 +157,7 @@
         text=True,
         timeout=HUNG_S,
         check=False,
+        preexec_fn=before,
     )
     for age, names in plan.items():
         for name in names:
@@ -200,6 +210,32 @@
     assert played.lines(STOPPED)[0]["code"] == application.EXIT_OK
 
 
+def _block_signals() -> None:
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals.PLANNED)
+
+
+def _ignore_signals() -> None:
+    for number in signals.PLANNED:
+        signal.signal(number, signal.SIG_IGN)
+
+
+@pytest.mark.parametrize("before", [_block_signals, _ignore_signals])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_signals_are_heard_whatever_the_parent_did(program, before, tmp_path):
+    """A process heard neither new settings nor its stop, and was killed.
+
+    Whoever had started it kept signals from itself meanwhile, and a process
+    inherits which signals are blocked. Its handlers were set, but the system
+    never called them: the stop waited until the grace was over, and the kill
+    cut off what was open.
+    """
+    plan = {"import": ["SIGHUP"], "running": ["SIGTERM"]}
+    played = _play(program, tmp_path, plan, before=before)
+    assert played.code == application.EXIT_OK, played.output
+    assert played.lines(RELOAD)
+    assert played.lines(STOP)
+
+
 @pytest.mark.parametrize("first", ["SIGTERM", "SIGINT"])
 def test_a_gateway_drains_whoever_asks_again(first, tmp_path):
     """A second request to stop cut off the answers that a gateway relayed.
@@ -262,3 +298,52 @@
     ]
     (stopped,) = played.lines(STOPPED)
     assert stopped["asked_by"] == "SIGTERM"
+
+
+def _is_gone(reader: int, _process: subprocess.Popen) -> None:
+    os.close(reader)
+
+
+def _stands_still(_reader: int, process: subprocess.Popen) -> None:
+    # A description of its own of the same pipe: the process's stays as it is.
+    flags = os.O_WRONLY | os.O_NONBLOCK
+    writer = os.open(f"/proc/{process.pid}/fd/2", flags)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"\n")
+    os.close(writer)
+
+
+@pytest.mark.parametrize("reader_ends", [_is_gone, _stands_still])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_stop_needs_nobody_who_reads_the_log(program, reader_ends, tmp_path):
+    """A process whose log nobody read did not stop, and was killed.
+
+    What collected the lines had ended, or stood still, before the stop. The
+    line that tells of the signal is written before the stop is begun: the
+    write failed, or never returned, and the stop was lost with it.
+    """
+    flags, variables = PROGRAMS[program](_own_ip(), tmp_path)
+    reader, writer = os.pipe()
+    process = subprocess.Popen(
+        [sys.executable, "-m", f"sesamecross.scripts.{program}", *flags],
+        env=os.environ | variables,
+        stdin=subprocess.DEVNULL,
+        stdout=writer,
+        stderr=writer,
+    )
+    os.close(writer)
+    try:
+        told = b""
+        while STARTED.encode() not in told:
+            piece = os.read(reader, 4096)
+            assert piece, told
+            told += piece
+        reader_ends(reader, process)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(STOPS_S) == application.EXIT_OK
+    finally:
+        process.kill()
+        process.wait()
+        with contextlib.suppress(OSError):
+            os.close(reader)
