A stop needs nobody who reads the log

Now the stop is begun first, and all programs write as the gateway did: bounded, without waiting. A terminal or pipe that others share is asked for room before each write instead of being made non-blocking, and threads share the output under a lock.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -189,6 +189,8 @@
             action = "starts nothing"
         elif not self._stopping.is_set():
             action = "stops"
+        self._asked_by = self._asked_by or number.name
+        self._stopping.set()
         self._tell("stop requested", number, count, action)
         if is_cut:
             # Somebody wants the process gone now. Claims that are open stay
@@ -197,5 +199,3 @@
             self._asked_by = f"second {number.name}"
             self._tell_end(EXIT_CUT_SHORT)
             os._exit(EXIT_CUT_SHORT)
-        self._asked_by = self._asked_by or number.name
-        self._stopping.set()
--- a/sesamecross/runtime/bounded_output.py
+++ b/sesamecross/runtime/bounded_output.py
@@ -7,6 +7,8 @@
 """
 
 import os
+import select
+import threading
 import time
 
 # Lines a second in the long run, and at once. At 350 requests a second over
@@ -16,13 +18,17 @@
 LINES_AT_ONCE = 400.0
 # What may wait for a stalled reader.
 PENDING_BYTES = 64 * 1024
+# A pipe that can be written takes this much without waiting.
+_PIECE_BYTES = select.PIPE_BUF
 
 
 class BoundedOutput:
-    """A text stream for a logger."""
+    """A text stream for a logger; threads may share it."""
 
     __slots__ = (
         "_fd",
+        "_room",
+        "_lock",
         "_pending",
         "_tokens",
         "_at_s",
@@ -31,14 +37,29 @@
         "__weakref__",
     )
 
-    def __init__(self, fd: int, clock=time.monotonic):
+    def __init__(self, fd: int, clock=time.monotonic, is_shared: bool = False):
+        """Sets the output up.
+
+        Args:
+          fd: Where lines go.
+          clock: Monotonic time in seconds.
+          is_shared: Whether others write to the same open file, as to a
+            terminal. It is left as it is then, and asked for room before each
+            write; otherwise it is made non-blocking, which costs no call.
+        """
         self._fd = fd
+        self._room: select.poll | None = None
+        if is_shared:
+            self._room = select.poll()
+            self._room.register(fd, select.POLLOUT)
+        else:
+            os.set_blocking(fd, False)
+        self._lock = threading.Lock()
         self._pending = bytearray()
         self._clock = clock
         self._tokens = LINES_AT_ONCE
         self._at_s = clock()
         self._dropped = 0
-        os.set_blocking(fd, False)
 
     @property
     def dropped(self) -> int:
@@ -47,6 +68,17 @@
 
     def write(self, text: str) -> int:
         """Writes a line, or counts it as left out."""
+        with self._lock:
+            self._take(text)
+            self._flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Writes what the descriptor takes now."""
+        with self._lock:
+            self._flush()
+
+    def _take(self, text: str) -> None:
         now_s = self._clock()
         self._tokens = min(
             LINES_AT_ONCE, self._tokens + (now_s - self._at_s) * LINES_PER_S
@@ -63,14 +95,11 @@
                 self._pending += told.encode()
                 self._dropped = 0
             self._pending += text.encode("utf-8", "replace")
-        self.flush()
-        return len(text)
 
-    def flush(self) -> None:
-        """Writes what the descriptor takes now."""
-        while self._pending:
+    def _flush(self) -> None:
+        while self._pending and self._has_room():
             try:
-                written = os.write(self._fd, self._pending)
+                written = os.write(self._fd, self._pending[:_PIECE_BYTES])
             except BlockingIOError:
                 return
             except OSError:
@@ -78,3 +107,6 @@
                 self._pending.clear()
                 return
             del self._pending[:written]
+
+    def _has_room(self) -> bool:
+        return self._room is None or bool(self._room.poll(0))
--- /dev/null
+++ b/sesamecross/runtime/bounded_output_test.py
@@ -0,0 +1,76 @@
+"""Tests of log lines that never wait for their reader."""
+
+import os
+import threading
+
+import pytest
+
+from sesamecross.runtime import bounded_output
+
+LINE = "x" * 200 + "\n"
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    for fd in (reader, writer):
+        try:
+            os.close(fd)
+        except OSError:
+            # The test has closed it.
+            continue
+
+
+def lines_of(reader: int, writer: int) -> list[str]:
+    os.close(writer)
+    read = b""
+    while piece := os.read(reader, 65536):
+        read += piece
+    return read.decode().splitlines()
+
+
+@pytest.mark.parametrize("is_shared", [False, True])
+def test_a_reader_that_stands_still_holds_nobody_up(pipe, is_shared):
+    """A process stood still with the one that read its log."""
+    reader, writer = pipe
+    was_blocking = os.get_blocking(writer)
+    output = bounded_output.BoundedOutput(writer, is_shared=is_shared)
+    for _ in range(1000):
+        output.write(LINE)
+    assert output.dropped > 0
+    # Others that write to the same terminal find it as it was.
+    assert os.get_blocking(writer) is (is_shared and was_blocking)
+    os.read(reader, 16 * 1024 * 1024)
+    output.flush()
+    assert {len(one) for one in lines_of(reader, writer)[1:]} == {200}
+
+
+@pytest.mark.parametrize("is_shared", [False, True])
+def test_a_reader_that_is_gone_fails_nobody(pipe, is_shared):
+    reader, writer = pipe
+    output = bounded_output.BoundedOutput(writer, is_shared=is_shared)
+    os.close(reader)
+    assert output.write(LINE) == len(LINE)
+    assert output.write(LINE) == len(LINE)
+
+
+def test_threads_write_whole_lines(pipe):
+    """Lines of an entry ran into each other: its threads share the output."""
+    reader, writer = pipe
+    output = bounded_output.BoundedOutput(writer, is_shared=True)
+
+    def write(letter: str) -> None:
+        for _ in range(20):
+            output.write(letter * 100 + "\n")
+
+    threads = [
+        threading.Thread(target=write, args=(letter,)) for letter in "abcdefgh"
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    lines = lines_of(reader, writer)
+    assert len(lines) == 160
+    assert all(line == line[0] * 100 for line in lines)
--- a/sesamecross/runtime/logs.py
+++ b/sesamecross/runtime/logs.py
@@ -11,6 +11,8 @@
 
 import structlog
 
+from sesamecross.runtime import bounded_output
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -27,11 +29,14 @@
     Args:
       level: One of debug, info, warning, error.
       log_format: "json" for lines of JSON, "text" for a terminal.
-      stream: Where lines go; standard error if it is None.
+      stream: Where lines go; standard error if it is None, without ever
+        waiting for whoever reads it.
       **fixed: Fields that every line bears, such as the instance.
     """
     if stream is None:
-        stream = sys.stderr
+        stream = bounded_output.BoundedOutput(
+            sys.stderr.fileno(), is_shared=True
+        )
     if log_format == "text":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
     else:
