A tool that was started to outlive its terminal does

A publish under nohup was interrupted with code 4 as its terminal closed: the command's handler took back that the signal was ignored. The operators' command and the tools share one place for their signals now, which leaves an ignored SIGHUP ignored and unblocks what a parent had blocked; two copies of the list of signals are gone.

--- a/sesamecross/devtools/runner.py
+++ b/sesamecross/devtools/runner.py
@@ -18,8 +18,8 @@
 import signal
 
 from sesamecross.devtools import deployment as deployment_lib
+from sesamecross.runtime import signals
 
-STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 # A shell's code for "ended by signal n".
 SIGNAL_CODE = 128
 
@@ -48,8 +48,7 @@
         A signal raises `StopAsked` in the tool, which may take it to report
         what it stopped; otherwise the code is 128 and the signal's number.
         """
-        for number in STOP_SIGNALS:
-            signal.signal(number, self._on_signal)
+        signals.take_for_tool(self._on_signal)
         try:
             try:
                 return tool(self)
--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -23,6 +23,7 @@
 from sesamecross.operators import status_text
 from sesamecross.operators import timeline_forms
 from sesamecross.ops import timeline
+from sesamecross.runtime import signals
 from sesamecross.utils import digest
 
 LOG_VARIABLE = "SESAMECROSS_LOG"
@@ -449,7 +450,7 @@
 
 def _interrupt(_number: int, _frame: object) -> None:
     """Makes a signal an interruption, once: the answer to it is told."""
-    for number in fleet_lib.STOP_SIGNALS:
+    for number in signals.TOOL_STOPS:
         signal.signal(number, signal.SIG_IGN)
     raise KeyboardInterrupt
 
@@ -463,7 +464,6 @@
 
 def main(environment: Mapping[str, str]) -> int:
     """Runs the command on the process's own streams."""
-    for number in fleet_lib.STOP_SIGNALS:
-        signal.signal(number, _interrupt)
+    signals.take_for_tool(_interrupt)
     command = CommandLine(environment, sys.stdin, sys.stdout, sys.stderr)
     return command.run(sys.argv[1:])
--- a/sesamecross/operators/fleet.py
+++ b/sesamecross/operators/fleet.py
@@ -15,10 +15,10 @@
 from sesamecross.core import messages
 from sesamecross.operators import log_state
 from sesamecross.ops import timeline
+from sesamecross.runtime import signals
 from sesamecross.transport import streams
 
 ANSWER_S = 4.0
-STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 AT_ONCE = 50
 
 
@@ -28,7 +28,7 @@
     One that interrupts an event loop while it is made, used or closed leaves
     its parts to be destroyed with tracebacks.
     """
-    before = signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, signals.TOOL_STOPS)
     try:
         return asyncio.run(work)
     finally:
--- a/sesamecross/operators/interruption_test.py
+++ b/sesamecross/operators/interruption_test.py
@@ -62,7 +62,12 @@
     }
 
 
-def start(log, arguments, before=None):
+def heed_hang_ups():
+    """Undoes what the test run itself may have inherited."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
+def start(log, arguments, before=heed_hang_ups):
     command = [sys.executable, "-m", "sesamecross.scripts.operator_cli"]
     return subprocess.Popen(
         [*command, *arguments],
--- a/sesamecross/runtime/signals.py
+++ b/sesamecross/runtime/signals.py
@@ -28,6 +28,8 @@
     signal.SIGUSR2,
 )
 _STOPS = (signal.SIGTERM, signal.SIGINT)
+# What asks a tool at a terminal to stop; the last one as it is closed.
+TOOL_STOPS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
 class Inbox:
@@ -100,3 +102,16 @@
         return body(inbox)
     finally:
         inbox.close()
+
+
+def take_for_tool(handler: Callable[[int, object], None]) -> None:
+    """Has a tool's handler called for what asks it to stop.
+
+    A closed terminal stops no tool that was started to outlive it: who
+    started it had the signal ignored then, as `nohup` does, and so it stays.
+    """
+    for number in TOOL_STOPS:
+        is_ignored = signal.getsignal(number) is signal.SIG_IGN
+        if number != signal.SIGHUP or not is_ignored:
+            signal.signal(number, handler)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, TOOL_STOPS)
--- a/tests/tools_test.py
+++ b/tests/tools_test.py
@@ -65,6 +65,8 @@
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
         start_new_session=True,
+        # Where the test run itself ignores it, the tool would do so as well.
+        preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
     )
     try:
         wait_until(lambda: len(below(work)) > STARTED)
