Failing tests: needless waits of a start that failed, and a closed output

Three findings of the review, listed as known red: a drain waits out the balancer's lag though the front never listened (3.16 s until the end with a taken port), a start waits 3 s for a settings file that no variable names, and a gateway whose output is closed ends with code 1.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -887,3 +887,22 @@
         return ended
 
     assert not asyncio.run(play())
+
+
+def test_a_stop_before_anybody_was_served_waits_for_nobody(monkeypatch):
+    """An instance whose port was taken ended three seconds later than it could.
+
+    It waited out the balancer's lag, as in any stop, though its front door had
+    never opened. So its next start, which might have got the port, came later.
+    """
+    monkeypatch.setattr(app_lib, "BALANCER_LAG_S", 500.0)
+
+    async def play():
+        app = app_lib.GatewayApp.from_config(
+            INSTANCE, program.adapter(), Unchanged(INSTANCE)
+        )
+        app.components()
+        async with asyncio.timeout(HANG_S):
+            await app.drain()
+
+    asyncio.run(play())
--- a/sesamecross/platform/program_test.py
+++ b/sesamecross/platform/program_test.py
@@ -68,3 +68,13 @@
     assert program.run("info", signals.Inbox()) == 1
     assert settings.BOOT_VARIABLE in capsys.readouterr().err
     assert sum(slept_s) < 5
+
+
+def test_a_file_that_nobody_named_is_not_waited_for(monkeypatch, capsys):
+    """An operator waited three seconds to be told of a missing variable."""
+    slept_s = []
+    monkeypatch.setattr(time, "sleep", slept_s.append)
+    monkeypatch.delenv(settings.BOOT_VARIABLE, raising=False)
+    assert program.run("info", signals.Inbox()) == 1
+    assert settings.BOOT_VARIABLE in capsys.readouterr().err
+    assert slept_s == []
--- a/sesamecross/runtime/bounded_output_test.py
+++ b/sesamecross/runtime/bounded_output_test.py
@@ -74,3 +74,14 @@
     lines = lines_of(reader, writer)
     assert len(lines) == 160
     assert all(line == line[0] * 100 for line in lines)
+
+
+def test_a_process_without_an_output_writes_nowhere():
+    """A gateway that was started with its output closed ended at once.
+
+    It asked for the number of an output that was not there. Its lines must
+    not get into a connection either, which may have that number now.
+    """
+    output = bounded_output.BoundedOutput.of_stream(None)
+    assert output.write(LINE) == len(LINE)
+    assert output.dropped == 0
