A stop before the front door opened waits for nobody

An instance whose port was taken ended 3.16 s after its start, as its drain waited out the balancer's lag though nobody can have been sent to it; its next start came later by that. Where the front never listened and nothing is open the drain is over at once. Two comments that promised more than a close can keep are corrected.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -263,6 +263,10 @@
         begun_s = loop.time()
         self._ready.is_stopping = True
         self._log.info("draining", open=self.forwarder.open_requests)
+        if not self.front.address and not self._is_busy:
+            # The balancer has sent nobody to a door that never opened.
+            self._log.info("drained", open=0, connections=0)
+            return
         # The file may name another grace than when it was last looked at.
         self._reloader.reload()
         known_s = begun_s + BALANCER_LAG_S
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -76,9 +76,10 @@
     async def end(self, within_s: float) -> None:
         """Accepts no more, and lets the connections come to their end.
 
-        Requests that crossed this are still answered, by a handler that
+        Requests that are read by now are still answered, by a handler that
         refuses; those that are half there are refused here. Answers under way
-        go out meanwhile.
+        go out meanwhile. A connection that the kernel takes in as the port
+        closes is reset unread, and its caller can tell that.
         """
         loop = asyncio.get_running_loop()
         until_s = loop.time() + within_s
--- a/sesamecross/runtime/http_ending.py
+++ b/sesamecross/runtime/http_ending.py
@@ -61,8 +61,9 @@
     """The library's idle connections and listener, with a last look.
 
     Between the library's last look for work and the closing of the port,
-    requests go on arriving. They are taken in here. What is left is the time
-    between two system calls.
+    requests go on arriving. They are taken in here. What is left is a
+    connection that the kernel takes in between the last `accept` and the
+    `close`: it is reset unread, and its caller can tell that.
     """
 
     def __init__(self, http_server: Any):
