A process whose output is closed serves without a log

A gateway that was started with its standard output closed ended with code 1, and the other programs would have with standard error: they asked for the number of a stream that was not there. Lines go nowhere then, and never into a connection that has got the number meanwhile.

--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -53,7 +53,7 @@
         print(loaded.failure(), file=sys.stderr)
         return application.code_without_start(inbox)
     instance = loaded.unwrap()
-    output = bounded_output.BoundedOutput(sys.stdout.fileno())
+    output = bounded_output.BoundedOutput.of_stream(sys.stdout)
     logs.configure(log_level, "json", output, instance=instance.name)
     gateway = app.GatewayApp.from_config(
         instance, adapter(), settings.SettingsFile(path)
--- a/sesamecross/runtime/bounded_output.py
+++ b/sesamecross/runtime/bounded_output.py
@@ -10,6 +10,7 @@
 import select
 import threading
 import time
+from typing import TextIO
 
 # Lines a second in the long run, and at once. At 350 requests a second over
 # 73 instances each has about 5 lines a second; 200 leave room for a burst of
@@ -61,6 +62,19 @@
         self._at_s = clock()
         self._dropped = 0
 
+    @classmethod
+    def of_stream(
+        cls, stream: TextIO | None, is_shared: bool = False
+    ) -> "BoundedOutput":
+        """Returns an output to where a stream of the process goes.
+
+        A process that was started with it closed has none. Its number may be
+        a connection's by now, so the lines go nowhere.
+        """
+        if stream is None:
+            return cls(os.open(os.devnull, os.O_WRONLY))
+        return cls(stream.fileno(), is_shared=is_shared)
+
     @property
     def dropped(self) -> int:
         """Lines left out that no line tells of yet."""
--- a/sesamecross/runtime/logs.py
+++ b/sesamecross/runtime/logs.py
@@ -34,8 +34,8 @@
       **fixed: Fields that every line bears, such as the instance.
     """
     if stream is None:
-        stream = bounded_output.BoundedOutput(
-            sys.stderr.fileno(), is_shared=True
+        stream = bounded_output.BoundedOutput.of_stream(
+            sys.stderr, is_shared=True
         )
     if log_format == "text":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
