A settings file that no variable names is not waited for

An operator who had not set the variable was told so after 3.42 s, since a start looks for up to three seconds at a file that may still be being written. None can come where none is named.

--- a/sesamecross/platform/program.py
+++ b/sesamecross/platform/program.py
@@ -48,7 +48,12 @@
       The exit code.
     """
     path = os.environ.get(settings.BOOT_VARIABLE, "")
-    loaded = first_settings.read(functools.partial(settings.load, path), inbox)
+    loaded = first_settings.read(
+        functools.partial(settings.load, path),
+        inbox,
+        # No file can come where none is named.
+        lambda _: bool(path),
+    )
     if isinstance(loaded, Failure):
         print(loaded.failure(), file=sys.stderr)
         return application.code_without_start(inbox)
