--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from sesamecross.core import serving
-from sesamecross.gateway import front
+from sesamecross.gateway import exchange as exchange_lib
 from sesamecross.ops.fleet import directory
 
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -47,7 +47,7 @@
         "_rest",
     )
 
-    def __init__(self, exchange: front.Exchange):
+    def __init__(self, exchange: exchange_lib.Exchange):
         self.events = 0
         self.last_id = ""
         self.first_s: float | None = None
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -14,6 +14,7 @@
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import event_relay
+from sesamecross.gateway import exchange as exchange_lib
 from sesamecross.gateway import front
 from sesamecross.gateway import pool as pool_lib
 from sesamecross.gateway import prompt as prompt_lib
@@ -117,7 +118,7 @@
         self._log.warning("malformed", status=status, why=reason)
 
     def handle(
-        self, request: serving.Request, exchange: front.Exchange
+        self, request: serving.Request, exchange: exchange_lib.Exchange
     ) -> None:
         """Starts to answer a request."""
         one = _Serving(self, request, exchange)
@@ -154,7 +155,7 @@
         self,
         owner: Forwarder,
         request: serving.Request,
-        exchange: front.Exchange,
+        exchange: exchange_lib.Exchange,
     ):
         self.task: asyncio.Task | None = None
         self._owner = owner
--- a/sesamecross/gateway/front.py
+++ b/sesamecross/gateway/front.py
@@ -8,14 +8,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 import contextlib
-import http
 from typing import Protocol
 
 import httptools
 
 from sesamecross.core import serving
+from sesamecross.gateway import exchange as exchange_lib
 
 # Requests that a caller may send ahead on one connection. Ahead of them the
 # connection is not read: a flood would be held in memory otherwise.
@@ -27,7 +26,6 @@
 # that read the answer close before.
 LINGER_S = 2.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_NO_BODY_STATUS = frozenset((204, 304))
 
 
 class Handler(Protocol):
@@ -44,7 +42,9 @@
     def read_request(self, head: "Head", body: bytes) -> serving.Request | None:
         """Returns the request; None where its headers make no sense."""
 
-    def handle(self, request: serving.Request, exchange: "Exchange") -> None:
+    def handle(
+        self, request: serving.Request, exchange: exchange_lib.Exchange
+    ) -> None:
         """Answers a whole request through `exchange`, now or later."""
 
     def rejected(self, status: int, reason: str) -> None:
@@ -64,138 +64,6 @@
         self.keeps_open = True
 
 
-def _status_line(status: int) -> bytes:
-    try:
-        phrase = http.HTTPStatus(status).phrase
-    except ValueError:
-        phrase = "Status"
-    return f"HTTP/1.1 {status} {phrase}\r\n".encode()
-
-
-class Exchange:
-    """One request's answer. Whoever answers calls its methods in order.
-
-    Attributes:
-      on_gone: Called once if the caller goes away before the answer's end.
-      on_slow: Called with True when the caller reads too slowly, and with
-        False when it has caught up.
-    """
-
-    __slots__ = (
-        "on_gone",
-        "on_slow",
-        "_connection",
-        "_keeps_open",
-        "_is_head",
-        "_is_begun",
-        "_is_over",
-        "_closes_after",
-    )
-
-    def __init__(
-        self, connection: "FrontConnection", keeps_open: bool, is_head: bool
-    ):
-        self.on_gone: Callable[[], None] | None = None
-        self.on_slow: Callable[[bool], None] | None = None
-        self._connection = connection
-        self._keeps_open = keeps_open
-        self._is_head = is_head
-        self._is_begun = False
-        self._is_over = False
-        self._closes_after = False
-
-    @property
-    def is_begun(self) -> bool:
-        """Whether the head of an answer was sent."""
-        return self._is_begun
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the answer is sent, or the caller is gone."""
-        return self._is_over
-
-    def whole(
-        self, status: int, headers: list[serving.Header], body: bytes
-    ) -> None:
-        """Sends a whole answer."""
-        if self._is_over:
-            return
-        self._is_begun = True
-        out = [_status_line(status), _lines(headers)]
-        if status not in _NO_BODY_STATUS:
-            out.append(b"content-length: %d\r\n" % len(body))
-        out.append(self._connection_line())
-        out.append(b"\r\n")
-        if not self._is_head:
-            out.append(body)
-        self._connection.write(b"".join(out))
-        self._end()
-
-    def begin(
-        self, status: int, headers: list[serving.Header], first: bytes
-    ) -> None:
-        """Sends the head of an answer in pieces, and its first piece."""
-        if self._is_over:
-            return
-        self._is_begun = True
-        out = [_status_line(status), _lines(headers)]
-        out.append(b"transfer-encoding: chunked\r\n")
-        out.append(self._connection_line())
-        out.append(b"\r\n")
-        out.append(_chunk(first))
-        self._connection.write(b"".join(out))
-
-    def piece(self, data: bytes) -> None:
-        """Sends a further piece."""
-        if not self._is_over and data:
-            self._connection.write(_chunk(data))
-
-    def end(self) -> None:
-        """Ends an answer in pieces as complete."""
-        if not self._is_over:
-            self._connection.write(b"0\r\n\r\n")
-            self._end()
-
-    def cut(self) -> None:
-        """Ends the connection: what was sent must not look complete."""
-        if not self._is_over:
-            self._is_over = True
-            self._connection.abort()
-
-    def gone(self) -> None:
-        """The caller went away."""
-        if self._is_over:
-            return
-        self._is_over = True
-        if self.on_gone is not None:
-            self.on_gone()
-
-    def slow(self, is_slow: bool) -> None:
-        """The caller reads slowly, or has caught up."""
-        if self.on_slow is not None and not self._is_over:
-            self.on_slow(is_slow)
-
-    def _connection_line(self) -> bytes:
-        self._closes_after = (
-            not self._keeps_open or self._connection.is_to_close
-        )
-        if self._closes_after:
-            return b"connection: close\r\n"
-        return self._connection.keep_alive_line
-
-    def _end(self) -> None:
-        self._is_over = True
-        self._connection.answered(self._closes_after, self._keeps_open)
-
-
-def _lines(headers: list[serving.Header]) -> bytes:
-    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n" % len(data) + data + b"\r\n"
-
-
 class FrontConnection(asyncio.Protocol):
     """A caller's connection."""
 
@@ -239,7 +107,7 @@
         # Status with which the request being read is refused.
         self._rejection = 0
         self._waiting: deque[tuple[Head, bytes]] = deque()
-        self._exchange: Exchange | None = None
+        self._exchange: exchange_lib.Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         # What the timer was armed with, of the caller's time.
         self._given_s = 0.0
@@ -505,7 +373,7 @@
             return
         head, body = self._waiting.popleft()
         is_head = head.method == b"HEAD"
-        self._exchange = Exchange(self, head.keeps_open, is_head)
+        self._exchange = exchange_lib.Exchange(self, head.keeps_open, is_head)
         request = self._handler.read_request(head, body)
         if request is None:
             self._handler.rejected(400, "headers make no sense")
@@ -535,7 +403,7 @@
             self._write_empty(503, b"retry-after: 0\r\n")
 
     def _write_empty(self, status: int, lines: bytes) -> None:
-        head = _status_line(status) + lines
+        head = exchange_lib.status_line(status) + lines
         tail = b"content-length: 0\r\nconnection: close\r\n\r\n"
         self._transport.write(head + tail)
         self._finish()
--- a/sesamecross/gateway/front_test.py
+++ b/sesamecross/gateway/front_test.py
@@ -12,6 +12,7 @@
 import pytest
 
 from sesamecross.core import serving
+from sesamecross.gateway import exchange as exchange_lib
 from sesamecross.gateway import front
 from sesamecross.gateway import listener
 
@@ -329,7 +330,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.exchanges: list[front.Exchange] = []
+        self.exchanges: list[exchange_lib.Exchange] = []
 
     def handle(self, request, exchange) -> None:
         self.exchanges.append(exchange)
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -1,6 +1,7 @@
 """What an instance says of itself over HTTP: readiness and metrics."""
 
 from sesamecross.core import serving
+from sesamecross.gateway import exchange as exchange_lib
 from sesamecross.gateway import front
 from sesamecross.gateway import state as state_lib
 from sesamecross.runtime import metrics as metrics_lib
@@ -52,7 +53,7 @@
         """A malformed question is answered and forgotten."""
 
     def handle(
-        self, request: serving.Request, exchange: front.Exchange
+        self, request: serving.Request, exchange: exchange_lib.Exchange
     ) -> None:
         """Answers at once."""
         if self._metrics is not None:
