--- /dev/null
+++ b/sesamecross/fakes/samples.py
@@ -0,0 +1,17 @@
+"""Records that tests start from; they change what matters to them."""
+
+from sesamecross.core import serving
+
+INSTANCE = serving.Instance(
+    "front-1",
+    "z1",
+    "r1",
+    "10.0.0.1",
+    "10.0.0.1:80",
+    "10.0.0.1:81",
+    (7380, 7381),
+    "10.9.0.1:90",
+    {"z1": "r1"},
+    1.0,
+    serving.Bounds(),
+)
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -18,6 +18,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import app as app_lib
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import forwarder as forwarder_lib
@@ -35,18 +36,14 @@
 # that it does wait. Nothing is asserted on it.
 MEANWHILE_S = 0.3
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "127.0.0.1",
-    "127.0.0.1:0",
-    "127.0.0.1:0",
-    (0, 0),
-    "127.0.0.1:1",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(grace_s=600.0),
+INSTANCE = dataclasses.replace(
+    samples.INSTANCE,
+    ip="127.0.0.1",
+    front_address="127.0.0.1:0",
+    ready_address="127.0.0.1:0",
+    ports=(0, 0),
+    store_address="127.0.0.1:1",
+    bounds=serving.Bounds(grace_s=600.0),
 )
 EVENTS = b"id: 1\ndata: a\n\n"
 
--- a/sesamecross/gateway/catalog_test.py
+++ b/sesamecross/gateway/catalog_test.py
@@ -10,7 +10,7 @@
 import pytest
 import structlog
 
-from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import catalog
 from sesamecross.gateway import follower
 from sesamecross.gateway import state as state_lib
@@ -19,19 +19,6 @@
 from sesamecross.platform import catalog_test as damage
 from sesamecross.ports import store
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "10.0.0.1",
-    "10.0.0.1:80",
-    "10.0.0.1:81",
-    (7380, 7381),
-    "10.9.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(),
-)
 POISON = b"poison"
 
 
@@ -107,7 +94,7 @@
     minute took the process down, with all streams of its callers. A sink is
     the one place that knows which record it is, so it has to stand it.
     """
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     sink = sinks(state, failing).configuration
     records = [
         record("config", encoded(damage.CONFIGURATION, version=3), 0),
@@ -141,7 +128,7 @@
 
     The follower failed on the entry and was started again after a pause.
     """
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     sink = sinks(state, failing).upstreams
     records = [
         record("u1", encoded(damage.UPSTREAM), 0),
@@ -197,7 +184,7 @@
 )
 def test_odd_routes_fail_no_lookup(routes):
     """A route that can't be used must not fail the requests of others."""
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     sink = sinks(state).configuration
     value = encoded(damage.CONFIGURATION, routes=routes)
     asyncio.run(_take_again(sink, [record("config", value, 1)]))
@@ -222,7 +209,7 @@
 )
 def test_no_record_stops_the_followers(configurations, entries):
     """Whatever stands in the store, instances serve what they knew."""
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     known = sinks(state)
     sound = encoded(damage.CONFIGURATION, version=1)
     values = [sound, *configurations]
@@ -249,7 +236,7 @@
     monkeypatch,
 ):
     """A version counted as in force whose routes were not."""
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     sink = sinks(state).configuration
     sound = encoded(damage.CONFIGURATION, version=1)
     asyncio.run(_take_again(sink, [record("config", sound, 0)]))
--- a/sesamecross/gateway/lease_keeper_test.py
+++ b/sesamecross/gateway/lease_keeper_test.py
@@ -8,6 +8,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import app
 from sesamecross.gateway import lease_keeper
 from sesamecross.ops.fleet import lease as lease_lib
@@ -15,18 +16,8 @@
 from sesamecross.platform import settings
 from sesamecross.ports import store
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "127.0.0.1",
-    "127.0.0.1:80",
-    "127.0.0.1:81",
-    (7380, 7381),
-    "127.0.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(lease_s=3.0),
+INSTANCE = dataclasses.replace(
+    samples.INSTANCE, bounds=serving.Bounds(lease_s=3.0)
 )
 ME = fm.Member("front-1", 7, "z1", "127.0.0.1:7380", -1, -1)
 FREE = lease_lib.Record("front-2", 5, 10, 10, True)
--- a/sesamecross/gateway/order_desk_ends_test.py
+++ b/sesamecross/gateway/order_desk_ends_test.py
@@ -7,25 +7,13 @@
 import structlog
 
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import order_desk
 from sesamecross.gateway import state as state_lib
 
 SERVICE = "writers"
 MODEL = "trail-writer"
 BORN_MS = 1000
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "10.0.0.1",
-    "10.0.0.1:80",
-    "10.0.0.1:81",
-    (7380, 7381),
-    "10.9.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(),
-)
 SPEC = serving.EngineSpec(
     16,
     100_000,
@@ -128,7 +116,7 @@
     requests for models were refused meanwhile. The logs of processes showed
     it four times in one run of upstreams that leave, each with a KeyError.
     """
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     state.offer(CONFIGURATION)
     mesh = _Mesh()
     desk = order_desk.OrderDesk(state, mesh, _Lease(), _Engines())
--- a/sesamecross/gateway/order_desk_test.py
+++ b/sesamecross/gateway/order_desk_test.py
@@ -12,23 +12,15 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import app
 from sesamecross.gateway import order_desk
 from sesamecross.platform import program
 from sesamecross.platform import settings
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "127.0.0.1",
-    "127.0.0.1:80",
-    "127.0.0.1:81",
-    (7380, 7381),
-    "127.0.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(loads_window_s=5.0, loads_overage=1.0),
+INSTANCE = dataclasses.replace(
+    samples.INSTANCE,
+    bounds=serving.Bounds(loads_window_s=5.0, loads_overage=1.0),
 )
 SPEC = serving.EngineSpec(8, 1000, 100.0, 0, 4.0, 1, {})
 
--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -1,6 +1,7 @@
 """Tests of registering a start of an instance, also among damaged records."""
 
 import asyncio
+import dataclasses
 import random
 
 import msgspec
@@ -8,6 +9,7 @@
 import structlog
 
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import registrar
 from sesamecross.ports import store
 
@@ -42,19 +44,7 @@
 
 
 def instance(name: str) -> serving.Instance:
-    return serving.Instance(
-        name,
-        "z1",
-        "r1",
-        "10.0.0.1",
-        "10.0.0.1:80",
-        "10.0.0.1:81",
-        (7380,),
-        "10.9.0.1:90",
-        {"z1": "r1"},
-        1.0,
-        serving.Bounds(),
-    )
+    return dataclasses.replace(samples.INSTANCE, name=name, ports=(7380,))
 
 
 def one_start(client: _Store, name: str) -> registrar.Registrar:
--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -8,29 +8,17 @@
 from returns.result import Success
 
 from sesamecross.core import errors
-from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "10.0.0.1",
-    "10.0.0.1:80",
-    "10.0.0.1:81",
-    (7380, 7381),
-    "10.9.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(),
-)
 OPERATORS = dataclasses.replace(
-    INSTANCE, bounds=dataclasses.replace(INSTANCE.bounds, drain_s=4.0)
+    samples.INSTANCE,
+    bounds=dataclasses.replace(samples.INSTANCE.bounds, drain_s=4.0),
 )
 CHANGED = dataclasses.replace(
-    INSTANCE,
-    bounds=dataclasses.replace(INSTANCE.bounds, drain_s=3.0),
+    samples.INSTANCE,
+    bounds=dataclasses.replace(samples.INSTANCE.bounds, drain_s=3.0),
     front_address="10.0.0.1:8080",
 )
 CUT = errors.Problem("f", "", "cut short", "correct it", errors.Kind.SYNTAX)
@@ -40,7 +28,7 @@
 # may be whole for a parser: then defaults stand where it was cut.
 MEANINGS = {
     b"operators": Success(OPERATORS),
-    b"oper": Success(INSTANCE),
+    b"oper": Success(samples.INSTANCE),
     b"changed": Success(CHANGED),
     b"chang": Failure(CUT),
 }
@@ -79,11 +67,11 @@
 
 
 def test_new_bounds_hold_at_once_and_new_addresses_do_not():
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     run(state, [b"changed"])
     assert state.bounds.drain_s == 3.0
     assert state.directory.drain_s == 3.0
-    assert state._instance.front_address == INSTANCE.front_address
+    assert state._instance.front_address == samples.INSTANCE.front_address
     told = state.take_settings(CHANGED)
     assert told.in_force == frozenset()
     assert told.from_next_start == {"front_address"}
@@ -103,14 +91,14 @@
     signal; nobody looked until the next look of its own. So the first look
     is at the start.
     """
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     run(state, [b"changed"], signals=0)
     assert state.bounds.drain_s == 3.0
 
 
 def test_a_signal_makes_the_reloader_look():
     """An operator's new bound held only at the next look now and then."""
-    state = state_lib.State(INSTANCE)
+    state = state_lib.State(samples.INSTANCE)
     seen = []
 
     async def turns():
@@ -163,4 +151,4 @@
     state = state_lib.State(OPERATORS)
     run(state, texts)
     assert state.bounds.drain_s == drain_s
-    assert INSTANCE.bounds.drain_s not in taken
+    assert samples.INSTANCE.bounds.drain_s not in taken
--- a/sesamecross/gateway/state_test.py
+++ b/sesamecross/gateway/state_test.py
@@ -5,20 +5,14 @@
 import pytest
 
 from sesamecross.core import serving
+from sesamecross.fakes import samples
 from sesamecross.gateway import state as state_lib
 
-INSTANCE = serving.Instance(
-    "front-1",
-    "z1",
-    "r1",
-    "10.0.0.1",
-    "10.0.0.1:80",
-    "10.0.0.1:81",
-    (7380, 7381),
-    "10.9.0.1:90",
-    {"z1": "r1"},
-    1.0,
-    serving.Bounds(retry_share=0.2, retry_extra=20.0, retry_window_s=10.0),
+INSTANCE = dataclasses.replace(
+    samples.INSTANCE,
+    bounds=serving.Bounds(
+        retry_share=0.2, retry_extra=20.0, retry_window_s=10.0
+    ),
 )
 ROUTE = serving.Route(
     "r",
