An interrupted command answers what is true at any line

The signal came between the line and the 'try' that knew of the verdict. The same moments stood behind each append of drain and claims, and before and after 'run'. Each step now says beforehand what is true if it is interrupted, and an interruption is raised only where it is answered. The test interrupts publish, rollback and drain at each line of the command in turn; on the code before, the interruption left the command without an answer.

The short log line among long ones is the notice of lines left out: it is written when 1,000 writes take over 5 ms, so the code is right and the test asked the wall clock. It now runs with clocks of three speeds, reads all that was written, and checks that each line is whole and each notice is one.

--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -7,7 +7,6 @@
 import json
 import os
 import pathlib
-import signal
 import sys
 import time
 from typing import TextIO
@@ -162,28 +161,52 @@
         self._stdin = stdin
         self._stdout = stdout
         self._stderr = stderr
+        self._interrupted = outcomes.InterruptedAnswer(
+            outcomes.failed(outcomes.Exit.PROBLEMS, [_NOTHING_CHANGED])
+        )
+        self._as_json = False
+        # An interruption is raised only where `run` answers it.
+        self._is_running = False
+        self._is_interrupted = False
 
     def run(self, arguments: Sequence[str]) -> int:
         """Returns the exit code."""
-        flags = build_parser().parse_args(arguments)
         try:
-            outcome = self._dispatch(flags)
-        except errors.ProblemError as error:
-            outcome = outcomes.failed(
-                outcomes.Exit.UNREACHABLE, [error.problem]
-            )
-        except KeyboardInterrupt:
-            outcome = _interrupted(flags)
-        try:
-            self._print(outcome, flags.json)
+            self._begin()
+            flags = build_parser().parse_args(arguments)
+            self._as_json = flags.json
+            outcome = self._outcome(flags)
+            self._interrupted.outcome = outcome
+            self._print(outcome)
+            self._is_running = False
         except KeyboardInterrupt:
             # What was found out counts, not that it was interrupted.
-            self._print(outcome, flags.json)
-        return outcome.code
+            self._print(self._interrupted.outcome)
+        return self._interrupted.outcome.code
+
+    def interrupt(self, _number: int, _frame: object) -> None:
+        """Makes a signal an interruption, once: the answer to it is told."""
+        if self._is_interrupted:
+            return
+        self._is_interrupted = True
+        if self._is_running:
+            raise KeyboardInterrupt
 
-    def _print(self, outcome: outcomes.Outcome, as_json: bool) -> None:
+    def _begin(self) -> None:
+        self._is_running = True
+        if self._is_interrupted:
+            # The signal came before there was anybody to answer it.
+            raise KeyboardInterrupt
+
+    def _outcome(self, flags: argparse.Namespace) -> outcomes.Outcome:
+        try:
+            return self._dispatch(flags)
+        except errors.ProblemError as error:
+            return outcomes.failed(outcomes.Exit.UNREACHABLE, [error.problem])
+
+    def _print(self, outcome: outcomes.Outcome) -> None:
         try:
-            self._write(outcome, as_json)
+            self._write(outcome)
             self._stdout.flush()
         except OSError:
             # Nobody reads any more, and there is no other place to say so.
@@ -191,8 +214,8 @@
             _drop(self._stdout)
             _drop(self._stderr)
 
-    def _write(self, outcome: outcomes.Outcome, as_json: bool) -> None:
-        if as_json:
+    def _write(self, outcome: outcomes.Outcome) -> None:
+        if self._as_json:
             document = dict(outcome.document)
             if outcome.problems:
                 document["problems"] = [
@@ -226,6 +249,7 @@
                     flags.change_id,
                     self._fleet(flags) if flags.wait else None,
                     self._say,
+                    self._interrupted,
                 )
             case "rollback":
                 return configuration.rollback(
@@ -234,6 +258,7 @@
                     flags.author,
                     self._fleet(flags) if flags.wait else None,
                     self._say,
+                    self._interrupted,
                 )
             case "key-digest":
                 return self._key_digest()
@@ -290,6 +315,11 @@
 
     def _status(self, flags: argparse.Namespace) -> outcomes.Outcome:
         fleet = self._fleet(flags)
+        if flags.watch:
+            # That is how a watch ends.
+            self._interrupted.outcome = outcomes.Outcome(
+                outcomes.Exit.OK, {}, ()
+            )
         while flags.watch:
             text = status_text.lines(status_text.document(fleet.statuses()))
             print(CLEAR_SCREEN + "\n".join(text), file=self._stdout, flush=True)
@@ -345,10 +375,10 @@
     def _append(
         self, log: log_state.LogState, record: object, line: str
     ) -> outcomes.Outcome:
-        try:
-            appended = log.append(record)
-        except KeyboardInterrupt:
-            return outcomes.failed(outcomes.Exit.NOT_KNOWN_YET, [_MAYBE])
+        self._interrupted.outcome = outcomes.failed(
+            outcomes.Exit.NOT_KNOWN_YET, [_MAYBE]
+        )
+        appended = log.append(record)
         if isinstance(appended, Failure):
             return outcomes.failed(
                 outcomes.Exit.NOT_KNOWN_YET, [appended.failure()]
@@ -409,19 +439,13 @@
 )
 
 
-def _interrupted(flags: argparse.Namespace) -> outcomes.Outcome:
-    """Returns what is known of a command that had sent nothing yet."""
-    if flags.command == "status" and flags.watch:
-        # That is how a watch ends.
-        return outcomes.Outcome(outcomes.Exit.OK, {}, ())
-    problem = errors.Problem(
-        "command line",
-        flags.command,
-        "interrupted, nothing was changed",
-        "run it again",
-        errors.Kind.REFUSED,
-    )
-    return outcomes.failed(outcomes.Exit.PROBLEMS, [problem])
+_NOTHING_CHANGED = errors.Problem(
+    "command line",
+    "",
+    "interrupted, nothing was changed",
+    "run it again",
+    errors.Kind.REFUSED,
+)
 
 
 def _nothing_to_do(reason: str) -> outcomes.Outcome:
@@ -448,13 +472,6 @@
     return timeline_forms.as_text(events)
 
 
-def _interrupt(_number: int, _frame: object) -> None:
-    """Makes a signal an interruption, once: the answer to it is told."""
-    for number in signals.TOOL_STOPS:
-        signal.signal(number, signal.SIG_IGN)
-    raise KeyboardInterrupt
-
-
 def _drop(stream: TextIO) -> None:
     """Lets what is still to be written go nowhere."""
     nowhere = os.open(os.devnull, os.O_WRONLY)
@@ -464,6 +481,6 @@
 
 def main(environment: Mapping[str, str]) -> int:
     """Runs the command on the process's own streams."""
-    signals.take_for_tool(_interrupt)
     command = CommandLine(environment, sys.stdin, sys.stdout, sys.stderr)
+    signals.take_for_tool(command.interrupt)
     return command.run(sys.argv[1:])
--- a/sesamecross/operators/configuration.py
+++ b/sesamecross/operators/configuration.py
@@ -147,6 +147,7 @@
     change_id: str | None,
     fleet: fleet_lib.Fleet | None,
     say: Say,
+    interrupted: outcomes.InterruptedAnswer,
 ) -> outcomes.Outcome:
     """Publishes a folder; waits for the log's verdict.
 
@@ -160,6 +161,7 @@
       change_id: Given again when an earlier try's outcome is not known.
       fleet: Where to watch the change come into force, or None.
       say: Shows progress.
+      interrupted: Kept up to date with what is known of the change.
     """
     checked = folder_lib.check(folder)
     if checked.declarations is None:
@@ -173,6 +175,7 @@
         change_id or uuid.uuid4().hex[:16],
         fleet,
         say,
+        interrupted,
     )
 
 
@@ -182,6 +185,7 @@
     author: str,
     fleet: fleet_lib.Fleet | None,
     say: Say,
+    interrupted: outcomes.InterruptedAnswer,
 ) -> outcomes.Outcome:
     """Publishes an older version's content as a new version."""
     log = log_state.LogState.read(log_url)
@@ -206,6 +210,7 @@
         uuid.uuid4().hex[:16],
         fleet,
         say,
+        interrupted,
     )
 
 
@@ -223,16 +228,27 @@
     change_id: str,
     fleet: fleet_lib.Fleet | None,
     say: Say,
+    interrupted: outcomes.InterruptedAnswer,
 ) -> outcomes.Outcome:
     log = log_state.LogState.read(log_url)
-    try:
-        verdict = _verdict(log, tree, author, note, base, change_id, say)
-    except KeyboardInterrupt:
-        # The record may be on its way; the change id tells later.
-        verdict = None
+    # From here on the record may be on its way; the change id tells later.
+    not_known_yet = _not_known_yet(change_id, log_url)
+    interrupted.outcome = not_known_yet
+    verdict = _verdict(log, tree, author, note, base, change_id, say)
     if verdict is None:
-        return _not_known_yet(change_id, log_url)
-    return _verdict_outcome(verdict, fleet, say)
+        return not_known_yet
+    outcome = _verdict_outcome(verdict)
+    if outcome.code is not outcomes.Exit.OK or fleet is None:
+        interrupted.outcome = outcome
+        return outcome
+    line = f"accepted as version {verdict.version}"
+    interrupted.outcome = outcomes.Outcome(
+        outcomes.Exit.PARTIAL,
+        outcome.document,
+        (f"{line}; interrupted before it was seen in force everywhere",),
+    )
+    say(line)
+    return _await_force(verdict.version, fleet, dict(outcome.document), say)
 
 
 def _verdict(
@@ -297,9 +313,7 @@
     )
 
 
-def _verdict_outcome(
-    verdict: config_log.Verdict, fleet: fleet_lib.Fleet | None, say: Say
-) -> outcomes.Outcome:
+def _verdict_outcome(verdict: config_log.Verdict) -> outcomes.Outcome:
     document = {
         "change_id": verdict.change_id,
         "outcome": verdict.outcome.value,
@@ -308,16 +322,7 @@
     match verdict.outcome:
         case config_log.Outcome.ACCEPTED:
             line = f"accepted as version {verdict.version}"
-            if fleet is None:
-                return outcomes.Outcome(outcomes.Exit.OK, document, (line,))
-            say(line)
-            try:
-                return _await_force(verdict.version, fleet, document, say)
-            except KeyboardInterrupt:
-                line += "; interrupted before it was seen in force everywhere"
-                return outcomes.Outcome(
-                    outcomes.Exit.PARTIAL, document, (line,)
-                )
+            return outcomes.Outcome(outcomes.Exit.OK, document, (line,))
         case config_log.Outcome.SUPERSEDED:
             code = outcomes.Exit.SUPERSEDED
             reason = f"is superseded by {verdict.by}"
--- a/sesamecross/operators/interruption_test.py
+++ b/sesamecross/operators/interruption_test.py
@@ -177,3 +177,76 @@
     log.release.set()
     said, _ = command.communicate(timeout=GUARD_S)
     assert (command.returncode, "accepted" in said) == (0, True), said
+
+
+def records(log):
+    """Returns how many records the log has taken in."""
+    return sum(len(kept) for kept in log._records.values())
+
+
+class Ages:
+    """Interrupts a command at its n-th line that was not reached before."""
+
+    FOLDER = str(pathlib.Path(command_line.__file__).parent)
+
+    def __init__(self, interrupt, age):
+        self.interrupt = interrupt
+        self.age = age
+        self.reached = set()
+
+    def __call__(self, frame, event, _argument):
+        if not frame.f_code.co_filename.startswith(self.FOLDER):
+            return None
+        if event == "line":
+            self._note((frame.f_code.co_filename, frame.f_lineno))
+        return self
+
+    def _note(self, line):
+        if line not in self.reached:
+            self.reached.add(line)
+            if len(self.reached) == self.age:
+                self.interrupt(signal.SIGTERM, None)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "done"),
+    [
+        ((*PUBLISH, "--wait"), "version"),
+        (("rollback", "1"), "version"),
+        (DRAIN, "drains"),
+    ],
+)
+def test_an_interruption_at_any_line_gets_a_true_answer(log, arguments, done):
+    """Guards against a change that was taken in and is reported as not made."""
+
+    def run(words, age=0):
+        output = io.StringIO()
+        command = command_line.CommandLine(
+            environment(log), io.StringIO(), output, output
+        )
+        ages = Ages(command.interrupt, age)
+        sys.settrace(ages if age else None)
+        try:
+            code = command.run(words)
+        finally:
+            sys.settrace(None)
+        return code, output.getvalue(), ages
+
+    assert run(PUBLISH)[0] == 0
+    age = 0
+    codes = set()
+    while True:
+        age += 1
+        before = records(log)
+        code, said, ages = run(arguments, age)
+        codes.add(code)
+        if records(log) > before:
+            assert code != 1, (age, said)
+        if code in (0, 6):
+            assert done in said
+        else:
+            assert code in (1, 4)
+            assert (NOTHING in said) == (code == 1)
+        if len(ages.reached) < age:
+            break
+    assert codes >= {0, 1, 4}
--- a/sesamecross/operators/outcomes.py
+++ b/sesamecross/operators/outcomes.py
@@ -39,6 +39,19 @@
     problems: tuple[errors.Problem, ...] = ()
 
 
+class InterruptedAnswer:
+    """What a command answers if it is interrupted now.
+
+    Each step sets it before it begins, so that a signal at any moment gets an
+    answer that is true.
+    """
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome: Outcome):
+        self.outcome = outcome
+
+
 def failed(code: Exit, problems: list[errors.Problem]) -> Outcome:
     """Returns an outcome that consists of problems only."""
     return Outcome(code, {}, (), tuple(problems))
--- a/sesamecross/runtime/bounded_output_test.py
+++ b/sesamecross/runtime/bounded_output_test.py
@@ -1,5 +1,6 @@
 """Tests of log lines that never wait for their reader."""
 
+import json
 import os
 import threading
 
@@ -30,20 +31,56 @@
     return read.decode().splitlines()
 
 
+def flushed_lines(
+    reader: int, output: bounded_output.BoundedOutput
+) -> list[str]:
+    """Reads what the pipe holds and what waits for room in it."""
+    os.set_blocking(reader, False)
+    read = b""
+    while True:
+        try:
+            read += os.read(reader, 65536)
+        except BlockingIOError:
+            return read.decode().splitlines()
+        output.flush()
+
+
+def slow_clock(step_s: float):
+    """Returns a clock that is later by a step at each reading."""
+    now_s = 0.0
+
+    def read() -> float:
+        nonlocal now_s
+        now_s += step_s
+        return now_s
+
+    return read
+
+
+@pytest.mark.parametrize(
+    ("step_s", "has_notices"), [(0.0, False), (0.001, True), (0.02, False)]
+)
 @pytest.mark.parametrize("is_shared", [False, True])
-def test_a_reader_that_stands_still_holds_nobody_up(pipe, is_shared):
-    """A process stood still with the one that read its log."""
+def test_a_reader_that_stands_still_holds_nobody_up(
+    pipe, is_shared, step_s, has_notices
+):
+    """Guards against waiting for a log's reader, however slow the machine."""
     reader, writer = pipe
     was_blocking = os.get_blocking(writer)
-    output = bounded_output.BoundedOutput(writer, is_shared=is_shared)
+    output = bounded_output.BoundedOutput(
+        writer, slow_clock(step_s), is_shared=is_shared
+    )
     for _ in range(1000):
         output.write(LINE)
     assert output.dropped > 0
     # Others that write to the same terminal find it as it was.
     assert os.get_blocking(writer) is (is_shared and was_blocking)
-    os.read(reader, 16 * 1024 * 1024)
-    output.flush()
-    assert {len(one) for one in lines_of(reader, writer)[1:]} == {200}
+    lines = flushed_lines(reader, output)
+    notices = [one for one in lines if one.startswith("{")]
+    assert bool(notices) is has_notices
+    for notice in notices:
+        assert json.loads(notice)["event"] == "log: lines left out"
+    assert {len(one) for one in lines if one not in notices} == {200}
 
 
 @pytest.mark.parametrize("is_shared", [False, True])
