--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -50,6 +50,8 @@
       late: Of the recent requests, the share that missed their objective.
       place_s: How long a request takes its place in a batch, on average; 0
         until one has ended.
+      read_s: How long an engine takes to read the prompt of a request, on
+        average.
     """
 
     service: str
@@ -58,6 +60,7 @@
     waiting: int
     late: float
     place_s: float
+    read_s: float = 0.0
 
 
 class Failing(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -132,6 +132,7 @@
                 return None
             if self._is_still_good(choice.upstream):
                 self.choice = choice
+                self._parts.demand.sent(self.key, choice.read_s)
                 return choice.upstream
             self.release()
 
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -22,6 +22,7 @@
 from sesamecross.ops.fleet import attempts
 from sesamecross.ops.fleet import choosing
 from sesamecross.ops.fleet import directory
+from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
@@ -292,7 +293,11 @@
                 self._arrived_s,
                 self._ends_s,
             )
-            self._owner.engines.demand.asked(self._search.key, self._arrived_s)
+            self._owner.engines.demand.asked(
+                self._search.key,
+                self._arrived_s,
+                engine_state.first_read_s(request.call),
+            )
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._exchange)
         return await self._until_answered()
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -17,8 +17,9 @@
 # A rate below this is as good as none and is no longer told.
 RATE_LEAST = 0.01
 LATE_WEIGHT = 0.1
-# Weight of the newest request in how long one takes its place in a batch.
-PLACE_WEIGHT = 0.1
+# Weight of the newest request in how long one takes its place in a batch, and
+# in how long its prompt takes to read.
+WORK_WEIGHT = 0.1
 
 Key = tuple[str, str]
 
@@ -30,6 +31,7 @@
     waiting: int = 0
     late: float = 0.0
     place_s: float = 0.0
+    read_s: float = 0.0
 
     def now(self, now_s: float) -> float:
         """Returns the rate, faded to now."""
@@ -44,11 +46,19 @@
     def __init__(self) -> None:
         self._meters: dict[Key, _Meter] = {}
 
-    def asked(self, key: Key, now_s: float) -> None:
-        """Counts a request."""
+    def asked(self, key: Key, now_s: float, read_s: float) -> None:
+        """Counts a request.
+
+        Args:
+          key: What it asks for.
+          now_s: Monotonic time.
+          read_s: A guess at how long its prompt takes to read, for a target
+            of which no prompt was sent yet.
+        """
         meter = self._meters.setdefault(key, _Meter())
         meter.rate = meter.now(now_s) + 1.0 / RATE_S
         meter.at_s = now_s
+        meter.read_s = meter.read_s or read_s
 
     def waits(self, key: Key, by: int) -> None:
         """A request begins (1) or ends (-1) to wait for the target."""
@@ -64,7 +74,12 @@
         meter = self._meters.setdefault(key, _Meter())
         if not meter.place_s:
             meter.place_s = lasted_s
-        meter.place_s += (lasted_s - meter.place_s) * PLACE_WEIGHT
+        meter.place_s += (lasted_s - meter.place_s) * WORK_WEIGHT
+
+    def sent(self, key: Key, read_s: float) -> None:
+        """Notes how long a prompt that is sent takes to read."""
+        meter = self._meters.setdefault(key, _Meter(read_s=read_s))
+        meter.read_s += (read_s - meter.read_s) * WORK_WEIGHT
 
     def rows(self, now_s: float) -> list[fm.TargetDemand]:
         """Returns what is asked for now; forgets what no longer is."""
@@ -82,6 +97,7 @@
                     meter.waiting,
                     round(meter.late, 2),
                     round(meter.place_s, 3),
+                    round(meter.read_s, 4),
                 )
             )
         return rows
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -39,6 +39,7 @@
     Attributes:
       expected_s: To the first event.
       fresh_tokens: Prompt tokens that the engine will have to read.
+      read_s: How long that takes it.
       ahead_tokens: Prompt tokens that it has to read before.
       running: Requests there.
       lacks_adapter: The adapter has to be loaded there first.
@@ -47,6 +48,7 @@
     upstream: directory_lib.KnownUpstream
     expected_s: float
     fresh_tokens: int
+    read_s: float
     ahead_tokens: int
     running: float
     lacks_adapter: bool
@@ -63,7 +65,8 @@
     kept = engine.cache.kept_tokens(call)
     fresh = max(1, call.prompt_tokens - kept)
     ahead = engine.own_prompt_tokens + engine.others_prompt_tokens
-    first_ms = engine.speed(call.model).at(ahead + fresh)
+    speed = engine.speed(call.model)
+    first_ms = speed.at(ahead + fresh)
     slots = max(1, known.entry.slots)
     waiting = max(0.0, known.running + 1 - slots)
     lacks = bool(call.adapter) and not engine.holds(
@@ -77,7 +80,8 @@
         + known.failing(now_s) * FAILURE_S
         + (ADAPTER_S if lacks else 0.0)
     )
-    return Choice(known, expected_s, fresh, ahead, known.running, lacks)
+    read_s = speed.slope * fresh / 1000
+    return Choice(known, expected_s, fresh, read_s, ahead, known.running, lacks)
 
 
 def choose(
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -98,6 +98,11 @@
         return line
 
 
+def first_read_s(call: serving.ModelCall) -> float:
+    """Returns a guess at how long a prompt takes to read."""
+    return call.prompt_tokens * START_PROMPT_MS / 1000
+
+
 def targets_of(models: tuple[serving.HeldModel, ...]) -> set[str]:
     """Returns models and adapters as targets."""
     found = set()
--- a/sesamecross/ops/fleet/figures.py
+++ b/sesamecross/ops/fleet/figures.py
@@ -95,20 +95,24 @@
     late = 0.0
     if rate > 0:
         late = (known.rate * known.late + one.rate * one.late) / rate
-    place_s = _mean_place_s(known, one)
-    waiting = known.waiting + one.waiting
     demand[key] = fm.TargetDemand(
-        one.service, one.target, rate, waiting, late, place_s
+        one.service,
+        one.target,
+        rate,
+        known.waiting + one.waiting,
+        late,
+        _mean_known((known.rate, known.place_s), (one.rate, one.place_s)),
+        _mean_known((known.rate, known.read_s), (one.rate, one.read_s)),
     )
 
 
-def _mean_place_s(one: fm.TargetDemand, other: fm.TargetDemand) -> float:
-    """Returns the mean over those of whom one has ended."""
-    told = [row for row in (one, other) if row.place_s > 0]
-    rate = sum(row.rate for row in told)
-    if rate <= 0:
-        return max((row.place_s for row in told), default=0.0)
-    return sum(row.rate * row.place_s for row in told) / rate
+def _mean_known(*told: tuple[float, float]) -> float:
+    """Returns the mean time by rate, of those who know one."""
+    known = [(rate, time_s) for rate, time_s in told if time_s > 0]
+    total = sum(rate for rate, _ in known)
+    if total <= 0:
+        return max((time_s for _, time_s in known), default=0.0)
+    return sum(rate * time_s for rate, time_s in known) / total
 
 
 class Latest:
--- a/sesamecross/ops/fleet/placement_memory.py
+++ b/sesamecross/ops/fleet/placement_memory.py
@@ -10,7 +10,6 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
-from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import placement_data
 
 # A model that is asked for once in this time stays, as far as there is room.
@@ -20,14 +19,12 @@
 USUAL_MOST = 1.0
 # After a pause of this length, what is asked for has to be learned anew.
 PAUSE_S = 5.0
-# Prompt tokens of a request, until more is told of them.
-TYPICAL_TOKENS = 1000.0
 
 Key = tuple[str, str]
 
 
 def _load(
-    spec: serving.EngineSpec, rate: float, places: float, running: int
+    spec: serving.EngineSpec, reading: float, places: float, running: int
 ) -> float:
     """Returns how many engines a model's requests keep busy.
 
@@ -39,12 +36,11 @@
 
     Args:
       spec: The engines.
-      rate: Requests a second.
+      reading: Engines that read all the time, for these requests' prompts.
       places: Places that these take, if all of them are served.
       running: Requests under way.
     """
-    read_s = TYPICAL_TOKENS * engine_state.START_PROMPT_MS / 1000
-    return max(rate * read_s, max(places, running) / max(1, spec.slots))
+    return max(reading, max(places, running) / max(1, spec.slots))
 
 
 class PlacementMemory:
@@ -111,6 +107,7 @@
         rates: dict[str, float] = {}
         late: dict[str, float] = {}
         places: dict[str, float] = {}
+        reading: dict[str, float] = {}
         waiting: dict[str, int] = {}
         for (of, target), one in told.items():
             if of == service:
@@ -118,6 +115,8 @@
                 rates[model] = rates.get(model, 0.0) + one.rate
                 taken = one.rate * one.place_s
                 places[model] = places.get(model, 0.0) + taken
+                reads = one.rate * one.read_s
+                reading[model] = reading.get(model, 0.0) + reads
                 late[model] = late.get(model, 0.0) + one.rate * one.late
                 if model == target:
                     waiting[model] = waiting.get(model, 0) + one.waiting
@@ -136,7 +135,7 @@
                 self._usual.get((service, name), 0.0),
                 _load(
                     spec,
-                    rates.get(name, 0.0),
+                    reading.get(name, 0.0),
                     places.get(name, 0.0),
                     running.get(name, 0),
                 ),
--- a/sesamecross/ops/fleet/placement_memory_test.py
+++ b/sesamecross/ops/fleet/placement_memory_test.py
@@ -9,13 +9,16 @@
 from sesamecross.ops.fleet import placement_memory
 
 STREAM_S = 1.6
+READ_S = 0.03
 KEY = ("s", "m")
 
 
-def load(slots: int, rate: float, place_s: float, running: int = 0) -> float:
+def load(
+    slots: int, rate: float, place_s: float, running: int = 0, read_s=READ_S
+):
     model = serving.ServedModel("m", 40.0, 2.0, 0.5, 0.3, 0, 1.0)
     spec = serving.EngineSpec(slots, 66_000, 200.0, 8, 2.0, 8, {"m": model})
-    told = {KEY: fm.TargetDemand("s", "m", rate, 0, 0.0, place_s)}
+    told = {KEY: fm.TargetDemand("s", "m", rate, 0, 0.0, place_s, read_s)}
     demand = placement_memory.PlacementMemory().demand(
         "s", spec, told, {("e1", "m"): running}, {"m"}, {}, 100.0
     )
@@ -47,9 +50,25 @@
     assert load(slots, rate, place_s, running) == pytest.approx(expected)
 
 
+@pytest.mark.parametrize("read_s", [READ_S / 3, READ_S, 3 * READ_S])
+def test_load_grows_with_the_time_that_prompts_take_to_read(read_s):
+    """Guards against refusals at an engine that is full of long prompts."""
+    assert load(64, 15.0, 0.1, 2, read_s) == pytest.approx(15.0 * read_s)
+
+
+def test_how_long_prompts_take_to_read_is_learned_and_a_guess_before():
+    demand = demand_lib.Demand()
+    demand.asked(KEY, 0.0, READ_S)
+    assert demand.rows(0.0)[0].read_s == READ_S
+    for _ in range(60):
+        demand.asked(KEY, 0.0, READ_S)
+        demand.sent(KEY, 3 * READ_S)
+    assert demand.rows(0.0)[0].read_s == pytest.approx(3 * READ_S, rel=0.01)
+
+
 def test_how_long_requests_take_is_learned_where_some_have_ended():
     demand = demand_lib.Demand()
-    demand.asked(KEY, 0.0)
+    demand.asked(KEY, 0.0, READ_S)
     assert demand.rows(0.0)[0].place_s == 0.0
     for _ in range(60):
         demand.took_place(KEY, STREAM_S)
