--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -199,7 +199,10 @@
     """May a prompt be sent to an engine now? To who paces the engine.
 
     Attributes:
-      tokens: What the engine would have to read.
+      read_s: How long the engine would read it.
+      pause_s: The longest pause between events that is on time for its
+        caller, or 0.
+      slack: How many times that pause the streams there seem to bear.
       spare_s: How long it may still wait and be on time.
       patience_s: How long it may still wait at all.
     """
@@ -207,7 +210,9 @@
     me: Member
     number: int
     upstream: str
-    tokens: int
+    read_s: float
+    pause_s: float
+    slack: float
     spare_s: float
     patience_s: float
 
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -54,12 +54,13 @@
         mesh.listen(self._on_message)
 
     async def run(self) -> None:
-        """Grants what lost reports hold back, and forgets idle engines."""
+        """Grants what lost reports hold back, and forgets engines gone."""
         while True:
             await asyncio.sleep(SWEEP_S)
             for upstream in list(self._pacers):
                 self._grant(upstream)
-                if self._pacers[upstream].is_idle:
+                is_gone = self._state.directory.get(upstream) is None
+                if is_gone and self._pacers[upstream].is_idle:
                     del self._pacers[upstream]
 
     async def stop(self) -> None:
@@ -88,24 +89,15 @@
     async def ask(
         self,
         known: directory_lib.KnownUpstream,
-        tokens: int,
-        due_s: float,
-        until_s: float,
+        prompt: pacer_lib.Prompt,
     ) -> Permit | Refused:
-        """Waits for leave to send.
-
-        Args:
-          known: The engine.
-          tokens: What it has to read.
-          due_s: Until when the request has to be sent to be on time.
-          until_s: Until when waiting makes sense.
-        """
+        """Waits for leave to send a prompt to an engine."""
         while True:
             pacer = self._pacer_of(known)
             if pacer is None:
                 upstream = known.entry.instance_id
                 return Permit(upstream, 0, "", is_open=False)
-            answer = await self._ask_one(pacer, known, tokens, due_s, until_s)
+            answer = await self._ask_one(pacer, known, prompt)
             if answer is not None:
                 return answer
 
@@ -113,9 +105,7 @@
         self,
         pacer: str,
         known: directory_lib.KnownUpstream,
-        tokens: int,
-        due_s: float,
-        until_s: float,
+        prompt: pacer_lib.Prompt,
     ) -> Permit | Refused | None:
         """Asks one instance; None where it stops, and another is to be asked.
 
@@ -130,8 +120,9 @@
         distance_s = self._state.place.distance_s(known.entry.zone)
         try:
             for _ in range(TRIES):
-                self._send_ask(permit, tokens, due_s, until_s)
-                wait_s = min(distance_s + ANSWER_S, until_s - loop.time())
+                self._send_ask(permit, prompt)
+                left_s = prompt.until_s - loop.time()
+                wait_s = min(distance_s + ANSWER_S, left_s)
                 await asyncio.wait([granted], timeout=max(0.0, wait_s))
                 if granted.done() or number in self._heard:
                     break
@@ -139,7 +130,7 @@
                 # Nobody paces this engine just now.
                 permit.is_open = False
                 return permit
-            left_s = until_s - loop.time()
+            left_s = prompt.until_s - loop.time()
             await asyncio.wait([granted], timeout=max(0.0, left_s))
         except asyncio.CancelledError:
             self.read(permit)
@@ -186,17 +177,17 @@
     def _has_left(self, member: fm.Member) -> bool:
         return self._left.get(member.name) == member.incarnation
 
-    def _send_ask(
-        self, permit: Permit, tokens: int, due_s: float, until_s: float
-    ) -> None:
+    def _send_ask(self, permit: Permit, prompt: pacer_lib.Prompt) -> None:
         now_s = asyncio.get_running_loop().time()
         ask = fm.Ask(
             self._mesh.me,
             permit.number,
             permit.upstream,
-            tokens,
-            round(due_s - now_s, 3),
-            round(until_s - now_s, 3),
+            round(prompt.read_s, 4),
+            prompt.pause_s,
+            round(prompt.slack, 2),
+            round(prompt.due_s - now_s, 3),
+            round(prompt.until_s - now_s, 3),
         )
         self._send(ask, permit.pacer)
 
@@ -225,7 +216,8 @@
             case fm.Read(me=me, number=number, upstream=upstream):
                 pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    pacer.read((me.name, number))
+                    now_s = asyncio.get_running_loop().time()
+                    pacer.read((me.name, number), now_s)
                     self._grant(upstream)
             case fm.Grant(me=me, number=number, verdict=verdict):
                 if verdict is fm.Verdict.LEAVE:
@@ -249,9 +241,13 @@
         key = (message.me.name, message.number)
         decisions = pacer.ask(
             key,
-            message.tokens,
-            now_s + message.spare_s,
-            now_s + message.patience_s,
+            pacer_lib.Prompt(
+                message.read_s,
+                message.pause_s,
+                message.slack,
+                now_s + message.spare_s,
+                now_s + message.patience_s,
+            ),
             self._batch(upstream),
             now_s,
         )
