A busy model does not wait for a rarer one to move out of its way

That one was to answer elsewhere first, behind two other unloads and a load of 6.4 s; for 9 s all 94 requests of the busy one were refused.

--- a/sesamecross/ops/fleet/placement_data.py
+++ b/sesamecross/ops/fleet/placement_data.py
@@ -117,6 +117,22 @@
         """Returns the demand for a model."""
         return self.demand.get(name, NO_DEMAND)
 
+    def must_move_first(
+        self, name: str, answers_elsewhere: bool, worth: float
+    ) -> bool:
+        """Whether a model that makes way has to answer elsewhere before.
+
+        Who comes waits for that as long as a load takes, and so do its
+        callers. Where these are more than the callers of the one that makes
+        way, it is better that the latter wait.
+
+        Args:
+          name: The model that makes way and has another place planned.
+          answers_elsewhere: Whether it answers at another place already.
+          worth: Requests a second that depend on the room.
+        """
+        return not answers_elsewhere and self.demand_for(name).value >= worth
+
     def size(self, name: str) -> float:
         """Returns a model's size in MB."""
         model = self.spec.models.get(name)
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -133,6 +133,30 @@
             share = self.inputs.demand_for(name).load / len(places)
             self.load[instance_id] += sign * share
 
+    def answering(self, name: str) -> list[str]:
+        """Returns the engines where a model answers now."""
+        return [
+            engine.name
+            for engine in self.engines.values()
+            if name in engine.ledger.models
+        ]
+
+    def moves_s(self, instance_id: str, name: str, worth: float) -> float:
+        """Returns how long one that makes way loads elsewhere before.
+
+        Args:
+          instance_id: Where it makes way.
+          name: The model that makes way.
+          worth: Requests a second that depend on its room.
+        """
+        planned = self.places[name]
+        answers = any(one in planned for one in self.answering(name))
+        if not planned or not self.inputs.must_move_first(name, answers, worth):
+            return 0.0
+        return min(
+            self.inputs.load_time(self.engines[one], name)[0] for one in planned
+        )
+
     def running(self, instance_id: str, name: str) -> int:
         """Returns the requests under way for a model and its adapters."""
         return self._running.get((instance_id, name), 0)
@@ -173,16 +197,22 @@
         wait_s += 1.0
     if missing_mb <= 0:
         return wait_s
+    worth = 0.0
+    if not draft.answering(name):
+        worth = inputs.demand_for(name).value
     leaving = [
-        (draft.running(engine.name, one), one)
-        for one in ledger.models
-        if one not in draft.held[engine.name]
+        (draft.moves_s(engine.name, one, worth), requests, one)
+        for requests, one in (
+            (draft.running(engine.name, one), one)
+            for one in ledger.models
+            if one not in draft.held[engine.name]
+        )
     ]
-    for requests, one in sorted(leaving):
+    for moves_s, requests, one in sorted(leaving):
         if missing_mb <= 0:
             break
         missing_mb -= inputs.size(one)
-        wait_s += UNLOAD_S
+        wait_s += UNLOAD_S + moves_s
         if requests:
             # The last of them to end counts.
             wait_s += RUNNING_S * (1.0 + math.log(requests))
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -100,7 +100,8 @@
     reason = "is held nowhere" if is_first else "gets a further place"
     free_mb = inputs.spec.weights_mb - engine.ledger.used_mb(inputs.spec)
     if free_mb < inputs.size(name):
-        _make_room(draft, engine, name, reason)
+        worth = inputs.demand_for(name).value if is_first else 0.0
+        _make_room(draft, engine, name, reason, worth)
         return
     takes_s, from_store = inputs.load_time(engine, name)
     if not draft.may_order(engine):
@@ -117,7 +118,7 @@
 
 
 def _make_room(
-    draft: _Draft, engine: data.Engine, name: str, reason: str
+    draft: _Draft, engine: data.Engine, name: str, reason: str, worth: float
 ) -> None:
     """Withdraws or unloads a model that is not wanted here any more."""
     inputs = draft.inputs
@@ -125,7 +126,7 @@
         one
         for one in sorted(engine.ledger.models)
         if one not in draft.target[engine.name]
-        and _may_go(draft, engine.name, one)
+        and _may_go(draft, engine.name, one, worth)
     ]
     if not victims:
         return
@@ -150,19 +151,17 @@
         )
 
 
-def _may_go(draft: _Draft, instance_id: str, name: str) -> bool:
-    """Whether a model may leave an engine now.
-
-    One that moves must answer at one of its new places first.
-    """
+def _may_go(draft: _Draft, instance_id: str, name: str, worth: float) -> bool:
+    """Whether a model may leave an engine now for one of some worth."""
     places = [one for one, held in draft.target.items() if name in held]
     if not places:
         return True
-    return any(
+    answers = any(
         name in draft.engines[one].ledger.models
         for one in places
         if one != instance_id
     )
+    return not draft.inputs.must_move_first(name, answers, worth)
 
 
 def _is_idle(draft: _Draft, instance_id: str, name: str) -> bool:
--- /dev/null
+++ b/sesamecross/ops/fleet/placement_steps_test.py
@@ -0,0 +1,47 @@
+"""Tests of the steps that lead engines to what they should hold."""
+
+import dataclasses
+
+import pytest
+
+from sesamecross.fakes.placement_samples import LOAD_S
+from sesamecross.fakes.placement_samples import demand
+from sesamecross.fakes.placement_samples import engine
+from sesamecross.fakes.placement_samples import inputs
+from sesamecross.ops.fleet import placement_data as data
+from sesamecross.ops.fleet import placement_draft
+from sesamecross.ops.fleet import placement_exchange
+from sesamecross.ops.fleet import placement_steps
+
+MOVES_S = LOAD_S + placement_draft.UNLOAD_S
+
+
+@pytest.mark.parametrize(
+    ("comes", "moves", "at_once", "wait_s"),
+    [
+        (demand(10.0), demand(0.3), True, placement_draft.UNLOAD_S),
+        (demand(0.3), demand(10.0), False, MOVES_S),
+        # Nobody asks for what comes: what moves is never interrupted for it.
+        (data.NO_DEMAND, demand(0.3), False, MOVES_S),
+    ],
+)
+def test_a_busy_model_does_not_wait_for_a_rare_one_to_move(
+    comes, moves, at_once, wait_s
+):
+    """Guards against seconds of refusals while a rare model loads elsewhere."""
+    given = inputs(
+        [engine("e1", "rare", "stays"), engine("e2", "stays-too")],
+        {"busy": comes, "rare": moves},
+        {"e1": ["busy", "stays"], "e2": ["rare", "stays-too"]},
+    )
+    # Requests for what moves have just ended; none are sent there any more.
+    given = dataclasses.replace(given, withdrawn={("e1", "rare"): -1.0})
+    got = placement_steps.steps(given, given.target)
+    unloads = [
+        (one.instance_id, one.target)
+        for one in got
+        if one.kind is data.StepKind.UNLOAD
+    ]
+    assert unloads == ([("e1", "rare")] if at_once else [])
+    expected = placement_exchange.expected(given, given.target)
+    assert expected["e1"]["busy"] == pytest.approx(wait_s + LOAD_S)
--- a/sesamecross/ops/fleet/placement_target_test.py
+++ b/sesamecross/ops/fleet/placement_target_test.py
@@ -2,54 +2,14 @@
 
 import pytest
 
-from sesamecross.core import serving
-from sesamecross.ops.fleet import engine_ledger
-from sesamecross.ops.fleet import placement_data as data
+from sesamecross.fakes.placement_samples import LOAD_S
+from sesamecross.fakes.placement_samples import demand
+from sesamecross.fakes.placement_samples import engine
+from sesamecross.fakes.placement_samples import inputs
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_exchange
 from sesamecross.ops.fleet import placement_target
 
-NAMES = ("busy", "rare", "other", "idle", "stays", "stays-too")
-SIZES = dict.fromkeys(NAMES, 40.0)
-ROOM_MB = 80.0
-LOAD_S = 2.0
-
-
-def spec(sizes=None) -> serving.EngineSpec:
-    models = {
-        name: serving.ServedModel(name, size, LOAD_S, 0.5, 0.3, 0, 1.0)
-        for name, size in (sizes or SIZES).items()
-    }
-    return serving.EngineSpec(64, 100_000, ROOM_MB, 8, 2.0, 6, models)
-
-
-def engine(name: str, *models: str) -> data.Engine:
-    ledger = engine_ledger.EngineLedger(name, 1)
-    ledger.models.update(models)
-    ledger.is_certain = True
-    ledger.loaded_s = dict.fromkeys(models, -100.0)
-    return data.Engine(ledger, free_for_order=True, is_leaving=False)
-
-
-def demand(rate: float, load: float = 0.1) -> data.ModelDemand:
-    return data.ModelDemand(rate, min(rate, 1.0), load, 0)
-
-
-def inputs(engines, demands, target, in_use=None) -> data.Inputs:
-    return data.Inputs(
-        spec(),
-        tuple(engines),
-        demands,
-        in_use or {},
-        {},
-        {name: frozenset(models) for name, models in target.items()},
-        (),
-        2,
-        True,
-        True,
-        0.0,
-    )
-
 
 def test_a_busy_model_gets_the_room_that_is_free_sooner():
     """The only engine with the busiest model died.
