A withdrawn model serves again as soon as no plan wants its room

The withdrawal held for 8 s all the same: 74 requests for a model that its engine held were refused.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -378,7 +378,9 @@
             now_s=now_s,
         )
         target = self._target(service, inputs)
-        for step in placement_steps.steps(inputs, target):
+        steps = placement_steps.steps(inputs, target)
+        self._serve_again(service, steps)
+        for step in steps:
             if step.kind is placement_data.StepKind.WITHDRAW:
                 self._withdraw(step, now_s)
             elif not step.from_store or budget.allows(now_s):
@@ -424,9 +426,28 @@
             },
         )
 
+    def _serve_again(
+        self, service: str, steps: list[placement_data.Step]
+    ) -> None:
+        """Ends the withdrawals of a service that its plan does not repeat."""
+        for key in placement_steps.serving_again(self._withdrawn, steps):
+            instance_id, target = key
+            known = self._state.directory.get(instance_id)
+            if known is None or known.entry.service != service:
+                continue
+            # An unload may be on its way.
+            if not self._desks[instance_id].is_calling:
+                del self._withdrawn[key]
+                self._log.info(
+                    "serves again", upstream=instance_id, target=target
+                )
+
     def _withdraw(self, step: placement_data.Step, now_s: float) -> None:
         """Instances are told to send no new requests for a model there."""
-        self._withdrawn[(step.instance_id, step.target)] = now_s
+        key = (step.instance_id, step.target)
+        if key in self._withdrawn:
+            return
+        self._withdrawn[key] = now_s
         self._log.info(
             "withdrawn",
             upstream=step.instance_id,
--- a/sesamecross/ops/fleet/placement_data.py
+++ b/sesamecross/ops/fleet/placement_data.py
@@ -156,6 +156,7 @@
       LOAD, UNLOAD: An order to the engine.
       WITHDRAW: No order yet: instances send no new requests for the model,
         so that it can be unloaded without holding up the engine's orders.
+        It holds until a plan no longer says so.
     """
 
     LOAD = "load"
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -3,10 +3,14 @@
 Why: an engine carries out one order at a time and refuses requests that an
 order concerns; an unload waits until the model's requests have ended, and
 holds up every other order there. So a model is first withdrawn (instances
-send no new requests for it), and unloaded when nobody uses it. A model that
-is asked for and moves is loaded at its new place first.
+send no new requests for it), and unloaded when nobody uses it. It stays
+withdrawn only while each plan says so again: plans change, and a model that
+answers must not refuse its callers for room that nobody wants any more. A model
+that is asked for and moves is loaded at its new place first.
 """
 
+from collections.abc import Iterable
+
 from sesamecross.ops.fleet import placement_data as data
 from sesamecross.ops.fleet import placement_draft
 
@@ -27,6 +31,18 @@
     return draft.steps
 
 
+def serving_again(
+    withdrawn: Iterable[tuple[str, str]], taken: Iterable[data.Step]
+) -> list[tuple[str, str]]:
+    """Returns what was withdrawn, by engine and model, and no step needs."""
+    wanted = {
+        (step.instance_id, step.target)
+        for step in taken
+        if step.kind is not data.StepKind.LOAD
+    }
+    return [key for key in withdrawn if key not in wanted]
+
+
 class _Draft:
     """The steps while they are collected: one order an engine at most."""
 
@@ -140,12 +156,10 @@
         ),
     )
     why = f"makes room for {name}, which {reason}"
-    if _is_idle(draft, engine.name, victim):
-        if draft.may_order(engine):
-            draft.order(
-                data.Step(data.StepKind.UNLOAD, engine.name, victim, why)
-            )
-    elif (engine.name, victim) not in inputs.withdrawn:
+    is_idle = _is_idle(draft, engine.name, victim)
+    if is_idle and draft.may_order(engine):
+        draft.order(data.Step(data.StepKind.UNLOAD, engine.name, victim, why))
+    elif not is_idle or (engine.name, victim) in inputs.withdrawn:
         draft.steps.append(
             data.Step(data.StepKind.WITHDRAW, engine.name, victim, why)
         )
--- a/sesamecross/ops/fleet/placement_steps_test.py
+++ b/sesamecross/ops/fleet/placement_steps_test.py
@@ -45,3 +45,28 @@
     assert unloads == ([("e1", "rare")] if at_once else [])
     expected = placement_exchange.expected(given, given.target)
     assert expected["e1"]["busy"] == pytest.approx(wait_s + LOAD_S)
+
+
+@pytest.mark.parametrize(
+    ("target", "serves_again"),
+    [
+        # The plan still wants the room.
+        ({"e1": ["busy", "stays"]}, []),
+        # It came back to what the engine holds.
+        ({"e1": ["rare", "stays"]}, [("e1", "rare")]),
+        # The model that was to come is planned elsewhere.
+        ({"e1": ["stays"], "e2": ["busy"]}, [("e1", "rare")]),
+    ],
+)
+def test_a_model_serves_again_when_nobody_wants_its_room(target, serves_again):
+    """Guards against refusals for 8 s of a model that an engine holds."""
+    given = inputs(
+        [engine("e1", "rare", "stays"), engine("e2", "stays-too")],
+        {"busy": demand(10.0), "rare": demand(3.0)},
+        {"e2": ["stays-too"]} | target,
+        {("e1", "rare"): 2},
+    )
+    withdrawn = {("e1", "rare"): -0.1}
+    given = dataclasses.replace(given, withdrawn=withdrawn)
+    got = placement_steps.steps(given, given.target)
+    assert placement_steps.serving_again(withdrawn, got) == serves_again
