--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -12,6 +12,9 @@
 # From this load on, an engine's streams pause for the prompts of others and
 # its batch is nearly full: what is beyond is late.
 FULL_SHARE = 0.7
+# A place that is not needed is worth this share of a model's requests: an
+# engine can fail, and halves are served sooner.
+SPARE_SHARE = 0.1
 # Models that were loaded stay at least this long: two that take turns in one
 # place serve nobody.
 STAY_S = 3.0
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -52,6 +52,7 @@
         "engines",
         "steps",
         "taken",
+        "reserved",
         "store_loads",
         "running",
     )
@@ -72,6 +73,9 @@
         }
         self.steps: list[data.Step] = []
         self.taken: set[str] = set()
+        # Engines at which a model waits for room, that is worth more than
+        # those that are looked at later.
+        self.reserved: set[str] = set()
         self.store_loads = inputs.store_loads
         self.running = placement_draft.running_by_model(inputs)
 
@@ -81,6 +85,19 @@
         self.taken.add(step.instance_id)
         self.store_loads -= 1 if step.from_store else 0
 
+    def reserve(self, engine: data.Engine, worth: float) -> None:
+        """Keeps an engine's next order for a model that waits for room."""
+        if worth > placement_draft.MOVE_LOSS:
+            self.reserved.add(engine.name)
+
+    def is_kept_from(self, engine: data.Engine, takes_s: float) -> bool:
+        """Whether a load would hold up one that is worth more.
+
+        Short ones are done before the requests of what makes way have ended.
+        """
+        is_long = takes_s > placement_draft.RUNNING_S
+        return is_long and engine.name in self.reserved
+
     def may_order(self, engine: data.Engine) -> bool:
         """Whether an engine may get an order of this plan."""
         return engine.free_for_order and engine.name not in self.taken
@@ -95,32 +112,47 @@
         ledger = draft.engines[instance_id].ledger
         for name in models:
             if not ledger.holds_or_will(name):
-                is_first = not _is_held(draft, name)
-                value = draft.inputs.demand_for(name).value
-                wanted.append((is_first, value, name, instance_id))
-    for is_first, _, name, instance_id in sorted(wanted, reverse=True):
-        _lead_to(draft, draft.engines[instance_id], name, is_first)
+                worth, reason = _worth(draft, name)
+                wanted.append((worth, name, instance_id, reason))
+    for worth, name, instance_id, reason in sorted(wanted, reverse=True):
+        _lead_to(draft, draft.engines[instance_id], name, worth, reason)
 
 
-def _is_held(draft: _Draft, name: str) -> bool:
-    return any(
+def _worth(draft: _Draft, name: str) -> tuple[float, str]:
+    """Returns what one more place of a model is worth now, and why.
+
+    In requests a second: all that depend on it, or what its engines can't
+    take.
+    """
+    demand = draft.inputs.demand_for(name)
+    places = sum(
         engine.ledger.holds_or_will(name) for engine in draft.engines.values()
     )
+    if not places:
+        worth = placement_draft.IDLE_VALUE
+        if demand.is_asked:
+            worth = max(worth, demand.value)
+        return worth, "is held nowhere"
+    load = demand.load / places
+    over = 0.0
+    if load > placement_draft.FULL_SHARE:
+        over = 1.0 - placement_draft.FULL_SHARE / load
+    worth = demand.rate * max(over, placement_draft.SPARE_SHARE)
+    return worth, "gets a further place"
 
 
 def _lead_to(
-    draft: _Draft, engine: data.Engine, name: str, is_first: bool
+    draft: _Draft, engine: data.Engine, name: str, worth: float, reason: str
 ) -> None:
     """Adds the next step towards a model at an engine."""
     inputs = draft.inputs
-    reason = "is held nowhere" if is_first else "gets a further place"
     free_mb = inputs.spec.weights_mb - engine.ledger.used_mb(inputs.spec)
     if free_mb < inputs.size(name):
-        worth = inputs.demand_for(name).value if is_first else 0.0
         _make_room(draft, engine, name, reason, worth)
+        draft.reserve(engine, worth)
         return
     takes_s, from_store = inputs.load_time(engine, name)
-    if not draft.may_order(engine):
+    if not draft.may_order(engine) or draft.is_kept_from(engine, takes_s):
         return
     # What nobody asks for leaves the store to what somebody may ask for next.
     spared = 0 if inputs.demand_for(name).is_asked else SPARED_LOADS
--- a/sesamecross/ops/fleet/placement_steps_test.py
+++ b/sesamecross/ops/fleet/placement_steps_test.py
@@ -8,6 +8,7 @@
 from sesamecross.fakes.placement_samples import demand
 from sesamecross.fakes.placement_samples import engine
 from sesamecross.fakes.placement_samples import inputs
+from sesamecross.fakes.placement_samples import spec
 from sesamecross.ops.fleet import placement_data as data
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_exchange
@@ -70,3 +71,41 @@
     given = dataclasses.replace(given, withdrawn=withdrawn)
     got = placement_steps.steps(given, given.target)
     assert placement_steps.serving_again(withdrawn, got) == serves_again
+
+
+@pytest.mark.parametrize(
+    ("asked", "loads"),
+    [
+        # A long load would hold up the busy model by as much.
+        ({"busy": demand(10.0), "rare": demand(0.5)}, []),
+        # Nobody waits for the room.
+        ({"rare": demand(0.5)}, [("e1", "rare")]),
+    ],
+)
+def test_a_rare_load_does_not_hold_up_a_busy_one(asked, loads):
+    """Guards against a busy model that waits 6 s for a rare one's load."""
+    given = inputs(
+        [engine("e1", "other")],
+        asked,
+        {"e1": ["busy", "rare"]},
+        {("e1", "other"): 3},
+    )
+    sizes = {"busy": 50.0, "rare": 30.0, "other": 40.0}
+    given = dataclasses.replace(given, spec=spec(sizes))
+    got = placement_steps.steps(given, given.target)
+    assert loads == [
+        (one.instance_id, one.target)
+        for one in got
+        if one.kind is data.StepKind.LOAD
+    ]
+
+
+def test_what_engines_cannot_take_goes_before_what_nobody_asks_for():
+    """Guards against refusals while an engine loads models for later."""
+    given = inputs(
+        [engine("e1", "busy"), engine("e2")],
+        {"busy": demand(20.0, load=2.0)},
+        {"e1": ["busy"], "e2": ["busy", "idle"]},
+    )
+    got = placement_steps.steps(given, given.target)
+    assert [(one.instance_id, one.target) for one in got] == [("e2", "busy")]
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -34,9 +34,8 @@
 # Fairness: a model that is found nowhere counts double after this time.
 STARVED_S = 15.0
 # A second place for a model of this load is worth a little, in room that is
-# free: its engine can fail, and halves are served sooner.
+# free.
 SPARE_LOAD = 0.15
-SPARE_SHARE = 0.1
 # Room left over counts a little, so that models go where they fit closely.
 LEFT_OVER_COST = 0.3
 # A model that nobody asks for is worth a little in room that is free. It counts
@@ -122,7 +121,7 @@
         return demand.rate * over
     if demand.load < SPARE_LOAD or len(places) > 1:
         return 0.0
-    return demand.rate * SPARE_SHARE
+    return demand.rate * placement_draft.SPARE_SHARE
 
 
 def _over(draft: placement_draft.Draft, name: str) -> float:
