--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -376,6 +376,7 @@
             knows_demand=known_s >= DEMAND_S,
             knows_engines=now_s - self._engine_came_s >= ENGINES_S,
             now_s=now_s,
+            used_s=self._memory.last_used(self._state.fleet_uses, now_s),
         )
         target = self._target(service, inputs)
         steps = placement_steps.steps(inputs, target)
--- a/sesamecross/ops/fleet/placement_data.py
+++ b/sesamecross/ops/fleet/placement_data.py
@@ -95,6 +95,7 @@
       withdrawn: Models that get no new requests at an engine, since when.
       target: What the last plan wanted each engine to hold.
       wants: Adapters that requests wait for.
+      used_s: When targets were last in use, by engine and target.
       store_loads: How many loads from the store may begin now.
       knows_demand: Whether all instances have told what they are asked for.
       knows_engines: Whether no engine came lately: while they come, each may
@@ -112,6 +113,9 @@
     knows_demand: bool
     knows_engines: bool
     now_s: float
+    used_s: Mapping[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def demand_for(self, name: str) -> ModelDemand:
         """Returns the demand for a model."""
--- a/sesamecross/ops/fleet/placement_memory.py
+++ b/sesamecross/ops/fleet/placement_memory.py
@@ -20,6 +20,9 @@
 # After a pause of this length, what is asked for has to be learned anew.
 PAUSE_S = 5.0
 
+# For so long it is remembered when a target was last in use.
+USED_KEPT_S = 60.0
+
 Key = tuple[str, str]
 
 
@@ -56,6 +59,7 @@
         "_missed_s",
         "_awake_s",
         "_asked_s",
+        "_used_s",
         "from_store",
     )
 
@@ -65,6 +69,8 @@
         self._missed_s: dict[Key, float] = {}
         self._awake_s: float | None = None
         self._asked_s = 0.0
+        # When a target was last seen in use, by engine and target.
+        self._used_s: dict[Key, float] = {}
         self.from_store: set[str] = set()
 
     def known_s(self, now_s: float) -> float:
@@ -83,6 +89,22 @@
         elif self._awake_s is not None and now_s - self._asked_s > PAUSE_S:
             self._awake_s = None
 
+    def last_used(
+        self, in_use: Mapping[Key, int], now_s: float
+    ) -> dict[Key, float]:
+        """Returns when targets were last in use, by engine and target.
+
+        Args:
+          in_use: Requests under way by engine and target.
+          now_s: Monotonic time.
+        """
+        self._used_s = {
+            key: at_s
+            for key, at_s in self._used_s.items()
+            if now_s - at_s < USED_KEPT_S
+        } | dict.fromkeys(in_use, now_s)
+        return self._used_s
+
     def demand(
         self,
         service: str,
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 from sesamecross.ops.fleet import placement_data as data
 from sesamecross.ops.fleet import placement_draft
@@ -19,6 +20,8 @@
 SETTLE_S = 0.3
 # An adapter is there after some milliseconds; a little more for the way.
 ADAPTER_S = 0.012
+# Until a use of an adapter, or its end, has been told by way of the hubs.
+ADAPTER_IDLE_S = 0.8
 # Loads from the store that are left for models that are asked for.
 SPARED_LOADS = 1
 
@@ -258,17 +261,23 @@
 
 
 def _idle_adapter(draft: _Draft, engine: data.Engine) -> str | None:
-    """Returns the adapter that no request uses, the oldest one first."""
+    """Returns the adapter that was not used for longest, if it is idle.
+
+    An unload of one in use holds up all orders to the engine until its
+    requests have ended, and what instances use is told some tenths late.
+    """
     ledger = engine.ledger
     wanted = {
         want.target
         for want in draft.inputs.wants
         if want.instance_id == engine.name
     }
-    idle = [
-        (ledger.loaded_s.get(target, 0.0), target)
-        for target in ledger.adapters
-        if target not in wanted
-        and not draft.inputs.in_use.get((engine.name, target))
-    ]
+    idle = []
+    for target in ledger.adapters - wanted:
+        used_s = max(
+            ledger.loaded_s.get(target, -math.inf),
+            draft.inputs.used_s.get((engine.name, target), -math.inf),
+        )
+        if draft.inputs.now_s - used_s >= ADAPTER_IDLE_S:
+            idle.append((used_s, target))
     return min(idle)[1] if idle else None
--- a/sesamecross/ops/fleet/placement_steps_test.py
+++ b/sesamecross/ops/fleet/placement_steps_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sesamecross.core import serving
 from sesamecross.fakes.placement_samples import LOAD_S
 from sesamecross.fakes.placement_samples import demand
 from sesamecross.fakes.placement_samples import engine
@@ -109,3 +110,33 @@
     )
     got = placement_steps.steps(given, given.target)
     assert [(one.instance_id, one.target) for one in got] == [("e2", "busy")]
+
+
+@pytest.mark.parametrize(
+    ("used_s", "loaded_s", "victim"),
+    [
+        # The one that was not used for longest, whenever it was loaded.
+        ({"a1": -1.0, "a2": -5.0}, {"a1": -90.0, "a2": -20.0}, "m/a2"),
+        # A use that is over for a moment may be followed by one not told yet.
+        ({"a1": -0.1, "a2": -0.5}, {"a1": -90.0, "a2": -20.0}, None),
+        # What was loaded a moment ago is about to be used.
+        ({"a2": -0.1}, {"a1": -0.2, "a2": -20.0}, None),
+        ({}, {"a1": -3.0, "a2": -20.0}, "m/a2"),
+    ],
+)
+def test_adapters_make_way_when_they_are_idle(used_s, loaded_s, victim):
+    """Guards against an unload that holds up all orders to an engine."""
+    one = engine("e1", "m")
+    one.ledger.adapters.update({"m/a1", "m/a2"})
+    one.ledger.loaded_s.update({f"m/{k}": v for k, v in loaded_s.items()})
+    adapters = serving.ServedModel("m", 40.0, 2.0, 0.5, 0.3, 5, 1.0)
+    given = dataclasses.replace(
+        inputs([one], {"m": demand(5.0)}, {"e1": ["m"]}),
+        spec=dataclasses.replace(
+            spec(), adapter_slots=2, models={"m": adapters}
+        ),
+        wants=(data.AdapterWant("e1", "m/a3"),),
+        used_s={("e1", f"m/{k}"): v for k, v in used_s.items()},
+    )
+    got = placement_steps.steps(given, given.target)
+    assert [one.target for one in got] == ([victim] if victim else [])
