--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -8,6 +8,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import pacer as pacer_lib
+from sesamecross.runtime import logs
 from sesamecross.utils import rendezvous
 
 # An ask without any answer is repeated after the way there and back and this
@@ -51,6 +52,7 @@
         # Instances that said that they stop, or this one, by name: which life.
         # They count as alive for a second more, and would be asked in vain.
         self._left: dict[str, int] = {}
+        self._log = logs.part("pacing")
         mesh.listen(self._on_message)
 
     async def run(self) -> None:
@@ -274,6 +276,16 @@
         for name, number in decisions.refused:
             back_s = pacer_lib.OVERLOAD_BACK_S
             self._send(fm.Grant(me, number, fm.Verdict.REFUSE, back_s), name)
+        if decisions.refused:
+            batch = self._batch(upstream)
+            self._log.info(
+                "no turn",
+                upstream=upstream,
+                refused=len(decisions.refused),
+                running=round(batch.running),
+                slots=batch.slots,
+                **self._pacers[upstream].figures(),
+            )
         self._look_again(upstream)
 
     def _tell_leave(self, name: str, number: int) -> None:
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -216,6 +216,19 @@
         """
         return min(ask.prompt.read_s, self.burst_s)
 
+    def figures(self) -> dict[str, float]:
+        """Returns what its verdicts rest on, for the log."""
+        return {
+            "speed": round(self._speed.value, 2),
+            "slack": round(self._slack, 2),
+            "asked": round(self._asked, 2),
+            "rate": round(self.rate, 2),
+            "ahead_ms": round(self._level_s * 1000),
+            "unread_ms": round(self._unread_s * 1000),
+            "waiting": len(self._waiting),
+            "is_full": self._is_full,
+        }
+
     # -- asks ----------------------------------------------------------------
 
     def ask(
