--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -138,7 +138,11 @@
                 if not await self._wait(choice, now_s):
                     return None
                 continue
-            if not await self._take_turn(choice):
+            has_turn = await self._take_turn(choice)
+            # Placement reckons with the time that engines really take.
+            speed = choice.upstream.engine.speed_told
+            self._parts.demand.sent(self.key, choice.read_s / speed)
+            if not has_turn:
                 if self._has_another():
                     continue
                 # A model whose callers are turned away needs more engines.
@@ -146,7 +150,6 @@
                 return None
             if self._is_still_good(choice.upstream):
                 self.choice = choice
-                self._parts.demand.sent(self.key, choice.read_s)
                 return choice.upstream
             self.release()
 
