Taken back: placement reckons with the speed at which engines really read

Hypothesis: the pacer's learned speed (0.5 to 0.6 of what engines are told at a busy grown site) makes loads of models too small for placement. Busy models take more engines and others are found nowhere.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -238,15 +238,12 @@
 
     Attributes:
       after_s: When a refused caller should come back; 0 otherwise.
-      speed: How much of the reading that it is told of the engine does in a
-        second.
     """
 
     me: Member
     number: int
     verdict: Verdict
     after_s: float = 0.0
-    speed: float = 1.0
 
 
 class Read(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=8):
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -138,11 +138,7 @@
                 if not await self._wait(choice, now_s):
                     return None
                 continue
-            has_turn = await self._take_turn(choice)
-            # Placement reckons with the time that engines really take.
-            speed = choice.upstream.engine.speed_told
-            self._parts.demand.sent(self.key, choice.read_s / speed)
-            if not has_turn:
+            if not await self._take_turn(choice):
                 if self._has_another():
                     continue
                 # A model whose callers are turned away needs more engines.
@@ -150,6 +146,7 @@
                 return None
             if self._is_still_good(choice.upstream):
                 self.choice = choice
+                self._parts.demand.sent(self.key, choice.read_s)
                 return choice.upstream
             self.release()
 
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -143,10 +143,6 @@
         if not granted.done():
             self.read(permit)
             return Refused(pacer_lib.OVERLOAD_BACK_S)
-        if granted.result().verdict is not fm.Verdict.LEAVE:
-            known.engine.speed_told = max(
-                pacer_lib.SPEED_LEAST, granted.result().speed
-            )
         match granted.result():
             case fm.Grant(verdict=fm.Verdict.REFUSE, after_s=after_s):
                 permit.is_open = False
@@ -275,14 +271,11 @@
 
     def _tell(self, upstream: str, decisions: pacer_lib.Decisions) -> None:
         me = self._mesh.me
-        speed = round(self._pacers[upstream].speed, 2)
         for name, number in decisions.granted:
-            told = fm.Grant(me, number, fm.Verdict.SEND, 0.0, speed)
-            self._send(told, name)
+            self._send(fm.Grant(me, number, fm.Verdict.SEND), name)
         for name, number in decisions.refused:
             back_s = pacer_lib.OVERLOAD_BACK_S
-            told = fm.Grant(me, number, fm.Verdict.REFUSE, back_s, speed)
-            self._send(told, name)
+            self._send(fm.Grant(me, number, fm.Verdict.REFUSE, back_s), name)
         if decisions.refused:
             batch = self._batch(upstream)
             self._log.info(
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -77,7 +77,7 @@
         meter.place_s += (lasted_s - meter.place_s) * WORK_WEIGHT
 
     def sent(self, key: Key, read_s: float) -> None:
-        """Notes how long a prompt takes to read at the engine chosen."""
+        """Notes how long a prompt that is sent takes to read."""
         meter = self._meters.setdefault(key, _Meter(read_s=read_s))
         meter.read_s += (read_s - meter.read_s) * WORK_WEIGHT
 
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -26,15 +26,12 @@
 
     Attributes:
       place: The newest word of the lease's holder, or None.
-      speed_told: How much of the reading that it is told of it does in a
-        second, by who gives turns there.
       own_prompt_tokens, others_prompt_tokens: Sent, and no event yet.
     """
 
     place: fm.EnginePlace | None = None
     place_s: float = 0.0
     absent: dict[str, float] = dataclasses.field(default_factory=dict)
-    speed_told: float = 1.0
     own_prompt_tokens: int = 0
     others_prompt_tokens: int = 0
     speeds: dict[str, estimates.Line] = dataclasses.field(default_factory=dict)
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -192,11 +192,6 @@
 
     # -- what the engine can do, in seconds of told reading ------------------
 
-    @property
-    def speed(self) -> float:
-        """Told reading that the engine does in a second."""
-        return self._speed.value
-
     @property
     def rate(self) -> float:
         """Reading that the engine gets in a second."""
