--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -29,14 +29,14 @@
 import dataclasses
 import math
 
-# With a slack of 1 reading takes four fifths of an engine's time: the rest is
+# With a slack of 0.5 reading takes two thirds of an engine's time: the rest is
 # for the steps of the streams.
 STEPS_SLACK = 0.25
 # Of the pause that streams bear this part may be read at once.
 BURST_SHARE = 1 / 3
 # Pause and slack until anybody has told of them.
 START_PAUSE_S = 0.25
-START_SLACK = 1.0
+START_SLACK = 0.5
 # A bound below this is no bound: steps alone take as long.
 LEAST_PAUSE_S = 0.02
 # Weight of the newest ask in what streams seem to bear.
