--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -22,7 +22,6 @@
 from sesamecross.ops.fleet import attempts
 from sesamecross.ops.fleet import choosing
 from sesamecross.ops.fleet import directory
-from sesamecross.ops.fleet import reading_speed
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
@@ -296,7 +295,9 @@
             self._owner.engines.demand.asked(
                 self._search.key,
                 self._arrived_s,
-                reading_speed.read_s(request.call.prompt_tokens),
+                state.directory.reading(self._search.service).read_s(
+                    request.call.model, request.call.prompt_tokens
+                ),
             )
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._exchange)
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -13,7 +13,6 @@
 from sesamecross.core import serving
 from sesamecross.ops.fleet import choosing
 from sesamecross.ops.fleet import directory as directory_lib
-from sesamecross.ops.fleet import reading_speed
 
 # What a failure costs: see choosing.FAILURE_S; a stream that fails midway
 # loses all that it had delivered.
@@ -40,7 +39,7 @@
     Attributes:
       expected_s: To the first event.
       fresh_tokens: Prompt tokens that the engine will have to read.
-      read_s: How long engines are guessed to take for that.
+      read_s: How long that takes it.
       ahead_tokens: Prompt tokens that it has to read before.
       running: Requests there.
       lacks_adapter: The adapter has to be loaded there first.
@@ -80,7 +79,7 @@
         + known.failing(now_s) * FAILURE_S
         + (ADAPTER_S if lacks else 0.0)
     )
-    read_s = reading_speed.read_s(fresh)
+    read_s = known.reading.read_s(call.model, fresh)
     return Choice(known, expected_s, fresh, read_s, ahead, known.running, lacks)
 
 
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -29,14 +29,14 @@
 import dataclasses
 import math
 
-# With a slack of 0.5 reading takes two thirds of an engine's time: the rest is
+# With a slack of 1 reading takes four fifths of an engine's time: the rest is
 # for the steps of the streams.
 STEPS_SLACK = 0.25
 # Of the pause that streams bear this part may be read at once.
 BURST_SHARE = 1 / 3
 # Pause and slack until anybody has told of them.
 START_PAUSE_S = 0.25
-START_SLACK = 0.5
+START_SLACK = 1.0
 # A bound below this is no bound: steps alone take as long.
 LEAST_PAUSE_S = 0.02
 # Weight of the newest ask in what streams seem to bear.
@@ -47,10 +47,6 @@
 SPEED_FORGET = 0.97
 SPEED_LEAST = 0.25
 SPEED_MOST = 4.0
-# From a grant until its prompt is at the engine: between regions, both ways.
-ARRIVES_S = 0.06
-# One prompt is read while the next one is on its way, however long they are.
-PIPELINE = 2
 # A prompt that was never reported as read counts no longer: its sender is
 # gone, or the report was lost.
 FORGET_S = 1.5
@@ -126,8 +122,8 @@
 class _Speed:
     """How much of the reading that it was told of an engine does in a second.
 
-    Only prompts that were there before the last one was read count: without
-    them the engine was idle, and the way there would count as reading.
+    Only prompts that followed others at once count: before them the engine may
+    have been idle, and the way there and back counts for the first one alone.
     """
 
     __slots__ = ("_told_s", "_took_s", "_last_read_s")
@@ -135,21 +131,21 @@
     def __init__(self) -> None:
         self._told_s = SPEED_PRIOR_S
         self._took_s = SPEED_PRIOR_S
-        self._last_read_s = -math.inf
+        self._last_read_s: float | None = None
 
     @property
     def value(self) -> float:
         return self._told_s / max(self._took_s, 1e-9)
 
-    def read(self, told_s: float, granted_s: float, now_s: float) -> None:
-        """A prompt was read."""
-        if granted_s + ARRIVES_S <= self._last_read_s:
+    def read(self, told_s: float, has_more: bool, now_s: float) -> None:
+        """A prompt was read; another one waits in the engine, or none."""
+        if self._last_read_s is not None:
             # A lost prompt or a jump of the clock is no reading.
             took_s = max(told_s / SPEED_MOST, now_s - self._last_read_s)
             took_s = min(told_s / SPEED_LEAST, took_s)
             self._told_s = self._told_s * SPEED_FORGET + told_s
             self._took_s = self._took_s * SPEED_FORGET + took_s
-        self._last_read_s = now_s
+        self._last_read_s = now_s if has_more else None
 
 
 class Pacer:
@@ -273,7 +269,7 @@
         known = self._reading.pop(key, None)
         if known is not None:
             self._unread_s -= known[0]
-            self._speed.read(*known, now_s)
+            self._speed.read(known[0], bool(self._reading), now_s)
 
     def waiting(self, now_s: float) -> tuple[Key, ...]:
         """Returns who waits, in the order of their turns."""
@@ -347,8 +343,7 @@
 
     def _has_room(self, ask: _Ask) -> bool:
         counted_s = self._counted_s(ask)
-        is_much = self._unread_s + counted_s > self._unread_most_s
-        if is_much and len(self._reading) >= PIPELINE:
+        if self._reading and self._unread_s + counted_s > self._unread_most_s:
             return False
         return self._level_s + counted_s <= self.burst_s
 
--- a/sesamecross/ops/fleet/pause_slack.py
+++ b/sesamecross/ops/fleet/pause_slack.py
@@ -8,13 +8,13 @@
 where some are late, further apart.
 """
 
-START = 0.5
+START = 1.0
 LEAST = 0.3
-MOST = 3.0
+MOST = 6.0
 # A stream whose longest pause is below this share of its bound bears more.
 EASY_SHARE = 0.5
 # One late stream in ten weighs as much as those that bear more.
-EASIER = 1.02
+EASIER = 1.025
 HARDER = 0.85
 
 
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -10,7 +10,6 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import math
 
 from sesamecross.ops.fleet import placement_data as data
@@ -116,53 +115,44 @@
         ledger = draft.engines[instance_id].ledger
         for name in models:
             if not ledger.holds_or_will(name):
-                wanted.append((_worth(draft, name), name, instance_id))
-    wanted.sort(key=lambda one: (one[0].ranked, *one[1:]), reverse=True)
-    for worth, name, instance_id in wanted:
-        _lead_to(draft, draft.engines[instance_id], name, worth)
+                worth, reason = _worth(draft, name)
+                wanted.append((worth, name, instance_id, reason))
+    for worth, name, instance_id, reason in sorted(wanted, reverse=True):
+        _lead_to(draft, draft.engines[instance_id], name, worth, reason)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Worth:
-    """What one more place of a model is worth now, in requests a second.
+def _worth(draft: _Draft, name: str) -> tuple[float, str]:
+    """Returns what one more place of a model is worth now, and why.
 
-    Attributes:
-      needed: Those that no engine serves without it.
-      ranked: The same, or a little for a place that may be of use.
-      reason: For the log.
+    In requests a second: all that depend on it, or what its engines can't
+    take.
     """
-
-    needed: float
-    ranked: float
-    reason: str
-
-
-def _worth(draft: _Draft, name: str) -> _Worth:
     demand = draft.inputs.demand_for(name)
     places = sum(
         engine.ledger.holds_or_will(name) for engine in draft.engines.values()
     )
     if not places:
-        needed = demand.value if demand.is_asked else 0.0
-        ranked = max(needed, placement_draft.IDLE_VALUE)
-        return _Worth(needed, ranked, "is held nowhere")
+        worth = placement_draft.IDLE_VALUE
+        if demand.is_asked:
+            worth = max(worth, demand.value)
+        return worth, "is held nowhere"
     load = demand.load / places
     over = 0.0
     if load > placement_draft.FULL_SHARE:
         over = 1.0 - placement_draft.FULL_SHARE / load
-    ranked = demand.rate * max(over, placement_draft.SPARE_SHARE)
-    return _Worth(demand.rate * over, ranked, "gets a further place")
+    worth = demand.rate * max(over, placement_draft.SPARE_SHARE)
+    return worth, "gets a further place"
 
 
 def _lead_to(
-    draft: _Draft, engine: data.Engine, name: str, worth: _Worth
+    draft: _Draft, engine: data.Engine, name: str, worth: float, reason: str
 ) -> None:
     """Adds the next step towards a model at an engine."""
     inputs = draft.inputs
     free_mb = inputs.spec.weights_mb - engine.ledger.used_mb(inputs.spec)
     if free_mb < inputs.size(name):
-        _make_room(draft, engine, name, worth)
-        draft.reserve(engine, worth.needed)
+        _make_room(draft, engine, name, reason, worth)
+        draft.reserve(engine, worth)
         return
     takes_s, from_store = inputs.load_time(engine, name)
     if not draft.may_order(engine) or draft.is_kept_from(engine, takes_s):
@@ -173,18 +163,13 @@
         return
     draft.order(
         data.Step(
-            data.StepKind.LOAD,
-            engine.name,
-            name,
-            worth.reason,
-            from_store,
-            takes_s,
+            data.StepKind.LOAD, engine.name, name, reason, from_store, takes_s
         )
     )
 
 
 def _make_room(
-    draft: _Draft, engine: data.Engine, name: str, worth: _Worth
+    draft: _Draft, engine: data.Engine, name: str, reason: str, worth: float
 ) -> None:
     """Withdraws or unloads a model that is not wanted here any more."""
     inputs = draft.inputs
@@ -192,7 +177,7 @@
         one
         for one in sorted(engine.ledger.models)
         if one not in draft.target[engine.name]
-        and _may_go(draft, engine.name, one, worth.needed)
+        and _may_go(draft, engine.name, one, worth)
     ]
     if not victims:
         return
@@ -205,7 +190,7 @@
             one,
         ),
     )
-    why = f"makes room for {name}, which {worth.reason}"
+    why = f"makes room for {name}, which {reason}"
     is_idle = _is_idle(draft, engine.name, victim)
     if is_idle and draft.may_order(engine):
         draft.order(data.Step(data.StepKind.UNLOAD, engine.name, victim, why))
