--- a/sesamecross/operators/command_line.py
+++ b/sesamecross/operators/command_line.py
@@ -18,6 +18,7 @@
 from sesamecross.operators import configuration
 from sesamecross.operators import fleet as fleet_lib
 from sesamecross.operators import log_state
+from sesamecross.operators import losses
 from sesamecross.operators import outcomes
 from sesamecross.operators import status_text
 from sesamecross.operators import timeline_forms
@@ -133,6 +134,12 @@
         "--format", choices=("text", "jsonl", "trace", "html"), default="text"
     )
     line.add_argument("--output", type=pathlib.Path, help="file to write")
+    lost = commands.add_parser(
+        "losses",
+        parents=[common],
+        help="say from gateways' logs why requests were lost or held",
+    )
+    lost.add_argument("logs", nargs="+", type=pathlib.Path)
     drain = commands.add_parser(
         "drain", parents=[common, online], help="drain an upstream"
     )
@@ -266,6 +273,8 @@
                 return self._status(flags)
             case "timeline":
                 return self._timeline(flags)
+            case "losses":
+                return losses.explain(flags.logs)
             case "drain":
                 return self._drain(flags)
             case "claims":
--- /dev/null
+++ b/sesamecross/operators/losses_test.py
@@ -0,0 +1,99 @@
+"""Tests of what requests were lost to, by gateways' logs."""
+
+import io
+import json
+import pathlib
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from sesamecross.operators import command_line
+from sesamecross.operators import losses
+
+MODEL = {"target": "m", "waited_ms": 0, "paced_ms": 0}
+WAITED = MODEL | {"waited_ms": 900}
+ADAPTER = WAITED | {"target": "m/a1"}
+
+
+def row(outcome: str, **fields) -> dict:
+    return {
+        "event": f"request: {outcome}",
+        "timestamp": "2026-04-04T18:59:46.229581Z",
+        "route": "r",
+        "ms": 900,
+        "note": "",
+    } | fields
+
+
+CAUSES = [
+    (row("refused", **MODEL, full=["e1"]), losses.Cause.FULL),
+    (row("refused", **WAITED, full=["e1"]), losses.Cause.FULL_AFTER_WAIT),
+    (row("refused", **MODEL, expected_in_s=4.0), losses.Cause.TOO_LATE),
+    (row("refused", **WAITED, expected_in_s=1), losses.Cause.WAITED_TOO_LATE),
+    (row("refused", **MODEL), losses.Cause.NO_PLAN),
+    (row("refused", **ADAPTER), losses.Cause.ADAPTER),
+    (
+        row("refused", note="no configuration yet"),
+        losses.Cause.NO_CONFIGURATION,
+    ),
+    (row("refused", note="stopping", **MODEL), losses.Cause.STOPPING),
+    (row("refused", note="no upstream"), losses.Cause.NO_UPSTREAM),
+    (row("caller gone", **MODEL), losses.Cause.GONE),
+    (row("cut at its time", **MODEL), losses.Cause.CUT),
+    (row("status 504"), losses.Cause.FAILED),
+    (row("streamed", **WAITED), losses.Cause.WAITED_MODEL),
+    (
+        row("streamed", **(MODEL | {"paced_ms": 300})),
+        losses.Cause.WAITED_TURN,
+    ),
+    (row("streamed", **MODEL), None),
+    (row("status 200"), None),
+]
+
+
+@pytest.mark.parametrize(("logged", "cause"), CAUSES)
+def test_each_end_of_a_request_has_its_cause(logged, cause):
+    line = f"  12.5 front-1 {json.dumps(logged)}\n"
+    assert losses.ended(losses.row_of(line)).cause is cause
+
+
+def write(path: pathlib.Path, rows: list[dict]) -> str:
+    path.write_text("".join(json.dumps(one) + "\n" for one in rows))
+    return str(path)
+
+
+def run(*words: str) -> tuple[int, str, str]:
+    stdout, stderr = io.StringIO(), io.StringIO()
+    command = command_line.CommandLine({}, io.StringIO(), stdout, stderr)
+    return command.run(words), stdout.getvalue(), stderr.getvalue()
+
+
+def test_the_command_tells_the_most_frequent_cause_first(tmp_path):
+    one = write(tmp_path / "one", [row("refused", **MODEL, full=["e1"])])
+    more = [row("status 200"), *[row("refused", **MODEL)] * 2]
+    other = write(tmp_path / "other", more)
+    code, said, _ = run("losses", one, other)
+    lines = said.splitlines()
+    assert (code, lines[0]) == (0, "4 requests")
+    assert lines[1].split()[:2] == ["2", "50.0%"]
+    code, said, _ = run("losses", "--json", one, other)
+    document = json.loads(said)
+    assert [each["cause"] for each in document["causes"]] == ["no_plan", "full"]
+    assert document["causes"][0]["by_route"] == {"r": 2}
+
+
+def test_a_log_that_cannot_be_read_is_a_problem_with_a_remedy(tmp_path):
+    code, _, said = run("losses", str(tmp_path / "absent"))
+    assert code == 1
+    assert "name files" in said
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.text(), st.dictionaries(st.text(), st.integers() | st.text()))
+def test_lines_of_others_are_passed_over(text, fields):
+    """Guards against a report that fails on one damaged line."""
+    for line in (text, json.dumps(fields)):
+        found = losses.row_of(line)
+        assert found is None or losses.ended(found) is None
