Taken back: turns at engines in reading time and by the pauses that streams bear

The pacer's figures of the first engines are back with it, and its log line for refused turns is gone.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -199,10 +199,7 @@
     """May a prompt be sent to an engine now? To who paces the engine.
 
     Attributes:
-      read_s: How long the engine would read it.
-      pause_s: The longest pause between events that is on time for its
-        caller, or 0.
-      slack: How many times that pause the streams there seem to bear.
+      tokens: What the engine would have to read.
       spare_s: How long it may still wait and be on time.
       patience_s: How long it may still wait at all.
     """
@@ -210,9 +207,7 @@
     me: Member
     number: int
     upstream: str
-    read_s: float
-    pause_s: float
-    slack: float
+    tokens: int
     spare_s: float
     patience_s: float
 
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -16,9 +16,7 @@
 from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_choice
-from sesamecross.ops.fleet import pacer as pacer_lib
 from sesamecross.ops.fleet import patience
-from sesamecross.ops.fleet import pause_slack
 
 # A request that waits for a model says so again this often.
 WANT_AGAIN_S = 0.25
@@ -47,13 +45,6 @@
     )
     want: Callable[[str, str, str], None] = _nobody
     pacing: pacing_lib.Pacing | None = None
-    _slacks: dict[str, pause_slack.PauseSlack] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def slack(self, service: str) -> pause_slack.PauseSlack:
-        """Returns how much reading the streams of a service bear."""
-        return self._slacks.setdefault(service, pause_slack.PauseSlack())
 
 
 class EngineSearch:
@@ -105,12 +96,7 @@
     @property
     def key(self) -> demand_lib.Key:
         """The service and what is asked of it; the route has a target."""
-        return (self.service, self._call.target)
-
-    @property
-    def service(self) -> str:
-        """Whose engines are asked first."""
-        return self._route.targets[0].service
+        return (self._route.targets[0].service, self._call.target)
 
     @property
     def waited_s(self) -> float:
@@ -276,13 +262,9 @@
         begun_s = loop.time()
         answer = await self._parts.pacing.ask(
             choice.upstream,
-            pacer_lib.Prompt(
-                choice.read_s,
-                route.gap_s,
-                self._parts.slack(self.service).value,
-                self._arrived_s + route.objective_s - choice.expected_s,
-                leaves_s,
-            ),
+            choice.fresh_tokens,
+            self._arrived_s + route.objective_s - choice.expected_s,
+            leaves_s,
         )
         now_s = loop.time()
         self._paced_s += now_s - begun_s
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -22,6 +22,7 @@
 from sesamecross.ops.fleet import attempts
 from sesamecross.ops.fleet import choosing
 from sesamecross.ops.fleet import directory
+from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import dialect as dialect_lib
@@ -295,9 +296,7 @@
             self._owner.engines.demand.asked(
                 self._search.key,
                 self._arrived_s,
-                state.directory.reading(self._search.service).read_s(
-                    request.call.model, request.call.prompt_tokens
-                ),
+                engine_state.first_read_s(request.call),
             )
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._exchange)
@@ -538,7 +537,7 @@
                 upstream.health.failed(now_s)
 
     def _note_place(self) -> None:
-        """Learns from a whole stream: its place in a batch, its pauses."""
+        """Tells how long the request took a place in an engine's batch."""
         search = self._search
         if search is None:
             return
@@ -546,8 +545,6 @@
         self._owner.engines.demand.took_place(
             search.key, max(0.0, took_s - search.held_s)
         )
-        slack = self._owner.engines.slack(search.service)
-        slack.ended(self._relay.gap_s, self._route.gap_s)
 
     def _note_lateness(self) -> None:
         """Tells whether the engines of a model keep up with its requests.
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -8,7 +8,6 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import pacer as pacer_lib
-from sesamecross.runtime import logs
 from sesamecross.utils import rendezvous
 
 # An ask without any answer is repeated after the way there and back and this
@@ -52,17 +51,15 @@
         # Instances that said that they stop, or this one, by name: which life.
         # They count as alive for a second more, and would be asked in vain.
         self._left: dict[str, int] = {}
-        self._log = logs.part("pacing")
         mesh.listen(self._on_message)
 
     async def run(self) -> None:
-        """Grants what lost reports hold back, and forgets engines gone."""
+        """Grants what lost reports hold back, and forgets idle engines."""
         while True:
             await asyncio.sleep(SWEEP_S)
             for upstream in list(self._pacers):
                 self._grant(upstream)
-                is_gone = self._state.directory.get(upstream) is None
-                if is_gone and self._pacers[upstream].is_idle:
+                if self._pacers[upstream].is_idle:
                     del self._pacers[upstream]
 
     async def stop(self) -> None:
@@ -91,15 +88,24 @@
     async def ask(
         self,
         known: directory_lib.KnownUpstream,
-        prompt: pacer_lib.Prompt,
+        tokens: int,
+        due_s: float,
+        until_s: float,
     ) -> Permit | Refused:
-        """Waits for leave to send a prompt to an engine."""
+        """Waits for leave to send.
+
+        Args:
+          known: The engine.
+          tokens: What it has to read.
+          due_s: Until when the request has to be sent to be on time.
+          until_s: Until when waiting makes sense.
+        """
         while True:
             pacer = self._pacer_of(known)
             if pacer is None:
                 upstream = known.entry.instance_id
                 return Permit(upstream, 0, "", is_open=False)
-            answer = await self._ask_one(pacer, known, prompt)
+            answer = await self._ask_one(pacer, known, tokens, due_s, until_s)
             if answer is not None:
                 return answer
 
@@ -107,7 +113,9 @@
         self,
         pacer: str,
         known: directory_lib.KnownUpstream,
-        prompt: pacer_lib.Prompt,
+        tokens: int,
+        due_s: float,
+        until_s: float,
     ) -> Permit | Refused | None:
         """Asks one instance; None where it stops, and another is to be asked.
 
@@ -122,9 +130,8 @@
         distance_s = self._state.place.distance_s(known.entry.zone)
         try:
             for _ in range(TRIES):
-                self._send_ask(permit, prompt)
-                left_s = prompt.until_s - loop.time()
-                wait_s = min(distance_s + ANSWER_S, left_s)
+                self._send_ask(permit, tokens, due_s, until_s)
+                wait_s = min(distance_s + ANSWER_S, until_s - loop.time())
                 await asyncio.wait([granted], timeout=max(0.0, wait_s))
                 if granted.done() or number in self._heard:
                     break
@@ -132,7 +139,7 @@
                 # Nobody paces this engine just now.
                 permit.is_open = False
                 return permit
-            left_s = prompt.until_s - loop.time()
+            left_s = until_s - loop.time()
             await asyncio.wait([granted], timeout=max(0.0, left_s))
         except asyncio.CancelledError:
             self.read(permit)
@@ -179,17 +186,17 @@
     def _has_left(self, member: fm.Member) -> bool:
         return self._left.get(member.name) == member.incarnation
 
-    def _send_ask(self, permit: Permit, prompt: pacer_lib.Prompt) -> None:
+    def _send_ask(
+        self, permit: Permit, tokens: int, due_s: float, until_s: float
+    ) -> None:
         now_s = asyncio.get_running_loop().time()
         ask = fm.Ask(
             self._mesh.me,
             permit.number,
             permit.upstream,
-            round(prompt.read_s, 4),
-            prompt.pause_s,
-            round(prompt.slack, 2),
-            round(prompt.due_s - now_s, 3),
-            round(prompt.until_s - now_s, 3),
+            tokens,
+            round(due_s - now_s, 3),
+            round(until_s - now_s, 3),
         )
         self._send(ask, permit.pacer)
 
@@ -218,8 +225,7 @@
             case fm.Read(me=me, number=number, upstream=upstream):
                 pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    now_s = asyncio.get_running_loop().time()
-                    pacer.read((me.name, number), now_s)
+                    pacer.read((me.name, number))
                     self._grant(upstream)
             case fm.Grant(me=me, number=number, verdict=verdict):
                 if verdict is fm.Verdict.LEAVE:
@@ -243,13 +249,9 @@
         key = (message.me.name, message.number)
         decisions = pacer.ask(
             key,
-            pacer_lib.Prompt(
-                message.read_s,
-                message.pause_s,
-                message.slack,
-                now_s + message.spare_s,
-                now_s + message.patience_s,
-            ),
+            message.tokens,
+            now_s + message.spare_s,
+            now_s + message.patience_s,
             self._batch(upstream),
             now_s,
         )
@@ -276,16 +278,6 @@
         for name, number in decisions.refused:
             back_s = pacer_lib.OVERLOAD_BACK_S
             self._send(fm.Grant(me, number, fm.Verdict.REFUSE, back_s), name)
-        if decisions.refused:
-            batch = self._batch(upstream)
-            self._log.info(
-                "no turn",
-                upstream=upstream,
-                refused=len(decisions.refused),
-                running=round(batch.running),
-                slots=batch.slots,
-                **self._pacers[upstream].figures(),
-            )
         self._look_again(upstream)
 
     def _tell_leave(self, name: str, number: int) -> None:
--- a/sesamecross/gateway/prompt.py
+++ b/sesamecross/gateway/prompt.py
@@ -58,10 +58,8 @@
         self._upstream.reach.streaming += 1
         self._read()
         took_ms = (asyncio.get_running_loop().time() - self._begun_s) * 1000
-        model = self._call.model
-        tokens = self._ahead + self._tokens
-        self._upstream.engine.speed(model).observe(tokens, took_ms)
-        self._upstream.reading.observe(model, tokens, took_ms)
+        line = self._upstream.engine.speed(self._call.model)
+        line.observe(self._ahead + self._tokens, took_ms)
 
     def end(self) -> None:
         """The attempt is over, whether the prompt was read or not."""
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -14,7 +14,6 @@
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import health as health_lib
 from sesamecross.ops.fleet import reach as reach_lib
-from sesamecross.ops.fleet import reading_speed
 
 # An entry that lapsed is used for this part of the drain bound, as a last
 # choice: entries also lapse while the store is away, and are back within two
@@ -49,7 +48,6 @@
         others do.
       others_outcomes: What became of the others' requests there.
       engine: What it holds, if it is an engine.
-      reading: How fast the engines of its service read.
       work_s: How long a request takes there, smoothed; 0 if none did yet.
     """
 
@@ -69,9 +67,6 @@
     engine: engine_state.EngineState = dataclasses.field(
         default_factory=engine_state.EngineState
     )
-    reading: reading_speed.ReadingSpeeds = dataclasses.field(
-        default_factory=reading_speed.ReadingSpeeds
-    )
 
     @property
     def is_leaving(self) -> bool:
@@ -114,11 +109,10 @@
       drain_s: The bound on new requests to one that leaves.
     """
 
-    __slots__ = ("_known", "_reading", "drain_s")
+    __slots__ = ("_known", "drain_s")
 
     def __init__(self, drain_s: float):
         self._known: dict[str, KnownUpstream] = {}
-        self._reading: dict[str, reading_speed.ReadingSpeeds] = {}
         self.drain_s = drain_s
 
     def __iter__(self) -> Iterable[KnownUpstream]:
@@ -131,17 +125,13 @@
         """Returns one upstream by its id."""
         return self._known.get(instance_id)
 
-    def reading(self, service: str) -> reading_speed.ReadingSpeeds:
-        """Returns how fast the engines of a service read."""
-        return self._reading.setdefault(service, reading_speed.ReadingSpeeds())
-
     def saw(self, entry: serving.Upstream, now_s: float) -> bool:
         """Takes in an upstream's entry; returns whether anything changed."""
         known = self._known.get(entry.instance_id)
         if known is None or known.entry.born_ms < entry.born_ms:
             # The first one, or a restart under the same id: it holds and
             # knows nothing of before.
-            known = KnownUpstream(entry, reading=self.reading(entry.service))
+            known = KnownUpstream(entry)
             self._known[entry.instance_id] = known
             known.leaving_s = now_s if entry.is_leaving else None
             return True
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -65,7 +65,8 @@
     kept = engine.cache.kept_tokens(call)
     fresh = max(1, call.prompt_tokens - kept)
     ahead = engine.own_prompt_tokens + engine.others_prompt_tokens
-    first_ms = engine.speed(call.model).at(ahead + fresh)
+    speed = engine.speed(call.model)
+    first_ms = speed.at(ahead + fresh)
     slots = max(1, known.entry.slots)
     waiting = max(0.0, known.running + 1 - slots)
     lacks = bool(call.adapter) and not engine.holds(
@@ -79,7 +80,7 @@
         + known.failing(now_s) * FAILURE_S
         + (ADAPTER_S if lacks else 0.0)
     )
-    read_s = known.reading.read_s(call.model, fresh)
+    read_s = speed.slope * fresh / 1000
     return Choice(known, expected_s, fresh, read_s, ahead, known.running, lacks)
 
 
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -12,8 +12,12 @@
 from sesamecross.core import serving
 from sesamecross.ops import estimates
 from sesamecross.ops.fleet import prompt_cache
-from sesamecross.ops.fleet import reading_speed
 
+# First guess until requests have shown better: the time to a first event
+# without prompt work, and for each prompt token.
+START_FIRST_MS = 60.0
+START_PROMPT_MS = 0.03
+_TYPICAL_TOKENS = 800.0
 # An answer that a target is absent is believed this long without newer word.
 ABSENT_S = 1.0
 # The holder's word is renewed every 1.5 s; without it the engine's own counts.
@@ -87,11 +91,18 @@
         """Returns the line from prompt tokens to the first event, in ms."""
         line = self.speeds.get(model)
         if line is None:
-            line = reading_speed.first_line()
+            line = estimates.Line(
+                START_FIRST_MS, START_PROMPT_MS, _TYPICAL_TOKENS
+            )
             self.speeds[model] = line
         return line
 
 
+def first_read_s(call: serving.ModelCall) -> float:
+    """Returns a guess at how long a prompt takes to read."""
+    return call.prompt_tokens * START_PROMPT_MS / 1000
+
+
 def targets_of(models: tuple[serving.HeldModel, ...]) -> set[str]:
     """Returns models and adapters as targets."""
     found = set()
