--- a/sesamecross/devtools/experiment.py
+++ b/sesamecross/devtools/experiment.py
@@ -24,8 +24,8 @@
     "--prefill-ms-per-token", "0.35", "--prefix-blocks", "700",
     "--threads", "300",
 )  # fmt: skip
-# Calls a second that the engines hold out with warm prefixes; phases are given in
-# multiples of it.
+# Calls a second that the engines hold out with warm prefixes; phases are given
+# in multiples of it.
 CAPACITY = 26.0
 
 KINDS = (
