An adapter that departs keeps its place until its requests have ended

Cause: an engine accepts the unload of an adapter in use and keeps it until its requests end; it takes other orders meanwhile, unlike with a model. The books struck the adapter out at once, so the next load went into a place that was not free, and an engine that is ordered to load more than fits crashes.

What departs now counts in places and memory until a report of the same count lists it no more; such an engine is asked every 0.5 s. A departing adapter is not loaded again before. Ruled out: a change of holder by itself, as the state machine with changes of holder found no overload before adapters were in use in it.

--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -52,6 +52,9 @@
 # After an engine came, until others that start with it have come as well: they
 # register within some seconds of each other.
 ENGINES_S = 4.0
+# Whether an adapter that departs is gone is asked this often: its requests go
+# on for seconds.
+DEPARTING_S = 0.5
 # How long a load may be overdue before the engine is asked.
 OVERDUE_S = 0.15
 # A withdrawn model serves again if it was not unloaded by then: its requests
@@ -63,11 +66,18 @@
 
 @dataclasses.dataclass(slots=True)
 class _Desk:
-    """One engine's books and what is under way there."""
+    """One engine's books and what is under way there.
+
+    Attributes:
+      ask_s: Before then it gets neither questions nor orders.
+      look_s: When it is asked next whether adapters that depart are gone.
+      conflicts: Orders in a row that met a conflict.
+    """
 
     ledger: engine_ledger.EngineLedger
     is_calling: bool = False
     ask_s: float = 0.0
+    look_s: float = 0.0
     conflicts: int = 0
 
 
@@ -252,11 +262,15 @@
                 "/" not in target and at_s + OVERDUE_S <= now_s
                 for target, at_s in ledger.arriving.items()
             )
-            if ledger.is_certain and not overdue and desk.conflicts < 2:
+            is_needed = not ledger.is_certain or overdue or desk.conflicts >= 2
+            departs = ledger.departing_adapters() and now_s >= desk.look_s
+            if not is_needed and not departs:
                 continue
             known = self._state.directory.get(instance_id)
             if known is not None and not known.is_down(now_s):
-                desk.ask_s = now_s + ASK_AGAIN_S
+                desk.look_s = now_s + DEPARTING_S
+                if is_needed:
+                    desk.ask_s = now_s + ASK_AGAIN_S
                 self._spawn(self._report(desk, known))
 
     def _spawn(self, work) -> None:
@@ -568,13 +582,14 @@
                 )
                 if not loads:
                     desk.ask_s = now_s + UNLOAD_S
+                    desk.look_s = now_s + DEPARTING_S
             case serving.OrderAnswer.ALREADY:
                 desk.conflicts = 0
                 if loads:
                     ledger.already(loads, step.target)
                 else:
                     # An adapter that nothing uses goes at once.
-                    ledger.accepted(False, step.target, now_s, now_s)
+                    ledger.unloaded_at_once(step.target, now_s)
             case serving.OrderAnswer.CONFLICT:
                 # Another order is under way there, or one without an answer
                 # was carried out after all.
--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -27,8 +27,9 @@
       orders: Orders that it has accepted.
       models: Models that answer. adapters: adapters that answer, as targets.
       arriving: Targets being loaded, and when they are expected.
-      departing: Models whose unload was accepted. The engine still lists them
-        until their last request has ended, and takes no further order.
+      departing: Models and adapters whose unload was accepted. The engine still
+        lists them until their last request has ended. It takes no further
+        order while a model departs; an adapter that does keeps its place.
       is_certain: Whether all that it may hold is known: a load ordered by
         somebody else shows in no list until it is complete.
       is_heard: Whether the engine has reported to these books yet. Until then
@@ -54,7 +55,7 @@
 
     def used_mb(self, spec: serving.EngineSpec) -> float:
         """Returns the most that weights may take now."""
-        # What departs is gone before the next order is accepted.
+        # A model that departs is gone before the next order is accepted.
         used = sum(_size(spec.models, name) for name in self.all_models())
         for target in self.all_adapters():
             model = spec.models.get(target.partition("/")[0])
@@ -66,8 +67,13 @@
         return self.models | {t for t in self.arriving if "/" not in t}
 
     def all_adapters(self) -> set[str]:
-        """Returns the adapters that answer or will."""
-        return self.adapters | {t for t in self.arriving if "/" in t}
+        """Returns the adapters that take a place: those that depart do, too."""
+        arriving = {target for target in self.arriving if "/" in target}
+        return self.adapters | arriving | self.departing_adapters()
+
+    def departing_adapters(self) -> set[str]:
+        """Returns the adapters that go once their requests have ended."""
+        return {target for target in self.departing if "/" in target}
 
     def holds_or_will(self, target: str) -> bool:
         """Whether a target answers or is being loaded."""
@@ -145,10 +151,11 @@
         by the unload under way. So a report never takes away another model:
         it may have been made before the load was complete.
         """
-        if report.is_busy:
-            listed = {one for one in listed if not self._departs(one)}
-        else:
-            self.departing.clear()
+        if not report.is_busy:
+            self.departing = self.departing_adapters()
+        gone = self.departing_adapters() - listed
+        self.departing -= gone
+        listed = {one for one in listed if not self._departs(one)}
         models = {target for target in listed if "/" not in target}
         for target in models & set(self.arriving):
             self._arrived(target)
@@ -167,7 +174,8 @@
         self.is_certain = self.is_certain or not report.is_busy
 
     def _departs(self, target: str) -> bool:
-        return target.partition("/")[0] in self.departing
+        model = target.partition("/")[0]
+        return target in self.departing or model in self.departing
 
     def _arrived(self, target: str) -> None:
         self.loaded_s[target] = self.arriving.pop(target, 0.0)
@@ -190,8 +198,9 @@
           now_s: Monotonic time.
         """
         self.orders += 1
-        # An engine that accepts an order has carried out the one before.
-        self.departing.clear()
+        # An engine that accepts an order has carried out the one before about
+        # a model.
+        self.departing = self.departing_adapters()
         self.settled_s = now_s + REPORT_LAG_S
         if loads:
             self.arriving[target] = eta_s
@@ -199,11 +208,15 @@
         self.models.discard(target)
         self.adapters.discard(target)
         if "/" not in target:
-            self.departing.add(target)
             prefix = f"{target}/"
-            self.adapters = {
-                one for one in self.adapters if not one.startswith(prefix)
-            }
+            for held in (self.adapters, self.departing):
+                held -= {one for one in held if one.startswith(prefix)}
+        self.departing.add(target)
+
+    def unloaded_at_once(self, target: str, now_s: float) -> None:
+        """The engine carried out an unload of an adapter that nobody used."""
+        self.accepted(False, target, now_s, now_s)
+        self.departing.discard(target)
 
     def already(self, loads: bool, target: str) -> None:
         """The engine said that the order holds already."""
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -240,7 +240,8 @@
     model = spec.models.get(target.partition("/")[0])
     if model is None or model.name not in ledger.models:
         return
-    if ledger.holds_or_will(target):
+    # One that departs has to be gone before it can be loaded again.
+    if ledger.holds_or_will(target) or target in ledger.departing:
         return
     free_mb = spec.weights_mb - ledger.used_mb(spec)
     is_full = len(ledger.all_adapters()) >= spec.adapter_slots
