An order that changed nothing is not counted; a later report settles the count

What callers saw: requests for models and adapters that a plan promised at an engine were refused after a wait, until the engine's end: it was given no order any more.

Cause: 'holds already' is said both of an unload that changed nothing, which does not count, and of an adapter that went at once, which does. The books counted it always. Once ahead of the engine they left out each report as an older one, so nothing ever put them right. The first step is mostly an adapter that departs and is unloaded again, e.g. by the next holder of the lease, who can't know.

Now such an answer counts only for an adapter whose load the engine accepted from these very books and whose orders were all answered: then it holds it beyond doubt. Otherwise nothing is ordered until a report that was made after the answer; such a report settles the count and what is held, downwards too. The usual swap of an adapter waits for no report (a test says so).

The state machine over the books has adapters in use now and the stand-in that answers both ways (its own engine is replaced by it: one copy). One row of test_reports demanded the fault (a lower count says nothing, at any time); it is replaced by two that tell a report from before the last answer from one made after it.

--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -360,7 +360,8 @@
 
     Attributes:
       ACCEPTED: It is being carried out; the count of orders went up.
-      ALREADY: It holds already, or was carried out at once.
+      ALREADY: It holds already, and does not count; or it was an unload that
+        was carried out at once, and counts. The answer does not say which.
       CONFLICT: Another order is under way, or the count is another.
       FENCED: Another holder's order was seen.
       OTHER_LIFE: Another upstream, or another life, has the address.
--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -585,11 +585,10 @@
                     desk.look_s = now_s + DEPARTING_S
             case serving.OrderAnswer.ALREADY:
                 desk.conflicts = 0
-                if loads:
-                    ledger.already(loads, step.target)
-                else:
-                    # An adapter that nothing uses goes at once.
-                    ledger.unloaded_at_once(step.target, now_s)
+                ledger.already(loads, step.target, now_s)
+                if not ledger.is_certain:
+                    # What was made before the answer settles nothing.
+                    desk.ask_s = now_s + engine_ledger.REPORT_LAG_S
             case serving.OrderAnswer.CONFLICT:
                 # Another order is under way there, or one without an answer
                 # was carried out after all.
@@ -601,6 +600,7 @@
                 # It may be carried out at any time. Until then the books are
                 # right, and whatever is sent next bears the same number, so
                 # that only one of the two can count.
+                ledger.unanswered(step.target)
                 if step.from_store:
                     budget.unanswered(now_s)
             case _:
--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -6,6 +6,10 @@
 arrives late is void once another one was accepted. So it is enough that each
 order is sound for what the engine holds at that number; this ledger keeps
 what that is, and knows when it does not know.
+
+The count may be wrong: an answer can mean two things. A report that was made
+after the last answer settles it, upwards and downwards, together with all that
+the engine held at that count.
 """
 
 from collections.abc import Mapping
@@ -30,6 +34,8 @@
       departing: Models and adapters whose unload was accepted. The engine still
         lists them until their last request has ended. It takes no further
         order while a model departs; an adapter that does keeps its place.
+      known_adapters: Adapters that the engine holds beyond doubt, without an
+        unload under way: it accepted their load from these books.
       is_certain: Whether all that it may hold is known: a load ordered by
         somebody else shows in no list until it is complete.
       is_heard: Whether the engine has reported to these books yet. Until then
@@ -46,6 +52,7 @@
     adapters: set[str] = dataclasses.field(default_factory=set)
     arriving: dict[str, float] = dataclasses.field(default_factory=dict)
     departing: set[str] = dataclasses.field(default_factory=set)
+    known_adapters: set[str] = dataclasses.field(default_factory=set)
     copies: serving.WeightCopies = serving.WeightCopies()
     is_certain: bool = False
     is_heard: bool = False
@@ -117,24 +124,27 @@
             self.is_certain = False
             return
         self.copies = report.copies
-        if report.orders < self.orders:
+        is_settled = asked_s >= self.settled_s
+        if report.orders < self.orders and not is_settled:
+            # It may have been made before the last order was accepted.
             return
         self.is_heard = True
         listed = engine_state.targets_of(report.models)
-        if report.orders > self.orders:
+        if report.orders != self.orders:
             self._adopt(report, listed, now_s)
-        elif asked_s >= self.settled_s:
+        elif is_settled:
             self._confirm(report, listed, now_s)
 
     def _adopt(
         self, report: serving.EngineReport, listed: set[str], now_s: float
     ) -> None:
-        """Takes over what orders that these books don't know have done.
+        """Takes over what an engine holds at another count of orders.
 
         While one of them is under way, what it loads is listed nowhere.
         """
         self.orders = report.orders
         self.departing.clear()
+        self.known_adapters.clear()
         self.models = {target for target in listed if "/" not in target}
         self.adapters = {target for target in listed if "/" in target}
         self.arriving = dict.fromkeys(
@@ -204,28 +214,43 @@
         self.settled_s = now_s + REPORT_LAG_S
         if loads:
             self.arriving[target] = eta_s
+            if "/" in target:
+                self.known_adapters.add(target)
             return
         self.models.discard(target)
         self.adapters.discard(target)
+        self.known_adapters.discard(target)
         if "/" not in target:
             prefix = f"{target}/"
-            for held in (self.adapters, self.departing):
+            for held in (self.adapters, self.departing, self.known_adapters):
                 held -= {one for one in held if one.startswith(prefix)}
         self.departing.add(target)
 
-    def unloaded_at_once(self, target: str, now_s: float) -> None:
-        """The engine carried out an unload of an adapter that nobody used."""
-        self.accepted(False, target, now_s, now_s)
-        self.departing.discard(target)
+    def already(self, loads: bool, target: str, now_s: float) -> None:
+        """The engine said that an order holds, with nothing under way for it.
 
-    def already(self, loads: bool, target: str) -> None:
-        """The engine said that the order holds already."""
+        Either the order changed nothing and doesn't count, or it unloaded at
+        once an adapter that nobody used, and counts. Where these books can't
+        tell, a report has to.
+        """
+        if not loads and target in self.known_adapters:
+            self.accepted(False, target, now_s, now_s)
+            self.departing.discard(target)
+            return
+        self.is_certain = False
+        self.settled_s = now_s + REPORT_LAG_S
         if loads:
             self.arriving.pop(target, None)
             (self.adapters if "/" in target else self.models).add(target)
         else:
             self.models.discard(target)
             self.adapters.discard(target)
+            if "/" in target:
+                self.departing.add(target)
+
+    def unanswered(self, target: str) -> None:
+        """An order got no answer: it may be carried out, now or later."""
+        self.known_adapters.discard(target)
 
     def expected(self, now_s: float) -> list[str]:
         """Returns adapters whose time is over: they answer by now.
