Refused orders in a row leave a line and a count; the books on engines are apart

An engine that took no order for the rest of its life showed only as one 'conflict' line after the other. A report after refused orders now tells which it was, another order under way or another count, with both counts; a counter and an alert's threshold go with it.

--- a/sesamecross/fakes/order_desk_player.py
+++ b/sesamecross/fakes/order_desk_player.py
@@ -283,5 +283,5 @@
     def _new_desk(self) -> order_desk.OrderDesk:
         self._fence += 1
         return order_desk.OrderDesk(
-            self.state, _Mesh(), _Lease(self._fence), self
+            self.state, _Mesh(), _Lease(self._fence), self, self.metrics
         )
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -159,7 +159,7 @@
         )
         engines = engine_client.EngineClient(adapter.dialect, self.metrics)
         orders = order_desk.OrderDesk(
-            self.state, self.mesh, self.lease, engines
+            self.state, self.mesh, self.lease, engines, self.metrics
         )
         self.forwarder.engines.want = orders.want
         pacing = pacing_lib.Pacing(self.state, self.mesh)
--- a/sesamecross/gateway/order_desk.py
+++ b/sesamecross/gateway/order_desk.py
@@ -7,17 +7,15 @@
 """
 
 import asyncio
-import dataclasses
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import engine_client
 from sesamecross.gateway import lease_keeper
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import order_books
 from sesamecross.gateway import placement_teller
 from sesamecross.gateway import state as state_lib
-from sesamecross.ops.fleet import directory as directory_lib
-from sesamecross.ops.fleet import engine_ledger
 from sesamecross.ops.fleet import load_budget
 from sesamecross.ops.fleet import placement_data
 from sesamecross.ops.fleet import placement_exchange
@@ -25,6 +23,7 @@
 from sesamecross.ops.fleet import placement_steps
 from sesamecross.ops.fleet import placement_target
 from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
 
 TICK_S = 0.05
 # Planning looks at all engines and models; between two looks only what
@@ -43,8 +42,6 @@
 TARGET_RESTS = 5.0
 # A want is repeated while the request waits; without that it lapses.
 WANT_S = 0.6
-# After a conflict or a lost answer, until the engine's report covers it.
-ASK_AGAIN_S = 0.25
 # After it began to give orders, and after the first requests, until all
 # instances' demand has arrived by way of their hubs. What requests wait for is
 # told sooner than what they find: a busy model would be unloaded for it.
@@ -52,33 +49,9 @@
 # After an engine came, until others that start with it have come as well: they
 # register within some seconds of each other.
 ENGINES_S = 4.0
-# Whether an adapter that departs is gone is asked this often: its requests go
-# on for seconds.
-DEPARTING_S = 0.5
-# How long a load may be overdue before the engine is asked.
-OVERDUE_S = 0.15
 # A withdrawn model serves again if it was not unloaded by then: its requests
 # last longer than its room is worth waiting for.
 WITHDRAWN_S = 8.0
-# A model without requests is gone this soon after its unload was accepted.
-UNLOAD_S = 0.03
-
-
-@dataclasses.dataclass(slots=True)
-class _Desk:
-    """One engine's books and what is under way there.
-
-    Attributes:
-      ask_s: Before then it gets neither questions nor orders.
-      look_s: When it is asked next whether adapters that depart are gone.
-      conflicts: Orders in a row that met a conflict.
-    """
-
-    ledger: engine_ledger.EngineLedger
-    is_calling: bool = False
-    ask_s: float = 0.0
-    look_s: float = 0.0
-    conflicts: int = 0
 
 
 class OrderDesk:
@@ -93,13 +66,20 @@
         mesh: mesh_lib.Mesh,
         lease: lease_keeper.LeaseKeeper,
         client: engine_client.EngineClient,
+        metrics: metrics_lib.Metrics,
     ):
         self._state = state
         self._mesh = mesh
         self._lease = lease
         self._client = client
         self._log = logs.part("orders")
-        self._desks: dict[str, _Desk] = {}
+        self._books = order_books.OrderBooks(
+            state,
+            client,
+            metrics,
+            lambda work: self._spawn(work),
+            lambda: self._wake.set(),
+        )
         self._wants: dict[tuple[str, str, str], float] = {}
         self._teller = placement_teller.PlacementTeller(state, mesh)
         self._memory = placement_memory.PlacementMemory()
@@ -117,7 +97,6 @@
         # Until when no plan is made, whoever wants one.
         self._rests_s = 0.0
         self._begun_s = 0.0
-        self._engine_came_s = 0.0
         self._calls: set[asyncio.Task] = set()
         self._wake = asyncio.Event()
         mesh.listen(self._on_message)
@@ -179,13 +158,13 @@
         """
         places = [
             placement_teller.place_of(
-                desk.ledger,
+                book.ledger,
                 self._withdrawn_at(instance_id),
                 self._planned.get(instance_id, {}),
                 now_s,
             )
-            for instance_id, desk in self._desks.items()
-            if desk.ledger.is_heard
+            for instance_id, book in self._books.items()
+            if book.ledger.is_heard
         ]
         self._teller.tell(places, self._lease.fence, now_s)
 
@@ -203,10 +182,9 @@
             self._log.info("begins", fence=self._lease.fence)
             self._is_active = True
             self._begun_s = now_s
-        self._follow_directory(now_s)
-        self._ask(now_s)
-        for desk in self._desks.values():
-            desk.ledger.expected(now_s)
+        self._books.follow(self._engines(), now_s)
+        self._books.ask(now_s)
+        self._books.advance(now_s)
         if now_s - self._planned_s >= PLAN_S and now_s >= self._rests_s:
             self._planned_s = now_s
             self._plan(now_s)
@@ -217,7 +195,7 @@
     def _deactivate(self) -> None:
         self._log.info("ends")
         self._is_active = False
-        self._desks.clear()
+        self._books.clear()
         self._budgets.clear()
         self._wants.clear()
         self._withdrawn.clear()
@@ -231,80 +209,35 @@
         known = configuration.services.get(service) if configuration else None
         return known.engine if known is not None else None
 
-    def _follow_directory(self, now_s: float) -> None:
-        seen = set()
-        for known in self._state.directory:
-            entry = known.entry
-            if self._engine_spec(entry.service) is None or known.is_replaced:
-                continue
-            if known.lapsed_s is not None:
-                continue
-            seen.add(entry.instance_id)
-            desk = self._desks.get(entry.instance_id)
-            if desk is None or desk.ledger.born_ms != entry.born_ms:
-                ledger = engine_ledger.EngineLedger(
-                    entry.instance_id, entry.born_ms
-                )
-                desk = _Desk(ledger)
-                self._engine_came_s = now_s
-                self._desks[entry.instance_id] = desk
-            desk.ledger.entry(entry)
-        for instance_id in set(self._desks) - seen:
-            del self._desks[instance_id]
-
-    def _ask(self, now_s: float) -> None:
-        """Asks engines of which something is not known or overdue."""
-        for instance_id, desk in self._desks.items():
-            if desk.is_calling or now_s < desk.ask_s:
-                continue
-            ledger = desk.ledger
-            overdue = any(
-                "/" not in target and at_s + OVERDUE_S <= now_s
-                for target, at_s in ledger.arriving.items()
-            )
-            is_needed = not ledger.is_certain or overdue or desk.conflicts >= 2
-            departs = ledger.departing_adapters() and now_s >= desk.look_s
-            if not is_needed and not departs:
-                continue
-            known = self._state.directory.get(instance_id)
-            if known is not None and not known.is_down(now_s):
-                desk.look_s = now_s + DEPARTING_S
-                if is_needed:
-                    desk.ask_s = now_s + ASK_AGAIN_S
-                self._spawn(self._report(desk, known))
+    def _engines(self) -> list[serving.Upstream]:
+        """Returns the entries of all engines that may get orders."""
+        return [
+            known.entry
+            for known in self._state.directory
+            if self._engine_spec(known.entry.service) is not None
+            and not known.is_replaced
+            and known.lapsed_s is None
+        ]
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _report(
-        self, desk: _Desk, known: directory_lib.KnownUpstream
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        desk.is_calling = True
-        asked_s = loop.time()
-        try:
-            report = await self._client.report(known.entry)
-        finally:
-            desk.is_calling = False
-        if report is None:
-            desk.ask_s = loop.time() + 2 * ASK_AGAIN_S
-            return
-        desk.ledger.report(report, asked_s, loop.time())
-        desk.conflicts = 0
-        self._wake.set()
-
     # -- planning ------------------------------------------------------
 
     def _plan(self, now_s: float) -> None:
         by_service: dict[str, list[placement_data.Engine]] = {}
-        for instance_id, desk in self._desks.items():
+        for instance_id, book in self._books.items():
             known = self._state.directory.get(instance_id)
             if known is None:
                 continue
             by_service.setdefault(known.entry.service, []).append(
-                self._engine(desk, known, now_s)
+                placement_data.Engine(
+                    book.ledger,
+                    book.is_free(now_s),
+                    known.is_leaving or known.is_down(now_s),
+                )
             )
         self._wants = {
             key: at_s
@@ -328,25 +261,6 @@
             self._failed_plans[service] = self._state.version
             self._log.exception("a service can't be planned", service=service)
 
-    def _engine(
-        self,
-        desk: _Desk,
-        known: directory_lib.KnownUpstream,
-        now_s: float,
-    ) -> placement_data.Engine:
-        ledger = desk.ledger
-        is_loading = any("/" not in target for target in ledger.arriving)
-        return placement_data.Engine(
-            ledger,
-            free_for_order=(
-                not desk.is_calling
-                and ledger.is_certain
-                and not is_loading
-                and now_s >= desk.ask_s
-            ),
-            is_leaving=known.is_leaving or known.is_down(now_s),
-        )
-
     def _plan_service(
         self,
         service: str,
@@ -388,7 +302,7 @@
                 max(0, at_once - loading) if budget.allows(now_s) else 0
             ),
             knows_demand=known_s >= DEMAND_S,
-            knows_engines=now_s - self._engine_came_s >= ENGINES_S,
+            knows_engines=now_s - self._books.engine_came_s >= ENGINES_S,
             now_s=now_s,
             used_s=self._memory.last_used(self._state.fleet_uses, now_s),
         )
@@ -451,7 +365,7 @@
             if known is None or known.entry.service != service:
                 continue
             # An unload may be on its way.
-            if not self._desks[instance_id].is_calling:
+            if not self._books[instance_id].is_calling:
                 del self._withdrawn[key]
                 self._log.info(
                     "serves again", upstream=instance_id, target=target
@@ -476,8 +390,8 @@
             (instance_id, name): at_s
             for (instance_id, name), at_s in self._withdrawn.items()
             if now_s - at_s < WITHDRAWN_S
-            and instance_id in self._desks
-            and name in self._desks[instance_id].ledger.models
+            and instance_id in self._books
+            and name in self._books[instance_id].ledger.models
         }
         return self._withdrawn
 
@@ -505,9 +419,9 @@
         budget: load_budget.LoadBudget,
         now_s: float,
     ) -> None:
-        desk = self._desks[step.instance_id]
+        book = self._books[step.instance_id]
         known = self._state.directory.get(step.instance_id)
-        if known is None or desk.is_calling:
+        if known is None or book.is_calling:
             return
         model, _, adapter = step.target.partition("/")
         order = serving.EngineOrder(
@@ -516,7 +430,7 @@
             step.kind is placement_data.StepKind.LOAD,
             model,
             adapter,
-            desk.ledger.orders,
+            book.ledger.orders,
             self._mesh.roster.me.name,
             self._lease.fence,
         )
@@ -525,12 +439,12 @@
             self._memory.from_store.add(step.target)
         elif "/" not in step.target:
             self._memory.from_store.discard(step.target)
-        desk.is_calling = True
-        self._spawn(self._order(desk, step, order, budget))
+        book.is_calling = True
+        self._spawn(self._order(book, step, order, budget))
 
     async def _order(
         self,
-        desk: _Desk,
+        book: order_books.Book,
         step: placement_data.Step,
         order: serving.EngineOrder,
         budget: load_budget.LoadBudget,
@@ -545,9 +459,11 @@
                 return
             answer = await self._client.order(order)
         finally:
-            desk.is_calling = False
+            book.is_calling = False
         now_s = loop.time()
-        self._note_answer(desk, step, answer, sent_s, now_s, budget)
+        self._books.note_answer(book, step, answer, sent_s, now_s)
+        if step.from_store and answer is serving.OrderAnswer.UNKNOWN:
+            budget.unanswered(now_s)
         self._log.info(
             "order",
             upstream=step.instance_id,
@@ -563,50 +479,6 @@
         self._planned_s = 0.0
         self._wake.set()
 
-    def _note_answer(
-        self,
-        desk: _Desk,
-        step: placement_data.Step,
-        answer: serving.OrderAnswer,
-        sent_s: float,
-        now_s: float,
-        budget: load_budget.LoadBudget,
-    ) -> None:
-        ledger = desk.ledger
-        loads = step.kind is placement_data.StepKind.LOAD
-        match answer:
-            case serving.OrderAnswer.ACCEPTED:
-                desk.conflicts = 0
-                ledger.accepted(
-                    loads, step.target, sent_s + step.takes_s, now_s
-                )
-                if not loads:
-                    desk.ask_s = now_s + UNLOAD_S
-                    desk.look_s = now_s + DEPARTING_S
-            case serving.OrderAnswer.ALREADY:
-                desk.conflicts = 0
-                ledger.already(loads, step.target, now_s)
-                if not ledger.is_certain:
-                    # What was made before the answer settles nothing.
-                    desk.ask_s = now_s + engine_ledger.REPORT_LAG_S
-            case serving.OrderAnswer.CONFLICT:
-                # Another order is under way there, or one without an answer
-                # was carried out after all.
-                desk.conflicts += 1
-                desk.ask_s = now_s + ASK_AGAIN_S / 2
-            case serving.OrderAnswer.OTHER_LIFE:
-                self._state.directory.replaced(step.instance_id)
-            case serving.OrderAnswer.UNKNOWN:
-                # It may be carried out at any time. Until then the books are
-                # right, and whatever is sent next bears the same number, so
-                # that only one of the two can count.
-                ledger.unanswered(step.target)
-                if step.from_store:
-                    budget.unanswered(now_s)
-            case _:
-                ledger.is_certain = False
-                desk.ask_s = now_s + ASK_AGAIN_S
-
 
 def _mean_load_s(spec: serving.EngineSpec) -> float:
     times = [model.store_load_s for model in spec.models.values()]
--- a/sesamecross/gateway/order_desk_ends_test.py
+++ b/sesamecross/gateway/order_desk_ends_test.py
@@ -10,6 +10,7 @@
 from sesamecross.fakes import samples
 from sesamecross.gateway import order_desk
 from sesamecross.gateway import state as state_lib
+from sesamecross.runtime import metrics as metrics_lib
 
 SERVICE = "writers"
 MODEL = "trail-writer"
@@ -119,7 +120,9 @@
     state = state_lib.State(samples.INSTANCE)
     state.offer(CONFIGURATION)
     mesh = _Mesh()
-    desk = order_desk.OrderDesk(state, mesh, _Lease(), _Engines())
+    desk = order_desk.OrderDesk(
+        state, mesh, _Lease(), _Engines(), metrics_lib.Metrics()
+    )
     loop = asyncio.new_event_loop()
     now = [100.0]
     loop.time = lambda: now[0]
