Instances believe the newest word of an engine, whatever its count of orders

Where a holder's books had run ahead, or are put right now, requests went by what the engine had held before. The words arrive in order (fence and number, checked by the mesh), so the count need not decide.

--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -44,13 +44,14 @@
     )
 
     def take_place(self, place: fm.EnginePlace, now_s: float) -> None:
-        """Takes in the holder's word."""
+        """Takes in the holder's word, which arrives in order.
+
+        The count of orders goes down where the holder has put its books right.
+        """
         known = self.place
-        if known is not None and known.born_ms == place.born_ms:
-            if place.orders < known.orders:
-                return
-            if place.orders > known.orders:
-                self.absent.clear()
+        is_same_life = known is not None and known.born_ms == place.born_ms
+        if is_same_life and place.orders != known.orders:
+            self.absent.clear()
         self.place = place
         self.place_s = now_s
 
