Adapters that an engine lists no more leave the books, with their model or alone

A model's adapters now go with it in either case, and a report of the same count made after the last answer says of all adapters what there is: they are listed, or named as on their way. Both tests failed before.

--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -159,7 +159,8 @@
 
         Between two orders a model only comes, by the load under way, or goes,
         by the unload under way. So a report never takes away another model:
-        it may have been made before the load was complete.
+        it may have been made before the load was complete. Adapters are all
+        listed, or named as on their way.
         """
         if not report.is_busy:
             self.departing = self.departing_adapters()
@@ -170,7 +171,7 @@
         for target in models & set(self.arriving):
             self._arrived(target)
         self.models |= models
-        self.adapters |= listed - models
+        self.adapters = listed - models
         arriving = dict.fromkeys(
             report.arriving_adapters - self.adapters, now_s
         )
@@ -217,13 +218,7 @@
             if "/" in target:
                 self.known_adapters.add(target)
             return
-        self.models.discard(target)
-        self.adapters.discard(target)
-        self.known_adapters.discard(target)
-        if "/" not in target:
-            prefix = f"{target}/"
-            for held in (self.adapters, self.departing, self.known_adapters):
-                held -= {one for one in held if one.startswith(prefix)}
+        self._unloaded(target)
         self.departing.add(target)
 
     def already(self, loads: bool, target: str, now_s: float) -> None:
@@ -243,11 +238,18 @@
             self.arriving.pop(target, None)
             (self.adapters if "/" in target else self.models).add(target)
         else:
-            self.models.discard(target)
-            self.adapters.discard(target)
+            self._unloaded(target)
             if "/" in target:
                 self.departing.add(target)
 
+    def _unloaded(self, target: str) -> None:
+        """Strikes a target out, and a model's adapters with it."""
+        self.models.discard(target)
+        prefix = f"{target}/"
+        for held in (self.adapters, self.departing, self.known_adapters):
+            gone = {one for one in held if one.startswith(prefix)}
+            held -= gone | {target}
+
     def unanswered(self, target: str) -> None:
         """An order got no answer: it may be carried out, now or later."""
         self.known_adapters.discard(target)
--- a/sesamecross/ops/fleet/engine_ledger_test.py
+++ b/sesamecross/ops/fleet/engine_ledger_test.py
@@ -328,3 +328,23 @@
     derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
 )
 TestNeverOverloaded = NeverOverloaded.TestCase
+
+
+def test_an_adapter_that_a_later_report_does_not_list_is_gone():
+    """Guards against requests sent for an adapter that is never loaded."""
+    ledger = engine_ledger.EngineLedger("e", 1, orders=2, is_certain=True)
+    ledger.models.add("small")
+    ledger.adapters |= {"small/a1", "small/a2"}
+    told = report(orders=2, models=["small"], arriving=["small/a2"])
+    ledger.report(told, asked_s=1.0, now_s=1.0)
+    assert not ledger.holds_or_will("small/a1")
+    assert ledger.all_adapters() == {"small/a2"}
+
+
+def test_a_model_that_is_gone_already_is_gone_with_its_adapters():
+    """Guards against adapters that outlive their model in the books."""
+    ledger = engine_ledger.EngineLedger("e", 1, orders=2, is_certain=True)
+    ledger.models.add("small")
+    ledger.adapters.add("small/a1")
+    ledger.already(False, "small", 0.0)
+    assert not ledger.all_adapters()
