A model that is not declared any more takes room until it is unloaded

A model or adapter that a configuration no longer declares counted as nothing while the engine still held it, so a load went into room that was taken. It counts as the largest declared one now; the size it had is forgotten with its declaration.

--- a/sesamecross/ops/fleet/engine_ledger.py
+++ b/sesamecross/ops/fleet/engine_ledger.py
@@ -61,12 +61,15 @@
     last_entry: serving.Upstream | None = None
 
     def used_mb(self, spec: serving.EngineSpec) -> float:
-        """Returns the most that weights may take now."""
+        """Returns the most that weights may take now.
+
+        A model that is not declared any more stays until it is unloaded, and
+        counts as the largest one that is.
+        """
         # A model that departs is gone before the next order is accepted.
         used = sum(_size(spec.models, name) for name in self.all_models())
         for target in self.all_adapters():
-            model = spec.models.get(target.partition("/")[0])
-            used += model.adapter_mb if model else 0.0
+            used += _adapter_size(spec.models, target)
         return used
 
     def all_models(self) -> set[str]:
@@ -272,4 +275,15 @@
 
 def _size(models: Mapping[str, serving.ServedModel], name: str) -> float:
     model = models.get(name)
-    return model.weights_mb if model else 0.0
+    if model is not None:
+        return model.weights_mb
+    return max((one.weights_mb for one in models.values()), default=0.0)
+
+
+def _adapter_size(
+    models: Mapping[str, serving.ServedModel], target: str
+) -> float:
+    model = models.get(target.partition("/")[0])
+    if model is not None:
+        return model.adapter_mb
+    return max((one.adapter_mb for one in models.values()), default=0.0)
--- a/sesamecross/ops/fleet/engine_ledger_test.py
+++ b/sesamecross/ops/fleet/engine_ledger_test.py
@@ -348,3 +348,21 @@
     ledger.adapters.add("small/a1")
     ledger.already(False, "small", 0.0)
     assert not ledger.all_adapters()
+
+
+@pytest.mark.parametrize(
+    ("held", "used_mb"),
+    [
+        ({"small"}, 20.0),
+        ({"withdrawn"}, max(SIZES.values())),
+        ({"small", "withdrawn"}, 20.0 + max(SIZES.values())),
+        ({"small/a1"}, 1.0),
+        ({"withdrawn/a1"}, 1.0),
+    ],
+)
+def test_what_is_not_declared_any_more_still_takes_room(held, used_mb):
+    """Guards against loads into the room of a model that was withdrawn."""
+    ledger = engine_ledger.EngineLedger("e", 1)
+    for target in held:
+        (ledger.adapters if "/" in target else ledger.models).add(target)
+    assert ledger.used_mb(spec()) == used_mb
