--- a/sesamecross/ops/fleet/reading.py
+++ b/sesamecross/ops/fleet/reading.py
@@ -9,9 +9,9 @@
 
 Times: a hub has read a record within READ_EVERY_S, its members see so within
 three tenths of a second and have it within MEMBER_PATIENCE_S more: 1.3 s, where
-an upstream that leaves must get nothing new after 2.5 s. A member whose hub makes
-no progress reads for itself: the hub may be frozen or cut off, or the store
-may turn away just that one.
+an upstream that leaves must get nothing new after 2.5 s. A member whose hub
+makes no progress reads for itself: the hub may be frozen or cut off, or the
+store may turn away just that one.
 """
 
 # Between two reads of the list by one instance. At 0.4 s six hubs made 900
