--- a/sesamecross/ops/fleet/engine_ledger_test.py
+++ b/sesamecross/ops/fleet/engine_ledger_test.py
@@ -96,6 +96,18 @@
 SETTLED_S = 5.0
 
 
+def settled_ledger() -> engine_ledger.EngineLedger:
+    """Returns books of two orders whose last answer came a moment ago."""
+    return engine_ledger.EngineLedger(
+        "e",
+        1,
+        orders=2,
+        models={"middle"},
+        is_certain=True,
+        settled_s=SETTLED_S,
+    )
+
+
 @pytest.mark.parametrize(
     ("told", "certain", "models"),
     [
@@ -110,14 +122,7 @@
     ],
 )
 def test_reports(told, certain, models):
-    ledger = engine_ledger.EngineLedger(
-        "e",
-        1,
-        orders=2,
-        models={"middle"},
-        is_certain=True,
-        settled_s=SETTLED_S,
-    )
+    ledger = settled_ledger()
     ledger.report(told, asked_s=SETTLED_S, now_s=SETTLED_S + 0.1)
     assert ledger.is_certain is certain
     assert ledger.models == models
@@ -126,14 +131,7 @@
 
 def test_a_lower_count_from_before_the_last_answer_says_nothing():
     """Guards against taking back an order that was accepted since."""
-    ledger = engine_ledger.EngineLedger(
-        "e",
-        1,
-        orders=2,
-        models={"middle"},
-        is_certain=True,
-        settled_s=SETTLED_S,
-    )
+    ledger = settled_ledger()
     told = report(orders=1, models=["other"])
     ledger.report(told, asked_s=SETTLED_S - 0.01, now_s=SETTLED_S + 0.1)
     assert (ledger.orders, ledger.models) == (2, {"middle"})
