Failing tests: requests to an upstream after it announced its leave

Bound: 2.5 s.

- follower_test: polls that were open during a silence of the store are waited for 26 s.
- engine_search_test: a leaving engine is a last resort for 0.75 s from when this instance read of it, however late that was; and an engine whose entry lapsed while a request waited for admission is not looked at again.
- dispatch_test: the next view of the steward takes back what the upstream itself had answered.

The virtual clock of tests advances a little in each turn: a wait shorter than a float's precision turned for ever.

--- a/sesamecross/fakes/virtual_time_loop.py
+++ b/sesamecross/fakes/virtual_time_loop.py
@@ -3,6 +3,10 @@
 import asyncio
 import selectors
 
+# Each turn of the loop takes this long. Code that waits for a time that is less
+# than the precision of a float away would otherwise wait for ever.
+_TURN_S = 1e-9
+
 
 class _VirtualTimeSelector(selectors.DefaultSelector):
     """Advances virtual time by the timeout instead of waiting."""
@@ -15,7 +19,7 @@
         assert timeout is not None, (
             "no timer is set: the loop would wait forever"
         )
-        self.now_s += max(0.0, timeout)
+        self.now_s += max(_TURN_S, timeout)
         return super().select(0)
 
 
--- /dev/null
+++ b/sesamecross/gateway/engine_search_test.py
@@ -0,0 +1,147 @@
+"""Tests of which engine a request is sent to while engines leave."""
+
+import asyncio
+import random
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.gateway import engine_search
+from sesamecross.gateway import pacing as pacing_lib
+from sesamecross.gateway import state as state_lib
+
+ROUTE = serving.Route(
+    "r",
+    "a.example",
+    "/a/",
+    serving.RouteKind.STREAM,
+    (serving.Target("s", 1),),
+    0,
+    2,
+    15.0,
+    1.2,
+    0.25,
+    True,
+    True,
+)
+CALL = serving.ModelCall("m", "", 500, 50, ())
+DEADLINE_S = 15.0
+# From the choice of an engine until the request reaches it: its permit, a new
+# connection and the way, all to another region.
+UNTIL_THERE_S = 0.3
+
+
+def engine(name: str, is_leaving: bool = False) -> serving.Upstream:
+    return serving.Upstream(
+        name,
+        "s",
+        "10.0.0.1:80",
+        "z1",
+        64,
+        is_leaving,
+        1,
+        (serving.ResidentModel("m"),),
+    )
+
+
+class _Pacing:
+    """Grants each permit after a wait."""
+
+    def __init__(self, wait_s: float):
+        self._wait_s = wait_s
+
+    async def acquire(self, known, tokens, due_s, until_s):
+        await asyncio.sleep(self._wait_s)
+        return pacing_lib.Permit(known.entry.instance_id, 1, "")
+
+    def release(self, permit) -> None:
+        pass
+
+
+class _Searches:
+    """An instance that knows the engines `e1` and `e2` at time 0.
+
+    Attributes:
+      sent: Loop times of the end of each successful search, by engine.
+    """
+
+    def __init__(self, names: tuple[str, ...], permit_wait_s: float):
+        self.loop = virtual_time_loop.VirtualTimeLoop()
+        self.state = state_lib.State(samples.INSTANCE)
+        for name in names:
+            self.state.directory.update_entry(engine(name), 0.0)
+        self.sent: dict[str, list[float]] = {name: [] for name in names}
+        self._context = engine_search.SearchContext(
+            self.state, random.Random(1), pacing=_Pacing(permit_wait_s)
+        )
+
+    async def search(self, timeout_s: float) -> None:
+        """Searches an engine for a request, as the forwarder does."""
+        now_s = self.loop.time()
+        search = engine_search.EngineSearch(
+            self._context, ROUTE, CALL, now_s, now_s + timeout_s
+        )
+        found = await search.find(frozenset())
+        if found is not None:
+            self.sent[found.entry.instance_id].append(self.loop.time())
+
+    def run(self, *events, until_s: float) -> None:
+        """Runs events (time, function) while requests arrive every 50 ms."""
+
+        async def scenario() -> None:
+            for at_s, event in events:
+                self.loop.call_at(at_s, event)
+            searches = []
+            while self.loop.time() < until_s:
+                searches.append(self.loop.create_task(self.search(DEADLINE_S)))
+                await asyncio.sleep(0.05)
+            for task in searches:
+                task.cancel()
+
+        self.loop.run_until_complete(scenario())
+
+
+@pytest.mark.parametrize("read_after_s", [0.0, 0.7, 1.5, 1.9, 2.1])
+def test_a_leave_that_is_read_late_still_ends_requests_in_time(read_after_s):
+    """Guards against a request 2.7 s after an engine announced its leave.
+
+    The engine was the last resort for a model that no other one held, for some
+    time that began only when this instance had read the announcement.
+    """
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+    drain_s = searches.state.bounds.drain_s
+    announced_s = 1.0
+
+    def read() -> None:
+        searches.state.directory.update_entry(
+            engine("e1", is_leaving=True), searches.loop.time()
+        )
+
+    searches.run((announced_s + read_after_s, read), until_s=6.0)
+    assert searches.sent["e1"][-1] <= announced_s + drain_s - UNTIL_THERE_S
+
+
+@pytest.mark.parametrize("is_other_known", [True, False])
+def test_an_engine_whose_entry_lapsed_gets_no_request_chosen_before(
+    is_other_known,
+):
+    """Guards against requests to an engine that left without a word.
+
+    Its entry was removed from the store while a request waited for admission
+    to it, and was not looked at again.
+    """
+    names = ("e1", "e2") if is_other_known else ("e1",)
+    searches = _Searches(names, permit_wait_s=1.7)
+    lapsed_s = 1.0
+    searches.run(
+        (lapsed_s, lambda: searches.state.directory.lapsed("e1", lapsed_s)),
+        until_s=8.0,
+    )
+    last_s = lapsed_s
+    if not is_other_known:
+        # All entries lapse while the store is down: the engine may still serve.
+        last_s += searches.state.bounds.drain_s
+    assert searches.sent["e1"][-1] < last_s
+    assert bool(searches.sent.get("e2")) is is_other_known
--- a/sesamecross/gateway/follower_test.py
+++ b/sesamecross/gateway/follower_test.py
@@ -7,8 +7,13 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
+from sesamecross.core import serving
+from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import follower
+from sesamecross.gateway import store_client
+from sesamecross.ops.fleet import store_polling
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
 
@@ -146,3 +151,95 @@
         backend, sink = asyncio.run(scenario())
     assert sink.values() == backend.values()
     assert sink.end == len(backend.log)
+
+
+# For how long the store answers before the bounds on its records hold.
+STABLE_S = 4.0
+# What remains of the drain bound once a reader has a record: members fetch it,
+# and a request chosen just before is on its way.
+AFTER_READ_S = 1.4
+
+
+class _SilentStore:
+    """A keyed topic in a store that is silent at times.
+
+    A call that is open at any moment of a silence is never answered.
+    """
+
+    def __init__(self, silences):
+        self._silences = silences
+        self.log: list[store.KeyedRecord] = []
+        self.call_count = 0
+
+    def write(self, key: str) -> None:
+        self.log.append(store.KeyedRecord(key, b"{}", len(self.log)))
+
+    def _is_silent(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return any(begin <= now_s < end for begin, end in self._silences)
+
+    async def newest(self, topic, after):
+        self.call_count += 1
+        if self._is_silent():
+            await asyncio.sleep(store_client.CALL_TIMEOUT_S)
+            return store.Unknown("response timed out")
+        return store.NewestPage(tuple(self.log), False, len(self.log))
+
+    async def read(self, topic, offset, wait_s):
+        self.call_count += 1
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while not self._is_silent():
+            if len(self.log) > offset or loop.time() >= until_s:
+                return store.Page(tuple(self.log[offset:]), len(self.log))
+            await asyncio.sleep(0.01)
+        timeout_s = until_s + store_client.LONG_POLL_MARGIN_S
+        await asyncio.sleep(timeout_s - loop.time())
+        return store.Unknown("response timed out")
+
+
+def _read_delay_s(silences, min_interval_s: float, written_s: float) -> float:
+    """Returns how long after it was written a reader has a record."""
+    loop = virtual_time_loop.VirtualTimeLoop()
+
+    async def scenario() -> float:
+        backend, sink = _SilentStore(silences), _Sink()
+        reader = follower.Follower(
+            backend, "topic", sink, random.Random(1), min_interval_s
+        )
+        task = loop.create_task(reader.run())
+        # Without any record before, every poll waits as long as it may.
+        await asyncio.sleep(written_s)
+        backend.write("leaving")
+        while "leaving" not in sink.values():
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return loop.time() - written_s
+
+    return loop.run_until_complete(scenario())
+
+
+@pytest.mark.parametrize(
+    "silences",
+    [
+        pytest.param(((0.5, 5.0),), id="early"),
+        pytest.param(((9.0, 17.7),), id="long"),
+        # The second begins while a poll of the first one may be open.
+        pytest.param(((2.0, 4.9), (13.0, 17.9)), id="two"),
+        pytest.param(((2.0, 2.3), (2.9, 3.1), (5.5, 6.0)), id="short"),
+    ],
+)
+def test_a_reader_misses_no_record_after_polls_that_were_never_answered(
+    silences,
+):
+    """Guards against requests to an upstream 3.1 s after it said it leaves.
+
+    The store had been silent. Polls that were sent meanwhile stayed unanswered
+    for 26 s, and no instance read the announcement 4 s after the silence.
+    """
+    max_delay_s = serving.Bounds().drain_s - AFTER_READ_S
+    for min_interval_s in (0.0, store_polling.READ_INTERVAL_S):
+        for step in range(10):
+            written_s = silences[-1][1] + STABLE_S + step * 0.37
+            delay_s = _read_delay_s(silences, min_interval_s, written_s)
+            assert delay_s <= max_delay_s, (min_interval_s, written_s)
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -205,6 +205,31 @@
     assert action.upstream == "e1"
 
 
+@pytest.mark.parametrize("sequence", [1, 2])
+def test_an_older_view_does_not_undo_an_upstreams_own_word(sequence):
+    """Guards against new calls to an upstream that has said that it is leaving.
+
+    The next view was older than the upstream's answer and took the mark back.
+    """
+    dispatcher = make_dispatcher(("e1",))
+    dispatcher.submit(call(1), 0)
+    dispatcher.failed("call1", dispatch.NotRun(leaving=True), 1)
+    dispatcher.report(report("e1", sequence=sequence), 2)
+    dispatcher.set_draining("e1", False)
+    (refused,) = dispatcher.submit(call(2), 3)
+    assert isinstance(refused, dispatch.Refuse)
+
+
+def test_an_upstream_is_used_again_after_an_operator_ends_its_drain():
+    dispatcher = make_dispatcher(("e1",))
+    dispatcher.set_draining("e1", True)
+    (refused,) = dispatcher.submit(call(1), 0)
+    assert isinstance(refused, dispatch.Refuse)
+    dispatcher.set_draining("e1", False)
+    (started,) = dispatcher.submit(call(2), 1)
+    assert isinstance(started, dispatch.Dispatch)
+
+
 def test_every_end_of_a_call_frees_its_capacity():
     dispatcher = make_dispatcher()
     for number in range(200):
