A read of the store by a hub ends after 2 s, not 25

Callers' requests reached upstreams up to 3.1 s after the store had acknowledged that they leave (bound 2.5 s). Cause: a read that is open while the store is silent is never answered, and nothing ended it before 26 s; with all hubs in that state no instance learns anything, and with one of them it learns from others, late.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -145,6 +145,7 @@
             platform_catalog.configuration,
             self._rng,
             max_backoff_s=self.mesh.max_store_backoff_s,
+            poll_s=self.mesh.store_poll_s,
         )
         upstreams = follower.Follower(
             client,
@@ -154,6 +155,7 @@
             store_polling.READ_INTERVAL_S,
             self.mesh.should_read_store,
             self.mesh.max_store_backoff_s,
+            self.mesh.store_poll_s,
         )
         self.lease = lease_manager.LeaseManager(
             client,
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -17,10 +17,6 @@
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 
-# How long a read waits for a record (long polling). The store charges per call,
-# so longer waits cost less; it allows up to 30 s. Keepalive probes find a dead
-# connection after about 3 s.
-LONG_POLL_S = 25.0
 INITIAL_BACKOFF_S = 0.1
 # How often a follower that does not read checks whether it should.
 IDLE_POLL_S = 0.1
@@ -60,6 +56,7 @@
         "_min_interval_s",
         "_should_read",
         "_max_backoff_s",
+        "_poll_s",
     )
 
     def __init__(
@@ -73,6 +70,7 @@
         max_backoff_s: Callable[[], float] = lambda: (
             store_polling.READER_MAX_BACKOFF_S
         ),
+        poll_s: Callable[[], float] = lambda: store_polling.READER_POLL_S,
     ):
         """Initializes the follower.
 
@@ -85,6 +83,7 @@
           should_read: Whether this instance reads now; otherwise another
             instance reads for it.
           max_backoff_s: The longest backoff after failed calls.
+          poll_s: How long a read waits for a record.
         """
         self._client = client
         self._topic = topic
@@ -97,6 +96,7 @@
         self._min_interval_s = min_interval_s
         self._should_read = should_read
         self._max_backoff_s = max_backoff_s
+        self._poll_s = poll_s
 
     @property
     def name(self) -> str:
@@ -158,7 +158,7 @@
     async def _read_next(self) -> bool:
         # The first read after a failure does not wait, so that recovery of the
         # store is noticed at once.
-        wait_s = LONG_POLL_S if self._reachable else 0.0
+        wait_s = self._poll_s() if self._reachable else 0.0
         # Another instance may have supplied records that this one did not read.
         self._offset = max(self._offset, self._sink.end)
         outcome = await self._client.read(self._topic, self._offset, wait_s)
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -297,6 +297,14 @@
             return store_polling.READER_MAX_BACKOFF_S
         return store_polling.MEMBER_MAX_BACKOFF_S
 
+    def store_poll_s(self) -> float:
+        """Returns how long a read of the store waits for a record."""
+        if self.roster is None:
+            return store_polling.READER_POLL_S
+        if self._is_hub(asyncio.get_running_loop().time()):
+            return store_polling.READER_POLL_S
+        return store_polling.MEMBER_POLL_S
+
     def _report_to_hub(self, now_s: float) -> None:
         me = self.roster.me
         hub = self.roster.hub_of(me.zone, now_s)
--- a/sesamecross/ops/fleet/store_polling.py
+++ b/sesamecross/ops/fleet/store_polling.py
@@ -17,6 +17,12 @@
 # Interval between two reads of the list by one instance. At 0.4 s six hubs made
 # 900 calls in 60 s, two thirds of all calls of 23 instances.
 READ_INTERVAL_S = 0.7
+# How long a read waits for a record (long polling). The store charges per call
+# and allows up to 30 s. A read that is open while the store is silent may never
+# be answered, so a reader ends it before the bounds on its records are at stake.
+# A member fetches from its hub what it misses.
+READER_POLL_S = 2.0
+MEMBER_POLL_S = 25.0
 # Upstreams renew their records every 1 to 1.2 s, so the list changes several
 # times per second. A hub that has read nothing for this long may be unable to.
 STALL_TIMEOUT_S = 1.2
