An engine whose entry lapsed is looked at again after the admission

A request waits up to 1.7 s for admission to its engine. Where the engine left without announcing it, its entry is removed from the store meanwhile, and the request was sent all the same: 1.6 s to learn of it and 1.7 s of waiting are past the drain bound.

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -182,9 +182,10 @@
         begun to leave, and must get no new requests, or unloaded the model.
         """
         now_s = asyncio.get_running_loop().time()
-        return self._context.state.directory.may_receive(
-            known
-        ) and known.engine.holds(known.entry, self._call.target, now_s)
+        may_receive = self._context.state.directory.may_receive(known, now_s)
+        return may_receive and known.engine.holds(
+            known.entry, self._call.target, now_s
+        )
 
     def _has_alternative(self) -> bool:
         """Whether another engine holds the target and has not refused."""
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -200,6 +200,9 @@
                 lapsed.append(known)
         return active or lapsed
 
-    def may_receive(self, known: KnownUpstream) -> bool:
+    def may_receive(self, known: KnownUpstream, now_s: float) -> bool:
         """Whether an upstream chosen earlier may still get a request."""
-        return not (known.is_replaced or known.is_leaving)
+        if known.lapsed_s is None:
+            return not (known.is_replaced or known.is_leaving)
+        usable = self.usable(known.entry.service, now_s)
+        return any(known is one for one in usable)
