An upstream's own word that it leaves outlasts older reports and views

An entry that was told by an upstream that it is leaving sent it calls again after the steward's next view: drain marks of operators were written over the same field. A report that said so was undone by a later, older one in the same way. Both are now one mark that only a restart of the upstream resets; an operator's drain is another. dispatch_test failed for the answer and for the report, with reports of the same and of a later number. Calls were not lost (the upstream refuses them), but reached it after the bound and cost their callers an attempt.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -168,9 +168,10 @@
         if earlier is not None and earlier.epoch != report.epoch:
             # Restarted: its cache is empty and earlier refusals are void.
             state.prefix_cache.clear()
-            state.is_leaving = False
+            state.has_said_leaving = False
         if earlier is not None and earlier == report:
             return
+        state.has_said_leaving |= report.leaving
         state.report = report
         state.reported_ms = now_ms
         state.own_calls_at_report = state.own_calls
@@ -180,7 +181,7 @@
         """Applies an operator's drain mark."""
         state = self.upstreams.get(upstream)
         if state is not None:
-            state.is_leaving = draining
+            state.is_draining = draining
 
     # -- calls ---------------------------------------------------------
 
@@ -394,7 +395,7 @@
             case NotRun(leaving=True):
                 # The upstream's own answer counts at once; the platform's list
                 # lags.
-                state.is_leaving = True
+                state.has_said_leaving = True
             case NotRun(absent=True):
                 state.absent[open_call.call.target] = now_ms
             case _:
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -205,15 +205,24 @@
     assert action.upstream == "e1"
 
 
+def leave_in_an_answer(dispatcher):
+    dispatcher.submit(call(1), 0)
+    dispatcher.failed("call1", dispatch.NotRun(leaving=True), 1)
+
+
+def leave_in_a_report(dispatcher):
+    dispatcher.report(report("e1", leaving=True), 1)
+
+
+@pytest.mark.parametrize("leave", [leave_in_an_answer, leave_in_a_report])
 @pytest.mark.parametrize("sequence", [1, 2])
-def test_an_older_view_does_not_undo_an_upstreams_own_word(sequence):
+def test_an_older_view_does_not_undo_an_upstreams_own_word(sequence, leave):
     """Guards against new calls to an upstream that has said that it is leaving.
 
-    The next view was older than the upstream's answer and took the mark back.
+    The next view was older than the upstream's own word and took it back.
     """
     dispatcher = make_dispatcher(("e1",))
-    dispatcher.submit(call(1), 0)
-    dispatcher.failed("call1", dispatch.NotRun(leaving=True), 1)
+    leave(dispatcher)
     dispatcher.report(report("e1", sequence=sequence), 2)
     dispatcher.set_draining("e1", False)
     (refused,) = dispatcher.submit(call(2), 3)
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -92,8 +92,9 @@
       prefill_tokens: Uncached prompt tokens of this entry's calls there that
         have no first token yet.
       breaker: Blocks calls after consecutive failures.
-      is_leaving: Said by the upstream itself, ahead of any report, or set by a
-        drain mark.
+      has_said_leaving: In an answer to a call or in a report. A later report
+        may be older than that, so only a restart resets it.
+      is_draining: An operator's drain mark.
       absent: Targets that the upstream said it does not hold, by monotonic ms
         of its answer; a later report clears them.
     """
@@ -115,7 +116,8 @@
     prefix_cache: prefixes.PrefixCacheEstimate = dataclasses.field(
         default_factory=prefixes.PrefixCacheEstimate
     )
-    is_leaving: bool = False
+    has_said_leaving: bool = False
+    is_draining: bool = False
     absent: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def batch_size(self, now_ms: int) -> float:
@@ -132,7 +134,7 @@
         report = self.report
         if report is None or not report.reachable:
             return False
-        if report.leaving or self.is_leaving:
+        if self.has_said_leaving or self.is_draining:
             return False
         if not self.breaker.allows(now_ms) or target in self.absent:
             return False
