The age of the list of upstreams is a metric

In the incident nothing showed that an instance, or all of them, read the store no more: the line "store does not answer" came when the read timed out, 26 s later.

--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -150,6 +150,7 @@
         """Notes that all records before `end` have been applied."""
         self.raw.advance_end(end)
         self._state.upstreams_offset = self.raw.end
+        self._state.upstreams_read_s = asyncio.get_running_loop().time()
         self._state.has_upstream_list = True
 
 
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -38,6 +38,8 @@
         unknown.
       has_upstream_list: Whether the upstreams were read since the start.
       upstreams_offset: Store offset up to which their entries are known.
+      upstreams_read_s: Loop time at which they were last read, from the store
+        or a peer; None before.
       fleet_demand, fleet_uses: Sums over all instances; known to the lease
         holder only.
     """
@@ -51,6 +53,7 @@
         "has_upstream_list",
         "instance_count",
         "upstreams_offset",
+        "upstreams_read_s",
         "fleet_demand",
         "fleet_uses",
         "_instance",
@@ -70,6 +73,7 @@
         self.has_upstream_list = False
         self.instance_count: int | None = None
         self.upstreams_offset = -1
+        self.upstreams_read_s: float | None = None
         self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
         self.fleet_uses: dict[tuple[str, str], int] = {}
         self._change_event = asyncio.Event()
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -1,5 +1,7 @@
 """HTTP endpoints of the instance itself: readiness and metrics."""
 
+import asyncio
+
 from sesamecross.core import serving
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
@@ -59,9 +61,20 @@
     ) -> None:
         """Responds at once."""
         if self._metrics is not None:
+            self._set_gauges(self._metrics)
             body, _ = self._metrics.render()
             response_writer.send_response(200, _TEXT, body)
         else:
             response_writer.send_response(
                 200 if self.is_ready else 503, [], b""
             )
+
+    def _set_gauges(self, metrics: metrics_lib.Metrics) -> None:
+        read_s = self._state.upstreams_read_s
+        if read_s is not None:
+            metrics.set(
+                "sesamecross_upstreams_age_seconds",
+                "Time since the list of upstreams was last read.",
+                {},
+                asyncio.get_running_loop().time() - read_s,
+            )
--- /dev/null
+++ b/sesamecross/gateway/status_test.py
@@ -0,0 +1,51 @@
+"""Tests of what an instance says of itself to scrapes."""
+
+import asyncio
+
+from sesamecross.core import serving
+from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.gateway import catalog
+from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import status
+from sesamecross.runtime import metrics as metrics_lib
+
+REQUEST = serving.Request(b"GET", b"/metrics", "", (), b"", "", None, "", None)
+
+
+class _Writer:
+    """Keeps the body of the response."""
+
+    def __init__(self) -> None:
+        self.body = b""
+
+    def send_response(self, status, headers, body) -> None:
+        self.body = body
+
+
+def test_the_age_of_the_list_of_upstreams_grows_until_it_is_read():
+    state = state_lib.State(samples.INSTANCE)
+    sink = catalog.UpstreamSink(state, lambda key, value: None)
+    handler = status.StatusHandler(state, metrics_lib.Metrics())
+
+    async def scrape() -> float | None:
+        writer = _Writer()
+        handler.handle(REQUEST, writer)
+        for line in writer.body.decode().splitlines():
+            if line.startswith("sesamecross_upstreams_age_seconds"):
+                return float(line.split()[-1])
+        return None
+
+    async def scenario() -> list[float | None]:
+        ages = [await scrape()]
+        for wait_s in (0.0, 3.0):
+            sink.on_progress(5)
+            await asyncio.sleep(wait_s)
+            ages.append(await scrape())
+        return ages
+
+    loop = virtual_time_loop.VirtualTimeLoop()
+    before, at_once, later = loop.run_until_complete(scenario())
+    assert before is None
+    assert round(at_once, 3) == 0.0
+    assert round(later, 3) == 3.0
