An instance that the store does not answer fetches from peers as a member does

A hub waits 0.9 s before it fetches from peers what it has not read, as it mostly reads it from the store itself. It now waits 0.3 s, like a member, while the store does not answer it.

store_fanout_test runs followers, meshes and pullers of eight instances over a store that is silent for all or for some zones.

--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -112,6 +112,11 @@
         """The offset up to which the topic was read, or -1."""
         return -1 if self._offset is None else self._offset
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the store answered the last call."""
+        return bool(self._reachable)
+
     async def run(self) -> None:
         """Lists the topic, then reads from the end of the listing."""
         while True:
--- /dev/null
+++ b/sesamecross/gateway/store_fanout_test.py
@@ -0,0 +1,259 @@
+"""Tests of how soon all instances know what the store holds.
+
+Each instance has a real follower, mesh and puller. The store, the network and
+the time are simulated.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
+from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.gateway import catalog as catalog_lib
+from sesamecross.gateway import follower
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import store_client
+from sesamecross.gateway import sync
+from sesamecross.ops.fleet import store_polling
+from sesamecross.ports import store
+from sesamecross.runtime import metrics as metrics_lib
+
+ZONES = ("z1", "z1", "z1", "z2", "z2", "z2", "z3", "z3")
+REGIONS = {"z1": "r1", "z2": "r2", "z3": "r3"}
+ONE_WAY_S = 0.02
+STORE_CALL_S = 0.01
+# A handshake and an exchange between regions.
+PULL_S = 0.12
+# How long the store has to be stable before the bound holds.
+STABLE_S = 4.0
+# From the choice of an upstream until the request reaches it: admission, a new
+# connection and the way, all to another region.
+UNTIL_THERE_S = 0.2
+UPSTREAM = serving.Upstream("u1", "s", "10.0.0.9:80", "z1", 8, False, 1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """The store answers no call that is open at any moment of it.
+
+    Attributes:
+      zones: The zones whose instances it does not answer.
+    """
+
+    begin_s: float
+    end_s: float
+    zones: frozenset[str] = frozenset(REGIONS)
+
+
+class _Store:
+    """One topic, as the instances of one zone reach it."""
+
+    def __init__(self, zone: str, log: list, silences: tuple[Silence, ...]):
+        self._zone = zone
+        self._log = log
+        self._silences = silences
+
+    def _is_silent(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return any(
+            one.begin_s <= now_s < one.end_s and self._zone in one.zones
+            for one in self._silences
+        )
+
+    async def newest(self, topic, after):
+        await asyncio.sleep(STORE_CALL_S)
+        if self._is_silent():
+            await asyncio.sleep(store_client.CALL_TIMEOUT_S - STORE_CALL_S)
+            return store.Unknown("response timed out")
+        newest = {record.key: record for record in self._log}
+        return store.NewestPage(tuple(newest.values()), False, len(self._log))
+
+    async def read(self, topic, offset, wait_s):
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while True:
+            await asyncio.sleep(STORE_CALL_S)
+            if self._is_silent():
+                break
+            if len(self._log) > offset or loop.time() >= until_s:
+                return store.Page(tuple(self._log[offset:]), len(self._log))
+        timeout_s = until_s + store_client.LONG_POLL_MARGIN_S - loop.time()
+        await asyncio.sleep(timeout_s)
+        return store.Unknown("response timed out")
+
+
+class _Transport:
+    """Delivers datagrams to the other instances after the way there."""
+
+    def __init__(self, instances: dict[str, "_Instance"]):
+        self._instances = instances
+
+    def is_closing(self) -> bool:
+        return False
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        receiver = self._instances[f"{address[0]}:{address[1]}"]
+        loop = asyncio.get_running_loop()
+        loop.call_later(ONE_WAY_S, receiver.mesh.on_datagram, data)
+
+
+class _Instance:
+    """What an instance has to learn of upstreams."""
+
+    def __init__(self, number: int, backend: _Store):
+        self.zone = ZONES[number]
+        self.me = fm.Member(
+            f"front-{number}", 1, self.zone, f"10.0.0.{number}:7380", -1, -1
+        )
+        self.state = state_lib.State(
+            dataclasses.replace(
+                samples.INSTANCE, zone=self.zone, regions=REGIONS
+            )
+        )
+        self.catalog = catalog_lib.Catalog(
+            catalog_lib.ConfigurationSink(self.state, "c", lambda value: None),
+            catalog_lib.UpstreamSink(self.state, _decode),
+        )
+        self.mesh = mesh_lib.Mesh(
+            self.state, lambda: fm.Report(self.me, 0, []), metrics_lib.Metrics()
+        )
+        rng = random.Random(number)
+        self.upstreams = follower.Follower(
+            backend,
+            "upstreams",
+            self.catalog.upstreams,
+            rng,
+            store_polling.READ_INTERVAL_S,
+            self.mesh.should_read_store,
+            self.mesh.max_store_backoff_s,
+            self.mesh.store_poll_s,
+        )
+        self.puller = sync.SyncPuller(
+            self.mesh,
+            self.state,
+            self.catalog,
+            follower.Follower(
+                backend, "configurations", self.catalog.configuration, rng
+            ),
+            self.upstreams,
+        )
+        self._server = sync.SyncServer(
+            self.mesh, self.state, self.catalog, None, ""
+        )
+
+    def join(self, instances: dict[str, "_Instance"]) -> None:
+        """Connects it to the others."""
+        self.mesh.transport = _Transport(instances)
+        others = tuple(one.me for one in instances.values())
+        self.mesh.join(self.me, b"secret", others)
+
+        async def request(source: fm.Member) -> sync.SyncAnswer:
+            await asyncio.sleep(PULL_S)
+            own = (self.state.version, self.state.upstreams_offset)
+            return instances[source.address]._server._answer(sync.SyncAsk(*own))
+
+        self.puller._request = request
+
+    @property
+    def knows_of_leave(self) -> bool:
+        """Whether it sends the upstream nothing new."""
+        known = self.state.directory.get(UPSTREAM.instance_id)
+        return known is not None and known.is_leaving
+
+
+def _decode(key: str, value: bytes) -> serving.Upstream:
+    return dataclasses.replace(
+        UPSTREAM, instance_id=key, is_leaving=value == b"leaving"
+    )
+
+
+def max_delay_s(
+    silences: tuple[Silence, ...], announced_s: float, busy_until_s: float
+) -> float:
+    """Returns when the last instance knew of a leave, after its announcement.
+
+    Args:
+      silences: When the store does not answer.
+      announced_s: When the store accepted the announcement.
+      busy_until_s: Until when other records were written, so that instances
+        send new reads all the time.
+    """
+    loop = virtual_time_loop.VirtualTimeLoop()
+    log: list[store.KeyedRecord] = []
+
+    def write(key: str, value: bytes) -> None:
+        log.append(store.KeyedRecord(key, value, len(log)))
+
+    async def scenario() -> float:
+        write(UPSTREAM.instance_id, b"ready")
+        instances = {}
+        for number, zone in enumerate(ZONES):
+            one = _Instance(number, _Store(zone, log, silences))
+            instances[one.me.address] = one
+        tasks = []
+        for one in instances.values():
+            one.join(instances)
+            for component in (one.mesh, one.upstreams, one.puller):
+                tasks.append(loop.create_task(component.run()))
+        while loop.time() < announced_s:
+            await asyncio.sleep(0.23)
+            is_down = any(
+                one.begin_s <= loop.time() < one.end_s for one in silences
+            )
+            if loop.time() < busy_until_s and not is_down:
+                write("u2", b"ready")
+        write(UPSTREAM.instance_id, b"leaving")
+        written_s = loop.time()
+        while not all(one.knows_of_leave for one in instances.values()):
+            await asyncio.sleep(0.02)
+        delay_s = loop.time() - written_s
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0)
+        return delay_s
+
+    return loop.run_until_complete(scenario())
+
+
+MAX_DELAY_S = serving.Bounds().drain_s - UNTIL_THERE_S
+
+
+@pytest.mark.parametrize(
+    "silences",
+    [
+        (),
+        (Silence(5.0, 9.0),),
+        (Silence(5.0, 7.9), Silence(16.0, 20.9)),
+        # One zone is not answered any more, and the others have to tell it.
+        (Silence(5.0, 60.0, frozenset(("z1",))),),
+        (Silence(5.0, 60.0, frozenset(("z1", "z2"))),),
+        # The same after silences for all, in which reads stay open.
+        (
+            Silence(7.5, 12.8),
+            Silence(5.5, 60.0, frozenset(("z1",))),
+        ),
+        (
+            Silence(5.7, 13.0),
+            Silence(17.9, 25.0),
+            Silence(7.1, 60.0, frozenset(("z1", "z2"))),
+        ),
+    ],
+)
+@pytest.mark.parametrize("is_busy", [True, False])
+def test_all_instances_learn_of_a_leave_within_the_drain_bound(
+    silences, is_busy
+):
+    """Guards against requests to an upstream long after it said it leaves."""
+    ends_s = [one.end_s for one in silences if one.end_s < 60.0]
+    for step in range(6):
+        announced_s = max(ends_s, default=12.0) + STABLE_S + step * 0.39
+        busy_until_s = announced_s if is_busy else 0.0
+        delay_s = max_delay_s(silences, announced_s, busy_until_s)
+        assert delay_s <= MAX_DELAY_S, (announced_s, delay_s)
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -167,7 +167,7 @@
                 best = (source.configuration, source.upstreams)
             lag_s = self._lag.duration_s(own_progress, best, loop.time())
             fetch_delay_s = store_polling.MEMBER_FETCH_DELAY_S
-            if self._mesh.should_read_store():
+            if self._mesh.should_read_store() and self._upstreams.is_answered:
                 fetch_delay_s = store_polling.READER_FETCH_DELAY_S
             if source is not None and lag_s >= fetch_delay_s:
                 self._replace_reads(source)
