One condition says which upstreams get nothing new; one branch a poll's length

Run: tests of ops/fleet and of the follower, puller, mesh, catalog and engine search, all passed; formatter and linter clean.

--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -299,9 +299,8 @@
 
     def store_poll_s(self) -> float:
         """Returns how long a read of the store waits for a record."""
-        if self.roster is None:
-            return store_polling.READER_POLL_S
-        if self._is_hub(asyncio.get_running_loop().time()):
+        now_s = asyncio.get_running_loop().time()
+        if self.roster is None or self._is_hub(now_s):
             return store_polling.READER_POLL_S
         return store_polling.MEMBER_POLL_S
 
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -71,6 +71,11 @@
         default_factory=engine_state.EngineState
     )
 
+    @property
+    def is_retired(self) -> bool:
+        """Whether it gets no new request any more, whatever else is known."""
+        return self.is_replaced or self.is_leaving
+
     @property
     def running(self) -> float:
         """Requests in flight there, from all instances."""
@@ -192,7 +197,7 @@
         for known in self._known.values():
             if known.entry.service != service:
                 continue
-            if known.is_replaced or known.is_leaving:
+            if known.is_retired:
                 continue
             if known.lapsed_s is None:
                 active.append(known)
@@ -203,6 +208,6 @@
     def may_receive(self, known: KnownUpstream, now_s: float) -> bool:
         """Whether an upstream chosen earlier may still get a request."""
         if known.lapsed_s is None:
-            return not (known.is_replaced or known.is_leaving)
+            return not known.is_retired
         usable = self.usable(known.entry.service, now_s)
         return any(known is one for one in usable)
