Three tests share one simulated store that falls silent

Cause: follower_test, sync_test and store_fanout_test each had a fake store of their own with the same rule (a call that is open in a silence is never answered). It is fakes/simulated_store.py now. Assertions, silences and bounds stay; in sync_test the silence begins at 0.05 s instead of 0, as the shared store does not answer the list of records in a silence either, and the first read is open by then.

--- a/sesamecross/gateway/follower_test.py
+++ b/sesamecross/gateway/follower_test.py
@@ -10,9 +10,9 @@
 import pytest
 
 from sesamecross.core import serving
+from sesamecross.fakes import simulated_store
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import follower
-from sesamecross.gateway import store_client
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
@@ -158,44 +158,7 @@
 # What remains of the drain bound once a reader has a record: members fetch it,
 # and a request chosen just before is on its way.
 AFTER_READ_S = 1.4
-
-
-class _SilentStore:
-    """A keyed topic in a store that is silent at times.
-
-    A call that is open at any moment of a silence is never answered.
-    """
-
-    def __init__(self, silences):
-        self._silences = silences
-        self.log: list[store.KeyedRecord] = []
-        self.call_count = 0
-
-    def write(self, key: str) -> None:
-        self.log.append(store.KeyedRecord(key, b"{}", len(self.log)))
-
-    def _is_silent(self) -> bool:
-        now_s = asyncio.get_running_loop().time()
-        return any(begin <= now_s < end for begin, end in self._silences)
-
-    async def newest(self, topic, after):
-        self.call_count += 1
-        if self._is_silent():
-            await asyncio.sleep(store_client.CALL_TIMEOUT_S)
-            return store.Unknown("response timed out")
-        return store.NewestPage(tuple(self.log), False, len(self.log))
-
-    async def read(self, topic, offset, wait_s):
-        self.call_count += 1
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + wait_s
-        while not self._is_silent():
-            if len(self.log) > offset or loop.time() >= until_s:
-                return store.Page(tuple(self.log[offset:]), len(self.log))
-            await asyncio.sleep(0.01)
-        timeout_s = until_s + store_client.LONG_POLL_MARGIN_S
-        await asyncio.sleep(timeout_s - loop.time())
-        return store.Unknown("response timed out")
+STORE_CALL_S = 0.01
 
 
 def _read_delay_s(silences, min_interval_s: float, written_s: float) -> float:
@@ -203,14 +166,19 @@
     loop = virtual_time_loop.VirtualTimeLoop()
 
     async def scenario() -> float:
-        backend, sink = _SilentStore(silences), _Sink()
+        backend = simulated_store.SimulatedStore(
+            {"topic": []},
+            tuple(simulated_store.Silence(*one) for one in silences),
+            STORE_CALL_S,
+        )
+        sink = _Sink()
         reader = follower.Follower(
             backend, "topic", sink, random.Random(1), min_interval_s
         )
         task = loop.create_task(reader.run())
         # Without any record before, every poll waits as long as it may.
         await asyncio.sleep(written_s)
-        backend.write("leaving")
+        backend.write("topic", "leaving", b"{}")
         while "leaving" not in sink.values():
             await asyncio.sleep(0.01)
         delay_s = loop.time() - written_s
--- a/sesamecross/gateway/store_fanout_test.py
+++ b/sesamecross/gateway/store_fanout_test.py
@@ -13,12 +13,12 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.fakes import samples
+from sesamecross.fakes import simulated_store
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import catalog as catalog_lib
 from sesamecross.gateway import follower
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
-from sesamecross.gateway import store_client
 from sesamecross.gateway import sync
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ports import store
@@ -40,67 +40,6 @@
 UPSTREAM = serving.Upstream("u1", "s", "10.0.0.9:80", "z1", 8, False, 1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Silence:
-    """The store answers no call that is open at any moment of it.
-
-    Attributes:
-      zones: The zones whose instances it does not answer.
-    """
-
-    begin_s: float
-    end_s: float
-    zones: frozenset[str] = frozenset(REGIONS)
-
-
-class _Store:
-    """The store, as the instances of one zone reach it.
-
-    Attributes:
-      logs: The records of each topic, which all zones share.
-    """
-
-    def __init__(
-        self,
-        zone: str,
-        logs: dict[str, list[store.KeyedRecord]],
-        silences: tuple[Silence, ...],
-    ):
-        self.logs = logs
-        self._zone = zone
-        self._silences = silences
-
-    def _is_silent(self) -> bool:
-        now_s = asyncio.get_running_loop().time()
-        return any(
-            one.begin_s <= now_s < one.end_s and self._zone in one.zones
-            for one in self._silences
-        )
-
-    async def newest(self, topic, after):
-        await asyncio.sleep(STORE_CALL_S)
-        if self._is_silent():
-            await asyncio.sleep(store_client.CALL_TIMEOUT_S - STORE_CALL_S)
-            return store.Unknown("response timed out")
-        log = self.logs[topic]
-        newest = {record.key: record for record in log}
-        return store.NewestPage(tuple(newest.values()), False, len(log))
-
-    async def read(self, topic, offset, wait_s):
-        log = self.logs[topic]
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + wait_s
-        while True:
-            await asyncio.sleep(STORE_CALL_S)
-            if self._is_silent():
-                break
-            if len(log) > offset or loop.time() >= until_s:
-                return store.Page(tuple(log[offset:]), len(log))
-        timeout_s = until_s + store_client.LONG_POLL_MARGIN_S - loop.time()
-        await asyncio.sleep(timeout_s)
-        return store.Unknown("response timed out")
-
-
 class _Transport:
     """Delivers datagrams to the other instances after the way there."""
 
@@ -119,7 +58,7 @@
 class _Instance:
     """What an instance has to learn of upstreams."""
 
-    def __init__(self, number: int, backend: _Store):
+    def __init__(self, number: int, backend: simulated_store.SimulatedStore):
         self.zone = ZONES[number]
         self.me = fm.Member(
             f"front-{number}", 1, self.zone, f"10.0.0.{number}:7380", -1, -1
@@ -199,7 +138,7 @@
 
 def max_delay_s(
     topic: str,
-    silences: tuple[Silence, ...],
+    silences: tuple[simulated_store.Silence, ...],
     announced_s: float,
     busy_until_s: float,
 ) -> float:
@@ -227,7 +166,12 @@
         write(UPSTREAMS, UPSTREAM.instance_id, b"ready")
         instances = {}
         for number, zone in enumerate(ZONES):
-            one = _Instance(number, _Store(zone, logs, silences))
+            one = _Instance(
+                number,
+                simulated_store.SimulatedStore(
+                    logs, silences, STORE_CALL_S, zone
+                ),
+            )
             instances[one.me.address] = one
         tasks = []
         for one in instances.values():
@@ -269,20 +213,23 @@
     "silences",
     [
         (),
-        (Silence(5.0, 9.0),),
-        (Silence(5.0, 7.9), Silence(16.0, 20.9)),
+        (simulated_store.Silence(5.0, 9.0),),
+        (
+            simulated_store.Silence(5.0, 7.9),
+            simulated_store.Silence(16.0, 20.9),
+        ),
         # One zone is not answered any more, and the others have to tell it.
-        (Silence(5.0, 60.0, frozenset(("z1",))),),
-        (Silence(5.0, 60.0, frozenset(("z1", "z2"))),),
+        (simulated_store.Silence(5.0, 60.0, frozenset(("z1",))),),
+        (simulated_store.Silence(5.0, 60.0, frozenset(("z1", "z2"))),),
         # The same after silences for all, in which reads stay open.
         (
-            Silence(7.5, 12.8),
-            Silence(5.5, 60.0, frozenset(("z1",))),
+            simulated_store.Silence(7.5, 12.8),
+            simulated_store.Silence(5.5, 60.0, frozenset(("z1",))),
         ),
         (
-            Silence(5.7, 13.0),
-            Silence(17.9, 25.0),
-            Silence(7.1, 60.0, frozenset(("z1", "z2"))),
+            simulated_store.Silence(5.7, 13.0),
+            simulated_store.Silence(17.9, 25.0),
+            simulated_store.Silence(7.1, 60.0, frozenset(("z1", "z2"))),
         ),
     ],
 )
--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -7,6 +7,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.fakes import samples
+from sesamecross.fakes import simulated_store
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import catalog as catalog_lib
 from sesamecross.gateway import follower
@@ -15,7 +16,6 @@
 from sesamecross.gateway import sync
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import store_polling
-from sesamecross.ports import store
 
 CALL_S = 0.01
 # When a peer reads a record that this instance should have read as well.
@@ -37,27 +37,6 @@
         return True
 
 
-class _Store:
-    """Lists no record; answers no read that was sent during the silence."""
-
-    def __init__(self, silence: tuple[float, float]):
-        self._silence = silence
-        self.read_times_s: list[float] = []
-
-    async def newest(self, topic, after):
-        await asyncio.sleep(CALL_S)
-        return store.NewestPage((), False, 0)
-
-    async def read(self, topic, offset, wait_s):
-        now_s = asyncio.get_running_loop().time()
-        self.read_times_s.append(now_s)
-        if self._silence[0] <= now_s < self._silence[1]:
-            await asyncio.sleep(wait_s + store_client.LONG_POLL_MARGIN_S)
-            return store.Unknown("response timed out")
-        await asyncio.sleep(wait_s)
-        return store.Page((), offset)
-
-
 def _read_times_s(
     silence: tuple[float, float], peer_read_s: float
 ) -> list[float]:
@@ -66,7 +45,11 @@
     state, mesh, backend = (
         state_lib.State(samples.INSTANCE),
         _Mesh(),
-        _Store(silence),
+        simulated_store.SimulatedStore(
+            {"upstreams": []},
+            (simulated_store.Silence(*silence),),
+            CALL_S,
+        ),
     )
     catalog = catalog_lib.Catalog(
         catalog_lib.ConfigurationSink(state, "config", lambda value: None),
@@ -110,7 +93,7 @@
     return backend.read_times_s
 
 
-@pytest.mark.parametrize("silence", [(0.0, 0.5), (0.0, 5.0)])
+@pytest.mark.parametrize("silence", [(0.05, 0.5), (0.05, 5.0)])
 def test_a_read_that_missed_what_peers_have_read_is_replaced(silence):
     """Guards against a hub that learns of each leaving upstream a second late.
 
@@ -123,6 +106,6 @@
 
 
 def test_a_read_is_left_alone_while_no_peer_has_read_more():
-    times_s = _read_times_s((0.0, 0.5), END_S)
+    times_s = _read_times_s((0.05, 0.5), END_S)
     timeout_s = store_polling.MEMBER_POLL_S + store_client.LONG_POLL_MARGIN_S
     assert times_s[1] - times_s[0] >= timeout_s
