An upstream that takes its leave back is used again

The word now has a time. It holds against reports of the next 10 s, as those may be older (refreshed within 5 s, then log and view), and each report that repeats it starts that anew. dispatch_test: the new test failed before for the answer and the report; the cases of hold.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -17,6 +17,10 @@
 from sesamecross.ops import routing
 
 MAX_ATTEMPTS = 4
+# How long an upstream's own word that it is leaving outweighs reports. These
+# are refreshed within 5 s, and reach the entry through the log and a view, so
+# one that arrives sooner may be older than that word.
+LEAVING_TTL_MS = 10_000
 MAX_QUEUED_CALLS = 2000
 
 
@@ -168,15 +172,29 @@
         if earlier is not None and earlier.epoch != report.epoch:
             # Restarted: its cache is empty and earlier refusals are void.
             state.prefix_cache.clear()
-            state.has_said_leaving = False
+            state.said_leaving_ms = None
+        self._apply_leaving(state, report, now_ms)
         if earlier is not None and earlier == report:
             return
-        state.has_said_leaving |= report.leaving
         state.report = report
         state.reported_ms = now_ms
         state.own_calls_at_report = state.own_calls
         state.absent.clear()
 
+    def _apply_leaving(
+        self,
+        state: routing.UpstreamState,
+        report: data.UpstreamReport,
+        now_ms: int,
+    ) -> None:
+        if report.leaving:
+            state.said_leaving_ms = now_ms
+        elif (
+            state.said_leaving_ms is not None
+            and now_ms - state.said_leaving_ms >= LEAVING_TTL_MS
+        ):
+            state.said_leaving_ms = None
+
     def set_draining(self, upstream: str, draining: bool) -> None:
         """Applies an operator's drain mark."""
         state = self.upstreams.get(upstream)
@@ -395,7 +413,7 @@
             case NotRun(leaving=True):
                 # The upstream's own answer counts at once; the platform's list
                 # lags.
-                state.has_said_leaving = True
+                state.said_leaving_ms = now_ms
             case NotRun(absent=True):
                 state.absent[open_call.call.target] = now_ms
             case _:
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -229,6 +229,20 @@
     assert isinstance(refused, dispatch.Refuse)
 
 
+@pytest.mark.parametrize("leave", [leave_in_an_answer, leave_in_a_report])
+def test_an_upstream_that_takes_its_leave_back_is_used_again(leave):
+    """Guards against capacity that is lost until the upstream restarts."""
+    dispatcher = make_dispatcher(("e1",))
+    leave(dispatcher)
+    later_ms = 1 + dispatch.LEAVING_TTL_MS
+    dispatcher.report(report("e1", sequence=2), later_ms - 1)
+    (refused,) = dispatcher.submit(call(2), later_ms - 1)
+    assert isinstance(refused, dispatch.Refuse)
+    dispatcher.report(report("e1", sequence=3), later_ms)
+    (started,) = dispatcher.submit(call(3), later_ms)
+    assert isinstance(started, dispatch.Dispatch)
+
+
 def test_an_upstream_is_used_again_after_an_operator_ends_its_drain():
     dispatcher = make_dispatcher(("e1",))
     dispatcher.set_draining("e1", True)
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -92,8 +92,9 @@
       prefill_tokens: Uncached prompt tokens of this entry's calls there that
         have no first token yet.
       breaker: Blocks calls after consecutive failures.
-      has_said_leaving: In an answer to a call or in a report. A later report
-        may be older than that, so only a restart resets it.
+      said_leaving_ms: Monotonic ms at which it last said that it is leaving, in
+        an answer to a call or in a report; None if it has not, has restarted,
+        or later reports say otherwise.
       is_draining: An operator's drain mark.
       absent: Targets that the upstream said it does not hold, by monotonic ms
         of its answer; a later report clears them.
@@ -116,7 +117,7 @@
     prefix_cache: prefixes.PrefixCacheEstimate = dataclasses.field(
         default_factory=prefixes.PrefixCacheEstimate
     )
-    has_said_leaving: bool = False
+    said_leaving_ms: int | None = None
     is_draining: bool = False
     absent: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -134,7 +135,7 @@
         report = self.report
         if report is None or not report.reachable:
             return False
-        if self.has_said_leaving or self.is_draining:
+        if self.said_leaving_ms is not None or self.is_draining:
             return False
         if not self.breaker.allows(now_ms) or target in self.absent:
             return False
