Live instances and hubs are worked out when they change, not when asked for

A gateway of 195 asked for its zone's hub 40 times a second, for its rank among the candidates of the lease 20 times, for all live instances 20 times and for an engine's pacer at each prompt; each question sorted or hashed every instance.

The roster keeps its answers until a heartbeat, a start or the passing of time can change them.

--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -78,6 +78,9 @@
         self._last_probe_s = 0.0
         self._was_holding = False
         self.release_timeout_s = RELEASE_TIMEOUT_S
+        # This instance's rank among the live instances of a roster's version.
+        self._rank_version = -1
+        self._known_rank = 0
         self.machine: lease_lib.LeaseStateMachine | None = None
 
     @property
@@ -186,10 +189,15 @@
 
     def _rank(self) -> int:
         now_s = asyncio.get_running_loop().time()
-        me = self._mesh.roster.me.name
-        names = [member.name for member in self._mesh.roster.alive(now_s)]
-        ranking = rendezvous.top("lease", [*names, me], len(names) + 1)
-        return ranking.index(me)
+        roster = self._mesh.roster
+        version = roster.version(now_s)
+        if version != self._rank_version:
+            self._rank_version = version
+            names = [member.name for member in roster.alive(now_s)]
+            names.append(roster.me.name)
+            ranking = rendezvous.top("lease", names, len(names))
+            self._known_rank = ranking.index(roster.me.name)
+        return self._known_rank
 
     def _next_candidates(self) -> list[fm.Member]:
         """Returns the next candidates, assuming this instance is gone."""
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -601,7 +601,7 @@
     # -- state ---------------------------------------------------------
 
     def _update_state(self, now_s: float) -> None:
-        self._state.instance_count = 1 + len(self.roster.alive(now_s))
+        self._state.instance_count = 1 + self.roster.count_alive(now_s)
         if not self._is_hub(now_s):
             return
         sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 
 from sesamecross.core import fleet_messages as fm
@@ -70,6 +71,10 @@
         # included, by name. The failure detector takes them for alive for
         # another second, in which no request must be sent to them.
         self._departed: dict[str, int] = {}
+        # The pacer by engine and zone, valid for one version of the roster and
+        # one assignment of zones to regions.
+        self._known_pacers: dict[tuple[str, str], str] = {}
+        self._known_pacers_key: tuple[int, Mapping[str, str]] | None = None
         mesh.add_listener(self._on_message)
 
     async def run(self) -> None:
@@ -195,13 +200,28 @@
         if roster is None or self._mesh.transport is None:
             return None
         now_s = asyncio.get_running_loop().time()
+        key = (roster.version(now_s), self._state.location.regions)
+        if key != self._known_pacers_key:
+            self._known_pacers_key = key
+            self._known_pacers.clear()
+        engine = (known.entry.instance_id, known.entry.zone)
+        pacer = self._known_pacers.get(engine)
+        if pacer is None:
+            pacer = self._select_pacer(known, roster.alive(now_s))
+            self._known_pacers[engine] = pacer
+        return pacer or None
+
+    def _select_pacer(
+        self, known: directory_lib.KnownUpstream, alive: list[fm.Member]
+    ) -> str:
+        """Returns the pacer among live instances; empty if all are leaving."""
         members = [
             member
-            for member in (*roster.alive(now_s), roster.me)
+            for member in (*alive, self._mesh.roster.me)
             if not self._has_departed(member)
         ]
         if not members:
-            return None
+            return ""
         zone = known.entry.zone
         regions = self._state.location.regions
         near = [member for member in members if member.zone == zone]
@@ -213,6 +233,7 @@
 
     def _record_departure(self, member: fm.Member) -> None:
         self._departed[member.name] = member.incarnation
+        self._known_pacers.clear()
 
     def _has_departed(self, member: fm.Member) -> bool:
         return self._departed.get(member.name) == member.incarnation
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.utils import rendezvous
@@ -20,6 +21,12 @@
 # after this instance's start: the instances of a deployment start at about the
 # same time.
 STARTUP_GRACE_S = 3.0
+# What is kept is computed again this much early, so that it agrees with
+# `is_alive` in spite of rounding.
+ROUNDING_MARGIN_S = 1e-6
+
+# Name, incarnation and availability zone.
+_Identity = tuple[str, int, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,14 +38,41 @@
 
 
 class Roster:
-    """This instance and all others that it knows."""
-
-    __slots__ = ("me", "_known", "_started_s")
+    """This instance and all others that it knows.
+
+    Which instances are alive, and the zones' hubs, are asked for many times a
+    second and change when an instance starts or stops. They are kept until
+    then, so that asking costs the same in a deployment of any size.
+    """
+
+    __slots__ = (
+        "me",
+        "_known",
+        "_started_s",
+        "_version",
+        "_alive",
+        "_alive_names",
+        "_identities",
+        "_valid_until_s",
+        "_hub_candidates",
+        "_hubs",
+    )
 
     def __init__(self, me: fm.Member, now_s: float):
         self.me = me
         self._known: dict[str, KnownMember] = {}
         self._started_s = now_s
+        self._version = 0
+        # The instances that are alive, sorted by name. Outdated from
+        # `_valid_until_s` on, or earlier if heartbeats add or replace one.
+        self._alive: list[KnownMember] = []
+        self._alive_names: frozenset[str] = frozenset()
+        self._identities: tuple[_Identity, ...] = ()
+        self._valid_until_s = -math.inf
+        # Those that may be a hub, and the hub of each zone asked for since they
+        # changed.
+        self._hub_candidates: tuple[_Identity, ...] = ()
+        self._hubs: dict[str, str | None] = {}
 
     def registered(self, members: Iterable[fm.Member]) -> None:
         """Adds instances from the store's list."""
@@ -62,16 +96,73 @@
         known = self._known.get(member.name)
         if known is None:
             self._known[member.name] = KnownMember(member, last_heartbeat_s)
+            self._invalidate()
             return True
         if member.incarnation < known.member.incarnation:
             return False
         if member.incarnation > known.member.incarnation:
             known.last_heartbeat_s = None
+            self._invalidate()
+        elif member.zone != known.member.zone:
+            self._invalidate()
         known.member = member
         if last_heartbeat_s is not None:
             known.last_heartbeat_s = last_heartbeat_s
+            if member.name not in self._alive_names:
+                self._invalidate()
         return True
 
+    def _invalidate(self) -> None:
+        self._valid_until_s = -math.inf
+
+    def _refresh(self, now_s: float) -> None:
+        """Computes which instances are alive, unless that is known."""
+        if now_s < self._valid_until_s:
+            return
+        is_early = now_s - self._started_s < STARTUP_GRACE_S
+        self._alive = [
+            known
+            for name, known in sorted(self._known.items())
+            if self.is_alive(name, now_s)
+        ]
+        self._alive_names = frozenset(
+            known.member.name for known in self._alive
+        )
+        # Until then no instance falls silent, as later heartbeats only extend
+        # the time.
+        oldest_s = min(
+            (known.last_heartbeat_s for known in self._alive), default=math.inf
+        )
+        self._valid_until_s = oldest_s + LIVENESS_TIMEOUT_S - ROUNDING_MARGIN_S
+        if is_early:
+            ends_s = self._started_s + STARTUP_GRACE_S - ROUNDING_MARGIN_S
+            self._valid_until_s = min(self._valid_until_s, ends_s)
+        candidates = tuple(
+            (name, known.member.incarnation, known.member.zone)
+            for name, known in self._known.items()
+            if name in self._alive_names
+            or (is_early and known.last_heartbeat_s is None)
+        )
+        if candidates != self._hub_candidates:
+            self._hub_candidates = candidates
+            self._hubs.clear()
+        identities = tuple(
+            (known.member.name, known.member.incarnation, known.member.zone)
+            for known in self._alive
+        )
+        if identities != self._identities:
+            self._identities = identities
+            self._version += 1
+
+    def version(self, now_s: float) -> int:
+        """Returns a number that changes whenever the live instances do.
+
+        For callers that keep what they derive from their names, incarnations
+        and availability zones.
+        """
+        self._refresh(now_s)
+        return self._version
+
     def get(self, name: str) -> fm.Member | None:
         """Returns an instance by its name, or None."""
         known = self._known.get(name)
@@ -90,37 +181,39 @@
 
     def alive(self, now_s: float) -> list[fm.Member]:
         """Returns the other instances that are alive, sorted by name."""
-        return [
-            known.member
-            for name, known in sorted(self._known.items())
-            if self.is_alive(name, now_s)
-        ]
+        self._refresh(now_s)
+        return [known.member for known in self._alive]
+
+    def count_alive(self, now_s: float) -> int:
+        """Returns how many other instances are alive."""
+        self._refresh(now_s)
+        return len(self._alive)
 
     def silent(self, now_s: float) -> list[fm.Member]:
         """Returns the other instances that are not alive, sorted by name."""
+        self._refresh(now_s)
         return [
             known.member
             for name, known in sorted(self._known.items())
-            if not self.is_alive(name, now_s)
+            if name not in self._alive_names
         ]
 
     def hub_of(self, zone: str, now_s: float) -> str | None:
         """Returns the name of a zone's hub, or None if it has no members."""
-        is_early = now_s - self._started_s < STARTUP_GRACE_S
-        names = [
-            name
-            for name, known in self._known.items()
-            if known.member.zone == zone
-            and (
-                self.is_alive(name, now_s)
-                or (is_early and known.last_heartbeat_s is None)
-            )
-        ]
-        if zone == self.me.zone:
-            names.append(self.me.name)
-        best = rendezvous.top(f"hub/{zone}", names, 1)
-        return best[0] if best else None
+        self._refresh(now_s)
+        if zone not in self._hubs:
+            names = [
+                name
+                for name, _, member_zone in self._hub_candidates
+                if member_zone == zone
+            ]
+            if zone == self.me.zone:
+                names.append(self.me.name)
+            best = rendezvous.top(f"hub/{zone}", names, 1)
+            self._hubs[zone] = best[0] if best else None
+        return self._hubs[zone]
 
     def forget(self, name: str) -> None:
         """Removes an instance that announced that it is leaving."""
-        self._known.pop(name, None)
+        if self._known.pop(name, None) is not None:
+            self._invalidate()
