Periodic components of a gateway share their wake-ups

An idle gateway woke 75 times a second for its own components, each on timers of its own: the giver of orders 40 times of these, at instances that may give none.

A ticker puts their intervals on one grid, shifted by a phase of each process so that instances do not act at the same moments. An instance without the lease checks every 0.1 s whether it may give orders.

lease_manager_test made the interval 0 to run a step in each turn of the loop; it injects a ticker that does the same.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -35,6 +35,7 @@
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import supervisor
+from sesamecross.runtime import ticker as ticker_lib
 
 # The load balancer stops sending new connections after two failed readiness
 # probes, a second apart; callers that it sends until then are served.
@@ -114,6 +115,7 @@
     def components(self) -> list[supervisor.Component]:
         """Creates the components; returns them in the order of their start."""
         instance, adapter = self._instance, self._adapter
+        ticker = ticker_lib.Ticker(self._rng.random())
         self.connection_pool = connection_pool_lib.ConnectionPool()
         self.forwarder = forwarder_lib.Forwarder(
             self.state,
@@ -138,7 +140,9 @@
             ),
             catalog.UpstreamSink(self.state, adapter.decode_upstream),
         )
-        self.mesh = mesh_lib.Mesh(self.state, self._build_report, self.metrics)
+        self.mesh = mesh_lib.Mesh(
+            self.state, self._build_report, self.metrics, ticker
+        )
         configurations = follower.Follower(
             client,
             adapter.configuration_topic,
@@ -146,6 +150,7 @@
             self._rng,
             max_backoff_s=self.mesh.max_store_backoff_s,
             poll_s=self.mesh.store_poll_s,
+            ticker=ticker,
         )
         upstreams = follower.Follower(
             client,
@@ -156,6 +161,7 @@
             self.mesh.should_read_store,
             self.mesh.max_store_backoff_s,
             self.mesh.store_poll_s,
+            ticker,
         )
         self.lease = lease_manager.LeaseManager(
             client,
@@ -163,15 +169,16 @@
             f"{adapter.own_topic_prefix}lease",
             self.mesh,
             lambda: self.state.bounds.lease_s,
+            ticker,
         )
         engines = engine_client.EngineClient(adapter.http_codec, self.metrics)
         controller = placement_controller.PlacementController(
-            self.state, self.mesh, self.lease, engines, self.metrics
+            self.state, self.mesh, self.lease, engines, self.metrics, ticker
         )
         self.forwarder.search_context.request_placement = (
             controller.request_placement
         )
-        pacing = pacing_lib.Pacing(self.state, self.mesh)
+        pacing = pacing_lib.Pacing(self.state, self.mesh, ticker)
         self.forwarder.search_context.pacing = pacing
         address = f"{instance.ip}:{instance.ports[0]}"
         self._registrar = registrar.Registrar(
@@ -194,7 +201,7 @@
             ),
             configurations,
             upstreams,
-            sweeper.Sweeper(self.state, self.connection_pool),
+            sweeper.Sweeper(self.state, self.connection_pool, ticker),
             self._reloader,
             self._joiner,
             self.mesh,
@@ -211,10 +218,14 @@
                 platform_catalog,
                 configurations,
                 upstreams,
+                ticker,
             ),
             self.lease,
             sync.HolderMonitor(
-                self.mesh, self.lease.is_candidate, self.lease.on_holder_exit
+                self.mesh,
+                self.lease.is_candidate,
+                self.lease.on_holder_exit,
+                ticker,
             ),
             controller,
             pacing,
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -16,6 +16,7 @@
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ports import store
 from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
 
 INITIAL_BACKOFF_S = 0.1
 # How often a follower that does not read checks whether it should.
@@ -59,6 +60,7 @@
         "_poll_s",
         "_open_read",
         "_read_begun_s",
+        "_ticker",
     )
 
     def __init__(
@@ -73,6 +75,7 @@
             store_polling.READER_MAX_BACKOFF_S
         ),
         poll_s: Callable[[], float] = lambda: store_polling.READER_POLL_S,
+        ticker: ticker_lib.Ticker | None = None,
     ):
         """Initializes the follower.
 
@@ -86,6 +89,7 @@
             instance reads for it.
           max_backoff_s: The longest backoff after failed calls.
           poll_s: How long a read waits for a record.
+          ticker: The process's ticker.
         """
         self._client = client
         self._topic = topic
@@ -101,6 +105,7 @@
         self._poll_s = poll_s
         self._open_read: asyncio.Task[store.ReadOutcome] | None = None
         self._read_begun_s = 0.0
+        self._ticker = ticker or ticker_lib.Ticker()
 
     @property
     def name(self) -> str:
@@ -121,7 +126,7 @@
         """Lists the topic, then reads from the end of the listing."""
         while True:
             if self._offset is not None and not self._should_read():
-                await asyncio.sleep(IDLE_POLL_S)
+                await self._ticker.wait(IDLE_POLL_S)
                 continue
             if self._offset is None:
                 is_done = await self._list_topic()
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -14,6 +14,7 @@
 from sesamecross.ops.fleet import lease as lease_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.utils import rendezvous
 
 LEASE_KEY = "lease"
@@ -58,6 +59,7 @@
         topic: str,
         mesh: mesh_lib.Mesh,
         gap_s: Callable[[], float],
+        ticker: ticker_lib.Ticker | None = None,
     ):
         """Initializes the manager.
 
@@ -68,12 +70,14 @@
           mesh: Membership, and news of the lease from other instances.
           gap_s: Returns the minimum time between the orders of two holders. A
             function, as settings change while the instance runs.
+          ticker: The process's ticker.
         """
         self._client = client
         self._proxy = proxy
         self._topic = topic
         self._mesh = mesh
         self._gap_s = gap_s
+        self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("lease")
         self._last_probe_s = 0.0
         self._was_holding = False
@@ -115,7 +119,7 @@
     async def run(self) -> None:
         """Runs the state machine periodically."""
         while True:
-            await asyncio.sleep(STEP_INTERVAL_S)
+            await self._ticker.wait(STEP_INTERVAL_S)
             if self._mesh.roster is None:
                 continue
             me = self._mesh.roster.me
--- a/sesamecross/gateway/lease_manager_test.py
+++ b/sesamecross/gateway/lease_manager_test.py
@@ -40,6 +40,13 @@
     raise AssertionError("never acquired the lease")
 
 
+class _EachTurn:
+    """A ticker that wakes the manager in each turn of the loop."""
+
+    async def wait(self, interval_s: float) -> None:
+        await asyncio.sleep(0)
+
+
 @pytest.mark.parametrize("gap_s", [1.0, 6.0])
 @pytest.mark.parametrize("is_running", [False, True])
 def test_changed_lease_gap_applies_without_restart(
@@ -69,7 +76,7 @@
             raise asyncio.CancelledError
 
     monkeypatch.setattr(gateway.lease, "_step", step)
-    monkeypatch.setattr(lease_manager, "STEP_INTERVAL_S", 0)
+    gateway.lease._ticker = _EachTurn()
 
     async def scenario():
         gateway.mesh.join(ME, b"", ())
@@ -183,7 +190,7 @@
     manager = gateway.lease
     manager._client = manager._proxy = topic
     monkeypatch.setattr(lease_manager, "boottime_clock", lambda: topic.now_s)
-    monkeypatch.setattr(lease_manager, "STEP_INTERVAL_S", 0)
+    manager._ticker = _EachTurn()
     return manager
 
 
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -23,6 +23,7 @@
 from sesamecross.ops.fleet import store_polling
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import ticker as ticker_lib
 
 DIGEST_BYTES = 12
 # Below the largest UDP payload, with room for headers.
@@ -117,10 +118,12 @@
         state: state_lib.State,
         report_source: ReportSource,
         metrics: metrics_lib.Metrics,
+        ticker: ticker_lib.Ticker | None = None,
     ):
         self._state = state
         self._report_source = report_source
         self._metrics = metrics
+        self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("mesh")
         self.transport: asyncio.DatagramTransport | None = None
         self.roster: roster_lib.Roster | None = None
@@ -181,7 +184,7 @@
         """Sends reports, summaries and views periodically."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(ROUND_INTERVAL_S)
+            await self._ticker.wait(ROUND_INTERVAL_S)
             if self.roster is None or self.transport is None:
                 continue
             now_s = loop.time()
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -13,6 +13,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import pacer as pacer_lib
+from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.utils import rendezvous
 
 # An admission request without any reply is repeated after the round trip plus
@@ -57,9 +58,15 @@
     is_vital = False
     name = "pacing"
 
-    def __init__(self, state: state_lib.State, mesh: mesh_lib.Mesh):
+    def __init__(
+        self,
+        state: state_lib.State,
+        mesh: mesh_lib.Mesh,
+        ticker: ticker_lib.Ticker | None = None,
+    ):
         self._state = state
         self._mesh = mesh
+        self._ticker = ticker or ticker_lib.Ticker()
         self._pacers: dict[str, pacer_lib.Pacer] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
@@ -83,7 +90,7 @@
         A permit stays unreleased if the message that releases it was lost.
         """
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await self._ticker.wait(SWEEP_INTERVAL_S)
             for upstream in list(self._pacers):
                 self._grant(upstream)
                 if self._pacers[upstream].is_idle:
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -26,8 +26,11 @@
 from sesamecross.ops.fleet import placement_types
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import ticker as ticker_lib
 
 TICK_INTERVAL_S = 0.05
+# How often an instance that may not give orders checks whether it may.
+IDLE_INTERVAL_S = 0.1
 # Order answers and placement requests wake the controller hundreds of times a
 # second. After each scan of all engines it rests for this many times the scan's
 # duration.
@@ -75,12 +78,14 @@
         lease: lease_manager.LeaseManager,
         client: engine_client.EngineClient,
         metrics: metrics_lib.Metrics,
+        ticker: ticker_lib.Ticker | None = None,
     ):
         self._state = state
         self._mesh = mesh
         self._lease = lease
         self._client = client
         self._metrics = metrics
+        self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("orders")
         self._tracker = engine_tracker.EngineTracker(
             state,
@@ -117,6 +122,9 @@
         """Runs the controller while the lease is held."""
         loop = asyncio.get_running_loop()
         while True:
+            if not self._is_active and not self._lease.may_order:
+                await self._ticker.wait(IDLE_INTERVAL_S)
+                continue
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_INTERVAL_S):
                     await self._wake.wait()
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -5,6 +5,7 @@
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
 
 SWEEP_INTERVAL_S = 0.5
 
@@ -16,22 +17,24 @@
     is_helper = True
     name = "sweeper"
 
-    __slots__ = ("_state", "_connection_pool", "_log")
+    __slots__ = ("_state", "_connection_pool", "_log", "_ticker")
 
     def __init__(
         self,
         state: state_lib.State,
         connection_pool: connection_pool_lib.ConnectionPool,
+        ticker: ticker_lib.Ticker | None = None,
     ):
         self._state = state
         self._connection_pool = connection_pool
+        self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("upstreams")
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await self._ticker.wait(SWEEP_INTERVAL_S)
             now_s = loop.time()
             self._connection_pool.close_stale(now_s)
             for known in self._state.directory.remove_lapsed(now_s):
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -27,6 +27,7 @@
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ports import store
 from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.transport import streams
 
 ROLE = "gateway"
@@ -141,12 +142,14 @@
         catalog: catalog_lib.Catalog,
         configurations: follower_lib.Follower,
         upstreams: follower_lib.Follower,
+        ticker: ticker_lib.Ticker | None = None,
     ):
         self._mesh = mesh
         self._state = state
         self._catalog = catalog
         self._configurations = configurations
         self._upstreams = upstreams
+        self._ticker = ticker or ticker_lib.Ticker()
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
         self._log = logs.get_logger("sync")
         self._lag = store_polling.Lag()
@@ -157,7 +160,7 @@
         """Compares read positions periodically and fetches what is missing."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await self._ticker.wait(POLL_INTERVAL_S)
             if self._mesh.roster is None:
                 continue
             source = self._best_source(loop.time())
@@ -273,16 +276,18 @@
         mesh: mesh_lib.Mesh,
         is_candidate: Callable[[], bool],
         on_exit: Callable[[fm.Member], None],
+        ticker: ticker_lib.Ticker | None = None,
     ):
         self._mesh = mesh
         self._is_candidate = is_candidate
         self._on_exit = on_exit
+        self._ticker = ticker or ticker_lib.Ticker()
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
 
     async def run(self) -> None:
         """Watches the holder while this instance is a candidate."""
         while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await self._ticker.wait(POLL_INTERVAL_S)
             holder = self._holder()
             if holder is not None and self._is_candidate():
                 await self._watch(holder)
--- /dev/null
+++ b/sesamecross/runtime/ticker_test.py
@@ -0,0 +1,81 @@
+"""Tests of the ticker, on virtual time."""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.runtime import ticker as ticker_lib
+
+
+def run(work):
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        return runner.run(work)
+
+
+@pytest.mark.parametrize("phase_s", [0.0, 0.013, 0.049])
+def test_components_that_are_due_together_share_a_wake_up(phase_s):
+    """Guards against one wake-up for each component and interval."""
+
+    async def wake_times() -> set[float]:
+        ticker = ticker_lib.Ticker(phase_s)
+        loop = asyncio.get_running_loop()
+        times = set()
+
+        async def repeat(interval_s: float, begins_s: float) -> None:
+            await asyncio.sleep(begins_s)
+            while True:
+                await ticker.wait(interval_s)
+                times.add(round(loop.time(), 4))
+
+        rng = random.Random(3)
+        tasks = [
+            asyncio.create_task(repeat(interval_s, rng.random()))
+            for interval_s in (0.1, 0.1, 0.1, 0.1, 0.2, 0.5, 0.5)
+        ]
+        await asyncio.sleep(3.0)
+        for task in tasks:
+            task.cancel()
+        return times
+
+    times = run(wake_times())
+    assert len(times) <= 31
+
+
+@pytest.mark.parametrize("interval_s", [0.05, 0.1, 0.25, 0.5])
+def test_a_wait_is_at_most_its_interval_and_then_regular(interval_s):
+    """Guards against components that act later than their interval says."""
+
+    async def moments() -> list[float]:
+        ticker = ticker_lib.Ticker(0.021)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.333)
+        seen = [loop.time()]
+        for _ in range(40):
+            await ticker.wait(interval_s)
+            seen.append(loop.time())
+        return seen
+
+    seen = run(moments())
+    pauses = [after - before for before, after in itertools.pairwise(seen)]
+    assert 0 < pauses[0] <= interval_s + 1e-6
+    assert pauses[1:] == pytest.approx([interval_s] * 39, abs=1e-6)
+
+
+def test_a_wait_that_is_cancelled_cancels_no_other():
+    """Guards against a component's stop that ends the others' timers."""
+
+    async def work() -> bool:
+        ticker = ticker_lib.Ticker()
+        first = asyncio.create_task(ticker.wait(0.1))
+        second = asyncio.create_task(ticker.wait(0.1))
+        await asyncio.sleep(0.01)
+        first.cancel()
+        await asyncio.wait([second], timeout=1.0)
+        return second.done() and not second.cancelled()
+
+    assert run(work())
