A hub adds up reports when its members are due, once

A hub added up the reports of its members and the summaries of all zones ten times a second for itself, again for each view and for each summary. It does it once for a view and for itself. A report names an upstream's failures only if this instance saw some of its own. Bytes sent and views per member, which nothing read, are gone.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -252,7 +252,8 @@
                     )
                 )
             outcomes = known.health.outcomes(now_s)
-            if known.failure_share(now_s) >= MIN_REPORTED_FAILURE_SHARE:
+            share = outcomes.plus(known.others_outcomes).share
+            if outcomes.total and share >= MIN_REPORTED_FAILURE_SHARE:
                 failing.append(
                     fm.UpstreamOutcomes(
                         name,
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -137,9 +137,8 @@
         # When the hub of each zone was last sent a summary.
         self._last_summary_s: dict[str, float] = {}
         self._last_list_s = 0.0
-        # When members get their next view.
+        # When this instance, as the hub, adds up reports next.
         self._next_view_s = 0.0
-        self._viewed: dict[str, float] = {}
         self._hub = ""
         self._hub_progress = store_polling.HubProgress()
         self._last_contact_s = 0.0
@@ -147,7 +146,6 @@
         self._listeners: list[MessageListener] = []
         self.lease: fm.LeaseAnnouncement | None = None
         self.lease_received_s = 0.0
-        self.bytes_sent = 0
 
     def add_listener(self, listener: MessageListener) -> None:
         """Adds a listener for placements and for requests and their replies."""
@@ -191,8 +189,8 @@
             self._report_to_hub(now_s)
             if self._is_hub(now_s):
                 self._send_summaries(now_s)
-                self._send_views(now_s)
-            self._update_state(now_s)
+                self._update_zone(now_s)
+            self._state.instance_count = 1 + self.roster.count_alive(now_s)
 
     async def open(self, ip: str, port: int) -> None:
         """Binds the datagram port."""
@@ -230,7 +228,6 @@
             # The port is closed: this process is stopping.
             return
         host, _, port = to.address.rpartition(":")
-        self.bytes_sent += len(data)
         self.transport.sendto(data, (host, int(port)))
 
     def next_number(self) -> int:
@@ -405,12 +402,25 @@
                 zones.append(zone)
         return zones
 
-    def _send_views(self, now_s: float) -> None:
-        members = self._members(now_s) + self._silent_members(now_s)
-        if not members or now_s < self._next_view_s:
+    def _update_zone(self, now_s: float) -> None:
+        """Adds up what all instances report, for this one and its members."""
+        if now_s < self._next_view_s:
             return
         sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
         totals = report_totals.aggregate(sources)
+        self._send_views(sources, totals, now_s)
+        own = [self._last_report] if self._last_report is not None else []
+        self._set_peer_totals(totals, report_totals.aggregate(own))
+
+    def _send_views(
+        self,
+        sources: list[report_totals.Source],
+        totals: report_totals.Totals,
+        now_s: float,
+    ) -> None:
+        members = self._members(now_s) + self._silent_members(now_s)
+        if not members:
+            return
         listed = []
         if now_s - self._last_list_s >= MEMBER_LIST_INTERVAL_S:
             self._last_list_s = now_s
@@ -603,16 +613,6 @@
 
     # -- state ---------------------------------------------------------
 
-    def _update_state(self, now_s: float) -> None:
-        self._state.instance_count = 1 + self.roster.count_alive(now_s)
-        if not self._is_hub(now_s):
-            return
-        sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
-        own = [self._last_report] if self._last_report is not None else []
-        self._set_peer_totals(
-            report_totals.aggregate(sources), report_totals.aggregate(own)
-        )
-
     def _set_peer_totals(
         self, fleet: report_totals.Totals, own: report_totals.Totals
     ) -> None:
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -79,20 +79,24 @@
             totals.running[name] = totals.running.get(name, 0) + load.running
             tokens = totals.prompt_tokens.get(name, 0) + load.prompt_tokens
             totals.prompt_tokens[name] = tokens
-            known = totals.reports.get(name, reachability.ReachabilityCounts())
             reported = reachability.ReachabilityCounts(
                 load.hears, load.silent, load.refused
             )
-            totals.reports[name] = known.combined_with(reported)
+            known = totals.reports.get(name)
+            if known is not None:
+                reported = known.combined_with(reported)
+            totals.reports[name] = reported
         for use in source.uses:
             key = (use.upstream, use.target)
             totals.in_use[key] = totals.in_use.get(key, 0) + use.running
         for entry in source.demand:
             _add_demand(totals.demand, entry)
         for entry in source.failing:
-            known = totals.failing.get(entry.upstream, health.Outcomes())
             outcomes = health.Outcomes(entry.failed, entry.total)
-            totals.failing[entry.upstream] = known.plus(outcomes)
+            known = totals.failing.get(entry.upstream)
+            if known is not None:
+                outcomes = known.plus(outcomes)
+            totals.failing[entry.upstream] = outcomes
     return totals
 
 
