--- a/sesamecross/gateway/fleet_load_test.py
+++ b/sesamecross/gateway/fleet_load_test.py
@@ -28,7 +28,7 @@
 ONE_WAY_S = 0.001
 # What an instance may spend on control at the size to design for.
 CONTROL_BYTES_PER_S = 11_000
-# Of the smallest links, 20 Mbit/s, which also carry answers to callers.
+# An eighth of the smallest links, 20 Mbit/s, which also carry callers' answers.
 MAX_HUB_BYTES_PER_S = 2_500_000 // 8
 
 
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -51,6 +51,11 @@
     cache: prefix_cache.PrefixCache = dataclasses.field(
         default_factory=prefix_cache.PrefixCache
     )
+    # The latest result of `targets`, and what it was derived from.
+    _targets: frozenset[str] = frozenset()
+    _targets_source: tuple[
+        fm.EnginePlacement | None, serving.Upstream | None
+    ] = (None, None)
 
     def apply_placement(
         self, placement: fm.EnginePlacement, now_s: float
@@ -69,22 +74,24 @@
         self.placement = placement
         self.placement_received_s = now_s
 
-    def targets(self, entry: serving.Upstream, now_s: float) -> set[str]:
+    def targets(self, entry: serving.Upstream, now_s: float) -> frozenset[str]:
         """Returns the models and adapters that can serve there.
 
         Args:
           entry: The engine's latest entry.
           now_s: Monotonic time.
         """
-        own = targets_of(entry.models)
         placement = self.placement
         is_old = now_s - self.placement_received_s > PLACEMENT_TTL_S
-        if placement is None or placement.born_ms != entry.born_ms or is_old:
-            return own
-        # A target that the holder lists as loading and the engine lists as held
-        # has been loaded since.
-        loading = {target for target, _ in placement.arriving}
-        return set(placement.targets) | (own & loading)
+        if is_old or placement is None or placement.born_ms != entry.born_ms:
+            placement = None
+        # Each request asks at each engine, and entries and placements are
+        # replaced far less often.
+        known_placement, known_entry = self._targets_source
+        if placement is not known_placement or entry is not known_entry:
+            self._targets_source = (placement, entry)
+            self._targets = _current_targets(entry, placement)
+        return self._targets
 
     def holds(self, entry: serving.Upstream, target: str, now_s: float) -> bool:
         """Whether a target can serve there."""
@@ -118,6 +125,18 @@
     return call.prompt_tokens * INITIAL_PREFILL_MS / 1000
 
 
+def _current_targets(
+    entry: serving.Upstream, placement: fm.EnginePlacement | None
+) -> frozenset[str]:
+    own = targets_of(entry.models)
+    if placement is None:
+        return frozenset(own)
+    # A target that the holder lists as loading and the engine lists as held
+    # has been loaded since.
+    loading = {target for target, _ in placement.arriving}
+    return frozenset(placement.targets) | (own & loading)
+
+
 def targets_of(models: tuple[serving.ResidentModel, ...]) -> set[str]:
     """Returns the held models and adapters as targets."""
     found = set()
--- a/sesamecross/ops/fleet/engine_state_test.py
+++ b/sesamecross/ops/fleet/engine_state_test.py
@@ -31,3 +31,21 @@
     engine.absent["m"] = 0.1
     engine.apply_placement(placement(orders, "m"), 0.2)
     assert engine.holds(ENTRY, "m", 0.3) is holds
+
+
+def test_targets_follow_entry_placement_and_its_age():
+    """Guards against requests to an engine for what it held before."""
+    engine = engine_state.EngineState()
+    own = serving.ResidentModel("own", frozenset({"a"}))
+    entry = serving.Upstream("e", "s", "a:1", "z", 8, False, 1, (own,))
+    assert engine.targets(entry, 0.0) == {"own", "own/a"}
+    assert engine.targets(ENTRY, 0.0) == set()
+    engine.apply_placement(placement(1, "m"), 0.0)
+    assert engine.targets(entry, 0.1) == {"m"}
+    engine.apply_placement(placement(2, "n"), 0.2)
+    assert engine.targets(entry, 0.3) == {"n"}
+    old_s = 0.3 + engine_state.PLACEMENT_TTL_S
+    assert engine.targets(entry, old_s) == {"own", "own/a"}
+    restarted = serving.Upstream("e", "s", "a:1", "z", 8, False, 2)
+    assert engine.targets(restarted, 0.3) == set()
+    assert engine.targets(entry, 0.3) == {"n"}
