An instance that starts reads neither upstreams nor the lease twice

A member gives its hub the time in which a stalled one is noticed; an instance considers itself a candidate after two heartbeats.

--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -19,6 +19,10 @@
 
 LEASE_KEY = "lease"
 STEP_INTERVAL_S = 0.1
+# After it has joined, an instance hears for this long who else is alive before
+# it considers itself a candidate: two heartbeats. Otherwise all instances that
+# start would read the lease.
+JOIN_SETTLE_S = 0.8
 PROBE_INTERVAL_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 # How many instances watch the holder.
@@ -81,6 +85,7 @@
         self._log = logs.get_logger("lease")
         self._last_probe_s = 0.0
         self._was_holding = False
+        self._settled_s = 0.0
         self.release_timeout_s = RELEASE_TIMEOUT_S
         # This instance's rank among the live instances of a roster's version.
         self._rank_version = -1
@@ -127,6 +132,7 @@
                 self.machine = lease_lib.LeaseStateMachine(
                     me.name, me.incarnation, self._gap_s(), boottime_clock()
                 )
+                self._settled_s = boottime_clock() + JOIN_SETTLE_S
             self.machine.gap_s = self._gap_s()
             await self._step()
 
@@ -180,6 +186,8 @@
 
     async def _step(self) -> None:
         now_s = boottime_clock()
+        if now_s < self._settled_s:
+            return
         is_holder_live = self._is_holder_live()
         if not is_holder_live:
             await self._detect_holder_exit(now_s)
--- a/sesamecross/gateway/lease_manager_test.py
+++ b/sesamecross/gateway/lease_manager_test.py
@@ -323,3 +323,26 @@
         return [peer._is_holder_live() for peer in peers]
 
     assert asyncio.run(scenario()) == [False] * others
+
+
+def test_an_instance_that_starts_reads_no_lease_until_it_knows_the_others(
+    monkeypatch,
+):
+    """Guards against a herd on the store: all that start read the lease."""
+    reads = []
+
+    class _CountingTopic(_Topic):
+        async def newest(self, *args) -> store.NewestPage:
+            reads.append(self.now_s - START_S)
+            return await super().newest(*args)
+
+    async def scenario():
+        topic = _CountingTopic(applied_late)
+        manager = manager_on(topic, monkeypatch)
+        running = asyncio.create_task(manager.run())
+        while not reads:
+            await topic.run_steps(1)
+        running.cancel()
+
+    asyncio.run(scenario())
+    assert reads[0] >= lease_manager.JOIN_SETTLE_S
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -282,10 +282,10 @@
 
     def should_read_store(self) -> bool:
         """Returns whether this instance reads the list of upstreams itself."""
-        if self.roster is None:
-            return True
         now_s = asyncio.get_running_loop().time()
-        return self._is_hub(now_s) or self._hub_progress.is_stalled(now_s)
+        if self.roster is not None and self._is_hub(now_s):
+            return True
+        return self._hub_progress.is_stalled(now_s)
 
     def max_store_backoff_s(self) -> float:
         """Returns the longest backoff between calls that the store refuses."""
--- a/sesamecross/ops/fleet/store_polling.py
+++ b/sesamecross/ops/fleet/store_polling.py
@@ -61,11 +61,14 @@
             self._advanced_s = now_s
 
     def is_stalled(self, now_s: float) -> bool:
-        """Whether its members have to read the store themselves."""
-        return (
-            self._advanced_s is None
-            or now_s - self._advanced_s > STALL_TIMEOUT_S
-        )
+        """Whether its members have to read the store themselves.
+
+        The first question counts as progress: an instance that has just
+        started has listed the upstreams, and hears of its hub soon.
+        """
+        if self._advanced_s is None:
+            self._advanced_s = now_s
+        return now_s - self._advanced_s > STALL_TIMEOUT_S
 
 
 class Lag:
