Requests of a start's first tenth of a second wait for the configuration

An instance opens its port before it has read the configuration and the upstreams.

They wait for it now, at most 0.5 s from when the first of them arrived. After that all are refused at once: the store does not answer, and nobody knows when it will. An instance that stops refuses at once as before.

test_a_request_during_the_start_is_served_once_configured fails without it.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -24,6 +24,7 @@
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import forwarder as forwarder_lib
 from sesamecross.gateway import server_connection
+from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
 from sesamecross.ops.fleet import stopping
 from sesamecross.platform import program
@@ -157,6 +158,15 @@
     tree: supervisor.Supervisor
     address: str
 
+    def configure(self) -> None:
+        """Supplies the configuration and the upstream."""
+        self.app.state.offer_configuration(CONFIGURATION)
+        entry = serving.Upstream(
+            "u1", "s", self.upstream.address, "z1", 9, False, 1
+        )
+        self.app.state.directory.update_entry(entry)
+        self.app.state.mark_upstreams_listed()
+
     def end_process(self) -> None:
         """Simulates the process's exit: unsent data is lost."""
         for connection in list(self.app.front.connections):
@@ -237,12 +247,10 @@
     tree = supervisor.Supervisor([app.front, *others])
     tree.start()
     await wait_until(lambda: app.front.address)
-    if is_configured:
-        app.state.offer_configuration(CONFIGURATION)
-        app.state.has_upstream_list = True
-        entry = serving.Upstream("u1", "s", f"{host}:{port}", "z1", 9, False, 1)
-        app.state.directory.update_entry(entry)
+    upstream.address = f"{host}:{port}"
     gateway = RunningGateway(app, upstream, tree, app.front.address)
+    if is_configured:
+        gateway.configure()
     async with asyncio.timeout(TEST_TIMEOUT_S):
         yield gateway
         gateway.end_process()
@@ -612,6 +620,50 @@
     assert asyncio.run(run_scenario()) == 503
 
 
+def test_a_request_during_the_start_is_served_once_configured():
+    """Guards against refusals of a herd that returns to restarted instances.
+
+    Their port is open before they have read the configuration. Each request of
+    that tenth of a second was told to come back.
+    """
+
+    async def run_scenario():
+        async with running_gateway(is_configured=False) as gateway:
+            caller = await gateway.connect()
+            caller.send_request("/plain/")
+            await wait_until(lambda: gateway.app.forwarder.open_requests)
+            gateway.upstream.may_respond.set()
+            gateway.configure()
+            return await caller.status()
+
+    assert asyncio.run(run_scenario()) == 200
+
+
+def test_requests_are_refused_at_once_if_the_first_has_waited_in_vain(
+    monkeypatch,
+):
+    """Guards against callers held by an instance that the store ignores."""
+    monkeypatch.setattr(forwarder_lib, "START_WAIT_S", 0.05)
+
+    async def run_scenario():
+        async with running_gateway(is_configured=False) as gateway:
+            caller = await gateway.connect()
+            caller.send_request("/plain/")
+            first = await caller.status()
+            monkeypatch.setattr(
+                state_lib.State, "wait_for_change", _fail_if_awaited
+            )
+            other = await gateway.connect()
+            other.send_request("/plain/")
+            return first, await other.status()
+
+    assert asyncio.run(run_scenario()) == (503, 503)
+
+
+async def _fail_if_awaited(_: state_lib.State, timeout_s: float) -> None:
+    raise AssertionError(f"waited {timeout_s} s")
+
+
 def test_a_stop_during_the_start_ends():
     """The signal is seen before any component has taken its first step."""
 
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -145,14 +145,14 @@
         """
         for key in sorted(self.raw.missing_from(keys)):
             self.on_record(store.KeyedRecord(key, None, end - 1))
-        self._state.has_upstream_list = True
+        self._state.mark_upstreams_listed()
 
     def on_progress(self, end: int) -> None:
         """Notes that all records before `end` have been applied."""
         self.raw.advance_end(end)
         self._state.upstreams_offset = self.raw.end
         self._state.upstreams_read_s = asyncio.get_running_loop().time()
-        self._state.has_upstream_list = True
+        self._state.mark_upstreams_listed()
 
 
 def _identity_changed(
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -31,6 +31,9 @@
 
 # Retry-after of a refusal when no better estimate is known.
 DEFAULT_RETRY_AFTER_S = 0.5
+# How long requests wait for the first configuration and list of upstreams. Both
+# take a tenth of a second from a store that answers.
+START_WAIT_S = 0.5
 # A request that waited longer than this for its model is late for that reason
 # and says nothing about whether the model's engines keep up.
 LATENESS_MAX_MODEL_WAIT_S = 0.1
@@ -53,6 +56,7 @@
         "_metrics",
         "_log",
         "_open_tasks",
+        "_ready_by_s",
         "search_context",
         "uses",
         "stop",
@@ -76,6 +80,9 @@
         self.search_context = engine_search.SearchContext(state, rng)
         self.uses = target_uses.TargetUses()
         self.stop: stopping.Stop | None = None
+        # Until when requests wait for the first configuration; None before the
+        # first of them.
+        self._ready_by_s: float | None = None
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -103,6 +110,27 @@
         for request_task in list(self._open_tasks):
             request_task.shut_down()
 
+    async def wait_until_ready(self) -> bool:
+        """Waits at the start for the configuration and the upstreams.
+
+        Callers reach an instance as soon as its port is open, and both arrive
+        some tenths of a second later, unless the store does not answer. Once
+        requests have waited for that long in vain, all others are refused at
+        once.
+
+        Returns:
+          Whether requests can be served.
+        """
+        loop = asyncio.get_running_loop()
+        if self._ready_by_s is None:
+            self._ready_by_s = loop.time() + START_WAIT_S
+        while not self._state.is_ready and self.stop is None:
+            left_s = self._ready_by_s - loop.time()
+            if left_s <= 0:
+                break
+            await self._state.wait_for_change(left_s)
+        return self._state.is_ready
+
     def parse_request(
         self, head: server_connection.RequestHead, body: bytes
     ) -> serving.Request | None:
@@ -271,7 +299,7 @@
         if self._is_shut_down:
             return self._respond_to_shutdown()
         state = self._forwarder._state
-        if not state.is_ready:
+        if not state.is_ready and not await self._forwarder.wait_until_ready():
             self._note = "no configuration yet"
             return self._refuse(1.0)
         request = self._request
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -120,6 +120,12 @@
             async with asyncio.timeout(timeout_s):
                 await changed.wait()
 
+    def mark_upstreams_listed(self) -> None:
+        """Records that the upstreams were read since the start."""
+        if not self.has_upstream_list:
+            self.has_upstream_list = True
+            self.notify_change()
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
