No garbage collection while a gateway's modules load

Freezing what they allocated was tried and left: what a frozen cycle holds is not finalised at the process's end, and the tests of signals at that time saw it.

--- a/sesamecross/scripts/gateway.py
+++ b/sesamecross/scripts/gateway.py
@@ -13,9 +13,15 @@
 def _run(pending_signals: signals.PendingSignals) -> int:
     # Imported with signals deferred: see `signals.run_with_deferred_signals`.
     import argparse
+    import gc
 
+    # What imports allocate lives as long as the process: collections while they
+    # run would find nothing.
+    gc.disable()
     from sesamecross.platform import program
 
+    gc.enable()
+
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "--log-level",
