--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -229,6 +229,12 @@
             return
         host, _, port = to.address.rpartition(":")
         self.transport.sendto(data, (host, int(port)))
+        self._metrics.count(
+            "sesamecross_datagram_bytes_sent_total",
+            "Bytes of datagrams sent to other instances.",
+            {},
+            len(data),
+        )
 
     def next_number(self) -> int:
         """Returns the next message number, larger than all before."""
@@ -534,6 +540,11 @@
         if message is None:
             self._count("unreadable")
             return
+        self._metrics.count(
+            "sesamecross_datagrams_received_total",
+            "Datagrams received from other instances, by kind of message.",
+            {"kind": type(message).__name__},
+        )
         now_s = asyncio.get_running_loop().time()
         if message.me.name == self.roster.me.name:
             return
--- a/sesamecross/gateway/mesh_load_test.py
+++ b/sesamecross/gateway/mesh_load_test.py
@@ -190,3 +190,15 @@
         return state.directory.get(name).others_running
 
     assert asyncio.run(run()) == 2
+
+
+def test_bytes_sent_are_counted(monkeypatch):
+    """Guards against a hub whose link fills while its metrics show nothing."""
+    mesh, transport = run_hub(monkeypatch)
+    text, _ = mesh._metrics.render()
+    counted = [
+        float(line.split()[-1])
+        for line in text.decode().splitlines()
+        if line.startswith("sesamecross_datagram_bytes_sent_total")
+    ]
+    assert counted == [transport.bytes]
