--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -142,3 +142,36 @@
     assert len(answer.renewals) == UPSTREAMS - missing
     bytes_per_s = len(codec.encode(answer)) / store_polling.READ_INTERVAL_S
     assert bytes_per_s < CONTROL_BYTES_PER_S / 2
+
+
+@pytest.mark.parametrize(
+    ("plain", "message"),
+    [
+        (
+            ["SyncAsk", {"configuration": 1, "upstreams_end": 2}],
+            sync.SyncAsk(1, 2, False),
+        ),
+        (
+            [
+                "SyncAnswer",
+                {
+                    "configuration": [],
+                    "configuration_end": 1,
+                    "upstreams": [],
+                    "upstreams_end": 2,
+                },
+            ],
+            sync.SyncAnswer((), 1, (), 2),
+        ),
+        (
+            ["SyncAsk", {"configuration": 1, "upstreams_end": 2, "later": 3}],
+            sync.SyncAsk(1, 2),
+        ),
+    ],
+    ids=["older ask", "older answer", "later ask"],
+)
+def test_builds_with_fewer_and_more_fields_understand_each_other(
+    plain, message
+):
+    """Guards against instances that fetch nothing while builds are mixed."""
+    assert codec.from_plain(plain).unwrap() == message
