Tests that a new lease holder waits out the gap, by what became of the last

The state machine's histories pass with the gap left out: an instance may give orders in few of their steps. Five mutants of _gap_end_s and _available_s (the gap after an exit, after a release and after silence; the wait for a restart and for the lease's end) passed all tests of lease_test; each fails one row now.

--- a/sesamecross/ops/fleet/lease_test.py
+++ b/sesamecross/ops/fleet/lease_test.py
@@ -1,10 +1,12 @@
 """Tests of the lease, with a store that loses, delays and refuses writes."""
 
 import dataclasses
+import math
 
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from sesamecross.ops.fleet import lease
 
@@ -165,3 +167,62 @@
     machine.written(write.at)
     assert machine.holds(1.0)
     assert not machine.may_order(1.0 + lease.LEASE_DURATION_S)
+
+
+# When the record of the other holder was read, or its end was noticed.
+_CHANGE_S = 10.0
+_OTHER = lease.Record("a", 1, 4, 4, False)
+
+
+def _takeover(
+    record: lease.Record | None, is_exit_noticed: bool
+) -> tuple[float, float]:
+    """Returns when an instance takes the lease, and when it may give orders."""
+    machine = lease.LeaseStateMachine("b", 1, GAP_S, _CHANGE_S)
+    end = 5
+    machine.read(record, end, _CHANGE_S)
+    if is_exit_noticed:
+        machine.holder_exited("a", 1, _CHANGE_S)
+    taken_s = math.inf
+    for step in range(1000):
+        now_s = _CHANGE_S + step * 0.05
+        match machine.next_action(now_s, 0, False):
+            case lease.ReadLease():
+                machine.read(record, end, now_s)
+            case lease.WriteLease(at=at):
+                taken_s = min(taken_s, now_s)
+                machine.written(at)
+                end = at + 1
+        if machine.may_order(now_s):
+            return taken_s, now_s
+    raise AssertionError("never acquired the lease")
+
+
+@pytest.mark.parametrize(
+    ("record", "is_exit_noticed", "taken_after_s", "orders_after_s"),
+    [
+        (None, False, 0.0, 0.0),
+        (dataclasses.replace(_OTHER, holder="b", incarnation=0), False, 0, 0),
+        (dataclasses.replace(_OTHER, is_released=True), False, 0.0, GAP_S),
+        (_OTHER, True, lease.RESTART_TIMEOUT_S, GAP_S),
+        (
+            _OTHER,
+            False,
+            lease.LEASE_DURATION_S,
+            lease.LEASE_DURATION_S + GAP_S,
+        ),
+    ],
+    ids=["never held", "own earlier life", "released", "exited", "silent"],
+)
+def test_a_new_holder_waits_for_the_orders_of_the_one_before(
+    record, is_exit_noticed, taken_after_s, orders_after_s
+):
+    """Guards against orders of two holders within the gap, and longer pauses.
+
+    Counted from when this instance learned of the change.
+    """
+    taken_s, first_order_s = _takeover(record, is_exit_noticed)
+    reading_s = lease.READ_SPACING_S / 4 + 0.11
+    after_s = max(taken_after_s, orders_after_s)
+    assert taken_after_s <= taken_s - _CHANGE_S <= taken_after_s + reading_s
+    assert after_s <= first_order_s - _CHANGE_S <= after_s + reading_s
