A service that names an undeclared upstream is a problem, not a KeyError

declarations.parse promises never to raise. The check of upstreams' kinds looked the name up before anything said that it is not declared; an operator's check ended with a traceback, and so would a steward that read such a change.

--- a/sesamecross/parser/crosschecks.py
+++ b/sesamecross/parser/crosschecks.py
@@ -143,7 +143,9 @@
             )
     for service in declarations.services.values():
         for name in service.upstreams:
-            if declarations.upstreams[name].kind is data.UpstreamKind.ENGINE:
+            # `dangling_references` reports an undeclared one.
+            upstream = declarations.upstreams.get(name)
+            if upstream and upstream.kind is data.UpstreamKind.ENGINE:
                 yield tables.KeyProblem(
                     ("services", service.name, "upstreams"),
                     f'names "{name}", which is an engine',
--- a/sesamecross/parser/folder_test.py
+++ b/sesamecross/parser/folder_test.py
@@ -138,3 +138,13 @@
 def test_a_folder_without_toml_is_a_problem(tmp_path, files):
     checked = write_and_check(tmp_path, files)
     assert checked.problems[0].kind is errors.Kind.UNREADABLE
+
+
+def test_a_service_that_names_an_undeclared_upstream_is_a_problem(tmp_path):
+    """Guards against a check that ends with KeyError instead of a remedy."""
+    service = '[services.ledger]\nupstreams = ["e1", "missing"]\n'
+    checked = write_and_check(tmp_path, VALID_FILES | {"20.toml": service})
+    kinds = [problem.kind for problem in checked.problems]
+    assert errors.Kind.DANGLING_NAME in kinds
+    # The engine that the service names is reported beside it.
+    assert errors.Kind.BAD_VALUE in kinds
