An engine's malformed answer is a problem, whatever is malformed in it

A status whose orders are a list raised AttributeError at whoever polls engines, an infinite number OverflowError, deep nesting RecursionError; the steward's poller runs in a supervised component, which such an engine could end again and again.

--- a/sesamecross/ports/engine_http.py
+++ b/sesamecross/ports/engine_http.py
@@ -23,6 +23,18 @@
 from sesamecross.core import errors
 from sesamecross.ports import http_client
 
+# What a call can raise: it fails, or the answer is no JSON, or not of the form
+# that is read. JSON may be nested too deeply, or have infinite numbers.
+_CALL_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    OverflowError,
+)
+
 
 class OrderState(enum.Enum):
     """State of an order, as reported by an engine."""
@@ -80,12 +92,7 @@
                 "POST", f"{url}/admin/orders", json=body
             )
             return Success(OrderState(json.loads(response.data)["state"]))
-        except (
-            urllib3.exceptions.HTTPError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ) as error:
+        except _CALL_ERRORS as error:
             return Failure(_unreachable(url, type(error).__name__))
 
     def status(
@@ -97,12 +104,7 @@
             if response.status != 200:
                 return Failure(_unreachable(url, f"HTTP {response.status}"))
             return Success(_parse_status(upstream, json.loads(response.data)))
-        except (
-            urllib3.exceptions.HTTPError,
-            ValueError,
-            KeyError,
-            TypeError,
-        ) as error:
+        except _CALL_ERRORS as error:
             return Failure(_unreachable(url, type(error).__name__))
 
 
