--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -252,8 +252,10 @@
                     )
                 )
             outcomes = known.health.outcomes(now_s)
-            share = outcomes.plus(known.others_outcomes).share
-            if outcomes.total and share >= MIN_REPORTED_FAILURE_SHARE:
+            if (
+                outcomes.total
+                and known.failure_share(now_s) >= MIN_REPORTED_FAILURE_SHARE
+            ):
                 failing.append(
                     fm.UpstreamOutcomes(
                         name,
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -95,8 +95,7 @@
 
     def on_record(self, record: store.KeyedRecord) -> None:
         """Applies one record; one that repeats the known value is only kept."""
-        is_renewal = self.raw.is_renewal(record)
-        if not self.raw.take(record) or is_renewal:
+        if not self.raw.take(record) or self.raw.is_renewal(record):
             return
         try:
             self._apply(record)
--- a/sesamecross/gateway/fleet_load_test.py
+++ b/sesamecross/gateway/fleet_load_test.py
@@ -38,7 +38,6 @@
 
     sent: collections.Counter
     sent_bytes: collections.Counter
-    received: collections.Counter
     received_bytes: collections.Counter
 
 
@@ -57,7 +56,6 @@
         traffic = self._fleet.traffic
         traffic.sent[self._name] += 1
         traffic.sent_bytes[self._name] += len(data)
-        traffic.received[receiver.me.name] += 1
         traffic.received_bytes[receiver.me.name] += len(data)
         loop = asyncio.get_running_loop()
         loop.call_later(ONE_WAY_S, receiver.on_datagram, data)
@@ -67,7 +65,7 @@
     """All instances of a deployment."""
 
     def __init__(self, instances: int, upstreams: int):
-        self.traffic = _Traffic(*(collections.Counter() for _ in range(4)))
+        self.traffic = _Traffic(*(collections.Counter() for _ in range(3)))
         self.meshes: dict[str, mesh_lib.Mesh] = {}
         members = tuple(
             fm.Member(
@@ -112,8 +110,8 @@
         ticker = ticker_lib.Ticker(number * 0.0137)
         return mesh_lib.Mesh(state, report, metrics_lib.Metrics(), ticker)
 
-    async def run(self) -> _Traffic:
-        """Returns the traffic of `DURATION_S`."""
+    async def run(self) -> None:
+        """Counts the traffic of `DURATION_S`."""
         tasks = []
         for me in self._members:
             mesh = self.meshes[me.address]
@@ -121,13 +119,12 @@
             mesh.transport = _Transport(me.name, self)
             tasks.append(asyncio.create_task(mesh.run()))
         await asyncio.sleep(SETTLE_S)
-        self.traffic = _Traffic(*(collections.Counter() for _ in range(4)))
+        self.traffic = _Traffic(*(collections.Counter() for _ in range(3)))
         await asyncio.sleep(DURATION_S)
         for task in tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        return self.traffic
 
     def hubs(self) -> set[str]:
         now_s = asyncio.get_running_loop().time()
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -12,6 +12,7 @@
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_proxy
 from sesamecross.ops.fleet import lease as lease_lib
+from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
@@ -22,7 +23,7 @@
 # After it has joined, an instance hears for this long who else is alive before
 # it considers itself a candidate: two heartbeats. Otherwise all instances that
 # start would read the lease.
-JOIN_SETTLE_S = 0.8
+JOIN_SETTLE_S = 2 * roster_lib.HEARTBEAT_INTERVAL_S
 PROBE_INTERVAL_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 # How many instances watch the holder.
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -52,10 +52,12 @@
         default_factory=prefix_cache.PrefixCache
     )
     # The latest result of `targets`, and what it was derived from.
-    _targets: frozenset[str] = frozenset()
+    _targets: frozenset[str] = dataclasses.field(
+        default=frozenset(), init=False
+    )
     _targets_source: tuple[
         fm.EnginePlacement | None, serving.Upstream | None
-    ] = (None, None)
+    ] = dataclasses.field(default=(None, None), init=False)
 
     def apply_placement(
         self, placement: fm.EnginePlacement, now_s: float
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -36,6 +36,11 @@
     member: fm.Member
     last_heartbeat_s: float | None
 
+    @property
+    def identity(self) -> _Identity:
+        """What decides, together with its being alive, whether it is a hub."""
+        return (self.member.name, self.member.incarnation, self.member.zone)
+
 
 class Roster:
     """This instance and all others that it knows.
@@ -138,7 +143,7 @@
             ends_s = self._started_s + STARTUP_GRACE_S - ROUNDING_MARGIN_S
             self._valid_until_s = min(self._valid_until_s, ends_s)
         candidates = tuple(
-            (name, known.member.incarnation, known.member.zone)
+            known.identity
             for name, known in self._known.items()
             if name in self._alive_names
             or (is_early and known.last_heartbeat_s is None)
@@ -146,10 +151,7 @@
         if candidates != self._hub_candidates:
             self._hub_candidates = candidates
             self._hubs.clear()
-        identities = tuple(
-            (known.member.name, known.member.incarnation, known.member.zone)
-            for known in self._alive
-        )
+        identities = tuple(known.identity for known in self._alive)
         if identities != self._identities:
             self._identities = identities
             self._version += 1
--- a/sesamecross/ops/fleet/topic_records.py
+++ b/sesamecross/ops/fleet/topic_records.py
@@ -59,16 +59,15 @@
         known = self.records.get(record.key)
         if known is not None and known.offset >= record.offset:
             return False
-        if not self.is_renewal(record):
+        if known is None or known.value != record.value:
             digest = 0 if record.value is None else digest_of(record.value)
             self._since[record.key] = (record.offset, digest)
         self.records[record.key] = record
         return True
 
     def is_renewal(self, record: store.KeyedRecord) -> bool:
-        """Whether a record repeats the known value of its key."""
-        known = self.records.get(record.key)
-        return known is not None and known.value == record.value
+        """Whether the latest record of its key repeats an earlier value."""
+        return self._since[record.key][0] < record.offset
 
     def advance_end(self, end: int) -> None:
         """Records that all records before `end` are known."""
