Phases of tickers spread processes over the whole of each interval

Cause: a ticker took its phase modulo the grid's 50 ms, so the rounds of 0.1 s of all instances whose clocks began together lay in the same half, those of 0.5 s in the same tenth. The module says that each process has a phase of its own.

Figures: of 60 random phases all first wakes lay in the first one or two thirds of an interval of 0.1, 0.25 and 0.5 s (three cases of the new test failed); now all thirds have some.

--- a/sesamecross/runtime/ticker.py
+++ b/sesamecross/runtime/ticker.py
@@ -25,9 +25,10 @@
         """Initializes the ticker.
 
         Args:
-          phase_s: Shifts the grid, in seconds.
+          phase_s: Shifts the grid, in seconds. Less than the longest interval
+            spreads processes over a part of it only.
         """
-        self._phase_s = phase_s % GRID_S
+        self._phase_s = phase_s
         # What waits for each moment of the grid.
         self._waiting: dict[int, list[asyncio.Future[None]]] = {}
 
--- a/sesamecross/runtime/ticker_test.py
+++ b/sesamecross/runtime/ticker_test.py
@@ -79,3 +79,18 @@
         return second.done() and not second.cancelled()
 
     assert run(work())
+
+
+@pytest.mark.parametrize("interval_s", [0.1, 0.25, 0.5])
+def test_phases_spread_processes_over_the_whole_interval(interval_s):
+    """Guards against instances that all report in the same part of a round."""
+
+    async def first_wake_s(phase_s: float) -> float:
+        loop = asyncio.get_running_loop()
+        await ticker_lib.Ticker(phase_s).wait(interval_s)
+        return loop.time()
+
+    rng = random.Random(5)
+    moments = [run(first_wake_s(rng.random())) for _ in range(60)]
+    thirds = {int(moment / interval_s * 3) for moment in moments}
+    assert thirds >= {0, 1, 2}
