An unforeseen error ends a service call's claim and its count at the upstream

Cause: an exception out of a service's client passed by the code that settles the claim and that ends the call in the router. Callers who repeated the key were told for ever that it is in progress; the router, which picks the upstream with the fewest open calls, counted one more there for as long as the entry lived.

Change: the count ends in any case; the claim is settled as possibly executed, without an answer, before the exception goes on.

--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -157,14 +157,17 @@
                 self._router.call_started(upstream.name)
         if upstream is None:
             return refusal.no_upstream(request.service.name), ""
-        answer = self._services.call(
-            self._service_call(request, upstream), idempotent
-        )
-        answered = isinstance(answer, data.Answer)
-        with self._lock:
-            self._router.call_ended(
-                upstream.name, answered, self._clock.monotonic_ms()
+        answered = False
+        try:
+            answer = self._services.call(
+                self._service_call(request, upstream), idempotent
             )
+            answered = isinstance(answer, data.Answer)
+        finally:
+            with self._lock:
+                self._router.call_ended(
+                    upstream.name, answered, self._clock.monotonic_ms()
+                )
         return self._outcome(request, answer), "" if answered else upstream.name
 
     def _service_call(
@@ -226,9 +229,17 @@
         """Runs a call whose claim was won, and settles the claim."""
         excluded: set[str] = set()
         while True:
-            outcome, failed_upstream = self._attempt(
-                request, idempotent=False, excluded=frozenset(excluded)
-            )
+            try:
+                outcome, failed_upstream = self._attempt(
+                    request, idempotent=False, excluded=frozenset(excluded)
+                )
+            except Exception:
+                # The service may have run the call. An open claim would tell
+                # callers for ever that it is in progress.
+                self._link.settle(
+                    records.ClaimSettled(claim.claim_id, True, None)
+                )
+                raise
             not_sent = (
                 isinstance(outcome, refusal.Refusal)
                 and outcome.executed is refusal.Executed.NO
--- a/sesamecross/entry/service_call_test.py
+++ b/sesamecross/entry/service_call_test.py
@@ -106,3 +106,41 @@
         assert outcome.executed is refusal.Executed.NO
     answer = ANSWER if executed else None
     assert link.settled == [records.ClaimSettled("call", executed, answer)]
+
+
+class BrokenService:
+    """Raises what no code foresees, in the middle of a call."""
+
+    def call(self, call, _idempotent):
+        raise ZeroDivisionError(call.url)
+
+
+@pytest.mark.parametrize("key", ["", "key"], ids=["no claim", "claim"])
+def test_an_unforeseen_error_ends_the_call_and_its_claim(key):
+    """Guards against a key that stays in progress, and a call that stays open.
+
+    Whether the service ran the call is unknown, so nobody may repeat it. The
+    upstream counted one open call more for as long as the entry lived.
+    """
+    recorder = timeline.Recorder("e", "z", clock.ManualClock(1000))
+    state = state_lib.EntryState(recorder)
+    state._snapshot = snapshot(["a"])
+    link = FakeStewardLink(state, snapshot(["a"]))
+    dispatcher = service_call.ServiceDispatcher(
+        "z",
+        state,
+        link,
+        BrokenService(),
+        clock.ManualClock(1000),
+        recorder,
+        random.Random(1),
+    )
+    service = state.snapshot.declarations.services["orders"]
+    request = service_call.ServiceRequest(
+        "call", CALLER, service, "POST", "/", (), b"", key, 10**9
+    )
+    with pytest.raises(ZeroDivisionError):
+        dispatcher.call(request)
+    expected = [records.ClaimSettled("call", True, None)] if key else []
+    assert link.settled == expected
+    assert dispatcher._router._open_calls == {"a": 0}
