The even share of an engine that stays follows the number of entries

Cause: declarations that change bring the number of entries alive; the dispatcher took it for new engines only. An engine that stayed was shared by as many entries as there were when it was first declared: one entry that became eight each kept the whole of it as the share that may be used whatever reports say.

Change: an engine that stays gets the number as well. The test failed with shares of 1 and 8 where 8 and 8 are due.

--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -155,6 +155,7 @@
             # The same engine under new limits: its report and open calls stay.
             known.declared = declared
             known.region = region
+            known.entries = self._entry_count
 
     def _new_state(
         self, declared: data.Upstream, region: str
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -329,6 +329,18 @@
     assert (state.own_calls, state.prefill_tokens) == (0, 0)
 
 
+def test_the_even_share_of_an_engine_that_stays_follows_the_entries():
+    """Guards against overload by entries that each take the share of a few.
+
+    One entry became eight. Engines declared since got an eighth for each
+    entry; those that stayed still had one.
+    """
+    dispatcher = make_dispatcher(names=("e1",), concurrency=8)
+    dispatcher.configure(declared(("e1", "e2"), 8), 8)
+    shares = [dispatcher.upstreams[name].entries for name in ("e1", "e2")]
+    assert shares == [8, 8]
+
+
 def test_a_changed_declaration_refuses_no_call():
     """Guards against refusals while a new configuration comes into force.
 
