An unforeseen error in a transfer ends that transfer, not the relay's thread

Cause: only errors in a ready stream or caller were caught.

Change: each step of a transfer, whatever called it, runs in one place that ends the transfer with the error. A registration is noted once it succeeded, so that ending does not fail on one that did not.

--- a/sesamecross/entry/stream_relay.py
+++ b/sesamecross/entry/stream_relay.py
@@ -9,12 +9,14 @@
 its own call is no longer read.
 """
 
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import selectors
 import socket
 import threading
 import time
+from typing import Any
 
 from sesamecross.entry import sinks
 from sesamecross.ops import answer_validator
@@ -178,6 +180,7 @@
         "_wakeup_sender",
         "_wakeup_receiver",
         "_active_transfers",
+        "_log",
     )
 
     def __init__(self) -> None:
@@ -188,6 +191,7 @@
         self._wakeup_sender.setblocking(False)
         self._wakeup_receiver.setblocking(False)
         self._active_transfers: set[Transfer] = set()
+        self._log = logs.get_logger("pump")
 
     def start(self) -> None:
         """Starts the thread, which runs until the process exits."""
@@ -207,7 +211,6 @@
         return transfer.result
 
     def _run(self) -> None:
-        logger = logs.get_logger("pump")
         last_sweep_s = 0.0
         while True:
             ready = self._selector.select(SWEEP_INTERVAL_S)
@@ -217,19 +220,34 @@
                     self._accept_new_transfers()
                     continue
                 transfer, is_engine = key.data
-                if transfer.result is not None:
-                    continue
-                try:
-                    self._handle_event(transfer, is_engine, mask, now_s)
-                except Exception as error:
-                    # An error in one transfer must not stop the others.
-                    logger.exception("unexpected error in a transfer")
-                    transfer.result = Interrupted(repr(error))
-                self._update_or_end(transfer)
+                if transfer.result is None:
+                    self._advance(
+                        transfer, self._handle_event, is_engine, mask, now_s
+                    )
             if now_s - last_sweep_s > SWEEP_INTERVAL_S:
                 last_sweep_s = now_s
                 self._check_all_timeouts(now_s)
 
+    def _advance(
+        self,
+        transfer: Transfer,
+        step: Callable[..., None],
+        *arguments: Any,
+    ) -> None:
+        """Runs one step of a transfer, and updates or ends it.
+
+        An unforeseen error ends this transfer and none of the others.
+        """
+        try:
+            step(transfer, *arguments)
+            if transfer.result is None:
+                self._update_registrations(transfer)
+        except Exception as error:
+            self._log.exception("unexpected error in a transfer")
+            transfer.result = Interrupted(repr(error))
+        if transfer.result is not None:
+            self._end_transfer(transfer)
+
     def _accept_new_transfers(self) -> None:
         try:
             self._wakeup_receiver.recv(4096)
@@ -241,8 +259,7 @@
         for transfer in new:
             self._active_transfers.add(transfer)
             # Events may have arrived together with the response headers.
-            transfer.read_engine(now_s)
-            self._update_or_end(transfer)
+            self._advance(transfer, Transfer.read_engine, now_s)
 
     def _handle_event(
         self, transfer: Transfer, is_engine: bool, mask: int, now_s: float
@@ -255,28 +272,25 @@
         if mask & selectors.EVENT_READ and transfer.result is None:
             transfer.check_caller()
 
-    def _update_or_end(self, transfer: Transfer) -> None:
-        """Updates the selector's registrations, or ends the transfer."""
-        if transfer.result is not None:
-            self._end_transfer(transfer)
-            return
+    def _update_registrations(self, transfer: Transfer) -> None:
+        """Registers what the transfer waits for with the selector."""
         wants_read = not (transfer.validator.done or transfer.sink.is_full)
         if wants_read != transfer.is_reading:
-            transfer.is_reading = wants_read
             if wants_read:
                 self._selector.register(
                     transfer.stream, selectors.EVENT_READ, (transfer, True)
                 )
             else:
                 self._selector.unregister(transfer.stream)
+            transfer.is_reading = wants_read
         wants_write = transfer.sink.has_pending_bytes
         if wants_write != transfer.is_writing:
-            transfer.is_writing = wants_write
             if wants_write:
                 mask = selectors.EVENT_WRITE
                 self._selector.register(transfer.sink, mask, (transfer, False))
             else:
                 self._selector.unregister(transfer.sink)
+            transfer.is_writing = wants_write
 
     def _end_transfer(self, transfer: Transfer) -> None:
         if transfer.is_reading:
@@ -288,9 +302,11 @@
 
     def _check_all_timeouts(self, now_s: float) -> None:
         for transfer in list(self._active_transfers):
-            if isinstance(transfer.sink, sinks.CallerSink):
-                transfer.check_caller()
-            if transfer.result is None:
-                transfer.check_timeouts(now_s)
-            if transfer.result is not None:
-                self._update_or_end(transfer)
+            self._advance(transfer, _check_limits, now_s)
+
+
+def _check_limits(transfer: Transfer, now_s: float) -> None:
+    if isinstance(transfer.sink, sinks.CallerSink):
+        transfer.check_caller()
+    if transfer.result is None:
+        transfer.check_timeouts(now_s)
