A caller that does not read is not reported as a silent engine

Cause: while bytes wait for a caller, the engine's time without bytes runs on. When the caller's limit passed, the check went on and replaced that result by the engine's silence; the call was then tried again at another engine for a caller that takes nothing, and the engine was blamed.

Change: the check ends with the caller's result. The test failed with Interrupted('the engine is silent') before.

--- a/sesamecross/entry/stream_relay.py
+++ b/sesamecross/entry/stream_relay.py
@@ -159,6 +159,7 @@
         if self.sink.has_pending_bytes:
             if now_s - self.caller_idle_since_s > self.caller_idle_timeout_s:
                 self.result = CallerDisconnected("does not read")
+                return
         else:
             self.caller_idle_since_s = now_s
         if self.validator.done or self.sink.is_full:
--- a/sesamecross/entry/stream_relay_test.py
+++ b/sesamecross/entry/stream_relay_test.py
@@ -118,3 +118,14 @@
         relay._check_all_timeouts(1.0)
     assert broken.done.is_set()
     assert sound.result == stream_relay.Interrupted("the deadline passed")
+
+
+def test_a_caller_that_does_not_read_is_not_reported_as_a_silent_engine():
+    """Guards against a resumed call, at another engine, for a gone caller."""
+    with contextlib.closing(_Stream()) as stream:
+        one = transfer(stream, types.SimpleNamespace(), is_done=False)
+        one.sink = types.SimpleNamespace(has_pending_bytes=True, is_full=False)
+        one.caller_idle_timeout_s = one.engine_idle_timeout_s = 1.0
+        one.caller_idle_since_s = one.engine_idle_since_s = 0.0
+        one.check_timeouts(5.0)
+    assert one.result == stream_relay.CallerDisconnected("does not read")
