An engine that rejects the rest of a stream ends it with an error event

Cause: after an engine failed in mid-stream, the next one may reject the rest with an error that is not tried again. That exception passed the stream and led to a second status and head on a connection that had sent both; the server answered that with an abort, and the caller was told nothing.

Change: as for a refusal after the status, an error event says that the upstream failed and that the call may have run; both use one function.

--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -416,11 +416,14 @@
             # Nothing more can be sent on this connection.
             connection.abort()
         except model_call.CallRefusedError as error:
-            # The status is already sent, so the refusal is sent as an event.
-            # Without the final `[DONE]` no client takes the response for
-            # complete.
-            body = error.problem.body(request.call_id)
-            yield b"event: error\ndata: " + body + b"\n\n"
+            yield _error_event(request, error.problem)
+        except model_call.EngineRejectedError as error:
+            problem = refusal.upstream_failed(
+                refusal.Executed.UNKNOWN,
+                "The answer broke off and could not be resumed"
+                f" ({error}); send the call again",
+            )
+            yield _error_event(request, problem)
         finally:
             sink.close()
 
@@ -542,3 +545,12 @@
             title = name.removeprefix("HTTP_").replace("_", "-").title()
             forwarded.append((title, value))
     return tuple(forwarded)
+
+
+def _error_event(request: _Request, problem: refusal.Refusal) -> bytes:
+    """Returns a refusal as an event of a stream whose status is sent.
+
+    Without the final `[DONE]` no client takes the response for complete.
+    """
+    body = problem.body(request.call_id)
+    return b"event: error\ndata: " + body + b"\n\n"
--- /dev/null
+++ b/sesamecross/entry/http_app_test.py
@@ -0,0 +1,67 @@
+"""Tests of streamed responses whose status has been sent."""
+
+import socket
+import types
+
+import pytest
+
+from sesamecross.core import refusal
+from sesamecross.entry import http_app
+from sesamecross.entry import model_call
+from sesamecross.ports import engine_stream
+from sesamecross.runtime import http_server
+
+
+class _Call:
+    """A call whose relay ends with an error."""
+
+    def __init__(self, error: Exception):
+        self._error = error
+
+    def relay_rest(self, sink) -> None:
+        raise self._error
+
+
+def stream(error: Exception) -> tuple[list[str], bytes]:
+    """Returns the statuses sent and the response's bytes."""
+    ours, theirs = socket.socketpair()
+    connection = types.SimpleNamespace(socket=ours, is_chunked=False)
+    request = types.SimpleNamespace(
+        call_id="call1", environ={http_server.CONNECTION: connection}
+    )
+    statuses: list[str] = []
+    try:
+        pieces = http_app.HttpApp._stream_response(
+            None,
+            request,
+            types.SimpleNamespace(wants_usage=False),
+            _Call(error),
+            [],
+            lambda status, headers: statuses.append(status),
+        )
+        return statuses, b"".join(pieces)
+    finally:
+        ours.close()
+        theirs.close()
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        model_call.CallRefusedError(refusal.no_upstream("m")),
+        model_call.EngineRejectedError(
+            engine_stream.Rejected(422, "text/plain", b"no")
+        ),
+    ],
+    ids=["refused", "rejected by the next engine"],
+)
+def test_an_error_after_the_status_is_an_event_of_the_stream(error):
+    """Guards against a second status, or an answer that looks complete.
+
+    An engine failed in mid-stream, and the next one rejected the rest.
+    """
+    statuses, body = stream(error)
+    assert statuses == ["200 OK"]
+    assert b"event: error\n" in body
+    assert b"call1" in body
+    assert b"[DONE]" not in body
