Logs and a metric of which upstreams an instance can't reach

Refusals of instances that were cut off from upstreams said 'no upstream', whether a model was loaded nowhere, its engines were down, or only this instance could not reach them; nothing said when an instance lost or regained an upstream, nor what its peers saw then.

New: one line per change and upstream, with the peers' counts; the refusal's engines that are down for all and those that can't be reached from here; a gauge by state. No decision changes.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -19,6 +19,7 @@
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import placement_controller
+from sesamecross.gateway import reachability_monitor
 from sesamecross.gateway import registrar
 from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
@@ -202,6 +203,7 @@
             configurations,
             upstreams,
             sweeper.Sweeper(self.state, self.connection_pool, ticker),
+            reachability_monitor.ReachabilityMonitor(self.state, ticker),
             self._reloader,
             self._joiner,
             self.mesh,
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -296,6 +296,14 @@
             fields["plan_age_ms"] = round((now_s - max(plan_times_s)) * 1000)
         if self._refused_by:
             fields["full"] = sorted(self._refused_by)
+        for known in self._usable():
+            if not known.engine.holds(known.entry, self._call.model, now_s):
+                continue
+            instance_id = known.entry.instance_id
+            if known.is_down(now_s):
+                fields.setdefault("down", []).append(instance_id)
+            elif known.seems_down(now_s):
+                fields.setdefault("unreachable", []).append(instance_id)
         return fields
 
     def log_fields(self) -> dict[str, object]:
--- /dev/null
+++ b/sesamecross/gateway/reachability_monitor.py
@@ -0,0 +1,81 @@
+"""Logs which upstreams this instance can't reach, and what its peers see.
+
+A refused or late request says what happened to it, not whether its upstream was
+down or only unreachable from here. The lines of all instances together tell a
+crash from a partition.
+"""
+
+import asyncio
+
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import directory
+from sesamecross.ops.fleet import reachability
+from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
+
+CHECK_INTERVAL_S = 0.5
+_UNREACHABLE = (reachability.State.SILENT, reachability.State.REFUSED)
+
+
+class ReachabilityMonitor:
+    """Component that logs each change, at most one per upstream and check."""
+
+    is_vital = False
+    name = "reachability"
+
+    __slots__ = ("_state", "_ticker", "_log", "_unreachable_since_s")
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        ticker: ticker_lib.Ticker | None = None,
+    ):
+        self._state = state
+        self._ticker = ticker or ticker_lib.Ticker()
+        self._log = logs.get_logger("reachability")
+        # By the upstream's instance id.
+        self._unreachable_since_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Checks all upstreams until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._ticker.wait(CHECK_INTERVAL_S)
+            self.check(loop.time())
+
+    async def stop(self) -> None:
+        """Nothing to finish."""
+
+    def check(self, now_s: float) -> None:
+        """Logs the upstreams whose state has changed since the last check."""
+        known_ids = set()
+        for known in self._state.directory:
+            known_ids.add(known.entry.instance_id)
+            self._check_upstream(known, now_s)
+        for instance_id in self._unreachable_since_s.keys() - known_ids:
+            del self._unreachable_since_s[instance_id]
+
+    def _check_upstream(
+        self, known: directory.KnownUpstream, now_s: float
+    ) -> None:
+        instance_id = known.entry.instance_id
+        state = known.reachability.state(now_s)
+        since_s = self._unreachable_since_s.get(instance_id)
+        if state in _UNREACHABLE and since_s is None:
+            self._unreachable_since_s[instance_id] = now_s
+            peers = known.others_reachability
+            self._log.warning(
+                "upstream unreachable",
+                upstream=instance_id,
+                state=state.name.lower(),
+                peers_hear=peers.hears,
+                peers_silent=peers.silent,
+                peers_refused=peers.refused,
+            )
+        elif state not in _UNREACHABLE and since_s is not None:
+            del self._unreachable_since_s[instance_id]
+            self._log.info(
+                "upstream reachable",
+                upstream=instance_id,
+                after_s=round(now_s - since_s, 1),
+            )
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -1,11 +1,13 @@
 """HTTP endpoints of the instance itself: readiness and metrics."""
 
 import asyncio
+import collections
 
 from sesamecross.core import serving
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import reachability
 from sesamecross.runtime import metrics as metrics_lib
 
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -70,11 +72,22 @@
             )
 
     def _set_gauges(self, metrics: metrics_lib.Metrics) -> None:
+        now_s = asyncio.get_running_loop().time()
         read_s = self._state.upstreams_read_s
         if read_s is not None:
             metrics.set(
                 "sesamecross_upstreams_age_seconds",
                 "Time since the list of upstreams was last read.",
                 {},
-                asyncio.get_running_loop().time() - read_s,
+                now_s - read_s,
+            )
+        counts = collections.Counter(
+            known.reachability.state(now_s) for known in self._state.directory
+        )
+        for state in reachability.State:
+            metrics.set(
+                "sesamecross_upstreams",
+                "Upstreams, by whether this instance reaches them.",
+                {"state": state.name.lower()},
+                counts[state],
             )
