--- a/sesamecross/ops/fleet/directory_test.py
+++ b/sesamecross/ops/fleet/directory_test.py
@@ -6,6 +6,7 @@
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import reachability
 
 DRAIN_S = 2.5
 ENTRY = serving.Upstream("u1", "s", "10.0.0.1:80", "z1", 8, False, 1)
@@ -62,3 +63,20 @@
     assert names(directory.usable("s", 1.3)) == ["u1", "u2"]
     assert names(directory.usable("s", 1.2 + DRAIN_S)) == []
     assert len(directory.remove_lapsed(1.2 + DRAIN_S)) == 2
+
+
+@pytest.mark.parametrize(
+    ("counts", "is_down"),
+    [
+        # One instance is behind a partition; the others get responses.
+        (reachability.ReachabilityCounts(hears=3, refused=1), False),
+        (reachability.ReachabilityCounts(hears=3, silent=2, refused=2), False),
+        # Nobody gets responses.
+        (reachability.ReachabilityCounts(refused=1), True),
+        (reachability.ReachabilityCounts(silent=1), True),
+    ],
+)
+def test_an_upstream_that_others_hear_is_not_down(counts, is_down):
+    """Guards against a partitioned instance that accuses sound upstreams."""
+    known = directory_lib.KnownUpstream(ENTRY, others_reachability=counts)
+    assert known.is_down(10.0) is is_down
