A partitioned instance no longer makes its peers avoid sound upstreams

A refused connection at one instance counted as proof for all instances that an upstream was down, but connections of an instance that is cut off may be refused or reset; its failed attempts were added to the failures of all; and an idle upstream that nobody heard was down for the fleet as soon as one partitioned instance reported silence.

Now neither a refusal nor silence counts against an upstream that any instance hears, and a broken connection ends that hearing, so that a crash still shows within one report. What arrives on open connections and whether new ones are accepted are kept apart, since either may fail alone. An instance that can't reach several upstreams and has reached none recently is isolated: it reports nothing against them, nor does a failure on a path that only it finds broken count against an upstream's health.

Upstreams are sorted by how this instance can send to them (Access): directly, by way of a peer, to find out, not at all.

--- a/sesamecross/fakes/samples.py
+++ b/sesamecross/fakes/samples.py
@@ -1,5 +1,6 @@
 """Default records for tests, which replace the fields that matter to them."""
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 
 INSTANCE = serving.Instance(
@@ -15,3 +16,5 @@
     1.0,
     serving.Bounds(),
 )
+
+MEMBER = fm.Member("front-1", 1, "z1", "10.0.0.1:7380", -1, -1)
--- /dev/null
+++ b/sesamecross/gateway/app_report_test.py
@@ -0,0 +1,55 @@
+"""Tests of what an instance reports of upstreams to its peers."""
+
+import asyncio
+
+import pytest
+
+from sesamecross.core import serving
+from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.gateway import app as app_lib
+from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.platform import program
+from sesamecross.platform import settings
+
+
+def upstream(name: str) -> serving.Upstream:
+    return serving.Upstream(name, "s", "10.0.0.1:80", "z1", 8, False, 1)
+
+
+@pytest.mark.parametrize(
+    ("reached", "accused"),
+    [
+        # Of three, one crashed; of three, none can be reached from here.
+        (("u1", "u2"), ["u3"]),
+        ((), []),
+    ],
+)
+def test_an_instance_that_is_cut_off_accuses_no_upstream(reached, accused):
+    """Guards against reports that make peers avoid sound upstreams."""
+    app = app_lib.GatewayApp.from_config(
+        samples.INSTANCE, program.adapter(), settings.SettingsFile("")
+    )
+
+    async def scenario() -> list[str]:
+        app.components()
+        app.mesh.join(samples.MEMBER, b"secret", ())
+        now_s = asyncio.get_running_loop().time()
+        for name in ("u1", "u2", "u3"):
+            app.state.directory.update_entry(upstream(name))
+        for known in app.state.directory:
+            if known.entry.instance_id in reached:
+                known.reachability.record_contact(now_s)
+            else:
+                known.reachability.record_timeout(now_s)
+        await asyncio.sleep(directory_lib.ISOLATION_TTL_S)
+        return [
+            load.upstream
+            for load in app._build_report().loads
+            if load.silent or load.refused
+        ]
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        assert runner.run(scenario()) == accused
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -166,14 +166,23 @@
         rng = self._context.rng
         usable = self._usable()
         untried = [one for one in usable if one.entry.instance_id not in tried]
-        candidates = [
+        holders = self._holders(untried or usable, self._call.model, now_s)
+        return engine_choice.choose(self._call, holders, location, now_s, rng)
+
+    def _holders(
+        self,
+        candidates: list[directory.KnownUpstream],
+        target: str,
+        now_s: float,
+    ) -> list[directory.KnownUpstream]:
+        """Returns the engines that hold the target and may be sent requests."""
+        holders = [
             known
-            for known in untried or usable
-            if known.entry.instance_id not in self._refused_by
+            for known in candidates
+            if known.engine.holds(known.entry, target, now_s)
+            and known.entry.instance_id not in self._refused_by
         ]
-        return engine_choice.choose(
-            self._call, candidates, location, now_s, rng
-        )
+        return self._context.state.directory.best_access(holders, now_s)
 
     def _is_still_usable(self, known: directory.KnownUpstream) -> bool:
         """Whether an engine can still take the request after admission.
@@ -190,12 +199,7 @@
     def _has_alternative(self) -> bool:
         """Whether another engine holds the target and has not refused."""
         now_s = asyncio.get_running_loop().time()
-        return any(
-            known.engine.holds(known.entry, self._call.target, now_s)
-            and not known.seems_down(now_s)
-            for known in self._usable()
-            if known.entry.instance_id not in self._refused_by
-        )
+        return bool(self._holders(self._usable(), self._call.target, now_s))
 
     # -- waits ---------------------------------------------------------
 
@@ -296,14 +300,16 @@
             fields["plan_age_ms"] = round((now_s - max(plan_times_s)) * 1000)
         if self._refused_by:
             fields["full"] = sorted(self._refused_by)
+        is_isolated = self._context.state.directory.is_isolated(now_s)
         for known in self._usable():
             if not known.engine.holds(known.entry, self._call.model, now_s):
                 continue
             instance_id = known.entry.instance_id
-            if known.is_down(now_s):
-                fields.setdefault("down", []).append(instance_id)
-            elif known.seems_down(now_s):
-                fields.setdefault("unreachable", []).append(instance_id)
+            match known.access(now_s, is_isolated):
+                case directory.Access.NONE:
+                    fields.setdefault("down", []).append(instance_id)
+                case directory.Access.VIA_PEER:
+                    fields.setdefault("unreachable", []).append(instance_id)
         return fields
 
     def log_fields(self) -> dict[str, object]:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -414,8 +414,13 @@
             for one in usable
             if one.entry.instance_id not in self._tried_ids
         ]
+        candidates = untried or usable
+        reachable = state.directory.best_access(candidates, now_s)
         return service_choice.choose(
-            untried or usable, state.location, now_s, self._forwarder._rng
+            reachable or candidates,
+            state.location,
+            now_s,
+            self._forwarder._rng,
         )
 
     def _may_retry(self, response: attempt_lib.CompleteResponse) -> bool:
@@ -471,13 +476,16 @@
                     address, started_s, left_s
                 )
             except OSError as error:
-                upstream.health.record_failure(loop.time())
                 if isinstance(error, ConnectionRefusedError):
                     upstream.reachability.record_refusal(loop.time())
                 else:
                     upstream.reachability.record_timeout(loop.time())
+                if not self._is_path_suspect(upstream):
+                    upstream.health.record_failure(loop.time())
                 self._forwarder._connection_pool.close_idle(address)
                 return retry_policy.NotSent(str(error) or type(error).__name__)
+            if not connection.request_count:
+                upstream.reachability.record_connected(loop.time())
             outcome = await self._send(upstream, connection)
         finally:
             upstream.own_running -= 1
@@ -584,9 +592,27 @@
                 self._forwarder._state.directory.replaced(
                     upstream.entry.instance_id
                 )
-            case retry_policy.NotRun() | retry_policy.Lost():
+            case retry_policy.Lost():
+                upstream.reachability.record_loss(now_s)
+                if not self._is_path_suspect(upstream):
+                    upstream.health.record_failure(now_s)
+            case retry_policy.NotRun():
                 upstream.health.record_failure(now_s)
 
+    def _is_path_suspect(self, upstream: directory.KnownUpstream) -> bool:
+        """Whether a failure is probably due to this instance's own links.
+
+        Health adds up the failures of all instances, so one that is cut off
+        would make the others avoid sound upstreams.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if not upstream.reachability.is_path_failing(now_s):
+            return False
+        return (
+            upstream.others_reachability.hears > 0
+            or self._forwarder._state.directory.is_isolated(now_s)
+        )
+
     def _record_slot_time(self) -> None:
         """Records how long the request occupied a slot of an engine's batch."""
         search = self._search
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import enum
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_state
@@ -26,6 +27,29 @@
 # From this share of failures on, no new requests are sent if another upstream
 # can serve them.
 DOWN_FAILURE_SHARE = 0.75
+# An instance is isolated if it reaches none of at least this many upstreams.
+# Fewer may have crashed at the same moment.
+ISOLATION_MIN_UPSTREAMS = 2
+# How long the isolation is kept before it is determined again; all upstreams
+# are looked at for that.
+ISOLATION_TTL_S = 0.1
+
+
+class Access(enum.IntEnum):
+    """How this instance can send an upstream a new request, best first.
+
+    Attributes:
+      DIRECT: By a connection of its own.
+      VIA_PEER: Through another instance, as own connections fail.
+      UNCERTAIN: Only to find out: some instance can't reach it, and nobody is
+        known to hear it.
+      NONE: It is down for all instances, or nearly all its requests fail.
+    """
+
+    DIRECT = 0
+    VIA_PEER = 1
+    UNCERTAIN = 2
+    NONE = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,15 +109,26 @@
         """Returns the recent share of failures over all instances."""
         return self.health.outcomes(now_s).plus(self.others_outcomes).share
 
-    def seems_down(self, now_s: float) -> bool:
-        """Whether this instance should send no new requests there."""
-        own = self.reachability.state(now_s)
-        if own in (
-            reachability_lib.State.SILENT,
-            reachability_lib.State.REFUSED,
-        ):
-            return True
-        return self.is_down(now_s)
+    def access(self, now_s: float, is_isolated: bool) -> Access:
+        """Returns how this instance can send a new request there.
+
+        Args:
+          now_s: Monotonic time.
+          is_isolated: Whether this instance is; see `Directory.is_isolated`.
+        """
+        if self.failure_share(now_s) >= DOWN_FAILURE_SHARE:
+            return Access.NONE
+        own, others = self.reachability, self.others_reachability
+        is_path_failing = own.is_path_failing(now_s)
+        if is_isolated and not own.was_reached(now_s):
+            is_path_failing = True
+        if is_path_failing and (others.hears or is_isolated):
+            return Access.VIA_PEER
+        if not is_path_failing or not own.has_failed_recently(now_s):
+            return Access.UNCERTAIN if self.is_down(now_s) else Access.DIRECT
+        if others.refused or others.silent:
+            return Access.NONE
+        return Access.UNCERTAIN
 
     def is_down(self, now_s: float) -> bool:
         """Whether it is down for all instances, or nearly all requests fail."""
@@ -119,11 +154,21 @@
       drain_s: Time within which new requests to a leaving upstream must stop.
     """
 
-    __slots__ = ("_known", "drain_s")
+    __slots__ = (
+        "_known",
+        "drain_s",
+        "_is_isolated",
+        "_unreachable_count",
+        "_isolation_from_s",
+    )
 
     def __init__(self, drain_s: float):
         self._known: dict[str, KnownUpstream] = {}
         self.drain_s = drain_s
+        self._is_isolated = False
+        self._unreachable_count = 0
+        # When the isolation was last determined.
+        self._isolation_from_s = -ISOLATION_TTL_S
 
     def __iter__(self) -> Iterable[KnownUpstream]:
         return iter(self._known.values())
@@ -205,6 +250,60 @@
                 lapsed.append(known)
         return active or lapsed
 
+    def is_isolated(self, now_s: float) -> bool:
+        """Whether this instance is cut off from the upstreams.
+
+        It then can't reach several of them and has reached none recently. That
+        says nothing about the upstreams.
+        """
+        self._update_isolation(now_s)
+        return self._is_isolated
+
+    def unreachable_count(self, now_s: float) -> int:
+        """Returns how many upstreams only other instances can reach."""
+        self._update_isolation(now_s)
+        return self._unreachable_count
+
+    def _update_isolation(self, now_s: float) -> None:
+        if now_s - self._isolation_from_s < ISOLATION_TTL_S:
+            return
+        self._isolation_from_s = now_s
+        failing = [
+            known
+            for known in self._known.values()
+            if known.lapsed_s is None
+            and known.reachability.is_path_failing(now_s)
+        ]
+        self._is_isolated = len(failing) >= ISOLATION_MIN_UPSTREAMS and not any(
+            known.reachability.was_reached(now_s)
+            for known in self._known.values()
+        )
+        if self._is_isolated:
+            self._unreachable_count = len(self._known)
+        else:
+            self._unreachable_count = sum(
+                known.others_reachability.hears > 0 for known in failing
+            )
+
+    def best_access(
+        self, candidates: Iterable[KnownUpstream], now_s: float
+    ) -> list[KnownUpstream]:
+        """Returns the candidates that new requests should be sent to.
+
+        Those known to be reachable, directly or not; else those for which it is
+        uncertain.
+        """
+        is_isolated = self.is_isolated(now_s)
+        reachable = []
+        uncertain = []
+        for known in candidates:
+            match known.access(now_s, is_isolated):
+                case Access.DIRECT | Access.VIA_PEER:
+                    reachable.append(known)
+                case Access.UNCERTAIN:
+                    uncertain.append(known)
+        return reachable or uncertain
+
     def may_receive(self, known: KnownUpstream, now_s: float) -> bool:
         """Whether an upstream chosen earlier may still get a request."""
         if known.lapsed_s is None:
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -104,7 +104,6 @@
         estimate(call, known, location, now_s)
         for known in candidates
         if known.engine.holds(known.entry, call.model, now_s)
-        and not known.seems_down(now_s)
     ]
     if not rated:
         return None
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -1,14 +1,20 @@
 """Failure detector for upstreams, from the view of one or all instances.
 
 A crashed upstream stays in the store's list for some seconds. Its port refuses
-connections at once, which proves the crash. An upstream that lost power or is
-partitioned refuses nothing: its streams go silent and connections time out. An
-instance that is partitioned itself sees the same. So a refusal counts for all
-instances, and silence only if no instance hears the upstream.
+connections at once. An upstream that lost power or is partitioned refuses
+nothing: its streams go silent and connections time out. An instance that is
+partitioned itself sees the same, whether its connections hang, are reset or are
+refused. So neither a refusal nor silence counts for all instances while any of
+them hears the upstream.
+
+Open connections may live on while new ones fail, and the other way round. So
+what arrives on open connections (`state`) and whether new ones can be opened
+(`is_path_failing`) are kept apart.
 """
 
 import dataclasses
 import enum
+import math
 
 # A refusal or timeout counts this long; then the upstream is tried again, at
 # the cost of one attempt.
@@ -18,6 +24,10 @@
 SILENCE_TIMEOUT_S = 0.8
 # An event or a response shows for this long that the upstream is reachable.
 CONTACT_TTL_S = 1.0
+# While requests make a detour around a failing path, a connection is tried this
+# often.
+PROBE_INTERVAL_S = 1.0
+_NEVER_S = -math.inf
 
 
 class State(enum.IntEnum):
@@ -39,14 +49,25 @@
     """
 
     streaming: int = 0
-    last_response_s: float = -CONTACT_TTL_S
-    _silent_s: float = -FAILURE_TTL_S
-    _refused_s: float = -FAILURE_TTL_S
+    last_response_s: float = _NEVER_S
+    _silent_s: float = _NEVER_S
+    _refused_s: float = _NEVER_S
+    _connected_s: float = _NEVER_S
+    _lost_s: float = _NEVER_S
+    _probed_s: float = _NEVER_S
 
     def record_contact(self, now_s: float) -> None:
-        """Records an event or a response."""
+        """Records an event or a response on a connection of this instance."""
         self.last_response_s = now_s
 
+    def record_loss(self, now_s: float) -> None:
+        """Records a connection that broke: what arrived before says nothing."""
+        self._lost_s = now_s
+
+    def record_connected(self, now_s: float) -> None:
+        """Records a new connection that was accepted."""
+        self._connected_s = now_s
+
     def record_refusal(self, now_s: float) -> None:
         """Records a refused connection."""
         self._refused_s = now_s
@@ -55,22 +76,64 @@
         """Records a connection that was not accepted in time."""
         self._silent_s = now_s
 
+    @property
+    def _last_failure_s(self) -> float:
+        return max(self._refused_s, self._silent_s)
+
+    def is_path_failing(self, now_s: float) -> bool:
+        """Whether no connection was accepted since the last sign of a failure.
+
+        Signs are a connection that failed, and silence of all streams.
+        """
+        if self._last_failure_s > self._connected_s:
+            return True
+        return self._is_quiet(now_s) and (
+            self._connected_s < self.last_response_s + SILENCE_TIMEOUT_S
+        )
+
+    def has_failed_recently(self, now_s: float) -> bool:
+        """Whether a connection failed within `FAILURE_TTL_S`, or silence."""
+        return now_s - self._last_failure_s < FAILURE_TTL_S or self._is_quiet(
+            now_s
+        )
+
+    def was_reached(self, now_s: float) -> bool:
+        """Whether the upstream answered or accepted a connection recently."""
+        return self._hears(now_s) or now_s - self._connected_s < CONTACT_TTL_S
+
+    def take_probe(self, now_s: float) -> bool:
+        """Returns whether a probe is due; if so, counts it as begun."""
+        last_s = max(self._probed_s, self._last_failure_s)
+        if now_s - last_s < PROBE_INTERVAL_S:
+            return False
+        self._probed_s = now_s
+        return True
+
+    def _is_quiet(self, now_s: float) -> bool:
+        return (
+            self.streaming > 0
+            and now_s - self.last_response_s > SILENCE_TIMEOUT_S
+        )
+
     def state(self, now_s: float) -> State:
         """Returns the current state."""
         if self._is_current(self._refused_s, now_s):
             return State.REFUSED
-        is_quiet = (
-            self.streaming > 0
-            and now_s - self.last_response_s > SILENCE_TIMEOUT_S
-        )
-        if is_quiet or self._is_current(self._silent_s, now_s):
+        if self._is_quiet(now_s) or self._is_current(self._silent_s, now_s):
             return State.SILENT
-        if now_s - self.last_response_s < CONTACT_TTL_S:
+        if self._hears(now_s):
             return State.HEARS
         return State.UNKNOWN
 
+    def _hears(self, now_s: float) -> bool:
+        return (
+            self.last_response_s > self._lost_s
+            and now_s - self.last_response_s < CONTACT_TTL_S
+        )
+
     def _is_current(self, at_s: float, now_s: float) -> bool:
-        return at_s > self.last_response_s and now_s - at_s < FAILURE_TTL_S
+        last_s = max(self.last_response_s, self._connected_s)
+        return at_s > last_s and now_s - at_s < FAILURE_TTL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,5 +164,5 @@
 
     @property
     def is_down(self) -> bool:
-        """Whether it is down for all instances."""
-        return self.refused > 0 or (self.silent > 0 and not self.hears)
+        """Whether some instance can't reach it, and none hears it."""
+        return (self.refused > 0 or self.silent > 0) and not self.hears
