Requests go by way of a peer while their own path to an upstream fails

While an own path fails, requests go by way of peers at once and a probe a second finds out when it works again; chosen per upstream, not by one switch for the instance. What arrives by way of a peer says nothing about the own path.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -91,6 +91,7 @@
       address: IP and port, for both datagrams and streams.
       configuration: The version in force.
       upstreams: Offset up to which it has read the upstreams' entries.
+      unreachable: Number of upstreams that it can't reach though others do.
     """
 
     name: str
@@ -99,6 +100,7 @@
     address: str
     configuration: int
     upstreams: int
+    unreachable: int = 0
 
 
 class LeaseAnnouncement(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -21,6 +21,7 @@
 from sesamecross.gateway import placement_controller
 from sesamecross.gateway import reachability_monitor
 from sesamecross.gateway import registrar
+from sesamecross.gateway import relay
 from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import status
@@ -28,6 +29,7 @@
 from sesamecross.gateway import store_proxy
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
+from sesamecross.gateway import upstream_connector
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import store_polling
@@ -144,6 +146,12 @@
         self.mesh = mesh_lib.Mesh(
             self.state, self._build_report, self.metrics, ticker
         )
+        self.forwarder.connector = upstream_connector.UpstreamConnector(
+            self.state,
+            self.connection_pool,
+            relay.RelayClient(self.mesh, self.state, self._rng, self.metrics),
+        )
+        self.relay_server = relay.RelayServer(self.state, self.metrics)
         configurations = follower.Follower(
             client,
             adapter.configuration_topic,
@@ -213,6 +221,7 @@
                 platform_catalog,
                 client,
                 adapter.own_topic_prefix,
+                self.relay_server,
             ),
             sync.SyncPuller(
                 self.mesh,
@@ -283,9 +292,14 @@
     def _is_busy(self) -> bool:
         """Whether the process's exit would cut off a request or response.
 
-        A request whose caller disconnected can still be in progress.
+        A request whose caller disconnected can still be in progress, and so
+        can those that are relayed for other instances.
         """
-        return self.forwarder.open_requests > 0 or self.front.is_busy
+        return (
+            self.forwarder.open_requests > 0
+            or self.front.is_busy
+            or self.relay_server.open_connections > 0
+        )
 
     async def drain(self) -> None:
         """Drains callers' requests within the grace period.
@@ -301,6 +315,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._readiness.is_stopping = True
+        self.relay_server.is_stopping = True
         self._log.info("draining", open=self.forwarder.open_requests)
         if not self.front.address and not self._is_busy:
             # The load balancer sends no callers to a listener that never
--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -79,6 +79,8 @@
       idle_since_s: Loop time at which the last response ended.
       keep_alive_s: How long the server keeps it open while idle, from its
         keep-alive header; None if not given.
+      relayed_by: The instance that relays it, or empty. Such a connection
+        carries one request.
       on_lost: Called when the connection is closed.
     """
 
@@ -86,6 +88,7 @@
         "request_count",
         "idle_since_s",
         "keep_alive_s",
+        "relayed_by",
         "on_lost",
         "_loop",
         "_transport",
@@ -100,8 +103,9 @@
         "_is_complete",
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(self, loop: asyncio.AbstractEventLoop, relayed_by: str = ""):
         self.request_count = 0
+        self.relayed_by = relayed_by
         self.idle_since_s = loop.time()
         self.keep_alive_s: float | None = None
         self.on_lost: Callable[[ClientConnection], None] | None = None
--- a/sesamecross/gateway/connection_pool.py
+++ b/sesamecross/gateway/connection_pool.py
@@ -55,7 +55,9 @@
         self, address: str, connection: client_connection.ClientConnection
     ) -> None:
         """Returns a connection to the pool if it can be reused."""
-        if connection.is_available:
+        if connection.relayed_by:
+            connection.close()
+        elif connection.is_available:
             self._idle.setdefault(address, []).append(connection)
 
     def close_stale(self, now_s: float) -> None:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -19,6 +19,7 @@
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import upstream_connector
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import retry_policy
@@ -45,6 +46,8 @@
     Attributes:
       search_context: State shared by the searches for an engine.
       uses: Requests in progress by engine and target.
+      connector: Opens connections to upstreams; set when the application is
+        assembled.
       stop: Set while this instance stops.
     """
 
@@ -59,6 +62,7 @@
         "_ready_by_s",
         "search_context",
         "uses",
+        "connector",
         "stop",
     )
 
@@ -79,6 +83,7 @@
         self._open_tasks: set[_RequestTask] = set()
         self.search_context = engine_search.SearchContext(state, rng)
         self.uses = target_uses.TargetUses()
+        self.connector: upstream_connector.UpstreamConnector | None = None
         self.stop: stopping.Stop | None = None
         # Until when requests wait for the first configuration; None before the
         # first of them.
@@ -179,6 +184,7 @@
         "_deadline_s",
         "_history",
         "_relay",
+        "_relayed_by",
         "_connection",
         "_upstream",
         "_search",
@@ -204,6 +210,8 @@
         self._deadline_s = 0.0
         self._history = retry_policy.AttemptHistory()
         self._relay: event_relay.EventRelay | None = None
+        # The peer that relays the current attempt's connection, or empty.
+        self._relayed_by = ""
         self._connection: client_connection.ClientConnection | None = None
         self._upstream: directory.KnownUpstream | None = None
         # Set if the request is for a model.
@@ -464,7 +472,6 @@
         left_s = self._deadline_s - loop.time()
         if left_s <= 0:
             return None
-        address = upstream.entry.address
         self._upstream = upstream
         self._history.tries += 1
         upstream.own_running += 1
@@ -472,20 +479,18 @@
         prefill_tracker = self._begin_prefill(upstream)
         try:
             try:
-                connection = await self._forwarder._connection_pool.acquire(
-                    address, started_s, left_s
+                connection = await self._forwarder.connector.connect(
+                    upstream, left_s
                 )
             except OSError as error:
-                if isinstance(error, ConnectionRefusedError):
-                    upstream.reachability.record_refusal(loop.time())
-                else:
-                    upstream.reachability.record_timeout(loop.time())
                 if not self._is_path_suspect(upstream):
                     upstream.health.record_failure(loop.time())
-                self._forwarder._connection_pool.close_idle(address)
                 return retry_policy.NotSent(str(error) or type(error).__name__)
-            if not connection.request_count:
-                upstream.reachability.record_connected(loop.time())
+            self._relayed_by = connection.relayed_by
+            if self._relayed_by and prefill_tracker is not None:
+                prefill_tracker.is_relayed = True
+                if self._relay is not None:
+                    self._relay.upstream = None
             outcome = await self._send(upstream, connection)
         finally:
             upstream.own_running -= 1
@@ -571,7 +576,7 @@
         took_s: float,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        if not isinstance(
+        if not self._relayed_by and not isinstance(
             outcome, (retry_policy.Lost, retry_policy.NotSent, type(None))
         ):
             upstream.reachability.record_contact(now_s)
@@ -593,7 +598,8 @@
                     upstream.entry.instance_id
                 )
             case retry_policy.Lost():
-                upstream.reachability.record_loss(now_s)
+                if not self._relayed_by:
+                    upstream.reachability.record_loss(now_s)
                 if not self._is_path_suspect(upstream):
                     upstream.health.record_failure(now_s)
             case retry_policy.NotRun():
@@ -669,6 +675,7 @@
             sends=self._history.sends,
             ms=round(took_s * 1000),
             note=self._note,
+            via=self._relayed_by,
             config=self._forwarder._state.version,
             **self._refusal_fields(outcome),
             **self._engine_fields(),
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -131,6 +131,7 @@
         self._reports = report_totals.LatestMessages()
         self._summaries = report_totals.LatestMessages()
         self._number = 0
+        self._unreachable_count = 0
         self._unconfirmed_reports: dict[int, fm.Report] = {}
         self._last_report: fm.Report | None = None
         self._last_report_s = 0.0
@@ -176,6 +177,7 @@
             me.address,
             self._state.version,
             self._state.upstreams_offset,
+            self._unreachable_count,
         )
 
     async def run(self) -> None:
@@ -186,6 +188,9 @@
             if self.roster is None or self.transport is None:
                 continue
             now_s = loop.time()
+            self._unreachable_count = self._state.directory.unreachable_count(
+                now_s
+            )
             self._report_to_hub(now_s)
             if self._is_hub(now_s):
                 self._send_summaries(now_s)
--- a/sesamecross/gateway/prefill_tracker.py
+++ b/sesamecross/gateway/prefill_tracker.py
@@ -19,10 +19,13 @@
     Attributes:
       on_prefill_done: Called once, when the prompt was read or the attempt is
         over.
+      is_relayed: The request goes by way of a peer, so that its stream says
+        nothing about this instance's own path to the engine.
     """
 
     __slots__ = (
         "on_prefill_done",
+        "is_relayed",
         "_upstream",
         "_call",
         "_uses",
@@ -40,6 +43,7 @@
         on_prefill_done: Callable[[], None],
     ):
         self.on_prefill_done = on_prefill_done
+        self.is_relayed = False
         self._upstream: directory.KnownUpstream = choice.upstream
         self._call = call
         self._uses = uses
@@ -58,7 +62,8 @@
         """Ends the prefill and records how long it took."""
         if self._is_prefilled:
             return
-        self._upstream.reachability.streaming += 1
+        if not self.is_relayed:
+            self._upstream.reachability.streaming += 1
         self._finish_prefill()
         took_ms = (asyncio.get_running_loop().time() - self._started_s) * 1000
         speed_model = self._upstream.engine.speed(self._call.model)
@@ -66,10 +71,10 @@
 
     def end(self) -> None:
         """Ends the attempt, whether the prompt was read or not."""
-        if self._is_prefilled:
-            self._upstream.reachability.streaming -= 1
-        else:
+        if not self._is_prefilled:
             self._finish_prefill()
+        elif not self.is_relayed:
+            self._upstream.reachability.streaming -= 1
         self._uses.end(self._upstream.entry.instance_id, self._call)
 
     def _finish_prefill(self) -> None:
--- a/sesamecross/gateway/store_fanout_test.py
+++ b/sesamecross/gateway/store_fanout_test.py
@@ -102,7 +102,7 @@
         self._puller = puller
         self.components = (self.mesh, configurations, upstreams, puller)
         self._server = sync.SyncServer(
-            self.mesh, self.state, self.catalog, None, ""
+            self.mesh, self.state, self.catalog, None, "", None
         )
 
     def join(self, instances: dict[str, "_Instance"]) -> None:
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -20,6 +20,7 @@
 from sesamecross.gateway import catalog as catalog_lib
 from sesamecross.gateway import follower as follower_lib
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import relay
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_messages
@@ -81,12 +82,14 @@
         catalog: catalog_lib.Catalog,
         client: store_client.StoreClient,
         own_prefix: str,
+        relay_server: relay.RelayServer,
     ):
         self._mesh = mesh
         self._state = state
         self._catalog = catalog
         self._client = client
         self._own_prefix = own_prefix
+        self._relay_server = relay_server
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
 
     async def run(self) -> None:
@@ -120,6 +123,10 @@
                             self._client, self._own_prefix, request
                         )
                         await stream.send(answer)
+                    case relay.RelayOpen():
+                        await self._relay_server.serve(stream, request)
+                        writer.close()
+                        return
         except (streams.StreamClosedError, asyncio.CancelledError):
             # asyncio owns this task: a cancellation that propagated would be
             # reported as an error in its callback.
--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -128,7 +128,7 @@
         catalog_lib.ConfigurationSink(state, "config", lambda value: None),
         catalog_lib.UpstreamSink(state, lambda key, value: None),
     )
-    server = sync.SyncServer(_Mesh(), state, catalog, None, "")
+    server = sync.SyncServer(_Mesh(), state, catalog, None, "", None)
     for round_number in range(2):
         for number in range(UPSTREAMS):
             offset = round_number * UPSTREAMS + number
--- /dev/null
+++ b/sesamecross/gateway/upstream_connector.py
@@ -0,0 +1,115 @@
+"""Opens connections to upstreams: directly, or by way of a peer.
+
+A request must not wait for a connection attempt that is known to fail. So as
+long as the own path to an upstream fails, requests go by way of a peer, and
+probes in the background find out when it works again.
+"""
+
+import asyncio
+
+from sesamecross.gateway import client_connection
+from sesamecross.gateway import connection_pool as connection_pool_lib
+from sesamecross.gateway import relay as relay_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import directory
+from sesamecross.runtime import logs
+
+
+class UpstreamConnector:
+    """Connects requests to the upstreams chosen for them."""
+
+    __slots__ = (
+        "_state",
+        "_connection_pool",
+        "_relay_client",
+        "_log",
+        "_probes",
+    )
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        connection_pool: connection_pool_lib.ConnectionPool,
+        relay_client: relay_lib.RelayClient,
+    ):
+        self._state = state
+        self._connection_pool = connection_pool
+        self._relay_client = relay_client
+        self._log = logs.get_logger("connector")
+        self._probes: set[asyncio.Task] = set()
+
+    async def connect(
+        self, upstream: directory.KnownUpstream, timeout_s: float
+    ) -> client_connection.ClientConnection:
+        """Returns a connection for one request.
+
+        Raises:
+          OSError: No connection could be opened in time, neither directly nor
+            by way of a peer. Nothing was sent.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        if self._must_detour(upstream, started_s):
+            self._probe_if_due(upstream, started_s)
+        else:
+            try:
+                return await self._connect_directly(upstream, timeout_s)
+            except OSError:
+                if not self._must_detour(upstream, loop.time()):
+                    raise
+        left_s = timeout_s - (loop.time() - started_s)
+        return await self._relay_client.connect(upstream.entry, left_s)
+
+    def _must_detour(
+        self, upstream: directory.KnownUpstream, now_s: float
+    ) -> bool:
+        is_isolated = self._state.directory.is_isolated(now_s)
+        match upstream.access(now_s, is_isolated):
+            case directory.Access.VIA_PEER:
+                return True
+            case directory.Access.UNCERTAIN:
+                return upstream.reachability.is_path_failing(now_s)
+        return False
+
+    async def _connect_directly(
+        self, upstream: directory.KnownUpstream, timeout_s: float
+    ) -> client_connection.ClientConnection:
+        loop = asyncio.get_running_loop()
+        address = upstream.entry.address
+        try:
+            connection = await self._connection_pool.acquire(
+                address, loop.time(), timeout_s
+            )
+        except OSError as error:
+            upstream.reachability.record_connect_error(error, loop.time())
+            self._connection_pool.close_idle(address)
+            raise
+        if not connection.request_count:
+            upstream.reachability.record_connected(loop.time())
+        return connection
+
+    def _probe_if_due(
+        self, upstream: directory.KnownUpstream, now_s: float
+    ) -> None:
+        if upstream.reachability.take_probe(now_s):
+            # Idle connections may be dead, and would look like a success.
+            self._connection_pool.close_idle(upstream.entry.address)
+            probe = asyncio.create_task(self._probe(upstream))
+            self._probes.add(probe)
+            probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self, upstream: directory.KnownUpstream) -> None:
+        """Tries a connection, which serves a later request if it succeeds."""
+        try:
+            connection = await self._connect_directly(
+                upstream, connection_pool_lib.CONNECT_TIMEOUT_S
+            )
+        except OSError as error:
+            self._log.info(
+                "path still failing",
+                upstream=upstream.entry.instance_id,
+                why=str(error) or type(error).__name__,
+            )
+            return
+        self._connection_pool.release(upstream.entry.address, connection)
+        self._log.info("path works", upstream=upstream.entry.instance_id)
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -79,6 +79,7 @@
         + (known.running / slots) ** 2 * FULL_BATCH_PENALTY_S
         + known.failure_share(now_s) * FAILURE_PENALTY_S
         + (ADAPTER_LOAD_S if must_load_adapter else 0.0)
+        + service_choice.relay_cost_s(known, now_s)
     )
     read_s = speed.slope * uncached / 1000
     return Choice(
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -76,6 +76,13 @@
         """Records a connection that was not accepted in time."""
         self._silent_s = now_s
 
+    def record_connect_error(self, error: OSError, now_s: float) -> None:
+        """Records why a connection could not be opened."""
+        if isinstance(error, ConnectionRefusedError):
+            self.record_refusal(now_s)
+        else:
+            self.record_timeout(now_s)
+
     @property
     def _last_failure_s(self) -> float:
         return max(self._refused_s, self._silent_s)
--- a/sesamecross/ops/fleet/service_choice.py
+++ b/sesamecross/ops/fleet/service_choice.py
@@ -15,6 +15,8 @@
 # tens of milliseconds between regions; some requests open a new connection.
 CROSS_ZONE_S = 0.002
 CROSS_REGION_S = 0.045
+# Expected cost of a connection by way of a peer.
+RELAY_S = 0.01
 # Cost of a failure: the caller's latency objective is missed, and usually the
 # whole response is lost.
 FAILURE_PENALTY_S = 1.0
@@ -34,9 +36,13 @@
 
     def round_trip_s(self, zone: str) -> float:
         """Returns the round-trip time to a zone."""
-        if zone == self.zone:
+        return self.between_s(self.zone, zone)
+
+    def between_s(self, zone: str, other_zone: str) -> float:
+        """Returns the round-trip time between two zones."""
+        if zone == other_zone:
             return 0.0
-        if self.regions.get(zone) == self.regions.get(self.zone):
+        if self.regions.get(zone) == self.regions.get(other_zone):
             return CROSS_ZONE_S
         return CROSS_REGION_S
 
@@ -52,9 +58,15 @@
         location.round_trip_s(known.entry.zone)
         + duration_s * (1 + overflow / slots)
         + known.failure_share(now_s) * FAILURE_PENALTY_S
+        + relay_cost_s(known, now_s)
     )
 
 
+def relay_cost_s(known: directory.KnownUpstream, now_s: float) -> float:
+    """Returns the cost of reaching an upstream by way of a peer, or 0."""
+    return RELAY_S if known.reachability.is_path_failing(now_s) else 0.0
+
+
 def choose(
     candidates: Iterable[directory.KnownUpstream],
     location: Location,
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -163,6 +163,19 @@
         payload = await self._reader.readexactly(length)
         return self._verifier.verify(header[frames.LENGTH_BYTES :], payload)
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The stream's connection, for use after `set_protocol`."""
+        return self._writer.transport
+
+    def set_protocol(self, protocol: asyncio.Protocol) -> None:
+        """Passes all bytes that arrive from now on to `protocol`.
+
+        The peer must not have sent any since its last message. No message can
+        be received any more; `send` still works.
+        """
+        self._writer.transport.set_protocol(protocol)
+
     def close(self) -> None:
         """Closes the stream immediately."""
         self._writer.close()
