A lease holder that can't reach the engines gives up the lease

A holder that can't reach most upstreams, although others do, gives up the lease after 1 s if some peer reports none unreachable, and tells the candidates; until it reaches them again it is no candidate. The next holder keeps the gap as after any release. The state machine's random histories have the new step, with releases that are done, lost or late; lease_manager_test has the cut, a moment that looks like one, and a fleet in which nobody could do better. Its first case fails without the change.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -179,6 +179,9 @@
             self.mesh,
             lambda: self.state.bounds.lease_s,
             ticker,
+            lambda: self.state.directory.is_mostly_unreachable(
+                asyncio.get_running_loop().time()
+            ),
         )
         engines = engine_client.EngineClient(adapter.http_codec, self.metrics)
         controller = placement_controller.PlacementController(
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -28,6 +28,9 @@
 PROBE_TIMEOUT_S = 0.3
 # How many instances watch the holder.
 CANDIDATE_COUNT = 3
+# After being cut off from engines for this long, the holder gives up the lease
+# if a peer reaches them. Longer than the news of a crash takes to all instances.
+CUT_OFF_TIMEOUT_S = 1.0
 # How long a planned stop waits for the store to record the release.
 RELEASE_TIMEOUT_S = store_client.CALL_TIMEOUT_S
 
@@ -65,6 +68,7 @@
         mesh: mesh_lib.Mesh,
         gap_s: Callable[[], float],
         ticker: ticker_lib.Ticker | None = None,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ):
         """Initializes the manager.
 
@@ -76,6 +80,8 @@
           gap_s: Returns the minimum time between the orders of two holders. A
             function, as settings change while the instance runs.
           ticker: The process's ticker.
+          is_cut_off: Returns whether this instance can't reach most upstreams,
+            while others can.
         """
         self._client = client
         self._proxy = proxy
@@ -83,6 +89,8 @@
         self._mesh = mesh
         self._gap_s = gap_s
         self._ticker = ticker or ticker_lib.Ticker()
+        self._is_cut_off = is_cut_off
+        self._cut_off_since_s: float | None = None
         self._log = logs.get_logger("lease")
         self._last_probe_s = 0.0
         self._was_holding = False
@@ -144,7 +152,7 @@
         me = self._mesh.roster.me
         fence = self.machine.fence
         record = _LeaseRecord(me.name, me.incarnation, fence, True)
-        at = self.machine.released(-1)
+        at = self.machine.released()
         outcome = "no answer in time"
         # The call was sent before the timeout, so it usually takes effect.
         with contextlib.suppress(TimeoutError):
@@ -189,6 +197,10 @@
         now_s = boottime_clock()
         if now_s < self._settled_s:
             return
+        if self._must_step_aside(now_s):
+            if self.holds:
+                await self._resign()
+            return
         is_holder_live = self._is_holder_live()
         if not is_holder_live:
             await self._detect_holder_exit(now_s)
@@ -200,6 +212,32 @@
                 await self._write_record(at, fence)
         self._publish_state()
 
+    def _must_step_aside(self, now_s: float) -> bool:
+        """Whether orders should be given by a peer that reaches the engines."""
+        if not self._is_cut_off():
+            self._cut_off_since_s = None
+            return False
+        if self._cut_off_since_s is None:
+            self._cut_off_since_s = now_s
+        if now_s - self._cut_off_since_s < CUT_OFF_TIMEOUT_S:
+            return False
+        alive = self._mesh.roster.alive(asyncio.get_running_loop().time())
+        return any(not member.unreachable for member in alive)
+
+    async def _resign(self) -> None:
+        """Gives up the lease, as its orders don't arrive."""
+        me = self._mesh.roster.me
+        fence = self.machine.fence
+        record = _LeaseRecord(me.name, me.incarnation, fence, True)
+        outcome = await self._release(record, self.machine.resign())
+        self._log.warning(
+            "given up: engines can't be reached from here",
+            fence=fence,
+            outcome=str(outcome),
+        )
+        self._publish_state()
+        self._mesh.announce_release(self._next_candidates())
+
     def _rank(self) -> int:
         now_s = asyncio.get_running_loop().time()
         roster = self._mesh.roster
@@ -216,7 +254,9 @@
         """Returns the next candidates, assuming this instance is gone."""
         now_s = asyncio.get_running_loop().time()
         alive = {
-            member.name: member for member in self._mesh.roster.alive(now_s)
+            member.name: member
+            for member in self._mesh.roster.alive(now_s)
+            if not member.unreachable
         }
         names = rendezvous.top("lease", alive, CANDIDATE_COUNT)
         return [alive[name] for name in names]
--- a/sesamecross/gateway/lease_manager_test.py
+++ b/sesamecross/gateway/lease_manager_test.py
@@ -346,3 +346,60 @@
 
     asyncio.run(scenario())
     assert reads[0] >= lease_manager.JOIN_SETTLE_S
+
+
+async def applied_at_once(
+    topic: _Topic, value: bytes, at: int | None
+) -> store.AppendOutcome:
+    return topic.apply(value, at)
+
+
+@pytest.mark.parametrize(
+    ("cut_off_s", "peer_unreachable", "is_given_up"),
+    [
+        (5.0, 0, True),
+        # A crash of many engines looks like a cut for a moment.
+        (0.5, 0, False),
+        # Nobody could do better.
+        (5.0, 9, False),
+    ],
+)
+def test_a_holder_that_is_cut_off_gives_up_the_lease(
+    monkeypatch, cut_off_s, peer_unreachable, is_given_up
+):
+    """Guards against a holder that gives no orders and keeps the lease.
+
+    It renewed the lease for as long as the cut lasted: its way to the store was
+    sound, the one to the engines was not.
+    """
+    peer = fm.Member(
+        "front-2", 7, "z1", "127.0.0.1:7402", -1, -1, peer_unreachable
+    )
+
+    async def scenario():
+        monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: START_S)
+        topic = _Topic(applied_at_once)
+        manager = manager_on(topic, monkeypatch)
+        manager._mesh.transport = _Transport()
+        manager._mesh.roster.on_heartbeat(peer, START_S)
+        is_cut_off = False
+        manager._is_cut_off = lambda: is_cut_off
+        running = asyncio.create_task(manager.run())
+        while not manager.holds:
+            await topic.run_steps(1)
+        is_cut_off = True
+        await topic.run_steps(round(cut_off_s * 10))
+        held = manager.holds
+        releases = [one.is_released for one in topic.writes].count(True)
+        told = len(manager._mesh.transport.sent.get(peer.address, []))
+        is_cut_off = False
+        await topic.run_steps(100)
+        running.cancel()
+        return held, releases, told, manager.holds
+
+    held, releases, told, holds_again = asyncio.run(scenario())
+    assert held is not is_given_up
+    assert releases == (1 if is_given_up else 0)
+    assert told == (1 if is_given_up else 0)
+    # Nobody else has taken it meanwhile.
+    assert holds_again
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -264,6 +264,10 @@
         self._update_isolation(now_s)
         return self._unreachable_count
 
+    def is_mostly_unreachable(self, now_s: float) -> bool:
+        """Whether only other instances can reach most of the upstreams."""
+        return 2 * self.unreachable_count(now_s) > len(self._known)
+
     def _update_isolation(self, now_s: float) -> None:
         if now_s - self._isolation_from_s < ISOLATION_TTL_S:
             return
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -303,17 +303,29 @@
             self._exited_holder = (holder, incarnation)
             self._exited_s = now_s
 
-    def released(self, offset: int) -> int:
-        """Gives up the lease; no orders and no other writes follow.
+    def resign(self) -> int:
+        """Gives up the lease; this instance may take it again later.
 
         Returns:
           The known end offset of the topic: the release is written only if the
           topic ends there.
         """
-        self._is_released = True
         self._record = Record(
-            self._name, self._incarnation, offset, self.fence, True
+            self._name, self._incarnation, -1, self.fence, True
         )
         self._fence = None
         self._valid_until_s = 0.0
+        # Whether the release was written is unknown, and a renewal without an
+        # answer may still be applied; neither may make this the holder again.
+        self._must_read = True
+        self._unanswered_since_s = None
         return self._end
+
+    def released(self) -> int:
+        """Gives up the lease for good; no orders and no other writes follow.
+
+        Returns:
+          As `resign`.
+        """
+        self._is_released = True
+        return self.resign()
--- a/sesamecross/ops/fleet/lease_test.py
+++ b/sesamecross/ops/fleet/lease_test.py
@@ -22,6 +22,7 @@
     incarnation: int
     action: lease.WriteLease
     due_s: float
+    is_release: bool = False
 
 
 class LeaseStateMachine(stateful.RuleBasedStateMachine):
@@ -50,7 +51,11 @@
         if write.action.at != self.end:
             return False
         self.record = lease.Record(
-            write.name, write.incarnation, self.end, write.action.fence, False
+            write.name,
+            write.incarnation,
+            self.end,
+            write.action.fence,
+            write.is_release,
         )
         if write.action.fence == write.action.at:
             self.record = dataclasses.replace(self.record, fence=self.end)
@@ -108,6 +113,24 @@
                         machine.conflict()
         self._check_gap()
 
+    @stateful.rule(
+        name=st.sampled_from(NAMES),
+        outcome=st.sampled_from(("done", "lost", "late")),
+    )
+    def resign(self, name, outcome):
+        """A holder that can't reach the engines gives up the lease."""
+        machine = self.machines[name]
+        if not machine.holds(self.now_s):
+            return
+        write = lease.WriteLease(machine.resign(), -1)
+        release = _Write(name, self.incarnations[name], write, self.now_s, True)
+        if outcome == "late":
+            release.due_s += 2.0
+            self.late.append(release)
+        elif outcome == "done":
+            self._apply(release)
+        assert not machine.holds(self.now_s)
+
     @stateful.rule(name=st.sampled_from(NAMES))
     def restart(self, name):
         self.machines[name] = self._start(name)
