--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -29,7 +29,7 @@
 # How many instances watch the holder.
 CANDIDATE_COUNT = 3
 # After being cut off from engines for this long, the holder gives up the lease
-# if a peer reaches them. Longer than the news of a crash takes to all instances.
+# if a peer reaches them. News of a crash reaches all instances sooner.
 CUT_OFF_TIMEOUT_S = 1.0
 # How long a planned stop waits for the store to record the release.
 RELEASE_TIMEOUT_S = store_client.CALL_TIMEOUT_S
