--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -589,7 +589,7 @@
         me = fm.Member("front-1", 1, "z1", "127.0.0.1:1", -1, -1)
         app.mesh.join(me, b"secret", ())
         app.lease.machine = types.SimpleNamespace(
-            holds=lambda now_s: True, fence=3, released=lambda offset: None
+            holds=lambda now_s: True, fence=3, released=lambda: None
         )
         begun_s = loop.time()
         await app.drain()
