A paused engine keeps its requests and its place in plans

After 0.8 s of silence at all instances an engine counted as down: requests for models that only it holds were refused with a retry-after of 4 s, and the lease holder planned its models elsewhere, where others had to make way.

Now a request whose only engine was heard less than 2 s ago waits for it, and asks for no load. The planner counts an engine that nobody hears as lost after 0.8 s more, or at once if it refuses connections. Where nothing better is left, a request is sent to an engine of which only others say that it is silent, over a new connection: an accepted one shows that it lives, before the request is sent.

engine_search_test (a pause of 1.2 and of 1.7 s, and an end) fails without the wait in all three cases; the planner's table is in placement_controller_engine_exit_test.

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -20,6 +20,8 @@
 
 # Interval at which a waiting request repeats its placement request.
 PLACEMENT_REQUEST_INTERVAL_S = 0.25
+# How often a waiting request checks whether a paused engine has gone on.
+PAUSE_CHECK_INTERVAL_S = 0.05
 
 
 def _ignore_request(service: str, target: str, upstream: str) -> None:
@@ -214,6 +216,10 @@
         """
         context = self._context
         service, _ = self.demand_key
+        if choice is None and self._has_paused_holder(now_s):
+            await context.state.wait_for_change(PAUSE_CHECK_INTERVAL_S)
+            self._model_wait_s += asyncio.get_running_loop().time() - now_s
+            return True
         if choice is None:
             context.request_placement(service, self._call.model, "")
         else:
@@ -233,6 +239,21 @@
             self._model_wait_s += asyncio.get_running_loop().time() - now_s
         return True
 
+    def _has_paused_holder(self, now_s: float) -> bool:
+        """Whether an engine with the model may go on while the caller waits.
+
+        Another engine would need seconds to load the model, and would make
+        other models give way for it.
+        """
+        send_deadline_s = wait_policy.send_deadline_s(
+            self._route, self._arrived_s, self._deadline_s
+        )
+        return now_s < send_deadline_s and any(
+            known.reachability.may_be_paused(now_s)
+            and known.engine.holds(known.entry, self._call.model, now_s)
+            for known in self._usable()
+        )
+
     def _decide_wait(
         self, choice: engine_choice.Choice | None, now_s: float
     ) -> wait_policy.Wait | wait_policy.RetryAfter:
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -11,6 +11,7 @@
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import reachability
 
 ROUTE = serving.Route(
     "r",
@@ -143,3 +144,55 @@
         last_s += searches.state.bounds.drain_s
     assert searches.sent["e1"][-1] < last_s
     assert bool(searches.sent.get("e2")) is is_other_known
+
+
+# When the streams of all instances at an engine fall silent.
+SILENT_S = 2.0
+
+
+@pytest.mark.parametrize(
+    ("goes_on_s", "is_waited_for"),
+    [
+        # A sound engine pauses for a second or so.
+        (SILENT_S + 1.2, True),
+        (SILENT_S + 1.7, True),
+        # One that stays silent is lost; requests are told to come back.
+        (None, False),
+    ],
+)
+def test_requests_wait_for_a_paused_engine(goes_on_s, is_waited_for):
+    """Guards against refusals and loads elsewhere for an engine that goes on.
+
+    It is the only one that holds the model.
+    """
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+    known = searches.state.directory.get("e1")
+    asked: list[float] = []
+    searches._context.request_placement = lambda *_: asked.append(
+        searches.loop.time()
+    )
+
+    def hear() -> None:
+        known.reachability.record_contact(searches.loop.time())
+        known.others_reachability = reachability.ReachabilityCounts(hears=2)
+
+    def notice_silence() -> None:
+        known.others_reachability = reachability.ReachabilityCounts(silent=2)
+
+    known.reachability.streaming = 3
+    heard_s = [step * 0.1 for step in range(round(SILENT_S * 10) + 1)]
+    if goes_on_s is not None:
+        heard_s += [goes_on_s + step * 0.1 for step in range(30)]
+    searches.run(
+        *((at_s, hear) for at_s in heard_s),
+        (SILENT_S + reachability.SILENCE_TIMEOUT_S, notice_silence),
+        until_s=5.0,
+    )
+    noticed_s = SILENT_S + reachability.SILENCE_TIMEOUT_S + 0.05
+    late_sends = [one for one in searches.sent["e1"] if one > noticed_s]
+    if is_waited_for:
+        assert not asked
+        assert late_sends[0] < goes_on_s + 0.1
+        assert len(searches.sent["e1"]) >= 95
+    else:
+        assert asked[0] >= SILENT_S + reachability.PAUSE_TIMEOUT_S - 0.01
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import placement_publisher
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import demand_history
+from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import duty_cycle
 from sesamecross.ops.fleet import load_budget
 from sesamecross.ops.fleet import placement_steps
@@ -60,6 +61,10 @@
 # How long after an engine appeared until others that start with it have
 # appeared too: they register within some seconds of each other.
 ENGINES_SETTLE_S = 4.0
+# How long an engine that nobody hears keeps its place in plans, unless it
+# refuses connections. Its silence is noticed after 0.8 s; a pause takes little
+# longer.
+PAUSE_GRACE_S = 0.8
 # How long a model stays withdrawn without being unloaded. After that it serves
 # again: its requests last longer than its memory is worth waiting for.
 WITHDRAWAL_TTL_S = 8.0
@@ -106,6 +111,8 @@
         self._next_target_s: dict[str, float] = {}
         # The configuration version with which a service's plan failed.
         self._failed_plans: dict[str, int] = {}
+        # Since when engines are down, by instance id.
+        self._down_since_s: dict[str, float] = {}
         self._is_active = False
         self._last_plan_s = 0.0
         self._tick_pace = duty_cycle.DutyCycle(TICK_REST_RATIO)
@@ -259,6 +266,7 @@
         self._budgets.clear()
         self._placement_requests.clear()
         self._withdrawn.clear()
+        self._down_since_s.clear()
         self._targets.clear()
         self._expected_loads.clear()
         self._next_target_s.clear()
@@ -296,7 +304,7 @@
                 placement_types.Engine(
                     tracked.inventory,
                     tracked.can_take_order(now_s),
-                    known.is_leaving or known.is_down(now_s),
+                    known.is_leaving or self._is_lost(known, now_s),
                 )
             )
         self._placement_requests = {
@@ -310,6 +318,17 @@
             except Exception:
                 self._log_failed_plan(service)
 
+    def _is_lost(
+        self, known: directory_lib.KnownUpstream, now_s: float
+    ) -> bool:
+        """Whether an engine is down, and not only paused for a moment."""
+        instance_id = known.entry.instance_id
+        if not known.is_down(now_s):
+            self._down_since_s.pop(instance_id, None)
+            return False
+        since_s = self._down_since_s.setdefault(instance_id, now_s)
+        return known.is_refusing(now_s) or now_s - since_s >= PAUSE_GRACE_S
+
     def _log_failed_plan(self, service: str) -> None:
         """Logs a failed plan once for each version of the configuration.
 
--- a/sesamecross/gateway/placement_controller_engine_exit_test.py
+++ b/sesamecross/gateway/placement_controller_engine_exit_test.py
@@ -10,6 +10,7 @@
 from sesamecross.fakes import samples
 from sesamecross.gateway import placement_controller
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import reachability
 from sesamecross.runtime import metrics as metrics_lib
 
 SERVICE = "writers"
@@ -151,3 +152,34 @@
         for placement in message.engines
     }
     assert held["e2"] == [MODEL]
+
+
+def refuses_and_is_heard(directory, now_s: float) -> None:
+    refuses(directory, now_s)
+    directory.get("e1").others_reachability = reachability.ReachabilityCounts(
+        hears=1
+    )
+
+
+@pytest.mark.parametrize(
+    ("ends", "after_s", "is_lost"),
+    [
+        # A sound engine pauses for a second: it is noticed after 0.8 s.
+        (falls_silent, 0.5, False),
+        (falls_silent, placement_controller.PAUSE_GRACE_S + 0.1, True),
+        # A crashed one refuses connections.
+        (refuses, 0.0, True),
+        (refuses_and_is_heard, 0.0, False),
+    ],
+)
+def test_a_paused_engine_keeps_its_place_in_plans(ends, after_s, is_lost):
+    """Guards against models loaded elsewhere for an engine that goes on."""
+    state = state_lib.State(samples.INSTANCE)
+    state.directory.update_entry(entry("e1"))
+    known = state.directory.get("e1")
+    controller = placement_controller.PlacementController(
+        state, _Mesh(), _Lease(), _EngineClient(), metrics_lib.Metrics()
+    )
+    ends(state.directory, 100.0)
+    assert controller._is_lost(known, 100.1) is (is_lost and not after_s)
+    assert controller._is_lost(known, 100.1 + after_s) is is_lost
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -49,22 +49,36 @@
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        if self._must_detour(upstream, started_s):
+        access = self._access(upstream, started_s)
+        if self._must_detour(upstream, access, started_s):
             self._probe_if_due(upstream, started_s)
         else:
+            if access is directory.Access.UNCERTAIN:
+                # An open connection may be dead; a new one shows whether the
+                # upstream lives before the request is sent.
+                self._connection_pool.close_idle(upstream.entry.address)
             try:
                 return await self._connect_directly(upstream, timeout_s)
             except OSError:
-                if not self._must_detour(upstream, loop.time()):
+                now_s = loop.time()
+                access = self._access(upstream, now_s)
+                if not self._must_detour(upstream, access, now_s):
                     raise
         left_s = timeout_s - (loop.time() - started_s)
         return await self._relay_client.connect(upstream.entry, left_s)
 
-    def _must_detour(
+    def _access(
         self, upstream: directory.KnownUpstream, now_s: float
+    ) -> directory.Access:
+        return upstream.access(now_s, self._state.directory.is_isolated(now_s))
+
+    def _must_detour(
+        self,
+        upstream: directory.KnownUpstream,
+        access: directory.Access,
+        now_s: float,
     ) -> bool:
-        is_isolated = self._state.directory.is_isolated(now_s)
-        match upstream.access(now_s, is_isolated):
+        match access:
             case directory.Access.VIA_PEER:
                 return True
             case directory.Access.UNCERTAIN:
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -138,6 +138,11 @@
             self.reachability.state(now_s)
         ).is_down
 
+    def is_refusing(self, now_s: float) -> bool:
+        """Whether some instance finds its port closed, and none hears it."""
+        counts = self.others_reachability.plus(self.reachability.state(now_s))
+        return counts.refused > 0 and not counts.hears
+
     def record_duration(self, duration_s: float) -> None:
         """Updates the average duration of requests there."""
         if not self.mean_duration_s:
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -24,6 +24,9 @@
 SILENCE_TIMEOUT_S = 0.8
 # An event or a response shows for this long that the upstream is reachable.
 CONTACT_TTL_S = 1.0
+# A sound upstream may pause for a second and go on. One heard this recently is
+# given the time to do so before it counts as lost.
+PAUSE_TIMEOUT_S = 2.0
 # While requests make a detour around a failing path, a connection is tried this
 # often.
 PROBE_INTERVAL_S = 1.0
@@ -108,6 +111,14 @@
         """Whether the upstream answered or accepted a connection recently."""
         return self._hears(now_s) or now_s - self._connected_s < CONTACT_TTL_S
 
+    def may_be_paused(self, now_s: float) -> bool:
+        """Whether it has fallen silent so recently that it may go on."""
+        return (
+            self.state(now_s) is State.SILENT
+            and self.last_response_s > self._lost_s
+            and now_s - self.last_response_s < PAUSE_TIMEOUT_S
+        )
+
     def take_probe(self, now_s: float) -> bool:
         """Returns whether a probe is due; if so, counts it as begun."""
         last_s = max(self._probed_s, self._last_failure_s)
