Upstreams that fail after too many rejections get no more than they have slots

While a service states such a limit, one instance admits all requests to each of its upstreams, as pacers do for prompts: at most as many at a time as it has slots, each counted from its admission to its end (ops/fleet/slot_limiter.py). A request waits for a slot for as long as it can be on time, and is then refused; without an admission it is not sent. Engines keep their pacer, whose permit is then required as well.

An instance learns of the limit from its first answer of the service; its first request is not limited.

--- a/sesamecross/fakes/platform_upstream.py
+++ b/sesamecross/fakes/platform_upstream.py
@@ -60,7 +60,12 @@
 
 
 class PlatformUpstream(base.FakeServer):
-    """One incarnation of an upstream: a server and its entry in the store."""
+    """One incarnation of an upstream: a server and its entry in the store.
+
+    Attributes:
+      rejection_limit: Stated in all its answers, unless it is None.
+      most_running: The most plain answers that were held at the same time.
+    """
 
     def __init__(
         self,
@@ -70,6 +75,7 @@
         zone: str,
         models: tuple[str, ...] = (),
         answer_bytes: int = 200,
+        slots: int = 16,
     ):
         """Creates the upstream; `start` serves.
 
@@ -80,6 +86,7 @@
           zone: Where it runs.
           models: The models that it holds, if it is an engine.
           answer_bytes: The length of a plain answer.
+          slots: The requests that it runs at the same time, by its entry.
         """
         super().__init__(instance_id, "127.0.0.1:0", threads=16)
         self.instance_id = instance_id
@@ -91,6 +98,10 @@
             _UNLIMITED_CAPACITY, models
         )
         self._answer_bytes = answer_bytes
+        self._slots = slots
+        self.rejection_limit: int | None = None
+        self.most_running = 0
+        self._running = 0
         self._born_ms = int(time.time() * 1000)
         self._lock = threading.Lock()
         self._released = threading.Event()
@@ -120,7 +131,7 @@
                 "address": self.server.address,
                 "zone": self._zone,
                 "version": "1",
-                "slots": 16,
+                "slots": self._slots,
                 "state": state,
                 "coldRemainingMs": 0,
                 "sequence": 1,
@@ -218,6 +229,8 @@
             "Request-Id": request_id,
             "Response-Signature": run.signature,
         }
+        if self.rejection_limit is not None:
+            headers["Server-Brittle"] = str(self.rejection_limit)
         caller_socket = request.environ[http_server.CONNECTION].socket
         if is_stream:
             target = request.header("Model")
@@ -225,7 +238,12 @@
             headers["Weight-Versions"] = "1"
             stream = self._stream(run, caller_socket, target)
             return base.Response(stream, headers=headers)
+        with self._lock:
+            self._running += 1
+            self.most_running = max(self.most_running, self._running)
         self._wait_until_released(run, caller_socket)
+        with self._lock:
+            self._running -= 1
         return base.Response(run.answer, headers=headers)
 
     def _stream(
--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from sesamecross.core import serving
@@ -41,10 +42,12 @@
 
     Attributes:
       outcome_future: Resolves to the attempt's outcome.
+      on_response_head: Called with the head of the request's response.
     """
 
     __slots__ = (
         "outcome_future",
+        "on_response_head",
         "_http_codec",
         "_request_id",
         "_instance_id",
@@ -67,6 +70,9 @@
     ):
         self._http_codec = http_codec
         self.outcome_future: asyncio.Future[Outcome] = loop.create_future()
+        self.on_response_head: (
+            Callable[[http_codec_lib.ResponseHead], None] | None
+        ) = None
         self._request_id = request_id
         self._instance_id = instance_id
         self._relay = relay
@@ -88,6 +94,8 @@
         self._status = status
         self._headers = tuple(headers)
         self._head_info = head_info
+        if self.on_response_head is not None:
+            self.on_response_head(head_info)
         is_success = 200 <= status < 300
         if is_success and (head_info.is_encoded or not head_info.has_signature):
             self._set_outcome(
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -293,6 +293,9 @@
             choice.uncached_tokens,
             self._arrived_s + route.objective_s - choice.expected_s,
             send_deadline_s,
+            self._context.state.is_brittle(
+                choice.upstream.entry.service, started_s
+            ),
         )
         now_s = loop.time()
         self._pacing_wait_s += now_s - started_s
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import math
 import random
 
@@ -15,6 +16,7 @@
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import event_relay
+from sesamecross.gateway import pacing
 from sesamecross.gateway import prefill_tracker as prefill_tracker_lib
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
@@ -26,6 +28,7 @@
 from sesamecross.ops.fleet import service_choice
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
+from sesamecross.ops.fleet import wait_policy
 from sesamecross.ports import http_codec as http_codec_lib
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
@@ -35,6 +38,8 @@
 # How long requests wait for the first configuration and list of upstreams. Both
 # take a tenth of a second from a store that answers.
 START_WAIT_S = 0.5
+# How long a request waits for a slot on a route without a latency objective.
+SLOT_WAIT_S = 0.5
 # A request that waited longer than this for its model is late for that reason
 # and says nothing about whether the model's engines keep up.
 LATENESS_MAX_MODEL_WAIT_S = 0.1
@@ -188,6 +193,7 @@
         "_connection",
         "_upstream",
         "_search",
+        "_slot_permit",
         "_tried_ids",
         "_retry_after_s",
         "_note",
@@ -216,6 +222,8 @@
         self._upstream: directory.KnownUpstream | None = None
         # Set if the request is for a model.
         self._search: engine_search.EngineSearch | None = None
+        # Held from before the request is sent to its end, at some upstreams.
+        self._slot_permit: pacing.Permit | None = None
         self._tried_ids: set[str] = set()
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         self._note = ""
@@ -474,6 +482,9 @@
             return None
         self._upstream = upstream
         self._history.tries += 1
+        if not await self._acquire_slot(upstream):
+            return retry_policy.NotSent("no slot")
+        left_s = self._deadline_s - loop.time()
         upstream.own_running += 1
         started_s = loop.time()
         prefill_tracker = self._begin_prefill(upstream)
@@ -494,11 +505,65 @@
             outcome = await self._send(upstream, connection)
         finally:
             upstream.own_running -= 1
+            self._release_slot()
             if prefill_tracker is not None:
                 prefill_tracker.end()
         self._record_outcome(upstream, outcome, loop.time() - started_s)
         return outcome
 
+    async def _acquire_slot(self, upstream: directory.KnownUpstream) -> bool:
+        """Waits for a slot of an upstream that must not reject too much.
+
+        Engines are admitted to by their prompts, in the search.
+
+        Returns:
+          Whether the request may be sent.
+        """
+        state = self._forwarder._state
+        now_s = asyncio.get_running_loop().time()
+        if self._search is not None or not state.is_brittle(
+            upstream.entry.service, now_s
+        ):
+            return True
+        wait_s = self._route.objective_s or SLOT_WAIT_S
+        result = await self._forwarder.search_context.pacing.acquire(
+            upstream,
+            0,
+            self._arrived_s + wait_s / 2,
+            min(self._deadline_s, self._arrived_s + wait_s),
+            requires_grant=True,
+        )
+        match result:
+            case pacing.PermitRefused(after_s=after_s):
+                self._retry_after_s = wait_policy.retry_after_s(
+                    after_s, self._deadline_s, now_s
+                )
+                return False
+        self._slot_permit = result
+        return True
+
+    def _release_slot(self) -> None:
+        if self._slot_permit is not None:
+            self._forwarder.search_context.pacing.release(self._slot_permit)
+            self._slot_permit = None
+
+    def _record_response_head(
+        self,
+        upstream: directory.KnownUpstream,
+        head: http_codec_lib.ResponseHead,
+    ) -> None:
+        service = upstream.entry.service
+        now_s = asyncio.get_running_loop().time()
+        if self._forwarder._state.record_rejection_limit(
+            service, head.rejection_limit, now_s
+        ):
+            self._forwarder._log.warning(
+                "rejection limit",
+                service=service,
+                upstream=upstream.entry.instance_id,
+                limit=head.rejection_limit,
+            )
+
     def _begin_prefill(
         self, upstream: directory.KnownUpstream
     ) -> prefill_tracker_lib.PrefillTracker | None:
@@ -534,6 +599,9 @@
             self._relay,
             self._forwarder._http_codec,
         )
+        attempt.on_response_head = functools.partial(
+            self._record_response_head, upstream
+        )
         forward_context = http_codec_lib.ForwardContext(
             entry.instance_id,
             left_s,
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -13,6 +13,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import pacer as pacer_lib
+from sesamecross.ops.fleet import slot_limiter
 from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.utils import rendezvous
 
@@ -22,6 +23,9 @@
 ACK_MARGIN_S = 0.04
 REQUEST_ATTEMPTS = 2
 SWEEP_INTERVAL_S = 0.25
+# Retry delay of a request that needs a permit while no pacer answers: until the
+# failure detector has noticed, and another one is asked.
+NO_PACER_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +71,7 @@
         self._state = state
         self._mesh = mesh
         self._ticker = ticker or ticker_lib.Ticker()
-        self._pacers: dict[str, pacer_lib.Pacer] = {}
+        self._pacers: dict[str, pacer_lib.Pacer | slot_limiter.SlotLimiter] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
             int, asyncio.Future[fm.AdmissionReply]
@@ -125,23 +129,32 @@
         tokens: int,
         due_s: float,
         until_s: float,
+        requires_grant: bool = False,
     ) -> Permit | PermitRefused:
         """Waits for a permit to send a prompt.
 
         Args:
-          known: The engine.
-          tokens: Prompt tokens that it has to read.
+          known: The engine, or an upstream of a plain service.
+          tokens: Prompt tokens that it has to read; 0 for a request without a
+            prompt, whose permit is held until the request ends.
           due_s: Loop time by which the request has to be sent to be on time.
           until_s: Loop time after which waiting is of no use.
+          requires_grant: Whether the request must not be sent without a pacer's
+            permit.
         """
         while True:
             pacer = self._pacer_of(known)
+            if pacer is None and requires_grant:
+                return PermitRefused(NO_PACER_RETRY_AFTER_S)
             if pacer is None:
                 upstream = known.entry.instance_id
                 return Permit(upstream, 0, "", is_open=False)
             result = await self._request_permit(
                 pacer, known, tokens, due_s, until_s
             )
+            is_granted = isinstance(result, Permit) and result.is_open
+            if requires_grant and isinstance(result, Permit) and not is_granted:
+                return PermitRefused(NO_PACER_RETRY_AFTER_S)
             if result is not None:
                 return result
 
@@ -290,7 +303,7 @@
             case fm.AdmissionRelease(me=me, number=number, upstream=upstream):
                 pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    pacer.prompt_read((me.name, number))
+                    pacer.release((me.name, number))
                     self._grant(upstream)
             case fm.AdmissionReply(me=me, number=number, verdict=verdict):
                 if verdict is fm.AdmissionDecision.LEAVING:
@@ -310,7 +323,14 @@
             return
         now_s = asyncio.get_running_loop().time()
         upstream = message.upstream
-        pacer = self._pacers.setdefault(upstream, pacer_lib.Pacer())
+        pacer = self._pacers.get(upstream)
+        if pacer is None:
+            pacer = (
+                pacer_lib.Pacer()
+                if message.tokens
+                else slot_limiter.SlotLimiter()
+            )
+            self._pacers[upstream] = pacer
         key = (message.me.name, message.number)
         decisions = pacer.request(
             key,
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -16,6 +16,9 @@
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
 
+# How long a stated limit on rejections holds without another response.
+REJECTION_LIMIT_TTL_S = 10.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsChange:
@@ -58,6 +61,7 @@
         "fleet_uses",
         "_instance",
         "_retry_budgets",
+        "_rejection_limits",
         "_change_event",
     )
 
@@ -78,6 +82,8 @@
         self.fleet_uses: dict[tuple[str, str], int] = {}
         self._change_event = asyncio.Event()
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
+        # By service, the limit that its upstreams stated last, and when.
+        self._rejection_limits: dict[str, tuple[int, float]] = {}
 
     def apply_settings(self, instance: serving.Instance) -> SettingsChange:
         """Applies new settings; returns what changed.
@@ -154,6 +160,28 @@
         self.notify_change()
         return True
 
+    def record_rejection_limit(
+        self, service: str, limit: int | None, now_s: float
+    ) -> bool:
+        """Records what an upstream's response states; returns if that is new.
+
+        Args:
+          service: Its service, whose upstreams all state the same.
+          limit: Rejections per second that each withstands, or None.
+          now_s: Monotonic time.
+        """
+        known = self._rejection_limits.get(service)
+        if limit is None:
+            self._rejection_limits.pop(service, None)
+        else:
+            self._rejection_limits[service] = (limit, now_s)
+        return (known[0] if known else None) != limit
+
+    def is_brittle(self, service: str, now_s: float) -> bool:
+        """Whether too many rejections would make a service's upstreams fail."""
+        known = self._rejection_limits.get(service)
+        return known is not None and now_s - known[1] < REJECTION_LIMIT_TTL_S
+
     def retry_budget(self, route: serving.Route) -> retry_budget.RetryBudget:
         """Returns the retry budget of a route's service."""
         service = route.targets[0].service if route.targets else ""
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -171,7 +171,7 @@
             )
         return self.grant(batch, now_s)
 
-    def prompt_read(self, key: Key) -> None:
+    def release(self, key: Key) -> None:
         """Records that a prompt was prefilled, or will not be sent."""
         self._waiting.pop(key, None)
         known = self._prefilling.pop(key, None)
@@ -277,7 +277,7 @@
     def _expire(self, now_s: float) -> None:
         for key, (_, at_s) in list(self._prefilling.items()):
             if now_s - at_s > PREFILL_TIMEOUT_S:
-                self.prompt_read(key)
+                self.release(key)
         for key, request in list(self._waiting.items()):
             if now_s - request.requested_s > MAX_WAIT_S:
                 del self._waiting[key]
--- a/sesamecross/ops/fleet/pacer_test.py
+++ b/sesamecross/ops/fleet/pacer_test.py
@@ -55,7 +55,7 @@
             for granted_key in decision.refused:
                 refused[granted_key[1]] = now_s
         for at_s, granted_key in [r for r in prefilling if r[0] <= now_s]:
-            pacer.prompt_read(granted_key)
+            pacer.release(granted_key)
             prefilling.remove((at_s, granted_key))
         now_s += step_s
     return granted, refused
@@ -82,7 +82,7 @@
     order = []
     for step in range(100):
         order += pacer.grant(EMPTY_BATCH, step * 0.01).granted
-        pacer.prompt_read(order[-1]) if order else None
+        pacer.release(order[-1]) if order else None
     assert [number for _, number in order] == [2, 1, 3]
 
 
--- a/sesamecross/platform/headers.py
+++ b/sesamecross/platform/headers.py
@@ -19,6 +19,7 @@
 _SIGNATURE = b"response-signature"
 _NOT_EXECUTED = b"not-executed"
 _INSTANCE_ID = b"instance-id"
+_REJECTION_LIMIT = b"server-brittle"
 _EXPECTED_INSTANCE = b"expected-instance"
 _REQUEST_PRIORITY = b"request-priority"
 _MISDIRECTED_STATUS = 421
@@ -166,9 +167,17 @@
         b"content-encoding" in by_name,
         content_type.startswith(b"text/event-stream"),
         by_name.get(_INSTANCE_ID, b"").decode("latin-1"),
+        _parse_rejection_limit(by_name.get(_REJECTION_LIMIT)),
     )
 
 
+def _parse_rejection_limit(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    # A value that can't be read still says that there is a limit.
+    return _parse_count(value)
+
+
 def refusal(
     request_id: str, retry_after_s: float | None
 ) -> list[serving.Header]:
--- a/sesamecross/ports/http_codec.py
+++ b/sesamecross/ports/http_codec.py
@@ -42,6 +42,8 @@
         upstream's own.
       is_event_stream: The body is a stream of events.
       instance_id: The upstream that answered, or empty if it does not say.
+      rejection_limit: Requests that it can reject in a second without failing;
+        None if it states no limit.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     is_encoded: bool
     is_event_stream: bool
     instance_id: str
+    rejection_limit: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
