Keepalive probes and the user timeout give up at the same time

New on the users' pages: as on Linux, a TCP_USER_TIMEOUT also decides when keepalive probes give up, whatever their count. No library in use sets one: asyncio, httptools and urllib3 leave it alone.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -8,23 +8,17 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
 from typing import Protocol
 
 import httptools
 
 from sesamecross.core import serving
+from sesamecross.transport import keepalive
 
 # The connection is closed after more responses to other requests than this:
 # the upstream is not going to respond to the current one.
 _MAX_MISMATCHED_RESPONSES = 4
 _FIRST_FINAL_STATUS = 200
-# TCP keepalive: a peer that lost power or network is detected after about 3 s
-# without traffic instead of at the end of a long wait.
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
-_USER_TIMEOUT_MS = 3000
 
 
 class ResponseReceiver(Protocol):
@@ -57,20 +51,6 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def enable_keepalive(sock: socket.socket) -> None:
-    """Enables TCP keepalive and the TCP user timeout.
-
-    When the peer's machine loses power or a partition drops the connection's
-    state, no reset arrives; only probes detect it.
-    """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
-
-
 class ClientConnection(asyncio.Protocol):
     """A connection that carries one request at a time.
 
@@ -171,7 +151,7 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            enable_keepalive(sock)
+            keepalive.enable(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parses data; unexpected data makes the connection unusable."""
--- a/sesamecross/gateway/relay.py
+++ b/sesamecross/gateway/relay.py
@@ -20,6 +20,7 @@
 import dataclasses
 import enum
 import random
+import socket
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import codec
@@ -34,6 +35,7 @@
 from sesamecross.ops.fleet import relay_choice
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.transport import keepalive
 from sesamecross.transport import streams
 
 ROLE = "gateway"
@@ -111,7 +113,7 @@
         transport.set_write_buffer_limits(high=BUFFER_HIGH_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            client_connection.enable_keepalive(sock)
+            keepalive.enable(sock)
 
     def data_received(self, data: bytes) -> None:
         if self.origin is None:
@@ -190,12 +192,22 @@
         self._state = state
         self._metrics = metrics
         self._log = logs.get_logger("relay")
-        self._open = 0
+        # Of each relayed connection, those to the instance that asked and to
+        # the upstream.
+        self._open: set[tuple[asyncio.Transport, asyncio.Transport]] = set()
 
     @property
     def open_connections(self) -> int:
         """Number of connections that are relayed now; each has a request."""
-        return self._open
+        return len(self._open)
+
+    def sockets(self) -> list[socket.socket]:
+        """Returns the sockets at both ends of all relayed connections."""
+        return [
+            transport.get_extra_info("socket")
+            for transports in self._open
+            for transport in transports
+        ]
 
     async def serve(self, stream: streams.Stream, request: RelayOpen) -> None:
         """Answers a request; returns when the connection has ended.
@@ -218,18 +230,19 @@
             )
             await stream.send(RelayOpened(answer))
             return
-        self._open += 1
+        transports = (stream.transport, upstream_side.transport)
+        self._open.add(transports)
         try:
             await self._join(stream, upstream_side)
         finally:
-            self._open -= 1
+            self._open.discard(transports)
 
     async def _connect(
         self, request: RelayOpen
     ) -> tuple[RelayAnswer, _UpstreamSide | None]:
         if self.is_stopping:
             return RelayAnswer.STOPPING, None
-        if self._open >= MAX_RELAYED:
+        if len(self._open) >= MAX_RELAYED:
             return RelayAnswer.BUSY, None
         known = self._state.directory.get(request.upstream)
         if known is None or known.entry.born_ms != request.born_ms:
--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -257,7 +257,7 @@
 
 
 def busy(peer: Peer) -> None:
-    peer.relay_server._open = relay.MAX_RELAYED
+    peer.relay_server._open = set(range(relay.MAX_RELAYED))
 
 
 def knows_no_upstream(peer: Peer) -> None:
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -30,6 +30,7 @@
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
+from sesamecross.transport import keepalive
 from sesamecross.transport import streams
 
 ROLE = "gateway"
@@ -109,6 +110,8 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        # A peer that is cut off without a word would leave its stream open.
+        keepalive.enable(writer.get_extra_info("socket"))
         try:
             stream = await streams.accept(
                 reader, writer, self._mesh.secret, self._stamper
