Entry: a call of which nothing was sent goes to another upstream

Still open there: an entry that is cut off from all upstreams has no way by another entry, and a steward that reaches no engine keeps its zone's lease.

--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -96,8 +96,7 @@
             return self._call_with_retries(request)
         if request.idempotency_key:
             return self._call_with_claim(request)
-        outcome, _ = self._attempt(request, idempotent=False)
-        return outcome
+        return self._run_once(request)
 
     # -- idempotent calls ------------------------------------------------
 
@@ -207,6 +206,23 @@
 
     # -- calls that run at most once -------------------------------------
 
+    def _run_once(self, request: ServiceRequest) -> Outcome:
+        """Sends a call to one upstream, the first that accepts a connection.
+
+        While nothing was sent, another upstream may be tried: the links to one
+        may be cut although it and the others are sound.
+        """
+        excluded: set[str] = set()
+        while True:
+            outcome, failed_upstream = self._attempt(
+                request, idempotent=False, excluded=frozenset(excluded)
+            )
+            if not (failed_upstream and _is_not_executed(outcome)):
+                return outcome
+            excluded.add(failed_upstream)
+            if self._clock.monotonic_ms() >= request.deadline_ms:
+                return outcome
+
     def _call_with_claim(self, request: ServiceRequest) -> Outcome:
         claim = records.ClaimMade(
             request.call_id,
@@ -227,29 +243,15 @@
         self, request: ServiceRequest, claim: records.ClaimMade
     ) -> Outcome:
         """Runs a call whose claim was won, and settles the claim."""
-        excluded: set[str] = set()
-        while True:
-            try:
-                outcome, failed_upstream = self._attempt(
-                    request, idempotent=False, excluded=frozenset(excluded)
-                )
-            except Exception:
-                # The service may have run the call. An open claim would tell
-                # callers for ever that it is in progress.
-                self._link.settle(
-                    records.ClaimSettled(claim.claim_id, True, None)
-                )
-                raise
-            not_sent = (
-                isinstance(outcome, refusal.Refusal)
-                and outcome.executed is refusal.Executed.NO
-            )
-            if not (not_sent and failed_upstream):
-                break
-            # Nothing was sent, so another upstream may be tried under the
-            # same claim.
-            excluded.add(failed_upstream)
-        self._settle_claim(claim, outcome, executed=not not_sent)
+        try:
+            outcome = self._run_once(request)
+        except Exception:
+            # The service may have run the call. An open claim would tell
+            # callers for ever that it is in progress.
+            self._link.settle(records.ClaimSettled(claim.claim_id, True, None))
+            raise
+        executed = not _is_not_executed(outcome)
+        self._settle_claim(claim, outcome, executed)
         return outcome
 
     def _settle_claim(
@@ -291,6 +293,13 @@
         )
 
 
+def _is_not_executed(outcome: Outcome) -> bool:
+    return (
+        isinstance(outcome, refusal.Refusal)
+        and outcome.executed is refusal.Executed.NO
+    )
+
+
 def _claims_unavailable() -> refusal.Refusal:
     return refusal.claims_unavailable(refusal.Executed.NO)
 
--- a/sesamecross/entry/service_call_test.py
+++ b/sesamecross/entry/service_call_test.py
@@ -12,6 +12,7 @@
 from sesamecross.entry import state as state_lib
 from sesamecross.ops import timeline
 from sesamecross.parser import declarations
+from sesamecross.ports import http_client
 
 URLS = {
     "a": "http://127.0.0.1:1",
@@ -144,3 +145,65 @@
     expected = [records.ClaimSettled("call", True, None)] if key else []
     assert link.settled == expected
     assert dispatcher._router._open_calls == {"a": 0}
+
+
+class PartlyReachableService:
+    """Accepts no connection at some URLs."""
+
+    def __init__(self, unreachable):
+        self.urls = []
+        self._unreachable = unreachable
+
+    def call(self, call, _idempotent):
+        self.urls.append(call.url)
+        if call.url in self._unreachable:
+            return http_client.NotSent("ConnectTimeoutError")
+        return ANSWER
+
+
+@pytest.mark.parametrize("key", ["", "key"], ids=["no claim", "claim"])
+@pytest.mark.parametrize(
+    ("unreachable", "is_answered"),
+    [((URLS["a"],), True), ((URLS["b"],), True), (tuple(URLS.values()), False)],
+)
+def test_a_call_of_which_nothing_was_sent_goes_to_another_upstream(
+    key, unreachable, is_answered
+):
+    """Guards against a refusal while only the link to one upstream is cut."""
+    recorder = timeline.Recorder("e", "z", clock.ManualClock(1000))
+    state = state_lib.EntryState(recorder)
+    state._snapshot = snapshot(["a", "b"])
+    link = FakeStewardLink(state, snapshot(["a", "b"]))
+    services = PartlyReachableService(unreachable)
+    dispatcher = service_call.ServiceDispatcher(
+        "z",
+        state,
+        link,
+        services,
+        clock.ManualClock(1000),
+        recorder,
+        random.Random(1),
+    )
+    service = state.snapshot.declarations.services["orders"]
+    outcomes = [
+        dispatcher.call(
+            service_call.ServiceRequest(
+                f"call-{number}",
+                CALLER,
+                service,
+                "POST",
+                "/",
+                (),
+                b"",
+                key,
+                10**9,
+            )
+        )
+        for number in range(2)
+    ]
+    if is_answered:
+        assert outcomes == [ANSWER, ANSWER]
+    else:
+        for outcome in outcomes:
+            assert outcome.executed is refusal.Executed.NO
+    assert services.urls.count(URLS["a"]) <= 2
