A peer relays no connection to an upstream that it knows to leave

The instance that asks may have read an older list; the bound of a leave is counted from its announcement. A row of relay_test's table failed before.

--- a/sesamecross/gateway/relay.py
+++ b/sesamecross/gateway/relay.py
@@ -60,7 +60,8 @@
 
     Attributes:
       OPEN: Connected; bytes may be sent.
-      UNKNOWN: The upstream's incarnation is not known there.
+      UNKNOWN: The upstream's incarnation is not known there, or is known to
+        leave.
       UNREACHABLE: The upstream can't be reached from there either.
       BUSY: Too many connections are relayed there.
       STOPPING: The instance is about to stop.
@@ -245,7 +246,11 @@
         if len(self._open) >= MAX_RELAYED:
             return RelayAnswer.BUSY, None
         known = self._state.directory.get(request.upstream)
-        if known is None or known.entry.born_ms != request.born_ms:
+        if (
+            known is None
+            or known.entry.born_ms != request.born_ms
+            or known.is_retired
+        ):
             return RelayAnswer.UNKNOWN, None
         loop = asyncio.get_running_loop()
         now_s = loop.time()
--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -270,6 +270,10 @@
     )
 
 
+def knows_that_it_leaves(peer: Peer) -> None:
+    peer.directory.get("u1").is_leaving = True
+
+
 def finds_the_port_closed(peer: Peer) -> None:
     peer.directory.get("u1").entry = serving.Upstream(
         "u1", "s", "127.0.0.1:1", "z1", 8, False, 7
@@ -290,6 +294,7 @@
     busy,
     knows_no_upstream,
     knows_another_incarnation,
+    knows_that_it_leaves,
     finds_the_port_closed,
     is_cut_off_too,
     is_gone,
