Only recent failures make an upstream count as unreachable from an instance

A path that failed once and that no request has wanted since stayed failing, so that peers with such a path were asked last for relays and for the lease. A row of the new table failed before.

--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -324,8 +324,11 @@
         if self._is_isolated:
             self._unreachable_count = len(self._known)
         else:
+            # A path that no request has wanted since may work again.
             self._unreachable_count = sum(
-                known.others_reachability.hears > 0 for known in failing
+                known.others_reachability.hears > 0
+                and known.reachability.has_failed_recently(now_s)
+                for known in failing
             )
 
     def best_access(
--- a/sesamecross/ops/fleet/directory_test.py
+++ b/sesamecross/ops/fleet/directory_test.py
@@ -189,3 +189,16 @@
     assert directory.best_access(candidates, NOW_S) == [three]
     assert directory.best_access([one, two], NOW_S) == [one]
     assert directory.best_access([two], NOW_S) == []
+
+
+@pytest.mark.parametrize(
+    ("event", "count"), [(timed_out, 1), (timed_out_long_ago, 0), (answers, 0)]
+)
+def test_only_recent_failures_make_an_upstream_unreachable(event, count):
+    """Guards against one old failure that keeps a peer from being asked."""
+    directory = directory_of("u1", "u2")
+    one, two = directory
+    one.others_reachability = HEARD
+    event(one)
+    answers(two)
+    assert directory.unreachable_count(NOW_S) == count
