--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -214,7 +214,9 @@
             configurations,
             upstreams,
             sweeper.Sweeper(self.state, self.connection_pool, ticker),
-            reachability_monitor.ReachabilityMonitor(self.state, ticker),
+            reachability_monitor.ReachabilityMonitor(
+                self.state, self.mesh, self.forwarder.connector, ticker
+            ),
             self._reloader,
             self._joiner,
             self.mesh,
--- a/sesamecross/gateway/partition_simulation_test.py
+++ b/sesamecross/gateway/partition_simulation_test.py
@@ -18,6 +18,7 @@
 from sesamecross.fakes import samples
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import connection_pool
+from sesamecross.gateway import reachability_monitor
 from sesamecross.gateway import relay
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import upstream_connector
@@ -53,6 +54,7 @@
       keeps_open: Whether open connections live on; some streams use them.
       is_cut: Whether an instance is cut off, by its number and zone.
       upstreams_cut: Share of the upstreams that it is cut off from.
+      seed: Of all random choices.
     """
 
     instances: int
@@ -61,6 +63,7 @@
     keeps_open: bool
     is_cut: str
     upstreams_cut: float = 1.0
+    seed: int = 0
 
 
 class Network:
@@ -103,7 +106,7 @@
         self.name = f"i{number}"
         self.zone = ZONES[number % len(ZONES)]
         self.fleet = fleet
-        self.rng = random.Random(number)
+        self.rng = random.Random(number + 1000 * fleet.case.seed)
         self.state = state_lib.State(
             dataclasses.replace(
                 samples.INSTANCE, zone=self.zone, regions=REGIONS
@@ -196,7 +199,9 @@
 
 
 class _RelayClient(relay.RelayClient):
-    """Asks simulated peers."""
+    """Asks simulated peers; also knows which are alive, as a roster does."""
+
+    __slots__ = ("_instance", "me")
 
     def __init__(self, instance: Instance):
         super().__init__(
@@ -324,6 +329,15 @@
             self.longest_accusation_s, now_s - since_s + REPORT_INTERVAL_S
         )
 
+    async def verify(self, instance: Instance) -> None:
+        """Runs the periodic checks of one instance."""
+        mesh = types.SimpleNamespace(roster=instance.connector._relay_client)
+        mesh.roster.me = instance.member(0.0)
+        monitor = reachability_monitor.ReachabilityMonitor(
+            instance.state, mesh, instance.connector
+        )
+        await monitor.run()
+
     async def keep_streams(self, instance: Instance) -> None:
         """Receives events of open streams, unless the cut ends them."""
         loop = asyncio.get_running_loop()
@@ -354,6 +368,9 @@
 
     async def run(self, rate: float) -> None:
         background = [asyncio.create_task(self.exchange_reports())]
+        background += [
+            asyncio.create_task(self.verify(one)) for one in self.instances
+        ]
         if self.case.keeps_open:
             background += [
                 asyncio.create_task(self.keep_streams(one))
--- a/sesamecross/gateway/reachability_monitor.py
+++ b/sesamecross/gateway/reachability_monitor.py
@@ -7,7 +7,9 @@
 
 import asyncio
 
+from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import upstream_connector
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import reachability
 from sesamecross.runtime import logs
@@ -18,19 +20,33 @@
 
 
 class ReachabilityMonitor:
-    """Component that logs each change, at most one per upstream and check."""
+    """Component that logs each change, at most one per upstream and check.
+
+    It also has upstreams verified that only other instances can't reach.
+    """
 
     is_vital = False
     name = "reachability"
 
-    __slots__ = ("_state", "_ticker", "_log", "_unreachable_since_s")
+    __slots__ = (
+        "_state",
+        "_mesh",
+        "_connector",
+        "_ticker",
+        "_log",
+        "_unreachable_since_s",
+    )
 
     def __init__(
         self,
         state: state_lib.State,
+        mesh: mesh_lib.Mesh,
+        connector: upstream_connector.UpstreamConnector,
         ticker: ticker_lib.Ticker | None = None,
     ):
         self._state = state
+        self._mesh = mesh
+        self._connector = connector
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("reachability")
         # By the upstream's instance id.
@@ -42,10 +58,23 @@
         while True:
             await self._ticker.wait(CHECK_INTERVAL_S)
             self.check(loop.time())
+            self._verify(loop.time())
 
     async def stop(self) -> None:
         """Nothing to finish."""
 
+    def _verify(self, now_s: float) -> None:
+        roster = self._mesh.roster
+        if roster is None or self._state.directory.unreachable_count(now_s):
+            return
+        names = [
+            member.name
+            for member in roster.alive(now_s)
+            if not member.unreachable
+        ]
+        me = roster.me.name
+        self._connector.verify_accused([*names, me], me)
+
     def check(self, now_s: float) -> None:
         """Logs the upstreams whose state has changed since the last check."""
         known_ids = set()
--- a/sesamecross/gateway/reachability_monitor_test.py
+++ b/sesamecross/gateway/reachability_monitor_test.py
@@ -18,7 +18,7 @@
     known = state.directory.get("u1")
     known.others_reachability = reachability.ReachabilityCounts(hears=3)
     with structlog.testing.capture_logs() as lines:
-        monitor = reachability_monitor.ReachabilityMonitor(state)
+        monitor = reachability_monitor.ReachabilityMonitor(state, None, None)
         monitor.check(10.0)
         known.reachability.record_timeout(10.2)
         monitor.check(10.5)
--- a/sesamecross/gateway/relay.py
+++ b/sesamecross/gateway/relay.py
@@ -263,7 +263,7 @@
             async with asyncio.timeout(connection_pool.CONNECT_TIMEOUT_S):
                 upstream_side = await self._open_upstream(known)
         except OSError as error:
-            known.reachability.record_connect_error(error, loop.time())
+            known.reachability.record_connect_error(error, now_s, loop.time())
             return RelayAnswer.UNREACHABLE, None
         if upstream_side.transport.is_closing():
             return RelayAnswer.UNREACHABLE, None
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import connection_pool as connection_pool_lib
@@ -13,6 +14,10 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.runtime import logs
+from sesamecross.utils import rendezvous
+
+# How many instances probe an upstream that others find unreachable.
+VERIFIERS = 2
 
 
 class UpstreamConnector:
@@ -90,18 +95,44 @@
     ) -> client_connection.ClientConnection:
         loop = asyncio.get_running_loop()
         address = upstream.entry.address
+        began_s = loop.time()
         try:
             connection = await self._connection_pool.acquire(
-                address, loop.time(), timeout_s
+                address, began_s, timeout_s
             )
         except OSError as error:
-            upstream.reachability.record_connect_error(error, loop.time())
+            upstream.reachability.record_connect_error(
+                error, began_s, loop.time()
+            )
             self._connection_pool.close_idle(address)
             raise
         if not connection.request_count:
             upstream.reachability.record_connected(loop.time())
         return connection
 
+    def verify_accused(self, instances: Sequence[str], me: str) -> None:
+        """Probes upstreams that only other instances find unreachable.
+
+        Those may be cut off themselves, while nobody happens to use the
+        upstream. A few instances find out for all.
+
+        Args:
+          instances: Names of the live instances that reach their upstreams.
+          me: This instance's name.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for known in self._state.directory:
+            is_accused = (
+                not known.is_retired
+                and known.lapsed_s is None
+                and self._access(known, now_s) is directory.Access.UNCERTAIN
+                and not known.reachability.is_path_failing(now_s)
+            )
+            if is_accused and me in rendezvous.top(
+                f"verify/{known.entry.instance_id}", instances, VERIFIERS
+            ):
+                self._probe_if_due(known, now_s)
+
     def _probe_if_due(
         self, upstream: directory.KnownUpstream, now_s: float
     ) -> None:
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -285,8 +285,11 @@
             reachability_lib.State.REFUSED,
         ):
             self._update_isolation(now_s)
-            failed_s = known.reachability.failed_s(now_s)
-            if not self._reached_since_s <= failed_s <= self._last_reached_s:
+            began_s, ended_s = known.reachability.failure_span_s(now_s)
+            if (
+                began_s < self._reached_since_s
+                or ended_s > self._last_reached_s
+            ):
                 return reachability_lib.State.UNKNOWN
         return state
 
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -58,6 +58,8 @@
     _connected_s: float = _NEVER_S
     _lost_s: float = _NEVER_S
     _probed_s: float = _NEVER_S
+    # How long the last connection attempt that failed took.
+    _attempt_s: float = 0.0
 
     def record_contact(self, now_s: float) -> None:
         """Records an event or a response on a connection of this instance."""
@@ -79,8 +81,17 @@
         """Records a connection that was not accepted in time."""
         self._silent_s = now_s
 
-    def record_connect_error(self, error: OSError, now_s: float) -> None:
-        """Records why a connection could not be opened."""
+    def record_connect_error(
+        self, error: OSError, began_s: float, now_s: float
+    ) -> None:
+        """Records why a connection could not be opened.
+
+        Args:
+          error: How the attempt ended.
+          began_s: When it began.
+          now_s: When it ended.
+        """
+        self._attempt_s = now_s - began_s
         if isinstance(error, ConnectionRefusedError):
             self.record_refusal(now_s)
         else:
@@ -107,12 +118,13 @@
             now_s
         )
 
-    def failed_s(self, now_s: float) -> float:
-        """Returns when the upstream was last found unreachable."""
-        if self._is_quiet(now_s):
-            noticed_s = self.last_response_s + SILENCE_TIMEOUT_S
-            return max(self._last_failure_s, noticed_s)
-        return self._last_failure_s
+    def failure_span_s(self, now_s: float) -> tuple[float, float]:
+        """Returns from when to when the upstream was last unreachable."""
+        failed_s = self._last_failure_s
+        noticed_s = self.last_response_s + SILENCE_TIMEOUT_S
+        if self._is_quiet(now_s) and noticed_s > failed_s:
+            return noticed_s, noticed_s
+        return failed_s - self._attempt_s, failed_s
 
     @property
     def last_reached_s(self) -> float:
@@ -121,7 +133,7 @@
 
     def was_reached(self, now_s: float) -> bool:
         """Whether the upstream answered or accepted a connection recently."""
-        return self._hears(now_s) or now_s - self._connected_s < CONTACT_TTL_S
+        return now_s - self.last_reached_s < CONTACT_TTL_S
 
     def may_be_paused(self, now_s: float) -> bool:
         """Whether it has fallen silent so recently that it may go on."""
@@ -156,10 +168,9 @@
         return State.UNKNOWN
 
     def _hears(self, now_s: float) -> bool:
-        return (
-            self.last_response_s > self._lost_s
-            and now_s - self.last_response_s < CONTACT_TTL_S
-        )
+        """Whether it answered or accepted a connection, and lost none since."""
+        last_s = self.last_reached_s
+        return last_s > self._lost_s and now_s - last_s < CONTACT_TTL_S
 
     def _is_current(self, at_s: float, now_s: float) -> bool:
         return at_s > self.last_reached_s and now_s - at_s < FAILURE_TTL_S
