--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -337,6 +337,33 @@
     run(scenario)
 
 
+def test_a_frozen_peer_is_not_waited_for(monkeypatch):
+    """Guards against requests that hang at a peer that stands still."""
+    monkeypatch.setattr(relay, "OPEN_TIMEOUT_S", 0.2)
+
+    async def scenario() -> None:
+        entry = await start_upstream(answers(FRAMED + b"body"))
+        frozen = Peer("front-1", (entry,))
+        # Its kernel accepts connections; nobody reads them.
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen()
+            host, port = listening.getsockname()
+            frozen.member = fm.Member(
+                "front-1", 1, "z1", f"{host}:{port}", -1, -1
+            )
+            peer = Peer("front-2", (entry,))
+            await peer.start()
+            relay_client = client(frozen, peer)
+            for _ in range(4):
+                connection = await relay_client.connect(entry, TEST_TIMEOUT_S)
+                assert connection.relayed_by == "front-2"
+                connection.abort()
+            peer.end_process()
+
+    run(scenario)
+
+
 def test_without_peers_nothing_is_sent():
     async def scenario() -> None:
         entry = await start_upstream(_accept_and_count)
