--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -21,7 +21,8 @@
 from sesamecross.gateway import placement_controller
 from sesamecross.gateway import reachability_monitor
 from sesamecross.gateway import registrar
-from sesamecross.gateway import relay
+from sesamecross.gateway import relay_client
+from sesamecross.gateway import relay_server
 from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import status
@@ -149,9 +150,11 @@
         self.forwarder.connector = upstream_connector.UpstreamConnector(
             self.state,
             self.connection_pool,
-            relay.RelayClient(self.mesh, self.state, self._rng, self.metrics),
+            relay_client.RelayClient(
+                self.mesh, self.state, self._rng, self.metrics
+            ),
         )
-        self.relay_server = relay.RelayServer(self.state, self.metrics)
+        self.relay_server = relay_server.RelayServer(self.state, self.metrics)
         configurations = follower.Follower(
             client,
             adapter.configuration_topic,
--- a/sesamecross/gateway/app_report_test.py
+++ b/sesamecross/gateway/app_report_test.py
@@ -18,14 +18,14 @@
 
 
 @pytest.mark.parametrize(
-    ("reached", "accused"),
+    ("reached", "suspected"),
     [
         # Of three, one crashed; of three, none can be reached from here.
         (("u1", "u2"), ["u3"]),
         ((), []),
     ],
 )
-def test_an_instance_that_is_cut_off_accuses_no_upstream(reached, accused):
+def test_an_instance_that_is_cut_off_suspects_no_upstream(reached, suspected):
     """Guards against reports that make peers avoid sound upstreams."""
     app = app_lib.GatewayApp.from_config(
         samples.INSTANCE, program.adapter(), settings.SettingsFile("")
@@ -52,4 +52,4 @@
     with asyncio.Runner(
         loop_factory=virtual_time_loop.VirtualTimeLoop
     ) as runner:
-        assert runner.run(scenario()) == accused
+        assert runner.run(scenario()) == suspected
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -13,10 +13,10 @@
 import types
 
 import pytest
-from returns.result import Success
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.fakes import gateway_site
 from sesamecross.fakes import samples
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import app as app_lib
@@ -82,19 +82,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnchangedSettings:
-    """Settings source whose settings never change."""
-
-    instance: serving.Instance
-
-    def read(self) -> Success[bytes]:
-        return Success(b"")
-
-    def decode(self, _data: bytes) -> Success[serving.Instance]:
-        return Success(self.instance)
-
-
 class FakeUpstream:
     """An upstream that responds when the test lets it.
 
@@ -241,7 +228,7 @@
     host, port = server.sockets[0].getsockname()
     instance = dataclasses.replace(INSTANCE, bounds=bounds or INSTANCE.bounds)
     app = app_lib.GatewayApp.from_config(
-        instance, program.adapter(), UnchangedSettings(instance)
+        instance, program.adapter(), gateway_site.UnchangedSettings(instance)
     )
     app.components()
     tree = supervisor.Supervisor([app.front, *others])
@@ -583,7 +570,9 @@
     async def run_scenario() -> float:
         loop = asyncio.get_running_loop()
         app = app_lib.GatewayApp.from_config(
-            instance, program.adapter(), UnchangedSettings(instance)
+            instance,
+            program.adapter(),
+            gateway_site.UnchangedSettings(instance),
         )
         components = app.components()
         me = fm.Member("front-1", 1, "z1", "127.0.0.1:1", -1, -1)
@@ -669,7 +658,9 @@
 
     async def run_scenario():
         app = app_lib.GatewayApp.from_config(
-            INSTANCE, program.adapter(), UnchangedSettings(INSTANCE)
+            INSTANCE,
+            program.adapter(),
+            gateway_site.UnchangedSettings(INSTANCE),
         )
         tree = supervisor.Supervisor(app.components()[:1])
         tree.start()
@@ -878,7 +869,9 @@
 
     async def run_scenario() -> float:
         app = app_lib.GatewayApp.from_config(
-            instance, program.adapter(), UnchangedSettings(instance)
+            instance,
+            program.adapter(),
+            gateway_site.UnchangedSettings(instance),
         )
         app.components()
         begun_s = asyncio.get_running_loop().time()
@@ -905,7 +898,7 @@
         port = occupied.sockets[0].getsockname()[1]
         adapter = dataclasses.replace(program.adapter(), metrics_port=port)
         app = app_lib.GatewayApp.from_config(
-            INSTANCE, adapter, UnchangedSettings(INSTANCE)
+            INSTANCE, adapter, gateway_site.UnchangedSettings(INSTANCE)
         )
         listeners = [
             one
@@ -940,7 +933,9 @@
 
     async def run_scenario():
         app = app_lib.GatewayApp.from_config(
-            INSTANCE, program.adapter(), UnchangedSettings(INSTANCE)
+            INSTANCE,
+            program.adapter(),
+            gateway_site.UnchangedSettings(INSTANCE),
         )
         app.components()
         async with asyncio.timeout(TEST_TIMEOUT_S):
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -293,7 +293,7 @@
             choice.uncached_tokens,
             self._arrived_s + route.objective_s - choice.expected_s,
             send_deadline_s,
-            self._context.state.is_brittle(
+            self._context.state.has_rejection_limit(
                 choice.upstream.entry.service, started_s
             ),
         )
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -521,7 +521,7 @@
         """
         state = self._forwarder._state
         now_s = asyncio.get_running_loop().time()
-        if self._search is not None or not state.is_brittle(
+        if self._search is not None or not state.has_rejection_limit(
             upstream.entry.service, now_s
         ):
             return True
--- a/sesamecross/gateway/partition_simulation_test.py
+++ b/sesamecross/gateway/partition_simulation_test.py
@@ -19,7 +19,9 @@
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import connection_pool
 from sesamecross.gateway import reachability_monitor
-from sesamecross.gateway import relay
+from sesamecross.gateway import relay_client
+from sesamecross.gateway import relay_messages
+from sesamecross.gateway import relay_server
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import upstream_connector
 from sesamecross.ops.fleet import directory as directory_lib
@@ -183,7 +185,7 @@
         pass
 
 
-class _RelayServer(relay.RelayServer):
+class _RelayServer(relay_server.RelayServer):
     """Opens simulated connections."""
 
     def __init__(self, instance: Instance):
@@ -198,7 +200,7 @@
         return types.SimpleNamespace(transport=transport)
 
 
-class _RelayClient(relay.RelayClient):
+class _RelayClient(relay_client.RelayClient):
     """Asks simulated peers; also knows which are alive, as a roster does."""
 
     __slots__ = ("_instance", "me")
@@ -224,7 +226,7 @@
         way_s = location(self._instance.zone).round_trip_s(there.zone)
         await asyncio.sleep(way_s * HANDSHAKE_ROUND_TRIPS)
         answer, side = await there.relay_server._connect(
-            relay.RelayOpen(entry.instance_id, entry.born_ms)
+            relay_messages.RelayOpen(entry.instance_id, entry.born_ms)
         )
         if side is not None:
             now_s = asyncio.get_running_loop().time()
@@ -268,7 +270,7 @@
         self.known_members: list[fm.Member] = []
         # Since when an instance in touch has taken an upstream for down.
         self._down_since_s: dict[tuple[str, str], float] = {}
-        self.longest_accusation_s = 0.0
+        self.longest_false_suspicion_s = 0.0
         # Arrival and success of first tries, by whether its instance is cut
         # off.
         self.tries: dict[bool, list[tuple[float, bool]]] = {
@@ -313,9 +315,9 @@
                         - (state is reachability.State.REFUSED),
                     )
                     if one.name not in self.cut_off:
-                        self._record_accusation(one.name, known)
+                        self._record_suspicion(one.name, known)
 
-    def _record_accusation(
+    def _record_suspicion(
         self, instance: str, known: directory_lib.KnownUpstream
     ) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -325,8 +327,8 @@
             return
         since_s = self._down_since_s.setdefault(key, now_s)
         # Until the next report at least.
-        self.longest_accusation_s = max(
-            self.longest_accusation_s, now_s - since_s + REPORT_INTERVAL_S
+        self.longest_false_suspicion_s = max(
+            self.longest_false_suspicion_s, now_s - since_s + REPORT_INTERVAL_S
         )
 
     async def verify(self, instance: Instance) -> None:
@@ -407,7 +409,7 @@
     ids=str,
 )
 def test_instances_that_are_cut_off_serve_nearly_as_the_others(case):
-    """Guards against refusals, accusations and double runs in a partition."""
+    """Guards against refusals, false suspicions and double runs in a cut."""
 
     async def scenario() -> Fleet:
         fleet = Fleet(case)
@@ -427,9 +429,9 @@
         begin_s += 1.0
     assert served_share(fleet.tries[True], HEALED_S) > 0.95
     if case.upstreams_cut == 1.0:
-        assert fleet.longest_accusation_s == 0.0
+        assert fleet.longest_false_suspicion_s == 0.0
     else:
         # Reaching some upstreams, an instance reports those that nobody hears
         # at the moment; requests through peers put that right.
-        assert fleet.longest_accusation_s <= reachability.FAILURE_TTL_S
+        assert fleet.longest_false_suspicion_s <= reachability.FAILURE_TTL_S
     assert max(fleet.network.runs.values()) == 1
--- a/sesamecross/gateway/reachability_monitor.py
+++ b/sesamecross/gateway/reachability_monitor.py
@@ -73,7 +73,7 @@
             if not member.unreachable
         ]
         me = roster.me.name
-        self._connector.verify_accused([*names, me], me)
+        self._connector.verify_suspected([*names, me], me)
 
     def check(self, now_s: float) -> None:
         """Logs the upstreams whose state has changed since the last check."""
--- a/sesamecross/gateway/brittle_upstream_test.py
+++ b/sesamecross/gateway/rejection_limit_test.py
@@ -13,9 +13,11 @@
 HELD_S = 1.0
 
 
-@pytest.mark.parametrize("is_brittle", [True, False])
-def test_a_brittle_upstream_gets_no_more_than_it_has_slots(is_brittle):
-    """Guards against rejections that make a brittle upstream fail (LIMIT).
+@pytest.mark.parametrize("has_rejection_limit", [True, False])
+def test_an_upstream_with_a_limit_gets_no_more_than_it_has_slots(
+    has_rejection_limit,
+):
+    """Guards against rejections that make an upstream fail (LIMIT).
 
     The upstream holds its answers while both gateways have more requests for it
     than it has slots.
@@ -24,7 +26,7 @@
     async def scenario() -> tuple[int, list[tuple[str, int, str]]]:
         async with gateway_site.running_site(slots=SLOTS) as site:
             desk = site.upstreams[-1]
-            desk.rejection_limit = 2 if is_brittle else None
+            desk.rejection_limit = 2 if has_rejection_limit else None
             for gateway in site.gateways:
                 # The first answer states the limit.
                 _, status, _ = await asyncio.to_thread(
@@ -52,7 +54,7 @@
 
     most_running, results = asyncio.run(scenario())
     statuses = [status for _, status, _ in results]
-    if is_brittle:
+    if has_rejection_limit:
         assert most_running == SLOTS
         assert statuses.count(200) == SLOTS
         assert statuses.count(503) == REQUESTS - SLOTS
--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -17,7 +17,8 @@
 from sesamecross.core import hlc
 from sesamecross.core import serving
 from sesamecross.fakes import samples
-from sesamecross.gateway import relay
+from sesamecross.gateway import relay_client as relay_client_lib
+from sesamecross.gateway import relay_server
 from sesamecross.gateway import state as state_lib
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.transport import streams
@@ -68,7 +69,9 @@
         state = state_lib.State(samples.INSTANCE)
         for entry in upstreams:
             state.directory.update_entry(entry)
-        self.relay_server = relay.RelayServer(state, metrics_lib.Metrics())
+        self.relay_server = relay_server.RelayServer(
+            state, metrics_lib.Metrics()
+        )
         self.directory = state.directory
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
         self._writers: list[asyncio.StreamWriter] = []
@@ -111,8 +114,8 @@
         self.roster = _Roster(peers)
 
 
-def client(*peers: Peer) -> relay.RelayClient:
-    return relay.RelayClient(
+def client(*peers: Peer) -> relay_client_lib.RelayClient:
+    return relay_client_lib.RelayClient(
         _Mesh(peers),
         state_lib.State(samples.INSTANCE),
         random.Random(1),
@@ -257,7 +260,7 @@
 
 
 def busy(peer: Peer) -> None:
-    peer.relay_server._open = set(range(relay.MAX_RELAYED))
+    peer.relay_server._open = set(range(relay_server.MAX_RELAYED))
 
 
 def knows_no_upstream(peer: Peer) -> None:
@@ -312,7 +315,10 @@
         state(peer)
         with pytest.raises(ConnectionError):
             await client(peer).connect(entry, TEST_TIMEOUT_S)
-        assert peer.relay_server.open_connections in (0, relay.MAX_RELAYED)
+        assert peer.relay_server.open_connections in (
+            0,
+            relay_server.MAX_RELAYED,
+        )
         peer.end_process()
 
     run(scenario)
@@ -339,7 +345,7 @@
 
 def test_a_frozen_peer_is_not_waited_for(monkeypatch):
     """Guards against requests that hang at a peer that stands still."""
-    monkeypatch.setattr(relay, "OPEN_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(relay_client_lib, "OPEN_TIMEOUT_S", 0.2)
 
     async def scenario() -> None:
         entry = await start_upstream(answers(FRAMED + b"body"))
@@ -416,7 +422,7 @@
     marked += bytes(4)
     sent = marked[: len(marked) - lost]
     connection = _Connection()
-    side = relay._RelayedSide(connection)
+    side = relay_client_lib._RelayedSide(connection)
     side.start(_Stream())
     bounds = sorted({0, len(sent), *(cut for cut in cuts if cut < len(sent))})
     for begin, end in zip(bounds, bounds[1:], strict=False):
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -177,7 +177,7 @@
             self._rejection_limits[service] = (limit, now_s)
         return (known[0] if known else None) != limit
 
-    def is_brittle(self, service: str, now_s: float) -> bool:
+    def has_rejection_limit(self, service: str, now_s: float) -> bool:
         """Whether too many rejections would make a service's upstreams fail."""
         known = self._rejection_limits.get(service)
         return known is not None and now_s - known[1] < REJECTION_LIMIT_TTL_S
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -20,7 +20,8 @@
 from sesamecross.gateway import catalog as catalog_lib
 from sesamecross.gateway import follower as follower_lib
 from sesamecross.gateway import mesh as mesh_lib
-from sesamecross.gateway import relay
+from sesamecross.gateway import relay_messages
+from sesamecross.gateway import relay_server as relay_server_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_messages
@@ -83,7 +84,7 @@
         catalog: catalog_lib.Catalog,
         client: store_client.StoreClient,
         own_prefix: str,
-        relay_server: relay.RelayServer,
+        relay_server: relay_server_lib.RelayServer,
     ):
         self._mesh = mesh
         self._state = state
@@ -126,7 +127,7 @@
                             self._client, self._own_prefix, request
                         )
                         await stream.send(answer)
-                    case relay.RelayOpen():
+                    case relay_messages.RelayOpen():
                         await self._relay_server.serve(stream, request)
                         writer.close()
                         return
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -10,7 +10,7 @@
 
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import connection_pool as connection_pool_lib
-from sesamecross.gateway import relay as relay_lib
+from sesamecross.gateway import relay_client as relay_client_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.runtime import logs
@@ -35,7 +35,7 @@
         self,
         state: state_lib.State,
         connection_pool: connection_pool_lib.ConnectionPool,
-        relay_client: relay_lib.RelayClient,
+        relay_client: relay_client_lib.RelayClient,
     ):
         self._state = state
         self._connection_pool = connection_pool
@@ -55,7 +55,7 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         access = self._access(upstream, started_s)
-        if self._must_detour(upstream, access, started_s):
+        if self._must_relay(upstream, access, started_s):
             self._probe_if_due(upstream, started_s)
         else:
             if access is directory.Access.UNCERTAIN:
@@ -67,7 +67,7 @@
             except OSError:
                 now_s = loop.time()
                 access = self._access(upstream, now_s)
-                if not self._must_detour(upstream, access, now_s):
+                if not self._must_relay(upstream, access, now_s):
                     raise
         left_s = timeout_s - (loop.time() - started_s)
         return await self._relay_client.connect(upstream.entry, left_s)
@@ -77,7 +77,7 @@
     ) -> directory.Access:
         return upstream.access(now_s, self._state.directory.is_isolated(now_s))
 
-    def _must_detour(
+    def _must_relay(
         self,
         upstream: directory.KnownUpstream,
         access: directory.Access,
@@ -110,7 +110,7 @@
             upstream.reachability.record_connected(loop.time())
         return connection
 
-    def verify_accused(self, instances: Sequence[str], me: str) -> None:
+    def verify_suspected(self, instances: Sequence[str], me: str) -> None:
         """Probes upstreams that only other instances find unreachable.
 
         Those may be cut off themselves, while nobody happens to use the
@@ -122,13 +122,13 @@
         """
         now_s = asyncio.get_running_loop().time()
         for known in self._state.directory:
-            is_accused = (
+            is_suspected = (
                 not known.is_retired
                 and known.lapsed_s is None
                 and self._access(known, now_s) is directory.Access.UNCERTAIN
                 and not known.reachability.is_path_failing(now_s)
             )
-            if is_accused and me in rendezvous.top(
+            if is_suspected and me in rendezvous.top(
                 f"verify/{known.entry.instance_id}", instances, VERIFIERS
             ):
                 self._probe_if_due(known, now_s)
--- a/sesamecross/ops/fleet/directory_test.py
+++ b/sesamecross/ops/fleet/directory_test.py
@@ -77,7 +77,7 @@
     ],
 )
 def test_an_upstream_that_others_hear_is_not_down(counts, is_down):
-    """Guards against a partitioned instance that accuses sound upstreams."""
+    """Guards against sound upstreams suspected for a partitioned instance."""
     known = directory_lib.KnownUpstream(ENTRY, others_reachability=counts)
     assert known.is_down(10.0) is is_down
 
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -31,8 +31,11 @@
 requests delays no other request.
 """
 
+from collections.abc import Iterable
 import dataclasses
 import math
+from typing import Protocol
+from typing import TypeVar
 
 # Prompt tokens per second admitted to an engine: two thirds of what the engines
 # of the first deployments prefill when they do nothing else.
@@ -106,6 +109,29 @@
     refused: tuple[Key, ...]
 
 
+class _Waiting(Protocol):
+    key: Key
+    due_s: float
+
+
+_Request = TypeVar("_Request", bound=_Waiting)
+
+
+def in_turn(waiting: Iterable[_Request], now_s: float) -> list[_Request]:
+    """Returns the waiting requests in the order of their turns.
+
+    Those that can still be on time go first, by earliest due time.
+    """
+    return sorted(
+        waiting,
+        key=lambda request: (
+            request.due_s < now_s,
+            request.due_s,
+            request.key,
+        ),
+    )
+
+
 class Pacer:
     """Prompts queued for and sent to one engine. Deterministic."""
 
@@ -183,14 +209,7 @@
         return tuple(request.key for request in self._in_order(now_s))
 
     def _in_order(self, now_s: float) -> list[_WaitingRequest]:
-        return sorted(
-            self._waiting.values(),
-            key=lambda request: (
-                request.due_s < now_s,
-                request.due_s,
-                request.key,
-            ),
-        )
+        return in_turn(self._waiting.values(), now_s)
 
     def grant(self, batch: Batch, now_s: float) -> Decisions:
         """Returns the requests that may be sent now, and those refused."""
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -27,8 +27,7 @@
 # A sound upstream may pause for a second and go on. One heard this recently is
 # given the time to do so before it counts as lost.
 PAUSE_TIMEOUT_S = 2.0
-# While requests make a detour around a failing path, a connection is tried this
-# often.
+# While requests go by way of peers, a connection is tried this often.
 PROBE_INTERVAL_S = 1.0
 _NEVER_S = -math.inf
 
--- a/sesamecross/ops/fleet/slot_limiter.py
+++ b/sesamecross/ops/fleet/slot_limiter.py
@@ -65,17 +65,8 @@
 
     def waiting(self, now_s: float) -> tuple[pacer.Key, ...]:
         """Returns the waiting requests in the order of their turns."""
-        return tuple(request.key for request in self._in_order(now_s))
-
-    def _in_order(self, now_s: float) -> list[_WaitingRequest]:
-        return sorted(
-            self._waiting.values(),
-            key=lambda request: (
-                request.due_s < now_s,
-                request.due_s,
-                request.key,
-            ),
-        )
+        turns = pacer.in_turn(self._waiting.values(), now_s)
+        return tuple(request.key for request in turns)
 
     def grant(self, batch: pacer.Batch, now_s: float) -> pacer.Decisions:
         """Returns the requests that may be sent now, and those refused."""
@@ -86,7 +77,7 @@
         used = max(len(self._admitted), int(batch.running))
         granted = []
         refused = []
-        for request in self._in_order(now_s):
+        for request in pacer.in_turn(self._waiting.values(), now_s):
             if now_s >= request.until_s:
                 refused.append(request.key)
             elif used + len(granted) < max(1, batch.slots):
--- a/sesamecross/ops/fleet/slot_limiter_test.py
+++ b/sesamecross/ops/fleet/slot_limiter_test.py
@@ -105,8 +105,8 @@
 
 @pytest.mark.parametrize("instances", [8, 195])
 @pytest.mark.parametrize("seed", range(20))
-def test_a_brittle_upstream_rejects_nothing(instances, seed):
-    """Guards against rejections that make a brittle upstream fail (LIMIT)."""
+def test_an_upstream_whose_slots_are_limited_rejects_nothing(instances, seed):
+    """Guards against rejections that make an upstream fail (LIMIT)."""
     upstream = simulate(instances, 20.0, seed, is_limited=True, loss=0.02)
     assert upstream.rejected_s == []
     assert upstream.served > 30
@@ -131,7 +131,7 @@
     ("running", "until_s", "granted", "refused"),
     [
         (0, 5.0, 1, 0),
-        # Sent without an admission, before the upstream said it is brittle.
+        # Sent without an admission, before the upstream stated its limit.
         (SLOTS, 5.0, 0, 0),
         (SLOTS, 1.0, 0, 1),
     ],
