A suspected engine must answer to count as heard, not only accept a connection

Found by reading, before it was seen: since an accepted connection counted as hearing an upstream. An engine that stands still accepts connections as well (its kernel does), so each new request would have renewed the word that it is alive, and others would have gone on sending to it. An accepted connection now says nothing of the process; the two instances that verify ask an engine for its report.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -147,12 +147,14 @@
         self.mesh = mesh_lib.Mesh(
             self.state, self._build_report, self.metrics, ticker
         )
+        engines = engine_client.EngineClient(adapter.http_codec, self.metrics)
         self.forwarder.connector = upstream_connector.UpstreamConnector(
             self.state,
             self.connection_pool,
             relay_client.RelayClient(
                 self.mesh, self.state, self._rng, self.metrics
             ),
+            engines.report,
         )
         self.relay_server = relay_server.RelayServer(self.state, self.metrics)
         configurations = follower.Follower(
@@ -186,7 +188,6 @@
                 asyncio.get_running_loop().time()
             ),
         )
-        engines = engine_client.EngineClient(adapter.http_codec, self.metrics)
         controller = placement_controller.PlacementController(
             self.state, self.mesh, self.lease, engines, self.metrics, ticker
         )
--- a/sesamecross/gateway/partition_simulation_test.py
+++ b/sesamecross/gateway/partition_simulation_test.py
@@ -118,7 +118,7 @@
             self.state.directory.update_entry(entry)
         self.relay_server = _RelayServer(self)
         self.connector = upstream_connector.UpstreamConnector(
-            self.state, _Pool(self), _RelayClient(self)
+            self.state, _Pool(self), _RelayClient(self), None
         )
 
     def member(self, now_s: float) -> fm.Member:
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -6,8 +6,13 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
+from typing import Any
 
+from sesamecross.core import serving
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import relay_client as relay_client_lib
@@ -16,6 +21,7 @@
 from sesamecross.runtime import logs
 from sesamecross.utils import rendezvous
 
+AskEngine = Callable[[serving.Upstream], Awaitable[serving.EngineReport | None]]
 # How many instances probe an upstream that others find unreachable.
 VERIFIERS = 2
 
@@ -27,6 +33,7 @@
         "_state",
         "_connection_pool",
         "_relay_client",
+        "_ask_engine",
         "_log",
         "_probes",
     )
@@ -36,10 +43,20 @@
         state: state_lib.State,
         connection_pool: connection_pool_lib.ConnectionPool,
         relay_client: relay_client_lib.RelayClient,
+        ask_engine: AskEngine,
     ):
+        """Initializes the connector.
+
+        Args:
+          state: The known upstreams.
+          connection_pool: Idle connections to them.
+          relay_client: Connects by way of peers.
+          ask_engine: Requests an engine's report; None without an answer.
+        """
         self._state = state
         self._connection_pool = connection_pool
         self._relay_client = relay_client
+        self._ask_engine = ask_engine
         self._log = logs.get_logger("connector")
         self._probes: set[asyncio.Task] = set()
 
@@ -131,7 +148,33 @@
             if is_suspected and me in rendezvous.top(
                 f"verify/{known.entry.instance_id}", instances, VERIFIERS
             ):
-                self._probe_if_due(known, now_s)
+                self._verify_if_due(known, now_s)
+
+    def _verify_if_due(
+        self, upstream: directory.KnownUpstream, now_s: float
+    ) -> None:
+        if upstream.reachability.take_probe(now_s):
+            self._spawn(self._verify(upstream))
+
+    async def _verify(self, upstream: directory.KnownUpstream) -> None:
+        """Records a contact if the upstream turns out to be alive.
+
+        An engine must answer: one that stands still accepts connections too.
+        """
+        if self._is_engine(upstream):
+            is_alive = await self._ask_engine(upstream.entry) is not None
+        else:
+            is_alive = await self._probe(upstream)
+        if is_alive:
+            now_s = asyncio.get_running_loop().time()
+            upstream.reachability.record_contact(now_s)
+
+    def _is_engine(self, upstream: directory.KnownUpstream) -> bool:
+        configuration = self._state.configuration
+        if configuration is None:
+            return False
+        service = configuration.services.get(upstream.entry.service)
+        return service is not None and service.engine is not None
 
     def _probe_if_due(
         self, upstream: directory.KnownUpstream, now_s: float
@@ -139,12 +182,19 @@
         if upstream.reachability.take_probe(now_s):
             # Idle connections may be dead, and would look like a success.
             self._connection_pool.close_idle(upstream.entry.address)
-            probe = asyncio.create_task(self._probe(upstream))
-            self._probes.add(probe)
-            probe.add_done_callback(self._probes.discard)
+            self._spawn(self._probe(upstream))
 
-    async def _probe(self, upstream: directory.KnownUpstream) -> None:
-        """Tries a connection, which serves a later request if it succeeds."""
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        probe = asyncio.create_task(work)
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self, upstream: directory.KnownUpstream) -> bool:
+        """Tries a connection, which serves a later request if it succeeds.
+
+        Returns:
+          Whether it was accepted.
+        """
         try:
             connection = await self._connect_directly(
                 upstream, connection_pool_lib.CONNECT_TIMEOUT_S
@@ -155,6 +205,7 @@
                 upstream=upstream.entry.instance_id,
                 why=str(error) or type(error).__name__,
             )
-            return
+            return False
         self._connection_pool.release(upstream.entry.address, connection)
         self._log.info("path works", upstream=upstream.entry.instance_id)
+        return True
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -167,9 +167,14 @@
         return State.UNKNOWN
 
     def _hears(self, now_s: float) -> bool:
-        """Whether it answered or accepted a connection, and lost none since."""
-        last_s = self.last_reached_s
-        return last_s > self._lost_s and now_s - last_s < CONTACT_TTL_S
+        """Whether it answered, and lost no connection since.
+
+        An accepted connection says nothing of the process: its kernel accepts.
+        """
+        return (
+            self.last_response_s > self._lost_s
+            and now_s - self.last_response_s < CONTACT_TTL_S
+        )
 
     def _is_current(self, at_s: float, now_s: float) -> bool:
         return at_s > self.last_reached_s and now_s - at_s < FAILURE_TTL_S
--- a/sesamecross/ops/fleet/reachability_test.py
+++ b/sesamecross/ops/fleet/reachability_test.py
@@ -52,7 +52,7 @@
         (refusal_after_contact, State.REFUSED, True),
         # Open connections live on while new ones fail.
         (contact_after_refusal, State.HEARS, True),
-        (accepted_after_timeout, State.HEARS, False),
+        (accepted_after_timeout, State.UNKNOWN, False),
     ],
 )
 def test_open_connections_and_new_ones_are_judged_apart(
