Known red: a false suspicion of 2.4 s in a partial cut (simulation, seed 21)

One of 50 seeds by hand, on and on: with instances cut off from half of the upstreams, one that nobody uses stays suspected for 2.4 s at an instance in touch, over the bound of 1.5 s; first tries are served everywhere all the while. Not traced further: the instances chosen to verify it may not have reported yet that they are cut off themselves is only a guess. Check, bound and seed stay.

--- a/sesamecross/gateway/partition_simulation_test.py
+++ b/sesamecross/gateway/partition_simulation_test.py
@@ -402,6 +402,7 @@
         Case(8, 9, "refused", True, "most"),
         Case(8, 9, "silent", True, "zone"),
         Case(8, 9, "silent", False, "most", upstreams_cut=0.5),
+        Case(8, 9, "silent", False, "most", upstreams_cut=0.5, seed=21),
         Case(195, 42, "silent", False, "some"),
         Case(195, 42, "refused", True, "zone"),
         Case(195, 42, "silent", False, "most"),
