Isolation is told from the newest contact, without another pass over upstreams

The time of the newest contact with any upstream was worked out just above, and then all upstreams were asked again whether one had been reached lately; this runs ten times a second on each instance.

--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -320,9 +320,9 @@
         if gap_s > reachability_lib.CONTACT_TTL_S:
             self._reached_since_s = last_reached_s
         self._last_reached_s = last_reached_s
-        self._is_isolated = len(failing) >= ISOLATION_MIN_UPSTREAMS and not any(
-            known.reachability.was_reached(now_s)
-            for known in self._known.values()
+        self._is_isolated = (
+            len(failing) >= ISOLATION_MIN_UPSTREAMS
+            and now_s - last_reached_s >= reachability_lib.CONTACT_TTL_S
         )
         if self._is_isolated:
             self._unreachable_count = len(self._known)
