Logs of a stream: the software versions that sent it, and what it resumes

A caller's id of the attempt that brought the first event is decoded too. A request's line says which versions sent events (more than one: a retry within one answer), and which attempt and event a caller resumes. No choice changes.

--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -180,6 +180,7 @@
       born_ms: Wall-clock start time as reported by the upstream; 0 if unknown.
         Together with `instance_id` it identifies the incarnation.
       remaining_s: Time until it terminates, if it has announced that.
+      version: The version of its software, not of a model's weights.
     """
 
     instance_id: str
@@ -192,6 +193,7 @@
     models: tuple[ResidentModel, ...] = ()
     copies: WeightCopies = WeightCopies()
     remaining_s: float | None = None
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,6 +266,8 @@
         None if it did not say.
       last_event_id: Event after which a caller resumes a stream, or empty.
       call: Set if the request names a model.
+      first_attempt_id: Id of the caller's attempt that brought the first event
+        of the stream that it resumes, or empty.
     """
 
     method: bytes
@@ -275,6 +279,7 @@
     deadline_s: float | None
     last_event_id: str
     call: ModelCall | None
+    first_attempt_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -134,6 +134,7 @@
                 leaving=entry.is_leaving,
                 remaining_s=entry.remaining_s,
                 born=entry.born_ms,
+                version=entry.version,
                 models=sorted(held.name for held in entry.models),
             )
 
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -29,6 +29,8 @@
       last_event_id: Id of the last event that had one, or empty.
       upstream: The engine that sends the events; None if the request is not
         for a model.
+      upstream_version: Software version of the upstream that sends the events.
+      versions: The software versions that sent events so far, in order.
       on_first_event: Called once, at the next event.
       first_event_s: Loop time of the first event, or None.
       max_gap_s: The longest pause between events so far.
@@ -39,6 +41,8 @@
         "event_count",
         "last_event_id",
         "upstream",
+        "upstream_version",
+        "versions",
         "on_first_event",
         "first_event_s",
         "max_gap_s",
@@ -57,6 +61,8 @@
         self.max_gap_at_s = 0.0
         self._last_event_s = 0.0
         self.upstream: directory.KnownUpstream | None = None
+        self.upstream_version = ""
+        self.versions: list[str] = []
         self.on_first_event: Callable[[], None] | None = None
         self._response_writer = response_writer
         self._head: tuple[int, list[serving.Header]] | None = None
@@ -106,6 +112,8 @@
         if self.on_first_event is not None:
             self.on_first_event()
             self.on_first_event = None
+        if self.versions[-1:] != [self.upstream_version]:
+            self.versions.append(self.upstream_version)
         self._record_event_ids(complete_events)
         if self._response_writer.is_started:
             self._response_writer.send_chunk(complete_events)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -40,6 +40,8 @@
 START_WAIT_S = 0.5
 # How long a request waits for a slot on a route without a latency objective.
 SLOT_WAIT_S = 0.5
+# Longest id of a caller that is logged.
+_MAX_LOGGED_ID = 64
 # A request that waited longer than this for its model is late for that reason
 # and says nothing about whether the model's engines keep up.
 LATENESS_MAX_MODEL_WAIT_S = 0.1
@@ -157,6 +159,7 @@
             caller_info.deadline_s,
             caller_info.last_event_id,
             caller_info.call,
+            caller_info.first_attempt_id,
         )
 
     def on_rejected(self, status: int, reason: str) -> None:
@@ -611,6 +614,8 @@
         headers = self._forwarder._http_codec.upstream_request_headers(
             request, forward_context
         )
+        if self._relay is not None:
+            self._relay.upstream_version = entry.version
         self._connection = connection
         self._history.sends += 1
         self._history.possibly_ran_at.add(entry.instance_id)
@@ -746,6 +751,7 @@
             via=self._relayed_by,
             config=self._forwarder._state.version,
             **self._refusal_fields(outcome),
+            **self._stream_fields(),
             **self._engine_fields(),
         )
 
@@ -758,6 +764,16 @@
             fields |= self._search.refusal_fields()
         return fields
 
+    def _stream_fields(self) -> dict[str, object]:
+        """Returns which software versions sent events, and what is resumed."""
+        if self._relay is None:
+            return {}
+        fields: dict[str, object] = {"versions": self._relay.versions}
+        if self._request.last_event_id or self._request.first_attempt_id:
+            fields["resumes"] = self._request.first_attempt_id[:_MAX_LOGGED_ID]
+            fields["after"] = self._request.last_event_id[:_MAX_LOGGED_ID]
+        return fields
+
     def _engine_fields(self) -> dict[str, object]:
         """Returns the engine selection and event timing of a model request."""
         if self._search is None:
--- a/sesamecross/platform/catalog.py
+++ b/sesamecross/platform/catalog.py
@@ -101,6 +101,8 @@
     address: str
     zone: str
     state: str
+    # Of its software; an integer `version` is that of a model's weights.
+    version: str
     slots: untrusted.Positive = 1
     born: untrusted.NonNegative = 0
     models: list[WireResidentModel] = []
@@ -224,6 +226,7 @@
         resident_models(wire.models),
         weight_copies(wire.available),
         remaining_s,
+        wire.version,
     )
 
 
--- a/sesamecross/platform/catalog_test.py
+++ b/sesamecross/platform/catalog_test.py
@@ -38,6 +38,7 @@
     "address": "10.0.0.9:80",
     "zone": "z1",
     "state": "ready",
+    "version": "v1",
     "slots": 4,
     "born": 1_700_000_000_000,
     "models": [{"name": "m", "adapters": ["a1@2"]}],
@@ -112,6 +113,7 @@
     upstream = catalog.decode_upstream("u1", _encode(UPSTREAM))
     assert (upstream.address, upstream.slots) == ("10.0.0.9:80", 4)
     assert upstream.models[0].adapters == {"a1"}
+    assert upstream.version == "v1"
 
 
 INVALID_CONFIGURATIONS = [
@@ -165,6 +167,8 @@
             {"born": TOO_LARGE},
             {"born": -1},
             {"zone": None},
+            {"version": None},
+            {"version": 1},
         )
     ),
 ]
--- a/sesamecross/platform/headers.py
+++ b/sesamecross/platform/headers.py
@@ -16,6 +16,8 @@
 _MODEL = b"model"
 _PROMPT_PREFIX = b"prompt-prefix"
 _LAST_EVENT_ID = b"last-event-id"
+# Names an attempt, not an event.
+_RESUMES = b"resumes"
 _SIGNATURE = b"response-signature"
 _NOT_EXECUTED = b"not-executed"
 _INSTANCE_ID = b"instance-id"
@@ -68,6 +70,7 @@
         _parse_deadline_s(by_name.get(_DEADLINE_MS)),
         by_name.get(_LAST_EVENT_ID, b"").decode("latin-1"),
         _parse_model_call(by_name),
+        by_name.get(_RESUMES, b"").decode("latin-1"),
     )
 
 
@@ -139,7 +142,16 @@
     # A caller must not be able to remove the headers that identify its
     # request and what it asks for.
     return frozenset(
-        names - {_REQUEST_ID, b"host", _MODEL, _TOKEN_USAGE, _PROMPT_PREFIX}
+        names
+        - {
+            _REQUEST_ID,
+            b"host",
+            _MODEL,
+            _TOKEN_USAGE,
+            _PROMPT_PREFIX,
+            _LAST_EVENT_ID,
+            _RESUMES,
+        }
     )
 
 
--- a/sesamecross/ports/http_codec.py
+++ b/sesamecross/ports/http_codec.py
@@ -21,12 +21,15 @@
         did not say.
       last_event_id: Event after which it resumes a stream, or empty.
       call: Set if the request names a model.
+      first_attempt_id: Id of the caller's attempt that brought the first event
+        of the stream that it resumes, or empty.
     """
 
     request_id: str
     deadline_s: float | None
     last_event_id: str
     call: serving.ModelCall | None
+    first_attempt_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
