--- a/sesamecross/fakes/gateway_site.py
+++ b/sesamecross/fakes/gateway_site.py
@@ -112,13 +112,19 @@
                 known.entry, address="127.0.0.1:1"
             )
 
-    async def wait_ready(self, peers: int) -> None:
+    def kill(self) -> None:
+        """Ends it without a word, as far as others can tell."""
+        for connection in list(self.app.front.connections):
+            connection.abort()
+        self.app.mesh.transport.close()
+
+    async def wait_ready(self, upstreams: int, peers: int) -> None:
         """Waits until it knows the configuration, upstreams and peers."""
         state = self.app.state
         async with asyncio.timeout(TEST_TIMEOUT_S):
             while not (
                 state.is_ready
-                and len(state.directory) == len(SERVICES)
+                and len(state.directory) == upstreams
                 and state.instance_count == 1 + peers
             ):
                 await asyncio.sleep(0.02)
@@ -127,31 +133,46 @@
 class Site:
     """A store, one upstream per service, and gateways."""
 
-    def __init__(self, gateways: int, slots: int):
+    def __init__(self, gateways: int, slots: int, streams_resumable: bool):
         self.store = platform_store.PlatformStore("127.0.0.1:0")
         self.store.start()
-        self.store.publish(platform_site.configuration(1))
-        self.upstreams = [
-            platform_upstream.PlatformUpstream(
-                self.store,
-                f"i-{service}",
-                service,
-                ZONE,
-                (platform_caller.MODEL,)
-                if service == platform_site.WRITERS
-                else (),
-                slots=slots,
-            )
-            for service in SERVICES
-        ]
-        for upstream in self.upstreams:
-            upstream.release_answers()
-            upstream.start()
+        self.store.publish(
+            platform_site.configuration(1, streams_resumable=streams_resumable)
+        )
+        self._slots = slots
+        self.upstreams: list[platform_upstream.PlatformUpstream] = []
+        for service in SERVICES:
+            self.add_upstream(service).release_answers()
         self.gateways = [
             Gateway(f"front-{number}", self.store.server.address)
             for number in range(gateways)
         ]
 
+    def add_upstream(
+        self, service: str, version: str = platform_upstream.VERSION
+    ) -> platform_upstream.PlatformUpstream:
+        """Starts another upstream of a service; engines hold the model."""
+        is_engine = service == platform_site.WRITERS
+        upstream = platform_upstream.PlatformUpstream(
+            self.store,
+            f"i-{service}-{len(self.upstreams)}",
+            service,
+            ZONE,
+            (platform_caller.MODEL,) if is_engine else (),
+            slots=self._slots,
+            version=version,
+        )
+        upstream.start()
+        self.upstreams.append(upstream)
+        return upstream
+
+    async def wait_ready(self) -> None:
+        """Waits until all gateways know all upstreams and each other."""
+        for gateway in self.gateways:
+            await gateway.wait_ready(
+                len(self.upstreams), len(self.gateways) - 1
+            )
+
     def shut_down(self) -> None:
         """Stops the upstreams and the store."""
         for upstream in self.upstreams:
@@ -165,20 +186,20 @@
 
 @contextlib.asynccontextmanager
 async def running_site(
-    gateways: int = 2, slots: int = 16
+    gateways: int = 2, slots: int = 16, streams_resumable: bool = False
 ) -> AsyncIterator[Site]:
     """Runs a site until the end of the context.
 
     Args:
       gateways: How many gateways it has.
       slots: How many requests each upstream runs at the same time.
+      streams_resumable: Whether a stream may go on at another upstream.
     """
-    site = Site(gateways, slots)
+    site = Site(gateways, slots, streams_resumable)
     try:
         for gateway in site.gateways:
             gateway.tree.start()
-        for gateway in site.gateways:
-            await gateway.wait_ready(gateways - 1)
+        await site.wait_ready()
         yield site
         for gateway in site.gateways:
             for connection in list(gateway.app.front.connections):
--- a/sesamecross/fakes/platform_caller.py
+++ b/sesamecross/fakes/platform_caller.py
@@ -6,12 +6,14 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import http.client
 import itertools
 import os
 import socket
+import types
 
 from sesamecross.fakes import platform_upstream
 
@@ -90,13 +92,17 @@
         return connection
 
     def send_head(
-        self, for_model: bool = False, wait_for_continue: bool = False
+        self,
+        for_model: bool = False,
+        wait_for_continue: bool = False,
+        headers: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         """Sends the head.
 
         Args:
           for_model: Whether the request is for a model.
           wait_for_continue: Whether to wait until the gateway has read it.
+          headers: Further headers.
         """
         send = self.connection.putheader
         self.connection.putrequest(
@@ -110,6 +116,8 @@
             send("Model", MODEL)
             send("Token-Usage", "60,50")
             send("Prompt-Prefix", f"5c1e07a2:40,{self.request_id}:20")
+        for name, value in headers.items():
+            send(name, value)
         if wait_for_continue:
             send("Expect", "100-continue")
         self.connection.endheaders()
@@ -124,10 +132,14 @@
                 raise ConnectionError("closed before 100 Continue")
             received += chunk
 
-    def send(self, for_model: bool = False) -> None:
+    def send(
+        self,
+        for_model: bool = False,
+        headers: Mapping[str, str] = types.MappingProxyType({}),
+    ) -> None:
         """Sends the complete request."""
         with self._ignore_send_errors():
-            self.send_head(for_model)
+            self.send_head(for_model, headers=headers)
             self.connection.send(self.body)
 
     def send_half(self) -> None:
--- a/sesamecross/fakes/platform_site.py
+++ b/sesamecross/fakes/platform_site.py
@@ -49,7 +49,10 @@
 
 
 def route(
-    service: str, timeout_share: float, path_prefix: str = ""
+    service: str,
+    timeout_share: float,
+    path_prefix: str = "",
+    is_resumable: bool = False,
 ) -> dict[str, Any]:
     """Returns a route to a service, on its usual path or another prefix."""
     return {
@@ -58,7 +61,8 @@
         "pathPrefix": path_prefix or PATHS[service].rpartition("/")[0] + "/",
         "kind": KINDS[service],
         "service": service,
-        "maxAttempts": 1,
+        "maxAttempts": 2 if is_resumable else 1,
+        "resumable": is_resumable,
         "timeoutMs": TIMEOUTS_MS[service] * timeout_share,
         "targetLatencyMs": 500,
         "targetGapMs": 250 if service == WRITERS else 0,
@@ -73,9 +77,18 @@
     idle_ms: int = IDLE_MS,
     without: tuple[str, ...] = (),
     more_routes: int = 0,
+    streams_resumable: bool = False,
 ) -> dict[str, Any]:
     """Returns a complete configuration, as operators write it."""
-    routes = [route(one, timeout_share) for one in PATHS if one not in without]
+    routes = [
+        route(
+            one,
+            timeout_share,
+            is_resumable=streams_resumable and one == WRITERS,
+        )
+        for one in PATHS
+        if one not in without
+    ]
     routes.extend(
         route(DESK, timeout_share, f"/more/{number}/")
         for number in range(more_routes)
--- a/sesamecross/fakes/platform_upstream.py
+++ b/sesamecross/fakes/platform_upstream.py
@@ -5,9 +5,11 @@
 until the test releases it, so nothing depends on time. It records which
 requests ran, and whether a connection was closed before the answer's end.
 
-A request that names a model is answered by a stream of events, any other one
-by a plain answer. Orders are answered as by an engine, and loads are complete
-at once; an unload waits for the streams that use its target.
+A request that names a model is answered by a stream of events, each of which
+names the upstream's version; any other one by a plain answer. A stream is
+resumed after any event, also one that another version sent: nothing is checked.
+Orders are answered as by an engine, and loads are complete at once; an unload
+waits for the streams that use its target.
 """
 
 import collections
@@ -28,6 +30,8 @@
 EVENT_COUNT = 10
 # Events that are sent before the test releases the rest.
 EVENTS_BEFORE_HOLD = 5
+# The software version of upstreams for which a test states none.
+VERSION = "1"
 _POLL_INTERVAL_S = 0.01
 # Everything fits: tests of memory limits use the simulated engine directly.
 _UNLIMITED_CAPACITY = simulated_engine.EngineCapacity(
@@ -76,6 +80,7 @@
         models: tuple[str, ...] = (),
         answer_bytes: int = 200,
         slots: int = 16,
+        version: str = VERSION,
     ):
         """Creates the upstream; `start` serves.
 
@@ -87,6 +92,7 @@
           models: The models that it holds, if it is an engine.
           answer_bytes: The length of a plain answer.
           slots: The requests that it runs at the same time, by its entry.
+          version: The version of its software.
         """
         super().__init__(instance_id, "127.0.0.1:0", threads=16)
         self.instance_id = instance_id
@@ -99,12 +105,14 @@
         )
         self._answer_bytes = answer_bytes
         self._slots = slots
+        self._version = version
         self.rejection_limit: int | None = None
         self.most_running = 0
         self._running = 0
         self._born_ms = int(time.time() * 1000)
         self._lock = threading.Lock()
         self._released = threading.Event()
+        self._is_crashed = False
         self.route("GET", "/v1/report", self._report)
         self.route("POST", "/v1/order", self._order)
         self.route("GET", "/health", self._health)
@@ -121,6 +129,11 @@
         self.release_answers()
         self.server.shut_down()
 
+    def crash(self) -> None:
+        """Cuts all streams and stops; the entry in the store stays."""
+        self._is_crashed = True
+        self.server.shut_down()
+
     def register(self, state: str = "ready") -> None:
         """Writes its entry: `ready`, or `draining` if it leaves."""
         self._store.write(
@@ -130,7 +143,7 @@
                 "service": self._service,
                 "address": self.server.address,
                 "zone": self._zone,
-                "version": "1",
+                "version": self._version,
                 "slots": self._slots,
                 "state": state,
                 "coldRemainingMs": 0,
@@ -219,7 +232,7 @@
             request.path,
             body,
             f"{self.instance_id}.{request_id}",
-            b"".join(_events(request_id))
+            b"".join(self._events(request))
             if is_stream
             else _plain_answer(request_id, self._answer_bytes),
         )
@@ -236,7 +249,8 @@
             target = request.header("Model")
             headers["Content-Type"] = "text/event-stream"
             headers["Weight-Versions"] = "1"
-            stream = self._stream(run, caller_socket, target)
+            events = self._events(request)
+            stream = self._stream(run, events, caller_socket, target)
             return base.Response(stream, headers=headers)
         with self._lock:
             self._running += 1
@@ -246,16 +260,26 @@
             self._running -= 1
         return base.Response(run.answer, headers=headers)
 
+    def _events(self, request: base.Request) -> list[bytes]:
+        """Returns the events of a stream from where it is resumed."""
+        events = _events(request.header("Request-Id"), self._version)
+        return events[int(request.header("Last-Event-Id", "0")) :]
+
     def _stream(
-        self, run: Run, caller_socket: socket.socket, target: str
+        self,
+        run: Run,
+        events: list[bytes],
+        caller_socket: socket.socket,
+        target: str,
     ) -> Iterator[bytes]:
-        events = _events(run.request_id)
         is_complete = False
         with self._lock:
             self._engine.begin_request(target)
         try:
             yield b"".join(events[:EVENTS_BEFORE_HOLD])
             self._wait_until_released(run, caller_socket)
+            if self._is_crashed:
+                return
             yield from events[EVENTS_BEFORE_HOLD:]
             is_complete = True
         finally:
@@ -269,6 +293,9 @@
     ) -> None:
         """Waits until the test releases it, or the connection is closed."""
         while not self._released.wait(_POLL_INTERVAL_S):
+            if self._is_crashed:
+                caller_socket.shutdown(socket.SHUT_RDWR)
+                return
             if _is_closed(caller_socket):
                 run.is_cut = True
                 return
@@ -289,9 +316,9 @@
     return b"".join(_events(request_id)[:EVENTS_BEFORE_HOLD])
 
 
-def _events(request_id: str) -> list[bytes]:
+def _events(request_id: str, version: str = VERSION) -> list[bytes]:
     return [
-        f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+        f"id: {number}\ndata: {request_id} {number} {version}\n\n".encode()
         for number in range(1, EVENT_COUNT + 1)
     ]
 
