Models are loaded at the software version whose streams wait for them

Callers of a stream that may go on only at one software version were to be told that its model is loaded nowhere, as long as only engines of another version hold it: the lease holder sees a model with a replica and does nothing (LOST).

A placement request may name a version. The plan then adds a replica at the engine of that version with the least loss and delay, evicts nothing of which more than two requests a second depend on the room (a stream that goes on has a part of its answer already), and neither moves nor evicts that replica while streams wait for it. Tests: placement_target_test (free room, idle models make way, busy ones do not, held already, the demand not yet known).

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -203,6 +203,8 @@
 
     Attributes:
       upstream: Where to load an adapter; if empty, the holder chooses.
+      version: The software version that an engine must have; empty if any
+        engine will do.
     """
 
     me: Member
@@ -210,6 +212,7 @@
     service: str
     target: str
     upstream: str
+    version: str = ""
 
 
 class AdmissionRequest(
@@ -285,6 +288,81 @@
     lease: LeaseAnnouncement
 
 
+class Origin(msgspec.Struct, frozen=True, array_like=True):
+    """Where a stream began that its caller may resume.
+
+    Attributes:
+      key: Stands for the caller's attempt that brought the first event.
+      version: The software version of the upstream.
+      life_s: For how long the stream may still be resumed.
+    """
+
+    key: bytes
+    service: str
+    version: str
+    life_s: float
+
+
+class OriginRecord(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=10
+):
+    """Tells a keeper of streams where they began."""
+
+    me: Member
+    number: int
+    origins: list[Origin]
+
+
+class OriginQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=11
+):
+    """Asks a keeper where a stream began that a caller resumes.
+
+    Attributes:
+      services: Those that may have begun it.
+      life_s: For how long a stream may be resumed.
+    """
+
+    me: Member
+    number: int
+    key: bytes
+    services: list[str]
+    life_s: float
+
+
+class SeenVersions(msgspec.Struct, frozen=True, array_like=True):
+    """The versions of a service that can have begun a stream.
+
+    Attributes:
+      is_complete: Whether the instance would have seen any other.
+    """
+
+    service: str
+    versions: list[str]
+    is_complete: bool
+
+
+class OriginReply(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=12
+):
+    """The reply to an origin query.
+
+    Attributes:
+      service, version: Where the stream began; empty if that is unknown, or if
+        two streams have its id.
+      age_s: For how long the keeper has known it.
+      seen: What can have begun it, if it is unknown.
+    """
+
+    me: Member
+    number: int
+    is_known: bool
+    service: str = ""
+    version: str = ""
+    age_s: float = 0.0
+    seen: list[SeenVersions] = []
+
+
 Message = (
     Report
     | Summary
@@ -295,6 +373,9 @@
     | AdmissionReply
     | AdmissionRelease
     | LeaseRelease
+    | OriginRecord
+    | OriginQuery
+    | OriginReply
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -100,6 +100,9 @@
             lambda: self._wake.set(),
         )
         self._placement_requests: dict[tuple[str, str, str], float] = {}
+        # The same for models that an engine of one version must hold, by
+        # service, model and version.
+        self._version_requests: dict[tuple[str, str, str], float] = {}
         self._publisher = placement_publisher.PlacementPublisher(state, mesh)
         self._demand_history = demand_history.DemandHistory()
         self._budgets: dict[str, load_budget.LoadBudget] = {}
@@ -166,26 +169,38 @@
     # -- placement requests --------------------------------------------
 
     def request_placement(
-        self, service: str, target: str, upstream: str
+        self, service: str, target: str, upstream: str, version: str = ""
     ) -> None:
-        """Notes that a request of this instance waits for a target."""
+        """Notes that a request of this instance waits for a target.
+
+        Args:
+          service: The service of the engines.
+          target: The model or adapter.
+          upstream: The engine that lacks an adapter, or empty.
+          version: The software version that an engine must have, or empty.
+        """
         lease = self._mesh.lease
         now_s = asyncio.get_running_loop().time()
         if self._lease.holds:
             if self._request_cooldown.is_due(
-                ("", service, target, upstream), now_s
+                ("", service, target, upstream, version), now_s
             ):
-                self._add_placement_request(service, target, upstream)
+                self._add_placement_request(service, target, upstream, version)
         elif lease is not None and self._mesh.roster is not None:
             holder = self._mesh.roster.get(lease.holder)
             if holder is None or self._mesh.transport is None:
                 return
-            repeat_key = (lease.holder, service, target, upstream)
+            repeat_key = (lease.holder, service, target, upstream, version)
             if self._request_cooldown.is_due(repeat_key, now_s):
                 number = self._mesh.next_number()
                 self._mesh.send(
                     fm.PlacementRequest(
-                        self._mesh.me, number, service, target, upstream
+                        self._mesh.me,
+                        number,
+                        service,
+                        target,
+                        upstream,
+                        version,
                     ),
                     holder,
                 )
@@ -196,16 +211,19 @@
                 if self._lease.holds:
                     self._publisher.add_waiter(target, me.name)
                     self._add_placement_request(
-                        service, target, message.upstream
+                        service, target, message.upstream, message.version
                     )
             case fm.Placement():
                 self._publisher.apply(message)
 
     def _add_placement_request(
-        self, service: str, target: str, upstream: str
+        self, service: str, target: str, upstream: str, version: str = ""
     ) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._placement_requests[(service, target, upstream)] = now_s
+        if version:
+            self._version_requests[(service, target, version)] = now_s
+        else:
+            self._placement_requests[(service, target, upstream)] = now_s
         self._last_plan_s = 0.0
         self._wake.set()
 
@@ -265,6 +283,7 @@
         self._tracker.clear()
         self._budgets.clear()
         self._placement_requests.clear()
+        self._version_requests.clear()
         self._withdrawn.clear()
         self._down_since_s.clear()
         self._targets.clear()
@@ -307,11 +326,8 @@
                     known.is_leaving or self._is_lost(known, now_s),
                 )
             )
-        self._placement_requests = {
-            key: at_s
-            for key, at_s in self._placement_requests.items()
-            if now_s - at_s < PLACEMENT_REQUEST_TTL_S
-        }
+        self._placement_requests = _recent(self._placement_requests, now_s)
+        self._version_requests = _recent(self._version_requests, now_s)
         for service, engines in by_service.items():
             try:
                 self._plan_service(service, tuple(engines), now_s)
@@ -398,6 +414,7 @@
             used_s=self._demand_history.last_used(
                 self._state.fleet_uses, now_s
             ),
+            version_needs=self._version_needs(service, engines),
         )
         target = self._target(service, inputs)
         steps = placement_steps.steps(inputs, target)
@@ -408,6 +425,24 @@
             elif not step.from_store or budget.allows(now_s):
                 self._start_order(service, step, budget, now_s)
 
+    def _version_needs(
+        self, service: str, engines: tuple[placement_types.Engine, ...]
+    ) -> tuple[placement_types.VersionNeed, ...]:
+        """Returns the models that streams wait for at their version."""
+        by_version: dict[str | None, set[str]] = {}
+        if self._version_requests:
+            for engine in engines:
+                known = self._state.directory.get(engine.name)
+                if not engine.is_leaving:
+                    by_version.setdefault(known.version, set()).add(engine.name)
+        return tuple(
+            placement_types.VersionNeed(
+                model, frozenset(by_version.get(version, ()))
+            )
+            for requested, model, version in self._version_requests
+            if requested == service
+        )
+
     def _target(
         self, service: str, inputs: placement_types.Inputs
     ) -> placement_types.PlacementTarget:
@@ -577,6 +612,17 @@
         self._wake.set()
 
 
+def _recent(
+    requests: dict[tuple[str, str, str], float], now_s: float
+) -> dict[tuple[str, str, str], float]:
+    """Returns the requests that were repeated recently."""
+    return {
+        key: at_s
+        for key, at_s in requests.items()
+        if now_s - at_s < PLACEMENT_REQUEST_TTL_S
+    }
+
+
 def _mean_load_s(spec: serving.EngineSpec) -> float:
     times = [model.store_load_s for model in spec.models.values()]
     return sum(times) / len(times) if times else 1.0
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -167,12 +167,18 @@
             for other_id in planned
         )
 
+    def is_needed(self, instance_id: str, name: str) -> bool:
+        """Whether streams wait for just this replica of a model."""
+        return self.inputs.is_needed(name, instance_id, self.replicas[name])
+
     def running(self, instance_id: str, name: str) -> int:
         """Returns the requests in flight for a model and its adapters."""
         return self._running.get((instance_id, name), 0)
 
     def loss(self, instance_id: str, name: str) -> float | None:
         """Returns the cached result of `_loss`."""
+        if self.is_needed(instance_id, name):
+            return None
         key = (instance_id, name)
         if key not in self._losses:
             self._losses[key] = _loss(self, instance_id, name)
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -115,7 +115,9 @@
         inventory = builder.engines[instance_id].inventory
         for name in models:
             if not inventory.is_held_or_loading(name):
-                replica_value, reason = _replica_value(builder, name)
+                replica_value, reason = _replica_value(
+                    builder, name, instance_id
+                )
                 wanted.append((replica_value, name, instance_id, reason))
     for replica_value, name, instance_id, reason in sorted(
         wanted, reverse=True
@@ -125,17 +127,26 @@
         )
 
 
-def _replica_value(builder: _StepBuilder, name: str) -> tuple[float, str]:
+def _replica_value(
+    builder: _StepBuilder, name: str, instance_id: str
+) -> tuple[float, str]:
     """Returns the value of one more replica of a model, and the reason.
 
     The value is in requests per second: all that depend on the model, or those
     that its engines have no capacity for.
     """
     demand = builder.inputs.demand_for(name)
-    replicas = sum(
-        engine.inventory.is_held_or_loading(name)
+    holders = [
+        engine.name
         for engine in builder.engines.values()
-    )
+        if engine.inventory.is_held_or_loading(name)
+    ]
+    if holders and builder.inputs.is_needed(name, instance_id, holders):
+        return (
+            data.VERSION_NEED_VALUE,
+            "is waited for by streams of that version",
+        )
+    replicas = len(holders)
     if not replicas:
         replica_value = placement_draft.IDLE_VALUE
         if demand.is_in_demand:
--- a/sesamecross/ops/fleet/placement_swaps.py
+++ b/sesamecross/ops/fleet/placement_swaps.py
@@ -109,6 +109,8 @@
 ) -> bool:
     if instance_id == other_id:
         return False
+    if draft.is_needed(instance_id, name) or draft.is_needed(other_id, other):
+        return False
     if other_id in draft.replicas[name] or instance_id in draft.replicas[other]:
         return False
     size = draft.inputs.size
@@ -125,6 +127,8 @@
                 continue
             if not draft.inputs.demand_for(name).is_in_demand:
                 continue
+            if draft.is_needed(instance_id, name):
+                continue
             if (
                 placement_draft.load_delay_s(draft, engine, name)
                 <= SOON_DELAY_S
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -49,6 +49,7 @@
     draft = placement_draft.Draft(inputs, inputs.target)
     placement_swaps.move_to_sooner(draft)
     placement_swaps.swap(draft)
+    _meet_version_needs(draft)
     tried: set[str] = set()
     for _ in range(MAX_MOVES):
         name = _most_valuable(draft, tried)
@@ -84,9 +85,41 @@
                 ),
                 name,
             )
+    _meet_version_needs(draft, only_free=True)
     return {name: frozenset(held) for name, held in draft.held.items()}
 
 
+def _meet_version_needs(
+    draft: placement_draft.Draft, only_free: bool = False
+) -> None:
+    """Adds the replicas that streams wait for at engines of their version.
+
+    Args:
+      draft: The target to change.
+      only_free: Whether nothing may be evicted.
+    """
+    for need in draft.inputs.version_needs:
+        name = need.model
+        if name not in draft.replicas or need.engines & draft.replicas[name]:
+            continue
+        moves = []
+        for instance_id in sorted(need.engines & draft.engines.keys()):
+            found = _cheapest_victims(draft, instance_id, name)
+            if found is None or (only_free and found[1]):
+                continue
+            loss, victims = found
+            if loss > data.VERSION_NEED_VALUE:
+                continue
+            engine = draft.engines[instance_id]
+            delay_s, _ = draft.inputs.load_time(engine, name)
+            delay_s += placement_draft.load_delay_s(draft, engine, name)
+            cost = loss * placement_draft.HORIZON_S
+            cost += delay_s * data.VERSION_NEED_VALUE
+            moves.append(_Move(-cost, instance_id, name, victims))
+        if moves:
+            _apply(draft, max(moves, key=lambda move: move.score))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Move:
     """A new replica of a model at an engine, which evicts others for it."""
--- a/sesamecross/ops/fleet/placement_target_test.py
+++ b/sesamecross/ops/fleet/placement_target_test.py
@@ -1,5 +1,7 @@
 """Tests of the placement target and of the expected times of planned models."""
 
+import dataclasses
+
 import pytest
 
 from sesamecross.fakes.placement_samples import LOAD_S
@@ -9,6 +11,7 @@
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_types as data
 
 
 def test_a_busy_model_gets_the_room_that_is_free_sooner():
@@ -90,3 +93,94 @@
     given = inputs(engines, demands, target, in_use)
     got = placement_swaps.ready_times_s(given, given.target)
     assert got["e1"] == pytest.approx(expected)
+
+
+NEED = data.VersionNeed("rare", frozenset({"e2", "e3"}))
+
+
+@pytest.mark.parametrize(
+    ("engines", "in_demand", "expected"),
+    [
+        pytest.param(
+            [
+                engine("e1", "rare"),
+                engine("e2", "stays", "stays-too"),
+                engine("e3"),
+            ],
+            {},
+            "e3",
+            id="free room",
+        ),
+        pytest.param(
+            [
+                engine("e1", "rare"),
+                engine("e2", "busy", "stays"),
+                engine("e3", "idle", "other"),
+            ],
+            {"busy": demand(9.0), "stays": demand(9.0)},
+            "e3",
+            id="models without demand make way",
+        ),
+        pytest.param(
+            [
+                engine("e1", "rare"),
+                engine("e2", "busy", "stays"),
+                engine("e3", "other", "stays-too"),
+            ],
+            {
+                name: demand(9.0, 0.6)
+                for name in ("busy", "stays", "other", "stays-too")
+            },
+            None,
+            id="nothing for which many more ask makes way",
+        ),
+        pytest.param(
+            [engine("e1"), engine("e2", "rare"), engine("e3")],
+            {},
+            "e2",
+            id="held already",
+        ),
+    ],
+)
+def test_a_model_is_loaded_at_the_version_whose_streams_wait_for_it(
+    engines, in_demand, expected
+):
+    """Guards against streams whose model only other versions hold (LOST)."""
+    target = {one.name: sorted(one.inventory.models) for one in engines}
+    given = dataclasses.replace(
+        inputs(engines, in_demand, target),
+        version_needs=(NEED,),
+    )
+    got = placement_target.plan_target(given)
+    held_at = {name for name, models in got.items() if "rare" in models}
+    assert held_at & NEED.engines == ({expected} if expected else set())
+
+
+@pytest.mark.parametrize(
+    ("models", "expected"), [((), {"e2"}), (("idle", "other"), set())]
+)
+def test_nothing_makes_way_for_streams_before_the_demand_is_known(
+    models, expected
+):
+    """Guards against a new lease holder that unloads busy models."""
+    given = dataclasses.replace(
+        inputs([engine("e1", "rare"), engine("e2", *models)], {}, {}),
+        version_needs=(data.VersionNeed("rare", frozenset({"e2"})),),
+    )
+    got = placement_target.fill_free_room(given)
+    assert {name for name in ("e2",) if "rare" in got[name]} == expected
+
+
+def test_the_only_replica_that_streams_wait_for_stays():
+    """Guards against a needed replica that moves to another version."""
+    got = placement_target.plan_target(
+        dataclasses.replace(
+            inputs(
+                [engine("e1"), engine("e2", "rare", "stays")],
+                {"busy": demand(18.0), "stays": demand(9.0)},
+                {"e1": [], "e2": ["rare", "stays"]},
+            ),
+            version_needs=(data.VersionNeed("rare", frozenset({"e2"})),),
+        )
+    )
+    assert "rare" in got["e2"]
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -4,6 +4,7 @@
 are computed separately, from the same inputs.
 """
 
+from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 import enum
@@ -16,6 +17,9 @@
 # busy model without further requests is kept for 21 s unless others need the
 # room.
 MIN_DEMAND_RATE = 0.03
+# Value of a replica that streams wait for at an engine of their version, in
+# requests per second. They have a part of their answer already.
+VERSION_NEED_VALUE = 2.0
 # Minimum value of a model while a request waits for it, in requests per second.
 WAITING_VALUE = 0.3
 
@@ -85,6 +89,18 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionNeed:
+    """A model that streams wait for at engines of their software version.
+
+    Attributes:
+      engines: The engines of that version.
+    """
+
+    model: str
+    engines: frozenset[str]
+
+
 PlacementTarget = Mapping[str, frozenset[str]]
 
 
@@ -106,6 +122,7 @@
         hold models that seem to be held nowhere.
       now_s: Monotonic time.
       used_s: When targets were last in use, by engine and target.
+      version_needs: Models that streams wait for at some engines only.
     """
 
     spec: serving.EngineSpec
@@ -123,6 +140,29 @@
         default_factory=dict
     )
 
+    version_needs: tuple[VersionNeed, ...] = ()
+
+    def is_needed(
+        self, name: str, instance_id: str, replicas: Collection[str]
+    ) -> bool:
+        """Whether streams wait for just this replica of a model.
+
+        Args:
+          name: The model.
+          instance_id: The engine.
+          replicas: All engines that are to hold the model.
+        """
+        return any(
+            need.model == name
+            and instance_id in need.engines
+            and not any(
+                other in need.engines
+                for other in replicas
+                if other != instance_id
+            )
+            for need in self.version_needs
+        )
+
     def demand_for(self, name: str) -> ModelDemand:
         """Returns the demand for a model."""
         return self.demand.get(name, NO_DEMAND)
