Streams go on only at the software version that began them

Cause: an instance knew nothing of versions; within one answer it took any engine with the model, and a caller that resumes a stream comes to another instance, which knew nothing of where the stream began.

Now an instance tells three others, picked by a hash of the caller's attempt in three availability zones, where a stream began, before it forwards the first event. An instance through which a caller resumes asks them (docs/design/0010). A stream of which nobody knows it goes on if no other version can have begun it, by what these instances have seen in the time for which it may be resumed; else it is refused at once. New keepers are told when instances start or stop. Engines of other versions are no candidates, neither within one answer nor for a caller. A stream that goes on is due at once at the pacer.

--- a/sesamecross/fakes/gateway_site.py
+++ b/sesamecross/fakes/gateway_site.py
@@ -153,9 +153,12 @@
     ) -> platform_upstream.PlatformUpstream:
         """Starts another upstream of a service; engines hold the model."""
         is_engine = service == platform_site.WRITERS
+        name = f"i-{service}"
+        if len(self.upstreams) >= len(SERVICES):
+            name = f"{name}-{len(self.upstreams)}"
         upstream = platform_upstream.PlatformUpstream(
             self.store,
-            f"i-{service}-{len(self.upstreams)}",
+            name,
             service,
             ZONE,
             (platform_caller.MODEL,) if is_engine else (),
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -17,6 +17,7 @@
 from sesamecross.gateway import lease_manager
 from sesamecross.gateway import listener
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import origin_registry
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import placement_controller
 from sesamecross.gateway import reachability_monitor
@@ -194,6 +195,10 @@
         self.forwarder.search_context.request_placement = (
             controller.request_placement
         )
+        origins = origin_registry.OriginRegistry(
+            self.state, self.mesh, self.metrics, ticker
+        )
+        self.forwarder.origins = origins
         pacing = pacing_lib.Pacing(self.state, self.mesh, ticker)
         self.forwarder.search_context.pacing = pacing
         address = f"{instance.ip}:{instance.ports[0]}"
@@ -204,7 +209,9 @@
             address,
             self._rng,
         )
-        self._joiner = joiner.Joiner(self._registrar, self.mesh, instance)
+        self._joiner = joiner.Joiner(
+            self._registrar, self.mesh, instance, self.state
+        )
         return [
             self.front,
             listener.Listener("ready", instance.ready_address, self._readiness),
@@ -249,6 +256,7 @@
             ),
             controller,
             pacing,
+            origins,
         ]
 
     def _build_report(self) -> fm.Report:
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -16,15 +16,20 @@
 from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_choice
+from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import wait_policy
 
 # Interval at which a waiting request repeats its placement request.
 PLACEMENT_REQUEST_INTERVAL_S = 0.25
+# Retry delay of a stream while no engine of its version is known.
+NO_VERSION_RETRY_AFTER_S = 0.5
 # How often a waiting request checks whether a paused engine has gone on.
 PAUSE_CHECK_INTERVAL_S = 0.05
 
 
-def _ignore_request(service: str, target: str, upstream: str) -> None:
+def _ignore_request(
+    service: str, target: str, upstream: str, version: str
+) -> None:
     """Default until the placement client is set."""
 
 
@@ -35,8 +40,8 @@
     Attributes:
       missing: Since when requests have found a model on no engine.
       request_placement: Tells the lease holder that a request waits for a
-        target. Arguments: service, target, and the engine that lacks it, or
-        empty.
+        target. Arguments: service, target, the engine that lacks it, or empty,
+        and the software version that an engine must have, or empty.
       pacing: Prefill admission; set when the application is assembled.
     """
 
@@ -48,7 +53,7 @@
     missing: wait_policy.MissedModels = dataclasses.field(
         default_factory=wait_policy.MissedModels
     )
-    request_placement: Callable[[str, str, str], None] = _ignore_request
+    request_placement: Callable[[str, str, str, str], None] = _ignore_request
     pacing: pacing_lib.Pacing | None = None
 
 
@@ -59,11 +64,13 @@
       choice: The engine found last, and the estimates behind that choice.
       retry_after_s: After an unsuccessful search, the delay after which the
         caller should retry.
+      origin: Where the request's stream began; only such an engine is found.
     """
 
     __slots__ = (
         "choice",
         "retry_after_s",
+        "origin",
         "_context",
         "_route",
         "_call",
@@ -86,6 +93,7 @@
     ):
         self.choice: engine_choice.Choice | None = None
         self.retry_after_s = 0.0
+        self.origin: stream_origins.StreamOrigin | None = None
         self._context = context
         self._route = route
         self._call = call
@@ -125,6 +133,10 @@
         loop = asyncio.get_running_loop()
         while True:
             now_s = loop.time()
+            if self.origin is not None and not self._usable():
+                # Nobody can serve it. The caller may find more elsewhere.
+                self.retry_after_s = NO_VERSION_RETRY_AFTER_S
+                return None
             choice = self._choose_engine(tried, now_s)
             if choice is None or choice.must_load_adapter:
                 if not await self._wait_for_target(choice, now_s):
@@ -158,6 +170,8 @@
         for target in self._route.targets:
             known = self._context.state.directory.usable(target.service, now_s)
             usable.extend(known)
+        if self.origin is not None:
+            usable = [known for known in usable if known.is_of(self.origin)]
         return usable
 
     def _choose_engine(
@@ -194,6 +208,8 @@
         """
         now_s = asyncio.get_running_loop().time()
         may_receive = self._context.state.directory.may_receive(known, now_s)
+        if self.origin is not None and not known.is_of(self.origin):
+            return False
         return may_receive and known.engine.holds(
             known.entry, self._call.target, now_s
         )
@@ -216,15 +232,18 @@
         """
         context = self._context
         service, _ = self.demand_key
+        version = ""
+        if self.origin is not None:
+            service, version = self.origin.service, self.origin.version
         if choice is None and self._has_paused_holder(now_s):
             await context.state.wait_for_change(PAUSE_CHECK_INTERVAL_S)
             self._model_wait_s += asyncio.get_running_loop().time() - now_s
             return True
         if choice is None:
-            context.request_placement(service, self._call.model, "")
+            context.request_placement(service, self._call.model, "", version)
         else:
             engine = choice.upstream.entry.instance_id
-            context.request_placement(service, self._call.target, engine)
+            context.request_placement(service, self._call.target, engine, "")
         decision = self._decide_wait(choice, now_s)
         if isinstance(decision, wait_policy.RetryAfter):
             self.retry_after_s = decision.after_s
@@ -266,7 +285,9 @@
         )
         if choice is not None:
             return wait_policy.decide_adapter(request_times, now_s)
-        missing_since_s = self._context.missing.since(self._call.model, now_s)
+        missing_since_s = self._context.missing.since(
+            self._call.model, now_s, self.origin
+        )
         self._planned_arrival_s = self._earliest_arrival_s()
         return wait_policy.decide_model(
             request_times, self._planned_arrival_s, missing_since_s, now_s
@@ -291,7 +312,7 @@
         result = await self._context.pacing.acquire(
             choice.upstream,
             choice.uncached_tokens,
-            self._arrived_s + route.objective_s - choice.expected_s,
+            self._due_s() - choice.expected_s,
             send_deadline_s,
             self._context.state.has_rejection_limit(
                 choice.upstream.entry.service, started_s
@@ -309,6 +330,15 @@
         self._permit = result
         return True
 
+    def _due_s(self) -> float:
+        """Returns when the first event is due.
+
+        A stream that goes on is late already, and few engines may serve it.
+        """
+        if self.origin is not None:
+            return self._arrived_s
+        return self._arrived_s + self._route.objective_s
+
     # -- log fields ----------------------------------------------------
 
     def refusal_fields(self) -> dict[str, object]:
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -1,10 +1,12 @@
 """Tests of which engine a request is sent to while engines leave."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.fakes import samples
 from sesamecross.fakes import virtual_time_loop
@@ -12,6 +14,7 @@
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import reachability
+from sesamecross.ops.fleet import stream_origins
 
 ROUTE = serving.Route(
     "r",
@@ -198,3 +201,54 @@
         assert len(searches.sent["e1"]) >= 95
     else:
         assert asked[0] >= SILENT_S + reachability.PAUSE_TIMEOUT_S - 0.01
+
+
+ORIGIN = stream_origins.StreamOrigin("s", "v1")
+
+
+@pytest.mark.parametrize(
+    ("versions", "found"),
+    [
+        pytest.param({"e1": "v1", "e2": "v2"}, "e1", id="of its version"),
+        pytest.param({"e1": "v2", "e2": "v3"}, None, id="of other versions"),
+        pytest.param({"e1": None, "e2": "v2"}, None, id="started again unseen"),
+    ],
+)
+def test_a_stream_goes_on_only_at_an_engine_of_its_version(versions, found):
+    """Guards against streams that hold events of two versions (ORDER)."""
+    searches = _Searches(tuple(versions), permit_wait_s=0.0)
+    for name, version in versions.items():
+        known = searches.state.directory.get(name)
+        known.entry = dataclasses.replace(known.entry, version=version or "v1")
+        if version is None:
+            known.engine.placement = fm.EnginePlacement(
+                name, known.entry.born_ms + 1, 0, ["m"], [], []
+            )
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, CALL, 0.0, DEADLINE_S
+    )
+    search.origin = ORIGIN
+    result = searches.loop.run_until_complete(search.find(frozenset()))
+    assert (result.entry.instance_id if result else None) == found
+    # Nobody can serve it: the caller is told at once.
+    assert searches.loop.time() < 0.01
+
+
+def test_a_stream_asks_for_its_model_at_its_version():
+    """Guards against a model that is loaded where the stream can't go on."""
+    searches = _Searches(("e1", "e2"), permit_wait_s=0.0)
+    for name, version, models in (("e1", "v1", ()), ("e2", "v2", ("m",))):
+        known = searches.state.directory.get(name)
+        known.entry = dataclasses.replace(
+            known.entry,
+            version=version,
+            models=tuple(serving.ResidentModel(one) for one in models),
+        )
+    asked = []
+    searches._context.request_placement = lambda *args: asked.append(args)
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, CALL, 0.0, DEADLINE_S
+    )
+    search.origin = ORIGIN
+    assert searches.loop.run_until_complete(search.find(frozenset())) is None
+    assert set(asked) == {("s", "m", "", "v1")}
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -29,8 +29,10 @@
       last_event_id: Id of the last event that had one, or empty.
       upstream: The engine that sends the events; None if the request is not
         for a model.
-      upstream_version: Software version of the upstream that sends the events.
+      upstream_version: Software version of the upstream that sends the events;
+        None if it is unknown.
       versions: The software versions that sent events so far, in order.
+      on_stream_begun: Called once, before the first event is forwarded.
       on_first_event: Called once, at the next event.
       first_event_s: Loop time of the first event, or None.
       max_gap_s: The longest pause between events so far.
@@ -43,6 +45,7 @@
         "upstream",
         "upstream_version",
         "versions",
+        "on_stream_begun",
         "on_first_event",
         "first_event_s",
         "max_gap_s",
@@ -61,8 +64,9 @@
         self.max_gap_at_s = 0.0
         self._last_event_s = 0.0
         self.upstream: directory.KnownUpstream | None = None
-        self.upstream_version = ""
-        self.versions: list[str] = []
+        self.upstream_version: str | None = None
+        self.versions: list[str | None] = []
+        self.on_stream_begun: Callable[[], None] | None = None
         self.on_first_event: Callable[[], None] | None = None
         self._response_writer = response_writer
         self._head: tuple[int, list[serving.Header]] | None = None
@@ -114,6 +118,8 @@
             self.on_first_event = None
         if self.versions[-1:] != [self.upstream_version]:
             self.versions.append(self.upstream_version)
+        if not self.event_count and self.on_stream_begun is not None:
+            self.on_stream_begun()
         self._record_event_ids(complete_events)
         if self._response_writer.is_started:
             self._response_writer.send_chunk(complete_events)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import event_relay
+from sesamecross.gateway import origin_registry
 from sesamecross.gateway import pacing
 from sesamecross.gateway import prefill_tracker as prefill_tracker_lib
 from sesamecross.gateway import response_writer as response_writer_lib
@@ -27,6 +28,7 @@
 from sesamecross.ops.fleet import retry_policy
 from sesamecross.ops.fleet import service_choice
 from sesamecross.ops.fleet import stopping
+from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ops.fleet import wait_policy
 from sesamecross.ports import http_codec as http_codec_lib
@@ -55,6 +57,8 @@
       uses: Requests in progress by engine and target.
       connector: Opens connections to upstreams; set when the application is
         assembled.
+      origins: Knows where streams began; set when the application is
+        assembled.
       stop: Set while this instance stops.
     """
 
@@ -70,6 +74,7 @@
         "search_context",
         "uses",
         "connector",
+        "origins",
         "stop",
     )
 
@@ -91,6 +96,7 @@
         self.search_context = engine_search.SearchContext(state, rng)
         self.uses = target_uses.TargetUses()
         self.connector: upstream_connector.UpstreamConnector | None = None
+        self.origins: origin_registry.OriginRegistry | None = None
         self.stop: stopping.Stop | None = None
         # Until when requests wait for the first configuration; None before the
         # first of them.
@@ -197,6 +203,8 @@
         "_upstream",
         "_search",
         "_slot_permit",
+        "_origin",
+        "_lookup",
         "_tried_ids",
         "_retry_after_s",
         "_note",
@@ -227,6 +235,10 @@
         self._search: engine_search.EngineSearch | None = None
         # Held from before the request is sent to its end, at some upstreams.
         self._slot_permit: pacing.Permit | None = None
+        # Where the stream began, once that is known.
+        self._origin: stream_origins.StreamOrigin | None = None
+        # Set if the caller resumes a stream.
+        self._lookup: origin_registry.Lookup | None = None
         self._tried_ids: set[str] = set()
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         self._note = ""
@@ -358,8 +370,62 @@
             )
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._response_writer)
+            self._relay.on_stream_begun = self._on_stream_begun
+            if self._is_resumed and not await self._find_origin():
+                self._note = "nobody knows where the stream began"
+                return self._refuse(self._retry_after_s)
         return await self._run_attempts()
 
+    @property
+    def _is_resumed(self) -> bool:
+        """Whether the caller has received a part of the stream before."""
+        request = self._request
+        return bool(request.last_event_id or request.first_attempt_id)
+
+    @property
+    def _stream_life_s(self) -> float:
+        """For how long a caller may resume the stream."""
+        return self._route.timeout_s * stream_origins.LIFE_TIMEOUTS
+
+    async def _find_origin(self) -> bool:
+        """Finds where the resumed stream began; returns whether it did."""
+        self._lookup = await self._forwarder.origins.find(
+            self._request,
+            tuple(target.service for target in self._route.targets),
+            self._stream_life_s,
+        )
+        self._forwarder._metrics.count(
+            "sesamecross_streams_resumed_total",
+            "Streams that callers resumed, by whether their origin was found.",
+            {"found": str(self._lookup.origin is not None).lower()},
+        )
+        if self._lookup.origin is None:
+            return False
+        self._set_origin(self._lookup.origin)
+        return True
+
+    def _set_origin(self, origin: stream_origins.StreamOrigin) -> None:
+        self._origin = origin
+        if self._search is not None:
+            self._search.origin = origin
+
+    def _on_stream_begun(self) -> None:
+        """Records where the stream began, before its first event leaves."""
+        request = self._request
+        if self._origin is None:
+            self._set_origin(
+                stream_origins.StreamOrigin(
+                    self._upstream.entry.service, self._relay.upstream_version
+                )
+            )
+        attempt_id = request.first_attempt_id
+        if not self._is_resumed:
+            attempt_id = request.request_id
+        if self._route.is_resumable:
+            self._forwarder.origins.record(
+                request.host, attempt_id, self._origin, self._stream_life_s
+            )
+
     async def _run_attempts(self) -> str:
         loop = asyncio.get_running_loop()
         state = self._forwarder._state
@@ -428,6 +494,8 @@
         usable = []
         for target in self._route.targets:
             usable.extend(state.directory.usable(target.service, now_s))
+        if self._origin is not None:
+            usable = [one for one in usable if one.is_of(self._origin)]
         untried = [
             one
             for one in usable
@@ -615,7 +683,7 @@
             request, forward_context
         )
         if self._relay is not None:
-            self._relay.upstream_version = entry.version
+            self._relay.upstream_version = upstream.version
         self._connection = connection
         self._history.sends += 1
         self._history.possibly_ran_at.add(entry.instance_id)
@@ -769,9 +837,14 @@
         if self._relay is None:
             return {}
         fields: dict[str, object] = {"versions": self._relay.versions}
-        if self._request.last_event_id or self._request.first_attempt_id:
+        if self._is_resumed:
             fields["resumes"] = self._request.first_attempt_id[:_MAX_LOGGED_ID]
             fields["after"] = self._request.last_event_id[:_MAX_LOGGED_ID]
+        if self._lookup is not None:
+            fields["known_from"] = self._lookup.source
+            fields["known_ms"] = round(self._lookup.age_s * 1000)
+        if self._origin is not None:
+            fields["began_at"] = self._origin.version
         return fields
 
     def _engine_fields(self) -> dict[str, object]:
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -215,6 +215,14 @@
         """Sends a message to one instance."""
         self._send_bytes(self._encode(message), to)
 
+    def send_to_all(
+        self, message: fm.Message, members: Iterable[fm.Member]
+    ) -> None:
+        """Sends a message to several instances."""
+        data = self._encode(message)
+        for member in members:
+            self._send_bytes(data, member)
+
     def _encode(self, message: fm.Message) -> bytes:
         payload = fm.encode(message)
         return self._digest(payload) + payload
@@ -516,8 +524,7 @@
         )
         self.update_lease(released, now_s)
         message = fm.LeaseRelease(self.me, self.next_number(), released)
-        for member in members:
-            self.send(message, member)
+        self.send_to_all(message, members)
 
     def update_lease(self, lease: fm.LeaseAnnouncement, now_s: float) -> None:
         """Updates the known state of the lease if the news is newer."""
@@ -580,6 +587,9 @@
                 | fm.AdmissionRequest()
                 | fm.AdmissionReply()
                 | fm.AdmissionRelease()
+                | fm.OriginRecord()
+                | fm.OriginQuery()
+                | fm.OriginReply()
             ):
                 self._notify_listeners(message)
 
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -10,6 +10,7 @@
 import base64
 import random
 import secrets
+import time
 
 import msgspec
 
@@ -23,6 +24,8 @@
 INSTANCE_PREFIX = "instance/"
 SECRET_BYTES = 32
 RETRY_INTERVAL_S = 0.5
+# A deployment whose first instance started longer ago is not new.
+NEW_DEPLOYMENT_MS = 10_000
 
 
 class _Registration(msgspec.Struct, frozen=True):
@@ -32,6 +35,8 @@
     address: str
     # Distinguishes this start's record from that of an earlier start.
     nonce: str
+    # Wall-clock time of this start; 0 in records of older instances.
+    started_ms: int = 0
 
 
 class JoinResult(msgspec.Struct, frozen=True):
@@ -40,6 +45,8 @@
     me: fm.Member
     secret: bytes
     others: tuple[fm.Member, ...]
+    # Whether the whole deployment has started just now, for the first time.
+    is_new_deployment: bool = False
 
 
 class Registrar:
@@ -125,7 +132,9 @@
             known = _decode(own_record.value)
             if known is not None and known.nonce == nonce:
                 return self._join_result(records, own_record.offset)
-        registration = _Registration(self._instance.zone, self._address, nonce)
+        registration = _Registration(
+            self._instance.zone, self._address, nonce, _wall_clock_ms()
+        )
         outcome = await self._client.append(
             self._topic,
             INSTANCE_PREFIX + self._instance.name,
@@ -160,7 +169,9 @@
                 )
             )
         secret = base64.b64decode(records[SECRET_KEY].value)
-        return JoinResult(me, secret, tuple(others))
+        return JoinResult(
+            me, secret, tuple(others), _is_new_deployment(records)
+        )
 
     async def leave(self) -> None:
         """Removes the registration; a failure costs others a timeout."""
@@ -168,6 +179,28 @@
         await self._client.append(self._topic, key, None, at=None)
 
 
+def _wall_clock_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def _is_new_deployment(records: dict[str, store.KeyedRecord]) -> bool:
+    """Whether all instances started just now, and none did before.
+
+    Every start appends a record, and so does a planned stop. So if there are as
+    many records as offsets, none of them replaced another.
+    """
+    starts = [
+        known.started_ms
+        for key, record in records.items()
+        if key != SECRET_KEY and (known := _decode(record.value)) is not None
+    ]
+    offsets = [record.offset for record in records.values()]
+    return (
+        max(offsets) < len(records)
+        and min(starts) >= _wall_clock_ms() - NEW_DEPLOYMENT_MS
+    )
+
+
 def _decode(value: bytes | None) -> _Registration | None:
     if value is None:
         return None
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -15,6 +15,7 @@
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
+from sesamecross.ops.fleet import version_history
 
 # How long a stated limit on rejections holds without another response.
 REJECTION_LIMIT_TTL_S = 10.0
@@ -43,6 +44,7 @@
       upstreams_offset: Store offset up to which their entries are known.
       upstreams_read_s: Loop time at which they were last read, from the store
         or a peer; None before.
+      versions: Software versions of the upstreams, also of those that left.
       fleet_demand, fleet_uses: Sums over all instances; known to the lease
         holder only.
     """
@@ -57,6 +59,7 @@
         "instance_count",
         "upstreams_offset",
         "upstreams_read_s",
+        "versions",
         "fleet_demand",
         "fleet_uses",
         "_instance",
@@ -78,6 +81,7 @@
         self.instance_count: int | None = None
         self.upstreams_offset = -1
         self.upstreams_read_s: float | None = None
+        self.versions = version_history.VersionHistory()
         self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
         self.fleet_uses: dict[tuple[str, str], int] = {}
         self._change_event = asyncio.Event()
@@ -132,6 +136,17 @@
             self.has_upstream_list = True
             self.notify_change()
 
+    def record_versions(self, now_s: float) -> None:
+        """Records the software versions of the upstreams known now."""
+        self.versions.record(
+            (
+                (known.entry.service, known.entry.version)
+                for known in self.directory
+            ),
+            self.upstreams_read_s,
+            now_s,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
--- /dev/null
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -0,0 +1,449 @@
+"""Simulation: streams that callers resume, in fleets that change all the time.
+
+The registries, directories and version histories of all instances run on
+virtual time. Engines of several versions come and go, instances are killed,
+restarted and cut off, and news of engines arrives late. Each stream is resumed
+after its engine or its instance has failed.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+import pytest
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
+from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
+from sesamecross.gateway import origin_registry
+from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import roster as roster_lib
+from sesamecross.ops.fleet import stream_origins
+from sesamecross.runtime import metrics as metrics_lib
+
+SERVICE = "s"
+HOST = "a.example"
+ZONES = ("a1", "a2", "b1")
+REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+END_S = 40.0
+WINDOW_S = 8.0
+LIFE_S = 30.0
+MIN_STREAMS = 12
+# The goal; the users' bound is half.
+MIN_GOES_ON = 0.9
+HEARTBEAT_S = 0.4
+MAX_TRIES = 4
+# Instances have found each other by then.
+FIRST_STREAM_S = 1.0
+# So many engines of its version have to serve for a stream to count.
+MIN_ENGINES = 2
+DATAGRAM_LOSS = 0.01
+MAX_RECORD_BYTES = 160
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """A fleet and what happens to it.
+
+    Attributes:
+      engines: Engines at the start, all of the first version.
+      streams_per_s: New streams.
+      releases: When one engine after the other is replaced, and by which
+        version.
+      kills: When a share of the instances is killed.
+      news_s: The longest delay of news of engines.
+      names_attempt: Whether callers name the attempt that they resume.
+    """
+
+    instances: int
+    engines: int = 6
+    streams_per_s: float = 12.0
+    releases: tuple[tuple[float, str], ...] = ((6.0, "v2"),)
+    kills: tuple[tuple[float, float], ...] = ()
+    news_s: float = 1.0
+    names_attempt: bool = True
+    seed: int = 0
+
+
+class Network:
+    """Delivers datagrams between registries; counts them."""
+
+    def __init__(self, fleet: "Fleet"):
+        self._fleet = fleet
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.largest: collections.Counter[str] = collections.Counter()
+
+    def send(self, message, sender: "Instance", to: fm.Member) -> None:
+        kind = type(message).__name__
+        data = fm.encode(message)
+        self.sent[kind] += 1
+        self.largest[kind] = max(self.largest[kind], len(data))
+        if self._fleet.rng.random() < DATAGRAM_LOSS:
+            return
+        way_s = 0.02 if REGIONS[sender.zone] != REGIONS[to.zone] else 0.0005
+        asyncio.get_running_loop().call_later(way_s, self._deliver, data, to)
+
+    def _deliver(self, data: bytes, to: fm.Member) -> None:
+        there = self._fleet.instances[to.name]
+        if there.is_alive and there.mesh.roster is not None:
+            for listener in there.mesh.listeners:
+                listener(fm.decode(data))
+
+
+class _Mesh:
+    """What the registry uses of a mesh."""
+
+    def __init__(self, instance: "Instance", now_s: float):
+        self._instance = instance
+        self.me = instance.member
+        self.roster = roster_lib.Roster(self.me, now_s)
+        self.transport = self
+        self.listeners = []
+        self._number = 0
+
+    def add_listener(self, listener) -> None:
+        self.listeners.append(listener)
+
+    def next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def send(self, message, to: fm.Member) -> None:
+        self._instance.fleet.network.send(message, self._instance, to)
+
+    def send_to_all(self, message, members) -> None:
+        for member in members:
+            self.send(message, member)
+
+
+class Instance:
+    """One start of an instance."""
+
+    def __init__(self, number: int, incarnation: int, fleet: "Fleet"):
+        now_s = asyncio.get_running_loop().time()
+        self.fleet = fleet
+        self.name = f"front-{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.member = fm.Member(
+            self.name, incarnation, self.zone, f"10.0.0.{number}:1", -1, -1
+        )
+        self.is_alive = True
+        self.state = state_lib.State(
+            dataclasses.replace(
+                samples.INSTANCE, zone=self.zone, regions=REGIONS
+            )
+        )
+        if incarnation == 1:
+            self.state.versions.mark_complete()
+        self.state.upstreams_read_s = now_s
+        for engine in fleet.engines.values():
+            self.state.directory.update_entry(engine)
+        self.mesh = _Mesh(self, now_s)
+        self.registry = origin_registry.OriginRegistry(
+            self.state, self.mesh, metrics_lib.Metrics()
+        )
+        self._running = asyncio.create_task(self.registry.run())
+
+    def kill(self) -> None:
+        self.is_alive = False
+        self._running.cancel()
+
+    def choose(
+        self, origin: stream_origins.StreamOrigin | None
+    ) -> serving.Upstream | None:
+        """Returns an engine that answers; the instance tries some in turn."""
+        now_s = asyncio.get_running_loop().time()
+        usable = [
+            known
+            for known in self.state.directory.usable(SERVICE, now_s)
+            if origin is None or known.is_of(origin)
+        ]
+        self.fleet.rng.shuffle(usable)
+        for known in usable[:MAX_TRIES]:
+            if known.entry.instance_id in self.fleet.running:
+                return known.entry
+        return None
+
+
+class Fleet:
+    """All instances, engines and streams."""
+
+    def __init__(self, case: Case):
+        self.case = case
+        self.rng = random.Random(case.seed)
+        self.network = Network(self)
+        self.engines: dict[str, serving.Upstream] = {}
+        # Those that answer; an entry may outlive its engine.
+        self.running: set[str] = set()
+        self.instances: dict[str, Instance] = {}
+        self.mixed = 0
+        # By window and whether it is resumed, whether a stream was served.
+        self.served: dict[tuple[int, bool], list[bool]] = {}
+        self.why: collections.Counter[str] = collections.Counter()
+
+    # -- engines -------------------------------------------------------
+
+    def add_engine(self, version: str) -> str:
+        name = (
+            f"i-{len(self.engines) + 1000 * len(version)}-{self.rng.random()}"
+        )
+        self.engines[name] = serving.Upstream(
+            name,
+            SERVICE,
+            "10.1.0.1:80",
+            self.rng.choice(ZONES),
+            64,
+            False,
+            1,
+            version=version,
+        )
+        self.running.add(name)
+        self._tell(self.engines[name])
+        return name
+
+    def _tell(self, entry: serving.Upstream) -> None:
+        """Tells all instances of an entry, each after a time of its own."""
+        loop = asyncio.get_running_loop()
+        for name in self.instances:
+            loop.call_later(
+                self.rng.uniform(0, self.case.news_s), self._learn, name, entry
+            )
+
+    def _learn(self, name: str, entry: serving.Upstream) -> None:
+        state = self.instances[name].state
+        now_s = asyncio.get_running_loop().time()
+        state.upstreams_read_s = now_s
+        if entry.instance_id in self.engines:
+            state.directory.update_entry(entry)
+        else:
+            state.directory.lapsed(entry.instance_id, now_s)
+        state.record_versions(now_s)
+
+    def crash(self, name: str) -> None:
+        self.running.discard(name)
+        entry = self.engines.pop(name)
+        asyncio.get_running_loop().call_later(1.5, self._tell, entry)
+
+    async def replace_engines(self, at_s: float, version: str) -> None:
+        """Replaces one engine after the other; most leave by crashing."""
+        await asyncio.sleep(at_s)
+        for name in sorted(self.engines)[: self.case.engines * 2 // 3]:
+            if name not in self.running:
+                continue
+            self.add_engine(version)
+            await asyncio.sleep(0.8)
+            self.crash(name)
+            await asyncio.sleep(1.2)
+
+    async def crash_engines(self) -> None:
+        """Lets an engine crash now and then; another one starts for it."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / 3.0))
+            name = self.rng.choice(sorted(self.running))
+            version = self.engines[name].version
+            self.crash(name)
+            await asyncio.sleep(1.0)
+            self.add_engine(version)
+
+    # -- instances -----------------------------------------------------
+
+    def start_instance(self, number: int, incarnation: int) -> None:
+        instance = Instance(number, incarnation, self)
+        self.instances[instance.name] = instance
+
+    async def heartbeats(self) -> None:
+        while True:
+            now_s = asyncio.get_running_loop().time()
+            living = [one for one in self.instances.values() if one.is_alive]
+            for one in living:
+                for other in living:
+                    one.mesh.roster.on_heartbeat(other.member, now_s)
+                one.state.upstreams_read_s = now_s
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def kill_instances(self, at_s: float, share: float) -> None:
+        """Kills instances at once; they start again a second later."""
+        await asyncio.sleep(at_s)
+        count = round(share * len(self.instances))
+        chosen = self.rng.sample(sorted(self.instances), count)
+        for name in chosen:
+            self.instances[name].kill()
+        await asyncio.sleep(1.0)
+        for name in chosen:
+            self.start_instance(
+                int(name.rpartition("-")[2]),
+                self.instances[name].member.incarnation + 1,
+            )
+
+    def _living(self) -> Instance:
+        return self.rng.choice(
+            [one for one in self.instances.values() if one.is_alive]
+        )
+
+    # -- streams -------------------------------------------------------
+
+    async def streams(self) -> None:
+        number = 0
+        await asyncio.sleep(FIRST_STREAM_S)
+        while asyncio.get_running_loop().time() < END_S - LIFE_S / 5:
+            await asyncio.sleep(self.rng.expovariate(self.case.streams_per_s))
+            number += 1
+            asyncio.create_task(self.stream(f"{self.case.seed}-{number}"))
+
+    def _record(self, is_resumed: bool, is_served: bool) -> None:
+        window = int(asyncio.get_running_loop().time() / WINDOW_S)
+        self.served.setdefault((window, is_resumed), []).append(is_served)
+
+    async def stream(self, attempt_id: str) -> None:
+        """Serves one stream, with up to two resumptions by its caller."""
+        instance = self._living()
+        engine = instance.choose(None)
+        self._record(False, engine is not None)
+        if engine is None:
+            return
+        origin = stream_origins.StreamOrigin(SERVICE, engine.version)
+        instance.registry.record(HOST, attempt_id, origin, LIFE_S)
+        versions = {engine.version}
+        for tries in range(2):
+            await self._until_broken(instance, engine)
+            await asyncio.sleep(self.rng.uniform(0.02, 0.5))
+            instance = self._living()
+            request = serving.Request(
+                b"POST",
+                b"/a/",
+                HOST,
+                (),
+                b"",
+                f"{attempt_id}-{tries}",
+                None,
+                "5",
+                None,
+                attempt_id if self.case.names_attempt else "",
+            )
+            lookup = await instance.registry.find(request, (SERVICE,), LIFE_S)
+            if not instance.is_alive:
+                return
+            engines = sum(
+                self.engines[name].version == origin.version
+                for name in self.running
+            )
+            if engines < MIN_ENGINES:
+                return
+            engine = None
+            if lookup.origin is not None:
+                engine = instance.choose(lookup.origin)
+            source = lookup.source.partition("-")[0]
+            self.why[source if engine is None else "goes on"] += 1
+            self._record(True, engine is not None)
+            if engine is None:
+                return
+            versions.add(engine.version)
+            self.mixed += len(versions) > 1
+            instance.registry.record(HOST, attempt_id, lookup.origin, LIFE_S)
+
+    async def _until_broken(
+        self, instance: Instance, engine: serving.Upstream
+    ) -> None:
+        """Waits until the stream's engine or instance fails, 3 s at most."""
+        for _ in range(30):
+            await asyncio.sleep(0.1)
+            if not instance.is_alive or engine.instance_id not in self.running:
+                return
+
+    # -- the whole -----------------------------------------------------
+
+    async def run(self) -> None:
+        for _ in range(self.case.engines):
+            self.add_engine("v1")
+        for number in range(self.case.instances):
+            self.start_instance(number, 1)
+        tasks = [
+            self.heartbeats(),
+            self.crash_engines(),
+            self.streams(),
+            *(self.replace_engines(*one) for one in self.case.releases),
+            *(self.kill_instances(*one) for one in self.case.kills),
+        ]
+        running = [asyncio.create_task(one) for one in tasks]
+        await asyncio.sleep(END_S)
+        for task in running:
+            task.cancel()
+
+
+def play(case: Case) -> Fleet:
+    async def scenario() -> Fleet:
+        fleet = Fleet(case)
+        await fleet.run()
+        return fleet
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        return runner.run(scenario())
+
+
+def lowest_ratio(fleet: Fleet) -> float:
+    """Returns the least share of streams that go on over that of new ones."""
+    ratios = [1.0]
+    for (window, is_resumed), resumed in fleet.served.items():
+        began = fleet.served.get((window, False), [])
+        if is_resumed and len(resumed) >= MIN_STREAMS and began:
+            share = sum(began) / len(began)
+            ratios.append(sum(resumed) / len(resumed) / max(share, 0.01))
+    return min(ratios)
+
+
+BACK = ((5.0, "v2"), (9.0, "v3"), (20.0, "v1"))
+CASES = [
+    Case(8),
+    Case(8, releases=BACK, kills=((12.0, 0.25), (14.0, 0.25))),
+    Case(8, releases=BACK, kills=((18.0, 0.5),), news_s=2.3, seed=3),
+    Case(195, 40, 25.0, BACK, ((12.0, 0.3), (22.0, 0.3)), seed=1),
+]
+
+
+@pytest.mark.parametrize("case", CASES, ids=str)
+def test_streams_go_on_at_their_version_while_the_fleet_changes(case):
+    """Guards against streams of two versions, and refusals of known ones."""
+    fleet = play(case)
+    assert fleet.mixed == 0
+    assert fleet.why
+    assert lowest_ratio(fleet) >= MIN_GOES_ON
+
+
+@pytest.mark.parametrize(
+    ("releases", "goes_on"), [((), True), (((6.0, "v2"),), False)]
+)
+def test_streams_without_a_named_attempt(releases, goes_on):
+    """Guards against a guess among two versions, and against none for one."""
+    fleet = play(
+        Case(8, releases=releases, kills=((12.0, 0.4),), names_attempt=False)
+    )
+    assert fleet.mixed == 0
+    assert (lowest_ratio(fleet) >= MIN_GOES_ON) is goes_on
+
+
+@pytest.mark.parametrize("instances", [8, 87, 195])
+def test_messages_of_a_stream_do_not_grow_with_the_fleet(instances):
+    """Guards against records and questions that all instances get."""
+    fleet = play(Case(instances, instances // 4, releases=()))
+    streams = sum(
+        len(served)
+        for (_, is_resumed), served in fleet.served.items()
+        if not is_resumed
+    )
+    resumed = sum(
+        len(served)
+        for (_, is_resumed), served in fleet.served.items()
+        if is_resumed
+    )
+    sent = fleet.network.sent
+    records = stream_origins.KEEPERS * (streams + resumed)
+    assert sent["OriginRecord"] <= records
+    assert sent["OriginQuery"] <= (
+        origin_registry.ASK_ATTEMPTS * stream_origins.ASKED_KEEPERS * resumed
+    )
+    assert sent["OriginReply"] <= sent["OriginQuery"]
+    assert fleet.network.largest["OriginRecord"] <= MAX_RECORD_BYTES
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -18,6 +18,7 @@
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import health as health_lib
 from sesamecross.ops.fleet import reachability as reachability_lib
+from sesamecross.ops.fleet import stream_origins
 
 # A lapsed entry is used as a last resort for this share of the drain bound:
 # entries also lapse during a store outage, and return within two seconds of its
@@ -101,6 +102,26 @@
         """Whether it gets no new request any more, whatever else is known."""
         return self.is_replaced or self.is_leaving
 
+    @property
+    def version(self) -> str | None:
+        """Its software version; None if it has started again unseen.
+
+        The lease holder may learn of a start before the new entry arrives, and
+        that may be another version under the same id.
+        """
+        placement = self.engine.placement
+        if placement is not None and placement.born_ms > self.entry.born_ms:
+            return None
+        return self.entry.version
+
+    def is_of(self, origin: stream_origins.StreamOrigin) -> bool:
+        """Whether a stream that began there may go on here."""
+        return (
+            origin.version is not None
+            and self.entry.service == origin.service
+            and self.version == origin.version
+        )
+
     @property
     def running(self) -> float:
         """Requests in flight there, from all instances."""
--- /dev/null
+++ b/sesamecross/ops/fleet/version_history.py
@@ -0,0 +1,92 @@
+"""Which software versions of a service can have begun a stream.
+
+A stream whose origin nobody knows may go on if no other version can have begun
+it. One version that serves now does not show that: the version that began the
+stream may have left since, and an instance that has just started, or was cut
+off from the store, has not seen what served before.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+# An instance that reads no news of upstreams for longer may miss a version that
+# came and left meanwhile.
+MAX_UNREAD_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersions:
+    """The versions of a service that an instance has seen in some time.
+
+    Attributes:
+      is_complete: Whether it would have seen any other.
+    """
+
+    versions: frozenset[str]
+    is_complete: bool
+
+    def plus(self, other: "SeenVersions") -> "SeenVersions":
+        """Returns what two instances have seen together."""
+        return SeenVersions(
+            self.versions | other.versions,
+            self.is_complete or other.is_complete,
+        )
+
+
+class VersionHistory:
+    """The versions that one instance has seen, and since when."""
+
+    __slots__ = ("_last_seen_s", "_complete_since_s")
+
+    def __init__(self) -> None:
+        # By service and version.
+        self._last_seen_s: dict[tuple[str, str], float] = {}
+        self._complete_since_s = math.inf
+
+    def record(
+        self,
+        upstreams: Iterable[tuple[str, str]],
+        read_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Records the known upstreams, by service and version.
+
+        Args:
+          upstreams: Those that serve, or may still do.
+          read_s: When the news of them was last read; None if never.
+          now_s: Monotonic time.
+        """
+        for key in upstreams:
+            self._last_seen_s[key] = now_s
+        if read_s is None or now_s - read_s > MAX_UNREAD_S:
+            self._complete_since_s = math.inf
+        elif self._complete_since_s == math.inf:
+            self._complete_since_s = now_s
+
+    def mark_complete(self) -> None:
+        """Records that nothing served before: the deployment is new."""
+        self._complete_since_s = -math.inf
+
+    def seen(self, service: str, life_s: float, now_s: float) -> SeenVersions:
+        """Returns the versions that can have begun a stream.
+
+        Args:
+          service: The stream's service.
+          life_s: For how long a stream may be resumed.
+          now_s: Monotonic time.
+        """
+        versions = frozenset(
+            version
+            for (of_service, version), at_s in self._last_seen_s.items()
+            if of_service == service and now_s - at_s <= life_s
+        )
+        return SeenVersions(versions, now_s - self._complete_since_s >= life_s)
+
+    def forget(self, older_s: float) -> None:
+        """Forgets versions that were last seen before that time."""
+        self._last_seen_s = {
+            key: at_s
+            for key, at_s in self._last_seen_s.items()
+            if at_s >= older_s
+        }
--- /dev/null
+++ b/sesamecross/ops/fleet/version_history_test.py
@@ -0,0 +1,93 @@
+"""Tests of which versions can have begun a stream."""
+
+import pytest
+
+from sesamecross.ops.fleet import version_history
+
+LIFE_S = 30.0
+V1, V2 = ("s", "v1"), ("s", "v2")
+
+
+def seen(records, now_s, is_new=False) -> version_history.SeenVersions:
+    history = version_history.VersionHistory()
+    if is_new:
+        history.mark_complete()
+    for at_s, upstreams, read_s in records:
+        history.record(upstreams, read_s, at_s)
+    return history.seen("s", LIFE_S, now_s)
+
+
+@pytest.mark.parametrize(
+    ("records", "now_s", "is_new", "versions", "is_complete"),
+    [
+        pytest.param([], 100, False, set(), False, id="nothing read yet"),
+        pytest.param(
+            [(0, [V1], 0), (5, [V1], 5)], 5, False, {"v1"}, False, id="started"
+        ),
+        pytest.param(
+            [(0, [V1], 0)], 5, True, {"v1"}, True, id="a new deployment"
+        ),
+        pytest.param(
+            [(t, [V1], t) for t in range(40)],
+            40,
+            False,
+            {"v1"},
+            True,
+            id="for long",
+        ),
+        pytest.param(
+            [(0, [V1, V2], 0), *((t, [V2], t) for t in range(1, 20))],
+            20,
+            True,
+            {"v1", "v2"},
+            True,
+            id="a version that has left",
+        ),
+        pytest.param(
+            [(0, [V1, V2], 0), *((t, [V2], t) for t in range(1, 40))],
+            40,
+            True,
+            {"v2"},
+            True,
+            id="a version that left long ago",
+        ),
+        pytest.param(
+            [(0, [V1], 0), (20, [V1], 5), (21, [V1], 21)],
+            22,
+            True,
+            {"v1"},
+            False,
+            id="blind for a while",
+        ),
+        pytest.param(
+            [(0, [V1], 0), (9, [V1], 0), (10, [V1], 10)],
+            11,
+            True,
+            {"v1"},
+            True,
+            id="news a few seconds late",
+        ),
+        pytest.param(
+            [(0, [V1, ("other", "v7")], 0)],
+            1,
+            True,
+            {"v1"},
+            True,
+            id="another service",
+        ),
+    ],
+)
+def test_versions_that_can_have_begun_a_stream(
+    records, now_s, is_new, versions, is_complete
+):
+    """Guards against a guess from what serves now."""
+    got = seen(records, now_s, is_new)
+    assert got == version_history.SeenVersions(frozenset(versions), is_complete)
+
+
+def test_old_versions_are_forgotten():
+    history = version_history.VersionHistory()
+    history.record([V1], 0, 0)
+    history.record([V2], 50, 50)
+    history.forget(20)
+    assert history.seen("s", 1e9, 60).versions == {"v2"}
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import stream_origins
 
 # Callers give up on a stream after the longest of these: a time in seconds, a
 # multiple of the latency objective, and a multiple of the maximum gap between
@@ -94,16 +95,30 @@
     __slots__ = ("_seen",)
 
     def __init__(self) -> None:
-        # By model: when the first and the last request missed it.
-        self._seen: dict[str, tuple[float, float]] = {}
-
-    def since(self, model: str, now_s: float) -> float:
-        """Records a request for a missing model; returns since when it is."""
-        first_s, last_s = self._seen.get(model, (now_s, now_s))
+        # By model and origin: when the first and the last request missed it.
+        self._seen: dict[
+            tuple[str, stream_origins.StreamOrigin | None], tuple[float, float]
+        ] = {}
+
+    def since(
+        self,
+        model: str,
+        now_s: float,
+        origin: stream_origins.StreamOrigin | None = None,
+    ) -> float:
+        """Records a request for a missing model; returns since when it is.
+
+        Args:
+          model: The model.
+          now_s: Monotonic time.
+          origin: Where the request's stream began, if it has begun.
+        """
+        key = (model, origin)
+        first_s, last_s = self._seen.get(key, (now_s, now_s))
         if now_s - last_s > MISS_RESET_S:
             # Information on it from that time is outdated.
             first_s = now_s
-        self._seen[model] = (first_s, now_s)
+        self._seen[key] = (first_s, now_s)
         return first_s
 
 
