Instances that start learn from peers which versions served before

An instance asks some peers once it has started, and takes over what one of them knows completely. If all are killed at once, nobody knows what served before, and such streams are refused for that time.

--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -385,7 +385,7 @@
     @property
     def _stream_life_s(self) -> float:
         """For how long a caller may resume the stream."""
-        return self._route.timeout_s * stream_origins.LIFE_TIMEOUTS
+        return stream_origins.life_s(self._route)
 
     async def _find_origin(self) -> bool:
         """Finds where the resumed stream began; returns whether it did."""
--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -45,12 +45,12 @@
 class _Query:
     """The answers to one question."""
 
-    __slots__ = ("missing", "found", "seen", "_changed")
+    __slots__ = ("missing", "found", "replies", "_changed")
 
     def __init__(self, asked: Iterable[str]):
         self.missing = set(asked)
         self.found: fm.OriginReply | None = None
-        self.seen: list[fm.SeenVersions] = []
+        self.replies: list[fm.OriginReply] = []
         self._changed = asyncio.Event()
 
     @property
@@ -63,7 +63,7 @@
         self.missing.discard(reply.me.name)
         if reply.is_known:
             self.found = reply
-        self.seen.extend(reply.seen)
+        self.replies.append(reply)
         if self.is_done:
             self._changed.set()
 
@@ -96,7 +96,6 @@
         self._queries: dict[int, _Query] = {}
         self._ring = stream_origins.KeeperRing(())
         self._roster_version: int | None = None
-        self._longest_life_s = 0.0
         mesh.add_listener(self._on_message)
 
     async def run(self) -> None:
@@ -105,7 +104,7 @@
             await self._ticker.wait(SWEEP_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             self._state.record_versions(now_s)
-            self._state.versions.forget(now_s - self._longest_life_s)
+            self._state.versions.forget(now_s - self._longest_life_s())
             live = list(self._table.live(now_s))
             self._metrics.set(
                 "sesamecross_stream_origins",
@@ -116,10 +115,39 @@
             before = self._ring
             if self._update_ring(now_s):
                 self._tell_new_keepers(before, live, now_s)
+            await self._adopt_history(now_s)
 
     async def stop(self) -> None:
         """Does nothing: others know the streams that began here."""
 
+    def _longest_life_s(self) -> float:
+        """For how long any stream may be resumed."""
+        configuration = self._state.configuration
+        routes = configuration.routes if configuration else ()
+        return max(
+            (stream_origins.life_s(route) for route in routes), default=0.0
+        )
+
+    async def _adopt_history(self, now_s: float) -> None:
+        """Learns from peers what served before this instance started."""
+        life_s = self._longest_life_s()
+        versions = self._state.versions
+        configuration = self._state.configuration
+        if (
+            configuration is None
+            or not self._is_joined
+            or versions.is_complete(life_s, now_s)
+        ):
+            return
+        services = tuple(configuration.services)
+        own_name = self._mesh.roster.me.name
+        key = stream_origins.stream_key("", own_name)
+        query = await self._ask(key, services, life_s)
+        for reply in query.replies:
+            if not reply.is_known:
+                seen = _seen_by_service(reply)
+                versions.adopt(seen, life_s, asyncio.get_running_loop().time())
+
     # -- recording -----------------------------------------------------
 
     def record(
@@ -140,7 +168,6 @@
         if not attempt_id or origin.version is None:
             return
         now_s = asyncio.get_running_loop().time()
-        self._longest_life_s = max(self._longest_life_s, life_s)
         key = stream_origins.stream_key(host, attempt_id)
         self._table.record(key, origin, now_s, life_s)
         if not self._is_joined:
@@ -238,13 +265,10 @@
         if attempt_id and query.found is not None:
             return self._found(query.found)
         seen = self._own_seen(services, life_s, loop.time())
-        for row in query.seen:
-            if row.service in seen:
-                seen[row.service] = seen[row.service].plus(
-                    version_history.SeenVersions(
-                        frozenset(row.versions), row.is_complete
-                    )
-                )
+        for reply in query.replies:
+            for service, theirs in _seen_by_service(reply).items():
+                if service in seen:
+                    seen[service] = seen[service].plus(theirs)
         return _only_version(seen)
 
     def _own_lookup(
@@ -354,6 +378,17 @@
         )
 
 
+def _seen_by_service(
+    reply: fm.OriginReply,
+) -> dict[str, version_history.SeenVersions]:
+    return {
+        row.service: version_history.SeenVersions(
+            frozenset(row.versions), row.is_complete
+        )
+        for row in reply.seen
+    }
+
+
 def _only_version(
     seen: dict[str, version_history.SeenVersions],
 ) -> Lookup:
--- a/sesamecross/gateway/stream_origin_simulation_test.py
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -43,6 +43,29 @@
 MAX_RECORD_BYTES = 160
 
 
+CONFIGURATION = serving.Configuration(
+    1,
+    (
+        serving.Route(
+            "r",
+            HOST,
+            "/a/",
+            serving.RouteKind.STREAM,
+            (serving.Target(SERVICE, 1),),
+            0,
+            2,
+            LIFE_S / stream_origins.LIFE_TIMEOUTS,
+            1.2,
+            0.25,
+            True,
+            True,
+        ),
+    ),
+    {SERVICE: serving.Service(SERVICE, "/", 10, None)},
+    serving.CallerLimits(),
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
     """A fleet and what happens to it.
@@ -135,6 +158,7 @@
                 samples.INSTANCE, zone=self.zone, regions=REGIONS
             )
         )
+        self.state.offer_configuration(CONFIGURATION)
         if incarnation == 1:
             self.state.versions.mark_complete()
         self.state.upstreams_read_s = now_s
@@ -418,9 +442,8 @@
 )
 def test_streams_without_a_named_attempt(releases, goes_on):
     """Guards against a guess among two versions, and against none for one."""
-    fleet = play(
-        Case(8, releases=releases, kills=((12.0, 0.4),), names_attempt=False)
-    )
+    kills = ((9.0, 0.5), (12.0, 0.5), (15.0, 0.5))
+    fleet = play(Case(8, releases=releases, kills=kills, names_attempt=False))
     assert fleet.mixed == 0
     assert (lowest_ratio(fleet) >= MIN_GOES_ON) is goes_on
 
--- a/sesamecross/ops/fleet/stream_origins.py
+++ b/sesamecross/ops/fleet/stream_origins.py
@@ -16,6 +16,7 @@
 import hashlib
 
 from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
 from sesamecross.utils import rendezvous
 
 # How many other instances are told where a stream began.
@@ -61,6 +62,11 @@
     expires_s: float
 
 
+def life_s(route: serving.Route) -> float:
+    """Returns for how long a stream of a route may be resumed."""
+    return route.timeout_s * LIFE_TIMEOUTS
+
+
 def stream_key(host: str, attempt_id: str) -> bytes:
     """Returns the key of a stream, of the same size for ids of any length.
 
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -68,6 +69,27 @@
         """Records that nothing served before: the deployment is new."""
         self._complete_since_s = -math.inf
 
+    def is_complete(self, life_s: float, now_s: float) -> bool:
+        """Whether it holds all versions that served in that time."""
+        return now_s - self._complete_since_s >= life_s
+
+    def adopt(
+        self, seen: Mapping[str, SeenVersions], life_s: float, now_s: float
+    ) -> None:
+        """Takes over what another instance has seen, if that is complete.
+
+        Args:
+          seen: By service, for all services.
+          life_s: The time that it covers.
+          now_s: Monotonic time.
+        """
+        if not seen or not all(one.is_complete for one in seen.values()):
+            return
+        for service, one in seen.items():
+            for version in one.versions:
+                self._last_seen_s[service, version] = now_s
+        self._complete_since_s = min(self._complete_since_s, now_s - life_s)
+
     def seen(self, service: str, life_s: float, now_s: float) -> SeenVersions:
         """Returns the versions that can have begun a stream.
 
@@ -81,7 +103,7 @@
             for (of_service, version), at_s in self._last_seen_s.items()
             if of_service == service and now_s - at_s <= life_s
         )
-        return SeenVersions(versions, now_s - self._complete_since_s >= life_s)
+        return SeenVersions(versions, self.is_complete(life_s, now_s))
 
     def forget(self, older_s: float) -> None:
         """Forgets versions that were last seen before that time."""
--- a/sesamecross/ops/fleet/version_history_test.py
+++ b/sesamecross/ops/fleet/version_history_test.py
@@ -85,6 +85,19 @@
     assert got == version_history.SeenVersions(frozenset(versions), is_complete)
 
 
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_an_instance_that_starts_takes_over_what_another_has_seen(is_complete):
+    """Guards against refusals after the instances have restarted in turn."""
+    history = version_history.VersionHistory()
+    history.record([V2], 100, 100)
+    theirs = version_history.SeenVersions(frozenset({"v1"}), is_complete)
+    history.adopt({"s": theirs}, LIFE_S, 101)
+    assert history.seen("s", LIFE_S, 102) == version_history.SeenVersions(
+        frozenset({"v1", "v2"} if is_complete else {"v2"}), is_complete
+    )
+    assert not history.seen("s", 2 * LIFE_S, 102).is_complete
+
+
 def test_old_versions_are_forgotten():
     history = version_history.VersionHistory()
     history.record([V1], 0, 0)
