Entry: an answer goes on only at the software version that began it

Engines state their version in answers (X-Version) and reports. The answer's word counts; an engine that states none is taken at its report. Candidates for a further attempt are of that version, and an engine that answers at another one (it started again since its report) is not relayed. If none is left the call ends as failed, possibly executed. Callers of this interface have no way to resume a call.

Tests: dispatch_test (five rows), calls_test over processes (two engines of two versions, each breaks after five tokens).

--- a/sesamecross/core/data.py
+++ b/sesamecross/core/data.py
@@ -265,6 +265,7 @@
       sequence: Increases with each report of one epoch and reporter.
       running: Calls in the batch. waiting: calls queued behind it.
       resident: Names of the models and adapters that are ready to serve.
+      version: The version of its software; empty if it states none.
     """
 
     upstream: str
@@ -277,6 +278,7 @@
     resident: tuple[str, ...] = ()
     used_mib: int = 0
     capacity_mib: int = 0
+    version: str = ""
 
 
 class ClaimState(enum.Enum):
--- a/sesamecross/entry/model_call.py
+++ b/sesamecross/entry/model_call.py
@@ -83,6 +83,8 @@
         self._started_s = time.monotonic()
         self._dispatch: dispatch.Dispatch | None = None
         self._stream: engine_stream.EngineStream | None = None
+        # The software version that sent the part that the caller has.
+        self._version: str | None = None
         self._first_token_s: float | None = None
         self._last_token_s = 0.0
         self._is_ended = False
@@ -110,7 +112,8 @@
             self._stream = self._next_stream()
             chunks = self._read_first_chunks(self._stream)
             if chunks:
-                self._dispatcher.first_token(self._call.call_id)
+                self._version = self._stream.version
+                self._dispatcher.first_token(self._call.call_id, self._version)
                 return chunks
 
     def relay_rest(self, sink: sinks.Sink) -> None:
@@ -197,7 +200,14 @@
         opened = engine_stream.EngineStream.open(self._engine_request(action))
         match opened:
             case engine_stream.EngineStream():
-                return opened
+                if self._version in (None, opened.version):
+                    return opened
+                # The engine has started again at another version.
+                opened.close()
+                self._report_failure(
+                    dispatch.MayHaveRun(),
+                    f"version {opened.version}, not {self._version}",
+                )
             case http_client.NotSent(reason=reason):
                 self._report_failure(dispatch.NotRun(), reason)
             case http_client.Failed(reason=reason):
--- a/sesamecross/entry/model_dispatcher.py
+++ b/sesamecross/entry/model_dispatcher.py
@@ -105,10 +105,15 @@
                 )
             )
 
-    def first_token(self, call_id: str) -> None:
-        """Handles the arrival of a call's first token."""
+    def first_token(self, call_id: str, version: str) -> None:
+        """Handles the arrival of a call's first token.
+
+        Args:
+          call_id: The call.
+          version: The software version that sent it, by the answer.
+        """
         with self._lock:
-            self._dispatcher.first_token(call_id)
+            self._dispatcher.first_token(call_id, version)
 
     def failed(self, call_id: str, failure: dispatch.FailureKind) -> None:
         """Handles a failed attempt; `next_action` returns what follows."""
--- a/sesamecross/fakes/engine.py
+++ b/sesamecross/fakes/engine.py
@@ -34,6 +34,7 @@
             "die_after": 0,
             "resume": True,
             "order_delay_ms": 0,
+            "version": "1",
         }
         self.route("POST", "/v1/(chat/completions|completions)", self._call)
         self.route("DELETE", "/v1/calls/(.+)", self._cancel)
@@ -74,6 +75,7 @@
             self._calls[request_id] = self._calls.get(request_id, 0) + 1
         self._batch.submit(call, model)
         echo["Content-Type"] = "text/event-stream"
+        echo["X-Version"] = self._faults["version"]
         return base.Response(self._events(call, body, is_chat), 200, echo)
 
     def _events(
@@ -128,6 +130,7 @@
                 "epoch": memory.epoch,
                 "sequence": sequence,
                 "leaving": self._faults["leaving"],
+                "version": self._faults["version"],
                 "running": running,
                 "waiting": waiting,
                 "resident": memory.resident(),
--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -70,6 +70,8 @@
 
     Attributes:
       may_have_run: Whether any of its attempts may have begun.
+      version: The software version that sent the part of the answer that the
+        caller has; None before the first part.
       state: The record that counts the call. A new configuration may give its
         upstream another record, which has never counted it.
     """
@@ -82,6 +84,7 @@
     in_prefill: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    version: str | None = None
 
 
 class Dispatcher:
@@ -246,6 +249,8 @@
             for u in self.upstreams.values()
             if u.declared.name not in open_call.excluded
             and u.may_serve(target, now_ms)
+            # What two versions write does not fit together.
+            and open_call.version in (None, u.version)
         ]
         return sorted(found, key=lambda u: u.declared.name)
 
@@ -371,11 +376,20 @@
         )
         state.latency_model.observe(observation)
 
-    def first_token(self, call_id: str) -> None:
-        """Handles a call's first token: its prompt is processed."""
+    def first_token(self, call_id: str, version: str = "") -> None:
+        """Handles a call's first token: its prompt is processed.
+
+        Args:
+          call_id: The call.
+          version: The software version by the answer. If that states none, it
+            is that of the engine's report.
+        """
         open_call = self._open_calls.get(call_id)
-        if open_call is not None:
-            self._end_prefill(open_call)
+        if open_call is None:
+            return
+        self._end_prefill(open_call)
+        if open_call.version is None and open_call.state is not None:
+            open_call.version = version or open_call.state.version
 
     def _end_prefill(self, open_call: _OpenCall) -> None:
         state = open_call.state
--- a/sesamecross/ops/dispatch_test.py
+++ b/sesamecross/ops/dispatch_test.py
@@ -1,5 +1,6 @@
 """Tests of the dispatcher: capacity, latency targets, retries, refusals."""
 
+import dataclasses
 import random
 
 import pytest
@@ -369,3 +370,35 @@
         dispatcher.report(report(name, leaving=True, sequence=2), 0)
     (refused,) = dispatcher.failed("call1", dispatch.NotRun(), 0)
     assert refused.refusal.executed is refusal.Executed.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("stated", "versions", "later"),
+    [
+        pytest.param("", ("1", "1"), "other", id="one version"),
+        pytest.param("", ("1", "2"), "same", id="two versions"),
+        pytest.param("", ("", ""), "other", id="versions that are not stated"),
+        # The engine started again after its report.
+        pytest.param("2", ("1", "2"), "other", id="the answer states another"),
+        pytest.param("3", ("1", "2"), None, id="a version that is gone"),
+    ],
+)
+def test_an_answer_goes_on_only_at_the_version_that_began_it(
+    stated, versions, later
+):
+    """Guards against one answer with tokens of two software versions."""
+    names = ("e1", "e2")
+    dispatcher = make_dispatcher(names)
+    (first,) = dispatcher.submit(call(1), 0)
+    other = names[first.upstream == "e1"]
+    for name, version in zip((first.upstream, other), versions, strict=True):
+        dispatcher.report(
+            dataclasses.replace(report(name, sequence=2), version=version), 1
+        )
+    dispatcher.first_token("call1", stated)
+    (action,) = dispatcher.failed("call1", dispatch.MayHaveRun(), 2)
+    if later is None:
+        assert action.refusal.executed is refusal.Executed.UNKNOWN
+    else:
+        expected = other if later == "other" else first.upstream
+        assert action.upstream == expected
--- a/sesamecross/ops/routing.py
+++ b/sesamecross/ops/routing.py
@@ -121,6 +121,11 @@
     is_draining: bool = False
     absent: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def version(self) -> str:
+        """The version of its software by its report; empty if unknown."""
+        return self.report.version if self.report is not None else ""
+
     def batch_size(self, now_ms: int) -> float:
         """Estimates the calls at the upstream, of this and other entries."""
         if self.report is None:
--- a/sesamecross/ports/engine_http.py
+++ b/sesamecross/ports/engine_http.py
@@ -6,8 +6,9 @@
 the number of tokens so far. `X-Request-Id` identifies the call and is returned
 in the `id` of each chunk. `Last-Event-ID` resumes after a token, `X-Priority`
 orders the engine's queue, and `X-Not-Run` on an error means that the call was
-not started. `POST /admin/orders` accepts an order, idempotently by order id.
-`GET /admin/status` returns a report, and `DELETE /v1/calls/ID` cancels a call.
+not started. `X-Version` on an answer is the version of the engine's software.
+`POST /admin/orders` accepts an order, idempotently by order id. `GET
+/admin/status` returns a report, and `DELETE /v1/calls/ID` cancels a call.
 """
 
 import dataclasses
@@ -120,6 +121,7 @@
         resident=tuple(sorted(str(name) for name in body["resident"])),
         used_mib=int(body["used_mib"]),
         capacity_mib=int(body["capacity_mib"]),
+        version=str(body.get("version", "")),
     )
     orders = {
         str(key): OrderState(value) for key, value in body["orders"].items()
--- a/sesamecross/ports/engine_stream.py
+++ b/sesamecross/ports/engine_stream.py
@@ -179,6 +179,11 @@
         """Returns the file descriptor to wait on."""
         return self._socket.fileno()
 
+    @property
+    def version(self) -> str:
+        """The version of the engine's software; empty if it states none."""
+        return self._response.headers.get("x-version", "")
+
     @property
     def ended(self) -> bool:
         """Whether the body is complete or the engine closed the connection."""
--- a/tests/calls_test.py
+++ b/tests/calls_test.py
@@ -61,6 +61,12 @@
     deployment.stop()
 
 
+def runs_at(deployment, name):
+    url = deployment.engine_urls[name]
+    calls = processes.get_json(f"{url}/fake/stats")["calls"]
+    return sum(calls.values())
+
+
 def set_faults(deployment, name, **values):
     url = deployment.engine_urls[name]
     processes.post_json(f"{url}/fake/faults", values)
@@ -92,6 +98,28 @@
     assert body.endswith(b"data: [DONE]\n\n")
 
 
+def test_a_stream_is_not_continued_by_another_version(two_replicas):
+    """Guards against an answer with tokens of two software versions."""
+    names = engines_with_model(two_replicas)
+    for number, name in enumerate(names):
+        set_faults(two_replicas, name, version=f"v{number}", die_after=5)
+    # The entries learn of the versions from the next reports.
+    time.sleep(1.5)
+    before = [runs_at(two_replicas, name) for name in names]
+    try:
+        status, body, _ = demo.Caller().chat(
+            two_replicas.instances[0].entry_url, MODEL, "versions", 40
+        )
+    finally:
+        for name in names:
+            set_faults(two_replicas, name, die_after=0, version="1")
+        time.sleep(1.5)
+    after = [runs_at(two_replicas, name) for name in names]
+    assert (status, token_numbers(body)) == (200, list(range(1, 41)))
+    # The engine that began it was tried again.
+    assert sorted(b - a for a, b in zip(before, after, strict=True)) == [0, 2]
+
+
 def test_an_engine_killed_before_the_first_byte(new_deployment):
     # R6: the engine is dead when the call arrives. Nothing was executed, so
     # another replica answers, and callers see no error.
