More instances verify a suspected upstream if the first ones can't reach it

Cause, from a trace: two of the live instances that count as reaching their upstreams verify a suspected one. With six of eight instances cut off from it, both were among the six: an instance counts an upstream as unreachable only while others hear it, and nobody heard this one. They can't verify what they can't reach, and the instances that could were not picked.

--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -22,8 +22,12 @@
 from sesamecross.utils import rendezvous
 
 AskEngine = Callable[[serving.Upstream], Awaitable[serving.EngineReport | None]]
-# How many instances probe an upstream that others find unreachable.
-VERIFIERS = 2
+# How many instances probe an upstream at first that others find unreachable.
+# Those picked may be cut off from it themselves, so more do at each further
+# check, up to a limit for upstreams that are gone.
+VERIFIERS = 4
+VERIFIERS_GROWTH = 4
+MAX_VERIFIERS = 64
 
 
 class UpstreamConnector:
@@ -36,6 +40,7 @@
         "_ask_engine",
         "_log",
         "_probes",
+        "_checks",
     )
 
     def __init__(
@@ -59,6 +64,8 @@
         self._ask_engine = ask_engine
         self._log = logs.get_logger("connector")
         self._probes: set[asyncio.Task] = set()
+        # By the instance id of a suspected upstream, the checks so far.
+        self._checks: dict[str, int] = {}
 
     async def connect(
         self, upstream: directory.KnownUpstream, timeout_s: float
@@ -138,15 +145,21 @@
           me: This instance's name.
         """
         now_s = asyncio.get_running_loop().time()
+        checks, self._checks = self._checks, {}
         for known in self._state.directory:
+            instance_id = known.entry.instance_id
             is_suspected = (
                 not known.is_retired
                 and known.lapsed_s is None
                 and self._access(known, now_s) is directory.Access.UNCERTAIN
                 and not known.reachability.is_path_failing(now_s)
             )
-            if is_suspected and me in rendezvous.top(
-                f"verify/{known.entry.instance_id}", instances, VERIFIERS
+            if not is_suspected:
+                continue
+            done = checks.get(instance_id, 0)
+            self._checks[instance_id] = done + 1
+            if me in rendezvous.top(
+                f"verify/{instance_id}", instances, _verifiers(done)
             ):
                 self._verify_if_due(known, now_s)
 
@@ -209,3 +222,8 @@
         self._connection_pool.release(upstream.entry.address, connection)
         self._log.info("path works", upstream=upstream.entry.instance_id)
         return True
+
+
+def _verifiers(checks: int) -> int:
+    """Returns how many instances probe after some checks without a result."""
+    return min(MAX_VERIFIERS, VERIFIERS * VERIFIERS_GROWTH**checks)
