--- a/sesamecross/entry/model_call.py
+++ b/sesamecross/entry/model_call.py
@@ -240,7 +240,9 @@
     ) -> list[answer_validator.Chunk]:
         """Waits for the attempt's first events; empty if it failed."""
         try:
-            while not stream.ended:
+            while True:
+                # The whole answer may have arrived together with its head.
+                is_last = stream.ended
                 left_s = self._call.deadline_ms / 1000 - time.monotonic()
                 events = stream.read(
                     max(0.05, min(ENGINE_IDLE_TIMEOUT_S, left_s))
@@ -255,6 +257,8 @@
                             time.monotonic()
                         )
                     return chunks
+                if is_last:
+                    break
             reason = "the answer ended early"
         except (
             engine_stream.StreamBroken,
