Entry: calls go by way of another entry while the own links fail

An entry tells its steward its address, heartbeats carry it to linked peers, and a view lists up to eight other entries. A call refused as not executed after a connection failed goes by way of one of them, as a call of the same caller; once connections fail and none succeeds, calls go there at once, but for one a second that tries the own links. One hop only; an entry that is cut off itself says so and the next one is asked; a stream that breaks off ends with an error event.

A steward that reaches none of the engines it polls says so in heartbeats; others poll in its place, one more than are cut off, and correct its reports. It gives up the lease if another steward of the zone reaches the engines.

--- a/sesamecross/core/data.py
+++ b/sesamecross/core/data.py
@@ -311,6 +311,19 @@
     answer: Answer | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryPeer:
+    """Another entry, which serves the same callers.
+
+    Attributes:
+      address: Where it accepts callers' connections.
+    """
+
+    instance: str
+    zone: str
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """The state that an entry needs for relaying, sent by its steward.
@@ -320,6 +333,7 @@
       tree: The merged configuration, which the entry parses and validates
         again. None if it has not changed since the last view.
       entries: Number of entry instances believed to be alive.
+      peers: Some of the other entries.
     """
 
     number: int
@@ -329,3 +343,4 @@
     draining: tuple[str, ...] = ()
     log_reachable: bool = True
     entries: int = 1
+    peers: tuple[EntryPeer, ...] = ()
--- a/sesamecross/core/messages.py
+++ b/sesamecross/core/messages.py
@@ -24,6 +24,10 @@
       echo: The last `count` that the sender received from the receiver.
       kept_in_dark: Number of claims stored by the sender that were made while
         it was disconnected from the log and all witnesses.
+      entry_address: Where the entry beside the sender accepts callers'
+        connections; empty if there is none.
+      reaches_engines: Whether the sender is not cut off from the engines that
+        it polls.
     """
 
     member: data.Member
@@ -34,6 +38,8 @@
     leaving: bool
     echo: int = 0
     kept_in_dark: int = 0
+    entry_address: str = ""
+    reaches_engines: bool = True
 
 
 @codec.register
@@ -87,10 +93,12 @@
     Attributes:
       calls: Number of calls by model or adapter since the last report.
       interval_ms: The time that the counts cover.
+      address: Where the entry accepts callers' connections.
     """
 
     calls: dict[str, int]
     interval_ms: int
+    address: str = ""
 
 
 @codec.register
--- a/sesamecross/entry/app.py
+++ b/sesamecross/entry/app.py
@@ -8,6 +8,7 @@
 from sesamecross.core import data
 from sesamecross.entry import http_app
 from sesamecross.entry import model_dispatcher
+from sesamecross.entry import peer_relay
 from sesamecross.entry import service_call
 from sesamecross.entry import state as state_lib
 from sesamecross.entry import steward_link
@@ -48,6 +49,9 @@
         )
         self._stream_relay = stream_relay_lib.StreamRelay()
         self._engines = engine_http.HttpEngine()
+        links = peer_relay.PeerRelay(
+            settings.zone, self._state, clock, self.recorder, rng
+        )
         services = service_call.ServiceDispatcher(
             settings.zone,
             self._state,
@@ -56,6 +60,7 @@
             clock,
             self.recorder,
             rng,
+            links,
         )
         app = http_app.HttpApp(
             settings,
@@ -67,6 +72,7 @@
             clock,
             self.recorder,
             metrics_lib.Metrics(),
+            links,
         )
         limits = http_server.Limits(
             settings.threads,
--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -17,6 +17,7 @@
 from sesamecross.entry import model_dispatcher
 from sesamecross.entry import model_request
 from sesamecross.entry import openai_response
+from sesamecross.entry import peer_relay
 from sesamecross.entry import service_call
 from sesamecross.entry import sinks
 from sesamecross.entry import state as state_lib
@@ -26,6 +27,7 @@
 from sesamecross.ops import timeline
 from sesamecross.parser import settings as settings_lib
 from sesamecross.ports import engine_http
+from sesamecross.ports import entry_http
 from sesamecross.runtime import http_server
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
@@ -46,6 +48,12 @@
 }
 _SERVICE_PATH = re.compile(r"^/services/([^/]+)(/.*)?$")
 _FORWARDED_HEADERS = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_IDEMPOTENCY_KEY")
+# Headers of a call that another entry needs to serve it.
+_RELAYED_HEADERS = (
+    *_FORWARDED_HEADERS,
+    "HTTP_AUTHORIZATION",
+    "HTTP_X_PRIORITY",
+)
 _MAX_PRIORITY = 9
 CORRELATION_HEADER = "X-Correlation-Id"
 
@@ -88,7 +96,9 @@
         clock: clock_lib.Clock,
         recorder: timeline.Recorder,
         metrics: metrics_lib.Metrics,
+        links: peer_relay.PeerRelay,
     ):
+        self._links = links
         self._settings = settings
         self._state = state
         self._dispatcher = dispatcher
@@ -223,6 +233,7 @@
         request: _Request,
         problem: refusal.Refusal,
         start_response: Any,
+        more_headers: tuple[tuple[str, str], ...] = (),
     ) -> list[bytes]:
         self._metrics.count(
             "sesamecross_refusals_total",
@@ -232,6 +243,7 @@
         body = problem.body(request.call_id)
         headers = [
             *problem.headers(),
+            *more_headers,
             ("Content-Length", str(len(body))),
             (CORRELATION_HEADER, request.call_id),
         ]
@@ -301,6 +313,9 @@
         if isinstance(parsed, Failure):
             return self._send_refusal(request, parsed.failure(), start_response)
         parsed_request = parsed.unwrap()
+        relayed = self._relay_if_cut_off(request, body, start_response)
+        if relayed is not None:
+            return relayed
         self._state.count_demand(parsed_request.target)
         call = self._routing_call(request, caller, parsed_request, snapshot)
         active_call = model_call.ModelCall(
@@ -311,9 +326,10 @@
             self._engines,
             self._recorder,
             self._settings.caller_idle_ms / 1000,
+            self._links,
         )
         return self._relay_model_call(
-            request, parsed_request, active_call, start_response
+            request, parsed_request, active_call, body, start_response
         )
 
     def _routing_call(
@@ -346,6 +362,7 @@
         request: _Request,
         parsed_request: model_request.ModelRequest,
         active_call: model_call.ModelCall,
+        body: bytes,
         start_response: Any,
     ) -> Iterator[bytes]:
         try:
@@ -371,8 +388,8 @@
                     request, 200, "application/json", body, start_response
                 )
         except model_call.CallRefusedError as error:
-            yield from self._send_refusal(
-                request, error.problem, start_response
+            yield from self._relay_or_refuse(
+                request, body, error.problem, start_response
             )
         except model_call.EngineRejectedError as error:
             rejected = error.rejected
@@ -459,6 +476,96 @@
                 active_call.first_token_s - request.started_s,
             )
 
+    # -- by way of another entry ---------------------------------------------
+
+    def _relay_if_cut_off(
+        self, request: _Request, body: bytes, start_response: Any
+    ) -> Iterable[bytes] | None:
+        """Serves a call by way of a peer if the own links fail, else None."""
+        if _is_relayed(request) or not self._links.must_relay():
+            return None
+        return self._send_relayed(request, body, start_response)
+
+    def _relay_or_refuse(
+        self,
+        request: _Request,
+        body: bytes,
+        problem: refusal.Refusal,
+        start_response: Any,
+    ) -> Iterable[bytes]:
+        """Serves a call by way of a peer if no upstream could be reached."""
+        if not self._links.may_relay(problem):
+            return self._send_refusal(request, problem, start_response)
+        if _is_relayed(request):
+            return self._send_refusal(
+                request,
+                problem,
+                start_response,
+                ((entry_http.UNREACHABLE_HEADER, "1"),),
+            )
+        relayed = self._send_relayed(request, body, start_response)
+        if relayed is not None:
+            return relayed
+        return self._send_refusal(request, problem, start_response)
+
+    def _send_relayed(
+        self, request: _Request, body: bytes, start_response: Any
+    ) -> Iterable[bytes] | None:
+        left_ms = max(
+            1, self._deadline_ms(request) - self._clock.monotonic_ms()
+        )
+        query = request.header("QUERY_STRING")
+        answer = self._links.send(
+            request.call_id,
+            entry_http.RelayedCall(
+                request.method,
+                f"{request.path}?{query}" if query else request.path,
+                (
+                    *_forwarded_headers(request, _RELAYED_HEADERS),
+                    ("X-Deadline-Ms", str(left_ms)),
+                ),
+                body,
+                left_ms / 1000,
+            ),
+        )
+        if isinstance(answer, refusal.Refusal):
+            return self._send_refusal(request, answer, start_response)
+        if answer is None:
+            return None
+        self._metrics.count(
+            "sesamecross_relayed_calls_total",
+            "Calls served by way of another entry.",
+            {},
+        )
+        return self._pass_on(request, answer, start_response)
+
+    def _pass_on(
+        self,
+        request: _Request,
+        answer: entry_http.RelayedAnswer,
+        start_response: Any,
+    ) -> Iterable[bytes]:
+        """Passes a peer's answer on; only a stream before it is complete."""
+        problem = refusal.upstream_failed(
+            refusal.Executed.UNKNOWN,
+            "The answer broke off; look the result up before calling again",
+        )
+        headers = [*answer.headers, (CORRELATION_HEADER, request.call_id)]
+        if dict(answer.headers).get("Content-Type") == openai_response.SSE_TYPE:
+            start_response(_status_line(answer.status), headers)
+            return peer_relay.body_of(answer, _error_event(request, problem))
+        try:
+            body = b"".join(answer.chunks())
+        except entry_http.BrokenError:
+            return self._send_refusal(request, problem, start_response)
+        finally:
+            answer.close()
+        start_response(
+            _status_line(answer.status),
+            [*headers, ("Content-Length", str(len(body)))],
+        )
+        return [body]
+
     # -- services ------------------------------------------------------------
 
     def _handle_service_call(
@@ -468,7 +575,7 @@
         snapshot: state_lib.Snapshot,
         match: re.Match,
         start_response: Any,
-    ) -> list[bytes]:
+    ) -> Iterable[bytes]:
         name = match.group(1)
         service = snapshot.declarations.services.get(name)
         is_permitted = (
@@ -484,6 +591,10 @@
                 f"Use at most {service_call.MAX_KEY_CHARS} characters",
             )
             return self._send_refusal(request, problem, start_response)
+        content = http_server.read_body(request.environ)
+        relayed = self._relay_if_cut_off(request, content, start_response)
+        if relayed is not None:
+            return relayed
         outcome = self._services.call(
             service_call.ServiceRequest(
                 request.call_id,
@@ -491,8 +602,8 @@
                 service,
                 request.method,
                 _path_and_query(match, request),
-                _forwarded_headers(request),
-                http_server.read_body(request.environ),
+                _forwarded_headers(request, _FORWARDED_HEADERS),
+                content,
                 key,
                 self._deadline_ms(request),
             )
@@ -515,7 +626,9 @@
                 call_id=request.call_id,
                 model=name,
             )
-            return self._send_refusal(request, outcome, start_response)
+            return self._relay_or_refuse(
+                request, content, outcome, start_response
+            )
         self._recorder.add(
             timeline.EventKind.CALL,
             f"{request.method} answered {outcome.status}",
@@ -537,9 +650,11 @@
     return f"{path}?{query}" if query else path
 
 
-def _forwarded_headers(request: _Request) -> tuple[tuple[str, str], ...]:
+def _forwarded_headers(
+    request: _Request, names: Iterable[str]
+) -> tuple[tuple[str, str], ...]:
     forwarded = []
-    for name in _FORWARDED_HEADERS:
+    for name in names:
         value = request.header(name)
         if value:
             title = name.removeprefix("HTTP_").replace("_", "-").title()
@@ -547,6 +662,10 @@
     return tuple(forwarded)
 
 
+def _is_relayed(request: _Request) -> bool:
+    return bool(request.header("HTTP_X_SESAMECROSS_RELAYED"))
+
+
 def _error_event(request: _Request, problem: refusal.Refusal) -> bytes:
     """Returns a refusal as an event of a stream whose status is sent.
 
--- a/sesamecross/entry/model_call.py
+++ b/sesamecross/entry/model_call.py
@@ -11,6 +11,7 @@
 from sesamecross.core import refusal
 from sesamecross.entry import model_dispatcher
 from sesamecross.entry import model_request
+from sesamecross.entry import peer_relay
 from sesamecross.entry import sinks
 from sesamecross.entry import stream_relay as stream_relay_lib
 from sesamecross.ops import answer_validator
@@ -71,6 +72,7 @@
         engines: engine_http.HttpEngine,
         recorder: timeline.Recorder,
         caller_idle_timeout_s: float,
+        links: peer_relay.PeerRelay,
     ):
         self._call = call
         self._request = request
@@ -79,6 +81,7 @@
         self._engines = engines
         self._recorder = recorder
         self._caller_idle_timeout_s = caller_idle_timeout_s
+        self._links = links
         self._validator = answer_validator.AnswerValidator(call.call_id)
         self._started_s = time.monotonic()
         self._dispatch: dispatch.Dispatch | None = None
@@ -200,6 +203,7 @@
         opened = engine_stream.EngineStream.open(self._engine_request(action))
         match opened:
             case engine_stream.EngineStream():
+                self._links.record_contact(action.upstream)
                 if self._version in (None, opened.version):
                     return opened
                 # The engine has started again at another version.
@@ -209,6 +213,7 @@
                     f"version {opened.version}, not {self._version}",
                 )
             case http_client.NotSent(reason=reason):
+                self._links.record_failure(action.upstream)
                 self._report_failure(dispatch.NotRun(), reason)
             case http_client.Failed(reason=reason):
                 self._report_failure(dispatch.MayHaveRun(), reason)
--- a/sesamecross/entry/service_call.py
+++ b/sesamecross/entry/service_call.py
@@ -19,6 +19,7 @@
 from sesamecross.core import data
 from sesamecross.core import records
 from sesamecross.core import refusal
+from sesamecross.entry import peer_relay
 from sesamecross.entry import state as state_lib
 from sesamecross.entry import steward_link
 from sesamecross.ops import retry
@@ -76,7 +77,9 @@
         clock: clock_lib.Clock,
         recorder: timeline.Recorder,
         rng: random.Random,
+        links: peer_relay.PeerRelay,
     ):
+        self._links = links
         self._state = state
         self._link = link
         self._services = services
@@ -162,6 +165,10 @@
                 self._service_call(request, upstream), idempotent
             )
             answered = isinstance(answer, data.Answer)
+            if isinstance(answer, http_client.NotSent):
+                self._links.record_failure(upstream.name)
+            else:
+                self._links.record_contact(upstream.name)
         finally:
             with self._lock:
                 self._router.call_ended(
--- a/sesamecross/entry/service_call_test.py
+++ b/sesamecross/entry/service_call_test.py
@@ -8,6 +8,7 @@
 from sesamecross.core import data
 from sesamecross.core import records
 from sesamecross.core import refusal
+from sesamecross.entry import peer_relay
 from sesamecross.entry import service_call
 from sesamecross.entry import state as state_lib
 from sesamecross.ops import timeline
@@ -67,6 +68,22 @@
         return ANSWER
 
 
+def dispatcher_with(state, link, services) -> service_call.ServiceDispatcher:
+    the_clock = clock.ManualClock(1000)
+    recorder = timeline.Recorder("entry/i", "z", the_clock)
+    rng = random.Random(1)
+    return service_call.ServiceDispatcher(
+        "z",
+        state,
+        link,
+        services,
+        the_clock,
+        recorder,
+        rng,
+        peer_relay.PeerRelay("z", state, the_clock, recorder, rng),
+    )
+
+
 @pytest.mark.parametrize(
     ("after", "urls", "executed"),
     [([], [], False), (["b"], [URLS["b"]], True)],
@@ -85,15 +102,7 @@
     state._snapshot = snapshot(["a"])
     link = FakeStewardLink(state, snapshot(after))
     services = FakeService()
-    dispatcher = service_call.ServiceDispatcher(
-        "z",
-        state,
-        link,
-        services,
-        clock.ManualClock(1000),
-        recorder,
-        random.Random(1),
-    )
+    dispatcher = dispatcher_with(state, link, services)
     service = state.snapshot.declarations.services["orders"]
     outcome = dispatcher.call(
         service_call.ServiceRequest(
@@ -127,15 +136,7 @@
     state = state_lib.EntryState(recorder)
     state._snapshot = snapshot(["a"])
     link = FakeStewardLink(state, snapshot(["a"]))
-    dispatcher = service_call.ServiceDispatcher(
-        "z",
-        state,
-        link,
-        BrokenService(),
-        clock.ManualClock(1000),
-        recorder,
-        random.Random(1),
-    )
+    dispatcher = dispatcher_with(state, link, BrokenService())
     service = state.snapshot.declarations.services["orders"]
     request = service_call.ServiceRequest(
         "call", CALLER, service, "POST", "/", (), b"", key, 10**9
@@ -175,15 +176,7 @@
     state._snapshot = snapshot(["a", "b"])
     link = FakeStewardLink(state, snapshot(["a", "b"]))
     services = PartlyReachableService(unreachable)
-    dispatcher = service_call.ServiceDispatcher(
-        "z",
-        state,
-        link,
-        services,
-        clock.ManualClock(1000),
-        recorder,
-        random.Random(1),
-    )
+    dispatcher = dispatcher_with(state, link, services)
     service = state.snapshot.declarations.services["orders"]
     outcomes = [
         dispatcher.call(
--- a/sesamecross/entry/state.py
+++ b/sesamecross/entry/state.py
@@ -21,6 +21,7 @@
     Attributes:
       callers: The callers by the digest of their key.
       draining: Names of the upstreams with a drain mark.
+      peers: Other entries, by way of which calls can be served.
     """
 
     version: int
@@ -28,6 +29,7 @@
     callers: dict[str, data.Caller]
     draining: frozenset[str]
     log_reachable: bool
+    peers: tuple[data.EntryPeer, ...] = ()
 
 
 class EntryState:
@@ -95,6 +97,7 @@
             callers,
             frozenset(view.draining),
             view.log_reachable,
+            view.peers,
         )
         if changed and (snapshot is None or snapshot.version != view.version):
             self._recorder.add(
--- a/sesamecross/entry/steward_link.py
+++ b/sesamecross/entry/steward_link.py
@@ -176,7 +176,9 @@
         while True:
             await asyncio.sleep(DEMAND_INTERVAL_S)
             report = messages.DemandReport(
-                self._take_demand(), int(DEMAND_INTERVAL_S * 1000)
+                self._take_demand(),
+                int(DEMAND_INTERVAL_S * 1000),
+                self._settings.advertise or self._settings.listen,
             )
             try:
                 await stream.send(report)
--- a/sesamecross/parser/settings.py
+++ b/sesamecross/parser/settings.py
@@ -36,6 +36,7 @@
 
     Attributes:
       listen: Address that accepts callers' connections.
+      advertise: Address at which other entries reach it; by default `listen`.
       steward: Address of the steward on the same instance.
       policy: "estimated"; "least-outstanding" and "round-robin" are baselines
         for experiments, without limits and queue.
@@ -63,6 +64,7 @@
     default_deadline_ms: data.Positive = 120_000
     balancer_lag_ms: data.NonNegative = 1000
     drain_ms: data.Positive = 60_000
+    advertise: Address | None = None
     log_level: str = "info"
     log_format: str = "json"
 
--- a/sesamecross/steward/app.py
+++ b/sesamecross/steward/app.py
@@ -132,6 +132,7 @@
             self._engines,
             self.recorder,
             settings.report_ms,
+            self.peer_links,
         )
         self.demand_tracker = demand_tracker_lib.DemandTracker(
             self.me, self._store, self.recorder
@@ -145,6 +146,7 @@
             self._membership,
             self._clock,
             self.recorder,
+            self.peer_links,
         )
         self.placement_controller = (
             placement_controller_lib.PlacementController(
@@ -176,6 +178,7 @@
             self.reader,
             self.server,
             self._membership,
+            self.peer_links,
         )
         self._bootstrapper.bind(self)
         snapshotter = snapshotter_lib.Snapshotter(
@@ -297,6 +300,7 @@
         return statuses
 
     def _on_demand(self, report: messages.DemandReport) -> None:
+        self.peer_links.entry_address = report.address
         self.demand_tracker.record_counts(report.calls, report.interval_ms)
 
     def _on_event(self, event: replay.AppliedRecord) -> None:
--- a/sesamecross/steward/engine_poller.py
+++ b/sesamecross/steward/engine_poller.py
@@ -16,6 +16,7 @@
 from sesamecross.ports import engine_http
 from sesamecross.runtime import logs
 from sesamecross.steward import local_replica as local_replica_lib
+from sesamecross.steward import peer_links as peer_links_lib
 from sesamecross.utils import rendezvous
 
 REPORT_PREFIX = "report/"
@@ -38,6 +39,7 @@
         "_engines",
         "_recorder",
         "_poll_interval_s",
+        "_peer_links",
         "_failures",
         "_published",
         "_logger",
@@ -52,6 +54,7 @@
         engines: engine_http.HttpEngine,
         recorder: timeline.Recorder,
         report_ms: int,
+        peer_links: peer_links_lib.PeerLinks,
     ):
         self._me = me
         self._replica = replica
@@ -60,6 +63,7 @@
         self._engines = engines
         self._recorder = recorder
         self._poll_interval_s = report_ms / 1000
+        self._peer_links = peer_links
         self._failures: dict[str, int] = {}
         self._published: dict[str, tuple[data.UpstreamReport, float]] = {}
         self._logger = logs.get_logger("reporter")
@@ -76,20 +80,59 @@
             await asyncio.gather(
                 *(self.poll(upstream) for upstream in upstreams)
             )
+            self._update_reach(upstreams)
             await asyncio.sleep(self._poll_interval_s)
 
     async def stop(self) -> None:
         """Does nothing: no work is open between polls."""
 
     def _assigned_upstreams(self) -> list[data.Upstream]:
-        alive = self._membership.alive_in_zone()
         me = self._me.incarnation.instance
-        return [
+        upstreams = [
             upstream
             for upstream in self._replica.state.config.declarations.engines()
             if upstream.zone == self._me.zone
-            and rendezvous.top(f"poll/{upstream.name}", alive, 1) == [me]
         ]
+        # More than one polls in the place of those that are cut off, as the
+        # next one may be cut off too.
+        count = 1 + len(self._peer_links.cut_off_peers())
+        assigned = [
+            upstream
+            for upstream in upstreams
+            if me in self._pollers(upstream)[:count]
+        ]
+        if not assigned and not self._peer_links.reaches_engines:
+            # Shows when the own links work again.
+            return upstreams[:1]
+        return assigned
+
+    def _pollers(self, upstream: data.Upstream) -> list[str]:
+        """Returns the stewards that may poll an engine, in order."""
+        cut_off = self._peer_links.cut_off_peers()
+        names = [
+            name
+            for name in self._membership.alive_in_zone()
+            if name not in cut_off
+        ]
+        return rendezvous.top(f"poll/{upstream.name}", names, len(names))
+
+    def _update_reach(self, polled: list[data.Upstream]) -> None:
+        """Notes whether this steward is probably cut off from the engines.
+
+        The others then poll them in its place: what one steward can't reach is
+        not down for all.
+        """
+        failures = [self._failures.get(one.name, 0) for one in polled]
+        reaches = self._peer_links.reaches_engines
+        if not failures or 0 in failures:
+            reaches = True
+        elif max(failures) >= UNREACHABLE_AFTER_FAILURES:
+            reaches = False
+        if reaches != self._peer_links.reaches_engines:
+            self._peer_links.reaches_engines = reaches
+            self._logger.warning(
+                "reach of engines changed", reaches=reaches, polled=len(polled)
+            )
 
     async def poll(
         self, upstream: data.Upstream
@@ -105,7 +148,12 @@
             return status
         failures = self._failures.get(upstream.name, 0) + 1
         self._failures[upstream.name] = failures
-        if failures == UNREACHABLE_AFTER_FAILURES:
+        me = self._me.incarnation.instance
+        if (
+            failures == UNREACHABLE_AFTER_FAILURES
+            and self._pollers(upstream)[:1] == [me]
+            and not self._peer_links.has_substitute()
+        ):
             self._publish_unreachable(upstream)
         return None
 
@@ -137,7 +185,11 @@
         now_s = asyncio.get_running_loop().time()
         busy = report.running or report.waiting
         refresh_s = BUSY_REFRESH_S if busy else IDLE_REFRESH_S
-        if before == without_sequence and now_s - at_s < refresh_s:
+        known = self.report_of(report.upstream)
+        # Another steward may have said otherwise since.
+        is_undisputed = known is None or known.reachable == report.reachable
+        is_recent = now_s - at_s < refresh_s
+        if before == without_sequence and is_recent and is_undisputed:
             return
         self._published[report.upstream] = (without_sequence, now_s)
         stamp = self._recorder.now()
--- a/sesamecross/steward/lease_manager.py
+++ b/sesamecross/steward/lease_manager.py
@@ -18,6 +18,7 @@
 from sesamecross.steward import local_replica as local_replica_lib
 from sesamecross.steward import log_reader
 from sesamecross.steward import log_writer
+from sesamecross.steward import peer_links as peer_links_lib
 
 TICK_S = 0.1
 RANK_DELAY_MS = 500
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "_me",
+        "_peer_links",
         "_replica",
         "_reader",
         "_writer",
@@ -55,7 +57,9 @@
         membership: membership_lib.Membership,
         clock: clock_lib.Clock,
         recorder: timeline.Recorder,
+        peer_links: peer_links_lib.PeerLinks,
     ):
+        self._peer_links = peer_links
         self._me = me
         self._replica = replica
         self._reader = reader
@@ -110,6 +114,13 @@
 
     def _tick(self, now_ms: int) -> None:
         lease = self.held_lease()
+        if self._must_yield():
+            if lease is not None and self._writer.reachable:
+                self._writer.submit(
+                    records.LeaseReleased(lease.zone, lease.offset)
+                )
+                self._logger.warning("lease released, engines not reached")
+            return
         if lease is not None:
             if now_ms - self._renewed_ms >= self._renew_interval_ms:
                 self._renewed_ms = now_ms
@@ -126,6 +137,10 @@
             return
         self._challenge(now_ms)
 
+    def _must_yield(self) -> bool:
+        """Whether only another steward of the zone reaches the engines."""
+        return self._peer_links.has_substitute()
+
     def _challenge(self, now_ms: int) -> None:
         current = self._replica.state.leases.leases.get(self._me.zone)
         alive = self._membership.alive_in_zone()
--- a/sesamecross/steward/peer_links.py
+++ b/sesamecross/steward/peer_links.py
@@ -35,6 +35,8 @@
 INSTANCE_LIST_INTERVAL_S = 2.0
 STATE_TIMEOUT_S = 5.0
 MAX_REMEMBERED_MEMBERS = 5000
+# Entries that this instance's entry is told of.
+MAX_ENTRY_PEERS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +93,9 @@
         self._last_heartbeats: dict[str, messages.Heartbeat] = {}
         self._heartbeat_count = 0
         self.leaving = False
+        # Where the entry on this instance accepts callers' connections.
+        self.entry_address = ""
+        self.reaches_engines = True
         self.log_reachable = False
         self.ready = False
         self.bytes_sent = 0
@@ -106,6 +111,32 @@
         """The newest heartbeat received from each peer, by instance."""
         return self._last_heartbeats
 
+    def cut_off_peers(self) -> frozenset[str]:
+        """Returns the linked peers that can't reach the engines they poll."""
+        return frozenset(
+            name
+            for name, beat in self._last_heartbeats.items()
+            if not beat.reaches_engines
+        )
+
+    def has_substitute(self) -> bool:
+        """Whether only other stewards of the zone reach its engines."""
+        cut_off = self.cut_off_peers()
+        me = self._me.incarnation.instance
+        return not self.reaches_engines and any(
+            name != me and name not in cut_off
+            for name in self._membership.alive_in_zone()
+        )
+
+    def entry_peers(self) -> tuple[data.EntryPeer, ...]:
+        """Returns the entries of linked peers that are believed alive."""
+        alive = self._membership.believed_alive()
+        return tuple(
+            data.EntryPeer(name, beat.member.zone, beat.entry_address)
+            for name, beat in sorted(self._last_heartbeats.items())
+            if name in alive and beat.entry_address and not beat.leaving
+        )[:MAX_ENTRY_PEERS]
+
     async def run(self) -> None:
         """Sends heartbeats and gossip until cancelled."""
         list_task = asyncio.create_task(self._poll_instance_list())
@@ -408,6 +439,8 @@
             self.leaving,
             self._contact_tracker.echo_for(instance),
             self._claim_group_manager.isolated_claim_count,
+            self.entry_address,
+            self.reaches_engines,
         )
         self.bytes_sent += await peer_stream.stream.send(heartbeat)
 
--- a/sesamecross/steward/view_sender.py
+++ b/sesamecross/steward/view_sender.py
@@ -14,6 +14,7 @@
 from sesamecross.steward import engine_poller as engine_poller_lib
 from sesamecross.steward import local_replica as local_replica_lib
 from sesamecross.steward import log_reader
+from sesamecross.steward import peer_links as peer_links_lib
 from sesamecross.steward import server as server_lib
 from sesamecross.transport import streams
 
@@ -29,6 +30,7 @@
         "_reader",
         "_server",
         "_membership",
+        "_peer_links",
         "_view_number",
         "_last_version",
         "_last_view",
@@ -43,8 +45,10 @@
         reader: log_reader.LogReader,
         server: server_lib.Server,
         membership: membership_lib.Membership,
+        peer_links: peer_links_lib.PeerLinks,
     ):
         self._membership = membership
+        self._peer_links = peer_links
         self._replica = replica
         self._engine_poller = engine_poller
         self._reader = reader
@@ -86,6 +90,7 @@
             tuple(sorted(self._replica.state.draining)),
             self._reader.reachable,
             len(self._membership.believed_alive()),
+            self._peer_links.entry_peers(),
         )
         if inputs == self._last_inputs and self._last_view is not None:
             # No input of the view has changed.
