Versions of upstreams are recorded by entry, not for all at each change

Each changed entry, and each question of a peer, went through all known upstreams: at 10,000 of them some milliseconds for each of thousands of changes a second.

--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -119,7 +119,8 @@
         known = directory.get(record.key)
         before = known.entry if known is not None else None
         if directory.update_entry(entry):
-            self._state.record_versions(asyncio.get_running_loop().time())
+            now_s = asyncio.get_running_loop().time()
+            self._state.versions.record_upstream(entry, now_s)
             self._state.notify_change()
             # The models that an upstream holds change with each order, for each
             # upstream and instance: 23,000 lines in 50 s. Orders have log lines
--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -290,7 +290,6 @@
     def _own_seen(
         self, services: Iterable[str], life_s: float, now_s: float
     ) -> dict[str, version_history.SeenVersions]:
-        self._state.record_versions(now_s)
         return {
             service: self._state.versions.seen(service, life_s, now_s)
             for service in services
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -139,10 +139,7 @@
     def record_versions(self, now_s: float) -> None:
         """Records the software versions of the upstreams known now."""
         self.versions.record(
-            (
-                (known.entry.service, known.entry.version)
-                for known in self.directory
-            ),
+            (known.entry for known in self.directory),
             self.upstreams_read_s,
             now_s,
         )
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -11,6 +11,8 @@
 import dataclasses
 import math
 
+from sesamecross.core import serving
+
 # An instance that reads no news of upstreams for longer may miss a version that
 # came and left meanwhile.
 MAX_UNREAD_S = 10.0
@@ -45,21 +47,25 @@
         self._last_seen_s: dict[tuple[str, str], float] = {}
         self._complete_since_s = math.inf
 
+    def record_upstream(self, entry: serving.Upstream, now_s: float) -> None:
+        """Records one upstream, which may be gone at the next record of all."""
+        self._last_seen_s[entry.service, entry.version] = now_s
+
     def record(
         self,
-        upstreams: Iterable[tuple[str, str]],
+        upstreams: Iterable[serving.Upstream],
         read_s: float | None,
         now_s: float,
     ) -> None:
-        """Records the known upstreams, by service and version.
+        """Records the known upstreams.
 
         Args:
           upstreams: Those that serve, or may still do.
           read_s: When the news of them was last read; None if never.
           now_s: Monotonic time.
         """
-        for key in upstreams:
-            self._last_seen_s[key] = now_s
+        for entry in upstreams:
+            self.record_upstream(entry, now_s)
         if read_s is None or now_s - read_s > MAX_UNREAD_S:
             self._complete_since_s = math.inf
         elif self._complete_since_s == math.inf:
--- a/sesamecross/ops/fleet/version_history_test.py
+++ b/sesamecross/ops/fleet/version_history_test.py
@@ -2,10 +2,26 @@
 
 import pytest
 
+from sesamecross.core import serving
 from sesamecross.ops.fleet import version_history
 
 LIFE_S = 30.0
-V1, V2 = ("s", "v1"), ("s", "v2")
+
+
+def upstream(service: str, version: str) -> serving.Upstream:
+    return serving.Upstream(
+        f"i-{version}",
+        service,
+        "10.0.0.1:80",
+        "z1",
+        8,
+        False,
+        1,
+        version=version,
+    )
+
+
+V1, V2 = upstream("s", "v1"), upstream("s", "v2")
 
 
 def seen(records, now_s, is_new=False) -> version_history.SeenVersions:
@@ -68,7 +84,7 @@
             id="news a few seconds late",
         ),
         pytest.param(
-            [(0, [V1, ("other", "v7")], 0)],
+            [(0, [V1, upstream("other", "v7")], 0)],
             1,
             True,
             {"v1"},
