--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -394,7 +394,8 @@
     """Returns the message in `data`, or None if it is invalid."""
     try:
         return _decoder.decode(_decompressed(data))
-    except (msgspec.MsgspecError, zlib.error):
+    except (msgspec.MsgspecError, zlib.error, RecursionError):
+        # RecursionError: the message is nested deeply.
         return None
 
 
--- a/sesamecross/core/fleet_messages_test.py
+++ b/sesamecross/core/fleet_messages_test.py
@@ -51,3 +51,14 @@
     prefix = fm.encode(report(rows))[:cut]
     # A compressed message is complete even without its trailing checksum.
     assert fm.decode(prefix) in (None, report(rows))
+
+
+@pytest.mark.parametrize("depth", [1_000, 50_000])
+@pytest.mark.parametrize("marker", [b"\x91", b"\x81\xa1x"])
+def test_a_deeply_nested_message_is_none(marker, depth):
+    """Guards against a datagram that ends the receiver's handler."""
+    data = fm.encode(fm.PlacementRequest(ME, 1, "s", "m", ""))
+    # One more element, which the receiver does not know.
+    longer = bytes([data[0] + 1]) + data[1:] + marker * depth + b"\x90"
+    fm.decode(longer)
+    fm.decode(zlib.compress(longer))
