--- a/sesamecross/platform/headers.py
+++ b/sesamecross/platform/headers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 from sesamecross.core import serving
 from sesamecross.ports import http_codec
@@ -78,9 +79,12 @@
     if value is None:
         return None
     try:
-        return max(0.0, float(value) * 0.001)
+        deadline_s = float(value) * 0.001
     except ValueError:
         return None
+    if not math.isfinite(deadline_s):
+        return None
+    return max(0.0, deadline_s)
 
 
 def _parse_model_call(by_name: dict[bytes, bytes]) -> serving.ModelCall | None:
--- a/sesamecross/platform/headers_test.py
+++ b/sesamecross/platform/headers_test.py
@@ -20,3 +20,38 @@
     for status in (200, 421, 500, 503):
         head = headers.parse_response_head(status, lines)
         assert head.rejection_limit == limit
+
+
+@pytest.mark.parametrize(
+    ("value", "deadline_s"),
+    [
+        (None, None),
+        (b"1500", 1.5),
+        (b" 20 ", 0.02),
+        (b"-3", 0.0),
+        (b"", None),
+        (b"soon", None),
+        # No deadline at all: the route's timeout alone counts.
+        (b"inf", None),
+        (b"nan", None),
+        (b"1e400", None),
+    ],
+)
+def test_a_deadline_is_a_finite_time_or_none(value, deadline_s):
+    """Guards against a caller's `nan` that ends its request at once."""
+    lines = [] if value is None else [(b"deadline-ms", value)]
+    assert headers.parse_request_head(lines).deadline_s == deadline_s
+
+
+@pytest.mark.parametrize(
+    ("lines", "last_event_id", "first_attempt_id"),
+    [
+        ([], "", ""),
+        ([(b"last-event-id", b"7"), (b"resumes", b"9c41")], "7", "9c41"),
+        ([(b"resumes", b"\xff")], "", "\xff"),
+    ],
+)
+def test_what_a_caller_resumes_is_read(lines, last_event_id, first_attempt_id):
+    head = headers.parse_request_head(lines)
+    assert head.last_event_id == last_event_id
+    assert head.first_attempt_id == first_attempt_id
