A stream is not continued by a guess where newer versions may be unseen

Cause: an instance behind the cut whose keepers do not answer, or have seen as little, took the only version of its old list for the only possible one.

An instance now says that it has seen all only if its news are at most 2 s old, or if it hears all peers and none has read further (a store that is silent for all).

--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -23,6 +23,8 @@
 # A keeper is asked twice. Each time it may take the round trip plus this.
 ASK_ATTEMPTS = 2
 ASK_MARGIN_S = 0.04
+# News of upstreams that were read this recently are complete.
+CURRENT_S = 2.0
 # Origins sent in one datagram when keepers change.
 MAX_ORIGINS_IN_MESSAGE = 200
 
@@ -290,11 +292,35 @@
     def _own_seen(
         self, services: Iterable[str], life_s: float, now_s: float
     ) -> dict[str, version_history.SeenVersions]:
+        is_current = self._is_current(now_s)
         return {
-            service: self._state.versions.seen(service, life_s, now_s)
+            service: self._state.versions.seen(
+                service, life_s, now_s, is_current
+            )
             for service in services
         }
 
+    def _is_current(self, now_s: float) -> bool:
+        """Whether no peer can know an upstream that this instance does not.
+
+        An instance that is cut off, alone or with its zone, does not see new
+        versions. If nobody can read the store, nobody sees them.
+        """
+        read_s = self._state.upstreams_read_s
+        if read_s is None:
+            return False
+        if now_s - read_s <= CURRENT_S:
+            return True
+        roster = self._mesh.roster
+        return (
+            roster is not None
+            and not roster.silent(now_s)
+            and all(
+                member.upstreams <= self._state.upstreams_offset
+                for member in roster.alive(now_s)
+            )
+        )
+
     async def _ask(
         self, key: bytes, services: tuple[str, ...], life_s: float
     ) -> _Query:
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -96,20 +96,26 @@
                 self._last_seen_s[service, version] = now_s
         self._complete_since_s = min(self._complete_since_s, now_s - life_s)
 
-    def seen(self, service: str, life_s: float, now_s: float) -> SeenVersions:
+    def seen(
+        self, service: str, life_s: float, now_s: float, is_current: bool
+    ) -> SeenVersions:
         """Returns the versions that can have begun a stream.
 
         Args:
           service: The stream's service.
           life_s: For how long a stream may be resumed.
           now_s: Monotonic time.
+          is_current: Whether this instance would know of a version that has
+            just appeared.
         """
         versions = frozenset(
             version
             for (of_service, version), at_s in self._last_seen_s.items()
             if of_service == service and now_s - at_s <= life_s
         )
-        return SeenVersions(versions, self.is_complete(life_s, now_s))
+        return SeenVersions(
+            versions, is_current and self.is_complete(life_s, now_s)
+        )
 
     def forget(self, older_s: float) -> None:
         """Forgets versions that were last seen before that time."""
