--- a/sesamecross/steward/placement_controller.py
+++ b/sesamecross/steward/placement_controller.py
@@ -54,6 +54,7 @@
         "_locks",
         "_next_load_ms",
         "_planning_since_ms",
+        "_submitted_outcomes",
         "_logger",
         "shortfalls",
         "applied_order_count",
@@ -88,6 +89,8 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._next_load_ms = 0
         self._planning_since_ms: int | None = None
+        # Ids of orders whose outcome is queued and not yet replayed.
+        self._submitted_outcomes: set[str] = set()
         self._logger = logs.get_logger("mover")
         self.shortfalls: tuple[placement.Shortfall, ...] = ()
         self.applied_order_count = 0
@@ -353,7 +356,10 @@
         if self._lease_manager.held_lease() is None:
             return
         state = self._replica.state
+        self._submitted_outcomes &= state.intents.unresolved.keys()
         for intent in intents.of_upstream(state.intents, upstream.name):
+            if intent.order.order_id in self._submitted_outcomes:
+                continue
             outcome = order_outcomes.outcome_of(
                 intent, status, upstream.checks_fencing
             )
@@ -364,6 +370,7 @@
                 self._writer.submit(record)
             except log_writer.QueueFullError:
                 return
+            self._submitted_outcomes.add(intent.order.order_id)
             if outcome is records.IntentOutcome.APPLIED:
                 self.applied_order_count += 1
             self._recorder.add(
