Steward: outcomes of claims are confirmed only once they are kept

A caller's release of its home zone that did not fit into the queue was never sent again. Ids of claims that nobody decided, or that were not won, stayed for the steward's life.

--- a/sesamecross/steward/claim_group_manager.py
+++ b/sesamecross/steward/claim_group_manager.py
@@ -262,10 +262,11 @@
             if group.leader != self._me.incarnation:
                 continue
             epoch = group.config.epoch
-            if self._releasing.get(caller) != (zone, epoch):
-                # From now on this leader refuses the caller's claims.
+            if self._releasing.get(caller) == (zone, epoch):
+                continue
+            # Once it is queued this leader refuses the caller's claims.
+            if self._submit((records.HomeReleased(caller, zone, epoch),)):
                 self._releasing[caller] = (zone, epoch)
-                self._submit((records.HomeReleased(caller, zone, epoch),))
 
     # -- events and messages ---
 
--- a/sesamecross/steward/claim_router.py
+++ b/sesamecross/steward/claim_router.py
@@ -27,6 +27,9 @@
 # outcome. After this delay the outcome is recorded as unknown.
 ABANDONED_CLAIM_DELAY_S = 5.0
 
+# How long the zone of a claim without a verdict is remembered.
+UNDECIDED_CLAIM_TTL_S = 60.0
+
 # Sends a request with its id to a steward and waits for the reply, at most the
 # given seconds. Returns None without a reply.
 SendRequest = Callable[
@@ -76,10 +79,15 @@
             call_id=record.claim_id,
             model=record.service,
         )
-        settled_elsewhere = (
-            verdict is not None and verdict.state is not data.ClaimState.WON
-        )
-        if settled_elsewhere:
+        if verdict is None:
+            # A verdict that comes late needs the zone.
+            asyncio.get_running_loop().call_later(
+                UNDECIDED_CLAIM_TTL_S,
+                self._claim_zones.pop,
+                record.claim_id,
+                None,
+            )
+        elif verdict.state is not data.ClaimState.WON:
             self._claim_zones.pop(record.claim_id, None)
         return verdict
 
@@ -96,25 +104,35 @@
         If no leader accepts it, the outcome is appended to the log.
 
         Returns:
-          True in every case.
+          Whether it is kept. If not, the log's queue is full here, and the
+          outcome has to be sent again.
         """
         zone = self._claim_zones.get(settled.claim_id, "")
         for _ in range(SETTLE_ATTEMPTS):
             leader = self._claim_group_manager.leader_of(zone)
             if leader == self._me or (leader is None and not zone):
-                self._claim_group_manager.settle(zone, settled)
-                break
-            if leader is not None and await self._forward_outcome(
-                leader, zone, settled
-            ):
+                is_kept = self._claim_group_manager.settle(zone, settled)
+            else:
+                is_kept = leader is not None and await self._forward_outcome(
+                    leader, zone, settled
+                )
+            if is_kept:
                 break
             await asyncio.sleep(SETTLE_RETRY_INTERVAL_S)
         else:
             # No leader could be reached; the log is the last resort.
-            self._claim_group_manager.settle("", settled)
+            if not self._claim_group_manager.settle("", settled):
+                return False
         self._claim_zones.pop(settled.claim_id, None)
         return True
 
+    async def _settle_until_kept(self, settled: records.ClaimSettled) -> None:
+        while not await self.settle(settled):
+            self._logger.error(
+                "outcome of a claim is not kept yet",
+                correlation_id=settled.claim_id,
+            )
+
     def settle_abandoned(self, claim_ids: set[str]) -> None:
         """Settles claims of a disconnected entry after a delay.
 
@@ -132,7 +150,7 @@
             # The call may have run: the outcome is unknown, and it never
             # runs again.
             unknown_outcome = records.ClaimSettled(claim_id, True, None)
-            await self.settle(unknown_outcome)
+            await self._settle_until_kept(unknown_outcome)
 
     # -- deciding or forwarding ----------------------------------------------
 
@@ -209,7 +227,7 @@
         not been dispatched and will not be.
         """
         task = asyncio.create_task(
-            self.settle(records.ClaimSettled(claim_id, False, None))
+            self._settle_until_kept(records.ClaimSettled(claim_id, False, None))
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -10,6 +10,7 @@
 import contextlib
 import uuid
 
+from sesamecross.core import data
 from sesamecross.core import messages
 from sesamecross.ops import timeline
 from sesamecross.runtime import logs
@@ -177,6 +178,13 @@
                 case messages.ClaimRequest(request_id=request_id):
                     session.unsettled_claims.add(message.claim.claim_id)
                     verdict = await self._claim_router.claim(message.claim)
+                    is_won = (
+                        verdict is not None
+                        and verdict.state is data.ClaimState.WON
+                    )
+                    if not is_won:
+                        # Its call is not run, so it has no outcome.
+                        session.unsettled_claims.discard(message.claim.claim_id)
                     await session.stream.send(
                         messages.ClaimReply(request_id, verdict)
                     )
