--- a/sesamecross/steward/bootstrapper.py
+++ b/sesamecross/steward/bootstrapper.py
@@ -11,6 +11,7 @@
 from sesamecross.core import records
 from sesamecross.ops import timeline
 from sesamecross.runtime import logs
+from sesamecross.steward import log_writer
 
 TICK_S = 0.05
 PEER_FETCH_DELAY_S = 1.0
@@ -80,8 +81,12 @@
         app = self._app
         if self._joined or not app.reader.caught_up:
             return
+        try:
+            app.writer.submit(records.MemberJoined(app.me))
+        except log_writer.QueueFullError:
+            self._logger.warning("log append queue is full, joining later")
+            return
         self._joined = True
-        app.writer.submit(records.MemberJoined(app.me))
 
     async def _fetch_from_peers(self) -> bool:
         state = self._app.replica.state
--- a/sesamecross/steward/engine_reach_test.py
+++ b/sesamecross/steward/engine_reach_test.py
@@ -185,6 +185,7 @@
     manager._logger = types.SimpleNamespace(warning=lambda *_, **__: None)
     manager._renewed_ms = 0
     manager._renew_interval_ms = 100
+    manager._yielded_offset = -1
     manager._tick(1000)
     expected = records.LeaseReleased if released else records.LeaseRenewed
     assert [type(record) for record in submitted] == [expected]
--- a/sesamecross/steward/lease_manager.py
+++ b/sesamecross/steward/lease_manager.py
@@ -43,6 +43,7 @@
         "_expiry_detector",
         "_renewed_ms",
         "_challenged_ms",
+        "_yielded_offset",
         "_logger",
         "_leaving",
     )
@@ -73,6 +74,8 @@
         )
         self._renewed_ms = 0
         self._challenged_ms = -CHALLENGE_TIMEOUT_MS
+        # The lease that this steward gave up last, by its offset.
+        self._yielded_offset = -1
         self._logger = logs.get_logger("lease")
         self._leaving = False
         replica.add_listener(self._on_event)
@@ -102,33 +105,22 @@
         lease = self.held_lease()
         if lease is None:
             return
-        try:
-            self._writer.submit(records.LeaseReleased(lease.zone, lease.offset))
-        except log_writer.QueueFullError:
-            # Others take it after its expiry; the shutdown must go on.
-            self._logger.warning(
-                "log append queue is full, lease is left to expire"
-            )
-            return
-        self._logger.info("lease released")
+        # If the queue is full, others take it after its expiry.
+        if self._submit(records.LeaseReleased(lease.zone, lease.offset)):
+            self._logger.info("lease released")
 
     def _tick(self, now_ms: int) -> None:
         lease = self.held_lease()
         if self._must_yield():
-            if lease is not None and self._writer.reachable:
-                self._writer.submit(
-                    records.LeaseReleased(lease.zone, lease.offset)
-                )
-                self._logger.warning("lease released, engines not reached")
+            if lease is not None:
+                self._give_up(lease)
             return
         if lease is not None:
             if now_ms - self._renewed_ms >= self._renew_interval_ms:
                 self._renewed_ms = now_ms
                 # While the log is unreachable, one queued renewal is enough.
                 if self._writer.reachable:
-                    self._writer.submit(
-                        records.LeaseRenewed(lease.zone, lease.offset)
-                    )
+                    self._submit(records.LeaseRenewed(lease.zone, lease.offset))
             return
         if not (self._reader.reachable and self._writer.reachable):
             # No holder can renew while the log is unreachable, so that time
@@ -137,6 +129,14 @@
             return
         self._challenge(now_ms)
 
+    def _give_up(self, lease: leases.Lease) -> None:
+        """Releases the lease, once: the log takes a moment to show it."""
+        if lease.offset == self._yielded_offset or not self._writer.reachable:
+            return
+        if self._submit(records.LeaseReleased(lease.zone, lease.offset)):
+            self._yielded_offset = lease.offset
+            self._logger.warning("lease released, engines not reached")
+
     def _must_yield(self) -> bool:
         """Whether only another steward of the zone reaches the engines."""
         return self._peer_links.has_substitute()
@@ -151,10 +151,21 @@
             return
         self._challenged_ms = now_ms
         supersedes = current.offset if current else 0
-        self._writer.submit(
+        if self._submit(
             records.LeaseTaken(self._me.zone, self._me.incarnation, supersedes)
-        )
-        self._logger.info("lease challenged", supersedes=supersedes)
+        ):
+            self._logger.info("lease challenged", supersedes=supersedes)
+
+    def _submit(self, record: object) -> bool:
+        """Queues a record; returns whether there was room for it."""
+        try:
+            self._writer.submit(record)
+        except log_writer.QueueFullError:
+            self._logger.warning(
+                "log append queue is full", record=type(record).__name__
+            )
+            return False
+        return True
 
     def _on_event(self, event: replay.AppliedRecord) -> None:
         now_ms = self._clock.monotonic_ms()
