--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -1,5 +1,6 @@
 """The entry's HTTP interface: authentication, routing and responses."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -82,6 +83,42 @@
         return int(text) if text.isdecimal() and len(text) < 12 else None
 
 
+class _AdmittedBody:
+    """The body of an admitted call, which is open until its last byte.
+
+    A server that finds its caller gone closes a body without reading any of it,
+    and a generator that was never started runs none of its code.
+    """
+
+    __slots__ = ("_body", "_release")
+
+    def __init__(self, body: Iterator[bytes], release: Callable[[], None]):
+        self._body = body
+        self._release: Callable[[], None] | None = release
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            return next(self._body)
+        except BaseException:
+            self._release_once()
+            raise
+
+    def close(self) -> None:
+        """Ends the call."""
+        try:
+            self._body.close()
+        finally:
+            self._release_once()
+
+    def _release_once(self) -> None:
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+
 class HttpApp:
     """The WSGI application of an entry."""
 
@@ -130,7 +167,10 @@
         if problem is not None:
             problem = self._refusal_before_claim(request, problem)
             return self._send_refusal(request, problem, start_response)
-        return self._handle_admitted(request, caller, snapshot, start_response)
+        return _AdmittedBody(
+            self._handle_admitted(request, caller, snapshot, start_response),
+            lambda: self._state.release_call(caller),
+        )
 
     def _refusal_before_claim(
         self, request: _Request, problem: refusal.Refusal
@@ -152,7 +192,7 @@
         snapshot: state_lib.Snapshot,
         start_response: Any,
     ) -> Iterator[bytes]:
-        """Handles an admitted call, which is open until its last byte."""
+        """Handles an admitted call."""
         try:
             yield from self._route(request, caller, snapshot, start_response)
         except http_server.SlowBody as error:
@@ -163,8 +203,6 @@
                 "Send the whole body without pauses",
             )
             yield from self._send_refusal(request, problem, start_response)
-        finally:
-            self._state.release_call(caller)
 
     def _route(
         self,
--- a/sesamecross/entry/http_app_test.py
+++ b/sesamecross/entry/http_app_test.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from sesamecross.core import clock
+from sesamecross.core import data
 from sesamecross.core import refusal
 from sesamecross.entry import http_app
 from sesamecross.entry import model_call
+from sesamecross.entry import state as state_lib
+from sesamecross.ops import timeline
 from sesamecross.ports import engine_stream
 from sesamecross.runtime import http_server
 
@@ -65,3 +69,42 @@
     assert b"event: error\n" in body
     assert b"call1" in body
     assert b"[DONE]" not in body
+
+
+def models_call(state) -> tuple[http_app.HttpApp, dict]:
+    app = object.__new__(http_app.HttpApp)
+    app._state = state
+    app._authenticate = lambda *_: data.Caller("shop", "", "z", (), (), 5)
+    app._metrics = types.SimpleNamespace(count=lambda *_: None)
+    return app, {"PATH_INFO": "/v1/models", "REQUEST_METHOD": "GET"}
+
+
+@pytest.mark.parametrize("how", ["unread", "begun", "whole", "failed"])
+def test_an_admitted_call_is_released_however_its_body_ends(how):
+    """Guards against a caller's places that gone connections keep for ever."""
+    state = state_lib.EntryState(
+        timeline.Recorder("e", "z", clock.ManualClock(0))
+    )
+    state._snapshot = state_lib.Snapshot(1, None, {}, frozenset(), True)
+    app, environ = models_call(state)
+
+    def pieces(*_):
+        yield b"a"
+        if how == "failed":
+            raise ZeroDivisionError
+        yield b"b"
+
+    app._route = pieces
+    body = app(environ, lambda *_: None)
+    assert state.active_calls == 1
+    match how:
+        case "begun":
+            assert next(iter(body)) == b"a"
+        case "whole":
+            assert b"".join(body) == b"ab"
+        case "failed":
+            with pytest.raises(ZeroDivisionError):
+                list(body)
+    body.close()
+    body.close()
+    assert state.active_calls == 0
