--- a/sesamecross/fakes/engine_batch.py
+++ b/sesamecross/fakes/engine_batch.py
@@ -179,7 +179,13 @@
             else:
                 call.tokens.put(None)
         self._running = unfinished
-        self._waiting = [c for c in self._waiting if not c.cancelled]
+        still_waiting = []
+        for call in self._waiting:
+            if call.cancelled:
+                call.tokens.put(None)
+            else:
+                still_waiting.append(call)
+        self._waiting = still_waiting
 
     def _generate_token(self, call: Call) -> None:
         call.generated += 1
