Entry: requests and relays in modules of their own; one copy of a test's settings

A call that goes by way of a peer has the time left since its arrival; it was given its whole deadline anew.

--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -1,24 +1,24 @@
 """The entry's HTTP interface: authentication, routing and responses."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 import re
 import time
 from typing import Any
-import uuid
 
 from returns.result import Failure
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import data
 from sesamecross.core import refusal
+from sesamecross.entry import http_request
 from sesamecross.entry import model_call
 from sesamecross.entry import model_dispatcher
 from sesamecross.entry import model_request
 from sesamecross.entry import openai_response
 from sesamecross.entry import peer_relay
+from sesamecross.entry import relay_handler
 from sesamecross.entry import service_call
 from sesamecross.entry import sinks
 from sesamecross.entry import state as state_lib
@@ -28,95 +28,13 @@
 from sesamecross.ops import timeline
 from sesamecross.parser import settings as settings_lib
 from sesamecross.ports import engine_http
-from sesamecross.ports import entry_http
 from sesamecross.runtime import http_server
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.utils import digest
 
-_REASON_PHRASES = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    408: "Request Timeout",
-    409: "Conflict",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 _SERVICE_PATH = re.compile(r"^/services/([^/]+)(/.*)?$")
-_FORWARDED_HEADERS = ("CONTENT_TYPE", "HTTP_ACCEPT", "HTTP_IDEMPOTENCY_KEY")
-# Headers of a call that another entry needs to serve it.
-_RELAYED_HEADERS = (
-    *_FORWARDED_HEADERS,
-    "HTTP_AUTHORIZATION",
-    "HTTP_X_PRIORITY",
-)
 _MAX_PRIORITY = 9
-CORRELATION_HEADER = "X-Correlation-Id"
-
-
-def _status_line(status: int) -> str:
-    return f"{status} {_REASON_PHRASES.get(status, 'Status')}"
-
-
-class _Request:
-    """The request line and headers of a caller's request."""
-
-    __slots__ = ("environ", "call_id", "path", "method", "started_s")
-
-    def __init__(self, environ: dict):
-        self.environ = environ
-        self.call_id = uuid.uuid4().hex
-        self.path = environ.get("PATH_INFO", "/")
-        self.method = environ["REQUEST_METHOD"]
-        self.started_s = time.monotonic()
-
-    def header(self, name: str) -> str:
-        return self.environ.get(name, "")
-
-    def int_header(self, name: str) -> int | None:
-        text = self.header(name)
-        return int(text) if text.isdecimal() and len(text) < 12 else None
-
-
-class _AdmittedBody:
-    """The body of an admitted call, which is open until its last byte.
-
-    A server that finds its caller gone closes a body without reading any of it,
-    and a generator that was never started runs none of its code.
-    """
-
-    __slots__ = ("_body", "_release")
-
-    def __init__(self, body: Iterator[bytes], release: Callable[[], None]):
-        self._body = body
-        self._release: Callable[[], None] | None = release
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        try:
-            return next(self._body)
-        except BaseException:
-            self._release_once()
-            raise
-
-    def close(self) -> None:
-        """Ends the call."""
-        try:
-            self._body.close()
-        finally:
-            self._release_once()
-
-    def _release_once(self) -> None:
-        release, self._release = self._release, None
-        if release is not None:
-            release()
 
 
 class HttpApp:
@@ -136,6 +54,9 @@
         links: peer_relay.PeerRelay,
     ):
         self._links = links
+        self._relays = relay_handler.RelayHandler(
+            links, metrics, self._send_refusal, self._timeout_ms
+        )
         self._settings = settings
         self._state = state
         self._dispatcher = dispatcher
@@ -149,7 +70,7 @@
 
     def __call__(self, environ: dict, start_response: Any) -> Iterable[bytes]:
         """Handles one request."""
-        request = _Request(environ)
+        request = http_request.Request(environ)
         if request.path in ("/healthz", "/readyz", "/metrics"):
             return self._handle_operations(request, start_response)
         snapshot = self._state.snapshot
@@ -167,13 +88,13 @@
         if problem is not None:
             problem = self._refusal_before_claim(request, problem)
             return self._send_refusal(request, problem, start_response)
-        return _AdmittedBody(
+        return http_request.AdmittedBody(
             self._handle_admitted(request, caller, snapshot, start_response),
             lambda: self._state.release_call(caller),
         )
 
     def _refusal_before_claim(
-        self, request: _Request, problem: refusal.Refusal
+        self, request: http_request.Request, problem: refusal.Refusal
     ) -> refusal.Refusal:
         """Returns the refusal of a call before its claim is looked up.
 
@@ -187,7 +108,7 @@
 
     def _handle_admitted(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         snapshot: state_lib.Snapshot,
         start_response: Any,
@@ -206,7 +127,7 @@
 
     def _route(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         snapshot: state_lib.Snapshot,
         start_response: Any,
@@ -233,7 +154,7 @@
     # -- health and metrics ------------------------------------------------
 
     def _handle_operations(
-        self, request: _Request, start_response: Any
+        self, request: http_request.Request, start_response: Any
     ) -> Iterable[bytes]:
         if request.path == "/metrics":
             self._metrics.set(
@@ -253,13 +174,13 @@
         return http_server.send_json(
             start_response,
             {"ready": ready, "version": snapshot.version if snapshot else 0},
-            _status_line(200 if ready else 503),
+            http_request.status_line(200 if ready else 503),
         )
 
     # -- callers -------------------------------------------------------------
 
     def _authenticate(
-        self, request: _Request, snapshot: state_lib.Snapshot
+        self, request: http_request.Request, snapshot: state_lib.Snapshot
     ) -> data.Caller | None:
         scheme, _, key = request.header("HTTP_AUTHORIZATION").partition(" ")
         if scheme.lower() != "bearer" or not key:
@@ -268,7 +189,7 @@
 
     def _send_refusal(
         self,
-        request: _Request,
+        request: http_request.Request,
         problem: refusal.Refusal,
         start_response: Any,
         more_headers: tuple[tuple[str, str], ...] = (),
@@ -283,14 +204,14 @@
             *problem.headers(),
             *more_headers,
             ("Content-Length", str(len(body))),
-            (CORRELATION_HEADER, request.call_id),
+            (http_request.CORRELATION_HEADER, request.call_id),
         ]
-        start_response(_status_line(problem.status), headers)
+        start_response(http_request.status_line(problem.status), headers)
         return [body]
 
     def _send_response(
         self,
-        request: _Request,
+        request: http_request.Request,
         status: int,
         content_type: str,
         body: bytes,
@@ -299,26 +220,26 @@
         headers = [
             ("Content-Type", content_type),
             ("Content-Length", str(len(body))),
-            (CORRELATION_HEADER, request.call_id),
+            (http_request.CORRELATION_HEADER, request.call_id),
         ]
-        start_response(_status_line(status), headers)
+        start_response(http_request.status_line(status), headers)
         return [body]
 
-    def _deadline_ms(self, request: _Request) -> int:
+    def _timeout_ms(self, request: http_request.Request) -> int:
         max_timeout_ms = self._settings.default_deadline_ms
         requested_ms = request.int_header("HTTP_X_DEADLINE_MS")
-        timeout_ms = (
-            min(requested_ms, max_timeout_ms)
-            if requested_ms
-            else max_timeout_ms
-        )
-        return self._clock.monotonic_ms() + timeout_ms
+        if not requested_ms:
+            return max_timeout_ms
+        return min(requested_ms, max_timeout_ms)
+
+    def _deadline_ms(self, request: http_request.Request) -> int:
+        return self._clock.monotonic_ms() + self._timeout_ms(request)
 
     # -- models --------------------------------------------------------------
 
     def _handle_model_list(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         snapshot: state_lib.Snapshot,
         start_response: Any,
@@ -341,7 +262,7 @@
 
     def _handle_model_call(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         snapshot: state_lib.Snapshot,
         start_response: Any,
@@ -351,7 +272,7 @@
         if isinstance(parsed, Failure):
             return self._send_refusal(request, parsed.failure(), start_response)
         parsed_request = parsed.unwrap()
-        relayed = self._relay_if_cut_off(request, body, start_response)
+        relayed = self._relays.relay_if_cut_off(request, body, start_response)
         if relayed is not None:
             return relayed
         self._state.count_demand(parsed_request.target)
@@ -372,7 +293,7 @@
 
     def _routing_call(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         parsed_request: model_request.ModelRequest,
         snapshot: state_lib.Snapshot,
@@ -397,7 +318,7 @@
 
     def _relay_model_call(
         self,
-        request: _Request,
+        request: http_request.Request,
         parsed_request: model_request.ModelRequest,
         active_call: model_call.ModelCall,
         body: bytes,
@@ -426,7 +347,7 @@
                     request, 200, "application/json", body, start_response
                 )
         except model_call.CallRefusedError as error:
-            yield from self._relay_or_refuse(
+            yield from self._relays.relay_or_refuse(
                 request, body, error.problem, start_response
             )
         except model_call.EngineRejectedError as error:
@@ -444,7 +365,7 @@
 
     def _stream_response(
         self,
-        request: _Request,
+        request: http_request.Request,
         parsed_request: model_request.ModelRequest,
         active_call: model_call.ModelCall,
         first_chunks: list[answer_validator.Chunk],
@@ -453,7 +374,7 @@
         headers = [
             ("Content-Type", openai_response.SSE_TYPE),
             ("Cache-Control", "no-store"),
-            (CORRELATION_HEADER, request.call_id),
+            (http_request.CORRELATION_HEADER, request.call_id),
         ]
         start_response("200 OK", headers)
         connection = request.environ[http_server.CONNECTION]
@@ -471,20 +392,20 @@
             # Nothing more can be sent on this connection.
             connection.abort()
         except model_call.CallRefusedError as error:
-            yield _error_event(request, error.problem)
+            yield http_request.error_event(request, error.problem)
         except model_call.EngineRejectedError as error:
             problem = refusal.upstream_failed(
                 refusal.Executed.UNKNOWN,
                 "The answer broke off and could not be resumed"
                 f" ({error}); send the call again",
             )
-            yield _error_event(request, problem)
+            yield http_request.error_event(request, problem)
         finally:
             sink.close()
 
     def _record_call(
         self,
-        request: _Request,
+        request: http_request.Request,
         parsed_request: model_request.ModelRequest,
         active_call: model_call.ModelCall,
     ) -> None:
@@ -514,101 +435,11 @@
                 active_call.first_token_s - request.started_s,
             )
 
-    # -- by way of another entry ---------------------------------------------
-
-    def _relay_if_cut_off(
-        self, request: _Request, body: bytes, start_response: Any
-    ) -> Iterable[bytes] | None:
-        """Serves a call by way of a peer if the own links fail, else None."""
-        if _is_relayed(request) or not self._links.must_relay():
-            return None
-        return self._send_relayed(request, body, start_response)
-
-    def _relay_or_refuse(
-        self,
-        request: _Request,
-        body: bytes,
-        problem: refusal.Refusal,
-        start_response: Any,
-    ) -> Iterable[bytes]:
-        """Serves a call by way of a peer if no upstream could be reached."""
-        if not self._links.may_relay(problem):
-            return self._send_refusal(request, problem, start_response)
-        if _is_relayed(request):
-            return self._send_refusal(
-                request,
-                problem,
-                start_response,
-                ((entry_http.UNREACHABLE_HEADER, "1"),),
-            )
-        relayed = self._send_relayed(request, body, start_response)
-        if relayed is not None:
-            return relayed
-        return self._send_refusal(request, problem, start_response)
-
-    def _send_relayed(
-        self, request: _Request, body: bytes, start_response: Any
-    ) -> Iterable[bytes] | None:
-        left_ms = max(
-            1, self._deadline_ms(request) - self._clock.monotonic_ms()
-        )
-        query = request.header("QUERY_STRING")
-        answer = self._links.send(
-            request.call_id,
-            entry_http.RelayedCall(
-                request.method,
-                f"{request.path}?{query}" if query else request.path,
-                (
-                    *_forwarded_headers(request, _RELAYED_HEADERS),
-                    ("X-Deadline-Ms", str(left_ms)),
-                ),
-                body,
-                left_ms / 1000,
-            ),
-        )
-        if isinstance(answer, refusal.Refusal):
-            return self._send_refusal(request, answer, start_response)
-        if answer is None:
-            return None
-        self._metrics.count(
-            "sesamecross_relayed_calls_total",
-            "Calls served by way of another entry.",
-            {},
-        )
-        return self._pass_on(request, answer, start_response)
-
-    def _pass_on(
-        self,
-        request: _Request,
-        answer: entry_http.RelayedAnswer,
-        start_response: Any,
-    ) -> Iterable[bytes]:
-        """Passes a peer's answer on; only a stream before it is complete."""
-        problem = refusal.upstream_failed(
-            refusal.Executed.UNKNOWN,
-            "The answer broke off; look the result up before calling again",
-        )
-        headers = [*answer.headers, (CORRELATION_HEADER, request.call_id)]
-        if dict(answer.headers).get("Content-Type") == openai_response.SSE_TYPE:
-            start_response(_status_line(answer.status), headers)
-            return peer_relay.body_of(answer, _error_event(request, problem))
-        try:
-            body = b"".join(answer.chunks())
-        except entry_http.BrokenError:
-            return self._send_refusal(request, problem, start_response)
-        finally:
-            answer.close()
-        start_response(
-            _status_line(answer.status),
-            [*headers, ("Content-Length", str(len(body)))],
-        )
-        return [body]
-
     # -- services ------------------------------------------------------------
 
     def _handle_service_call(
         self,
-        request: _Request,
+        request: http_request.Request,
         caller: data.Caller,
         snapshot: state_lib.Snapshot,
         match: re.Match,
@@ -630,7 +461,9 @@
             )
             return self._send_refusal(request, problem, start_response)
         content = http_server.read_body(request.environ)
-        relayed = self._relay_if_cut_off(request, content, start_response)
+        relayed = self._relays.relay_if_cut_off(
+            request, content, start_response
+        )
         if relayed is not None:
             return relayed
         outcome = self._services.call(
@@ -640,7 +473,7 @@
                 service,
                 request.method,
                 _path_and_query(match, request),
-                _forwarded_headers(request, _FORWARDED_HEADERS),
+                request.headers(http_request.FORWARDED_HEADERS),
                 content,
                 key,
                 self._deadline_ms(request),
@@ -664,7 +497,7 @@
                 call_id=request.call_id,
                 model=name,
             )
-            return self._relay_or_refuse(
+            return self._relays.relay_or_refuse(
                 request, content, outcome, start_response
             )
         self._recorder.add(
@@ -682,32 +515,7 @@
         )
 
 
-def _path_and_query(match: re.Match, request: _Request) -> str:
+def _path_and_query(match: re.Match, request: http_request.Request) -> str:
     path = match.group(2) or "/"
     query = request.header("QUERY_STRING")
     return f"{path}?{query}" if query else path
-
-
-def _forwarded_headers(
-    request: _Request, names: Iterable[str]
-) -> tuple[tuple[str, str], ...]:
-    forwarded = []
-    for name in names:
-        value = request.header(name)
-        if value:
-            title = name.removeprefix("HTTP_").replace("_", "-").title()
-            forwarded.append((title, value))
-    return tuple(forwarded)
-
-
-def _is_relayed(request: _Request) -> bool:
-    return bool(request.header("HTTP_X_SESAMECROSS_RELAYED"))
-
-
-def _error_event(request: _Request, problem: refusal.Refusal) -> bytes:
-    """Returns a refusal as an event of a stream whose status is sent.
-
-    Without the final `[DONE]` no client takes the response for complete.
-    """
-    body = problem.body(request.call_id)
-    return b"event: error\ndata: " + body + b"\n\n"
--- a/sesamecross/steward/app_test.py
+++ b/sesamecross/steward/app_test.py
@@ -4,23 +4,12 @@
 
 import pytest
 
+from sesamecross.fakes import samples
 from sesamecross.ops import leases
-from sesamecross.parser import settings as settings_lib
 from sesamecross.steward import app as app_lib
 from sesamecross.steward import lease_manager
 from sesamecross.steward import log_writer
 
-SETTINGS = settings_lib.StewardSettings(
-    instance="i",
-    zone="z",
-    region="r",
-    listen="127.0.0.1:0",
-    metrics_listen="127.0.0.1:0",
-    log_url="http://127.0.0.1:1",
-    instances_url="http://127.0.0.1:1",
-    shared_key="0123456789abcdef",
-)
-
 
 @pytest.mark.parametrize("holds_lease", [True, False])
 def test_drain_completes_with_a_full_log_queue(monkeypatch, holds_lease):
@@ -34,7 +23,7 @@
     """
 
     async def drain_with_full_queue():
-        app = app_lib.StewardApp.from_settings(SETTINGS)
+        app = app_lib.StewardApp.from_settings(samples.STEWARD_SETTINGS)
         app.components()
         lease = leases.Lease("z", app.me.incarnation, 1)
         held = lease if holds_lease else None
--- a/sesamecross/steward/log_queue_test.py
+++ b/sesamecross/steward/log_queue_test.py
@@ -8,26 +8,16 @@
 from sesamecross.core import clock
 from sesamecross.core import data
 from sesamecross.core import records
+from sesamecross.fakes import samples
 from sesamecross.ops import intents
 from sesamecross.ops import order_outcomes
 from sesamecross.ops import timeline
-from sesamecross.parser import settings as settings_lib
 from sesamecross.steward import app as app_lib
 from sesamecross.steward import claim_router
 from sesamecross.steward import lease_manager
 from sesamecross.steward import log_writer
 from sesamecross.steward import placement_controller
 
-SETTINGS = settings_lib.StewardSettings(
-    instance="i",
-    zone="z",
-    region="r",
-    listen="127.0.0.1:0",
-    metrics_listen="127.0.0.1:0",
-    log_url="http://127.0.0.1:1",
-    instances_url="http://127.0.0.1:1",
-    shared_key="0123456789abcdef",
-)
 ME = data.Incarnation("i", "x")
 
 
@@ -96,7 +86,7 @@
 
 def test_a_full_queue_does_not_end_the_join():
     """Guards against a steward that its peers never learn of."""
-    app = app_lib.StewardApp.from_settings(SETTINGS)
+    app = app_lib.StewardApp.from_settings(samples.STEWARD_SETTINGS)
     app.components()
     app.reader._caught_up = True
     for number in range(log_writer.MAX_QUEUE_LENGTH):
