A stream's answer carries no headers of the upstream's connection

Callers of streams got the upstream's transfer-encoding and connection headers beside the gateway's own: two framings. An answer without any event, to a caller that has all events but not the end and resumes after the last one, had a content-length of 0 and a transfer-encoding, and that caller waited until it gave up.

Cause: the head of a stream was passed on as received; only whole answers went through the codec's filter. The stand-ins: names of gateways, paced streams.

--- a/sesamecross/fakes/platform_instance.py
+++ b/sesamecross/fakes/platform_instance.py
@@ -60,7 +60,13 @@
 class PlatformInstance:
     """One gateway process and its settings file."""
 
-    def __init__(self, directory: pathlib.Path, store_address: str):
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        store_address: str,
+        name: str = "front-west-a-1",
+    ):
+        self.name = name
         self._host = unused_loopback_host()
         self._path = directory / "node.toml"
         self._store_address = store_address
@@ -81,7 +87,7 @@
         host = self._host
         return tomli_w.dumps(
             {
-                "nodeName": "front-west-a-1",
+                "nodeName": self.name,
                 "role": "gateway",
                 "machineClass": "front",
                 "serves": ["front"],
--- a/sesamecross/fakes/platform_store.py
+++ b/sesamecross/fakes/platform_store.py
@@ -33,7 +33,7 @@
     """Keeps topics in memory and serves them."""
 
     def __init__(self, listen: str):
-        super().__init__("platform-store", listen, threads=16)
+        super().__init__("platform-store", listen, threads=64)
         self._changed = threading.Condition()
         self._topics: dict[str, list[tuple[str, bytes]]] = {}
         self._is_closed = False
--- a/sesamecross/fakes/platform_upstream.py
+++ b/sesamecross/fakes/platform_upstream.py
@@ -81,6 +81,7 @@
         answer_bytes: int = 200,
         slots: int = 16,
         version: str = VERSION,
+        event_interval_s: float | None = None,
     ):
         """Creates the upstream; `start` serves.
 
@@ -93,6 +94,8 @@
           answer_bytes: The length of a plain answer.
           slots: The requests that it runs at the same time, by its entry.
           version: The version of its software.
+          event_interval_s: Time between the events of a stream, which is then
+            never held.
         """
         super().__init__(instance_id, "127.0.0.1:0", threads=16)
         self.instance_id = instance_id
@@ -106,6 +109,7 @@
         self._answer_bytes = answer_bytes
         self._slots = slots
         self._version = version
+        self._event_interval_s = event_interval_s
         self.rejection_limit: int | None = None
         self.most_running = 0
         self._running = 0
@@ -276,18 +280,31 @@
         with self._lock:
             self._engine.begin_request(target)
         try:
-            yield b"".join(events[:EVENTS_BEFORE_HOLD])
-            self._wait_until_released(run, caller_socket)
-            if self._is_crashed:
-                return
-            yield from events[EVENTS_BEFORE_HOLD:]
-            is_complete = True
+            if self._event_interval_s is not None:
+                yield from self._paced(events, caller_socket)
+            else:
+                yield b"".join(events[:EVENTS_BEFORE_HOLD])
+                self._wait_until_released(run, caller_socket)
+                if self._is_crashed:
+                    return
+                yield from events[EVENTS_BEFORE_HOLD:]
+            is_complete = not self._is_crashed
         finally:
             run.is_cut = run.is_cut or not is_complete
             with self._lock:
                 self._engine.end_request(target)
                 self._engine.complete()
 
+    def _paced(
+        self, events: list[bytes], caller_socket: socket.socket
+    ) -> Iterator[bytes]:
+        for event in events:
+            if self._is_crashed:
+                caller_socket.shutdown(socket.SHUT_RDWR)
+                return
+            yield event
+            time.sleep(self._event_interval_s)
+
     def _wait_until_released(
         self, run: Run, caller_socket: socket.socket
     ) -> None:
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from sesamecross.core import serving
 from sesamecross.gateway import response_writer as response_writer_lib
@@ -78,9 +79,9 @@
         return not self._partial_event.strip()
 
     def begin_stream(
-        self, status: int, headers: tuple[serving.Header, ...]
+        self, status: int, headers: Iterable[serving.Header]
     ) -> None:
-        """Starts a new attempt's stream.
+        """Starts a new attempt's stream, with the headers for the caller.
 
         The head that is forwarded is that of the first attempt with events.
         """
--- a/sesamecross/gateway/stream_version_test.py
+++ b/sesamecross/gateway/stream_version_test.py
@@ -204,3 +204,47 @@
             assert (status, rest.versions) == (200, {"1"})
 
     asyncio.run(scenario())
+
+
+def test_a_stream_that_is_resumed_after_its_last_event_ends_at_once():
+    """Guards against a head with two framings, which a caller waits behind.
+
+    A caller may have all events, but not the end.
+    """
+
+    async def scenario() -> None:
+        async with gateway_site.running_site(1, streams_resumable=True) as site:
+            front = site.gateways[0].front
+            call = await asyncio.to_thread(begin, front)
+            call.close()
+            last = str(platform_upstream.EVENT_COUNT)
+            async with asyncio.timeout(gateway_site.TEST_TIMEOUT_S):
+                status, rest = await asyncio.to_thread(
+                    resume, front, call, **{"Last-Event-Id": last}
+                )
+            assert (status, rest.last_event) == (200, 0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("after", ["", str(platform_upstream.EVENT_COUNT)])
+def test_a_stream_has_one_framing(after):
+    """Guards against headers of the upstream's connection in an answer."""
+
+    def call(front: tuple[str, int]) -> list[str]:
+        one = platform_caller.Call(front, platform_site.PATHS[WRITERS])
+        headers = {"Last-Event-Id": after} if after else {}
+        one.send(for_model=True, headers=headers)
+        response = one.connection.getresponse()
+        names = [name.lower() for name, _ in response.getheaders()]
+        one.close()
+        return names
+
+    async def scenario() -> None:
+        async with gateway_site.running_site(1, streams_resumable=True) as site:
+            names = await asyncio.to_thread(call, site.gateways[0].front)
+            framing = {"transfer-encoding", "content-length"}
+            assert len([name for name in names if name in framing]) == 1
+            assert names.count("connection") <= 1
+
+    asyncio.run(scenario())
