A fault soak of gateways as real processes

Checked: a call that may run once runs at most once, a refusal is true, an answer is the upstream's whole answer, a stream has each event once and in order and of one version, a planned stop ends with 0, nobody waits for ever.

Not in it: faults of the network and of the store.

--- /dev/null
+++ b/tests/soak_test.py
@@ -0,0 +1,21 @@
+"""A short fault soak; the long one is run by hand (devtools/soak.py)."""
+
+import pytest
+
+from sesamecross.devtools import soak
+
+DURATION_S = 10.0
+
+
+@pytest.mark.parametrize(
+    ("seed", "gateways"), [(1, 3), (2, 3), (3, 5)], ids=str
+)
+def test_no_promise_is_broken_under_overlapping_faults(seed, gateways):
+    """Guards against answers that are mixed, doubled, lost or cut short."""
+    result = soak.run_seed(
+        soak.Plan(seed, gateways=gateways, duration_s=DURATION_S)
+    )
+    assert result.broken == []
+    # The faults left callers something to check.
+    assert result.outcomes.get("order 200", 0) > 20
+    assert result.outcomes.get("stream complete", 0) > 5
