--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -97,6 +97,8 @@
         self._table = stream_origins.OriginTable()
         self._queries: dict[int, _Query] = {}
         self._ring = stream_origins.KeeperRing(())
+        # The ring by which keepers were told of the streams known here.
+        self._told_ring = self._ring
         self._roster_version: int | None = None
         mesh.add_listener(self._on_message)
 
@@ -114,8 +116,9 @@
                 {},
                 len(self._table),
             )
-            before = self._ring
-            if self._update_ring(now_s):
+            self._update_ring(now_s)
+            if self._ring is not self._told_ring:
+                before, self._told_ring = self._told_ring, self._ring
                 self._tell_new_keepers(before, live, now_s)
             await self._adopt_history(now_s)
 
@@ -190,19 +193,18 @@
             self._mesh.roster is not None and self._mesh.transport is not None
         )
 
-    def _update_ring(self, now_s: float) -> bool:
-        """Follows the live instances; returns whether they changed."""
+    def _update_ring(self, now_s: float) -> None:
+        """Follows the live instances."""
         if not self._is_joined:
-            return False
+            return
         roster = self._mesh.roster
         version = roster.version(now_s)
         if version == self._roster_version:
-            return False
+            return
         self._roster_version = version
         self._ring = stream_origins.KeeperRing(
             [*roster.alive(now_s), roster.me]
         )
-        return True
 
     def _tell_new_keepers(
         self,
--- a/sesamecross/gateway/stream_origin_simulation_test.py
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -36,6 +36,8 @@
 USERS_MIN_GOES_ON = 0.5
 HEARTBEAT_S = 0.4
 CUT_ZONE = "a1"
+# From one instance's end to the next one's, in a restart in turn.
+ROLL_GAP_S = 1.2
 NEWS_RETRY_S = 0.3
 MAX_TRIES = 4
 # Instances have found each other by then.
@@ -79,8 +81,11 @@
       releases: When one engine after the other is replaced, and by which
         version.
       kills: When a share of the instances is killed.
+      rolls_at: When the instances restart, one after the other.
       news_s: The longest delay of news of engines.
       names_attempt: Whether callers name the attempt that they resume.
+      long_streams: Whether streams last until their engine or instance fails,
+        for 15 s at most; else for 3 s.
       zone_cut: When a zone's instances are cut off from the store and from the
         other zones, and for how long; callers and engines reach them.
     """
@@ -90,9 +95,11 @@
     streams_per_s: float = 12.0
     releases: tuple[tuple[float, str], ...] = ((6.0, "v2"),)
     kills: tuple[tuple[float, float], ...] = ()
+    rolls_at: float | None = None
     news_s: float = 1.0
     names_attempt: bool = True
     zone_cut: tuple[float, float] | None = None
+    long_streams: bool = False
 
     @property
     def min_goes_on(self) -> float:
@@ -340,6 +347,18 @@
                 self.instances[name].member.incarnation + 1,
             )
 
+    async def restart_in_turn(self, at_s: float) -> None:
+        """Restarts all instances, each once the one before is back."""
+        await asyncio.sleep(at_s)
+        for name in sorted(self.instances):
+            instance = self.instances[name]
+            instance.kill()
+            await asyncio.sleep(ROLL_GAP_S / 2)
+            self.start_instance(
+                int(name.rpartition("-")[2]), instance.member.incarnation + 1
+            )
+            await asyncio.sleep(ROLL_GAP_S / 2)
+
     def _living(self) -> Instance:
         return self.rng.choice(
             [one for one in self.instances.values() if one.is_alive]
@@ -409,8 +428,8 @@
     async def _until_broken(
         self, instance: Instance, engine: serving.Upstream
     ) -> None:
-        """Waits until the stream's engine or instance fails, 3 s at most."""
-        for _ in range(30):
+        """Waits until the stream's engine or instance fails, or for its end."""
+        for _ in range(150 if self.case.long_streams else 30):
             await asyncio.sleep(0.1)
             if not instance.is_alive or engine.instance_id not in self.running:
                 return
@@ -429,6 +448,8 @@
             *(self.replace_engines(*one) for one in self.case.releases),
             *(self.kill_instances(*one) for one in self.case.kills),
         ]
+        if self.case.rolls_at is not None:
+            tasks.append(self.restart_in_turn(self.case.rolls_at))
         running = [asyncio.create_task(one) for one in tasks]
         await asyncio.sleep(END_S)
         for task in running:
@@ -463,6 +484,7 @@
     Case(8),
     Case(8, releases=BACK, kills=((12.0, 0.25), (14.0, 0.25))),
     Case(8, releases=BACK, kills=((18.0, 0.5),), news_s=2.3, seed=3),
+    Case(8, releases=BACK, rolls_at=10.0, long_streams=True, seed=4),
     Case(8, releases=((8.0, "v2"),), zone_cut=(7.0, 9.0), seed=2),
     Case(195, 40, 25.0, BACK, ((12.0, 0.3), (22.0, 0.3)), seed=1),
 ]
@@ -510,3 +532,45 @@
     )
     assert sent["OriginReply"] <= sent["OriginQuery"]
     assert fleet.network.largest["OriginRecord"] <= MAX_RECORD_BYTES
+
+
+@pytest.mark.parametrize("records_meanwhile", [False, True])
+def test_an_instance_that_restarts_is_told_of_the_streams_it_keeps(
+    records_meanwhile,
+):
+    """Guards against keepers that are lost one after the other."""
+
+    async def scenario() -> list[bool]:
+        fleet = Fleet(Case(4))
+        fleet.add_engine("v1")
+        for number in range(4):
+            fleet.start_instance(number, 1)
+        beats = asyncio.create_task(fleet.heartbeats())
+        await asyncio.sleep(FIRST_STREAM_S)
+        first = fleet.instances["front-0"]
+        origin = stream_origins.StreamOrigin(SERVICE, "v1")
+        for number in range(50):
+            first.registry.record(HOST, f"{number}", origin, LIFE_S)
+        await asyncio.sleep(0.1)
+        fleet.instances["front-1"].kill()
+        fleet.start_instance(1, 2)
+        for step in range(20):
+            await asyncio.sleep(0.1)
+            for one in fleet.instances.values() if records_meanwhile else ():
+                key = f"{one.name}-{step}"
+                one.registry.record(HOST, key, origin, LIFE_S)
+        beats.cancel()
+        table = fleet.instances["front-1"].registry._table
+        now_s = asyncio.get_running_loop().time()
+        return [
+            table.find(stream_origins.stream_key(HOST, f"{n}"), now_s)
+            is not None
+            for n in range(50)
+        ]
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        known = runner.run(scenario())
+    # Of four instances the three others are all keepers; datagrams get lost.
+    assert sum(known) > 45
