Known red: news of upstreams asked of a hub that is dead

Traced: its hub was killed 40 ms after the upstream announced its leave; the member went on asking it, refused each time, until the failure detector had noticed, though other zones' hubs knew.

--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
@@ -18,6 +19,7 @@
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ports import store
+from sesamecross.transport import streams
 
 CALL_S = 0.01
 # When a peer reads a record that this instance should have read as well.
@@ -175,3 +177,28 @@
 ):
     """Guards against instances that fetch nothing while builds are mixed."""
     assert codec.from_plain(plain).unwrap() == message
+
+
+def test_a_source_that_refuses_is_not_asked_again_while_another_is_ahead():
+    """Guards against a leave that is learned late from a hub that is dead."""
+    loop = virtual_time_loop.VirtualTimeLoop()
+    state = state_lib.State(samples.INSTANCE)
+    state.upstreams_offset = 10
+    mesh = _Mesh()
+    near = fm.Member("hub", 1, "z1", "10.0.0.2:7380", -1, 20)
+    far = fm.Member("other", 1, "z2", "10.0.0.3:7380", -1, 20)
+    for one in (near, far):
+        mesh.roster.on_heartbeat(one, 0.0)
+    unused = types.SimpleNamespace(replace_read=lambda: None)
+    puller = sync.SyncPuller(mesh, state, None, unused, unused)
+    asked = []
+
+    async def refuse(source: fm.Member, _ask: sync.SyncAsk) -> sync.SyncAnswer:
+        asked.append(source.name)
+        raise streams.StreamRefusedError("refused")
+
+    puller._request = refuse
+    for _ in range(2):
+        loop.run_until_complete(puller._pull(puller._best_source(loop.time())))
+    loop.close()
+    assert asked == ["hub", "other"]
