Known red: deletions that a peer has not listed are never learned

Traced: a hub that was killed and started again listed the store, and a list has no deleted keys; the member that asked it for news went on from the list's end and never heard of the deletion at an offset before. sync_test fails.

--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -202,3 +202,38 @@
         loop.run_until_complete(puller._pull(puller._best_source(loop.time())))
     loop.close()
     assert asked == ["hub", "other"]
+
+
+def test_an_upstream_that_left_is_learned_from_a_peer_that_has_just_started():
+    """Guards against an entry that is kept as its deletion was never listed."""
+    loop = virtual_time_loop.VirtualTimeLoop()
+
+    async def scenario() -> set[str]:
+        catalogs = []
+        for _ in range(2):
+            state = state_lib.State(samples.INSTANCE)
+            catalogs.append(
+                catalog_lib.Catalog(
+                    catalog_lib.ConfigurationSink(state, "config", lambda _: 0),
+                    catalog_lib.UpstreamSink(state, lambda *_: None),
+                )
+            )
+        behind, started = catalogs
+        for key, offset in (("left", 0), ("stays", 1)):
+            behind.upstreams.on_record(store.KeyedRecord(key, b"x", offset))
+        behind.upstreams.on_progress(2)
+        # `left` was deleted at offset 2; a list has no deleted keys.
+        started.upstreams.on_record(store.KeyedRecord("stays", b"x", 1))
+        started.upstreams.on_listed({"stays"}, 3)
+        started.upstreams.on_progress(3)
+        state = state_lib.State(samples.INSTANCE)
+        server = sync.SyncServer(_Mesh(), state, started, None, "", None)
+        unused = types.SimpleNamespace(replace_read=lambda: None)
+        puller = sync.SyncPuller(_Mesh(), state, behind, unused, unused)
+        answer = server._answer(sync.SyncAsk(-1, 2, True))
+        puller._apply(answer, puller._received_upstreams(answer))
+        assert behind.upstreams.raw.end == 3
+        return behind.upstreams.raw.keys()
+
+    assert loop.run_until_complete(scenario()) == {"stays"}
+    loop.close()
