News of upstreams come from who answers, with the deletions before its list

Who does not answer is asked only as a last resort for 2 s. Builds without the new field read such answers as before.

--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -147,6 +147,7 @@
         """
         for key in sorted(self.raw.missing_from(keys)):
             self.on_record(store.KeyedRecord(key, None, end - 1))
+        self.raw.listed_end = max(self.raw.listed_end, end)
         self._state.mark_upstreams_listed()
 
     def on_progress(self, end: int) -> None:
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -38,6 +38,9 @@
 ANSWER_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.1
 WATCH_INTERVAL_S = 0.5
+# How long an instance that did not answer is asked only as a last resort: until
+# it counts as dead.
+AVOID_S = 2.0
 
 
 @codec.register
@@ -62,6 +65,8 @@
     Attributes:
       renewals: Key, offset and digest of upstreams' entries whose value the
         requesting instance is expected to have.
+      is_complete_list: Whether `upstreams` are all entries. Those that it lacks
+        were deleted, perhaps before this instance listed them.
     """
 
     configuration: tuple[store_messages.StoreRecord, ...]
@@ -69,6 +74,7 @@
     upstreams: tuple[store_messages.StoreRecord, ...]
     upstreams_end: int
     renewals: tuple[tuple[str, int, int], ...] = ()
+    is_complete_list: bool = False
 
 
 class SyncServer:
@@ -143,7 +149,10 @@
         if request.configuration < self._state.version:
             newer = configuration.since(0)
         end = max(0, request.upstreams_end)
-        if request.accepts_renewals:
+        is_complete_list = end < upstreams.listed_end
+        if is_complete_list:
+            changed, renewed = upstreams.since(0), ()
+        elif request.accepts_renewals:
             changed, renewed = upstreams.news_since(end)
         else:
             changed, renewed = upstreams.since(end), ()
@@ -153,6 +162,7 @@
             store_messages.to_wire(changed),
             upstreams.end,
             tuple((one.key, one.offset, one.digest) for one in renewed),
+            is_complete_list,
         )
 
 
@@ -182,6 +192,9 @@
         self._lag = store_polling.Lag()
         self._stream: streams.Stream | None = None
         self._source_address = ""
+        # Until when instances that did not answer are asked only if no other
+        # is ahead, by name.
+        self._avoided_until_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Compares read positions periodically and fetches what is missing."""
@@ -219,8 +232,10 @@
             if theirs[0] <= own_progress[0] and theirs[1] <= own_progress[1]:
                 continue
             is_near = member.zone == self._mesh.roster.me.zone
-            if best is None or (is_near, theirs) > best[0]:
-                best = ((is_near, theirs), member)
+            is_avoided = now_s < self._avoided_until_s.get(member.name, 0.0)
+            rank = (not is_avoided, is_near, theirs)
+            if best is None or rank > best[0]:
+                best = (rank, member)
         return best[1] if best else None
 
     def _replace_reads(self, source: fm.Member) -> None:
@@ -242,6 +257,8 @@
                     upstreams = self._received_upstreams(answer)
         except (streams.StreamClosedError, TimeoutError) as error:
             self._close_stream()
+            now_s = asyncio.get_running_loop().time()
+            self._avoided_until_s[source.name] = now_s + AVOID_S
             self._log.warning(
                 "no answer", source=source.name, why=str(error) or "timeout"
             )
@@ -316,6 +333,9 @@
         ):
             for record in records:
                 sink.on_record(record)
+            if answer.is_complete_list and sink is self._catalog.upstreams:
+                keys = {one.key for one in records if one.value is not None}
+                sink.on_listed(keys, end)
             if end >= 0:
                 sink.on_progress(end)
 
--- a/sesamecross/ops/fleet/topic_records.py
+++ b/sesamecross/ops/fleet/topic_records.py
@@ -44,9 +44,12 @@
       end: All records before this offset are known; -1 before the first list.
         Also shows how far behind another instance is.
       records: The latest record of each key.
+      listed_end: Offset of the last complete list of keys. Keys that were
+        deleted before it may have no record here.
     """
 
     end: int = -1
+    listed_end: int = -1
     records: dict[str, store.KeyedRecord] = dataclasses.field(
         default_factory=dict
     )
