Pacer: a part of an engine's rate is kept for requests that are always late

Callers saw: under lasting overload of an engine, a prompt that can't be on time even if it is sent at once (large, or of a slow model) was refused each time it came back. With twice as much asked as the engine reads, 0 of 16 were served after the first seconds.

Cause: a late request yields to all that can still be on time, and there are always more of them; late ones counted as asking for the very rate that they waited for. So an engine whose callers are all late refused half of what it could have read.

Now 15 in 100 of the rate are kept for requests that are late from the start, in the order in which they come, and all of it if nobody else asks. One that becomes late while it waits had its chance and is treated as before.

--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -17,11 +17,13 @@
 on time. With 24 to 48 streams in a batch and bursts of prompts at 16,000 tokens
 per second, half of all streams had a longer pause without pacing.
 
-When more prompts arrive than the engine can prefill, a late request queues
-behind all that are not late and its turn never comes. Such requests were held
-for 1.7 s and then refused: 340 of the 1,950 refusals of an overloaded day. So a
-request is refused as soon as its turn is expected after its caller has given
-up.
+When more prompts arrive than the engine can prefill, a request that becomes
+late queues behind all that are not late and its turn never comes. Such requests
+were held for 1.7 s and then refused: 340 of the 1,950 refusals of an overloaded
+day. So a request is refused as soon as its turn is expected after its caller
+has given up. Requests that are late already when they come, by the size of
+their prompts or the speed of their model, would be late each time they come
+back: a part of the rate is kept for them, in the order in which they come.
 
 A nearly full batch admits no more prompts until streams end. Each stream makes
 the steps of all others longer, and prompts come between the steps. With three
@@ -31,6 +33,7 @@
 requests delays no other request.
 """
 
+from collections import deque
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -48,6 +51,10 @@
 # A prompt not reported as prefilled by then no longer counts: its sender is
 # gone, or the report was lost.
 PREFILL_TIMEOUT_S = 1.5
+# Part of the rate that is kept for requests that are late from the start.
+LATE_SHARE = 0.15
+# Limit on the tokens that these may claim at once.
+MAX_LATE_CREDIT = 2 * BURST_TOKENS
 MIN_CHECK_INTERVAL_S = 0.005
 # Maximum number of streams at an engine, see above: as many as bring a third of
 # its prefill rate in prompts, at 290 output and 650 prompt tokens each.
@@ -81,6 +88,11 @@
     until_s: float
     requested_s: float
 
+    @property
+    def is_late_from_start(self) -> bool:
+        """Whether it can't be on time even if it is sent at once."""
+        return self.due_s < self.requested_s
+
     @property
     def charged_tokens(self) -> float:
         """Tokens as counted against the rate.
@@ -139,7 +151,9 @@
         "_pending_tokens",
         "_level",
         "_requested_rate",
+        "_late_requested_rate",
         "_granted_rate",
+        "_late_credit",
         "_is_full",
         "_at_s",
     )
@@ -150,10 +164,15 @@
         self._pending_tokens = 0
         # Tokens granted ahead of the rate.
         self._level = 0.0
-        # Tokens requested per second.
+        # Tokens requested per second, and those of requests that were late from
+        # the start.
         self._requested_rate = 0.0
+        self._late_requested_rate = 0.0
         # Tokens granted per second: the capacity of a full batch.
         self._granted_rate = 0.0
+        # Tokens that requests late from the start are owed for those sent
+        # before them.
+        self._late_credit = 0.0
         self._is_full = False
         self._at_s = 0.0
 
@@ -190,9 +209,10 @@
             self._decay(now_s)
             request = _WaitingRequest(key, tokens, due_s, until_s, now_s)
             self._waiting[key] = request
-            self._requested_rate += (
-                request.charged_tokens / RATE_TIME_CONSTANT_S
-            )
+            rate = request.charged_tokens / RATE_TIME_CONSTANT_S
+            self._requested_rate += rate
+            if request.is_late_from_start:
+                self._late_requested_rate += rate
         return self.grant(batch, now_s)
 
     def release(self, key: Key) -> None:
@@ -204,10 +224,8 @@
 
     def waiting(self, now_s: float) -> tuple[Key, ...]:
         """Returns the waiting requests in the order of their turns."""
-        return tuple(request.key for request in self._in_order(now_s))
-
-    def _in_order(self, now_s: float) -> list[_WaitingRequest]:
-        return in_turn(self._waiting.values(), now_s)
+        late, others = self._queues(now_s)
+        return tuple(request.key for request in (*others, *late))
 
     def grant(self, batch: Batch, now_s: float) -> Decisions:
         """Returns the requests that may be sent now, and those refused."""
@@ -215,37 +233,93 @@
         self._decay(now_s)
         granted = []
         free_slots = self._free_slots(batch, now_s)
-        queue = self._in_order(now_s)
-        for request in queue:
+        late, others = self._queues(now_s)
+        while late or others:
+            queue = self._next_queue(late, others)
+            request = queue[0]
             if len(granted) >= free_slots or not self._has_room(request):
                 break
-            del self._waiting[request.key]
-            self._prefilling[request.key] = (request.tokens, now_s)
-            self._pending_tokens += request.tokens
-            self._level += request.tokens
-            self._granted_rate += request.charged_tokens / RATE_TIME_CONSTANT_S
+            queue.popleft()
+            self._grant_request(request, now_s)
+            self._update_late_credit(request, has_late=bool(late))
             granted.append(request.key)
         self._is_full = len(granted) >= free_slots
-        refused = self._too_late(queue[len(granted) :], now_s)
+        refused = self._too_late(late, others, now_s)
         for key in refused:
             del self._waiting[key]
         return Decisions(tuple(granted), tuple(refused))
 
+    def _queues(
+        self, now_s: float
+    ) -> tuple[deque[_WaitingRequest], deque[_WaitingRequest]]:
+        """Returns requests late from the start, and all others, in order."""
+        late = [one for one in self._waiting.values() if one.is_late_from_start]
+        late.sort(key=lambda one: (one.requested_s, one.key))
+        others = (
+            one for one in self._waiting.values() if not one.is_late_from_start
+        )
+        return deque(late), deque(in_turn(others, now_s))
+
+    def _next_queue(
+        self, late: deque[_WaitingRequest], others: deque[_WaitingRequest]
+    ) -> deque[_WaitingRequest]:
+        """Returns the queue whose first request has the next turn."""
+        if not others:
+            return late
+        if late and self._late_credit >= late[0].charged_tokens:
+            return late
+        return others
+
+    def _grant_request(self, request: _WaitingRequest, now_s: float) -> None:
+        del self._waiting[request.key]
+        self._prefilling[request.key] = (request.tokens, now_s)
+        self._pending_tokens += request.tokens
+        self._level += request.tokens
+        self._granted_rate += request.charged_tokens / RATE_TIME_CONSTANT_S
+
+    def _update_late_credit(
+        self, sent: _WaitingRequest, has_late: bool
+    ) -> None:
+        """Counts what requests late from the start get, and are owed."""
+        if sent.is_late_from_start:
+            credit = self._late_credit - sent.charged_tokens
+            self._late_credit = max(0.0, credit)
+        elif has_late:
+            owed = sent.charged_tokens * LATE_SHARE / (1.0 - LATE_SHARE)
+            self._late_credit = min(MAX_LATE_CREDIT, self._late_credit + owed)
+
     def _too_late(
-        self, queue: list[_WaitingRequest], now_s: float
+        self,
+        late: Iterable[_WaitingRequest],
+        others: Iterable[_WaitingRequest],
+        now_s: float,
     ) -> list[Key]:
-        """Returns the waiting requests, given in order, whose turn is too late.
+        """Returns the waiting requests whose turn is too late.
+
+        A request that becomes late yields to all future ones that will not be,
+        so it gets only the part of the rate that those leave unused. One that
+        is late from the start gets at least the part that is kept for it.
 
-        A request that will be late yields to all future ones that will not be,
-        so it gets only the part of the rate that those leave unused.
+        Args:
+          late: Those late from the start, in order.
+          others: All others, in order.
+          now_s: Monotonic time.
         """
         rate = PREFILL_TOKENS_PER_S
         if self._is_full:
             rate = max(FULL_MIN_TOKENS_PER_S, min(rate, self._granted_rate))
+        refused = []
+        others_rate = self._requested_rate - self._late_requested_rate
+        late_rate = max(rate * LATE_SHARE, rate - others_rate)
+        ahead = self._level
+        for request in late:
+            if now_s + ahead / late_rate > request.until_s:
+                refused.append(request.key)
+            else:
+                ahead += request.charged_tokens
         spare = max(0.0, rate - self._requested_rate)
         ahead = self._level
-        refused = []
-        for request in queue:
+        for request in others:
             starts_s = now_s + ahead / rate
             if starts_s > request.due_s:
                 starts_s = now_s + ahead / spare if spare else math.inf
@@ -260,6 +334,7 @@
         self._level = max(0.0, self._level - elapsed_s * PREFILL_TOKENS_PER_S)
         decay = math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
         self._requested_rate *= decay
+        self._late_requested_rate *= decay
         self._granted_rate *= decay
         self._at_s = now_s
 
--- a/sesamecross/ops/fleet/pacer_test.py
+++ b/sesamecross/ops/fleet/pacer_test.py
@@ -151,6 +151,47 @@
     assert max(late_s) < 0.6
 
 
+@pytest.mark.parametrize(
+    "tokens",
+    [
+        pytest.param(BURST, id="ordinary prompts"),
+        pytest.param(4 * BURST, id="large prompts"),
+    ],
+)
+def test_under_lasting_overload_callers_that_are_always_late_are_served(
+    tokens,
+):
+    """Guards against starvation: a late prompt yielded to all later ones.
+
+    Others ask for twice what the engine reads. Each second one caller asks who
+    can't be on time even if the prompt is sent at once.
+    """
+    interval_s = BURST / pacer_lib.PREFILL_TOKENS_PER_S / 2
+    others = [(n * interval_s, BURST, 0.4, 1.7) for n in range(600)]
+    late = [(second + 0.5, tokens, -0.1, 1.7) for second in range(16)]
+    requests = sorted(others + late)
+    granted, refused = simulate(
+        pacer_lib.Pacer(), requests, until_s=600 * interval_s + 2.0
+    )
+    served = [n for n, one in enumerate(requests) if one in late]
+    assert set(served) <= set(granted)
+    assert len(granted) + len(refused) == len(requests)
+
+
+def test_an_engine_whose_callers_are_all_late_is_used_at_its_full_rate():
+    """Guards against refusals while an engine has nothing else to read."""
+    interval_s = BURST / pacer_lib.PREFILL_TOKENS_PER_S / 2
+    requests = [(n * interval_s, BURST, -0.1, 1.7) for n in range(400)]
+    granted, refused = simulate(
+        pacer_lib.Pacer(), requests, until_s=400 * interval_s + 2.0
+    )
+    waited_s = [granted[n] - requests[n][0] for n in granted]
+    assert len(granted) > 0.9 * len(requests) / 2
+    assert max(waited_s) <= 1.7
+    at_once = [n for n in refused if refused[n] - requests[n][0] < 0.1]
+    assert len(at_once) > 0.9 * len(refused)
+
+
 def test_each_request_that_waits_is_decided_within_its_patience():
     """Guards against requests dropped unanswered, whose callers wait on."""
     pacer = pacer_lib.Pacer()
