Stand-in of a caller: what it reads must be HTTP, and its own answer

Now h11 reads each byte beside http.client, and what h11 leaves open is checked here: two lengths, a length beside a coding, a length on 204. An answer that is no HTTP, or bears another request's id, raises an error that nothing that comes back after failures catches; the soak counts it as a broken promise.

strict_response_test: with http.client's own class in its place 13 of the 15 answers that are no HTTP are read as good (all but cut chunks and no head); with the strict one none.

--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -26,6 +26,7 @@
 from sesamecross.fakes import platform_site
 from sesamecross.fakes import platform_store
 from sesamecross.fakes import platform_upstream
+from sesamecross.fakes import strict_response
 
 VERSIONS = ("v1", "v2", "v3")
 ENGINES = 4
@@ -292,10 +293,15 @@
         rng = random.Random(f"{self._plan.seed}/{number}")
         kept: http.client.HTTPConnection | None = None
         while not self._ends.is_set():
-            if number % 2:
-                self._stream(rng)
-            else:
-                kept = self._order(rng, kept)
+            try:
+                if number % 2:
+                    self._stream(rng)
+                else:
+                    kept = self._order(rng, kept)
+            except strict_response.InvalidAnswer as error:
+                name = threading.current_thread().name
+                self._break(f"{name}: the answer is no HTTP: {error}")
+                kept = None
             time.sleep(CALLER_PAUSE_S)
 
     def _front(self, rng: random.Random) -> tuple[str, int]:
--- a/sesamecross/fakes/platform_caller.py
+++ b/sesamecross/fakes/platform_caller.py
@@ -16,6 +16,7 @@
 import types
 
 from sesamecross.fakes import platform_upstream
+from sesamecross.fakes import strict_response
 
 HOST = "reports.example"
 MODEL = "trail-writer"
@@ -80,6 +81,7 @@
         )
         # A closed connection must raise an error, not be reopened silently.
         connection.auto_open = 0
+        connection.response_class = strict_response.StrictResponse
         sock = socket.socket()
         if receive_buffer is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
@@ -171,7 +173,11 @@
         return self._received == first
 
     def finish(self) -> Answer:
-        """Reads the rest of the answer; returns the result."""
+        """Reads the rest of the answer; returns the result.
+
+        Raises:
+          strict_response.InvalidAnswer: It is no HTTP, or another request's.
+        """
         try:
             if self._response is None:
                 self._response = self.connection.getresponse()
@@ -186,6 +192,9 @@
     def _answer(self, error: str) -> Answer:
         if self._response is None:
             return Answer(0, "", b"", error)
+        answered = self._response.getheader("Request-Id", self.request_id)
+        if answered != self.request_id:
+            raise strict_response.InvalidAnswer(f"answer to {answered}")
         signature = self._response.getheader("Response-Signature", "")
         return Answer(self._response.status, signature, self._received, error)
 
