Responses: none to HEAD, 204 or 304 has a body or a chunk of one

A caller reads no body after these, so the bytes of one became the begin of its next answer: no HTTP. A 204 or 304 of an upstream that came with a body was passed on with it, and a streamed response to HEAD had a coding and chunks. HEAD was also told a length of 0, that of the empty buffer and not of the body asked about; the length is now left out where it isn't known.

--- a/sesamecross/fakes/strict_response.py
+++ b/sesamecross/fakes/strict_response.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 import email.message
 import http.client
 import io
@@ -177,6 +178,37 @@
             raise http.client.IncompleteRead(data)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; the names of headers are in lower case."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def parse(sent: bytes, method: str = "GET") -> Answer:
+    """Reads one answer from all bytes of a connection that then ends.
+
+    Raises:
+      InvalidAnswer: It is no HTTP.
+      http.client.HTTPException: It was cut.
+    """
+    caller, server = socket.socketpair()
+    with contextlib.closing(caller), contextlib.closing(server):
+        server.sendall(sent)
+        server.shutdown(socket.SHUT_WR)
+        response = StrictResponse(caller, method=method)
+        response.begin()
+        body = b""
+        while data := response.read1():
+            body += data
+    headers = tuple(
+        (name.lower(), value) for name, value in response.getheaders()
+    )
+    return Answer(response.status, headers, body)
+
+
 def _framing_error(status: int, headers: email.message.Message) -> str:
     """Returns what is wrong with a head that `h11` accepts, or nothing."""
     lengths = headers.get_all("Content-Length", [])
--- a/sesamecross/fakes/strict_response_test.py
+++ b/sesamecross/fakes/strict_response_test.py
@@ -15,20 +15,6 @@
 CHUNKS = b"2\r\nok\r\n0\r\n\r\n"
 
 
-def read(sent: bytes, method: str) -> bytes:
-    """Returns the body that a caller reads."""
-    caller, server = socket.socketpair()
-    with contextlib.closing(caller), contextlib.closing(server):
-        server.sendall(sent)
-        server.shutdown(socket.SHUT_WR)
-        response = strict_response.StrictResponse(caller, method=method)
-        response.begin()
-        received = b""
-        while data := response.read1():
-            received += data
-        return received
-
-
 VALID = [
     pytest.param(HEAD + LENGTH + b"\r\nok", "GET", b"ok", id="length"),
     pytest.param(HEAD + CHUNKED + b"\r\n" + CHUNKS, "GET", b"ok", id="chunks"),
@@ -85,14 +71,14 @@
 
 @pytest.mark.parametrize(("sent", "method", "body"), VALID)
 def test_an_answer_by_the_rules_is_read(sent, method, body):
-    assert read(sent, method) == body
+    assert strict_response.parse(sent, method).body == body
 
 
 @pytest.mark.parametrize(("sent", "method"), INVALID)
 def test_an_answer_that_is_no_http_is_refused(sent, method):
     """Guards against a stand-in that reads what real callers refuse."""
     with pytest.raises(REFUSED):
-        read(sent, method)
+        strict_response.parse(sent, method)
 
 
 def test_a_caller_may_leave_in_the_middle():
--- a/sesamecross/gateway/response_writer.py
+++ b/sesamecross/gateway/response_writer.py
@@ -65,6 +65,7 @@
         "_connection",
         "_keep_alive",
         "_is_head_request",
+        "_has_body",
         "_is_started",
         "_is_finished",
         "_closes_after",
@@ -78,6 +79,7 @@
         self._connection = connection
         self._keep_alive = keep_alive
         self._is_head_request = is_head_request
+        self._has_body = False
         self._is_started = False
         self._is_finished = False
         self._closes_after = False
@@ -100,11 +102,13 @@
             return
         self._is_started = True
         out = [status_line(status), _encode_headers(headers)]
-        if status not in _BODYLESS_STATUSES:
+        self._has_body = self._may_have_body(status)
+        # The length of the body that HEAD asked about is known only with it.
+        if self._has_body or (body and status not in _BODYLESS_STATUSES):
             out.append(b"content-length: %d\r\n" % len(body))
         out.append(self._connection_header())
         out.append(b"\r\n")
-        if not self._is_head_request:
+        if self._has_body:
             out.append(body)
         self._connection.write(b"".join(out))
         self._finish()
@@ -117,21 +121,25 @@
             return
         self._is_started = True
         out = [status_line(status), _encode_headers(headers)]
-        out.append(b"transfer-encoding: chunked\r\n")
+        self._has_body = self._may_have_body(status)
+        if self._has_body:
+            out.append(b"transfer-encoding: chunked\r\n")
         out.append(self._connection_header())
         out.append(b"\r\n")
-        out.append(_encode_chunk(first))
+        if self._has_body:
+            out.append(_encode_chunk(first))
         self._connection.write(b"".join(out))
 
     def send_chunk(self, data: bytes) -> None:
         """Sends a further chunk."""
-        if not self._is_finished and data:
+        if not self._is_finished and self._has_body and data:
             self._connection.write(_encode_chunk(data))
 
     def end_chunked(self) -> None:
         """Ends a chunked response as complete."""
         if not self._is_finished:
-            self._connection.write(b"0\r\n\r\n")
+            if self._has_body:
+                self._connection.write(b"0\r\n\r\n")
             self._finish()
 
     def abort(self) -> None:
@@ -153,6 +161,9 @@
         if self.on_caller_slow is not None and not self._is_finished:
             self.on_caller_slow(is_slow)
 
+    def _may_have_body(self, status: int) -> bool:
+        return not self._is_head_request and status not in _BODYLESS_STATUSES
+
     def _connection_header(self) -> bytes:
         self._closes_after = (
             not self._keep_alive or self._connection.closes_after_response
