Responses: only their writer frames them, whoever passes a head on

And no way dropped what the upstream's own Connection header names, nor Proxy-Authentication-Info.

The writer of responses now drops the headers of one connection itself; the codec's filter for callers is gone. The one list of names, with what Connection names, is core/connection_headers.py, for requests and responses.

--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -105,9 +105,7 @@
             is_success and self._relay is not None and head_info.is_event_stream
         ):
             self._is_stream = True
-            self._relay.begin_stream(
-                status, self._http_codec.caller_response_headers(headers)
-            )
+            self._relay.begin_stream(status, headers)
         return True
 
     def on_body(self, data: bytes) -> None:
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -81,7 +81,7 @@
     def begin_stream(
         self, status: int, headers: Iterable[serving.Header]
     ) -> None:
-        """Starts a new attempt's stream, with the headers for the caller.
+        """Starts a new attempt's stream, with its upstream's headers.
 
         The head that is forwarded is that of the first attempt with events.
         """
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -521,11 +521,8 @@
     def _deliver(self, response: attempt_lib.CompleteResponse) -> str:
         if self._response_writer.is_started:
             return self._fail(502)
-        headers = self._forwarder._http_codec.caller_response_headers(
-            response.headers
-        )
         self._response_writer.send_response(
-            response.status, headers, response.body
+            response.status, response.headers, response.body
         )
         return f"status {response.status}"
 
--- a/sesamecross/gateway/response_writer.py
+++ b/sesamecross/gateway/response_writer.py
@@ -2,13 +2,16 @@
 
 Request handlers need not know how responses are framed, and a response that
 ends early must never look complete. Each response has one writer, which also
-reports that the caller disconnected or reads too slowly.
+reports that the caller disconnected or reads too slowly. Headers that apply to
+an upstream's connection are dropped here, whoever passes them on.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import http
 from typing import Protocol
 
+from sesamecross.core import connection_headers
 from sesamecross.core import serving
 
 _BODYLESS_STATUSES = frozenset((204, 304))
@@ -95,7 +98,7 @@
         return self._is_finished
 
     def send_response(
-        self, status: int, headers: list[serving.Header], body: bytes
+        self, status: int, headers: Iterable[serving.Header], body: bytes
     ) -> None:
         """Sends a complete response."""
         if self._is_finished:
@@ -114,7 +117,7 @@
         self._finish()
 
     def begin_chunked(
-        self, status: int, headers: list[serving.Header], first: bytes
+        self, status: int, headers: Iterable[serving.Header], first: bytes
     ) -> None:
         """Sends the head and the first chunk of a chunked response."""
         if self._is_finished:
@@ -177,8 +180,11 @@
         self._connection.on_response_sent(self._closes_after, self._keep_alive)
 
 
-def _encode_headers(headers: list[serving.Header]) -> bytes:
-    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+def _encode_headers(headers: Iterable[serving.Header]) -> bytes:
+    return b"".join(
+        name + b": " + value + b"\r\n"
+        for name, value in connection_headers.without(headers)
+    )
 
 
 def _encode_chunk(data: bytes) -> bytes:
--- a/sesamecross/gateway/response_writer_test.py
+++ b/sesamecross/gateway/response_writer_test.py
@@ -2,6 +2,9 @@
 
 import itertools
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 import pytest
 
 from sesamecross.fakes import strict_response
@@ -57,6 +60,42 @@
     return strict_response.parse(connection.written, method)
 
 
+OF_THE_CONNECTION = [
+    (b"connection", b"close"),
+    (b"Connection", b"upgrade"),
+    (b"keep-alive", b"timeout=1"),
+    (b"te", b"trailers"),
+    (b"trailer", b"x-sum"),
+    (b"transfer-encoding", b"chunked"),
+    (b"transfer-encoding", b"gzip"),
+    (b"upgrade", b"h2c"),
+    (b"content-length", b"7"),
+    (b"Content-Length", b"2"),
+    (b"proxy-connection", b"keep-alive"),
+    (b"proxy-authenticate", b"basic"),
+    (b"proxy-authentication-info", b"x"),
+]
+
+
+@pytest.mark.parametrize("send", SENDERS)
+@given(
+    headers=st.lists(st.sampled_from(OF_THE_CONNECTION), max_size=4),
+    status=st.sampled_from((200, 204, 304, 503)),
+    method=st.sampled_from(("GET", "HEAD")),
+)
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_a_response_has_the_framing_of_its_writer_alone(
+    send, headers, status, method
+):
+    """Guards against an answer with two framings, which is no HTTP."""
+    expected = respond(send, [], status, method)
+    named = [(b"connection", b"X-Hop , close"), (b"x-hop", b"1")]
+    kept = [(b"x-kept", b"yes")]
+    answer = respond(send, headers + named + kept, status, method)
+    assert answer.headers == (("x-kept", "yes"), *expected.headers)
+    assert answer.body == expected.body
+
+
 @pytest.mark.parametrize("send", SENDERS)
 @pytest.mark.parametrize(
     ("status", "method"),
--- a/sesamecross/platform/headers.py
+++ b/sesamecross/platform/headers.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 import math
 
+from sesamecross.core import connection_headers
 from sesamecross.core import serving
 from sesamecross.ports import http_codec
 
@@ -27,22 +28,6 @@
 _REQUEST_PRIORITY = b"request-priority"
 _MISDIRECTED_STATUS = 421
 
-# Apply to a single connection (RFC 9110) and are never forwarded.
-_CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
 # Only the gateway may set these. With them, a caller could reserve engine
 # memory or give its request a priority that operators did not grant.
 _SYSTEM_HEADERS = frozenset(
@@ -58,7 +43,19 @@
         b"kv-fetch",
     )
 )
-_NOT_FORWARDED = _CONNECTION_HEADERS | _SYSTEM_HEADERS
+# A caller must not be able to remove the headers that identify its request and
+# what it asks for.
+_IDENTIFYING_HEADERS = frozenset(
+    (
+        b"host",
+        _REQUEST_ID,
+        _MODEL,
+        _TOKEN_USAGE,
+        _PROMPT_PREFIX,
+        _LAST_EVENT_ID,
+        _RESUMES,
+    )
+)
 
 
 def parse_request_head(
@@ -121,8 +118,13 @@
     request: serving.Request, context: http_codec.ForwardContext
 ) -> list[serving.Header]:
     """Returns the headers for forwarding a request to an upstream."""
-    dropped = _NOT_FORWARDED | _connection_options(request.headers)
-    headers = [header for header in request.headers if header[0] not in dropped]
+    headers = [
+        header
+        for header in connection_headers.without(
+            request.headers, _IDENTIFYING_HEADERS
+        )
+        if header[0] not in _SYSTEM_HEADERS
+    ]
     last_event_id = context.last_event_id
     if last_event_id and last_event_id != request.last_event_id:
         headers = [header for header in headers if header[0] != _LAST_EVENT_ID]
@@ -136,38 +138,6 @@
     return headers
 
 
-def _connection_options(
-    headers: Iterable[serving.Header],
-) -> frozenset[bytes]:
-    names: set[bytes] = set()
-    for name, value in headers:
-        if name == b"connection":
-            names.update(option.strip().lower() for option in value.split(b","))
-    # A caller must not be able to remove the headers that identify its
-    # request and what it asks for.
-    return frozenset(
-        names
-        - {
-            _REQUEST_ID,
-            b"host",
-            _MODEL,
-            _TOKEN_USAGE,
-            _PROMPT_PREFIX,
-            _LAST_EVENT_ID,
-            _RESUMES,
-        }
-    )
-
-
-def caller_response_headers(
-    headers: Iterable[serving.Header],
-) -> list[serving.Header]:
-    """Returns the response headers that are forwarded to the caller."""
-    return [
-        header for header in headers if header[0] not in _CONNECTION_HEADERS
-    ]
-
-
 def parse_response_head(
     status: int, headers: Iterable[serving.Header]
 ) -> http_codec.ResponseHead:
--- a/sesamecross/platform/http_codec.py
+++ b/sesamecross/platform/http_codec.py
@@ -31,12 +31,6 @@
         """Parses the head of an upstream's response."""
         return headers_lib.parse_response_head(status, headers)
 
-    def caller_response_headers(
-        self, headers: Iterable[serving.Header]
-    ) -> list[serving.Header]:
-        """Returns the response headers that are forwarded to the caller."""
-        return headers_lib.caller_response_headers(headers)
-
     def refusal(
         self, request_id: str, retry_after_s: float | None
     ) -> list[serving.Header]:
--- a/sesamecross/ports/http_codec.py
+++ b/sesamecross/ports/http_codec.py
@@ -104,11 +104,6 @@
     ) -> ResponseHead:
         """Parses the head of an upstream's response."""
 
-    def caller_response_headers(
-        self, headers: Iterable[serving.Header]
-    ) -> list[serving.Header]:
-        """Returns the response headers that are forwarded to the caller."""
-
     def refusal(
         self, request_id: str, retry_after_s: float | None
     ) -> list[serving.Header]:
