Upstream connections: bytes after a whole answer don't undo it

Upstreams may send further bytes after a complete answer. If these came in the same read and were no HTTP (or an upgrade), the connection forgot its receiver before it told it of the answer's end: the caller waited until its deadline and got 504, though its answer had arrived whole.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -161,16 +161,18 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("upstream switched protocols")
+            self._on_invalid_data("upstream switched protocols")
         except httptools.HttpParserError as error:
-            if self._is_complete:
-                # Malformed data after a complete response is not part of it.
-                self._abandon()
-            else:
-                self._fail(f"malformed response: {error}")
+            self._on_invalid_data(f"malformed response: {error}")
         if self._is_complete:
             self._finish_response()
 
+    def _on_invalid_data(self, reason: str) -> None:
+        # Data after a complete response is not part of it.
+        self._is_unusable = True
+        if not self._is_complete:
+            self._fail(reason)
+
     def eof_received(self) -> bool:
         """Ends a response without framing; any other one is truncated."""
         if self._receiver is not None:
--- /dev/null
+++ b/sesamecross/gateway/client_connection_test.py
@@ -0,0 +1,131 @@
+"""Tests of what an upstream's bytes count as: one answer, or a failure."""
+
+import asyncio
+
+import pytest
+
+from sesamecross.gateway import client_connection
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+ANSWER = HEAD + b"Content-Length: 2\r\n\r\nok"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+
+
+class _Transport(asyncio.Transport):
+    """Records whether the connection was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closed = False
+
+    def write(self, data) -> None:
+        """Nothing is sent."""
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def abort(self) -> None:
+        self.is_closed = True
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def pause_reading(self) -> None:
+        """Nothing is read from here."""
+
+    def resume_reading(self) -> None:
+        """Nothing is read from here."""
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+
+class _Receiver:
+    """Records one response.
+
+    Attributes:
+      body: The body so far.
+      status: Of its head; 0 before.
+      outcome: How it ended: "complete", "failed", or "open".
+    """
+
+    def __init__(self) -> None:
+        self.body = b""
+        self.status = 0
+        self.outcome = "open"
+
+    def on_head(self, status, headers) -> bool:
+        self.status = status
+        return True
+
+    def on_body(self, data) -> None:
+        self.body += data
+
+    def on_end(self) -> None:
+        assert self.outcome == "open"
+        self.outcome = "complete"
+
+    def on_failure(self, reason) -> None:
+        assert self.outcome == "open"
+        self.outcome = "failed"
+
+
+class _Upstream:
+    """An upstream whose bytes the test sends over a connection."""
+
+    def __init__(self) -> None:
+        self.connection = client_connection.ClientConnection(_Loop())
+        self.connection.connection_made(_Transport())
+
+    def ask(self, method: bytes = b"GET") -> _Receiver:
+        """Sends a request; returns what receives its response."""
+        receiver = _Receiver()
+        request = client_connection.encode_request(method, b"/", [], b"")
+        self.connection.send(request, receiver)
+        return receiver
+
+    def answer(self, sent: bytes, size: int) -> None:
+        """Sends bytes, `size` at a time."""
+        for start in range(0, len(sent), size):
+            self.connection.data_received(sent[start : start + size])
+
+
+class _Loop:
+    def time(self) -> float:
+        return 0.0
+
+
+SIZES = [pytest.param(1, id="bytes"), pytest.param(10_000, id="at once")]
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("answer", [ANSWER, CHUNKED + b"\r\n"])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        b"????",
+        b"ok",
+        ANSWER,
+        ANSWER[:20],
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+        b"Connection: upgrade\r\n\r\n",
+    ],
+)
+def test_bytes_after_a_complete_response_do_not_undo_it(extra, answer, size):
+    """Guards against a whole answer that its caller never gets."""
+    upstream = _Upstream()
+    receiver = upstream.ask()
+    upstream.answer(answer + extra, size)
+    assert (receiver.outcome, receiver.body) == ("complete", b"ok")
+    assert not upstream.connection.is_available
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_bytes_after_a_response_that_closes_do_not_undo_it(size):
+    """Guards against a whole answer that its caller never gets."""
+    upstream = _Upstream()
+    receiver = upstream.ask()
+    head = HEAD + b"Connection: close\r\nContent-Length: 2\r\n\r\n"
+    upstream.answer(head + b"ok????", size)
+    assert (receiver.outcome, receiver.body) == ("complete", b"ok")
+    assert not upstream.connection.is_available
