Attempts: a response without an id on a used connection proves nothing

Upstreams may answer twice, the second time late, on a kept connection. A response without Request-Id that says Not-Executed was taken for that to the current request, also where the connection had carried another one. So a late refusal made a request that might not be repeated run twice (sent again though it was being run), and could become a 503 that says it has not run. The same could happen without any id in the caller's request, and where a refused request was sent again on the same connection: its first refusal, repeated, would have refused its next try.

Now such a response is believed on a connection that has carried nothing else, which is then closed; on a used one the attempt is lost, which promises nothing. A request without an id, or one that this upstream had before, goes on a new connection. Kept connections are used as before in all other cases.

--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -43,14 +43,18 @@
     Attributes:
       outcome_future: Resolves to the attempt's outcome.
       on_response_head: Called with the head of the request's response.
+      is_connection_reusable: Whether a second response on the connection could
+        be told from that to its next request.
     """
 
     __slots__ = (
         "outcome_future",
         "on_response_head",
+        "is_connection_reusable",
         "_http_codec",
         "_request_id",
         "_instance_id",
+        "_is_connection_used",
         "_relay",
         "_status",
         "_headers",
@@ -67,8 +71,21 @@
         instance_id: str,
         relay: event_relay.EventRelay | None,
         http_codec: http_codec_lib.HttpCodec,
+        is_connection_used: bool,
     ):
+        """Initializes the attempt.
+
+        Args:
+          loop: Creates the future of the outcome.
+          request_id: The id that the response must bear; may be empty.
+          instance_id: The upstream that the request is sent to.
+          relay: Forwards the events if the response is a stream.
+          http_codec: Parses the head.
+          is_connection_used: The connection has carried another request.
+        """
         self._http_codec = http_codec
+        self._is_connection_used = is_connection_used
+        self.is_connection_reusable = True
         self.outcome_future: asyncio.Future[Outcome] = loop.create_future()
         self.on_response_head: (
             Callable[[http_codec_lib.ResponseHead], None] | None
@@ -86,11 +103,19 @@
     def on_head(self, status: int, headers: list[serving.Header]) -> bool:
         """Accepts the head, or returns False if it is for another request."""
         head_info = self._http_codec.parse_response_head(status, headers)
-        lacks_request_id = (
-            not head_info.request_id and head_info.was_not_executed
+        is_unnamed = not head_info.request_id and (
+            head_info.was_not_executed or not self._request_id
         )
-        if head_info.request_id != self._request_id and not lacks_request_id:
+        if head_info.request_id != self._request_id and not is_unnamed:
             return False
+        if is_unnamed:
+            self.is_connection_reusable = False
+            if self._is_connection_used:
+                # Perhaps a second response to an earlier request.
+                self._set_outcome(
+                    retry_policy.Lost("response names no request")
+                )
+                return True
         self._status = status
         self._headers = tuple(headers)
         self._head_info = head_info
--- a/sesamecross/gateway/connection_pool.py
+++ b/sesamecross/gateway/connection_pool.py
@@ -46,6 +46,16 @@
             if connection.is_available and not _is_stale(connection, now_s):
                 return connection
             connection.close()
+        return await self.open(address, timeout_s)
+
+    async def open(
+        self, address: str, timeout_s: float
+    ) -> client_connection.ClientConnection:
+        """Returns a new connection.
+
+        Raises:
+          OSError: It could not be opened in time.
+        """
         self.opened_count += 1
         return await client_connection.connect(
             address, min(timeout_s, CONNECT_TIMEOUT_S)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -206,6 +206,7 @@
         "_origin",
         "_lookup",
         "_tried_ids",
+        "_sent_ids",
         "_retry_after_s",
         "_note",
         "_is_started",
@@ -240,6 +241,7 @@
         # Set if the caller resumes a stream.
         self._lookup: origin_registry.Lookup | None = None
         self._tried_ids: set[str] = set()
+        self._sent_ids: set[str] = set()
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         self._note = ""
         self._is_started = False
@@ -559,7 +561,7 @@
         try:
             try:
                 connection = await self._forwarder.connector.connect(
-                    upstream, left_s
+                    upstream, left_s, self._requires_new_connection(upstream)
                 )
             except OSError as error:
                 if not self._is_path_suspect(upstream):
@@ -579,6 +581,15 @@
         self._record_outcome(upstream, outcome, loop.time() - started_s)
         return outcome
 
+    def _requires_new_connection(
+        self, upstream: directory.KnownUpstream
+    ) -> bool:
+        """Whether an earlier response could pass for that to this attempt."""
+        return (
+            not self._request.request_id
+            or upstream.entry.instance_id in self._sent_ids
+        )
+
     async def _acquire_slot(self, upstream: directory.KnownUpstream) -> bool:
         """Waits for a slot of an upstream that must not reject too much.
 
@@ -666,6 +677,7 @@
             entry.instance_id,
             self._relay,
             self._forwarder._http_codec,
+            is_connection_used=connection.request_count > 0,
         )
         attempt.on_response_head = functools.partial(
             self._record_response_head, upstream
@@ -683,6 +695,7 @@
             self._relay.upstream_version = upstream.version
         self._connection = connection
         self._history.sends += 1
+        self._sent_ids.add(entry.instance_id)
         self._history.possibly_ran_at.add(entry.instance_id)
         connection.send(
             client_connection.encode_request(
@@ -703,6 +716,8 @@
             self._history.has_output = True
         if isinstance(outcome, retry_policy.Lost):
             connection.abort()
+        elif not attempt.is_connection_reusable:
+            connection.close()
         else:
             self._forwarder._connection_pool.release(entry.address, connection)
         return outcome
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -68,10 +68,18 @@
         self._checks: dict[str, int] = {}
 
     async def connect(
-        self, upstream: directory.KnownUpstream, timeout_s: float
+        self,
+        upstream: directory.KnownUpstream,
+        timeout_s: float,
+        requires_new: bool = False,
     ) -> client_connection.ClientConnection:
         """Returns a connection for one request.
 
+        Args:
+          upstream: Where to.
+          timeout_s: How long it may take.
+          requires_new: No idle connection may be used.
+
         Raises:
           OSError: No connection could be opened in time, neither directly nor
             by way of a peer. Nothing was sent.
@@ -87,7 +95,9 @@
                 # upstream lives before the request is sent.
                 self._connection_pool.close_idle(upstream.entry.address)
             try:
-                return await self._connect_directly(upstream, timeout_s)
+                return await self._connect_directly(
+                    upstream, timeout_s, requires_new
+                )
             except OSError:
                 now_s = loop.time()
                 access = self._access(upstream, now_s)
@@ -115,15 +125,23 @@
         return False
 
     async def _connect_directly(
-        self, upstream: directory.KnownUpstream, timeout_s: float
+        self,
+        upstream: directory.KnownUpstream,
+        timeout_s: float,
+        requires_new: bool = False,
     ) -> client_connection.ClientConnection:
         loop = asyncio.get_running_loop()
         address = upstream.entry.address
         began_s = loop.time()
         try:
-            connection = await self._connection_pool.acquire(
-                address, began_s, timeout_s
-            )
+            if requires_new:
+                connection = await self._connection_pool.open(
+                    address, timeout_s
+                )
+            else:
+                connection = await self._connection_pool.acquire(
+                    address, began_s, timeout_s
+                )
         except OSError as error:
             upstream.reachability.record_connect_error(
                 error, began_s, loop.time()
