Upstream connections: a response to HEAD ends with its head

The parser was not told that HEAD was asked. It waited for the body that the length of the response stated, so the caller waited until its deadline and got 504; what came next on the connection, as a second answer, was taken for that body.

A response to HEAD is now complete with its head.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -75,6 +75,7 @@
         "_parser",
         "_receiver",
         "_headers",
+        "_is_head_request",
         "_is_accepted",
         "_mismatched_responses",
         "_has_framing",
@@ -94,6 +95,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: ResponseReceiver | None = None
         self._headers: list[serving.Header] = []
+        self._is_head_request = False
         self._is_accepted = False
         self._mismatched_responses = 0
         self._has_framing = False
@@ -111,9 +113,15 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data: bytes, receiver: ResponseReceiver) -> None:
+    def send(
+        self,
+        data: bytes,
+        receiver: ResponseReceiver,
+        is_head_request: bool = False,
+    ) -> None:
         """Sends a request; its response goes to `receiver`."""
         self._receiver = receiver
+        self._is_head_request = is_head_request
         self._mismatched_responses = 0
         self._has_head = False
         self._is_complete = False
@@ -227,8 +235,13 @@
         if self._receiver is None:
             return
         if self._receiver.on_head(status, self._headers):
-            self._is_accepted = True
             self._has_head = True
+            if self._is_head_request:
+                # The parser can't be told that no body follows.
+                self._is_unusable = True
+                self._is_complete = True
+            else:
+                self._is_accepted = True
             return
         self._mismatched_responses += 1
         # A message without framing can't be told from what follows it.
--- a/sesamecross/gateway/client_connection_test.py
+++ b/sesamecross/gateway/client_connection_test.py
@@ -81,7 +81,7 @@
         """Sends a request; returns what receives its response."""
         receiver = _Receiver()
         request = client_connection.encode_request(method, b"/", [], b"")
-        self.connection.send(request, receiver)
+        self.connection.send(request, receiver, method == b"HEAD")
         return receiver
 
     def answer(self, sent: bytes, size: int) -> None:
@@ -129,3 +129,24 @@
     upstream.answer(head + b"ok????", size)
     assert (receiver.outcome, receiver.body) == ("complete", b"ok")
     assert not upstream.connection.is_available
+
+
+def test_a_response_to_head_ends_with_its_head():
+    """Guards against a wait for a body that HEAD does not have."""
+    upstream = _Upstream()
+    receiver = upstream.ask(b"HEAD")
+    upstream.answer(HEAD + b"Content-Length: 2\r\n\r\n", 10_000)
+    assert (receiver.outcome, receiver.body) == ("complete", b"")
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 2\r\n", b"Transfer-Encoding: chunked\r\n"]
+)
+def test_nothing_follows_a_response_to_head(framing, size):
+    """Guards against a body that is taken for the next response."""
+    upstream = _Upstream()
+    receiver = upstream.ask(b"HEAD")
+    upstream.answer(HEAD + framing + b"\r\n" + ANSWER, size)
+    assert (receiver.outcome, receiver.body) == ("complete", b"")
+    assert not upstream.connection.is_available
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -702,6 +702,7 @@
                 request.method, request.path, headers, request.body
             ),
             attempt,
+            is_head_request=request.method == b"HEAD",
         )
         await asyncio.wait([attempt.outcome_future], timeout=left_s)
         if not attempt.outcome_future.done():
