Upstream connections: a body in a coding other than chunked is none

'Transfer-Encoding: gzip, chunked' was read as chunked, so the caller got the coded bytes as the upstream's body, signed and whole; of 'gzip' alone a stream passed its bytes on before the end showed that they were lost. Such a response now fails at its head. Chunked that is stated twice is still read, as the bytes are clear.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -19,6 +19,8 @@
 # the upstream is not going to respond to the current one.
 _MAX_MISMATCHED_RESPONSES = 4
 _FIRST_FINAL_STATUS = 200
+_TRANSFER_ENCODING = b"transfer-encoding"
+_CHUNKED = b"chunked"
 
 
 class ResponseReceiver(Protocol):
@@ -213,7 +215,7 @@
         """Collects a header; its name is lower-cased."""
         name = name.lower()
         self._headers.append((name, value))
-        if name in (b"content-length", b"transfer-encoding"):
+        if name in (b"content-length", _TRANSFER_ENCODING):
             self._has_framing = True
         elif name == b"keep-alive":
             self._read_keep_alive(value)
@@ -234,6 +236,9 @@
             self._is_unusable = True
         if self._receiver is None:
             return
+        if self._has_unknown_coding():
+            self._fail("response in an unknown transfer coding")
+            return
         if self._receiver.on_head(status, self._headers):
             self._has_head = True
             if self._is_head_request:
@@ -251,6 +256,15 @@
         ):
             self._fail("responses to other requests")
 
+    def _has_unknown_coding(self) -> bool:
+        """Whether the body's bytes are not the upstream's own."""
+        return any(
+            coding.strip().lower() != _CHUNKED
+            for name, value in self._headers
+            if name == _TRANSFER_ENCODING
+            for coding in value.split(b",")
+        )
+
     def on_body(self, data: bytes) -> None:
         """Passes body data to the receiver."""
         if self._is_accepted and self._receiver is not None:
--- a/sesamecross/gateway/client_connection_test.py
+++ b/sesamecross/gateway/client_connection_test.py
@@ -150,3 +150,72 @@
     upstream.answer(HEAD + framing + b"\r\n" + ANSWER, size)
     assert (receiver.outcome, receiver.body) == ("complete", b"")
     assert not upstream.connection.is_available
+
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\nContent-Length: 9\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize(
+    ("sent", "outcome", "body"),
+    [
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + ANSWER, "complete", b"ok"),
+        (INTERIM * 2 + ANSWER, "complete", b"ok"),
+        (INTERIM, "open", b""),
+        (CHUNKED + b"X-Sum: 1\r\n\r\n", "complete", b"ok"),
+        (CHUNKED, "open", b"ok"),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", "complete", b""),
+        (
+            b"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+            "complete",
+            b"",
+        ),
+        (HEAD + b"\r\nok", "open", b"ok"),
+        (
+            HEAD
+            + b"Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "failed",
+            b"",
+        ),
+        (
+            HEAD
+            # Stated twice, applied once.
+            + b"Transfer-Encoding: chunked\r\n"
+            + CHUNKED[len(HEAD) :]
+            + b"\r\n",
+            "complete",
+            b"ok",
+        ),
+        (HEAD + b"Transfer-Encoding: gzip\r\n\r\nok", "failed", b""),
+        (
+            HEAD + b"Content-Length: 2\r\n" + CHUNKED[len(HEAD) :] + b"\r\n",
+            "failed",
+            b"",
+        ),
+        (
+            HEAD + b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+            "failed",
+            b"",
+        ),
+        (HEAD + b"Content-Length: 2, 2\r\n\r\nok", "failed", b""),
+        (
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+            b"Connection: upgrade\r\n\r\n" + ANSWER,
+            "failed",
+            b"",
+        ),
+    ],
+)
+def test_a_response_is_whole_or_fails(sent, outcome, body, closes, size):
+    """Guards against a body that isn't the upstream's own whole one."""
+    upstream = _Upstream()
+    receiver = upstream.ask()
+    upstream.answer(sent, size)
+    if closes:
+        upstream.connection.eof_received()
+        if outcome == "open":
+            outcome = "complete" if sent == HEAD + b"\r\nok" else "failed"
+    assert (receiver.outcome, receiver.body) == (outcome, body)
+    if receiver.outcome != "complete":
+        assert not upstream.connection.is_available
