Callers' connections: no interim answer inside another answer

A caller that pipelines a request with Expect: 100-continue while its first answer is being streamed got 'HTTP/1.1 100 Continue' between two chunks of it: no HTTP, and the first answer was lost to it. The gateway wrote it as soon as it had read the head.

It now waits until the answers before it are sent; the time limit for the body counts from then. server_connection_test: failed before (IncompleteRead by the strict stand-in), on as well. CONTINUE is public for the test; the second new test passed before.

--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -26,7 +26,7 @@
 # last response arrives. Covers some round trips between regions and a slow
 # link; callers that read the response close earlier.
 LINGER_S = 2.0
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class RequestHandler(Protocol):
@@ -90,6 +90,7 @@
         "_advertised_idle_s",
         "_is_reading_head",
         "_is_reading",
+        "_owes_continue",
         "_is_closing",
     )
 
@@ -120,6 +121,8 @@
         self._advertised_idle_s = 0.0
         self._is_reading_head = False
         self._is_reading = False
+        # Whether the caller waits until it is asked for the body.
+        self._owes_continue = False
         self._is_closing = False
 
     @property
@@ -220,6 +223,7 @@
         self._body = []
         self._body_size = 0
         self._reject_status = 0
+        self._owes_continue = False
         self._is_reading = True
 
     def on_url(self, data: bytes) -> None:
@@ -276,10 +280,26 @@
         elif lengths and self._exceeds_body_limits(int(lengths[0])):
             self._reject_status = 413
         elif any(n == b"expect" for n, _ in head.headers):
-            self._transport.write(_CONTINUE)
+            self._owes_continue = True
         if not self._reject_status:
             # The body has a timeout of its own.
             self._arm_read_timeout()
+        self._send_owed_continue()
+
+    def _send_owed_continue(self) -> None:
+        """Asks for the body, unless an earlier response is still to be sent.
+
+        The interim response would be read as a part of it.
+        """
+        if not self._owes_continue:
+            return
+        if self._response_writer is not None:
+            # The caller may wait, without a limit, until it is asked.
+            self._disarm()
+            return
+        self._owes_continue = False
+        self._transport.write(CONTINUE)
+        self._arm_read_timeout()
 
     def on_body(self, data: bytes) -> None:
         """Buffers body data within the limits."""
@@ -297,6 +317,7 @@
         if self._is_closing:
             return
         self._is_reading = False
+        self._owes_continue = False
         self._disarm()
         self._pipelined.append((self._head, b"".join(self._body)))
         if len(self._pipelined) > _MAX_PIPELINED:
@@ -373,6 +394,7 @@
         if len(self._pipelined) <= _MAX_PIPELINED:
             self._transport.resume_reading()
         self._handle_next()
+        self._send_owed_continue()
         if self.is_idle:
             self._is_reading_head = False
             self._arm_read_timeout()
--- a/sesamecross/gateway/server_connection_test.py
+++ b/sesamecross/gateway/server_connection_test.py
@@ -12,6 +12,7 @@
 import pytest
 
 from sesamecross.core import serving
+from sesamecross.fakes import strict_response
 from sesamecross.gateway import listener
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
@@ -514,3 +515,41 @@
     timed.respond()
     assert statuses(timed.transport) == [200]
     assert timed.transport.is_closed
+
+
+def test_a_request_to_continue_waits_for_the_response_in_progress():
+    """Guards against an interim answer inside the body of another answer."""
+    timed = _TimedConnection()
+    timed.connection.data_received(GET)
+    response_writer = timed.handler.response_writers.pop()
+    response_writer.begin_chunked(200, [], b"first")
+    timed.connection.data_received(
+        POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+    )
+    response_writer.send_chunk(b"last")
+    response_writer.end_chunked()
+    answer, interim, rest = timed.transport.written.partition(
+        server_connection.CONTINUE
+    )
+    assert strict_response.parse(answer).body == b"firstlast"
+    assert interim
+    assert rest == b""
+    timed.connection.data_received(b"hi")
+    timed.respond()
+    answered = timed.transport.written.removeprefix(answer)
+    assert strict_response.parse(answered).body == b"ok"
+
+
+def test_a_request_that_came_whole_is_not_told_to_continue_late():
+    """Guards against an interim answer after the request's own."""
+    timed = _TimedConnection()
+    timed.connection.data_received(GET)
+    timed.connection.data_received(
+        POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi" + GET
+    )
+    answers = []
+    for _ in range(3):
+        before = len(timed.transport.written)
+        timed.respond()
+        answers.append(timed.transport.written[before:])
+    assert [strict_response.parse(one).body for one in answers] == [b"ok"] * 3
