Entries: an engine's interim answer is no final one, and half a rejection none

An engine's 103 (or any 1xx) before its answer was passed to the caller as the final status, with a length: no HTTP, and the caller waited on. A rejection whose connection closed before its promised end, or that was longer than the limit, was passed on cut, with a length of its own, as if whole. Headers after the head (trailers, a second answer in the same read) replaced those of the answer.

--- a/sesamecross/ports/engine_stream.py
+++ b/sesamecross/ports/engine_stream.py
@@ -19,6 +19,8 @@
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 0.5
 MAX_ERROR_BYTES = 1024 * 1024
+_FIRST_FINAL_STATUS = 200
+_FRAMING_HEADERS = ("content-length", "transfer-encoding")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,38 +78,62 @@
 
 
 class _ResponseHandler:
-    """Callbacks of the HTTP parser, which collect the response."""
+    """Callbacks of the HTTP parser, which collect the final response."""
 
-    __slots__ = ("headers", "is_head_complete", "is_complete", "chunks")
+    __slots__ = (
+        "headers",
+        "parser",
+        "status",
+        "is_head_complete",
+        "is_complete",
+        "chunks",
+    )
 
     def __init__(self) -> None:
         self.headers: dict[str, str] = {}
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
         self.is_head_complete = False
         self.is_complete = False
         self.chunks: list[bytes] = []
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the connection doesn't end the body."""
+        return not self.headers.keys().isdisjoint(_FRAMING_HEADERS)
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        # What follows the head are trailers, or another response.
+        if not self.is_head_complete:
+            key = name.decode("latin-1").lower()
+            self.headers[key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if self.is_head_complete:
+            return
+        if status < _FIRST_FINAL_STATUS:
+            self.headers.clear()
+            return
+        self.status = status
         self.is_head_complete = True
 
     def on_body(self, body: bytes) -> None:
-        self.chunks.append(body)
+        if not self.is_complete:
+            self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        self.is_complete = True
+        self.is_complete = self.is_head_complete
 
 
 class EngineStream:
     """An engine's streamed response. The owner must close it."""
 
-    __slots__ = ("_socket", "_parser", "_response", "_event_parser", "_ended")
+    __slots__ = ("_socket", "_response", "_event_parser", "_ended")
 
     def __init__(self, sock: socket.socket):
         self._socket = sock
         self._response = _ResponseHandler()
-        self._parser = httptools.HttpResponseParser(self._response)
         self._event_parser = sse.EventParser()
         self._ended = False
 
@@ -125,11 +151,16 @@
             )
         except OSError as error:
             return http_client.NotSent(type(error).__name__)
-        stream = cls(sock)
+        return cls(sock).read_answer(request)
+
+    def read_answer(
+        self, request: CallRequest
+    ) -> "EngineStream | Rejected | http_client.Failed":
+        """Sends a call on the stream's connection and reads the head."""
         try:
-            return stream._send_and_read_head(request)
+            return self._send_and_read_head(request)
         except (OSError, StreamBroken) as error:
-            stream.close()
+            self.close()
             return http_client.Failed(type(error).__name__)
 
     def _send_and_read_head(self, request: CallRequest):
@@ -144,18 +175,20 @@
             # This is the answer to another call, so nothing on this connection
             # can be trusted.
             raise StreamBroken("answer of another call")
-        if self._parser.get_status_code() == 200:
+        if self._response.status == 200:
             return self
         return self._read_rejection()
 
     def _read_rejection(self) -> Rejected:
-        size = 0
-        while not self._ended and size < MAX_ERROR_BYTES:
+        while not self._ended:
+            if sum(map(len, self._response.chunks)) > MAX_ERROR_BYTES:
+                raise StreamBroken("rejection too large")
             self._feed(self._socket.recv(_READ_BYTES))
-            size = sum(len(chunk) for chunk in self._response.chunks)
+        if self._response.is_framed and not self._response.is_complete:
+            raise StreamBroken("closed before the end")
         headers = self._response.headers
         rejected = Rejected(
-            self._parser.get_status_code(),
+            self._response.status,
             headers.get("content-type", ""),
             b"".join(self._response.chunks),
             headers.get("x-not-run", ""),
@@ -170,9 +203,10 @@
             self._ended = True
             return
         try:
-            self._parser.feed_data(data)
+            self._response.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            raise StreamBroken(f"not HTTP ({error})") from error
+            if not self._response.is_complete:
+                raise StreamBroken(f"not HTTP ({error})") from error
         self._ended = self._ended or self._response.is_complete
 
     def fileno(self) -> int:
