Service calls: no second answer of a service reaches another call

A service's connection is kept for further calls. An answer without X-Request-Id was taken for that to the call under way, so a second, late one went to another caller. And an answer that names another call was refused only after its body was read, when the connection was back in the pool: the calls after it met the answers meant for those before.

--- a/sesamecross/ports/service_http.py
+++ b/sesamecross/ports/service_http.py
@@ -4,7 +4,9 @@
 been executed.
 """
 
+import contextlib
 import dataclasses
+import socket
 
 import urllib3
 
@@ -29,6 +31,19 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
+def _end_reuse(connection: urllib3.connection.HTTPConnection | None) -> None:
+    """Makes the pool open another connection in place of this one.
+
+    Another thread may have taken it from the pool. Its call then fails, whereas
+    closing the socket could give the descriptor to a third connection.
+    """
+    sock = connection.sock if connection is not None else None
+    if sock is not None:
+        # The service may have closed it already.
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
+
 class HttpService:
     """Client of all plain services; each call contains its URL."""
 
@@ -69,14 +84,19 @@
     def _read(
         self, call: ServiceCall, response: urllib3.BaseHTTPResponse
     ) -> data.Answer | http_client.Failed:
+        answered = response.headers.get("X-Request-Id")
+        if answered not in (None, call.request_id):
+            # Before the body is read, which returns the connection to the pool.
+            response.close()
+            return http_client.Failed("answer of another call")
+        connection = response.connection
         body = response.read(MAX_ANSWER_BYTES + 1)
         if len(body) > MAX_ANSWER_BYTES:
             response.close()
             return http_client.Failed("answer too large")
-        answered = response.headers.get("X-Request-Id", call.request_id)
-        if answered != call.request_id:
-            response.close()
-            return http_client.Failed("answer of another call")
+        if answered is None:
+            # A second answer would not be told from that to the next call.
+            _end_reuse(connection)
         response.release_conn()
         content_type = response.headers.get(
             "Content-Type", "application/octet-stream"
