Entries: no length on 204 and 304, nor one of 0 to HEAD

A service's 204 reached the caller with Content-Length: 0, which HTTP forbids there and strict callers refuse; a 304 and an answer to HEAD stated the length of the empty buffer, not of the body meant. Both also by way of a peer.

--- a/sesamecross/entry/http_app.py
+++ b/sesamecross/entry/http_app.py
@@ -219,7 +219,7 @@
     ) -> list[bytes]:
         headers = [
             ("Content-Type", content_type),
-            ("Content-Length", str(len(body))),
+            *http_server.length_headers(request.method, status, body),
             (http_request.CORRELATION_HEADER, request.call_id),
         ]
         start_response(http_request.status_line(status), headers)
--- a/sesamecross/entry/http_app_test.py
+++ b/sesamecross/entry/http_app_test.py
@@ -11,6 +11,7 @@
 from sesamecross.entry import http_app
 from sesamecross.entry import model_call
 from sesamecross.entry import state as state_lib
+from sesamecross.fakes import strict_response
 from sesamecross.ops import timeline
 from sesamecross.ports import engine_stream
 from sesamecross.runtime import http_server
@@ -108,3 +109,54 @@
     body.close()
     body.close()
     assert state.active_calls == 0
+
+
+def answered(method: str, status: int, body: bytes) -> strict_response.Answer:
+    """Returns what a strict caller reads of a service's answer."""
+
+    def app(environ: dict, start_response):
+        return http_app.HttpApp._send_response(
+            None,
+            types.SimpleNamespace(call_id="call1", method=method),
+            status,
+            "text/plain",
+            body,
+            start_response,
+        )
+
+    server = http_server.HttpServer(
+        "test", "127.0.0.1:0", app, http_server.Limits()
+    )
+    server.start()
+    try:
+        with socket.create_connection(server.address.split(":")) as caller:
+            caller.sendall(
+                f"{method} / HTTP/1.1\r\nHost: h\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            received = b""
+            while data := caller.recv(65_536):
+                received += data
+        return strict_response.parse(received, method)
+    finally:
+        server.shut_down()
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "body", "length"),
+    [
+        ("GET", 200, b"ok", "2"),
+        ("GET", 200, b"", "0"),
+        ("GET", 204, b"", None),
+        ("GET", 304, b"", None),
+        ("HEAD", 200, b"", None),
+        ("HEAD", 204, b"", None),
+    ],
+)
+def test_an_answer_states_a_length_only_where_it_is_that_of_a_body(
+    method, status, body, length
+):
+    """Guards against a length on 204, and one of 0 that HEAD did not ask."""
+    answer = answered(method, status, body)
+    assert answer.body == body
+    assert dict(answer.headers).get("content-length") == length
--- a/sesamecross/entry/relay_handler.py
+++ b/sesamecross/entry/relay_handler.py
@@ -14,6 +14,7 @@
 from sesamecross.entry import openai_response
 from sesamecross.entry import peer_relay
 from sesamecross.ports import entry_http
+from sesamecross.runtime import http_server
 from sesamecross.runtime import metrics as metrics_lib
 
 # Headers of a call that another entry needs to serve it.
@@ -139,7 +140,12 @@
             answer.close()
         start_response(
             http_request.status_line(answer.status),
-            [*headers, ("Content-Length", str(len(body)))],
+            [
+                *headers,
+                *http_server.length_headers(
+                    request.method, answer.status, body
+                ),
+            ],
         )
         return [body]
 
--- a/sesamecross/runtime/http_server.py
+++ b/sesamecross/runtime/http_server.py
@@ -28,6 +28,7 @@
 DEFAULT_RECEIVE_S = 30.0
 _REAP_INTERVAL_S = 0.2
 _JOIN_TIMEOUT_S = 5
+_BODYLESS_STATUSES = frozenset((204, 304))
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 WsgiApp = Callable[[dict, StartResponse], Iterable[bytes]]
@@ -272,6 +273,18 @@
     return b""
 
 
+def length_headers(
+    method: str, status: int, body: bytes
+) -> list[tuple[str, str]]:
+    """Returns the length of a body, or nothing where there is none.
+
+    The length of the body that HEAD asked about is not known from an empty one.
+    """
+    if status in _BODYLESS_STATUSES or (method == "HEAD" and not body):
+        return []
+    return [("Content-Length", str(len(body)))]
+
+
 def send_response(
     start_response: StartResponse,
     status: str,
