--- a/sesamecross/fakes/scripted_gateway.py
+++ b/sesamecross/fakes/scripted_gateway.py
@@ -8,10 +8,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 import dataclasses
 import random
 import re
+from typing import Any
 
 from sesamecross.core import serving
 from sesamecross.fakes import samples
@@ -40,12 +42,15 @@
     """What an upstream sends after one request.
 
     Attributes:
-      pieces: Its bytes, as they arrive; `{id}` stands for the request's id.
+      sent: Its bytes. `{id}` stands for the request's id, `{be}` for the id of
+        the request before on the connection.
       ends: Whether it then closes the connection.
+      size: How many bytes arrive at a time.
     """
 
-    pieces: tuple[bytes, ...]
+    sent: bytes
     ends: bool = False
+    size: int = 10_000
 
 
 def _route(name: str) -> serving.Route:
@@ -109,11 +114,12 @@
       received: What it received so far.
     """
 
-    def __init__(self, forwarder: forwarder_lib.Forwarder):
+    def __init__(self, gateway: "ScriptedGateway"):
         self.received = b""
+        self._gateway = gateway
         self._transport = _Transport(self._receive)
         self._connection = server_connection.ServerConnection(
-            forwarder, asyncio.get_running_loop(), set()
+            gateway.forwarder, asyncio.get_running_loop(), set()
         )
         self._connection.connection_made(self._transport)
 
@@ -133,7 +139,7 @@
             lines.append(f"Request-Id: {request_id}")
         head = "\r\n".join([*lines, "", ""])
         self._connection.data_received(head.encode())
-        await settle()
+        await self._gateway.settle()
         return self.received[before:]
 
     def leave(self) -> None:
@@ -144,9 +150,9 @@
 class _UpstreamEnd:
     """The upstream's end of one connection."""
 
-    def __init__(self, scripts: list[Script], requests: list[bytes]):
-        self._scripts = scripts
-        self._requests = requests
+    def __init__(self, gateway: "ScriptedGateway"):
+        self._gateway = gateway
+        self._previous_id = b""
         self.connection = client_connection.ClientConnection(
             asyncio.get_running_loop()
         )
@@ -154,20 +160,23 @@
         self.connection.connection_made(self._transport)
 
     def _receive(self, request: bytes) -> None:
-        self._requests.append(request)
-        if self._scripts:
-            asyncio.get_running_loop().create_task(
-                self._answer(request, self._scripts.pop(0))
+        self._gateway.requests.append(request)
+        if self._gateway.scripts:
+            self._gateway.spawn(
+                self._answer(request, self._gateway.scripts.pop(0))
             )
 
     async def _answer(self, request: bytes, script: Script) -> None:
         found = _REQUEST_ID.search(request)
         request_id = found.group(1) if found else b""
-        for piece in script.pieces:
+        sent = script.sent.replace(b"{id}", request_id)
+        sent = sent.replace(b"{be}", self._previous_id)
+        self._previous_id = request_id
+        for start in range(0, len(sent), script.size):
             await asyncio.sleep(0)
             if self._transport.is_closing():
                 return
-            self.connection.data_received(piece.replace(b"{id}", request_id))
+            self.connection.data_received(sent[start : start + script.size])
         if script.ends and not self._transport.is_closing():
             self.connection.eof_received()
             self.connection.connection_lost(None)
@@ -184,9 +193,7 @@
         self, address: str, timeout_s: float
     ) -> client_connection.ClientConnection:
         self.opened_count += 1
-        return _UpstreamEnd(
-            self._gateway.scripts, self._gateway.requests
-        ).connection
+        return _UpstreamEnd(self._gateway).connection
 
 
 class _Connector:
@@ -217,6 +224,7 @@
     def __init__(self, scripts: Sequence[Script]):
         self.scripts = list(scripts)
         self.requests: list[bytes] = []
+        self._answers: set[asyncio.Task] = set()
         state = state_lib.State(samples.INSTANCE)
         state.offer_configuration(
             serving.Configuration(
@@ -247,10 +255,17 @@
 
     def caller(self) -> Caller:
         """Returns a new caller's connection."""
-        return Caller(self.forwarder)
-
-
-async def settle() -> None:
-    """Lets all that is under way come to its end."""
-    for _ in range(_SETTLING_TURNS):
-        await asyncio.sleep(0)
+        return Caller(self)
+
+    def spawn(self, answer: Coroutine[Any, Any, None]) -> None:
+        """Lets the upstream send an answer."""
+        task = asyncio.create_task(answer)
+        self._answers.add(task)
+        task.add_done_callback(self._answers.discard)
+
+    async def settle(self) -> None:
+        """Lets all that is under way come to its end."""
+        turns = 0
+        while turns < _SETTLING_TURNS:
+            turns = 0 if self._answers else turns + 1
+            await asyncio.sleep(0)
--- a/sesamecross/gateway/late_answer_test.py
+++ b/sesamecross/gateway/late_answer_test.py
@@ -40,9 +40,9 @@
 def test_a_late_refusal_does_not_refuse_the_next_request(route):
     """Guards against a request that runs twice, as if it had not run."""
     scripts = [
-        scripted_gateway.Script((ANSWER,)),
-        scripted_gateway.Script((REFUSAL, ANSWER)),
-        scripted_gateway.Script((ANSWER,)),
+        scripted_gateway.Script(ANSWER),
+        scripted_gateway.Script(REFUSAL + ANSWER),
+        scripted_gateway.Script(ANSWER),
     ]
     answers, gateway = ask_twice(scripts, route, ["aaaa", "bbbb"])
     assert answers[0].body == b"aaaa"
@@ -52,7 +52,7 @@
 
 def test_a_refusal_on_a_new_connection_is_the_requests_own():
     """Guards against a failure where the request can be sent again."""
-    scripts = [scripted_gateway.Script((REFUSAL,))] * MAX_SENDS
+    scripts = [scripted_gateway.Script(REFUSAL)] * MAX_SENDS
     answers, _ = ask_twice(scripts, "once", ["aaaa"])
     assert answers[0].status == 503
 
@@ -60,8 +60,8 @@
 def test_a_late_answer_without_an_id_answers_no_other_request():
     """Guards against an answer that another caller asked for."""
     scripts = [
-        scripted_gateway.Script((ANONYMOUS + b"1111",)),
-        scripted_gateway.Script((ANONYMOUS + b"1111", ANONYMOUS + b"2222")),
+        scripted_gateway.Script(ANONYMOUS + b"1111"),
+        scripted_gateway.Script(ANONYMOUS + b"1111" + ANONYMOUS + b"2222"),
     ]
     answers, gateway = ask_twice(scripts, "once", ["", ""])
     assert answers[0].body == b"1111"
@@ -71,7 +71,7 @@
 def test_a_request_is_sent_once_on_a_connection():
     """Guards against a late refusal of its first try that refuses its next."""
     refusal = REFUSAL.replace(b"Busy\r\n", b"Busy\r\nRequest-Id: {id}\r\n")
-    scripts = [scripted_gateway.Script((refusal,))] * MAX_SENDS
+    scripts = [scripted_gateway.Script(refusal)] * MAX_SENDS
     answers, gateway = ask_twice(scripts, "once", ["aaaa"])
     assert answers[0].status == 503
     assert len(gateway.requests) == gateway.connections_opened > 1
