--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -170,6 +170,10 @@
         (answers(HEAD + b"\r\nbo", b"dy", resets=True), None),
         (answers(FRAMED, b"bo"), None),
         (answers(FRAMED, b"bo", resets=True), None),
+        # What follows a whole response is no part of it.
+        (answers(FRAMED + b"body????"), b"body"),
+        (answers(FRAMED + b"body" + FRAMED + b"next"), b"body"),
+        (answers(HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n"), None),
         (answers(), None),
     ],
 )
