--- a/sesamecross/core/connection_headers.py
+++ b/sesamecross/core/connection_headers.py
@@ -35,19 +35,13 @@
       headers: Those received.
       kept: Names that the sender can't remove by its `Connection` header.
     """
-    headers = list(headers)
-    dropped = _NAMES | (_connection_options(headers) - kept)
-    return [header for header in headers if not _is_dropped(header[0], dropped)]
-
-
-def _is_dropped(name: bytes, dropped: frozenset[bytes]) -> bool:
-    name = name.lower()
-    return name in dropped or name.startswith(_PROXY_PREFIX)
-
-
-def _connection_options(headers: list[serving.Header]) -> frozenset[bytes]:
-    names: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == _CONNECTION:
-            names.update(option.strip().lower() for option in value.split(b","))
-    return frozenset(names)
+    remaining = []
+    options: set[bytes] = set()
+    for header in headers:
+        name = header[0].lower()
+        if name == _CONNECTION:
+            options.update(map(bytes.strip, header[1].lower().split(b",")))
+        elif name not in _NAMES and not name.startswith(_PROXY_PREFIX):
+            remaining.append(header)
+    options -= kept
+    return [header for header in remaining if header[0].lower() not in options]
