--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -19,6 +19,8 @@
 # the upstream is not going to respond to the current one.
 _MAX_MISMATCHED_RESPONSES = 4
 _FIRST_FINAL_STATUS = 200
+_TRANSFER_ENCODING = b"transfer-encoding"
+_CHUNKED = b"chunked"
 
 
 class ResponseReceiver(Protocol):
@@ -75,6 +77,7 @@
         "_parser",
         "_receiver",
         "_headers",
+        "_is_head_request",
         "_is_accepted",
         "_mismatched_responses",
         "_has_framing",
@@ -94,6 +97,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._receiver: ResponseReceiver | None = None
         self._headers: list[serving.Header] = []
+        self._is_head_request = False
         self._is_accepted = False
         self._mismatched_responses = 0
         self._has_framing = False
@@ -111,9 +115,15 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data: bytes, receiver: ResponseReceiver) -> None:
+    def send(
+        self,
+        data: bytes,
+        receiver: ResponseReceiver,
+        is_head_request: bool = False,
+    ) -> None:
         """Sends a request; its response goes to `receiver`."""
         self._receiver = receiver
+        self._is_head_request = is_head_request
         self._mismatched_responses = 0
         self._has_head = False
         self._is_complete = False
@@ -161,16 +171,18 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("upstream switched protocols")
+            self._on_invalid_data("upstream switched protocols")
         except httptools.HttpParserError as error:
-            if self._is_complete:
-                # Malformed data after a complete response is not part of it.
-                self._abandon()
-            else:
-                self._fail(f"malformed response: {error}")
+            self._on_invalid_data(f"malformed response: {error}")
         if self._is_complete:
             self._finish_response()
 
+    def _on_invalid_data(self, reason: str) -> None:
+        # Data after a complete response is not part of it.
+        self._is_unusable = True
+        if not self._is_complete:
+            self._fail(reason)
+
     def eof_received(self) -> bool:
         """Ends a response without framing; any other one is truncated."""
         if self._receiver is not None:
@@ -203,7 +215,7 @@
         """Collects a header; its name is lower-cased."""
         name = name.lower()
         self._headers.append((name, value))
-        if name in (b"content-length", b"transfer-encoding"):
+        if name in (b"content-length", _TRANSFER_ENCODING):
             self._has_framing = True
         elif name == b"keep-alive":
             self._read_keep_alive(value)
@@ -224,9 +236,17 @@
             self._is_unusable = True
         if self._receiver is None:
             return
+        if self._has_unknown_coding():
+            self._fail("response in an unknown transfer coding")
+            return
         if self._receiver.on_head(status, self._headers):
-            self._is_accepted = True
             self._has_head = True
+            if self._is_head_request:
+                # The parser can't be told that no body follows.
+                self._is_unusable = True
+                self._is_complete = True
+            else:
+                self._is_accepted = True
             return
         self._mismatched_responses += 1
         # A message without framing can't be told from what follows it.
@@ -236,6 +256,15 @@
         ):
             self._fail("responses to other requests")
 
+    def _has_unknown_coding(self) -> bool:
+        """Whether the body's bytes are not the upstream's own."""
+        return any(
+            coding.strip().lower() != _CHUNKED
+            for name, value in self._headers
+            if name == _TRANSFER_ENCODING
+            for coding in value.split(b",")
+        )
+
     def on_body(self, data: bytes) -> None:
         """Passes body data to the receiver."""
         if self._is_accepted and self._receiver is not None:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -206,6 +206,7 @@
         "_origin",
         "_lookup",
         "_tried_ids",
+        "_sent_ids",
         "_retry_after_s",
         "_note",
         "_is_started",
@@ -240,6 +241,7 @@
         # Set if the caller resumes a stream.
         self._lookup: origin_registry.Lookup | None = None
         self._tried_ids: set[str] = set()
+        self._sent_ids: set[str] = set()
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         self._note = ""
         self._is_started = False
@@ -521,11 +523,8 @@
     def _deliver(self, response: attempt_lib.CompleteResponse) -> str:
         if self._response_writer.is_started:
             return self._fail(502)
-        headers = self._forwarder._http_codec.caller_response_headers(
-            response.headers
-        )
         self._response_writer.send_response(
-            response.status, headers, response.body
+            response.status, response.headers, response.body
         )
         return f"status {response.status}"
 
@@ -562,7 +561,7 @@
         try:
             try:
                 connection = await self._forwarder.connector.connect(
-                    upstream, left_s
+                    upstream, left_s, self._requires_new_connection(upstream)
                 )
             except OSError as error:
                 if not self._is_path_suspect(upstream):
@@ -582,6 +581,15 @@
         self._record_outcome(upstream, outcome, loop.time() - started_s)
         return outcome
 
+    def _requires_new_connection(
+        self, upstream: directory.KnownUpstream
+    ) -> bool:
+        """Whether an earlier response could pass for that to this attempt."""
+        return (
+            not self._request.request_id
+            or upstream.entry.instance_id in self._sent_ids
+        )
+
     async def _acquire_slot(self, upstream: directory.KnownUpstream) -> bool:
         """Waits for a slot of an upstream that must not reject too much.
 
@@ -669,6 +677,7 @@
             entry.instance_id,
             self._relay,
             self._forwarder._http_codec,
+            is_connection_used=connection.request_count > 0,
         )
         attempt.on_response_head = functools.partial(
             self._record_response_head, upstream
@@ -686,12 +695,14 @@
             self._relay.upstream_version = upstream.version
         self._connection = connection
         self._history.sends += 1
+        self._sent_ids.add(entry.instance_id)
         self._history.possibly_ran_at.add(entry.instance_id)
         connection.send(
             client_connection.encode_request(
                 request.method, request.path, headers, request.body
             ),
             attempt,
+            is_head_request=request.method == b"HEAD",
         )
         await asyncio.wait([attempt.outcome_future], timeout=left_s)
         if not attempt.outcome_future.done():
@@ -706,6 +717,8 @@
             self._history.has_output = True
         if isinstance(outcome, retry_policy.Lost):
             connection.abort()
+        elif not attempt.is_connection_reusable:
+            connection.close()
         else:
             self._forwarder._connection_pool.release(entry.address, connection)
         return outcome
