Adapters: a place is taken away fairly from an adapter in use

An adapter was unloaded only after 0.8 s without use. With more adapters in steady use at an engine than places none is ever idle that long, so whichever came first kept its place for good.

Now a place is taken away if an adapter waits for it: one that has had its place for the minimum stay and has the fewest requests, among equals the one loaded first, gets no new requests (the withdrawal that models have), and is unloaded once its requests have ended. At most half of an engine's places change at a time. Adapters get places in the order in which they began to wait, which is remembered for 4 s over refusals. An adapter that was loaded and not used yet keeps its place for the minimum stay, as its callers were told to come back. When places are expected is published as for models.

Bound: with k adapters in steady use at an engine of s places, whose requests last at most d, one waits at most ceil((k - s) / max(1, s // 2)) * (3.0 + 0.3 + d + 1.5) s (adapter_slots.longest_wait_s), as long as d is less than the time after which a withdrawal is given up (8 s).

The state machine of engine histories has a further step, a wait for an adapter while all held ones are in steady use.

--- a/sesamecross/fakes/placement_simulation.py
+++ b/sesamecross/fakes/placement_simulation.py
@@ -217,6 +217,16 @@
             self.publish_running_requests()
             self._record_snapshot()
 
+    def offers(self, target: str) -> bool:
+        """Whether instances send new requests for a target to the engine."""
+        known = self.state.directory.get(ENGINE)
+        return known.engine.holds(known.entry, target, self._now_s)
+
+    def expected_s(self, target: str) -> float | None:
+        """Returns the published seconds until a target is loaded, if any."""
+        ready_at_s = self.state.directory.get(ENGINE).engine.ready_at_s(target)
+        return None if ready_at_s is None else ready_at_s - self._now_s
+
     def publish_running_requests(self) -> None:
         """Reports the running requests to the controller."""
         self.state.fleet_uses = {
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -17,6 +17,7 @@
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import placement_publisher
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import adapter_slots
 from sesamecross.ops.fleet import demand_history
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import duty_cycle
@@ -100,6 +101,7 @@
             lambda: self._wake.set(),
         )
         self._placement_requests: dict[tuple[str, str, str], float] = {}
+        self._adapter_waits = adapter_slots.AdapterWaits()
         # The same for models that an engine of one version must hold, by
         # service, model and version.
         self._version_requests: dict[tuple[str, str, str], float] = {}
@@ -110,6 +112,8 @@
         self._targets: dict[str, placement_types.PlacementTarget] = {}
         # When models that wait for memory are expected, by engine and model.
         self._expected_loads: dict[str, dict[str, float]] = {}
+        # The same for adapters that wait for a place.
+        self._expected_adapters: dict[str, dict[str, float]] = {}
         # When the target is recomputed next, by service.
         self._next_target_s: dict[str, float] = {}
         # The configuration version with which a service's plan failed.
@@ -236,13 +240,14 @@
         counts, or what was published before this instance acquired the lease.
         """
         withdrawn: dict[str, set[str]] = {}
-        for instance_id, model in self._withdrawn:
-            withdrawn.setdefault(instance_id, set()).add(model)
+        for instance_id, target in self._withdrawn:
+            withdrawn.setdefault(instance_id, set()).add(target)
         placements = [
             placement_publisher.engine_placement(
                 tracked.inventory,
                 withdrawn.get(instance_id, set()),
-                self._expected_loads.get(instance_id, {}),
+                self._expected_loads.get(instance_id, {})
+                | self._expected_adapters.get(instance_id, {}),
                 now_s,
             )
             for instance_id, tracked in self._tracker.items()
@@ -288,6 +293,8 @@
         self._down_since_s.clear()
         self._targets.clear()
         self._expected_loads.clear()
+        self._expected_adapters.clear()
+        self._adapter_waits.clear()
         self._next_target_s.clear()
         self._publisher.clear()
 
@@ -397,11 +404,7 @@
             self._state.fleet_uses,
             self._active_withdrawals(now_s),
             self._targets.get(service, {}),
-            tuple(
-                placement_types.AdapterRequest(upstream, target)
-                for (requested, target, upstream) in self._placement_requests
-                if requested == service and upstream and "/" in target
-            ),
+            self._waiting_adapters(service, engines, now_s),
             store_loads=(
                 max(0, max_parallel_loads - active_loads)
                 if budget.allows(now_s)
@@ -417,6 +420,7 @@
             version_needs=self._version_needs(service, engines),
         )
         target = self._target(service, inputs)
+        self._expect_adapters(inputs)
         steps = placement_steps.steps(inputs, target)
         self._end_withdrawals(service, steps)
         for step in steps:
@@ -425,6 +429,35 @@
             elif not step.from_store or budget.allows(now_s):
                 self._start_order(service, step, budget, now_s)
 
+    def _waiting_adapters(
+        self,
+        service: str,
+        engines: tuple[placement_types.Engine, ...],
+        now_s: float,
+    ) -> tuple[placement_types.AdapterRequest, ...]:
+        """Returns the adapters that are waited for, the longest wait first."""
+        for key, at_s in self._placement_requests.items():
+            requested, target, upstream = key
+            if requested == service and upstream and "/" in target:
+                self._adapter_waits.add(service, target, upstream, at_s)
+        return self._adapter_waits.update(
+            service, engines, self._active_withdrawals(now_s), now_s
+        )
+
+    def _expect_adapters(self, inputs: placement_types.Inputs) -> None:
+        """Updates when adapters that wait for a place are expected."""
+        wanted: dict[str, list[str]] = {}
+        for request in inputs.adapter_requests:
+            wanted.setdefault(request.instance_id, []).append(request.target)
+        for engine in inputs.engines:
+            waits = adapter_slots.ready_times_s(
+                inputs, engine, wanted.get(engine.name, ())
+            )
+            self._expected_adapters[engine.name] = {
+                target: inputs.now_s + wait_s
+                for target, wait_s in waits.items()
+            }
+
     def _version_needs(
         self, service: str, engines: tuple[placement_types.Engine, ...]
     ) -> tuple[placement_types.VersionNeed, ...]:
@@ -504,7 +537,7 @@
                 )
 
     def _withdraw(self, step: placement_types.Step, now_s: float) -> None:
-        """Stops new requests for a model on an engine."""
+        """Stops new requests for a model or an adapter on an engine."""
         key = (step.instance_id, step.target)
         if key in self._withdrawn:
             return
@@ -523,7 +556,7 @@
             for (instance_id, name), at_s in self._withdrawn.items()
             if now_s - at_s < WITHDRAWAL_TTL_S
             and instance_id in self._tracker
-            and name in self._tracker[instance_id].inventory.models
+            and self._tracker[instance_id].inventory.is_held(name)
         }
         return self._withdrawn
 
--- a/sesamecross/gateway/placement_controller_engine_state_test.py
+++ b/sesamecross/gateway/placement_controller_engine_state_test.py
@@ -7,9 +7,11 @@
 import pytest
 
 from sesamecross.fakes import placement_simulation as simulation_lib
+from sesamecross.ops.fleet import adapter_slots
 
 DELIVERIES = list(simulation_lib.Delivery)
 TARGETS = [*simulation_lib.MODELS, "m/a1", "m/a2", "m/a3", "n/a1", "n/a2"]
+ADAPTERS = [target for target in TARGETS if "/" in target]
 # Time to correct wrong tracked state and execute the pending order: two order
 # answers, a report's lag, an unload and a load.
 RECOVERY_S = 4.0
@@ -85,6 +87,32 @@
     assert simulation.engine.can_serve("m/a3")
 
 
+def test_a_place_taken_from_an_adapter_in_use_is_never_overcommitted(
+    simulation,
+):
+    """Guards against a load into the place of an adapter still in use.
+
+    The withdrawn adapter is unused by all that the controller knows.
+    """
+    hold_adapters(simulation, "m/a1", "m/a2")
+    for target in ("m/a1", "m/a2"):
+        simulation.begin_request(target)
+    simulation.requested_targets = {"m/a3"}
+    simulation.run(RECOVERY_S)
+    withdrawn = [
+        target for target in ("m/a1", "m/a2") if not simulation.offers(target)
+    ]
+    assert len(withdrawn) == 1
+    simulation.begin_request(withdrawn[0], is_reported=False)
+    simulation.end_request(withdrawn[0])
+    simulation.run(RECOVERY_S)
+    assert not simulation.engine.was_overcommitted
+    simulation.end_request(withdrawn[0])
+    simulation.run(RECOVERY_S)
+    assert simulation.engine.can_serve("m/a3")
+    assert not simulation.engine.was_overcommitted
+
+
 class OrderFaultMachine(stateful.RuleBasedStateMachine):
     """Checks that no fault overloads an engine or stops its orders for good."""
 
@@ -136,6 +164,15 @@
         """The controller plans and gives orders."""
         self.simulation.run(seconds)
 
+    @stateful.rule(wanted=st.sampled_from(ADAPTERS))
+    def take_a_place(self, wanted):
+        """All adapters are in steady use when a further one is waited for."""
+        simulation = self.simulation
+        for held in sorted(simulation.engine.adapters):
+            simulation.begin_request(held)
+        simulation.requested_targets = {wanted}
+        simulation.run(adapter_slots.MIN_STAY_S)
+
     @stateful.rule()
     def restart(self):
         """The engine restarts at the same address."""
--- a/sesamecross/gateway/placement_publisher.py
+++ b/sesamecross/gateway/placement_publisher.py
@@ -29,15 +29,16 @@
 
     Args:
       inventory: The engine's inventory.
-      withdrawn: Models that get no new requests there.
-      planned: When models that wait for memory there are expected.
+      withdrawn: Models and adapters that get no new requests there.
+      planned: When models that wait for memory, and adapters that wait for a
+        place, are expected there.
       now_s: Monotonic time; expected times are published relative to it, in
         seconds.
     """
     targets = {
         target
         for target in inventory.models | inventory.adapters
-        if target.partition("/")[0] not in withdrawn
+        if target not in withdrawn and target.partition("/")[0] not in withdrawn
     }
     return fm.EnginePlacement(
         inventory.instance_id,
@@ -51,7 +52,7 @@
         [
             (target, round(at_s - now_s, 2))
             for target, at_s in sorted(planned.items())
-            if not inventory.is_held_or_loading(target)
+            if target in withdrawn or not inventory.is_held_or_loading(target)
         ],
     )
 
--- a/sesamecross/ops/fleet/engine_inventory.py
+++ b/sesamecross/ops/fleet/engine_inventory.py
@@ -90,13 +90,13 @@
         """Returns the adapters that are unloaded once their requests end."""
         return {target for target in self.unloading if "/" in target}
 
+    def is_held(self, target: str) -> bool:
+        """Whether a target can serve."""
+        return target in self.models or target in self.adapters
+
     def is_held_or_loading(self, target: str) -> bool:
         """Whether a target can serve or is being loaded."""
-        return (
-            target in self.models
-            or target in self.adapters
-            or target in self.loading
-        )
+        return self.is_held(target) or target in self.loading
 
     # -- entries and reports -------------------------------------------
 
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -10,8 +10,8 @@
 """
 
 from collections.abc import Iterable
-import math
 
+from sesamecross.ops.fleet import adapter_slots
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_types as data
 
@@ -20,8 +20,6 @@
 WITHDRAW_SETTLE_S = 0.3
 # An adapter loads in some milliseconds; the rest is for the round trip.
 ADAPTER_LOAD_S = 0.012
-# Time until the start or end of an adapter's use is reported through the hubs.
-ADAPTER_IDLE_S = 0.8
 # Loads from the store that are reserved for models in demand.
 RESERVED_LOADS = 1
 
@@ -37,7 +35,7 @@
 def withdrawals_to_end(
     withdrawn: Iterable[tuple[str, str]], planned: Iterable[data.Step]
 ) -> list[tuple[str, str]]:
-    """Returns withdrawn models, by engine and model, that no step needs."""
+    """Returns withdrawn targets, by engine and target, that no step needs."""
     wanted = {
         (step.instance_id, step.target)
         for step in planned
@@ -262,59 +260,42 @@
 
 
 def _order_adapters(builder: _StepBuilder) -> None:
+    by_engine: dict[str, list[str]] = {}
     for request in builder.inputs.adapter_requests:
-        engine = builder.engines.get(request.instance_id)
-        if engine is not None and builder.may_order(engine):
-            _order_adapter(builder, engine, request.target)
+        by_engine.setdefault(request.instance_id, []).append(request.target)
+    for instance_id, wanted in by_engine.items():
+        engine = builder.engines.get(instance_id)
+        if engine is not None:
+            plan = adapter_slots.plan(builder.inputs, engine, wanted)
+            _add_adapter_steps(builder, engine, plan, wanted[0])
 
 
-def _order_adapter(
-    builder: _StepBuilder, engine: data.Engine, target: str
+def _add_adapter_steps(
+    builder: _StepBuilder,
+    engine: data.Engine,
+    plan: adapter_slots.SlotPlan,
+    first_wanted: str,
 ) -> None:
-    inventory = engine.inventory
-    spec = builder.inputs.spec
-    model = spec.models.get(target.partition("/")[0])
-    if model is None or model.name not in inventory.models:
-        return
-    # An adapter being unloaded has to be gone before it can be loaded again.
-    if inventory.is_held_or_loading(target) or target in inventory.unloading:
+    """Adds the steps of a plan; withdrawals are repeated by each one."""
+    why = f"makes room for {first_wanted}"
+    for target in plan.withdraw:
+        builder.steps.append(
+            data.Step(data.StepKind.WITHDRAW, engine.name, target, why)
+        )
+    if not builder.may_order(engine):
         return
-    free_mb = spec.weights_mb - inventory.used_mb(spec)
-    is_full = len(inventory.all_adapters()) >= spec.adapter_slots
-    if is_full or free_mb < model.adapter_mb:
-        victim = _idle_adapter(builder, engine)
-        if victim is not None:
-            why = f"makes room for {target}"
-            builder.order(
-                data.Step(data.StepKind.UNLOAD, engine.name, victim, why)
+    if plan.load is not None:
+        builder.order(
+            data.Step(
+                data.StepKind.LOAD,
+                engine.name,
+                plan.load,
+                "a request waits for it",
+                False,
+                ADAPTER_LOAD_S,
             )
-        return
-    why = "a request waits for it"
-    builder.order(
-        data.Step(
-            data.StepKind.LOAD, engine.name, target, why, False, ADAPTER_LOAD_S
         )
-    )
-
-
-def _idle_adapter(builder: _StepBuilder, engine: data.Engine) -> str | None:
-    """Returns the least recently used adapter if it is idle, else None.
-
-    Unloading an adapter in use blocks all orders to the engine until its
-    requests have ended, and its use is reported some tenths of a second late.
-    """
-    inventory = engine.inventory
-    wanted = {
-        request.target
-        for request in builder.inputs.adapter_requests
-        if request.instance_id == engine.name
-    }
-    idle = []
-    for target in inventory.adapters - wanted:
-        used_s = max(
-            inventory.loaded_s.get(target, -math.inf),
-            builder.inputs.used_s.get((engine.name, target), -math.inf),
+    elif plan.unload is not None:
+        builder.order(
+            data.Step(data.StepKind.UNLOAD, engine.name, plan.unload, why)
         )
-        if builder.inputs.now_s - used_s >= ADAPTER_IDLE_S:
-            idle.append((used_s, target))
-    return min(idle)[1] if idle else None
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterRequest:
-    """An adapter that requests wait for at an engine."""
+    """An adapter that requests wait for at an engine, or come back for."""
 
     instance_id: str
     target: str
@@ -113,9 +113,9 @@
       engines: The engines.
       demand: By model.
       in_use: Requests in flight by engine and target.
-      withdrawn: By engine and model, since when it gets no new requests there.
+      withdrawn: By engine and target, since when it gets no new requests there.
       target: The models that each engine should hold by the last plan.
-      adapter_requests: Adapters that requests wait for.
+      adapter_requests: Adapters that requests wait for, the longest wait first.
       store_loads: How many loads from the weight store may start now.
       is_demand_known: Whether all instances have reported their demand.
       are_engines_known: Whether no engine has appeared recently. A new one may
