Adapters: requests go where a place is, and wait only for one in time

An adapter that is not loaded cost 0.08 s at any engine, so a request asked for it at an engine whose places were all taken while another one that held the model had a free place. And it waited 0.35 of the time in which it could be sent (737 ms of 2.1 s), whether or not a place was to come, and was then told a fixed 2 s.

Now the engine's places are counted (those of held, arriving and expected adapters): a free place costs the load, a taken one the time until the published one, or 2 s if none is known. Without a free place the request waits only for an adapter that is expected before it can no longer be sent; otherwise it is refused at once with that time. If no time is known, only the first wait for a plan, as for models. With a free place nothing changes.

Failed before, on with the new tests copied in: engine_search_test::test_an_adapter_is_asked_for_where_there_is_a_place (two cases: "near" was asked, with all places taken) and test_a_caller_is_not_held_for_an_adapter_that_gets_no_place (both cases: held for 1.575 s of 4.5 s).

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -183,7 +183,21 @@
         usable = self._usable()
         untried = [one for one in usable if one.entry.instance_id not in tried]
         holders = self._holders(untried or usable, self._call.model, now_s)
-        return engine_choice.choose(self._call, holders, location, now_s, rng)
+        return engine_choice.choose(
+            self._call, holders, location, now_s, rng, self._adapter_slots()
+        )
+
+    def _adapter_slots(self) -> dict[str, int]:
+        """Returns the places for adapters of engines, by service."""
+        configuration = self._context.state.configuration
+        if configuration is None or not self._call.adapter:
+            return {}
+        slots = {}
+        for target in self._route.targets:
+            service = configuration.services.get(target.service)
+            if service is not None and service.engine is not None:
+                slots[target.service] = service.engine.adapter_slots
+        return slots
 
     def _holders(
         self,
@@ -284,7 +298,7 @@
             self._deadline_s,
         )
         if choice is not None:
-            return wait_policy.decide_adapter(request_times, now_s)
+            return self._decide_adapter_wait(choice, request_times, now_s)
         missing_since_s = self._context.missing.since(
             self._call.model, now_s, self.origin
         )
@@ -293,6 +307,23 @@
             request_times, self._planned_arrival_s, missing_since_s, now_s
         )
 
+    def _decide_adapter_wait(
+        self,
+        choice: engine_choice.Choice,
+        request_times: wait_policy.RequestTimes,
+        now_s: float,
+    ) -> wait_policy.Wait | wait_policy.RetryAfter:
+        if choice.adapter_place is engine_choice.AdapterPlace.FREE:
+            return wait_policy.decide_adapter(request_times, now_s)
+        target = self._call.target
+        self._planned_arrival_s = choice.upstream.engine.ready_at_s(target)
+        return wait_policy.decide_adapter_place(
+            request_times,
+            self._planned_arrival_s,
+            self._context.missing.since(target, now_s),
+            now_s,
+        )
+
     def _earliest_arrival_s(self) -> float | None:
         """Returns when the first engine is expected to hold the model."""
         times = [
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stream_origins
+from sesamecross.ops.fleet import wait_policy
 
 ROUTE = serving.Route(
     "r",
@@ -252,3 +253,106 @@
     search.origin = ORIGIN
     assert searches.loop.run_until_complete(search.find(frozenset())) is None
     assert set(asked) == {("s", "m", "", "v1")}
+
+
+ADAPTER_CALL = serving.ModelCall("m", "a9", 500, 50, ())
+ADAPTER_PLACES = 2
+ADAPTER_CONFIGURATION = serving.Configuration(
+    1,
+    (ROUTE,),
+    {
+        "s": serving.Service(
+            "s",
+            "/health",
+            100,
+            serving.EngineSpec(64, 1000, 80.0, ADAPTER_PLACES, 1.0, 5, {}),
+        )
+    },
+    serving.CallerLimits(),
+)
+
+
+def search_adapter(
+    placements: dict[str, fm.EnginePlacement], zones: dict[str, str]
+) -> tuple[engine_search.EngineSearch, list[tuple], float]:
+    """Searches an engine for an adapter, which gets no place meanwhile.
+
+    Returns:
+      The search, the placement requests, and how long the caller was held.
+    """
+    searches = _Searches(tuple(placements), permit_wait_s=0.0)
+    searches.state.offer_configuration(ADAPTER_CONFIGURATION)
+    for name, placement in placements.items():
+        known = searches.state.directory.get(name)
+        known.entry = dataclasses.replace(known.entry, zone=zones[name])
+        known.engine.apply_placement(placement, 0.0)
+    asked: list[tuple] = []
+    searches._context.request_placement = lambda *args: asked.append(args)
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, ADAPTER_CALL, 0.0, DEADLINE_S
+    )
+    found = searches.loop.run_until_complete(search.find(frozenset()))
+    assert found is None
+    return search, asked, searches.loop.time()
+
+
+def adapter_placement(name: str, *adapters: str, **planned: float):
+    """Returns a placement of the model, some adapters and expected ones."""
+    return fm.EnginePlacement(
+        name,
+        1,
+        0,
+        ["m", *(f"m/{adapter}" for adapter in adapters)],
+        [],
+        [(f"m/{adapter}", at_s) for adapter, at_s in planned.items()],
+    )
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "asked_at"),
+    [
+        # Another zone's engine has a free place.
+        (adapter_placement("near", "a1", "a2"), ["a1"], "far"),
+        # A place that an expected adapter will take is not free.
+        (adapter_placement("near", "a1", a2=0.1), ["a1"], "far"),
+        (adapter_placement("near", "a1"), [], "near"),
+        # All places are taken: where one comes soonest.
+        (adapter_placement("near", "a1", "a2"), ["a1", "a2"], "near"),
+        (adapter_placement("near", "a1", "a2", a9=0.9), ["a1", "a2"], "near"),
+    ],
+)
+def test_an_adapter_is_asked_for_where_there_is_a_place(near, far, asked_at):
+    """Guards against requests that wait for a place at an engine without one.
+
+    Another engine that holds the model had a free place.
+    """
+    placements = {"near": near, "far": adapter_placement("far", *far)}
+    zones = {"near": samples.INSTANCE.zone, "far": "elsewhere"}
+    _, asked, _ = search_adapter(placements, zones)
+    assert asked[0] == ("s", "m/a9", asked_at, "")
+
+
+@pytest.mark.parametrize(
+    ("planned", "held_s", "retry_after_s"),
+    [
+        # The place is expected after the caller has given up.
+        ({"a9": 4.8}, 0.0, 4.8),
+        # Nobody knows of a place: only a plan is waited for.
+        ({}, wait_policy.PLAN_WAIT_S, wait_policy.ADAPTER_RETRY_AFTER_S),
+    ],
+)
+def test_a_caller_is_not_held_for_an_adapter_that_gets_no_place(
+    planned, held_s, retry_after_s
+):
+    """Guards against 0.7 s of waiting for nothing, and an untrue retry time."""
+    placements = {"e1": adapter_placement("e1", "a1", "a2", **planned)}
+    search, _, took_s = search_adapter(placements, {"e1": "z1"})
+    assert took_s == pytest.approx(held_s, abs=0.02)
+    assert search.retry_after_s == pytest.approx(retry_after_s, abs=0.01)
+
+
+def test_a_caller_waits_for_an_adapter_that_comes_in_time():
+    """Guards against refusals of callers who could be served."""
+    placements = {"e1": adapter_placement("e1", "a1", "a2", a9=1.0)}
+    _, _, took_s = search_adapter(placements, {"e1": "z1"})
+    assert took_s > 1.0
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -8,7 +8,9 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import enum
 import random
 
 from sesamecross.core import serving
@@ -21,6 +23,9 @@
 # Time to have an adapter loaded: to the lease holder, to the engine, some
 # milliseconds of loading, and back.
 ADAPTER_LOAD_S = 0.08
+# Time until an adapter without a place has one, while no time is known: another
+# adapter has to give way first.
+ADAPTER_PLACE_S = 2.0
 # How long a request holds its slot; gives the wait for a slot in a full batch.
 SLOT_HOLD_S = 2.0
 # Cost of a full batch. One more request delays the events of all others in a
@@ -31,6 +36,20 @@
 TIE_TOLERANCE_S = 0.01
 
 
+class AdapterPlace(enum.Enum):
+    """What a request for an adapter finds at an engine.
+
+    Attributes:
+      HELD: The adapter is loaded, or none is asked for.
+      FREE: A place for it.
+      TAKEN: All places are taken.
+    """
+
+    HELD = "held"
+    FREE = "free"
+    TAKEN = "taken"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
     """An engine for a request, and what the request would meet there.
@@ -42,7 +61,7 @@
       read_s: Prefill time of those.
       queued_tokens: Prompt tokens that it has to prefill before.
       running: Requests in flight there.
-      must_load_adapter: The adapter has to be loaded there first.
+      adapter_place: Whether the adapter is loaded there, or has a place.
     """
 
     upstream: directory_lib.KnownUpstream
@@ -51,7 +70,12 @@
     read_s: float
     queued_tokens: int
     running: float
-    must_load_adapter: bool
+    adapter_place: AdapterPlace
+
+    @property
+    def must_load_adapter(self) -> bool:
+        """Whether the adapter has to be loaded there first."""
+        return self.adapter_place is not AdapterPlace.HELD
 
 
 def estimate(
@@ -59,8 +83,17 @@
     known: directory_lib.KnownUpstream,
     location: service_choice.Location,
     now_s: float,
+    adapter_slots: int | None = None,
 ) -> Choice:
-    """Estimates what the call would meet at an engine that holds its model."""
+    """Estimates what the call would meet at an engine that holds its model.
+
+    Args:
+      call: The call.
+      known: The engine.
+      location: Where this instance is.
+      now_s: Monotonic time.
+      adapter_slots: The engine's places for adapters, or None if unknown.
+    """
     engine = known.engine
     cached = engine.cache.cached_tokens(call)
     uncached = max(1, call.prompt_tokens - cached)
@@ -69,16 +102,14 @@
     first_ms = speed.predict(queued + uncached)
     slots = max(1, known.entry.slots)
     overflow = max(0.0, known.running + 1 - slots)
-    must_load_adapter = bool(call.adapter) and not engine.holds(
-        known.entry, call.target, now_s
-    )
+    place = _adapter_place(call, known, adapter_slots, now_s)
     expected_s = (
         location.round_trip_s(known.entry.zone)
         + first_ms / 1000
         + overflow / slots * SLOT_HOLD_S
         + (known.running / slots) ** 2 * FULL_BATCH_PENALTY_S
         + known.failure_share(now_s) * FAILURE_PENALTY_S
-        + (ADAPTER_LOAD_S if must_load_adapter else 0.0)
+        + _adapter_delay_s(call, known, place, now_s)
         + service_choice.relay_cost_s(known, now_s)
     )
     read_s = speed.slope * uncached / 1000
@@ -89,20 +120,66 @@
         read_s,
         queued,
         known.running,
-        must_load_adapter,
+        place,
+    )
+
+
+def _adapter_place(
+    call: serving.ModelCall,
+    known: directory_lib.KnownUpstream,
+    adapter_slots: int | None,
+    now_s: float,
+) -> AdapterPlace:
+    engine = known.engine
+    if not call.adapter or engine.holds(known.entry, call.target, now_s):
+        return AdapterPlace.HELD
+    if adapter_slots is None:
+        return AdapterPlace.FREE
+    taken = engine.adapters(known.entry, now_s) - {call.target}
+    return (
+        AdapterPlace.FREE if len(taken) < adapter_slots else AdapterPlace.TAKEN
     )
 
 
+def _adapter_delay_s(
+    call: serving.ModelCall,
+    known: directory_lib.KnownUpstream,
+    place: AdapterPlace,
+    now_s: float,
+) -> float:
+    """Returns the expected time until the adapter can serve there."""
+    match place:
+        case AdapterPlace.HELD:
+            return 0.0
+        case AdapterPlace.FREE:
+            return ADAPTER_LOAD_S
+    ready_at_s = known.engine.ready_at_s(call.target)
+    if ready_at_s is None or ready_at_s < now_s:
+        return ADAPTER_PLACE_S
+    return max(ADAPTER_LOAD_S, ready_at_s - now_s)
+
+
 def choose(
     call: serving.ModelCall,
     candidates: Iterable[directory_lib.KnownUpstream],
     location: service_choice.Location,
     now_s: float,
     rng: random.Random,
+    adapter_slots: Mapping[str, int] | None = None,
 ) -> Choice | None:
-    """Returns the best engine among those that hold the call's model."""
+    """Returns the best engine among those that hold the call's model.
+
+    Args:
+      call: The call.
+      candidates: The engines.
+      location: Where this instance is.
+      now_s: Monotonic time.
+      rng: Picks one of the engines close to the best.
+      adapter_slots: By service, its engines' places for adapters.
+    """
+    slots = adapter_slots or {}
     rated = [
-        estimate(call, known, location, now_s)
+        estimate(call, known, location, now_s, slots.get(known.entry.service))
         for known in candidates
         if known.engine.holds(known.entry, call.model, now_s)
     ]
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -102,6 +102,14 @@
         absent_s = self.absent.get(target)
         return absent_s is None or now_s - absent_s > ABSENT_TTL_S
 
+    def adapters(self, entry: serving.Upstream, now_s: float) -> set[str]:
+        """Returns the adapters that have or are to get a place there."""
+        found = set(self.targets(entry, now_s))
+        if self.placement is not None:
+            for name, _ in (*self.placement.arriving, *self.placement.planned):
+                found.add(name)
+        return {target for target in found if "/" in target}
+
     def ready_at_s(self, target: str) -> float | None:
         """Returns when a target will be loaded, or None if it is unplanned."""
         if self.placement is None:
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -127,8 +127,9 @@
     ready_at_s: float | None,
     missed_s: float,
     now_s: float,
+    unplanned_s: float = UNPLANNED_RETRY_AFTER_S,
 ) -> Wait | RetryAfter:
-    """Decides whether a request waits for its model.
+    """Decides whether a request waits for its model, or an adapter's place.
 
     When more models are requested than fit, holding each request for a model
     without a replica for 0.6 s before a refusal made up a third of all
@@ -141,14 +142,13 @@
       ready_at_s: When the model is expected; None if no load is planned.
       missed_s: Since when requests at this instance have missed it.
       now_s: Monotonic time.
+      unplanned_s: When to retry if no load is planned.
     """
     if ready_at_s is None or ready_at_s < now_s - OVERDUE_S:
         until_s = min(times.send_deadline_s, missed_s + PLAN_WAIT_S)
         if now_s < until_s:
             return Wait(until_s)
-        return RetryAfter(
-            retry_after_s(UNPLANNED_RETRY_AFTER_S, times.ends_s, now_s)
-        )
+        return RetryAfter(retry_after_s(unplanned_s, times.ends_s, now_s))
     if ready_at_s <= times.send_deadline_s and now_s < times.send_deadline_s:
         return Wait(
             min(times.send_deadline_s, max(ready_at_s, now_s) + OVERDUE_S)
@@ -158,10 +158,10 @@
 
 
 def decide_adapter(times: RequestTimes, now_s: float) -> Wait | RetryAfter:
-    """Decides whether a request waits for an adapter of a loaded model.
+    """Decides whether a request waits for an adapter that has a free place.
 
-    Loading an adapter takes some milliseconds; it is delayed only if all
-    adapter slots are in use.
+    Loading an adapter takes some milliseconds; it is delayed only if its place
+    has been taken meanwhile.
     """
     waits_s = (times.send_deadline_s - times.arrived_s) * ADAPTER_WAIT_SHARE
     until_s = times.arrived_s + waits_s
@@ -170,6 +170,28 @@
     return RetryAfter(retry_after_s(ADAPTER_RETRY_AFTER_S, times.ends_s, now_s))
 
 
+def decide_adapter_place(
+    times: RequestTimes,
+    ready_at_s: float | None,
+    missed_s: float,
+    now_s: float,
+) -> Wait | RetryAfter:
+    """Decides whether a request waits for an adapter without a free place.
+
+    The lease holder publishes when a place is expected. A caller that can't be
+    served by then learns that at once, instead of after a wait for nothing.
+
+    Args:
+      times: The request's times.
+      ready_at_s: When the adapter is expected; None if that is not known.
+      missed_s: Since when requests at this instance have missed it.
+      now_s: Monotonic time.
+    """
+    return decide_model(
+        times, ready_at_s, missed_s, now_s, ADAPTER_RETRY_AFTER_S
+    )
+
+
 def retry_after_s(desired_s: float, ends_s: float, now_s: float) -> float:
     """Returns when to retry, limited by the time that the caller has left."""
     max_s = (ends_s - now_s) * MAX_RETRY_AFTER_SHARE
