Refusals: the log line says what limited the wait

A request that is refused at once for an adapter would have counted as one without a plan for its model.

The line has a field `limit` with one of six values; `losses` reads it, with a cause each for an adapter without a load and a stream without an engine of its version. Lines without the field, or with an unknown value, are read as before. No row of the existing table of losses_test is changed.

The tests of the field can't pass without it; they were not run on the code before.

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -81,6 +81,7 @@
         "_model_wait_s",
         "_pacing_wait_s",
         "_permit",
+        "_limit",
     )
 
     def __init__(
@@ -106,6 +107,8 @@
         self._model_wait_s = 0.0
         self._pacing_wait_s = 0.0
         self._permit: pacing_lib.Permit | None = None
+        # What ended the search without an engine.
+        self._limit: wait_policy.Limit | None = None
 
     @property
     def demand_key(self) -> demand_lib.Key:
@@ -136,6 +139,7 @@
             if self.origin is not None and not self._usable():
                 # Nobody can serve it. The caller may find more elsewhere.
                 self.retry_after_s = NO_VERSION_RETRY_AFTER_S
+                self._limit = wait_policy.Limit.NO_VERSION
                 return None
             choice = self._choose_engine(tried, now_s)
             if choice is None or choice.must_load_adapter:
@@ -145,6 +149,7 @@
             if not await self._acquire_permit(choice):
                 if self._has_alternative():
                     continue
+                self._limit = wait_policy.Limit.NO_TURN
                 # Refused callers count as late: the model needs more engines.
                 self._context.demand.record_outcome(self.demand_key, True)
                 return None
@@ -261,6 +266,7 @@
         decision = self._decide_wait(choice, now_s)
         if isinstance(decision, wait_policy.RetryAfter):
             self.retry_after_s = decision.after_s
+            self._limit = self._wait_limit(choice)
             return False
         context.demand.adjust_waiting(self.demand_key, 1)
         try:
@@ -324,6 +330,18 @@
             now_s,
         )
 
+    def _wait_limit(
+        self, choice: engine_choice.Choice | None
+    ) -> wait_policy.Limit:
+        """Returns what limited a wait for the model or adapter."""
+        if choice is None:
+            if self._planned_arrival_s is None:
+                return wait_policy.Limit.NO_PLAN
+            return wait_policy.Limit.PLANNED_LATE
+        if choice.adapter_place is engine_choice.AdapterPlace.FREE:
+            return wait_policy.Limit.ADAPTER_NOT_LOADED
+        return wait_policy.Limit.NO_ADAPTER_PLACE
+
     def _earliest_arrival_s(self) -> float | None:
         """Returns when the first engine is expected to hold the model."""
         times = [
@@ -376,6 +394,8 @@
         """Returns the grounds of a refusal and the age of the plan."""
         now_s = asyncio.get_running_loop().time()
         fields: dict[str, object] = {}
+        if self._limit is not None:
+            fields["limit"] = self._limit.value
         if self._planned_arrival_s is not None:
             fields["expected_in_s"] = round(self._planned_arrival_s - now_s, 2)
         plan_times_s = [
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -296,6 +296,15 @@
     return search, asked, searches.loop.time()
 
 
+def logged_limit(search: engine_search.EngineSearch) -> object:
+    """Returns what a refusal's log line says of the limit."""
+
+    async def refusal_fields() -> dict[str, object]:
+        return search.refusal_fields()
+
+    return asyncio.run(refusal_fields()).get("limit")
+
+
 def adapter_placement(name: str, *adapters: str, **planned: float):
     """Returns a placement of the model, some adapters and expected ones."""
     return fm.EnginePlacement(
@@ -349,6 +358,8 @@
     search, _, took_s = search_adapter(placements, {"e1": "z1"})
     assert took_s == pytest.approx(held_s, abs=0.02)
     assert search.retry_after_s == pytest.approx(retry_after_s, abs=0.01)
+    limit = wait_policy.Limit.NO_ADAPTER_PLACE.value
+    assert logged_limit(search) == limit
 
 
 def test_a_caller_waits_for_an_adapter_that_comes_in_time():
@@ -356,3 +367,35 @@
     placements = {"e1": adapter_placement("e1", "a1", "a2", a9=1.0)}
     _, _, took_s = search_adapter(placements, {"e1": "z1"})
     assert took_s > 1.0
+
+
+@pytest.mark.parametrize(
+    ("models", "planned", "limit"),
+    [
+        ((), {}, wait_policy.Limit.NO_PLAN),
+        ((), {"m": 9.0}, wait_policy.Limit.PLANNED_LATE),
+        (("m",), {}, wait_policy.Limit.ADAPTER_NOT_LOADED),
+    ],
+)
+def test_a_refusal_says_what_limited_the_wait(models, planned, limit):
+    """Guards against refusals whose cause has to be guessed from their time."""
+    placement = fm.EnginePlacement(
+        "e1", 1, 0, list(models), [], list(planned.items())
+    )
+    search, _, _ = search_adapter({"e1": placement}, {"e1": "z1"})
+    assert logged_limit(search) == limit.value
+
+
+def test_a_refusal_without_a_turn_says_so():
+    """Guards against refusals whose cause has to be guessed from their time."""
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+
+    async def refuse(*_, **__):
+        return pacing_lib.PermitRefused(1.0)
+
+    searches._context.pacing.acquire = refuse
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, CALL, 0.0, DEADLINE_S
+    )
+    assert searches.loop.run_until_complete(search.find(frozenset())) is None
+    assert logged_limit(search) == wait_policy.Limit.NO_TURN.value
--- a/sesamecross/operators/losses.py
+++ b/sesamecross/operators/losses.py
@@ -17,12 +17,14 @@
 
 from sesamecross.core import errors
 from sesamecross.operators import outcomes
+from sesamecross.ops.fleet import wait_policy
 
 WINDOW_S = 10
 # A request that waited longer than this is reported as having waited.
 MIN_DELAY_MS = 50
-# A request without a plan that waited longer than this waited for an adapter:
-# the wait for news of a model is shorter.
+# Lines of older versions don't say what limited a wait. In these a request
+# without a plan that waited longer than this waited for an adapter: the wait
+# for news of a model is shorter.
 ADAPTER_WAIT_MS = 400
 _REQUEST = "request: "
 
@@ -36,6 +38,8 @@
     WAITED_TOO_LATE = "refused after a wait: the planned model came too late"
     NO_PLAN = "refused: no plan for the model in time"
     ADAPTER = "refused: no place for the adapter in time"
+    ADAPTER_NOT_LOADED = "refused: a place, but no load of the adapter in time"
+    NO_VERSION = "refused: no upstream of the stream's version"
     NO_CONFIGURATION = "refused: no configuration yet"
     STOPPING = "refused: the instance stops"
     NO_UPSTREAM = "refused: no upstream"
@@ -46,6 +50,20 @@
     WAITED_TURN = "served after a wait for a turn"
 
 
+# By what limited a wait: the causes of refusals at once and after a wait.
+_CAUSES_BY_LIMIT = {
+    wait_policy.Limit.NO_TURN.value: (Cause.FULL, Cause.FULL_AFTER_WAIT),
+    wait_policy.Limit.PLANNED_LATE.value: (
+        Cause.TOO_LATE,
+        Cause.WAITED_TOO_LATE,
+    ),
+    wait_policy.Limit.NO_PLAN.value: (Cause.NO_PLAN,) * 2,
+    wait_policy.Limit.NO_ADAPTER_PLACE.value: (Cause.ADAPTER,) * 2,
+    wait_policy.Limit.ADAPTER_NOT_LOADED.value: (Cause.ADAPTER_NOT_LOADED,) * 2,
+    wait_policy.Limit.NO_VERSION.value: (Cause.NO_VERSION,) * 2,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestEnd:
     """The end of a request, as logged by its instance.
@@ -140,6 +158,16 @@
         return Cause.STOPPING
     if "target" not in row:
         return Cause.NO_UPSTREAM
+    causes = _CAUSES_BY_LIMIT.get(str(row.get("limit")))
+    if causes is not None:
+        at_once, after_wait = causes
+        return after_wait if waited else at_once
+    return _unlimited_refusal_cause(row, waited_ms)
+
+
+def _unlimited_refusal_cause(row: dict[str, Any], waited_ms: float) -> Cause:
+    """Returns the likely cause by a line that does not name the limit."""
+    waited = waited_ms > MIN_DELAY_MS
     if row.get("full"):
         return Cause.FULL_AFTER_WAIT if waited else Cause.FULL
     if "expected_in_s" in row:
--- a/sesamecross/operators/losses_test.py
+++ b/sesamecross/operators/losses_test.py
@@ -11,6 +11,7 @@
 
 from sesamecross.operators import command_line
 from sesamecross.operators import losses
+from sesamecross.ops.fleet import wait_policy
 
 MODEL_FIELDS = {"target": "m", "waited_ms": 0, "paced_ms": 0}
 WAITED_FIELDS = MODEL_FIELDS | {"waited_ms": 900}
@@ -40,6 +41,29 @@
     ),
     (row("refused", **MODEL_FIELDS), losses.Cause.NO_PLAN),
     (row("refused", **ADAPTER_FIELDS), losses.Cause.ADAPTER),
+    # An adapter's place: refused at once, or with an expected time.
+    (
+        row(
+            "refused",
+            **MODEL_FIELDS,
+            limit=wait_policy.Limit.NO_ADAPTER_PLACE.value,
+            expected_in_s=4.0,
+        ),
+        losses.Cause.ADAPTER,
+    ),
+    # A wait for the model before, with no plan at the end.
+    (
+        row(
+            "refused",
+            **ADAPTER_FIELDS,
+            limit=wait_policy.Limit.NO_PLAN.value,
+        ),
+        losses.Cause.NO_PLAN,
+    ),
+    (
+        row("refused", **ADAPTER_FIELDS, limit="not known yet"),
+        losses.Cause.ADAPTER,
+    ),
     (
         row("refused", note="no configuration yet"),
         losses.Cause.NO_CONFIGURATION,
@@ -65,6 +89,13 @@
     assert losses.parse_request(losses.parse_line(line)).cause is cause
 
 
+def test_each_limit_of_a_refusal_has_a_cause():
+    """Guards against a new limit that is reported as another cause."""
+    assert set(losses._CAUSES_BY_LIMIT) == {
+        limit.value for limit in wait_policy.Limit
+    }
+
+
 def write(path: pathlib.Path, rows: list[dict]) -> str:
     path.write_text("".join(json.dumps(one) + "\n" for one in rows))
     return str(path)
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import stream_origins
@@ -42,6 +43,26 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
+class Limit(enum.Enum):
+    """What ended the search of a refused request; the values are logged.
+
+    Attributes:
+      NO_PLAN: No load of the model is planned.
+      PLANNED_LATE: The model is planned and comes too late.
+      NO_ADAPTER_PLACE: All places for adapters are taken.
+      ADAPTER_NOT_LOADED: There is a place, and no load in time.
+      NO_TURN: The engines that hold the model have too much to read.
+      NO_VERSION: No engine of the stream's version can be sent requests.
+    """
+
+    NO_PLAN = "no plan for the model"
+    PLANNED_LATE = "model planned too late"
+    NO_ADAPTER_PLACE = "no place for the adapter"
+    ADAPTER_NOT_LOADED = "adapter not loaded"
+    NO_TURN = "no turn"
+    NO_VERSION = "no engine of the version"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
     """Wait until then at most; decide again if the placement changes."""
