Adapters: no wait at an engine that loads a model

An engine carries out one order at a time, and the load of a model takes seconds.

Published placements list the model that an engine loads and its expected end. A request now prefers an engine that takes orders; if there is none, it waits only if the load ends in time, and is refused at once with its end otherwise. Expected times of adapters count the load too. The log line's limit is `engine loads a model`.

Failed before, on: engine_search_test:: test_an_adapter_is_asked_for_where_there_is_a_place (the busy engine was asked), test_a_caller_is_not_held_for_an_adapter_that_gets_no_place (held for 1.575 s; the limit's name replaced, as it did not exist) and adapter_slots_test::test_an_adapter_is_expected_after_the_load_of_a_model (0.5 s instead of 6).

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -322,7 +322,7 @@
         if choice.adapter_place is engine_choice.AdapterPlace.FREE:
             return wait_policy.decide_adapter(request_times, now_s)
         target = self._call.target
-        self._planned_arrival_s = choice.upstream.engine.ready_at_s(target)
+        self._planned_arrival_s = choice.adapter_ready_s
         return wait_policy.decide_adapter_place(
             request_times,
             self._planned_arrival_s,
@@ -338,9 +338,12 @@
             if self._planned_arrival_s is None:
                 return wait_policy.Limit.NO_PLAN
             return wait_policy.Limit.PLANNED_LATE
-        if choice.adapter_place is engine_choice.AdapterPlace.FREE:
-            return wait_policy.Limit.ADAPTER_NOT_LOADED
-        return wait_policy.Limit.NO_ADAPTER_PLACE
+        match choice.adapter_place:
+            case engine_choice.AdapterPlace.BUSY:
+                return wait_policy.Limit.ENGINE_BUSY
+            case engine_choice.AdapterPlace.TAKEN:
+                return wait_policy.Limit.NO_ADAPTER_PLACE
+        return wait_policy.Limit.ADAPTER_NOT_LOADED
 
     def _earliest_arrival_s(self) -> float | None:
         """Returns when the first engine is expected to hold the model."""
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -13,6 +13,7 @@
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import engine_choice
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import wait_policy
@@ -306,13 +307,20 @@
 
 
 def adapter_placement(name: str, *adapters: str, **planned: float):
-    """Returns a placement of the model, some adapters and expected ones."""
+    """Returns a placement of the model, some adapters and expected ones.
+
+    Args:
+      name: The engine.
+      adapters: Adapters that it holds.
+      planned: When adapters are expected, or `other`, a model that it loads.
+    """
+    loads_s = planned.pop("other", None)
     return fm.EnginePlacement(
         name,
         1,
         0,
         ["m", *(f"m/{adapter}" for adapter in adapters)],
-        [],
+        [] if loads_s is None else [("other", loads_s)],
         [(f"m/{adapter}", at_s) for adapter, at_s in planned.items()],
     )
 
@@ -328,6 +336,8 @@
         # All places are taken: where one comes soonest.
         (adapter_placement("near", "a1", "a2"), ["a1", "a2"], "near"),
         (adapter_placement("near", "a1", "a2", a9=0.9), ["a1", "a2"], "near"),
+        # It takes no order while it loads a model.
+        (adapter_placement("near", other=3.0), [], "far"),
     ],
 )
 def test_an_adapter_is_asked_for_where_there_is_a_place(near, far, asked_at):
@@ -342,24 +352,43 @@
 
 
 @pytest.mark.parametrize(
-    ("planned", "held_s", "retry_after_s"),
+    ("held", "planned", "held_s", "retry_after_s", "limit"),
     [
         # The place is expected after the caller has given up.
-        ({"a9": 4.8}, 0.0, 4.8),
+        (
+            ["a1", "a2"],
+            {"a9": 4.8},
+            0.0,
+            4.8,
+            wait_policy.Limit.NO_ADAPTER_PLACE,
+        ),
         # Nobody knows of a place: only a plan is waited for.
-        ({}, wait_policy.PLAN_WAIT_S, wait_policy.ADAPTER_RETRY_AFTER_S),
+        (
+            ["a1", "a2"],
+            {},
+            wait_policy.PLAN_WAIT_S,
+            wait_policy.ADAPTER_RETRY_AFTER_S,
+            wait_policy.Limit.NO_ADAPTER_PLACE,
+        ),
+        # There is a place, and no order before the load of a model has ended.
+        (
+            ["a1"],
+            {"other": 4.8},
+            0.0,
+            4.8 + engine_choice.ADAPTER_LOAD_S,
+            wait_policy.Limit.ENGINE_BUSY,
+        ),
     ],
 )
 def test_a_caller_is_not_held_for_an_adapter_that_gets_no_place(
-    planned, held_s, retry_after_s
+    held, planned, held_s, retry_after_s, limit
 ):
     """Guards against 0.7 s of waiting for nothing, and an untrue retry time."""
-    placements = {"e1": adapter_placement("e1", "a1", "a2", **planned)}
+    placements = {"e1": adapter_placement("e1", *held, **planned)}
     search, _, took_s = search_adapter(placements, {"e1": "z1"})
     assert took_s == pytest.approx(held_s, abs=0.02)
     assert search.retry_after_s == pytest.approx(retry_after_s, abs=0.01)
-    limit = wait_policy.Limit.NO_ADAPTER_PLACE.value
-    assert logged_limit(search) == limit
+    assert logged_limit(search) == limit.value
 
 
 def test_a_caller_waits_for_an_adapter_that_comes_in_time():
--- a/sesamecross/operators/losses.py
+++ b/sesamecross/operators/losses.py
@@ -39,6 +39,7 @@
     NO_PLAN = "refused: no plan for the model in time"
     ADAPTER = "refused: no place for the adapter in time"
     ADAPTER_NOT_LOADED = "refused: a place, but no load of the adapter in time"
+    ENGINE_BUSY = "refused: the engine loads a model before the adapter"
     NO_VERSION = "refused: no upstream of the stream's version"
     NO_CONFIGURATION = "refused: no configuration yet"
     STOPPING = "refused: the instance stops"
@@ -60,6 +61,7 @@
     wait_policy.Limit.NO_PLAN.value: (Cause.NO_PLAN,) * 2,
     wait_policy.Limit.NO_ADAPTER_PLACE.value: (Cause.ADAPTER,) * 2,
     wait_policy.Limit.ADAPTER_NOT_LOADED.value: (Cause.ADAPTER_NOT_LOADED,) * 2,
+    wait_policy.Limit.ENGINE_BUSY.value: (Cause.ENGINE_BUSY,) * 2,
     wait_policy.Limit.NO_VERSION.value: (Cause.NO_VERSION,) * 2,
 }
 
--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -203,14 +203,27 @@
     usable = soon + changing_places(inputs.spec.adapter_slots)
     times_s = sorted(times_s)[:usable] or [DRAIN_S]
     round_s = MIN_STAY_S + WITHDRAW_SETTLE_S + DRAIN_S
+    busy_s = _busy_s(inputs, engine)
     return {
         target: LOAD_S
-        + times_s[turn % len(times_s)]
+        + max(busy_s, times_s[turn % len(times_s)])
         + turn // len(times_s) * round_s
         for turn, target in enumerate(waiting)
     }
 
 
+def _busy_s(inputs: data.Inputs, engine: data.Engine) -> float:
+    """Returns for how long an engine takes no orders, as it loads a model."""
+    return max(
+        (
+            at_s - inputs.now_s
+            for target, at_s in engine.inventory.loading.items()
+            if "/" not in target
+        ),
+        default=0.0,
+    )
+
+
 def _waiting(
     inputs: data.Inputs, engine: data.Engine, wanted: Sequence[str]
 ) -> list[str]:
--- a/sesamecross/ops/fleet/adapter_slots_test.py
+++ b/sesamecross/ops/fleet/adapter_slots_test.py
@@ -14,7 +14,9 @@
 MODEL = serving.ModelSpec("m", 40.0, 2.0, 0.5, 0.3, 99, 1.0)
 
 
-def planned(held, wanted, *, withdrawn=None, in_use=None, unloading=()):
+def planned(
+    held, wanted, *, withdrawn=None, in_use=None, unloading=(), loading=None
+):
     """Returns the plan and the ready times of an engine with four places.
 
     Args:
@@ -23,11 +25,13 @@
       withdrawn: Since when adapters get no new requests.
       in_use: Requests in flight; all held adapters have been used just now.
       unloading: Adapters that are unloaded once their requests end.
+      loading: When models that it loads are expected.
     """
     engine = placement_samples.engine("e1", "m")
     engine.inventory.adapters.update(f"m/{name}" for name in held)
     engine.inventory.loaded_s.update({f"m/{n}": s for n, s in held.items()})
     engine.inventory.unloading.update(f"m/{name}" for name in unloading)
+    engine.inventory.loading.update(loading or {})
     inputs = dataclasses.replace(
         placement_samples.inputs([engine], {}, {"e1": ["m"]}),
         spec=dataclasses.replace(
@@ -152,3 +156,9 @@
     withdrawn = {("e1", "m/a1"): 0.0}
     got = memory.update("s", (engine,), withdrawn, 0.5)
     assert got == (data.AdapterRequest("e1", "m/a1"),)
+
+
+def test_an_adapter_is_expected_after_the_load_of_a_model():
+    """Guards against an expected time at which the engine takes no order."""
+    _, times_s = planned(FULL, ["a1"], loading={"other": 6.0})
+    assert times_s["m/a1"] >= 6.0
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -15,6 +15,7 @@
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import service_choice
 
 # Cost of a failure, as service_choice.FAILURE_PENALTY_S. It is higher here: a
@@ -42,11 +43,13 @@
     Attributes:
       HELD: The adapter is loaded, or none is asked for.
       FREE: A place for it.
+      BUSY: The engine loads a model, and takes no other order meanwhile.
       TAKEN: All places are taken.
     """
 
     HELD = "held"
     FREE = "free"
+    BUSY = "busy"
     TAKEN = "taken"
 
 
@@ -62,6 +65,8 @@
       queued_tokens: Prompt tokens that it has to prefill before.
       running: Requests in flight there.
       adapter_place: Whether the adapter is loaded there, or has a place.
+      adapter_ready_s: When the adapter is expected there, if that is known and
+        it is not loaded.
     """
 
     upstream: directory_lib.KnownUpstream
@@ -71,6 +76,7 @@
     queued_tokens: int
     running: float
     adapter_place: AdapterPlace
+    adapter_ready_s: float | None
 
     @property
     def must_load_adapter(self) -> bool:
@@ -103,13 +109,14 @@
     slots = max(1, known.entry.slots)
     overflow = max(0.0, known.running + 1 - slots)
     place = _adapter_place(call, known, adapter_slots, now_s)
+    adapter_ready_s = _adapter_ready_s(call, engine, place)
     expected_s = (
         location.round_trip_s(known.entry.zone)
         + first_ms / 1000
         + overflow / slots * SLOT_HOLD_S
         + (known.running / slots) ** 2 * FULL_BATCH_PENALTY_S
         + known.failure_share(now_s) * FAILURE_PENALTY_S
-        + _adapter_delay_s(call, known, place, now_s)
+        + _adapter_delay_s(place, adapter_ready_s, now_s)
         + service_choice.relay_cost_s(known, now_s)
     )
     read_s = speed.slope * uncached / 1000
@@ -121,6 +128,7 @@
         queued,
         known.running,
         place,
+        adapter_ready_s,
     )
 
 
@@ -133,19 +141,32 @@
     engine = known.engine
     if not call.adapter or engine.holds(known.entry, call.target, now_s):
         return AdapterPlace.HELD
-    if adapter_slots is None:
-        return AdapterPlace.FREE
     taken = engine.adapters(known.entry, now_s) - {call.target}
-    return (
-        AdapterPlace.FREE if len(taken) < adapter_slots else AdapterPlace.TAKEN
-    )
+    if adapter_slots is not None and len(taken) >= adapter_slots:
+        return AdapterPlace.TAKEN
+    busy_until_s = engine.busy_until_s
+    if busy_until_s is not None and busy_until_s > now_s:
+        return AdapterPlace.BUSY
+    return AdapterPlace.FREE
 
 
-def _adapter_delay_s(
+def _adapter_ready_s(
     call: serving.ModelCall,
-    known: directory_lib.KnownUpstream,
+    engine: engine_state.EngineState,
     place: AdapterPlace,
-    now_s: float,
+) -> float | None:
+    """Returns when the adapter can serve there, if a time is known."""
+    match place:
+        case AdapterPlace.HELD | AdapterPlace.FREE:
+            return None
+        case AdapterPlace.BUSY:
+            return engine.busy_until_s + ADAPTER_LOAD_S
+        case AdapterPlace.TAKEN:
+            return engine.ready_at_s(call.target)
+
+
+def _adapter_delay_s(
+    place: AdapterPlace, ready_s: float | None, now_s: float
 ) -> float:
     """Returns the expected time until the adapter can serve there."""
     match place:
@@ -153,10 +174,9 @@
             return 0.0
         case AdapterPlace.FREE:
             return ADAPTER_LOAD_S
-    ready_at_s = known.engine.ready_at_s(call.target)
-    if ready_at_s is None or ready_at_s < now_s:
+    if ready_s is None or ready_s < now_s:
         return ADAPTER_PLACE_S
-    return max(ADAPTER_LOAD_S, ready_at_s - now_s)
+    return max(ADAPTER_LOAD_S, ready_s - now_s)
 
 
 def choose(
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -102,6 +102,21 @@
         absent_s = self.absent.get(target)
         return absent_s is None or now_s - absent_s > ABSENT_TTL_S
 
+    @property
+    def busy_until_s(self) -> float | None:
+        """When the model that it loads is expected, or None.
+
+        It takes no other order meanwhile.
+        """
+        if self.placement is None:
+            return None
+        times = [
+            eta_s for name, eta_s in self.placement.arriving if "/" not in name
+        ]
+        if not times:
+            return None
+        return self.placement_received_s + max(times)
+
     def adapters(self, entry: serving.Upstream, now_s: float) -> set[str]:
         """Returns the adapters that have or are to get a place there."""
         found = set(self.targets(entry, now_s))
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -51,6 +51,7 @@
       PLANNED_LATE: The model is planned and comes too late.
       NO_ADAPTER_PLACE: All places for adapters are taken.
       ADAPTER_NOT_LOADED: There is a place, and no load in time.
+      ENGINE_BUSY: The engine loads a model, and an adapter only after that.
       NO_TURN: The engines that hold the model have too much to read.
       NO_VERSION: No engine of the stream's version can be sent requests.
     """
@@ -59,6 +60,7 @@
     PLANNED_LATE = "model planned too late"
     NO_ADAPTER_PLACE = "no place for the adapter"
     ADAPTER_NOT_LOADED = "adapter not loaded"
+    ENGINE_BUSY = "engine loads a model"
     NO_TURN = "no turn"
     NO_VERSION = "no engine of the version"
 
