Adapters: expected times follow what happens

Three faults of the expected times explain refusals and loads that serve nobody:

- An adapter without requests in flight is idle within 0.8 s and gives way then; within its minimum stay its place was expected up to 3.3 s later, and callers were refused at once for a place that came in time.
- A time was published again only every 1.5 s or with another list, so a place that was put off counted as unplanned and callers were refused.
- An engine without a known time cost 2 s, less than many known ones, so requests asked for the same adapter at each engine in turn.

Failed before, on: adapter_slots_test:: test_a_place_is_expected_once_an_adapter_will_be_idle and two cases of placement_publisher_test::test_a_changed_time_of_an_adapter_is_published.

--- a/sesamecross/gateway/placement_publisher.py
+++ b/sesamecross/gateway/placement_publisher.py
@@ -15,6 +15,9 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import engine_inventory
 
+# Expected times of adapters are published again once they differ by this from
+# the published ones: requests wait, or are told to come back, by them.
+TIME_TOLERANCE_S = 0.5
 # How often all placements are published, for instances that missed some.
 REFRESH_INTERVAL_S = 1.5
 
@@ -65,7 +68,8 @@
     def __init__(self, state: state_lib.State, mesh: mesh_lib.Mesh):
         self._state = state
         self._mesh = mesh
-        self._published: dict[str, fm.EnginePlacement] = {}
+        # By engine, the last placement and when it was published.
+        self._published: dict[str, tuple[fm.EnginePlacement, float]] = {}
         # Names of instances that wait for a target.
         self._waiters: dict[str, set[str]] = {}
         self._last_refresh_s = 0.0
@@ -101,11 +105,15 @@
         changed = []
         current = {}
         for placement in placements:
-            current[placement.upstream] = placement
-            if is_refresh or _differs(
-                self._published.get(placement.upstream), placement
+            published = self._published.get(placement.upstream)
+            if (
+                is_refresh
+                or published is None
+                or _differs(published[0], placement, now_s - published[1])
             ):
                 changed.append(placement)
+                published = (placement, now_s)
+            current[placement.upstream] = published
         self._published = current
         if not changed:
             return
@@ -128,18 +136,29 @@
 
 
 def _differs(
-    published: fm.EnginePlacement | None, placement: fm.EnginePlacement
+    published: fm.EnginePlacement, placement: fm.EnginePlacement, age_s: float
 ) -> bool:
-    if published is None:
-        return True
     return (
         published.born_ms != placement.born_ms
         or published.orders != placement.orders
         or published.targets != placement.targets
         or _targets_of(published.arriving) != _targets_of(placement.arriving)
         or _targets_of(published.planned) != _targets_of(placement.planned)
+        or _has_other_times(published.planned, placement.planned, age_s)
     )
 
 
 def _targets_of(expected: list[tuple[str, float]]) -> list[str]:
     return [name for name, _ in expected]
+
+
+def _has_other_times(
+    published: list[tuple[str, float]],
+    planned: list[tuple[str, float]],
+    age_s: float,
+) -> bool:
+    """Whether the time of an adapter, listed in both, differs by now."""
+    return any(
+        "/" in name and abs(before_s - age_s - at_s) > TIME_TOLERANCE_S
+        for (name, before_s), (_, at_s) in zip(published, planned, strict=True)
+    )
--- a/sesamecross/gateway/placement_publisher_test.py
+++ b/sesamecross/gateway/placement_publisher_test.py
@@ -131,3 +131,25 @@
     assert published == fm.EnginePlacement(
         "e1", 7, 3, ["m2", "m2/a1"], [("m3", 2.5)], [("m4", 4.0)]
     )
+
+
+@pytest.mark.parametrize(
+    ("later_s", "times_published"),
+    [
+        # It comes when it was expected.
+        (1.6, 1),
+        # It is put off: those who wait for it would be told nothing.
+        (2.9, 2),
+        # It comes sooner.
+        (0.6, 2),
+    ],
+)
+def test_a_changed_time_of_an_adapter_is_published(later_s, times_published):
+    """Guards against callers who come back or wait by a time long overtaken."""
+    publisher, mesh, _ = make_publisher()
+    placements = [
+        fm.EnginePlacement("e1", 7, 1, ["m1"], [], [("m1/a1", at_s)])
+        for at_s in (2.0, later_s)
+    ]
+    publish(publisher, (10.0, placements[:1]), (10.4, placements[1:]))
+    assert len(mesh.broadcasts) == times_published
--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -312,4 +312,11 @@
         return max(settled_s, settled_s + drain_s, CHANGE_S)
     loaded_s = engine.inventory.loaded_s.get(target, -math.inf)
     stay_s = max(0.0, MIN_STAY_S - (inputs.now_s - loaded_s))
-    return stay_s + WITHDRAW_SETTLE_S + drain_s
+    withdrawn_s = stay_s + WITHDRAW_SETTLE_S + drain_s
+    if drain_s:
+        return withdrawn_s
+    # Without further requests it is idle soon.
+    used_s = inputs.used_s.get(key, -math.inf)
+    if used_s <= loaded_s:
+        return stay_s
+    return min(withdrawn_s, IDLE_S - (inputs.now_s - used_s))
--- a/sesamecross/ops/fleet/adapter_slots_test.py
+++ b/sesamecross/ops/fleet/adapter_slots_test.py
@@ -15,7 +15,14 @@
 
 
 def planned(
-    held, wanted, *, withdrawn=None, in_use=None, unloading=(), loading=None
+    held,
+    wanted,
+    *,
+    withdrawn=None,
+    in_use=None,
+    unloading=(),
+    loading=None,
+    used_s=0.0,
 ):
     """Returns the plan and the ready times of an engine with four places.
 
@@ -23,9 +30,10 @@
       held: When each adapter that it holds was loaded.
       wanted: The adapters that wait, the longest wait first.
       withdrawn: Since when adapters get no new requests.
-      in_use: Requests in flight; all held adapters have been used just now.
+      in_use: Requests in flight.
       unloading: Adapters that are unloaded once their requests end.
       loading: When models that it loads are expected.
+      used_s: When all held adapters were last used; now is 0.
     """
     engine = placement_samples.engine("e1", "m")
     engine.inventory.adapters.update(f"m/{name}" for name in held)
@@ -41,7 +49,7 @@
         ),
         in_use={("e1", f"m/{n}"): k for n, k in (in_use or {}).items()},
         withdrawn={("e1", f"m/{n}"): s for n, s in (withdrawn or {}).items()},
-        used_s={("e1", f"m/{name}"): 0.0 for name in held},
+        used_s={("e1", f"m/{name}"): used_s for name in held},
     )
     wanted = [f"m/{name}" for name in wanted]
     return (
@@ -162,3 +170,11 @@
     """Guards against an expected time at which the engine takes no order."""
     _, times_s = planned(FULL, ["a1"], loading={"other": 6.0})
     assert times_s["m/a1"] >= 6.0
+
+
+def test_a_place_is_expected_once_an_adapter_will_be_idle():
+    """Guards against refusals while an unused adapter is about to give way."""
+    _, times_s = planned(FULL, ["a1"], used_s=-0.6)
+    assert times_s["m/a1"] == pytest.approx(
+        adapter_slots.IDLE_S - 0.6 + adapter_slots.LOAD_S
+    )
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -25,8 +25,10 @@
 # milliseconds of loading, and back.
 ADAPTER_LOAD_S = 0.08
 # Time until an adapter without a place has one, while no time is known: another
-# adapter has to give way first.
-ADAPTER_PLACE_S = 2.0
+# adapter has to give way first. Longer than the usual known times, so that
+# requests gather where a place is expected instead of asking for one at each
+# engine.
+ADAPTER_PLACE_S = 5.0
 # How long a request holds its slot; gives the wait for a slot in a full batch.
 SLOT_HOLD_S = 2.0
 # Cost of a full batch. One more request delays the events of all others in a
