Adapters: no expected time at an engine that leaves

A leaving engine gets no orders, yet a time was published for the adapters that are asked for there, and callers would wait for a load that is never ordered. Found by reading, not seen in a run.

--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -178,6 +178,8 @@
 ) -> dict[str, float]:
     """Returns the seconds until waiting adapters are expected at an engine.
 
+    A leaving engine gets no orders.
+
     Args:
       inputs: The inputs of the plan.
       engine: The engine.
@@ -191,7 +193,7 @@
         and (engine.name, target) in inputs.withdrawn
     ]
     waiting = _waiting(inputs, engine, wanted) + withdrawn
-    if not waiting:
+    if not waiting or engine.is_leaving:
         return {}
     free = max(0, _free_places(inputs, engine, waiting[0]))
     times_s = [0.0] * free
--- a/sesamecross/ops/fleet/adapter_slots_test.py
+++ b/sesamecross/ops/fleet/adapter_slots_test.py
@@ -23,6 +23,7 @@
     unloading=(),
     loading=None,
     used_s=0.0,
+    is_leaving=False,
 ):
     """Returns the plan and the ready times of an engine with four places.
 
@@ -34,12 +35,14 @@
       unloading: Adapters that are unloaded once their requests end.
       loading: When models that it loads are expected.
       used_s: When all held adapters were last used; now is 0.
+      is_leaving: Whether the engine leaves.
     """
     engine = placement_samples.engine("e1", "m")
     engine.inventory.adapters.update(f"m/{name}" for name in held)
     engine.inventory.loaded_s.update({f"m/{n}": s for n, s in held.items()})
     engine.inventory.unloading.update(f"m/{name}" for name in unloading)
     engine.inventory.loading.update(loading or {})
+    engine = dataclasses.replace(engine, is_leaving=is_leaving)
     inputs = dataclasses.replace(
         placement_samples.inputs([engine], {}, {"e1": ["m"]}),
         spec=dataclasses.replace(
@@ -178,3 +181,9 @@
     assert times_s["m/a1"] == pytest.approx(
         adapter_slots.IDLE_S - 0.6 + adapter_slots.LOAD_S
     )
+
+
+def test_no_adapter_is_expected_at_a_leaving_engine():
+    """Guards against callers who wait for a load that is never ordered."""
+    _, times_s = planned({}, ["a1"], is_leaving=True)
+    assert times_s == {}
