--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -157,7 +157,7 @@
     inventory = engine.inventory
     # An adapter being unloaded has to be gone before it can be loaded again.
     loadable = [one for one in waiting if one not in inventory.unloading]
-    free = _free_places(inputs, engine, waiting[0])
+    free = _free_places(inputs, engine, (loadable or waiting)[0])
     load = loadable[0] if loadable and free > 0 else None
     unloading = len(inventory.unloading_adapters())
     missing = len(waiting) - max(0, free) - unloading
--- a/sesamecross/ops/fleet/adapter_slots_test.py
+++ b/sesamecross/ops/fleet/adapter_slots_test.py
@@ -187,3 +187,26 @@
     """Guards against callers who wait for a load that is never ordered."""
     _, times_s = planned({}, ["a1"], is_leaving=True)
     assert times_s == {}
+
+
+def test_an_adapter_is_loaded_only_if_it_fits_itself():
+    """Guards against an engine that is ordered to load more than it holds.
+
+    The adapter that has waited longest is smaller, and still being unloaded.
+    """
+    engine = placement_samples.engine("e1", "m", "n")
+    engine.inventory.unloading.add("m/a1")
+    spec = dataclasses.replace(
+        placement_samples.spec(),
+        weights_mb=2 * MODEL.weights_mb + 4.0,
+        adapter_slots=PLACES,
+        models={
+            "m": MODEL,
+            "n": dataclasses.replace(MODEL, name="n", adapter_mb=10.0),
+        },
+    )
+    inputs = dataclasses.replace(
+        placement_samples.inputs([engine], {}, {"e1": ["m", "n"]}), spec=spec
+    )
+    plan = adapter_slots.plan(inputs, engine, ["m/a1", "n/a1"])
+    assert plan.load is None
