Adapters: a load that is overdue is waited for as before

A request for an adapter at an engine whose load of a model was overdue by more than 0.5 s waited 0.2 s at most. Loads take longer while many run, so the expected time is often passed by some tenths of a second, and the load may end at any time. Such a request waits the share of its time that it waited before.

Failed before: engine_search_test:: test_a_caller_is_not_held_for_an_adapter_that_gets_no_place, the overdue load (0.2 s instead of 1.575).

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -319,10 +319,17 @@
         request_times: wait_policy.RequestTimes,
         now_s: float,
     ) -> wait_policy.Wait | wait_policy.RetryAfter:
-        if choice.adapter_place is engine_choice.AdapterPlace.FREE:
-            return wait_policy.decide_adapter(request_times, now_s)
+        ready_s = choice.adapter_ready_s
+        match choice.adapter_place:
+            case engine_choice.AdapterPlace.FREE:
+                return wait_policy.decide_adapter(request_times, now_s)
+            case engine_choice.AdapterPlace.BUSY if (
+                ready_s is None or ready_s < now_s - wait_policy.OVERDUE_S
+            ):
+                # The load that is overdue may end at any time.
+                return wait_policy.decide_adapter(request_times, now_s)
         target = self._call.target
-        self._planned_arrival_s = choice.adapter_ready_s
+        self._planned_arrival_s = ready_s
         return wait_policy.decide_adapter_place(
             request_times,
             self._planned_arrival_s,
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -378,6 +378,14 @@
             4.8 + engine_choice.ADAPTER_LOAD_S,
             wait_policy.Limit.ENGINE_BUSY,
         ),
+        # The load is overdue and may end at any time: a share of the time.
+        (
+            ["a1"],
+            {"other": -1.0},
+            4.5 * wait_policy.ADAPTER_WAIT_SHARE,
+            wait_policy.ADAPTER_RETRY_AFTER_S,
+            wait_policy.Limit.ENGINE_BUSY,
+        ),
     ],
 )
 def test_a_caller_is_not_held_for_an_adapter_that_gets_no_place(
