--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -81,6 +81,7 @@
         "_model_wait_s",
         "_pacing_wait_s",
         "_permit",
+        "_limit",
     )
 
     def __init__(
@@ -106,6 +107,8 @@
         self._model_wait_s = 0.0
         self._pacing_wait_s = 0.0
         self._permit: pacing_lib.Permit | None = None
+        # What ended the search without an engine.
+        self._limit: wait_policy.Limit | None = None
 
     @property
     def demand_key(self) -> demand_lib.Key:
@@ -136,6 +139,7 @@
             if self.origin is not None and not self._usable():
                 # Nobody can serve it. The caller may find more elsewhere.
                 self.retry_after_s = NO_VERSION_RETRY_AFTER_S
+                self._limit = wait_policy.Limit.NO_VERSION
                 return None
             choice = self._choose_engine(tried, now_s)
             if choice is None or choice.must_load_adapter:
@@ -145,6 +149,7 @@
             if not await self._acquire_permit(choice):
                 if self._has_alternative():
                     continue
+                self._limit = wait_policy.Limit.NO_TURN
                 # Refused callers count as late: the model needs more engines.
                 self._context.demand.record_outcome(self.demand_key, True)
                 return None
@@ -183,7 +188,21 @@
         usable = self._usable()
         untried = [one for one in usable if one.entry.instance_id not in tried]
         holders = self._holders(untried or usable, self._call.model, now_s)
-        return engine_choice.choose(self._call, holders, location, now_s, rng)
+        return engine_choice.choose(
+            self._call, holders, location, now_s, rng, self._adapter_slots()
+        )
+
+    def _adapter_slots(self) -> dict[str, int]:
+        """Returns the places for adapters of engines, by service."""
+        configuration = self._context.state.configuration
+        if configuration is None or not self._call.adapter:
+            return {}
+        slots = {}
+        for target in self._route.targets:
+            service = configuration.services.get(target.service)
+            if service is not None and service.engine is not None:
+                slots[target.service] = service.engine.adapter_slots
+        return slots
 
     def _holders(
         self,
@@ -247,6 +266,7 @@
         decision = self._decide_wait(choice, now_s)
         if isinstance(decision, wait_policy.RetryAfter):
             self.retry_after_s = decision.after_s
+            self._limit = self._wait_limit(choice)
             return False
         context.demand.adjust_waiting(self.demand_key, 1)
         try:
@@ -284,7 +304,7 @@
             self._deadline_s,
         )
         if choice is not None:
-            return wait_policy.decide_adapter(request_times, now_s)
+            return self._decide_adapter_wait(choice, request_times, now_s)
         missing_since_s = self._context.missing.since(
             self._call.model, now_s, self.origin
         )
@@ -293,6 +313,45 @@
             request_times, self._planned_arrival_s, missing_since_s, now_s
         )
 
+    def _decide_adapter_wait(
+        self,
+        choice: engine_choice.Choice,
+        request_times: wait_policy.RequestTimes,
+        now_s: float,
+    ) -> wait_policy.Wait | wait_policy.RetryAfter:
+        ready_s = choice.adapter_ready_s
+        match choice.adapter_place:
+            case engine_choice.AdapterPlace.FREE:
+                return wait_policy.decide_adapter(request_times, now_s)
+            case engine_choice.AdapterPlace.BUSY if (
+                ready_s is None or ready_s < now_s - wait_policy.OVERDUE_S
+            ):
+                # The load that is overdue may end at any time.
+                return wait_policy.decide_adapter(request_times, now_s)
+        target = self._call.target
+        self._planned_arrival_s = ready_s
+        return wait_policy.decide_adapter_place(
+            request_times,
+            self._planned_arrival_s,
+            self._context.missing.since(target, now_s),
+            now_s,
+        )
+
+    def _wait_limit(
+        self, choice: engine_choice.Choice | None
+    ) -> wait_policy.Limit:
+        """Returns what limited a wait for the model or adapter."""
+        if choice is None:
+            if self._planned_arrival_s is None:
+                return wait_policy.Limit.NO_PLAN
+            return wait_policy.Limit.PLANNED_LATE
+        match choice.adapter_place:
+            case engine_choice.AdapterPlace.BUSY:
+                return wait_policy.Limit.ENGINE_BUSY
+            case engine_choice.AdapterPlace.TAKEN:
+                return wait_policy.Limit.NO_ADAPTER_PLACE
+        return wait_policy.Limit.ADAPTER_NOT_LOADED
+
     def _earliest_arrival_s(self) -> float | None:
         """Returns when the first engine is expected to hold the model."""
         times = [
@@ -345,6 +404,8 @@
         """Returns the grounds of a refusal and the age of the plan."""
         now_s = asyncio.get_running_loop().time()
         fields: dict[str, object] = {}
+        if self._limit is not None:
+            fields["limit"] = self._limit.value
         if self._planned_arrival_s is not None:
             fields["expected_in_s"] = round(self._planned_arrival_s - now_s, 2)
         plan_times_s = [
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -13,8 +13,10 @@
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import engine_choice
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stream_origins
+from sesamecross.ops.fleet import wait_policy
 
 ROUTE = serving.Route(
     "r",
@@ -252,3 +254,192 @@
     search.origin = ORIGIN
     assert searches.loop.run_until_complete(search.find(frozenset())) is None
     assert set(asked) == {("s", "m", "", "v1")}
+
+
+ADAPTER_CALL = serving.ModelCall("m", "a9", 500, 50, ())
+ADAPTER_PLACES = 2
+ADAPTER_CONFIGURATION = serving.Configuration(
+    1,
+    (ROUTE,),
+    {
+        "s": serving.Service(
+            "s",
+            "/health",
+            100,
+            serving.EngineSpec(64, 1000, 80.0, ADAPTER_PLACES, 1.0, 5, {}),
+        )
+    },
+    serving.CallerLimits(),
+)
+
+
+def search_adapter(
+    placements: dict[str, fm.EnginePlacement], zones: dict[str, str]
+) -> tuple[engine_search.EngineSearch, list[tuple], float]:
+    """Searches an engine for an adapter, which gets no place meanwhile.
+
+    Returns:
+      The search, the placement requests, and how long the caller was held.
+    """
+    searches = _Searches(tuple(placements), permit_wait_s=0.0)
+    searches.state.offer_configuration(ADAPTER_CONFIGURATION)
+    for name, placement in placements.items():
+        known = searches.state.directory.get(name)
+        known.entry = dataclasses.replace(known.entry, zone=zones[name])
+        known.engine.apply_placement(placement, 0.0)
+    asked: list[tuple] = []
+    searches._context.request_placement = lambda *args: asked.append(args)
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, ADAPTER_CALL, 0.0, DEADLINE_S
+    )
+    found = searches.loop.run_until_complete(search.find(frozenset()))
+    assert found is None
+    return search, asked, searches.loop.time()
+
+
+def logged_limit(search: engine_search.EngineSearch) -> object:
+    """Returns what a refusal's log line says of the limit."""
+
+    async def refusal_fields() -> dict[str, object]:
+        return search.refusal_fields()
+
+    return asyncio.run(refusal_fields()).get("limit")
+
+
+def adapter_placement(name: str, *adapters: str, **planned: float):
+    """Returns a placement of the model, some adapters and expected ones.
+
+    Args:
+      name: The engine.
+      adapters: Adapters that it holds.
+      planned: When adapters are expected, or `other`, a model that it loads.
+    """
+    loads_s = planned.pop("other", None)
+    return fm.EnginePlacement(
+        name,
+        1,
+        0,
+        ["m", *(f"m/{adapter}" for adapter in adapters)],
+        [] if loads_s is None else [("other", loads_s)],
+        [(f"m/{adapter}", at_s) for adapter, at_s in planned.items()],
+    )
+
+
+@pytest.mark.parametrize(
+    ("near", "far", "asked_at"),
+    [
+        # Another zone's engine has a free place.
+        (adapter_placement("near", "a1", "a2"), ["a1"], "far"),
+        # A place that an expected adapter will take is not free.
+        (adapter_placement("near", "a1", a2=0.1), ["a1"], "far"),
+        (adapter_placement("near", "a1"), [], "near"),
+        # All places are taken: where one comes soonest.
+        (adapter_placement("near", "a1", "a2"), ["a1", "a2"], "near"),
+        (adapter_placement("near", "a1", "a2", a9=0.9), ["a1", "a2"], "near"),
+        # It takes no order while it loads a model.
+        (adapter_placement("near", other=3.0), [], "far"),
+    ],
+)
+def test_an_adapter_is_asked_for_where_there_is_a_place(near, far, asked_at):
+    """Guards against requests that wait for a place at an engine without one.
+
+    Another engine that holds the model had a free place.
+    """
+    placements = {"near": near, "far": adapter_placement("far", *far)}
+    zones = {"near": samples.INSTANCE.zone, "far": "elsewhere"}
+    _, asked, _ = search_adapter(placements, zones)
+    assert asked[0] == ("s", "m/a9", asked_at, "")
+
+
+@pytest.mark.parametrize(
+    ("held", "planned", "held_s", "retry_after_s", "limit"),
+    [
+        # The place is expected after the caller has given up.
+        (
+            ["a1", "a2"],
+            {"a9": 4.8},
+            0.0,
+            4.8,
+            wait_policy.Limit.NO_ADAPTER_PLACE,
+        ),
+        # Nobody knows of a place: only a plan is waited for.
+        (
+            ["a1", "a2"],
+            {},
+            wait_policy.PLAN_WAIT_S,
+            wait_policy.ADAPTER_RETRY_AFTER_S,
+            wait_policy.Limit.NO_ADAPTER_PLACE,
+        ),
+        # There is a place, and no order before the load of a model has ended.
+        (
+            ["a1"],
+            {"other": 4.8},
+            0.0,
+            4.8 + engine_choice.ADAPTER_LOAD_S,
+            wait_policy.Limit.ENGINE_BUSY,
+        ),
+        # The load is overdue and may end at any time: a share of the time.
+        (
+            ["a1"],
+            {"other": -1.0},
+            4.5 * wait_policy.ADAPTER_WAIT_SHARE,
+            wait_policy.ADAPTER_RETRY_AFTER_S,
+            wait_policy.Limit.ENGINE_BUSY,
+        ),
+    ],
+)
+def test_a_caller_is_not_held_for_an_adapter_that_gets_no_place(
+    held, planned, held_s, retry_after_s, limit
+):
+    """Guards against 0.7 s of waiting for nothing, and an untrue retry time."""
+    placements = {"e1": adapter_placement("e1", *held, **planned)}
+    search, _, took_s = search_adapter(placements, {"e1": "z1"})
+    assert took_s == pytest.approx(held_s, abs=0.02)
+    assert search.retry_after_s == pytest.approx(retry_after_s, abs=0.01)
+    assert logged_limit(search) == limit.value
+
+
+@pytest.mark.parametrize(
+    "placement",
+    [
+        adapter_placement("e1", "a1", "a2", a9=2.0),
+        # The model that the engine loads is some tenths of a second late.
+        adapter_placement("e1", "a1", other=2.0),
+    ],
+)
+def test_a_caller_waits_for_an_adapter_that_comes_in_time(placement):
+    """Guards against refusals of callers who could be served."""
+    _, _, took_s = search_adapter({"e1": placement}, {"e1": "z1"})
+    assert took_s >= 2.0 + wait_policy.OVERDUE_S
+
+
+@pytest.mark.parametrize(
+    ("models", "planned", "limit"),
+    [
+        ((), {}, wait_policy.Limit.NO_PLAN),
+        ((), {"m": 9.0}, wait_policy.Limit.PLANNED_LATE),
+        (("m",), {}, wait_policy.Limit.ADAPTER_NOT_LOADED),
+    ],
+)
+def test_a_refusal_says_what_limited_the_wait(models, planned, limit):
+    """Guards against refusals whose cause has to be guessed from their time."""
+    placement = fm.EnginePlacement(
+        "e1", 1, 0, list(models), [], list(planned.items())
+    )
+    search, _, _ = search_adapter({"e1": placement}, {"e1": "z1"})
+    assert logged_limit(search) == limit.value
+
+
+def test_a_refusal_without_a_turn_says_so():
+    """Guards against refusals whose cause has to be guessed from their time."""
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+
+    async def refuse(*_, **__):
+        return pacing_lib.PermitRefused(1.0)
+
+    searches._context.pacing.acquire = refuse
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, CALL, 0.0, DEADLINE_S
+    )
+    assert searches.loop.run_until_complete(search.find(frozenset())) is None
+    assert logged_limit(search) == wait_policy.Limit.NO_TURN.value
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import stream_origins
@@ -42,6 +43,28 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
+class Limit(enum.Enum):
+    """What ended the search of a refused request; the values are logged.
+
+    Attributes:
+      NO_PLAN: No load of the model is planned.
+      PLANNED_LATE: The model is planned and comes too late.
+      NO_ADAPTER_PLACE: All places for adapters are taken.
+      ADAPTER_NOT_LOADED: There is a place, and no load in time.
+      ENGINE_BUSY: The engine loads a model, and an adapter only after that.
+      NO_TURN: The engines that hold the model have too much to read.
+      NO_VERSION: No engine of the stream's version can be sent requests.
+    """
+
+    NO_PLAN = "no plan for the model"
+    PLANNED_LATE = "model planned too late"
+    NO_ADAPTER_PLACE = "no place for the adapter"
+    ADAPTER_NOT_LOADED = "adapter not loaded"
+    ENGINE_BUSY = "engine loads a model"
+    NO_TURN = "no turn"
+    NO_VERSION = "no engine of the version"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
     """Wait until then at most; decide again if the placement changes."""
@@ -127,8 +150,9 @@
     ready_at_s: float | None,
     missed_s: float,
     now_s: float,
+    unplanned_s: float = UNPLANNED_RETRY_AFTER_S,
 ) -> Wait | RetryAfter:
-    """Decides whether a request waits for its model.
+    """Decides whether a request waits for its model, or an adapter's place.
 
     When more models are requested than fit, holding each request for a model
     without a replica for 0.6 s before a refusal made up a third of all
@@ -141,14 +165,13 @@
       ready_at_s: When the model is expected; None if no load is planned.
       missed_s: Since when requests at this instance have missed it.
       now_s: Monotonic time.
+      unplanned_s: When to retry if no load is planned.
     """
     if ready_at_s is None or ready_at_s < now_s - OVERDUE_S:
         until_s = min(times.send_deadline_s, missed_s + PLAN_WAIT_S)
         if now_s < until_s:
             return Wait(until_s)
-        return RetryAfter(
-            retry_after_s(UNPLANNED_RETRY_AFTER_S, times.ends_s, now_s)
-        )
+        return RetryAfter(retry_after_s(unplanned_s, times.ends_s, now_s))
     if ready_at_s <= times.send_deadline_s and now_s < times.send_deadline_s:
         return Wait(
             min(times.send_deadline_s, max(ready_at_s, now_s) + OVERDUE_S)
@@ -158,10 +181,10 @@
 
 
 def decide_adapter(times: RequestTimes, now_s: float) -> Wait | RetryAfter:
-    """Decides whether a request waits for an adapter of a loaded model.
+    """Decides whether a request waits for an adapter that has a free place.
 
-    Loading an adapter takes some milliseconds; it is delayed only if all
-    adapter slots are in use.
+    Loading an adapter takes some milliseconds; it is delayed only if its place
+    has been taken meanwhile.
     """
     waits_s = (times.send_deadline_s - times.arrived_s) * ADAPTER_WAIT_SHARE
     until_s = times.arrived_s + waits_s
@@ -170,6 +193,28 @@
     return RetryAfter(retry_after_s(ADAPTER_RETRY_AFTER_S, times.ends_s, now_s))
 
 
+def decide_adapter_place(
+    times: RequestTimes,
+    ready_at_s: float | None,
+    missed_s: float,
+    now_s: float,
+) -> Wait | RetryAfter:
+    """Decides whether a request waits for an adapter without a free place.
+
+    The lease holder publishes when a place is expected. A caller that can't be
+    served by then learns that at once, instead of after a wait for nothing.
+
+    Args:
+      times: The request's times.
+      ready_at_s: When the adapter is expected; None if that is not known.
+      missed_s: Since when requests at this instance have missed it.
+      now_s: Monotonic time.
+    """
+    return decide_model(
+        times, ready_at_s, missed_s, now_s, ADAPTER_RETRY_AFTER_S
+    )
+
+
 def retry_after_s(desired_s: float, ends_s: float, now_s: float) -> float:
     """Returns when to retry, limited by the time that the caller has left."""
     max_s = (ends_s - now_s) * MAX_RETRY_AFTER_SHARE
