--- a/sesamecross/devtools/usage.py
+++ b/sesamecross/devtools/usage.py
@@ -23,13 +23,17 @@
 
 def read_usage(pid: int) -> Usage:
     """Returns the usage of a running process."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
-        fields = stat.read().rpartition(")")[2].split()
-    cpu_s = (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
     sizes = {}
     with open(f"/proc/{pid}/smaps_rollup", encoding="ascii") as rollup:
         for line in rollup:
             parts = line.split()
             if len(parts) == 3 and parts[2] == "kB":
                 sizes[parts[0]] = int(parts[1]) / 1024
-    return Usage(cpu_s, sizes["Rss:"], sizes["Anonymous:"])
+    return Usage(read_processor_time_s(pid), sizes["Rss:"], sizes["Anonymous:"])
+
+
+def read_processor_time_s(pid: int) -> float:
+    """Returns the user and system time of a running process."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
