--- a/sesamecross/core/hlc.py
+++ b/sesamecross/core/hlc.py
@@ -6,13 +6,12 @@
 timestamp received, so that causes sort before their effects.
 """
 
-import dataclasses
+import msgspec
 
 from sesamecross.core import clock as clock_lib
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Timestamp:
+class Timestamp(msgspec.Struct, frozen=True, order=True):
     """An HLC timestamp."""
 
     wall_ms: int
--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -10,9 +10,10 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
 import enum
 
+import msgspec
+
 
 class RouteKind(enum.Enum):
     """Delivery semantics of a route's requests.
@@ -29,16 +30,14 @@
     STREAM = "stream"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """A service that a route forwards to, and its share of the requests."""
 
     service: str
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Which requests go to which services, and with which objectives.
 
     Attributes:
@@ -76,8 +75,7 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelSpec:
+class ModelSpec(msgspec.Struct, frozen=True):
     """A model that the engines of a service can load.
 
     Attributes:
@@ -96,8 +94,7 @@
     adapter_mb: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True):
     """Capacity of the engines of a service.
 
     Attributes:
@@ -118,8 +115,7 @@
     models: Mapping[str, ModelSpec]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """A group of upstreams: model engines, or a plain service.
 
     Attributes:
@@ -134,8 +130,7 @@
     engine: EngineSpec | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size of callers' requests, and on slow or idle callers."""
 
     max_header_bytes: int = 16_384
@@ -144,8 +139,7 @@
     idle_timeout_s: float = 15.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(msgspec.Struct, frozen=True):
     """One version of the operators' configuration. Versions only increase."""
 
     version: int
@@ -154,24 +148,21 @@
     limits: CallerLimits
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ResidentModel:
+class ResidentModel(msgspec.Struct, frozen=True):
     """A model in an engine's memory, with its adapters."""
 
     name: str
     adapters: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightCopies:
+class WeightCopies(msgspec.Struct, frozen=True):
     """Copies of weights that an engine keeps in main memory or on disk."""
 
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Upstream:
+class Upstream(msgspec.Struct, frozen=True):
     """One incarnation of an upstream, as it registered itself.
 
     Attributes:
@@ -196,8 +187,7 @@
     version: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineReport:
+class EngineReport(msgspec.Struct, frozen=True):
     """An engine's report of its state.
 
     It is some hundred ms old when it arrives.
@@ -222,16 +212,14 @@
     kv_total: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that other requests may share (prefix caching)."""
 
     part_id: str
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelCall:
+class ModelCall(msgspec.Struct, frozen=True):
     """The model-related headers of a request.
 
     Attributes:
@@ -255,8 +243,7 @@
 Header = tuple[bytes, bytes]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """A complete request of a caller.
 
     Attributes:
@@ -282,8 +269,7 @@
     first_attempt_id: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(msgspec.Struct, frozen=True):
     """Time limits and budgets that the system has to respect.
 
     Attributes:
@@ -317,8 +303,7 @@
     checks_fencing: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Instance:
+class Instance(msgspec.Struct, frozen=True):
     """Where a gateway runs and whom it talks to, from its settings.
 
     Attributes:
@@ -340,8 +325,7 @@
     bounds: Bounds
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineOrder:
+class EngineOrder(msgspec.Struct, frozen=True):
     """One order to an engine.
 
     Attributes:
--- a/sesamecross/fakes/gateway_site.py
+++ b/sesamecross/fakes/gateway_site.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 
+import msgspec
 from returns.result import Success
 
 from sesamecross.core import serving
@@ -75,7 +76,7 @@
 
     def __init__(self, name: str, store_address: str):
         host = platform_instance.unused_loopback_host()
-        self.instance = dataclasses.replace(
+        self.instance = msgspec.structs.replace(
             samples.INSTANCE,
             name=name,
             zone=ZONE,
@@ -108,7 +109,7 @@
         )
         # For connections that it would relay: nobody listens there.
         for known in self.app.state.directory:
-            known.entry = dataclasses.replace(
+            known.entry = msgspec.structs.replace(
                 known.entry, address="127.0.0.1:1"
             )
 
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import os
 import random
 
+import msgspec
+
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import catalog
@@ -61,8 +62,7 @@
 MIN_REPORTED_FAILURE_SHARE = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAdapter:
+class PlatformAdapter(msgspec.Struct, frozen=True):
     """Codecs and names of a platform; makes no decisions.
 
     Attributes:
--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -12,6 +12,7 @@
 import math
 import types
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -37,7 +38,7 @@
 # depends on the value.
 OBSERVE_S = 0.3
 
-INSTANCE = dataclasses.replace(
+INSTANCE = msgspec.structs.replace(
     samples.INSTANCE,
     ip="127.0.0.1",
     front_address="127.0.0.1:0",
@@ -73,7 +74,7 @@
         route("once", serving.RouteKind.AT_MOST_ONCE),
         route("plain", serving.RouteKind.IDEMPOTENT),
         route("stream", serving.RouteKind.STREAM),
-        dataclasses.replace(
+        msgspec.structs.replace(
             route("model", serving.RouteKind.STREAM), is_model_call=True
         ),
     ),
@@ -226,7 +227,9 @@
     upstream = FakeUpstream()
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    instance = dataclasses.replace(INSTANCE, bounds=bounds or INSTANCE.bounds)
+    instance = msgspec.structs.replace(
+        INSTANCE, bounds=bounds or INSTANCE.bounds
+    )
     app = app_lib.GatewayApp.from_config(
         instance, program.adapter(), gateway_site.UnchangedSettings(instance)
     )
@@ -378,7 +381,7 @@
 
 
 def with_grace(grace_s: float) -> serving.Bounds:
-    return dataclasses.replace(INSTANCE.bounds, grace_s=grace_s)
+    return msgspec.structs.replace(INSTANCE.bounds, grace_s=grace_s)
 
 
 @pytest.mark.parametrize(
@@ -565,7 +568,7 @@
 
     monkeypatch.setattr(store_client.StoreClient, "append", silent)
     monkeypatch.setattr(forwarder_lib.Forwarder, "open_requests", 1)
-    instance = dataclasses.replace(INSTANCE, bounds=with_grace(grace_s))
+    instance = msgspec.structs.replace(INSTANCE, bounds=with_grace(grace_s))
 
     async def run_scenario() -> float:
         loop = asyncio.get_running_loop()
@@ -684,7 +687,7 @@
             await asyncio.sleep(0)
             app.reload()
             app.state.apply_settings(
-                dataclasses.replace(INSTANCE, bounds=with_grace(500.0))
+                msgspec.structs.replace(INSTANCE, bounds=with_grace(500.0))
             )
             await asyncio.wait([drain], timeout=OBSERVE_S)
             gateway.upstream.may_respond.set()
@@ -708,7 +711,7 @@
             caller.send_request("/once/")
             await gateway.upstream.arrived.wait()
             state.offer_configuration(
-                dataclasses.replace(
+                msgspec.structs.replace(
                     CONFIGURATION, version=2, routes=(), services={}
                 )
             )
@@ -812,10 +815,12 @@
     async def run_scenario():
         async with running_gateway() as gateway:
             routes = tuple(
-                dataclasses.replace(one, targets=())
+                msgspec.structs.replace(one, targets=())
                 for one in CONFIGURATION.routes
             )
-            newer = dataclasses.replace(CONFIGURATION, version=2, routes=routes)
+            newer = msgspec.structs.replace(
+                CONFIGURATION, version=2, routes=routes
+            )
             gateway.app.state.offer_configuration(newer)
             caller = await gateway.connect()
             caller.send_request(path, "Model: m\r\nToken-Usage: 800,15\r\n")
@@ -865,7 +870,7 @@
         "shut_down",
         lambda self: shutdown_times_s.append(asyncio.get_running_loop().time()),
     )
-    instance = dataclasses.replace(INSTANCE, bounds=with_grace(grace_s))
+    instance = msgspec.structs.replace(INSTANCE, bounds=with_grace(grace_s))
 
     async def run_scenario() -> float:
         app = app_lib.GatewayApp.from_config(
@@ -896,7 +901,7 @@
     async def run_scenario() -> bool:
         occupied = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
         port = occupied.sockets[0].getsockname()[1]
-        adapter = dataclasses.replace(program.adapter(), metrics_port=port)
+        adapter = msgspec.structs.replace(program.adapter(), metrics_port=port)
         app = app_lib.GatewayApp.from_config(
             INSTANCE, adapter, gateway_site.UnchangedSettings(INSTANCE)
         )
--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -9,7 +9,8 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import serving
 from sesamecross.gateway import event_relay
@@ -20,8 +21,7 @@
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CompleteResponse:
+class CompleteResponse(msgspec.Struct, frozen=True):
     """A complete response; a 2xx one carries the upstream's signature."""
 
     status: int
@@ -29,8 +29,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamCompleted:
+class StreamCompleted(msgspec.Struct, frozen=True):
     """A stream that ended normally; its events have been forwarded."""
 
 
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -12,7 +12,8 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import serving
 from sesamecross.gateway import state as state_lib
@@ -169,8 +170,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Catalog:
+class Catalog(msgspec.Struct, frozen=True):
     """The sinks of both topics."""
 
     configuration: ConfigurationSink
--- a/sesamecross/gateway/control_client.py
+++ b/sesamecross/gateway/control_client.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import serving
 from sesamecross.gateway import client_connection
@@ -14,8 +15,7 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """A complete response."""
 
     status: int
@@ -23,15 +23,13 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotSent:
+class NotSent(msgspec.Struct, frozen=True):
     """No byte of the call was sent."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoAnswer:
+class NoAnswer(msgspec.Struct, frozen=True):
     """The call was sent and may have been executed."""
 
     reason: str
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -7,9 +7,10 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import random
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
@@ -33,8 +34,7 @@
     """Default until the placement client is set."""
 
 
-@dataclasses.dataclass(slots=True)
-class SearchContext:
+class SearchContext(msgspec.Struct):
     """State shared by all searches of one instance.
 
     Attributes:
@@ -47,10 +47,10 @@
 
     state: state_lib.State
     rng: random.Random
-    demand: demand_lib.DemandMeter = dataclasses.field(
+    demand: demand_lib.DemandMeter = msgspec.field(
         default_factory=demand_lib.DemandMeter
     )
-    missing: wait_policy.MissedModels = dataclasses.field(
+    missing: wait_policy.MissedModels = msgspec.field(
         default_factory=wait_policy.MissedModels
     )
     request_placement: Callable[[str, str, str, str], None] = _ignore_request
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -1,9 +1,9 @@
 """Tests of which engine a request is sent to while engines leave."""
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -219,7 +219,9 @@
     searches = _Searches(tuple(versions), permit_wait_s=0.0)
     for name, version in versions.items():
         known = searches.state.directory.get(name)
-        known.entry = dataclasses.replace(known.entry, version=version or "v1")
+        known.entry = msgspec.structs.replace(
+            known.entry, version=version or "v1"
+        )
         if version is None:
             known.engine.placement = fm.EnginePlacement(
                 name, known.entry.born_ms + 1, 0, ["m"], [], []
@@ -239,7 +241,7 @@
     searches = _Searches(("e1", "e2"), permit_wait_s=0.0)
     for name, version, models in (("e1", "v1", ()), ("e2", "v2", ("m",))):
         known = searches.state.directory.get(name)
-        known.entry = dataclasses.replace(
+        known.entry = msgspec.structs.replace(
             known.entry,
             version=version,
             models=tuple(serving.ResidentModel(one) for one in models),
--- a/sesamecross/gateway/engine_tracker.py
+++ b/sesamecross/gateway/engine_tracker.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
-import dataclasses
 import enum
 from typing import Any
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.gateway import engine_client
 from sesamecross.gateway import state as state_lib
@@ -70,8 +71,7 @@
     return ConflictCause.OVER
 
 
-@dataclasses.dataclass(slots=True)
-class TrackedEngine:
+class TrackedEngine(msgspec.Struct):
     """One engine's inventory and the state of calls to it.
 
     Attributes:
--- a/sesamecross/gateway/fleet_load_test.py
+++ b/sesamecross/gateway/fleet_load_test.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -88,7 +89,9 @@
 
     def _mesh(self, number: int, me: fm.Member) -> mesh_lib.Mesh:
         state = state_lib.State(
-            dataclasses.replace(samples.INSTANCE, zone=me.zone, regions=REGIONS)
+            msgspec.structs.replace(
+                samples.INSTANCE, zone=me.zone, regions=REGIONS
+            )
         )
         for name in self._upstreams:
             state.directory.update_entry(
--- a/sesamecross/gateway/idle_load_test.py
+++ b/sesamecross/gateway/idle_load_test.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -65,7 +65,7 @@
 def wake_ups(instances: int) -> int:
     """Returns how often an idle instance wakes in `DURATION_S`."""
     gateway = app_lib.GatewayApp.from_config(
-        dataclasses.replace(samples.INSTANCE, zone="z1"),
+        msgspec.structs.replace(samples.INSTANCE, zone="z1"),
         program.adapter(),
         settings.SettingsFile(""),
     )
--- a/sesamecross/gateway/lease_manager_test.py
+++ b/sesamecross/gateway/lease_manager_test.py
@@ -1,7 +1,6 @@
 """Tests of the lease manager: the gap in force, release and takeover."""
 
 import asyncio
-import dataclasses
 
 import msgspec
 import pytest
@@ -16,7 +15,7 @@
 from sesamecross.platform import settings
 from sesamecross.ports import store
 
-INSTANCE = dataclasses.replace(
+INSTANCE = msgspec.structs.replace(
     samples.INSTANCE, bounds=serving.Bounds(lease_s=3.0)
 )
 ME = fm.Member("front-1", 7, "z1", "127.0.0.1:7380", -1, -1)
@@ -62,8 +61,8 @@
         INSTANCE, program.adapter(), settings.SettingsFile("")
     )
     gateway.components()
-    changed = dataclasses.replace(
-        INSTANCE, bounds=dataclasses.replace(INSTANCE.bounds, lease_s=gap_s)
+    changed = msgspec.structs.replace(
+        INSTANCE, bounds=msgspec.structs.replace(INSTANCE.bounds, lease_s=gap_s)
     )
     monkeypatch.setattr(lease_manager, "boottime_clock", lambda: START_S)
     steps = []
--- a/sesamecross/gateway/partition_simulation_test.py
+++ b/sesamecross/gateway/partition_simulation_test.py
@@ -11,6 +11,7 @@
 import random
 import types
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -110,7 +111,7 @@
         self.fleet = fleet
         self.rng = random.Random(number + 1000 * fleet.case.seed)
         self.state = state_lib.State(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 samples.INSTANCE, zone=self.zone, regions=REGIONS
             )
         )
@@ -306,7 +307,7 @@
                     name = known.entry.instance_id
                     state = own[name]
                     total = totals[name]
-                    known.others_reachability = dataclasses.replace(
+                    known.others_reachability = msgspec.structs.replace(
                         total,
                         hears=total.hears - (state is reachability.State.HEARS),
                         silent=total.silent
--- a/sesamecross/gateway/placement_controller_engine_exit_test.py
+++ b/sesamecross/gateway/placement_controller_engine_exit_test.py
@@ -1,8 +1,8 @@
 """Tests of the placement controller while engines leave or fail."""
 
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 import structlog
 
@@ -90,7 +90,7 @@
 
 
 def leaves(directory, now_s: float) -> None:
-    leaving = dataclasses.replace(entry("e1"), is_leaving=True)
+    leaving = msgspec.structs.replace(entry("e1"), is_leaving=True)
     directory.update_entry(leaving)
 
 
--- a/sesamecross/gateway/placement_controller_test.py
+++ b/sesamecross/gateway/placement_controller_test.py
@@ -1,12 +1,12 @@
 """Tests of the placement controller: load bounds and odd declarations."""
 
 import asyncio
-import dataclasses
 from unittest import mock
 
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
+import msgspec
 import pytest
 import structlog
 
@@ -18,7 +18,7 @@
 from sesamecross.platform import program
 from sesamecross.platform import settings
 
-INSTANCE = dataclasses.replace(
+INSTANCE = msgspec.structs.replace(
     samples.INSTANCE,
     bounds=serving.Bounds(loads_window_s=5.0, loads_overage=1.0),
 )
@@ -70,11 +70,11 @@
     controller = controller_of(gateway)
     assert begin_loads(controller, SPEC, 100.0) > 0
     gateway.state.apply_settings(
-        dataclasses.replace(
-            INSTANCE, bounds=dataclasses.replace(INSTANCE.bounds, **changes)
+        msgspec.structs.replace(
+            INSTANCE, bounds=msgspec.structs.replace(INSTANCE.bounds, **changes)
         )
     )
-    spec = dataclasses.replace(SPEC, store_loads_per_s=rate)
+    spec = msgspec.structs.replace(SPEC, store_loads_per_s=rate)
     assert (begin_loads(controller, spec, 100.1) > 0) is is_more
 
 
@@ -84,7 +84,7 @@
     )
     controller = controller_of(gateway)
     begin_loads(controller, SPEC, 100.0)
-    spec = dataclasses.replace(SPEC, store_loads_per_s=1.0)
+    spec = msgspec.structs.replace(SPEC, store_loads_per_s=1.0)
     # The window has passed, so only the current limits count.
     assert begin_loads(controller, spec, 110.0) <= 1.0 * 5.0 + 2.0
 
@@ -94,7 +94,7 @@
 
 
 def engine_entry(name: str, service: str, **changes) -> serving.Upstream:
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         serving.Upstream(
             name,
             service,
@@ -180,7 +180,7 @@
     pytest.param({"store_loads_per_s": 1e308}, id="a rate beyond numbers"),
     pytest.param({"store_loads_per_s": 1e18}, id="a rate beyond memory"),
     pytest.param(
-        {"models": {"m": dataclasses.replace(MODEL, store_load_s=1e308)}},
+        {"models": {"m": msgspec.structs.replace(MODEL, store_load_s=1e308)}},
         id="an endless load",
     ),
     pytest.param({"store_loads_per_s": 0.0}, id="no loads"),
@@ -199,7 +199,7 @@
     and after half a minute its instance; the next holders then failed in the
     same way.
     """
-    specs = {"s": dataclasses.replace(VALID_SPEC, **odd), "t": VALID_SPEC}
+    specs = {"s": msgspec.structs.replace(VALID_SPEC, **odd), "t": VALID_SPEC}
     with structlog.testing.capture_logs() as lines:
         controller = run_controller(
             specs, [engine_entry("u0", "s"), engine_entry("u1", "t")]
--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -1,7 +1,6 @@
 """Tests of registering a start of an instance, also with damaged records."""
 
 import asyncio
-import dataclasses
 import random
 
 import msgspec
@@ -44,7 +43,7 @@
 
 
 def instance(name: str) -> serving.Instance:
-    return dataclasses.replace(samples.INSTANCE, name=name, ports=(7380,))
+    return msgspec.structs.replace(samples.INSTANCE, name=name, ports=(7380,))
 
 
 def make_registrar(client: _Store, name: str) -> registrar.Registrar:
--- a/sesamecross/gateway/relay_messages.py
+++ b/sesamecross/gateway/relay_messages.py
@@ -16,9 +16,10 @@
 arrived is no complete response.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from sesamecross.core import codec
 
 # Before each piece that the peer passes on, its length in bytes, big-endian; 0
@@ -46,8 +47,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayOpen:
+class RelayOpen(msgspec.Struct, frozen=True):
     """Asks the receiver to connect the sender to an upstream.
 
     Attributes:
@@ -61,8 +61,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayOpened:
+class RelayOpened(msgspec.Struct, frozen=True):
     """The answer; after `RelayAnswer.OPEN` the stream carries bytes only."""
 
     answer: RelayAnswer
--- a/sesamecross/gateway/reloader_test.py
+++ b/sesamecross/gateway/reloader_test.py
@@ -1,8 +1,8 @@
 """Tests of settings that change while the gateway runs."""
 
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 from returns.result import Failure
 from returns.result import Success
@@ -12,13 +12,13 @@
 from sesamecross.gateway import reloader
 from sesamecross.gateway import state as state_lib
 
-OPERATORS = dataclasses.replace(
+OPERATORS = msgspec.structs.replace(
     samples.INSTANCE,
-    bounds=dataclasses.replace(samples.INSTANCE.bounds, drain_s=4.0),
+    bounds=msgspec.structs.replace(samples.INSTANCE.bounds, drain_s=4.0),
 )
-CHANGED = dataclasses.replace(
+CHANGED = msgspec.structs.replace(
     samples.INSTANCE,
-    bounds=dataclasses.replace(samples.INSTANCE.bounds, drain_s=3.0),
+    bounds=msgspec.structs.replace(samples.INSTANCE.bounds, drain_s=3.0),
     front_address="10.0.0.1:8080",
 )
 CUT = errors.Problem("f", "", "cut short", "correct it", errors.Kind.SYNTAX)
--- a/sesamecross/gateway/server_connection_test.py
+++ b/sesamecross/gateway/server_connection_test.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import re
 import socket
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from sesamecross.core import serving
@@ -356,7 +356,7 @@
         self.connection.connection_made(self.transport)
 
     def set_limits(self, **changed) -> None:
-        self.handler.limits = dataclasses.replace(
+        self.handler.limits = msgspec.structs.replace(
             self.handler.limits, **changed
         )
 
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -7,7 +7,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
@@ -21,8 +22,7 @@
 REJECTION_LIMIT_TTL_S = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsChange:
+class SettingsChange(msgspec.Struct, frozen=True):
     """Fields of changed settings.
 
     Attributes:
@@ -98,12 +98,12 @@
         """
         before = self._instance
         changed = {
-            field.name
-            for field in dataclasses.fields(serving.Instance)
-            if getattr(before, field.name) != getattr(instance, field.name)
+            field
+            for field in serving.Instance.__struct_fields__
+            if getattr(before, field) != getattr(instance, field)
         }
         at_once = changed & {"bounds", "regions"}
-        self._instance = dataclasses.replace(
+        self._instance = msgspec.structs.replace(
             before, bounds=instance.bounds, regions=instance.regions
         )
         if at_once:
--- a/sesamecross/gateway/state_test.py
+++ b/sesamecross/gateway/state_test.py
@@ -1,14 +1,13 @@
 """Tests of the effect of new settings on an instance's state."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from sesamecross.core import serving
 from sesamecross.fakes import samples
 from sesamecross.gateway import state as state_lib
 
-INSTANCE = dataclasses.replace(
+INSTANCE = msgspec.structs.replace(
     samples.INSTANCE,
     bounds=serving.Bounds(
         retry_ratio=0.2, retry_extra=20.0, retry_window_s=10.0
@@ -31,8 +30,8 @@
 
 
 def instance_with_bounds(**changes) -> serving.Instance:
-    changed = dataclasses.replace(INSTANCE.bounds, **changes)
-    return dataclasses.replace(INSTANCE, bounds=changed)
+    changed = msgspec.structs.replace(INSTANCE.bounds, **changes)
+    return msgspec.structs.replace(INSTANCE, bounds=changed)
 
 
 def spend_until_exhausted(budget, now_s: float) -> int:
--- a/sesamecross/gateway/store_fanout_test.py
+++ b/sesamecross/gateway/store_fanout_test.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
-import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -64,7 +64,7 @@
             f"front-{number}", 1, self.zone, f"10.0.0.{number}:7380", -1, -1
         )
         self.state = state_lib.State(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 samples.INSTANCE, zone=self.zone, regions=REGIONS
             )
         )
@@ -128,7 +128,7 @@
 
 
 def _decode_upstream(key: str, value: bytes) -> serving.Upstream:
-    return dataclasses.replace(
+    return msgspec.structs.replace(
         UPSTREAM, instance_id=key, is_leaving=value == b"leaving"
     )
 
--- a/sesamecross/gateway/store_messages.py
+++ b/sesamecross/gateway/store_messages.py
@@ -5,15 +5,15 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import codec
 from sesamecross.ports import store
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreRecord:
+class StoreRecord(msgspec.Struct, frozen=True):
     """A record of the store; a value of None removes the key."""
 
     key: str
--- a/sesamecross/gateway/store_proxy.py
+++ b/sesamecross/gateway/store_proxy.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import codec
@@ -28,8 +29,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendAsk:
+class AppendAsk(msgspec.Struct, frozen=True):
     """Asks the receiver to append a keyed record for the sender."""
 
     topic: str
@@ -39,16 +39,14 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class NewestAsk:
+class NewestAsk(msgspec.Struct, frozen=True):
     """Asks the receiver to list a topic's newest records, one page."""
 
     topic: str
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreTold:
+class StoreTold(msgspec.Struct, frozen=True):
     """The store's answer.
 
     Attributes:
--- a/sesamecross/gateway/stream_origin_simulation_test.py
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from sesamecross.core import fleet_messages as fm
@@ -178,7 +179,7 @@
         )
         self.is_alive = True
         self.state = state_lib.State(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 samples.INSTANCE, zone=self.zone, regions=REGIONS
             )
         )
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -11,7 +11,8 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import codec
@@ -44,8 +45,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncAsk:
+class SyncAsk(msgspec.Struct, frozen=True):
     """What the requesting instance has.
 
     Attributes:
@@ -58,8 +58,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class SyncAnswer:
+class SyncAnswer(msgspec.Struct, frozen=True):
     """What the requesting instance lacks.
 
     Attributes:
--- a/sesamecross/gateway/upstream_connector_test.py
+++ b/sesamecross/gateway/upstream_connector_test.py
@@ -1,8 +1,8 @@
 """Tests of how an upstream that others suspect is verified."""
 
 import asyncio
-import dataclasses
 
+import msgspec
 import pytest
 
 from sesamecross.core import serving
@@ -37,7 +37,7 @@
             if is_standing_still:
                 connector._ask_engine = no_answer
             known = app.state.directory.get(f"i-{service}")
-            known.reachability = dataclasses.replace(
+            known.reachability = msgspec.structs.replace(
                 known.reachability, streaming=0
             )
             known.others_reachability = SUSPECTED
--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -9,6 +9,8 @@
 import math
 import random
 
+import msgspec
+
 from sesamecross.core import data
 from sesamecross.core import refusal
 from sesamecross.ops import call_queue
@@ -369,7 +371,7 @@
             state.prefix_cache.adjust_limit(
                 open_call.chosen.known_cached_tokens, observation.cached_tokens
             )
-        observation = dataclasses.replace(
+        observation = msgspec.structs.replace(
             observation,
             batch_size=open_call.chosen.batch_size + 1,
             uncached_tokens=_prefilled_tokens(open_call, observation),
--- a/sesamecross/ops/estimates.py
+++ b/sesamecross/ops/estimates.py
@@ -6,9 +6,10 @@
 squares with a forgetting factor, starting from plausible values.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 # Each new observation multiplies the weight of the earlier ones by this.
 FORGETTING_FACTOR = 0.98
 # The initial line weighs as much as this many observations.
@@ -92,8 +93,7 @@
 _CALL_MS_SMOOTHING = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Observation:
+class Observation(msgspec.Struct, frozen=True):
     """Measurements of one relayed call.
 
     Attributes:
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -5,9 +5,10 @@
 by exponential decay, which needs no timer, and can be added up over instances.
 """
 
-import dataclasses
 import math
 
+import msgspec
+
 from sesamecross.core import fleet_messages as fm
 
 # Time constant of the rate. Demand moves to other models within a few seconds;
@@ -22,8 +23,7 @@
 Key = tuple[str, str]
 
 
-@dataclasses.dataclass(slots=True)
-class _Meter:
+class _Meter(msgspec.Struct):
     rate: float = 0.0
     at_s: float = 0.0
     waiting: int = 0
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -10,10 +10,11 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import health as health_lib
@@ -54,8 +55,7 @@
     NONE = 3
 
 
-@dataclasses.dataclass(slots=True)
-class KnownUpstream:
+class KnownUpstream(msgspec.Struct):
     """One incarnation of an upstream, as this instance knows it.
 
     Attributes:
@@ -80,20 +80,18 @@
     lapsed_s: float | None = None
     is_leaving: bool = False
     is_replaced: bool = False
-    health: health_lib.Health = dataclasses.field(
-        default_factory=health_lib.Health
-    )
+    health: health_lib.Health = msgspec.field(default_factory=health_lib.Health)
     own_running: int = 0
     others_running: float = 0.0
     others_outcomes: health_lib.Outcomes = health_lib.Outcomes()
-    reachability: reachability_lib.Reachability = dataclasses.field(
+    reachability: reachability_lib.Reachability = msgspec.field(
         default_factory=reachability_lib.Reachability
     )
     others_reachability: reachability_lib.ReachabilityCounts = (
         reachability_lib.ReachabilityCounts()
     )
     mean_duration_s: float = 0.0
-    engine: engine_state.EngineState = dataclasses.field(
+    engine: engine_state.EngineState = msgspec.field(
         default_factory=engine_state.EngineState
     )
 
--- a/sesamecross/ops/fleet/directory_test.py
+++ b/sesamecross/ops/fleet/directory_test.py
@@ -1,7 +1,6 @@
 """Tests of which upstreams may receive new requests."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from sesamecross.core import serving
@@ -10,7 +9,7 @@
 
 DRAIN_S = 2.5
 ENTRY = serving.Upstream("u1", "s", "10.0.0.1:80", "z1", 8, False, 1)
-LEAVING = dataclasses.replace(ENTRY, is_leaving=True)
+LEAVING = msgspec.structs.replace(ENTRY, is_leaving=True)
 
 
 def names(upstreams) -> list[str]:
@@ -40,8 +39,8 @@
         # An older entry that arrives late does not make it usable again.
         ([LEAVING, ENTRY], []),
         # Another incarnation under the same id is another upstream.
-        ([LEAVING, dataclasses.replace(ENTRY, born_ms=2)], ["u1"]),
-        ([dataclasses.replace(ENTRY, born_ms=2), LEAVING], ["u1"]),
+        ([LEAVING, msgspec.structs.replace(ENTRY, born_ms=2)], ["u1"]),
+        ([msgspec.structs.replace(ENTRY, born_ms=2), LEAVING], ["u1"]),
     ],
 )
 def test_leaving_is_never_reset_within_one_incarnation(entries, usable):
@@ -54,7 +53,7 @@
 def test_entries_that_lapse_in_an_outage_are_used_as_a_last_resort():
     """Guards against refusing every request when a store outage lapses all."""
     directory = directory_lib.Directory(DRAIN_S)
-    other = dataclasses.replace(ENTRY, instance_id="u2")
+    other = msgspec.structs.replace(ENTRY, instance_id="u2")
     directory.update_entry(ENTRY)
     directory.update_entry(other)
     directory.lapsed("u1", 1.0)
@@ -85,7 +84,7 @@
 def directory_of(*names: str) -> directory_lib.Directory:
     directory = directory_lib.Directory(DRAIN_S)
     for name in names:
-        directory.update_entry(dataclasses.replace(ENTRY, instance_id=name))
+        directory.update_entry(msgspec.structs.replace(ENTRY, instance_id=name))
     return directory
 
 
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -8,9 +8,10 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import random
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import service_choice
@@ -31,8 +32,7 @@
 TIE_TOLERANCE_S = 0.01
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """An engine for a request, and what the request would meet there.
 
     Attributes:
--- a/sesamecross/ops/fleet/engine_inventory.py
+++ b/sesamecross/ops/fleet/engine_inventory.py
@@ -13,7 +13,8 @@
 """
 
 from collections.abc import Mapping
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_state
@@ -23,8 +24,7 @@
 REPORT_LAG_S = 0.35
 
 
-@dataclasses.dataclass(slots=True)
-class EngineInventory:
+class EngineInventory(msgspec.Struct):
     """One incarnation of an engine, as known to the lease holder.
 
     Attributes:
@@ -53,16 +53,16 @@
     instance_id: str
     born_ms: int
     orders: int = 0
-    models: set[str] = dataclasses.field(default_factory=set)
-    adapters: set[str] = dataclasses.field(default_factory=set)
-    loading: dict[str, float] = dataclasses.field(default_factory=dict)
-    unloading: set[str] = dataclasses.field(default_factory=set)
-    confirmed_adapters: set[str] = dataclasses.field(default_factory=set)
+    models: set[str] = msgspec.field(default_factory=set)
+    adapters: set[str] = msgspec.field(default_factory=set)
+    loading: dict[str, float] = msgspec.field(default_factory=dict)
+    unloading: set[str] = msgspec.field(default_factory=set)
+    confirmed_adapters: set[str] = msgspec.field(default_factory=set)
     copies: serving.WeightCopies = serving.WeightCopies()
     is_fully_known: bool = False
     has_reported: bool = False
     reports_valid_from_s: float = 0.0
-    loaded_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    loaded_s: dict[str, float] = msgspec.field(default_factory=dict)
     last_entry: serving.Upstream | None = None
 
     def used_mb(self, spec: serving.EngineSpec) -> float:
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -6,7 +6,7 @@
 learned from requests, as none is declared.
 """
 
-import dataclasses
+import msgspec
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
@@ -25,8 +25,7 @@
 PLACEMENT_TTL_S = 5.0
 
 
-@dataclasses.dataclass(slots=True)
-class EngineState:
+class EngineState(msgspec.Struct):
     """State of one incarnation of an engine.
 
     Attributes:
@@ -42,22 +41,18 @@
 
     placement: fm.EnginePlacement | None = None
     placement_received_s: float = 0.0
-    absent: dict[str, float] = dataclasses.field(default_factory=dict)
+    absent: dict[str, float] = msgspec.field(default_factory=dict)
     own_prompt_tokens: int = 0
     others_prompt_tokens: int = 0
-    speeds: dict[str, estimates.LinearFit] = dataclasses.field(
-        default_factory=dict
-    )
-    cache: prefix_cache.PrefixCache = dataclasses.field(
+    speeds: dict[str, estimates.LinearFit] = msgspec.field(default_factory=dict)
+    cache: prefix_cache.PrefixCache = msgspec.field(
         default_factory=prefix_cache.PrefixCache
     )
     # The latest result of `targets`, and what it was derived from.
-    _targets: frozenset[str] = dataclasses.field(
-        default=frozenset(), init=False
-    )
+    _targets: frozenset[str] = frozenset()
     _targets_source: tuple[
         fm.EnginePlacement | None, serving.Upstream | None
-    ] = dataclasses.field(default=(None, None), init=False)
+    ] = (None, None)
 
     def apply_placement(
         self, placement: fm.EnginePlacement, now_s: float
--- a/sesamecross/ops/fleet/health.py
+++ b/sesamecross/ops/fleet/health.py
@@ -6,7 +6,7 @@
 instance that is cut off from an upstream must not make the others avoid it.
 """
 
-import dataclasses
+import msgspec
 
 # Half-life of an outcome: an upstream that has recovered is used again within
 # seconds, and one that keeps failing is tried every few seconds.
@@ -15,8 +15,7 @@
 PRIOR_SUCCESSES = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcomes:
+class Outcomes(msgspec.Struct, frozen=True):
     """Decayed counts of failures and of all outcomes."""
 
     failed: float = 0.0
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -18,7 +18,7 @@
 machine.
 """
 
-import dataclasses
+import msgspec
 
 # Validity of a renewal. A store outage of some seconds does not change the
 # holder; a holder that has gone silent is replaced after this and the gap.
@@ -37,8 +37,7 @@
 READ_SPACING_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
+class Record(msgspec.Struct, frozen=True):
     """The lease as stored.
 
     Attributes:
@@ -55,21 +54,18 @@
     is_released: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadLease:
+class ReadLease(msgspec.Struct, frozen=True):
     """Read the lease's record now."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteLease:
+class WriteLease(msgspec.Struct, frozen=True):
     """Write the lease record, only if the topic ends at offset `at`."""
 
     at: int
     fence: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Idle:
+class Idle(msgspec.Struct, frozen=True):
     """Nothing to do now."""
 
 
--- a/sesamecross/ops/fleet/lease_test.py
+++ b/sesamecross/ops/fleet/lease_test.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from sesamecross.ops.fleet import lease
@@ -58,7 +59,7 @@
             write.is_release,
         )
         if write.action.fence == write.action.at:
-            self.record = dataclasses.replace(self.record, fence=self.end)
+            self.record = msgspec.structs.replace(self.record, fence=self.end)
         self.end += 1
         return True
 
@@ -225,8 +226,13 @@
     ("record", "is_exit_noticed", "taken_after_s", "orders_after_s"),
     [
         (None, False, 0.0, 0.0),
-        (dataclasses.replace(_OTHER, holder="b", incarnation=0), False, 0, 0),
-        (dataclasses.replace(_OTHER, is_released=True), False, 0.0, GAP_S),
+        (
+            msgspec.structs.replace(_OTHER, holder="b", incarnation=0),
+            False,
+            0,
+            0,
+        ),
+        (msgspec.structs.replace(_OTHER, is_released=True), False, 0.0, GAP_S),
         (_OTHER, True, lease.RESTART_TIMEOUT_S, GAP_S),
         (
             _OTHER,
--- a/sesamecross/ops/fleet/placement_steps_test.py
+++ b/sesamecross/ops/fleet/placement_steps_test.py
@@ -1,7 +1,6 @@
 """Tests of the steps that bring engines to the placement target."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from sesamecross.core import serving
@@ -37,7 +36,7 @@
         {"e1": ["busy", "stays"], "e2": ["rare", "stays-too"]},
     )
     # The moving model has no requests in flight and gets no new ones.
-    given = dataclasses.replace(given, withdrawn={("e1", "rare"): -1.0})
+    given = msgspec.structs.replace(given, withdrawn={("e1", "rare"): -1.0})
     got = placement_steps.steps(given, given.target)
     unloads = [
         (one.instance_id, one.target)
@@ -71,7 +70,7 @@
         {("e1", "rare"): 2},
     )
     withdrawn = {("e1", "rare"): -0.1}
-    given = dataclasses.replace(given, withdrawn=withdrawn)
+    given = msgspec.structs.replace(given, withdrawn=withdrawn)
     got = placement_steps.steps(given, given.target)
     assert placement_steps.withdrawals_to_end(withdrawn, got) == serves_again
 
@@ -94,7 +93,7 @@
         {("e1", "other"): 3},
     )
     sizes = {"busy": 50.0, "rare": 30.0, "other": 40.0}
-    given = dataclasses.replace(given, spec=spec(sizes))
+    given = msgspec.structs.replace(given, spec=spec(sizes))
     got = placement_steps.steps(given, given.target)
     assert loads == [
         (one.instance_id, one.target)
@@ -132,9 +131,9 @@
     one.inventory.adapters.update({"m/a1", "m/a2"})
     one.inventory.loaded_s.update({f"m/{k}": v for k, v in loaded_s.items()})
     adapters = serving.ModelSpec("m", 40.0, 2.0, 0.5, 0.3, 5, 1.0)
-    given = dataclasses.replace(
+    given = msgspec.structs.replace(
         inputs([one], {"m": demand(5.0)}, {"e1": ["m"]}),
-        spec=dataclasses.replace(
+        spec=msgspec.structs.replace(
             spec(), adapter_slots=2, models={"m": adapters}
         ),
         adapter_requests=(data.AdapterRequest("e1", "m/a3"),),
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -13,9 +13,10 @@
 for a large one.
 """
 
-import dataclasses
 import itertools
 
+import msgspec
+
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_types as data
@@ -120,8 +121,7 @@
             _apply(draft, max(moves, key=lambda move: move.score))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Move:
+class _Move(msgspec.Struct, frozen=True):
     """A new replica of a model at an engine, which evicts others for it."""
 
     score: float
--- a/sesamecross/ops/fleet/placement_target_test.py
+++ b/sesamecross/ops/fleet/placement_target_test.py
@@ -1,7 +1,6 @@
 """Tests of the placement target and of the expected times of planned models."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from sesamecross.fakes.placement_samples import LOAD_S
@@ -147,7 +146,7 @@
 ):
     """Guards against streams whose model only other versions hold (LOST)."""
     target = {one.name: sorted(one.inventory.models) for one in engines}
-    given = dataclasses.replace(
+    given = msgspec.structs.replace(
         inputs(engines, in_demand, target),
         version_needs=(NEED,),
     )
@@ -163,7 +162,7 @@
     models, expected
 ):
     """Guards against a new lease holder that unloads busy models."""
-    given = dataclasses.replace(
+    given = msgspec.structs.replace(
         inputs([engine("e1", "rare"), engine("e2", *models)], {}, {}),
         version_needs=(data.VersionNeed("rare", frozenset({"e2"})),),
     )
@@ -174,7 +173,7 @@
 def test_the_only_replica_that_streams_wait_for_stays():
     """Guards against a needed replica that moves to another version."""
     got = placement_target.plan_target(
-        dataclasses.replace(
+        msgspec.structs.replace(
             inputs(
                 [engine("e1"), engine("e2", "rare", "stays")],
                 {"busy": demand(18.0), "stays": demand(9.0)},
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -6,9 +6,10 @@
 
 from collections.abc import Collection
 from collections.abc import Mapping
-import dataclasses
 import enum
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.ops.fleet import engine_inventory
 
@@ -24,8 +25,7 @@
 WAITING_VALUE = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelDemand:
+class ModelDemand(msgspec.Struct, frozen=True):
     """The demand for one model.
 
     Attributes:
@@ -60,8 +60,7 @@
 NO_DEMAND = ModelDemand(0.0, 0.0, 0.0, 0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Engine:
+class Engine(msgspec.Struct, frozen=True):
     """An engine that may get orders.
 
     Attributes:
@@ -81,16 +80,14 @@
         return self.inventory.instance_id
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdapterRequest:
+class AdapterRequest(msgspec.Struct, frozen=True):
     """An adapter that requests wait for at an engine."""
 
     instance_id: str
     target: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VersionNeed:
+class VersionNeed(msgspec.Struct, frozen=True):
     """A model that streams wait for at engines of their software version.
 
     Attributes:
@@ -104,8 +101,7 @@
 PlacementTarget = Mapping[str, frozenset[str]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Inputs:
+class Inputs(msgspec.Struct, frozen=True):
     """All inputs of a plan.
 
     Attributes:
@@ -136,7 +132,7 @@
     is_demand_known: bool
     are_engines_known: bool
     now_s: float
-    used_s: Mapping[tuple[str, str], float] = dataclasses.field(
+    used_s: Mapping[tuple[str, str], float] = msgspec.field(
         default_factory=dict
     )
 
@@ -215,8 +211,7 @@
     WITHDRAW = "withdraw"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
+class Step(msgspec.Struct, frozen=True):
     """A step to take now, with its reason.
 
     Attributes:
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -12,10 +12,11 @@
 (`is_path_failing`) are kept apart.
 """
 
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 # A refusal or timeout counts this long; then the upstream is tried again, at
 # the cost of one attempt.
 FAILURE_TTL_S = 1.5
@@ -41,8 +42,7 @@
     REFUSED = 3
 
 
-@dataclasses.dataclass(slots=True)
-class Reachability:
+class Reachability(msgspec.Struct):
     """When an upstream last responded to one instance, or was unreachable.
 
     Attributes:
@@ -180,8 +180,7 @@
         return at_s > self.last_reached_s and now_s - at_s < FAILURE_TTL_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReachabilityCounts:
+class ReachabilityCounts(msgspec.Struct, frozen=True):
     """Numbers of instances by their state of an upstream."""
 
     hears: int = 0
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.ops.fleet import health
@@ -19,8 +20,7 @@
 Source = fm.Report | fm.Summary
 
 
-@dataclasses.dataclass(slots=True)
-class Totals:
+class Totals(msgspec.Struct):
     """Totals over the reports of several sources.
 
     Attributes:
--- a/sesamecross/ops/fleet/retry_policy.py
+++ b/sesamecross/ops/fleet/retry_policy.py
@@ -9,21 +9,20 @@
 if the upstream itself reported that it did not run it.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from sesamecross.core import serving
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotSent:
+class NotSent(msgspec.Struct, frozen=True):
     """No byte of the request can have reached the upstream."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(msgspec.Struct, frozen=True):
     """The upstream reported that it did not run the request.
 
     Attributes:
@@ -37,15 +36,13 @@
     is_other: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lost:
+class Lost(msgspec.Struct, frozen=True):
     """The request was sent but its response is incomplete; it may have run."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FailedThere:
+class FailedThere(msgspec.Struct, frozen=True):
     """The upstream returned a complete response that reports a failure."""
 
     status: int
@@ -70,8 +67,7 @@
     DELIVER = "deliver"
 
 
-@dataclasses.dataclass(slots=True)
-class AttemptHistory:
+class AttemptHistory(msgspec.Struct):
     """The attempts made so far for one request.
 
     Attributes:
@@ -81,7 +77,7 @@
       has_output: Whether part of a response has gone to the caller.
     """
 
-    possibly_ran_at: set[str] = dataclasses.field(default_factory=set)
+    possibly_ran_at: set[str] = msgspec.field(default_factory=set)
     tries: int = 0
     sends: int = 0
     has_output: bool = False
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -7,9 +7,10 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import math
 
+import msgspec
+
 from sesamecross.core import fleet_messages as fm
 from sesamecross.utils import rendezvous
 
@@ -29,8 +30,7 @@
 _Identity = tuple[str, int, str]
 
 
-@dataclasses.dataclass(slots=True)
-class KnownMember:
+class KnownMember(msgspec.Struct):
     """An instance, and when it was last known to be alive."""
 
     member: fm.Member
--- a/sesamecross/ops/fleet/service_choice.py
+++ b/sesamecross/ops/fleet/service_choice.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import random
 
+import msgspec
+
 from sesamecross.ops.fleet import directory
 
 # Round trips. One way takes a millisecond or less between zones of a region and
@@ -27,8 +28,7 @@
 TIE_TOLERANCE_S = 0.003
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Location:
+class Location(msgspec.Struct, frozen=True):
     """Zone of this instance, and the region of each zone."""
 
     zone: str
--- a/sesamecross/ops/fleet/slot_limiter.py
+++ b/sesamecross/ops/fleet/slot_limiter.py
@@ -7,7 +7,7 @@
 its end.
 """
 
-import dataclasses
+import msgspec
 
 from sesamecross.ops.fleet import pacer
 
@@ -17,8 +17,7 @@
 CHECK_INTERVAL_S = 0.03
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _WaitingRequest:
+class _WaitingRequest(msgspec.Struct, frozen=True):
     key: pacer.Key
     due_s: float
     until_s: float
--- a/sesamecross/ops/fleet/stopping.py
+++ b/sesamecross/ops/fleet/stopping.py
@@ -11,7 +11,7 @@
 After the end of the stop nothing is accepted, as the process is about to exit.
 """
 
-import dataclasses
+import msgspec
 
 from sesamecross.core import serving
 
@@ -26,8 +26,7 @@
 TOKEN_INTERVAL_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stop:
+class Stop(msgspec.Struct, frozen=True):
     """A planned stop.
 
     Attributes:
@@ -40,7 +39,7 @@
 
     def ended(self, now_s: float) -> "Stop":
         """Returns the same stop, but accepting no requests from now on."""
-        return dataclasses.replace(self, ends_s=now_s)
+        return msgspec.structs.replace(self, ends_s=now_s)
 
     def has_time_for(
         self,
--- a/sesamecross/ops/fleet/stream_origins.py
+++ b/sesamecross/ops/fleet/stream_origins.py
@@ -12,9 +12,10 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import hashlib
 
+import msgspec
+
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.utils import rendezvous
@@ -34,8 +35,7 @@
 _KEY_BYTES = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(msgspec.Struct, frozen=True):
     """The service and software version that began a stream.
 
     Attributes:
@@ -47,8 +47,7 @@
     version: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KnownOrigin:
+class KnownOrigin(msgspec.Struct, frozen=True):
     """What an instance knows of a stream's origin.
 
     Attributes:
--- a/sesamecross/ops/fleet/topic_records.py
+++ b/sesamecross/ops/fleet/topic_records.py
@@ -11,15 +11,14 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 
+import msgspec
 import xxhash
 
 from sesamecross.ports import store
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewal:
+class Renewal(msgspec.Struct, frozen=True):
     """A record whose value was known before, without the value.
 
     Attributes:
@@ -36,8 +35,7 @@
     return xxhash.xxh3_64_intdigest(value)
 
 
-@dataclasses.dataclass(slots=True)
-class TopicRecords:
+class TopicRecords(msgspec.Struct):
     """The known records of one keyed topic.
 
     Attributes:
@@ -50,12 +48,10 @@
 
     end: int = -1
     listed_end: int = -1
-    records: dict[str, store.KeyedRecord] = dataclasses.field(
-        default_factory=dict
-    )
+    records: dict[str, store.KeyedRecord] = msgspec.field(default_factory=dict)
     # The offset from which each key has had its latest value, and that value's
     # digest.
-    _since: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    _since: dict[str, tuple[int, int]] = msgspec.field(default_factory=dict)
 
     def take(self, record: store.KeyedRecord) -> bool:
         """Adds a record; returns whether it is newer than the known one."""
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -8,9 +8,10 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import math
 
+import msgspec
+
 from sesamecross.core import serving
 
 # An instance that reads no news of upstreams for longer may miss a version that
@@ -18,8 +19,7 @@
 MAX_UNREAD_S = 10.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SeenVersions:
+class SeenVersions(msgspec.Struct, frozen=True):
     """The versions of a service that an instance has seen in some time.
 
     Attributes:
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -5,7 +5,7 @@
 model is expected lets the caller retry when it can be served.
 """
 
-import dataclasses
+import msgspec
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import stream_origins
@@ -42,15 +42,13 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wait:
+class Wait(msgspec.Struct, frozen=True):
     """Wait until then at most; decide again if the placement changes."""
 
     until_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryAfter:
+class RetryAfter(msgspec.Struct, frozen=True):
     """Refuse now; the caller should retry after this."""
 
     after_s: float
@@ -74,8 +72,7 @@
     return min(ends_s, arrived_s + first_event_timeout_s(route)) - SEND_MARGIN_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestTimes:
+class RequestTimes(msgspec.Struct, frozen=True):
     """When a request arrived, and until when it can wait.
 
     Attributes:
--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -9,7 +9,6 @@
 in force, and a process that refuses to start serves nobody.
 """
 
-import dataclasses
 import os
 import tomllib
 
@@ -78,8 +77,7 @@
     return file.read().bind(file.decode)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsFile:
+class SettingsFile(msgspec.Struct, frozen=True):
     """A settings file.
 
     Reading and decoding are separate, so that a caller that reads the file
@@ -138,8 +136,7 @@
     return os.open(path, flags | os.O_NONBLOCK)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RangeCheck:
+class _RangeCheck(msgspec.Struct, frozen=True):
     """A value and its valid range, both ends inclusive."""
 
     key: str
--- a/sesamecross/ports/http_codec.py
+++ b/sesamecross/ports/http_codec.py
@@ -6,14 +6,14 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from sesamecross.core import serving
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestHead:
+class RequestHead(msgspec.Struct, frozen=True):
     """The parsed headers of a caller's request.
 
     Attributes:
@@ -32,8 +32,7 @@
     first_attempt_id: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ResponseHead:
+class ResponseHead(msgspec.Struct, frozen=True):
     """The parsed head of an upstream's response.
 
     Attributes:
@@ -59,8 +58,7 @@
     rejection_limit: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ForwardContext:
+class ForwardContext(msgspec.Struct, frozen=True):
     """What the gateway adds when it forwards a request.
 
     Attributes:
@@ -76,8 +74,7 @@
     last_event_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ControlCall:
+class ControlCall(msgspec.Struct, frozen=True):
     """A call to an engine's control API."""
 
     method: bytes
--- a/sesamecross/ports/store.py
+++ b/sesamecross/ports/store.py
@@ -5,12 +5,12 @@
 adapter converts them from and to HTTP.
 """
 
-import dataclasses
 from typing import Protocol
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreCall:
+
+class StoreCall(msgspec.Struct, frozen=True):
     """One HTTP call to the store, ready to be sent."""
 
     method: bytes
@@ -19,8 +19,7 @@
     content_type: bytes = b"application/octet-stream"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyedRecord:
+class KeyedRecord(msgspec.Struct, frozen=True):
     """A record of a keyed topic. `value` is None if the key is deleted."""
 
     key: str
@@ -28,8 +27,7 @@
     offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NewestPage:
+class NewestPage(msgspec.Struct, frozen=True):
     """One page of the newest records of a keyed topic.
 
     Attributes:
@@ -43,44 +41,38 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
+class Page(msgspec.Struct, frozen=True):
     """Records from an offset on. `next_offset` is where reading continues."""
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Expired:
+class Expired(msgspec.Struct, frozen=True):
     """The requested records have expired; `first` is the oldest retained."""
 
     first: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Appended:
+class Appended(msgspec.Struct, frozen=True):
     """The records are on the log, the first at `offset`."""
 
     offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     """Nothing was appended: the log ends at `end` and not where expected."""
 
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotDone:
+class NotDone(msgspec.Struct, frozen=True):
     """Nothing was done: the store said so, or the connection failed."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(msgspec.Struct, frozen=True):
     """No answer: the call may have been executed, or may be later."""
 
     reason: str
--- a/sesamecross/runtime/supervisor.py
+++ b/sesamecross/runtime/supervisor.py
@@ -9,9 +9,10 @@
 """
 
 import asyncio
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from sesamecross.runtime import logs
 
 MAX_RESTARTS = 10
@@ -71,11 +72,10 @@
     """A component failed and is not restarted."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Child:
+class _Child(msgspec.Struct):
     component: Component
     task: asyncio.Task | None = None
-    failures: list[float] = dataclasses.field(default_factory=list)
+    failures: list[float] = msgspec.field(default_factory=list)
 
 
 class Supervisor:
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import dataclasses
 import secrets
 from typing import Any
 from typing import Protocol
 
+import msgspec
 from returns.result import Failure
 from returns.result import Success
 
@@ -26,8 +26,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """First message of a client, with the identity that it claims."""
 
     role: str
@@ -37,8 +36,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class Challenge:
+class Challenge(msgspec.Struct, frozen=True):
     """The server's nonce and its proof of the shared key."""
 
     nonce: bytes
@@ -46,8 +44,7 @@
 
 
 @codec.register
-@dataclasses.dataclass(frozen=True, slots=True)
-class Proof:
+class Proof(msgspec.Struct, frozen=True):
     """The client's proof of the shared key."""
 
     proof: bytes
