Gateways say when each step of their start was reached

`start: can serve` states, once a start, the milliseconds from the process's beginning to the configuration, the upstreams and readiness, and the processor time until then; what comes later (joined, first plan) has a line `start: step`.

Time counts from the first line of the program; the interpreter's own start, some 20 ms, is not in it, except in cpu_ms.

--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -5,6 +5,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import registrar as registrar_lib
+from sesamecross.gateway import start_steps
 from sesamecross.gateway import state as state_lib
 
 # How long a planned stop waits for the store.
@@ -48,6 +49,7 @@
         joined = await self._registrar.join()
         await self._mesh.open(self._instance.ip, self._instance.ports[0])
         self._mesh.join(joined.me, joined.secret, joined.others)
+        self._state.start_steps.record(start_steps.Step.JOINED)
         if joined.is_new_deployment:
             self._state.versions.mark_complete()
 
--- a/sesamecross/gateway/placement_publisher.py
+++ b/sesamecross/gateway/placement_publisher.py
@@ -12,6 +12,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import start_steps
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import engine_inventory
 
@@ -88,6 +89,7 @@
             known = self._state.directory.get(placement.upstream)
             if known is not None:
                 known.engine.apply_placement(placement, now_s)
+        self._state.start_steps.record(start_steps.Step.PLAN)
         self._state.notify_change()
 
     def publish(
--- a/sesamecross/gateway/placement_publisher_test.py
+++ b/sesamecross/gateway/placement_publisher_test.py
@@ -7,6 +7,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import placement_publisher
+from sesamecross.gateway import start_steps
 from sesamecross.ops.fleet import engine_inventory
 
 ME = types.SimpleNamespace(name="i1")
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self.directory: dict = {}
         self.change_count = 0
+        self.start_steps = start_steps.StartSteps()
 
     def notify_change(self) -> None:
         self.change_count += 1
@@ -131,3 +133,15 @@
     assert published == fm.EnginePlacement(
         "e1", 7, 3, ["m2", "m2/a1"], [("m3", 2.5)], [("m4", 4.0)]
     )
+
+
+@pytest.mark.parametrize(("fence", "is_reached"), [(4, False), (5, True)])
+def test_a_start_records_its_first_plan(fence, is_reached):
+    """Guards against a plan of a former lease holder that counts as one."""
+    publisher, mesh, state = make_publisher()
+
+    async def scenario():
+        publisher.apply(fm.Placement(ME, 1, fence, []))
+
+    asyncio.run(scenario())
+    assert (start_steps.Step.PLAN in state.start_steps.reached_s) == is_reached
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -12,6 +12,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.gateway import start_steps
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
@@ -47,6 +48,7 @@
       versions: Software versions of the upstreams, also of those that left.
       fleet_demand, fleet_uses: Sums over all instances; known to the lease
         holder only.
+      start_steps: When this start could first do what.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "_instance",
         "_retry_budgets",
         "_rejection_limits",
+        "start_steps",
         "_change_event",
     )
 
@@ -84,6 +87,7 @@
         self.versions = version_history.VersionHistory()
         self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
         self.fleet_uses: dict[tuple[str, str], int] = {}
+        self.start_steps = start_steps.StartSteps()
         self._change_event = asyncio.Event()
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         # By service, the limit that its upstreams stated last, and when.
@@ -134,6 +138,7 @@
         """Records that the upstreams were read since the start."""
         if not self.has_upstream_list:
             self.has_upstream_list = True
+            self._record_start_step(start_steps.Step.UPSTREAMS)
             self.notify_change()
 
     def record_versions(self, now_s: float) -> None:
@@ -169,9 +174,15 @@
         routes = route_table.RouteTable(configuration.routes)
         self.configuration = configuration
         self.routes = routes
+        self._record_start_step(start_steps.Step.CONFIGURATION)
         self.notify_change()
         return True
 
+    def _record_start_step(self, step: start_steps.Step) -> None:
+        self.start_steps.record(step)
+        if self.is_ready:
+            self.start_steps.record(start_steps.Step.READY)
+
     def record_rejection_limit(
         self, service: str, limit: int | None, now_s: float
     ) -> bool:
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -81,6 +81,13 @@
                 {},
                 now_s - read_s,
             )
+        for step, reached_s in self._state.start_steps.reached_s.items():
+            metrics.set(
+                "sesamecross_start_step_seconds",
+                "Time from the beginning of the process to each step.",
+                {"step": step.value},
+                reached_s,
+            )
         counts = collections.Counter(
             known.reachability.state(now_s) for known in self._state.directory
         )
--- a/sesamecross/gateway/status_test.py
+++ b/sesamecross/gateway/status_test.py
@@ -49,3 +49,25 @@
     assert before is None
     assert round(at_once, 3) == 0.0
     assert round(later, 3) == 3.0
+
+
+def test_scrapes_tell_when_a_start_could_serve():
+    """Guards against a herd of starts that only logs could compare."""
+    state = state_lib.State(samples.INSTANCE)
+    handler = status.StatusHandler(state, metrics_lib.Metrics())
+
+    async def scenario() -> list[str]:
+        writer = _Writer()
+        state.mark_upstreams_listed()
+        state.offer_configuration(
+            serving.Configuration(1, (), (), serving.CallerLimits())
+        )
+        handler.handle(REQUEST, writer)
+        return writer.body.decode().splitlines()
+
+    lines = virtual_time_loop.VirtualTimeLoop().run_until_complete(scenario())
+    name = "sesamecross_start_step_seconds"
+    assert [line.split()[0] for line in lines if line.startswith(name)] == [
+        f'{name}{{step="{step}"}}'
+        for step in ("upstreams", "configuration", "ready")
+    ]
--- a/sesamecross/scripts/gateway.py
+++ b/sesamecross/scripts/gateway.py
@@ -12,6 +12,8 @@
 
 def _run(pending_signals: signals.PendingSignals) -> int:
     # Imported with signals deferred: see `signals.run_with_deferred_signals`.
+    # The first one is for its effect: it notes when the process began.
+    from sesamecross.runtime import process_start  # noqa: F401, I001
     import argparse
     import gc
 
