Registrar: a start whose write the store acknowledged does not pause

The registrar slept 0.25 to 0.5 s between any two tries, also after a write that succeeded, before it listed once more. Until an instance has joined it hears no plan, and none of its peers hears of it.

The store's answers are linearizable (PROTOCOL.md), so the list after an acknowledged write has it. Calls stay as they were, per start: two lists and one write; the list after the write can't go, as of two that start together only the later writer is sure to see the other; the first can't either: it shows the secret and the earlier start. After refusals, writes without an answer, and more than two writes (a list that doesn't show them), the pause stays.

registrar_test counts calls of a cold start of 67 and the wait of the first; with the pause the first joined later than at once, and the test failed.

--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -24,6 +24,9 @@
 INSTANCE_PREFIX = "instance/"
 SECRET_BYTES = 32
 RETRY_INTERVAL_S = 0.5
+# The secret and the registration. More writes of one start mean that the list
+# doesn't show them, and are not repeated without a pause.
+MAX_WRITES_WITHOUT_PAUSE = 2
 # A deployment whose first instance started longer ago is not new.
 NEW_DEPLOYMENT_MS = 10_000
 
@@ -73,20 +76,26 @@
         """Returns once this start is registered, however long that takes."""
         nonce = secrets.token_hex(8)
         is_first = True
+        writes = 0
         while True:
             records = await self._list_registrations()
             if records is not None:
                 if is_first:
                     is_first = False
                     self._warn_if_unclean_stop(records)
-                joined = await self._try_join(records, nonce)
-                if joined is not None:
+                outcome = await self._try_join(records, nonce)
+                if isinstance(outcome, JoinResult):
                     self._log.info(
                         "joined",
-                        incarnation=joined.me.incarnation,
-                        others=len(joined.others),
+                        incarnation=outcome.me.incarnation,
+                        others=len(outcome.others),
                     )
-                    return joined
+                    return outcome
+                writes += 1
+                is_written = isinstance(outcome, store.Appended)
+                if is_written and writes <= MAX_WRITES_WITHOUT_PAUSE:
+                    # The next list has it.
+                    continue
             await asyncio.sleep(RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.0))
 
     def _warn_if_unclean_stop(
@@ -120,13 +129,14 @@
 
     async def _try_join(
         self, records: dict[str, store.KeyedRecord], nonce: str
-    ) -> JoinResult | None:
+    ) -> JoinResult | store.AppendOutcome:
         if SECRET_KEY not in records:
             # The append is conditional on an empty topic: of all instances that
             # start at once, exactly one writes the secret.
             value = base64.b64encode(secrets.token_bytes(SECRET_BYTES))
-            await self._client.append(self._topic, SECRET_KEY, value, at=0)
-            return None
+            return await self._client.append(
+                self._topic, SECRET_KEY, value, at=0
+            )
         own_record = records.get(INSTANCE_PREFIX + self._instance.name)
         if own_record is not None:
             known = _decode(own_record.value)
@@ -144,7 +154,7 @@
         # The list is read again in any case: it may lack instances that started
         # at the same time, and a write without an answer may have taken effect.
         self._log.info("registered", outcome=str(outcome))
-        return None
+        return outcome
 
     def _join_result(
         self, records: dict[str, store.KeyedRecord], incarnation: int
--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -9,6 +9,7 @@
 
 from sesamecross.core import serving
 from sesamecross.fakes import samples
+from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import registrar
 from sesamecross.ports import store
 
@@ -117,3 +118,60 @@
     joined = asyncio.run(scenario())
     assert joined.secret == b"key"
     assert [member.name for member in joined.others] == ["front-2"]
+
+
+class _CountingStore(_Store):
+    """Counts calls, and leaves the first writes without an answer."""
+
+    def __init__(self, unanswered_writes: int, **values: bytes) -> None:
+        super().__init__(**values)
+        self.calls: list[str] = []
+        self._unanswered_writes = unanswered_writes
+
+    async def newest(self, topic, after):
+        self.calls.append("list")
+        return await super().newest(topic, after)
+
+    async def append(self, topic, key, value, at):
+        self.calls.append("write")
+        outcome = await super().append(topic, key, value, at)
+        if self.calls.count("write") <= self._unanswered_writes:
+            return store.Unknown("no answer")
+        return outcome
+
+
+@pytest.mark.parametrize(
+    ("unanswered_writes", "has_pause"), [(0, False), (1, True)]
+)
+def test_a_cold_start_of_all_instances_does_not_pause_to_join(
+    unanswered_writes, has_pause
+):
+    """Guards against a thundering herd that waits although the store answers.
+
+    Each start paused after its write, and no instance had a plan meanwhile.
+    After a write without an answer the pause stays: the store is busy.
+    """
+    client = _CountingStore(
+        unanswered_writes,
+        **{
+            registrar.SECRET_KEY: b"a2V5",
+            registrar.INSTANCE_PREFIX + "front-2": OTHER,
+        },
+    )
+    starting = [make_registrar(client, f"front-{n}") for n in range(1, 68)]
+
+    async def scenario() -> float:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        await starting[0].join()
+        first_joined_s = loop.time() - begun_s
+        assert client.calls == ["list", "write", "list"]
+        await asyncio.gather(*(one.join() for one in starting[1:]))
+        return first_joined_s
+
+    waited_s = virtual_time_loop.VirtualTimeLoop().run_until_complete(
+        scenario()
+    )
+    assert (waited_s > 0.0) == has_pause
+    assert client.calls.count("write") == len(starting)
+    assert client.calls.count("list") == 2 * len(starting)
