--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import math
 
+import msgspec
+
 from sesamecross.ops.fleet import placement_types as data
 
 # Time until the start or end of an adapter's use is reported through the hubs.
@@ -54,8 +55,7 @@
     return rounds * (MIN_STAY_S + WITHDRAW_SETTLE_S + request_s + CHANGE_S)
 
 
-@dataclasses.dataclass(slots=True)
-class _Wait:
+class _Wait(msgspec.Struct):
     """Since when an adapter is waited for, and when it was asked for last."""
 
     since_s: float
@@ -123,8 +123,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotPlan:
+class SlotPlan(msgspec.Struct, frozen=True):
     """What to do at one engine for the adapters that wait there.
 
     Attributes:
--- a/sesamecross/ops/fleet/adapter_slots_test.py
+++ b/sesamecross/ops/fleet/adapter_slots_test.py
@@ -1,7 +1,6 @@
 """Tests of how adapters share the places of an engine."""
 
-import dataclasses
-
+import msgspec
 import pytest
 
 from sesamecross.core import serving
@@ -42,10 +41,10 @@
     engine.inventory.loaded_s.update({f"m/{n}": s for n, s in held.items()})
     engine.inventory.unloading.update(f"m/{name}" for name in unloading)
     engine.inventory.loading.update(loading or {})
-    engine = dataclasses.replace(engine, is_leaving=is_leaving)
-    inputs = dataclasses.replace(
+    engine = msgspec.structs.replace(engine, is_leaving=is_leaving)
+    inputs = msgspec.structs.replace(
         placement_samples.inputs([engine], {}, {"e1": ["m"]}),
-        spec=dataclasses.replace(
+        spec=msgspec.structs.replace(
             placement_samples.spec(),
             adapter_slots=PLACES,
             models={"m": MODEL},
@@ -196,16 +195,16 @@
     """
     engine = placement_samples.engine("e1", "m", "n")
     engine.inventory.unloading.add("m/a1")
-    spec = dataclasses.replace(
+    spec = msgspec.structs.replace(
         placement_samples.spec(),
         weights_mb=2 * MODEL.weights_mb + 4.0,
         adapter_slots=PLACES,
         models={
             "m": MODEL,
-            "n": dataclasses.replace(MODEL, name="n", adapter_mb=10.0),
+            "n": msgspec.structs.replace(MODEL, name="n", adapter_mb=10.0),
         },
     )
-    inputs = dataclasses.replace(
+    inputs = msgspec.structs.replace(
         placement_samples.inputs([engine], {}, {"e1": ["m", "n"]}), spec=spec
     )
     plan = adapter_slots.plan(inputs, engine, ["m/a1", "n/a1"])
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -9,10 +9,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import enum
 import random
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import service_choice
@@ -55,8 +56,7 @@
     TAKEN = "taken"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     """An engine for a request, and what the request would meet there.
 
     Attributes:
