Versions: an instance that was frozen has no complete history

A version that served and left meanwhile was missing in it, so another could be taken for the only one.

The new row 'frozen for a while' failed before (complete) and passes.

--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -40,12 +40,14 @@
 class VersionHistory:
     """The versions that one instance has seen, and since when."""
 
-    __slots__ = ("_last_seen_s", "_complete_since_s")
+    __slots__ = ("_last_seen_s", "_complete_since_s", "_recorded_s")
 
     def __init__(self) -> None:
         # By service and version.
         self._last_seen_s: dict[tuple[str, str], float] = {}
         self._complete_since_s = math.inf
+        # When the known upstreams were last recorded.
+        self._recorded_s = math.inf
 
     def record_upstream(self, entry: serving.Upstream, now_s: float) -> None:
         """Records one upstream, which may be gone at the next record of all."""
@@ -66,9 +68,12 @@
         """
         for entry in upstreams:
             self.record_upstream(entry, now_s)
+        # A process that was frozen has news again before it notices.
+        is_frozen = now_s - self._recorded_s > MAX_UNREAD_S
+        self._recorded_s = now_s
         if read_s is None or now_s - read_s > MAX_UNREAD_S:
             self._complete_since_s = math.inf
-        elif self._complete_since_s == math.inf:
+        elif is_frozen or self._complete_since_s == math.inf:
             self._complete_since_s = now_s
 
     def mark_complete(self) -> None:
--- a/sesamecross/ops/fleet/version_history_test.py
+++ b/sesamecross/ops/fleet/version_history_test.py
@@ -91,6 +91,14 @@
             True,
             id="another service",
         ),
+        pytest.param(
+            [(0, [V1, V2], 0), (1, [V1, V2], 1), (40, [V2], 40)],
+            41,
+            True,
+            {"v2"},
+            False,
+            id="frozen for a while",
+        ),
     ],
 )
 def test_versions_that_can_have_begun_a_stream(
