Streams: the store says which versions may have begun them

Callers saw: all gateways killed at one moment and started again, engines and store live on: no stream under way ended; each resumption was refused until the caller's own time was over (nobody knows where the stream began). Nothing that the instances knew in memory was left, and one version that serves now does not show that no other began the stream.

The lease's holder keeps records of the versions in the topic of instances, which each start lists anyway, and a claim that they are complete; an instance that starts takes them over with the list of upstreams. Each write is conditional on the list on which it was decided. An instance that has not read them yet refuses at once, to come back after 0.25 s, and says so.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -32,6 +32,7 @@
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
 from sesamecross.gateway import upstream_connector
+from sesamecross.gateway import version_recorder
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import store_polling
@@ -202,13 +203,24 @@
         pacing = pacing_lib.Pacing(self.state, self.mesh, ticker)
         self.forwarder.search_context.pacing = pacing
         address = f"{instance.ip}:{instance.ports[0]}"
+        instances_topic = f"{adapter.own_topic_prefix}instances"
         self._registrar = registrar.Registrar(
             client,
-            f"{adapter.own_topic_prefix}instances",
+            instances_topic,
             instance,
             address,
             self._rng,
         )
+        proxy = store_proxy.StoreProxy(client, self.mesh)
+        recorder = version_recorder.VersionRecorder(
+            self.state,
+            version_recorder.RecordStore(
+                self._registrar, client, proxy, instances_topic
+            ),
+            origins,
+            lambda: self.lease.holds,
+            ticker,
+        )
         self._joiner = joiner.Joiner(
             self._registrar, self.mesh, instance, self.state
         )
@@ -257,6 +269,7 @@
             controller,
             pacing,
             origins,
+            recorder,
         ]
 
     def _build_report(self) -> fm.Report:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -37,6 +37,8 @@
 
 # Retry-after of a refusal when no better estimate is known.
 DEFAULT_RETRY_AFTER_S = 0.5
+# An instance that has just started knows more by then.
+EARLY_RETRY_AFTER_S = 0.25
 # How long requests wait for the first configuration and list of upstreams. Both
 # take a tenth of a second from a store that answers.
 START_WAIT_S = 0.5
@@ -373,6 +375,9 @@
             self._relay.on_stream_begun = self._on_stream_begun
             if self._is_resumed and not await self._find_origin():
                 self._note = "nobody knows where the stream began"
+                if self._lookup.is_early:
+                    self._note = "just started: not known where it began"
+                    self._retry_after_s = EARLY_RETRY_AFTER_S
                 return self._refuse(self._retry_after_s)
         return await self._run_attempts()
 
--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -6,9 +6,14 @@
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import registrar as registrar_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import version_records
+from sesamecross.ports import store
+from sesamecross.runtime import logs
 
 # How long a planned stop waits for the store.
 LEAVE_TIMEOUT_S = 0.5
+# How long a start waits for the list of upstreams before it registers.
+UPSTREAMS_WAIT_S = 0.25
 
 
 class Joiner:
@@ -28,6 +33,7 @@
         "_mesh",
         "_instance",
         "_state",
+        "_log",
     )
 
     def __init__(
@@ -42,14 +48,53 @@
         self._mesh = mesh
         self._instance = instance
         self._state = state
+        self._log = logs.get_logger("versions")
 
     async def run(self) -> None:
         """Registers, binds the datagram port and joins the mesh."""
-        joined = await self._registrar.join()
+        # The list that the registration reads anyway comes after that of
+        # upstreams, if the store is quick, and so is good for the versions too.
+        await self._wait_for_upstreams()
+        joined = await self._registrar.join(self._on_listed)
         await self._mesh.open(self._instance.ip, self._instance.ports[0])
         self._mesh.join(joined.me, joined.secret, joined.others)
         if joined.is_new_deployment:
             self._state.versions.mark_complete()
+        while not self._state.has_read_versions:
+            await self._read_versions()
+
+    async def _wait_for_upstreams(self) -> None:
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + UPSTREAMS_WAIT_S
+        while not self._state.has_upstream_list and loop.time() < until_s:
+            await self._state.wait_for_change(until_s - loop.time())
+
+    async def _read_versions(self) -> None:
+        """Lists the records once more, after the upstreams."""
+        await self._wait_for_upstreams()
+        if not self._state.has_upstream_list:
+            return
+        begun_s = asyncio.get_running_loop().time()
+        listed = await self._registrar.list_records()
+        if listed is None:
+            await asyncio.sleep(registrar_lib.RETRY_INTERVAL_S)
+            return
+        self._on_listed(listed.records, begun_s)
+
+    def _on_listed(
+        self, records: dict[str, store.KeyedRecord], begun_s: float
+    ) -> None:
+        if self._state.has_read_versions:
+            return
+        recorded = version_records.read_records(
+            records, registrar_lib.wall_clock_ms()
+        )
+        if self._state.restore_versions(recorded, begun_s):
+            self._log.info(
+                "read",
+                versions=len(recorded.offsets),
+                life_s=recorded.life_s,
+            )
 
     async def stop(self) -> None:
         """Removes the registration, if there is one."""
--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -27,6 +27,8 @@
 CURRENT_S = 2.0
 # Origins sent in one datagram when keepers change.
 MAX_ORIGINS_IN_MESSAGE = 200
+# The source of an origin that follows from the store's records, for the log.
+FROM_STORE = "only version, by the store's records"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,11 +39,13 @@
       origin: None if it is unknown.
       source: Who knows it, or why nobody does, for the log.
       age_s: Since when the source knows it.
+      is_early: Whether this instance has just started, and may know soon.
     """
 
     origin: stream_origins.StreamOrigin | None
     source: str
     age_s: float = 0.0
+    is_early: bool = False
 
 
 class _Query:
@@ -108,7 +112,7 @@
             await self._ticker.wait(SWEEP_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
             self._state.record_versions(now_s)
-            self._state.versions.forget(now_s - self._longest_life_s())
+            self._state.versions.forget(now_s - self._state.longest_life_s)
             live = list(self._table.live(now_s))
             self._metrics.set(
                 "sesamecross_stream_origins",
@@ -125,17 +129,9 @@
     async def stop(self) -> None:
         """Does nothing: others know the streams that began here."""
 
-    def _longest_life_s(self) -> float:
-        """For how long any stream may be resumed."""
-        configuration = self._state.configuration
-        routes = configuration.routes if configuration else ()
-        return max(
-            (stream_origins.life_s(route) for route in routes), default=0.0
-        )
-
     async def _adopt_history(self, now_s: float) -> None:
         """Learns from peers what served before this instance started."""
-        life_s = self._longest_life_s()
+        life_s = self._state.longest_life_s
         versions = self._state.versions
         configuration = self._state.configuration
         if (
@@ -273,7 +269,22 @@
             for service, theirs in _seen_by_service(reply).items():
                 if service in seen:
                     seen[service] = seen[service].plus(theirs)
-        return _only_version(seen)
+        return self._only_version(seen, life_s, loop.time())
+
+    def _only_version(
+        self,
+        seen: dict[str, version_history.SeenVersions],
+        life_s: float,
+        now_s: float,
+    ) -> Lookup:
+        """Returns the only version that can have begun it, if there is one."""
+        lookup = _only_version(seen)
+        if lookup.origin is None:
+            is_early = not (self._is_joined and self._state.has_read_versions)
+            return dataclasses.replace(lookup, is_early=is_early)
+        if self._state.versions.is_restored(life_s, now_s):
+            return dataclasses.replace(lookup, source=FROM_STORE)
+        return lookup
 
     def _own_lookup(
         self, known: stream_origins.KnownOrigin, now_s: float
@@ -294,7 +305,7 @@
     def _own_seen(
         self, services: Iterable[str], life_s: float, now_s: float
     ) -> dict[str, version_history.SeenVersions]:
-        is_current = self._is_current(now_s)
+        is_current = self.is_current(now_s)
         return {
             service: self._state.versions.seen(
                 service, life_s, now_s, is_current
@@ -302,7 +313,7 @@
             for service in services
         }
 
-    def _is_current(self, now_s: float) -> bool:
+    def is_current(self, now_s: float) -> bool:
         """Whether no peer can know an upstream that this instance does not.
 
         An instance that is cut off, alone or with its zone, does not see new
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import random
 import secrets
 import time
@@ -49,6 +50,17 @@
     is_new_deployment: bool = False
 
 
+class TopicList(msgspec.Struct, frozen=True):
+    """The records of the topic by key, and its end before they were read."""
+
+    records: dict[str, store.KeyedRecord]
+    end: int
+
+
+# Receives all records, and the loop time at which their list was asked for.
+RecordsListener = Callable[[dict[str, store.KeyedRecord], float], None]
+
+
 class Registrar:
     """Registers one start of this instance."""
 
@@ -69,13 +81,22 @@
         self._rng = rng
         self._log = logs.get_logger("registrar")
 
-    async def join(self) -> JoinResult:
-        """Returns once this start is registered, however long that takes."""
+    async def join(
+        self, on_listed: RecordsListener = lambda _records, _begun_s: None
+    ) -> JoinResult:
+        """Returns once this start is registered, however long that takes.
+
+        Args:
+          on_listed: Called with all records of each list.
+        """
         nonce = secrets.token_hex(8)
         is_first = True
         while True:
-            records = await self._list_registrations()
-            if records is not None:
+            begun_s = asyncio.get_running_loop().time()
+            listed = await self.list_records()
+            if listed is not None:
+                records = listed.records
+                on_listed(records, begun_s)
                 if is_first:
                     is_first = False
                     self._warn_if_unclean_stop(records)
@@ -105,17 +126,20 @@
                 incarnation=earlier.offset,
             )
 
-    async def _list_registrations(self) -> dict[str, store.KeyedRecord] | None:
+    async def list_records(self) -> TopicList | None:
+        """Lists the topic; None if the store does not answer."""
         found: dict[str, store.KeyedRecord] = {}
+        end: int | None = None
         after = ""
         while True:
             outcome = await self._client.newest(self._topic, after)
             if not isinstance(outcome, store.NewestPage):
                 self._log.warning("store does not answer", why=str(outcome))
                 return None
+            end = outcome.end if end is None else end
             found |= {record.key: record for record in outcome.records}
             if not outcome.has_more or not outcome.records:
-                return found
+                return TopicList(found, end)
             after = outcome.records[-1].key
 
     async def _try_join(
@@ -133,7 +157,7 @@
             if known is not None and known.nonce == nonce:
                 return self._join_result(records, own_record.offset)
         registration = _Registration(
-            self._instance.zone, self._address, nonce, _wall_clock_ms()
+            self._instance.zone, self._address, nonce, wall_clock_ms()
         )
         outcome = await self._client.append(
             self._topic,
@@ -179,7 +203,8 @@
         await self._client.append(self._topic, key, None, at=None)
 
 
-def _wall_clock_ms() -> int:
+def wall_clock_ms() -> int:
+    """Returns the time of day."""
     return int(time.time() * 1000)
 
 
@@ -197,7 +222,7 @@
     offsets = [record.offset for record in records.values()]
     return (
         max(offsets) < len(records)
-        and min(starts) >= _wall_clock_ms() - NEW_DEPLOYMENT_MS
+        and min(starts) >= wall_clock_ms() - NEW_DEPLOYMENT_MS
     )
 
 
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -15,7 +15,9 @@
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
+from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import version_history
+from sesamecross.ops.fleet import version_records
 
 # How long a stated limit on rejections holds without another response.
 REJECTION_LIMIT_TTL_S = 10.0
@@ -44,7 +46,12 @@
       upstreams_offset: Store offset up to which their entries are known.
       upstreams_read_s: Loop time at which they were last read, from the store
         or a peer; None before.
+      upstreams_listed_s: Loop time at which they were first known; None before.
       versions: Software versions of the upstreams, also of those that left.
+      has_read_versions: Whether the store's records of versions were read since
+        the start.
+      longest_life_s: For how long any stream may be resumed. It does not become
+        shorter, as older streams still live.
       fleet_demand, fleet_uses: Sums over all instances; known to the lease
         holder only.
     """
@@ -59,7 +66,10 @@
         "instance_count",
         "upstreams_offset",
         "upstreams_read_s",
+        "upstreams_listed_s",
         "versions",
+        "has_read_versions",
+        "longest_life_s",
         "fleet_demand",
         "fleet_uses",
         "_instance",
@@ -81,7 +91,10 @@
         self.instance_count: int | None = None
         self.upstreams_offset = -1
         self.upstreams_read_s: float | None = None
+        self.upstreams_listed_s: float | None = None
         self.versions = version_history.VersionHistory()
+        self.has_read_versions = False
+        self.longest_life_s = 0.0
         self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
         self.fleet_uses: dict[tuple[str, str], int] = {}
         self._change_event = asyncio.Event()
@@ -134,8 +147,34 @@
         """Records that the upstreams were read since the start."""
         if not self.has_upstream_list:
             self.has_upstream_list = True
+            self.upstreams_listed_s = asyncio.get_running_loop().time()
             self.notify_change()
 
+    def restore_versions(
+        self, recorded: version_records.RecordedVersions, begun_s: float
+    ) -> bool:
+        """Takes over the store's records of versions.
+
+        Args:
+          recorded: The records.
+          begun_s: Loop time at which their list was asked for.
+
+        Returns:
+          False if the list is too old: a version that left between it and the
+          list of upstreams would be missing in both.
+        """
+        if self.upstreams_listed_s is None or begun_s < self.upstreams_listed_s:
+            return False
+        self.extend_life(recorded.life_s)
+        now_s = asyncio.get_running_loop().time()
+        self.versions.restore(recorded.offsets, recorded.life_s, now_s)
+        self.has_read_versions = True
+        return True
+
+    def extend_life(self, life_s: float) -> None:
+        """Takes note that streams may be resumed for that long."""
+        self.longest_life_s = max(self.longest_life_s, life_s)
+
     def record_versions(self, now_s: float) -> None:
         """Records the software versions of the upstreams known now."""
         self.versions.record(
@@ -169,6 +208,8 @@
         routes = route_table.RouteTable(configuration.routes)
         self.configuration = configuration
         self.routes = routes
+        for route in configuration.routes:
+            self.extend_life(stream_origins.life_s(route))
         self.notify_change()
         return True
 
--- a/sesamecross/gateway/stream_origin_simulation_test.py
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -18,9 +18,13 @@
 from sesamecross.fakes import samples
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import origin_registry
+from sesamecross.gateway import registrar
 from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import version_recorder
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import stream_origins
+from sesamecross.ops.fleet import version_records
+from sesamecross.ports import store
 from sesamecross.runtime import metrics as metrics_lib
 
 SERVICE = "s"
@@ -46,6 +50,8 @@
 MIN_ENGINES = 2
 DATAGRAM_LOSS = 0.01
 MAX_RECORD_BYTES = 160
+STORE_ANSWERS_S = 0.005
+CALLER_RETRY_S = 0.1
 
 
 CONFIGURATION = serving.Configuration(
@@ -139,6 +145,29 @@
                 listener(fm.decode(data))
 
 
+class Records:
+    """The store's records of versions."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[str, store.KeyedRecord] = {}
+        self.end = 0
+
+    async def list_records(self) -> registrar.TopicList:
+        return registrar.TopicList(dict(self.by_key), self.end)
+
+    async def append(self, write: version_records.Write) -> store.AppendOutcome:
+        await asyncio.sleep(STORE_ANSWERS_S)
+        if write.at != self.end:
+            return store.Conflict(self.end)
+        self.by_key.pop(write.key, None)
+        if write.value is not None:
+            self.by_key[write.key] = store.KeyedRecord(
+                write.key, write.value, self.end
+            )
+        self.end += 1
+        return store.Appended(self.end - 1)
+
+
 class _Mesh:
     """What the registry uses of a mesh."""
 
@@ -190,14 +219,34 @@
             self.state.directory.update_entry(engine)
         self.state.record_versions(now_s)
         self.mesh = _Mesh(self, now_s)
+        self.state.mark_upstreams_listed()
+        recorded = version_records.read_records(
+            fleet.records.by_key, registrar.wall_clock_ms()
+        )
+        self.state.restore_versions(recorded, now_s)
         self.registry = origin_registry.OriginRegistry(
             self.state, self.mesh, metrics_lib.Metrics()
         )
-        self._running = asyncio.create_task(self.registry.run())
+        recorder = version_recorder.VersionRecorder(
+            self.state, fleet.records, self.registry, self._is_writer
+        )
+        self._running = [
+            asyncio.create_task(one.run()) for one in (self.registry, recorder)
+        ]
+
+    def _is_writer(self) -> bool:
+        """Whether it is the first that is in touch with the store."""
+        in_touch = [
+            one.name
+            for one in self.fleet.instances.values()
+            if one.is_alive and not self.fleet.is_cut(one.zone)
+        ]
+        return self.name == min(in_touch, default="")
 
     def kill(self) -> None:
         self.is_alive = False
-        self._running.cancel()
+        for task in self._running:
+            task.cancel()
 
     def choose(
         self, origin: stream_origins.StreamOrigin | None
@@ -223,6 +272,7 @@
         self.case = case
         self.rng = random.Random(case.seed)
         self.network = Network(self)
+        self.records = Records()
         self.engines: dict[str, serving.Upstream] = {}
         # Those that answer; an entry may outlive its engine.
         self.running: set[str] = set()
@@ -359,10 +409,13 @@
             )
             await asyncio.sleep(ROLL_GAP_S / 2)
 
-    def _living(self) -> Instance:
-        return self.rng.choice(
-            [one for one in self.instances.values() if one.is_alive]
-        )
+    async def _living(self) -> Instance:
+        """Returns a live instance; waits for one if all are killed."""
+        while True:
+            living = [one for one in self.instances.values() if one.is_alive]
+            if living:
+                return self.rng.choice(living)
+            await asyncio.sleep(CALLER_RETRY_S)
 
     # -- streams -------------------------------------------------------
 
@@ -380,7 +433,7 @@
 
     async def stream(self, attempt_id: str) -> None:
         """Serves one stream, with up to two resumptions by its caller."""
-        instance = self._living()
+        instance = await self._living()
         engine = instance.choose(None)
         self._record(False, engine is not None)
         if engine is None:
@@ -391,7 +444,7 @@
         for tries in range(2):
             await self._until_broken(instance, engine)
             await asyncio.sleep(self.rng.uniform(0.02, 0.5))
-            instance = self._living()
+            instance = await self._living()
             request = serving.Request(
                 b"POST",
                 b"/a/",
@@ -510,6 +563,36 @@
     assert (lowest_ratio(fleet) >= MIN_GOES_ON) is goes_on
 
 
+ALL_KILLED = [
+    Case(8, releases=(), kills=((14.0, 1.0),), long_streams=True),
+    Case(8, releases=(), kills=((12.0, 1.0), (15.0, 1.0), (22.0, 1.0)), seed=1),
+    Case(8, releases=(), kills=((12.0, 1.0),), names_attempt=False, seed=2),
+    Case(87, 20, 25.0, (), ((14.0, 1.0),), seed=3),
+]
+
+
+@pytest.mark.parametrize("case", ALL_KILLED, ids=str)
+def test_streams_of_the_only_version_outlive_all_instances(case):
+    """Guards against streams that nobody can place after a common kill."""
+    fleet = play(case)
+    assert fleet.mixed == 0
+    assert lowest_ratio(fleet) >= MIN_GOES_ON
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize(
+    "releases", [((6.0, "v2"),), ((12.5, "v2"),), BACK], ids=str
+)
+def test_no_stream_of_two_versions_after_all_instances_were_killed(
+    releases, seed
+):
+    """Guards against the version that is left, taken for the only one."""
+    kills = ((13.0, 1.0), (21.0, 1.0), (23.0, 1.0))
+    fleet = play(Case(8, releases=releases, kills=kills, seed=seed))
+    assert fleet.mixed == 0
+    assert fleet.why
+
+
 @pytest.mark.parametrize("instances", [8, 87, 195])
 def test_messages_of_a_stream_do_not_grow_with_the_fleet(instances):
     """Guards against records and questions that all instances get."""
--- a/sesamecross/ops/fleet/stream_origins.py
+++ b/sesamecross/ops/fleet/stream_origins.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 import dataclasses
 import hashlib
+import math
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
@@ -67,6 +68,13 @@
     return route.timeout_s * LIFE_TIMEOUTS
 
 
+def bounded_life_s(life_s: float) -> float:
+    """Returns a life that another process stated, within bounds."""
+    if math.isnan(life_s):
+        return 0.0
+    return min(max(life_s, 0.0), MAX_LIFE_S)
+
+
 def stream_key(host: str, attempt_id: str) -> bytes:
     """Returns the key of a stream, of the same size for ids of any length.
 
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -12,6 +12,7 @@
 import math
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import stream_origins
 
 # An instance that reads no news of upstreams for longer may miss a version that
 # came and left meanwhile.
@@ -40,12 +41,19 @@
 class VersionHistory:
     """The versions that one instance has seen, and since when."""
 
-    __slots__ = ("_last_seen_s", "_complete_since_s", "_recorded_s")
+    __slots__ = (
+        "_last_seen_s",
+        "_complete_since_s",
+        "_restored_s",
+        "_recorded_s",
+    )
 
     def __init__(self) -> None:
         # By service and version.
         self._last_seen_s: dict[tuple[str, str], float] = {}
         self._complete_since_s = math.inf
+        # When the store's records were taken over.
+        self._restored_s = -math.inf
         # When the known upstreams were last recorded.
         self._recorded_s = math.inf
 
@@ -101,6 +109,45 @@
                 self._last_seen_s[service, version] = now_s
         self._complete_since_s = min(self._complete_since_s, now_s - life_s)
 
+    def restore(
+        self,
+        origins: Iterable[stream_origins.StreamOrigin],
+        life_s: float,
+        now_s: float,
+    ) -> None:
+        """Takes over the store's records, for an instance that has started.
+
+        Args:
+          origins: The versions that are recorded.
+          life_s: They are all that served for that time; 0 if it is unknown.
+          now_s: Monotonic time.
+        """
+        self.record_origins(origins, now_s)
+        if life_s > 0:
+            self._restored_s = now_s
+            self._complete_since_s = min(self._complete_since_s, now_s - life_s)
+
+    def record_origins(
+        self, origins: Iterable[stream_origins.StreamOrigin], now_s: float
+    ) -> None:
+        """Records versions that another instance has seen."""
+        for origin in origins:
+            self._last_seen_s[origin.service, origin.version] = now_s
+
+    def is_restored(self, life_s: float, now_s: float) -> bool:
+        """Whether the store's records tell of a part of that time."""
+        return now_s - self._restored_s < life_s
+
+    def seen_of_all(
+        self, life_s: float, now_s: float
+    ) -> frozenset[stream_origins.StreamOrigin]:
+        """Returns the versions of all services seen in that time."""
+        return frozenset(
+            stream_origins.StreamOrigin(service, version)
+            for (service, version), at_s in self._last_seen_s.items()
+            if now_s - at_s <= life_s
+        )
+
     def seen(
         self, service: str, life_s: float, now_s: float, is_current: bool
     ) -> SeenVersions:
--- /dev/null
+++ b/sesamecross/ops/fleet/version_records.py
@@ -0,0 +1,302 @@
+"""Which software versions may have begun a stream, as kept in the store.
+
+If all instances are killed at the same moment, only the store knows what served
+before. One instance, the writer, keeps a record there of each version that may
+have begun a stream that can still be resumed, and one that says that these are
+all. An instance that starts reads both, together with the list of instances.
+
+A version is recorded when it is first seen, and dropped once it has not served
+for longer than any stream may live. Each write is conditional on the list on
+which it was decided, so that of two writers, and of a write that arrives late,
+nothing takes effect that another write has overtaken.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import hashlib
+
+import msgspec
+
+from sesamecross.ops.fleet import stream_origins
+from sesamecross.ports import store
+
+# Listed before the versions: they are complete if this was there before them.
+COMPLETE_KEY = "complete-versions"
+VERSION_PREFIX = "version/"
+# How often the record of completeness is written again.
+RENEWAL_INTERVAL_S = 20.0
+# An older one may have been followed by software that keeps no such records.
+# Clocks of instances differ by seconds.
+MAX_AGE_S = 90.0
+_DIGEST_BYTES = 16
+
+Origin = stream_origins.StreamOrigin
+
+
+class _VersionRecord(msgspec.Struct, frozen=True):
+    """A version that may have begun a stream."""
+
+    service: str
+    version: str
+
+
+class _CompleteRecord(msgspec.Struct, frozen=True):
+    """States that all versions are recorded.
+
+    Attributes:
+      life_s: For how long a stream may have lived that one of them began.
+      written_ms: Wall-clock time.
+    """
+
+    life_s: float
+    written_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedVersions:
+    """What the store holds.
+
+    Attributes:
+      offsets: By version, the offset of its record.
+      life_s: Any stream that began in so long a time is of one of them; 0 if
+        that is not known.
+    """
+
+    offsets: Mapping[Origin, int]
+    life_s: float
+
+
+def read_records(
+    records: Mapping[str, store.KeyedRecord], wall_ms: int
+) -> RecordedVersions:
+    """Decodes the records of versions among those of the topic.
+
+    Args:
+      records: By key.
+      wall_ms: Wall-clock time.
+    """
+    offsets = {}
+    is_readable = True
+    for key, record in records.items():
+        if not key.startswith(VERSION_PREFIX):
+            continue
+        known = _decode(record.value, _VersionRecord)
+        if known is None:
+            is_readable = False
+        else:
+            offsets[Origin(known.service, known.version)] = record.offset
+    life_s = 0.0
+    complete = records.get(COMPLETE_KEY)
+    if is_readable and complete is not None:
+        life_s = _complete_life_s(complete.value, wall_ms)
+    return RecordedVersions(offsets, life_s)
+
+
+def _complete_life_s(value: bytes | None, wall_ms: int) -> float:
+    known = _decode(value, _CompleteRecord)
+    if known is None:
+        return 0.0
+    age_s = (wall_ms - known.written_ms) / 1000
+    if abs(age_s) > MAX_AGE_S:
+        return 0.0
+    return stream_origins.bounded_life_s(known.life_s)
+
+
+def _decode(value: bytes | None, kind: type):
+    if value is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(value, type=kind)
+    except (msgspec.MsgspecError, RecursionError):
+        # RecursionError: the record is nested deeply.
+        return None
+
+
+def version_key(origin: Origin) -> str:
+    """Returns a version's key, of the same size for names of any length."""
+    text = f"{origin.service}\0{origin.version}".encode()
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
+    return VERSION_PREFIX + digest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """What the writer has seen itself.
+
+    Attributes:
+      served: The versions of all upstreams known now.
+      seen: Those that served within the longest life of a stream.
+      life_s: That life.
+      is_complete: Whether the writer would have seen any other.
+    """
+
+    served: frozenset[Origin]
+    seen: frozenset[Origin]
+    life_s: float
+    is_complete: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadTopic:
+    """The topic is to be listed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteVersion:
+    """A version is to be recorded, if the topic ends at `at`."""
+
+    origin: Origin
+    at: int
+
+    @property
+    def key(self) -> str:
+        """The record's key."""
+        return version_key(self.origin)
+
+    @property
+    def value(self) -> bytes:
+        """The record's value."""
+        return msgspec.msgpack.encode(
+            _VersionRecord(self.origin.service, self.origin.version)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropVersion:
+    """A version's record is to be removed, if the topic ends at `at`."""
+
+    origin: Origin
+    at: int
+
+    @property
+    def key(self) -> str:
+        """The record's key."""
+        return version_key(self.origin)
+
+    @property
+    def value(self) -> None:
+        """No value removes the record."""
+        return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteComplete:
+    """It is to be recorded that no version lacks, if the topic ends at `at`."""
+
+    life_s: float
+    written_ms: int
+    at: int
+
+    @property
+    def key(self) -> str:
+        """The record's key."""
+        return COMPLETE_KEY
+
+    @property
+    def value(self) -> bytes:
+        """The record's value."""
+        return msgspec.msgpack.encode(
+            _CompleteRecord(self.life_s, self.written_ms)
+        )
+
+
+Write = WriteVersion | DropVersion | WriteComplete
+
+
+class VersionWriter:
+    """Decides what the writer reads and writes next.
+
+    For one term: an instance that becomes the writer again starts anew.
+    """
+
+    __slots__ = ("_end", "_offsets", "_served", "_complete")
+
+    def __init__(self) -> None:
+        # The end of the topic that `_offsets` belong to; None if it must be
+        # listed.
+        self._end: int | None = None
+        self._offsets: dict[Origin, int] | None = None
+        self._served: frozenset[Origin] | None = None
+        # The life and time of the last record of completeness.
+        self._complete: tuple[float, float] | None = None
+
+    def next_action(
+        self, observed: Observed, now_s: float, wall_ms: int
+    ) -> ReadTopic | Write | None:
+        """Returns what to do now; None if the records are as they should be."""
+        self._note_served(observed.served)
+        if self._offsets is None:
+            return ReadTopic()
+        write = self._next_write(observed, now_s, wall_ms)
+        if write is not None and self._end is None:
+            return ReadTopic()
+        return write
+
+    def _note_served(self, served: frozenset[Origin]) -> None:
+        """Has versions recorded again that appear, also after a time away.
+
+        The write overtakes one that would drop the record.
+        """
+        if self._served is not None and self._offsets is not None:
+            for origin in served - self._served:
+                self._offsets.pop(origin, None)
+        self._served = served
+
+    def _next_write(
+        self, observed: Observed, now_s: float, wall_ms: int
+    ) -> Write | None:
+        at = -1 if self._end is None else self._end
+        recorded = self._offsets.keys()
+        for origin in _sorted(observed.seen - recorded):
+            return WriteVersion(origin, at)
+        if not observed.is_complete:
+            return None
+        for origin in _sorted(recorded - observed.seen):
+            return DropVersion(origin, at)
+        if self._is_renewal_due(observed.life_s, now_s):
+            return WriteComplete(observed.life_s, wall_ms, at)
+        return None
+
+    def _is_renewal_due(self, life_s: float, now_s: float) -> bool:
+        if self._complete is None:
+            return True
+        known_life_s, at_s = self._complete
+        return known_life_s != life_s or now_s - at_s >= RENEWAL_INTERVAL_S
+
+    def on_listed(
+        self, recorded: RecordedVersions, end: int
+    ) -> frozenset[Origin]:
+        """Takes a list of the topic.
+
+        Returns:
+          The versions whose records are new to this writer. Somebody has seen
+          them, so they count as seen now.
+        """
+        before = self._offsets or {}
+        self._offsets = dict(recorded.offsets)
+        self._end = end
+        return frozenset(
+            origin
+            for origin, offset in self._offsets.items()
+            if before.get(origin) != offset
+        )
+
+    def on_written(self, write: Write, offset: int, now_s: float) -> None:
+        """Takes note of a write that took effect."""
+        self._end = offset + 1
+        match write:
+            case WriteVersion(origin=origin):
+                self._offsets[origin] = offset
+            case DropVersion(origin=origin):
+                self._offsets.pop(origin, None)
+            case WriteComplete(life_s=life_s):
+                self._complete = (life_s, now_s)
+
+    def on_not_written(self) -> None:
+        """Takes note of a write that did not take effect, or perhaps did."""
+        self._end = None
+
+
+def _sorted(origins: Iterable[Origin]) -> list[Origin]:
+    return sorted(origins, key=lambda one: (one.service, one.version or ""))
