Streams: a life that is no number does not keep an origin

A peer's record with a life of nan never expired (no comparison holds) and stayed until it was evicted. The test's case nan failed before; too long, and negative ones passed.

--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -382,7 +382,7 @@
                         one.key,
                         stream_origins.StreamOrigin(one.service, one.version),
                         now_s,
-                        min(one.life_s, stream_origins.MAX_LIFE_S),
+                        stream_origins.bounded_life_s(one.life_s),
                     )
             case fm.OriginQuery():
                 self._mesh.send(self._reply(message), message.me)
--- a/sesamecross/gateway/stream_origin_simulation_test.py
+++ b/sesamecross/gateway/stream_origin_simulation_test.py
@@ -617,6 +617,35 @@
     assert fleet.network.largest["OriginRecord"] <= MAX_RECORD_BYTES
 
 
+@pytest.mark.parametrize(
+    ("life_s", "is_known"),
+    [(LIFE_S, True), (float("nan"), False), (-1.0, False), (1e300, False)],
+)
+def test_an_origin_lives_no_longer_than_any_stream(life_s, is_known):
+    """Guards against a peer whose origins stay until they are evicted."""
+
+    async def scenario() -> int:
+        fleet = Fleet(Case(2))
+        for number in range(2):
+            fleet.start_instance(number, 1)
+        here, there = fleet.instances.values()
+        key = stream_origins.stream_key(HOST, "1")
+        origin = fm.Origin(key, SERVICE, "v1", life_s)
+        message = fm.OriginRecord(there.member, 1, [origin])
+        for listener in here.mesh.listeners:
+            listener(fm.decode(fm.encode(message)))
+        table = here.registry._table
+        now_s = asyncio.get_running_loop().time()
+        if is_known:
+            return len(list(table.live(now_s)))
+        return len(list(table.live(now_s + stream_origins.MAX_LIFE_S)))
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        assert runner.run(scenario()) == is_known
+
+
 @pytest.mark.parametrize("records_meanwhile", [False, True])
 def test_an_instance_that_restarts_is_told_of_the_streams_it_keeps(
     records_meanwhile,
