--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -15,7 +15,6 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import version_history
-from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -97,7 +96,6 @@
         self._mesh = mesh
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
-        self._log = logs.get_logger("origins")
         self._table = stream_origins.OriginTable()
         self._queries: dict[int, _Query] = {}
         self._ring = stream_origins.KeeperRing(())
