Sync: names of instances that failed are forgotten

SyncPuller kept each name that it had ever avoided. The new test saw 100 names after 100 failures over 50 s before; at most those of the last 2 s now.

--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -258,6 +258,11 @@
         except (streams.StreamClosedError, TimeoutError) as error:
             self._close_stream()
             now_s = asyncio.get_running_loop().time()
+            self._avoided_until_s = {
+                name: until_s
+                for name, until_s in self._avoided_until_s.items()
+                if until_s > now_s
+            }
             self._avoided_until_s[source.name] = now_s + AVOID_S
             self._log.warning(
                 "no answer", source=source.name, why=str(error) or "timeout"
--- a/sesamecross/gateway/sync_test.py
+++ b/sesamecross/gateway/sync_test.py
@@ -204,6 +204,28 @@
     assert asked == ["hub", "other"]
 
 
+def test_only_sources_that_failed_just_now_are_remembered():
+    """Guards against names that are kept for the process's life."""
+    loop = virtual_time_loop.VirtualTimeLoop()
+    mesh = _Mesh()
+    unused = types.SimpleNamespace(replace_read=lambda: None)
+    state = state_lib.State(samples.INSTANCE)
+    puller = sync.SyncPuller(mesh, state, None, unused, unused)
+
+    async def refuse(*_: object) -> sync.SyncAnswer:
+        raise streams.StreamRefusedError("refused")
+
+    async def scenario() -> None:
+        for number in range(100):
+            await puller._pull(member(f"front-{number}", 20))
+            await asyncio.sleep(sync.AVOID_S / 4)
+
+    puller._request = refuse
+    loop.run_until_complete(scenario())
+    loop.close()
+    assert len(puller._avoided_until_s) <= 5
+
+
 def test_an_upstream_that_left_is_learned_from_a_peer_that_has_just_started():
     """Guards against an entry that is kept as its deletion was never listed."""
     loop = virtual_time_loop.VirtualTimeLoop()
