--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -135,7 +135,7 @@
             self._add_engine(VERSIONS[0])
         self._add(platform_site.DESK)
         for gateway in self._gateways:
-            gateway._store_address = self._store.server.address
+            gateway.store_address = self._store.server.address
             gateway.start()
         for gateway in self._gateways:
             gateway.wait_ready()
@@ -325,9 +325,7 @@
     def _stream(self, rng: random.Random) -> None:
         stream = _Stream()
         until_s = time.monotonic() + STREAM_DEADLINE_S
-        tries = 0
         while not stream.is_complete and time.monotonic() < until_s:
-            tries += 1
             before = len(stream.numbers)
             self._try_stream(rng, stream)
             if before and len(stream.numbers) > before:
--- a/sesamecross/fakes/platform_instance.py
+++ b/sesamecross/fakes/platform_instance.py
@@ -58,7 +58,11 @@
 
 
 class PlatformInstance:
-    """One gateway process and its settings file."""
+    """One gateway process and its settings file.
+
+    Attributes:
+      store_address: Written into the settings at each start.
+    """
 
     def __init__(
         self,
@@ -69,7 +73,7 @@
         self.name = name
         self._host = unused_loopback_host()
         self._path = directory / "node.toml"
-        self._store_address = store_address
+        self.store_address = store_address
         self._log_path = directory / "gateway.log"
         self._process: processes.Process | None = None
 
@@ -111,7 +115,7 @@
                     "leaseMs": 3000,
                     "reuseAfterS": 2,
                 },
-                "platform": {"address": self._store_address, "form": "log"},
+                "platform": {"address": self.store_address, "form": "log"},
             }
         )
 
