--- a/sesamecross/ops/fleet/stream_origins.py
+++ b/sesamecross/ops/fleet/stream_origins.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import hashlib
+import math
 
 import msgspec
 
@@ -66,6 +67,13 @@
     return route.timeout_s * LIFE_TIMEOUTS
 
 
+def bounded_life_s(life_s: float) -> float:
+    """Returns a life that another process stated, within bounds."""
+    if math.isnan(life_s):
+        return 0.0
+    return min(max(life_s, 0.0), MAX_LIFE_S)
+
+
 def stream_key(host: str, attempt_id: str) -> bytes:
     """Returns the key of a stream, of the same size for ids of any length.
 
--- a/sesamecross/ops/fleet/version_history.py
+++ b/sesamecross/ops/fleet/version_history.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import stream_origins
 
 # An instance that reads no news of upstreams for longer may miss a version that
 # came and left meanwhile.
@@ -40,12 +41,21 @@
 class VersionHistory:
     """The versions that one instance has seen, and since when."""
 
-    __slots__ = ("_last_seen_s", "_complete_since_s")
+    __slots__ = (
+        "_last_seen_s",
+        "_complete_since_s",
+        "_restored_s",
+        "_recorded_s",
+    )
 
     def __init__(self) -> None:
         # By service and version.
         self._last_seen_s: dict[tuple[str, str], float] = {}
         self._complete_since_s = math.inf
+        # When the store's records were taken over.
+        self._restored_s = -math.inf
+        # When the known upstreams were last recorded.
+        self._recorded_s = math.inf
 
     def record_upstream(self, entry: serving.Upstream, now_s: float) -> None:
         """Records one upstream, which may be gone at the next record of all."""
@@ -66,9 +76,12 @@
         """
         for entry in upstreams:
             self.record_upstream(entry, now_s)
+        # A process that was frozen has news again before it notices.
+        is_frozen = now_s - self._recorded_s > MAX_UNREAD_S
+        self._recorded_s = now_s
         if read_s is None or now_s - read_s > MAX_UNREAD_S:
             self._complete_since_s = math.inf
-        elif self._complete_since_s == math.inf:
+        elif is_frozen or self._complete_since_s == math.inf:
             self._complete_since_s = now_s
 
     def mark_complete(self) -> None:
@@ -96,6 +109,45 @@
                 self._last_seen_s[service, version] = now_s
         self._complete_since_s = min(self._complete_since_s, now_s - life_s)
 
+    def restore(
+        self,
+        origins: Iterable[stream_origins.StreamOrigin],
+        life_s: float,
+        now_s: float,
+    ) -> None:
+        """Takes over the store's records, for an instance that has started.
+
+        Args:
+          origins: The versions that are recorded.
+          life_s: They are all that served for that time; 0 if it is unknown.
+          now_s: Monotonic time.
+        """
+        self.record_origins(origins, now_s)
+        if life_s > 0:
+            self._restored_s = now_s
+            self._complete_since_s = min(self._complete_since_s, now_s - life_s)
+
+    def record_origins(
+        self, origins: Iterable[stream_origins.StreamOrigin], now_s: float
+    ) -> None:
+        """Records versions that another instance has seen."""
+        for origin in origins:
+            self._last_seen_s[origin.service, origin.version] = now_s
+
+    def is_restored(self, life_s: float, now_s: float) -> bool:
+        """Whether the store's records tell of a part of that time."""
+        return now_s - self._restored_s < life_s
+
+    def seen_of_all(
+        self, life_s: float, now_s: float
+    ) -> frozenset[stream_origins.StreamOrigin]:
+        """Returns the versions of all services seen in that time."""
+        return frozenset(
+            stream_origins.StreamOrigin(service, version)
+            for (service, version), at_s in self._last_seen_s.items()
+            if now_s - at_s <= life_s
+        )
+
     def seen(
         self, service: str, life_s: float, now_s: float, is_current: bool
     ) -> SeenVersions:
