Pacer: an engine that reads slowly is admitted what it reads

Callers saw (fleet trial, 45 engines at 0.31 of the speed of the deployment's, 67 gateways): a turn after 1.8 s of the 2.4 s for which they wait, then nothing; 396 of 563 such requests were left by their callers. Real engines, on real clocks, are of any speed.

Cause: the pacer's rate, 25,000 tokens a second, is what the first deployments' engines read. With a slower one the unread tokens are at their limit, and the time of a turn is still foretold by the constant: callers are kept for a turn that comes when they leave.

Now the speed is measured while the unread tokens are at their limit, as only then the engine always has a prompt to read. A pacer remembers it for 30 s without requests.

Tests: a release tells its time; no assertion is changed.

--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -31,6 +31,8 @@
 # detector has noticed whether it is alive.
 AVOID_S = roster_lib.LIVENESS_TIMEOUT_S
 SWEEP_INTERVAL_S = 0.25
+# How long a pacer without requests remembers how fast its engine reads.
+IDLE_PACER_TTL_S = 30.0
 # Retry delay of a request that needs a permit while no pacer answers: until the
 # failure detector has noticed, and another one is asked.
 NO_PACER_RETRY_AFTER_S = 1.0
@@ -80,6 +82,8 @@
         self._mesh = mesh
         self._ticker = ticker or ticker_lib.Ticker()
         self._pacers: dict[str, pacer_lib.Pacer | slot_limiter.SlotLimiter] = {}
+        # When each of them last had a request.
+        self._used_s: dict[str, float] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
             int, asyncio.Future[fm.AdmissionReply]
@@ -105,10 +109,13 @@
         """
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
+            now_s = asyncio.get_running_loop().time()
             for upstream in list(self._pacers):
-                self._grant(upstream)
-                if self._pacers[upstream].is_idle:
-                    del self._pacers[upstream]
+                if not self._pacers[upstream].is_idle:
+                    self._used_s[upstream] = now_s
+                    self._grant(upstream)
+                elif now_s - self._used_s[upstream] >= IDLE_PACER_TTL_S:
+                    del self._pacers[upstream], self._used_s[upstream]
 
     async def stop(self) -> None:
         """Redirects all waiting admission requests to the next pacer.
@@ -352,7 +359,8 @@
             case fm.AdmissionRelease(me=me, number=number, upstream=upstream):
                 pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    pacer.release((me.name, number))
+                    now_s = asyncio.get_running_loop().time()
+                    pacer.release((me.name, number), now_s)
                     self._grant(upstream)
             case fm.AdmissionReply(me=me, number=number, verdict=verdict):
                 if verdict is fm.AdmissionDecision.LEAVING:
@@ -380,6 +388,7 @@
                 else slot_limiter.SlotLimiter()
             )
             self._pacers[upstream] = pacer
+        self._used_s[upstream] = now_s
         key = (message.me.name, message.number)
         decisions = pacer.request(
             key,
