Adapters: a wait goes on when the engine takes orders again

A request that had waited for the end of a model's load was refused at that very moment: from then on its engine counted as one with a free place, for which the wait was over long ago.

Without a wait before, nothing changes.

Failed before: engine_search_test:: test_a_caller_is_not_refused_when_the_engine_takes_orders_again (refused).

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -322,7 +322,11 @@
         ready_s = choice.adapter_ready_s
         match choice.adapter_place:
             case engine_choice.AdapterPlace.FREE:
-                return wait_policy.decide_adapter(request_times, now_s)
+                decision = wait_policy.decide_adapter(request_times, now_s)
+                ready_s = self._planned_arrival_s
+                if isinstance(decision, wait_policy.Wait) or ready_s is None:
+                    return decision
+                # What it has waited for has come: the adapter is loaded next.
             case engine_choice.AdapterPlace.BUSY if (
                 ready_s is None or ready_s < now_s - wait_policy.OVERDUE_S
             ):
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -378,6 +378,14 @@
             4.8 + engine_choice.ADAPTER_LOAD_S,
             wait_policy.Limit.ENGINE_BUSY,
         ),
+        # There is a place, and no load comes.
+        (
+            ["a1"],
+            {},
+            4.5 * wait_policy.ADAPTER_WAIT_SHARE,
+            wait_policy.ADAPTER_RETRY_AFTER_S,
+            wait_policy.Limit.ADAPTER_NOT_LOADED,
+        ),
         # The load is overdue and may end at any time: a share of the time.
         (
             ["a1"],
@@ -443,3 +451,25 @@
     )
     assert searches.loop.run_until_complete(search.find(frozenset())) is None
     assert logged_limit(search) == wait_policy.Limit.NO_TURN.value
+
+
+def test_a_caller_is_not_refused_when_the_engine_takes_orders_again():
+    """Guards against a refusal at the end of the load that was waited for."""
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+    searches.state.offer_configuration(ADAPTER_CONFIGURATION)
+    known = searches.state.directory.get("e1")
+    load_s, adapter_s = 2.0, 2.3
+
+    def apply(placement: fm.EnginePlacement) -> None:
+        known.engine.apply_placement(placement, searches.loop.time())
+        searches.state.notify_change()
+
+    apply(adapter_placement("e1", other=load_s))
+    searches.loop.call_at(load_s, apply, adapter_placement("e1"))
+    searches.loop.call_at(adapter_s, apply, adapter_placement("e1", "a9"))
+    search = engine_search.EngineSearch(
+        searches._context, ROUTE, ADAPTER_CALL, 0.0, DEADLINE_S
+    )
+    found = searches.loop.run_until_complete(search.find(frozenset()))
+    assert found is known
+    assert searches.loop.time() == pytest.approx(adapter_s, abs=0.01)
