Soak: all gateways are killed at one moment

A fault of its own, once no other has any gateway. With one software version (--versions 1) each stream has to end whole; a time in which all are down does not count towards its caller's. Faults start once the versions are recorded in the store. The choice of faults has a random source of its own, so that a seed has the same faults each time (the threads of faults shared it); a fault that fails puts its gateway back.

--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -49,12 +49,15 @@
     Attributes:
       seed: Of all random choices. How processes interleave is not repeated.
       duration_s: How long faults are injected.
+      versions: How many software versions engines have. With one, each stream
+        must end whole: no other can have begun it.
     """
 
     seed: int
     gateways: int = 3
     callers: int = 8
     duration_s: float = 12.0
+    versions: int = len(VERSIONS)
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,6 +122,10 @@
             )
         # Gateways that a fault has taken out of service.
         self._busy: set[str] = set()
+        # Whether a fault waits until it can take all out of service.
+        self._wants_all = False
+        # For how long all were out of service, in sum.
+        self._outage_s = 0.0
         self._engines: list[platform_upstream.PlatformUpstream] = []
         self._all_upstreams: list[platform_upstream.PlatformUpstream] = []
         self._configuration = 0
@@ -139,6 +146,17 @@
             gateway.start()
         for gateway in self._gateways:
             gateway.wait_ready()
+        self._wait_recorded()
+
+    def _wait_recorded(self) -> None:
+        """Waits until the store has what outlives all gateways."""
+        until_s = time.monotonic() + platform_instance.HANG_TIMEOUT_S
+        while time.monotonic() < until_s:
+            for gateway in self._gateways:
+                if gateway.log_lines("versions: complete"):
+                    return
+            time.sleep(CALLER_PAUSE_S)
+        self._break("versions were not recorded")
 
     def _publish(self) -> None:
         self._configuration += platform_site.VERSION_STEP
@@ -184,6 +202,7 @@
         faults = [
             self._stop_gateway,
             self._kill_gateway,
+            self._kill_all_gateways,
             self._freeze_gateway,
             self._reload_gateway,
             self._crash_engine,
@@ -191,14 +210,16 @@
             self._publish,
         ]
         running = []
+        # Of its own, so that a seed has the same faults each time.
+        rng = random.Random(f"{self._plan.seed}/faults")
         until_s = time.monotonic() + self._plan.duration_s
         while time.monotonic() < until_s:
-            fault = self._rng.choice(faults)
+            fault = rng.choice(faults)
             self.result.count("faults", fault.__name__.strip("_"))
             thread = threading.Thread(target=self._guarded, args=(fault,))
             thread.start()
             running.append(thread)
-            time.sleep(self._rng.uniform(0.0, MAX_PAUSE_BETWEEN_FAULTS_S))
+            time.sleep(rng.uniform(0.0, MAX_PAUSE_BETWEEN_FAULTS_S))
         for thread in running:
             thread.join(END_TIMEOUT_S)
 
@@ -218,13 +239,15 @@
         with self._lock:
             free = [one for one in self._gateways if one.name not in self._busy]
             chosen = None
-            if len(free) > 1:
+            if len(free) > 1 and not self._wants_all:
                 chosen = self._rng.choice(free)
                 self._busy.add(chosen.name)
-        yield chosen
-        if chosen is not None:
-            with self._lock:
-                self._busy.discard(chosen.name)
+        try:
+            yield chosen
+        finally:
+            if chosen is not None:
+                with self._lock:
+                    self._busy.discard(chosen.name)
 
     def _stop_gateway(self) -> None:
         with self._some_gateway() as gateway:
@@ -248,6 +271,49 @@
             gateway.start()
             gateway.wait_ready()
 
+    @contextlib.contextmanager
+    def _all_gateways(self):
+        """Takes all gateways out of service, once no other fault has any."""
+        with self._lock:
+            is_first = not self._wants_all
+            self._wants_all = True
+        if not is_first:
+            yield []
+            return
+        has_all = self._take_all()
+        while not has_all and not self._ends.wait(CALLER_PAUSE_S):
+            has_all = self._take_all()
+        try:
+            yield self._gateways if has_all else []
+        finally:
+            with self._lock:
+                self._wants_all = False
+                if has_all:
+                    self._busy.clear()
+
+    def _take_all(self) -> bool:
+        with self._lock:
+            if self._busy:
+                return False
+            self._busy.update(one.name for one in self._gateways)
+            return True
+
+    def _kill_all_gateways(self) -> None:
+        """All are killed at the same moment; store and engines live on."""
+        with self._all_gateways() as gateways:
+            if not gateways:
+                return
+            began_s = time.monotonic()
+            for gateway in gateways:
+                gateway.signal(signal.SIGKILL)
+            for gateway in gateways:
+                gateway.kill()
+                gateway.start()
+            for gateway in gateways:
+                gateway.wait_ready()
+            with self._lock:
+                self._outage_s += time.monotonic() - began_s
+
     def _freeze_gateway(self) -> None:
         with self._some_gateway() as gateway:
             if gateway is None:
@@ -267,12 +333,15 @@
                 return None
             return self._engines.pop(self._rng.randrange(len(self._engines)))
 
+    def _new_version(self) -> str:
+        return self._rng.choice(VERSIONS[: self._plan.versions])
+
     def _crash_engine(self) -> None:
         engine = self._take_engine()
         if engine is None:
             return
         engine.crash()
-        self._add_engine(self._rng.choice(VERSIONS))
+        self._add_engine(self._new_version())
         time.sleep(ENTRY_OUTLIVES_S)
         engine.unregister()
 
@@ -281,7 +350,7 @@
         engine = self._take_engine()
         if engine is None:
             return
-        self._add_engine(self._rng.choice(VERSIONS))
+        self._add_engine(self._new_version())
         engine.register("draining")
         time.sleep(LEAVING_SERVES_S)
         engine.unregister()
@@ -324,8 +393,12 @@
 
     def _stream(self, rng: random.Random) -> None:
         stream = _Stream()
-        until_s = time.monotonic() + STREAM_DEADLINE_S
-        while not stream.is_complete and time.monotonic() < until_s:
+        # An outage of all gateways is no time in which it could end.
+        until_s = time.monotonic() + STREAM_DEADLINE_S - self._outage_s
+        while (
+            not stream.is_complete
+            and time.monotonic() < until_s + self._outage_s
+        ):
             before = len(stream.numbers)
             self._try_stream(rng, stream)
             if before and len(stream.numbers) > before:
@@ -396,6 +469,8 @@
             expected = list(range(1, len(stream.numbers) + 1))
             if stream.numbers != expected:
                 self._break(f"stream {stream.first_id}: {stream.numbers}")
+            if self._plan.versions == 1 and not stream.is_complete:
+                self._break(f"stream {stream.first_id} did not end")
             if len(stream.versions) > 1:
                 self._break(f"stream {stream.first_id}: {stream.versions}")
             if (
@@ -451,11 +526,18 @@
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--versions", type=int, default=len(VERSIONS))
     flags = parser.parse_args()
     has_broken = False
     for seed in range(flags.first, flags.first + flags.seeds):
         result = run_seed(
-            Plan(seed, flags.gateways, flags.callers, flags.seconds)
+            Plan(
+                seed,
+                flags.gateways,
+                flags.callers,
+                flags.seconds,
+                flags.versions,
+            )
         )
         has_broken = has_broken or bool(result.broken)
         print(json.dumps({"seed": seed} | dataclasses.asdict(result)))
