Stand-ins: instances in several zones and regions; a store's record formats

A trial of a whole fleet needs gateways of more than the one zone, with the bounds of a deployment and, to compare, another checkout on their path; and a store of its own that serves hundreds of long polls in one process needs the record formats of the platform's store.

--- a/sesamecross/fakes/platform_instance.py
+++ b/sesamecross/fakes/platform_instance.py
@@ -6,12 +6,15 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
 import itertools
 import json
 import os
 import pathlib
 import signal
 import socket
+import types
 from typing import Any
 
 import tomli_w
@@ -57,6 +60,20 @@
         return host
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Location:
+    """Where an instance runs.
+
+    Attributes:
+      regions: The region of each availability zone of the platform.
+    """
+
+    zone: str = ZONE
+    regions: Mapping[str, str] = dataclasses.field(
+        default_factory=lambda: {ZONE: "west"}
+    )
+
+
 class PlatformInstance:
     """One gateway process and its settings file."""
 
@@ -65,8 +82,24 @@
         directory: pathlib.Path,
         store_address: str,
         name: str = "front-west-a-1",
+        location: Location | None = None,
+        bounds: Mapping[str, Any] = types.MappingProxyType({}),
+        variables: Mapping[str, str] = types.MappingProxyType({}),
     ):
+        """Creates the instance; `start` starts its process.
+
+        Args:
+          directory: For its settings file and its log.
+          store_address: Where the platform's store listens.
+          name: Its name at the platform.
+          location: Where it runs; in the only zone by default.
+          bounds: Bounds that differ from the usual ones.
+          variables: Further environment variables of the process.
+        """
         self.name = name
+        self._location = location or Location()
+        self._bounds = bounds
+        self._variables = variables
         self._host = unused_loopback_host()
         self._path = directory / "node.toml"
         self._store_address = store_address
@@ -78,6 +111,21 @@
         """The address for callers."""
         return self._host, _FRONT_PORT
 
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+        return self._location.zone
+
+    @property
+    def ready(self) -> tuple[str, int]:
+        """The address at which the platform asks whether it is ready."""
+        return self._host, _READY_PORT
+
+    @property
+    def pid(self) -> int | None:
+        """The id of its newest process."""
+        return None if self._process is None else self._process.pid
+
     # -- settings --------------------------------------------------------
 
     def settings_text(
@@ -92,11 +140,11 @@
                 "machineClass": "front",
                 "serves": ["front"],
                 "ip": host,
-                "zone": ZONE,
-                "region": "west",
+                "zone": self._location.zone,
+                "region": self._location.regions[self._location.zone],
                 "internalPorts": _INTERNAL_PORTS,
                 "heartbeatMs": 1200,
-                "zones": {ZONE: "west"},
+                "zones": dict(self._location.regions),
                 "listen": {
                     "front": f"{host}:{front_port}",
                     "ready": f"{host}:{_READY_PORT}",
@@ -110,6 +158,7 @@
                     "budgetExtra": 54,
                     "leaseMs": 3000,
                     "reuseAfterS": 2,
+                    **self._bounds,
                 },
                 "platform": {"address": self._store_address, "form": "log"},
             }
@@ -134,7 +183,7 @@
             "gateway",
             processes.command("gateway"),
             self._log_path,
-            {settings.BOOT_VARIABLE: str(self._path)},
+            {settings.BOOT_VARIABLE: str(self._path), **self._variables},
         )
 
     def wait_ready(self) -> None:
--- a/sesamecross/fakes/platform_store.py
+++ b/sesamecross/fakes/platform_store.py
@@ -23,10 +23,10 @@
 UPSTREAMS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
 
-_MAX_PAGE_ITEMS = 500
+MAX_PAGE_ITEMS = 500
 _LENGTH = struct.Struct(">I")
 # The end of the partition and its first retained offset.
-_PAGE_HEAD = struct.Struct(">QQ")
+PAGE_HEAD = struct.Struct(">QQ")
 
 
 class PlatformStore(base.FakeServer):
@@ -85,7 +85,7 @@
             end = len(self._topics.get(query["topic"], []))
             if int(query.get("at", end)) != end:
                 return base.Response({"end": end}, 412)
-            for key, value in _parse_records(body):
+            for key, value in parse_records(body):
                 self._add(query["topic"], key, value)
             new_end = len(self._topics.get(query["topic"], []))
         return base.Response({"offset": end, "end": new_end})
@@ -106,12 +106,12 @@
                 "value": base64.b64encode(records[newest[key]][1]).decode(),
                 "offset": newest[key],
             }
-            for key in keys[:_MAX_PAGE_ITEMS]
+            for key in keys[:MAX_PAGE_ITEMS]
         ]
         return base.Response(
             {
                 "items": items,
-                "hasMore": len(keys) > _MAX_PAGE_ITEMS,
+                "hasMore": len(keys) > MAX_PAGE_ITEMS,
                 "end": len(records),
             }
         )
@@ -128,8 +128,8 @@
                     break
                 self._changed.wait(remaining_s)
             records = list(self._topics.get(query["topic"], []))
-        page = [_PAGE_HEAD.pack(len(records), 0)]
-        page.extend(_frame_record(*record) for record in records[begin:])
+        page = [PAGE_HEAD.pack(len(records), 0)]
+        page.extend(frame_record(*record) for record in records[begin:])
         return base.Response(b"".join(page))
 
 
@@ -137,13 +137,14 @@
     return dict(parse.parse_qsl(request.environ.get("QUERY_STRING", "")))
 
 
-def _frame_record(key: str, value: bytes) -> bytes:
+def frame_record(key: str, value: bytes) -> bytes:
+    """Returns a keyed record as a read returns it."""
     name = key.encode()
     content = bytes((len(name),)) + name + value
     return _LENGTH.pack(len(content)) + content
 
 
-def _parse_records(body: bytes) -> list[tuple[str, bytes]]:
+def parse_records(body: bytes) -> list[tuple[str, bytes]]:
     """Returns the keyed records in the body of an append."""
     records = []
     at = 0
