--- a/sesamecross/fakes/platform_instance.py
+++ b/sesamecross/fakes/platform_instance.py
@@ -110,11 +110,6 @@
         self._log_path = directory / "gateway.log"
         self._process: processes.Process | None = None
 
-    @property
-    def pid(self) -> int:
-        """The process id of the running gateway."""
-        return self._process.pid
-
     @property
     def front(self) -> tuple[str, int]:
         """The address for callers."""
