--- a/sesamecross/devtools/fleet_checks.py
+++ b/sesamecross/devtools/fleet_checks.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable
 import dataclasses
 
-from sesamecross.devtools import fleet_callers
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_callers
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_upstreams
 
 WINDOW_S = 5.0
 # Who is asked for so often, over so long, must be served once.
--- a/sesamecross/devtools/fleet_checks_test.py
+++ b/sesamecross/devtools/fleet_checks_test.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from sesamecross.devtools import fleet_callers
 from sesamecross.devtools import fleet_checks
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_callers
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_upstreams
 
 SCENARIO = fleet_scenarios.scenario("small")
 
--- a/sesamecross/devtools/fleet_demand.py
+++ b/sesamecross/devtools/fleet_demand.py
@@ -10,7 +10,7 @@
 import math
 import random
 
-from sesamecross.devtools import fleet_scenarios
+from sesamecross.fakes import fleet_scenarios
 
 # Of prompts and of streams, around their means.
 _SIZE_SPREAD = 1.0
--- a/sesamecross/devtools/fleet_processes.py
+++ b/sesamecross/devtools/fleet_processes.py
@@ -12,11 +12,11 @@
 from typing import Any
 
 from sesamecross.devtools import fleet_balancer
-from sesamecross.devtools import fleet_callers
 from sesamecross.devtools import fleet_demand
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_store
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_callers
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_store
+from sesamecross.fakes import fleet_upstreams
 
 _CONTEXT = multiprocessing.get_context("spawn")
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
--- a/sesamecross/devtools/fleet_report.py
+++ b/sesamecross/devtools/fleet_report.py
@@ -10,8 +10,8 @@
 import itertools
 from typing import Any
 
-from sesamecross.devtools import fleet_callers
 from sesamecross.devtools import fleet_checks
+from sesamecross.fakes import fleet_callers
 from sesamecross.fakes import platform_instance
 
 # Above this the figures judge the machine.
--- a/sesamecross/devtools/fleet_trial.py
+++ b/sesamecross/devtools/fleet_trial.py
@@ -26,13 +26,13 @@
 import time
 
 from sesamecross.devtools import fleet_balancer
-from sesamecross.devtools import fleet_callers
 from sesamecross.devtools import fleet_checks
 from sesamecross.devtools import fleet_processes
 from sesamecross.devtools import fleet_report
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_store
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_callers
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_store
+from sesamecross.fakes import fleet_upstreams
 from sesamecross.fakes import platform_instance
 from sesamecross.fakes import platform_store
 
--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -52,6 +52,8 @@
       duration_s: How long faults are injected.
       versions: How many software versions engines have. With one, each stream
         must end whole: no other can have begun it.
+      kills_all: Whether all gateways are killed at one moment at times. With
+        several versions, streams under way are then refused, and few end whole.
     """
 
     seed: int
@@ -59,6 +61,7 @@
     callers: int = 8
     duration_s: float = 12.0
     versions: int = len(VERSIONS)
+    kills_all: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,13 +206,14 @@
         faults = [
             self._stop_gateway,
             self._kill_gateway,
-            self._kill_all_gateways,
             self._freeze_gateway,
             self._reload_gateway,
             self._crash_engine,
             self._replace_engine,
             self._publish,
         ]
+        if self._plan.kills_all:
+            faults.append(self._kill_all_gateways)
         running = []
         # Of its own, so that a seed has the same faults each time.
         rng = random.Random(f"{self._plan.seed}/faults")
--- a/sesamecross/devtools/fleet_batch.py
+++ b/sesamecross/fakes/fleet_batch.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from sesamecross.devtools import fleet_scenarios
+from sesamecross.fakes import fleet_scenarios
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/sesamecross/devtools/fleet_batch_test.py
+++ b/sesamecross/fakes/fleet_batch_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sesamecross.devtools import fleet_batch
-from sesamecross.devtools import fleet_scenarios
+from sesamecross.fakes import fleet_batch
+from sesamecross.fakes import fleet_scenarios
 
 SHEET = fleet_scenarios.EngineSheet()
 
--- a/sesamecross/devtools/fleet_callers.py
+++ b/sesamecross/fakes/fleet_callers.py
@@ -15,8 +15,8 @@
 
 from sesamecross.devtools import fleet_balancer
 from sesamecross.devtools import fleet_demand
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_upstreams
 
 CLIENTS_PER_ZONE = 34
 PROMISES_NOT_RUN = (408, 421, 429, 503)
--- a/sesamecross/devtools/fleet_callers_test.py
+++ b/sesamecross/fakes/fleet_callers_test.py
@@ -7,10 +7,10 @@
 import pytest
 
 from sesamecross.devtools import fleet_balancer
-from sesamecross.devtools import fleet_callers
 from sesamecross.devtools import fleet_demand
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_upstreams
+from sesamecross.fakes import fleet_callers
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_upstreams
 
 KINDS = {one.name: one for one in fleet_scenarios.scenario("small").kinds}
 OK = "HTTP/1.1 200 OK\r\nResponse-Signature: i.{id}\r\n"
--- a/sesamecross/devtools/fleet_store.py
+++ b/sesamecross/fakes/fleet_store.py
@@ -9,7 +9,7 @@
 import collections
 import json
 
-from sesamecross.devtools import fleet_server
+from sesamecross.fakes import fleet_server
 from sesamecross.fakes import platform_store
 
 # Written by the trial's upstreams, and by its runner for the operators.
--- a/sesamecross/devtools/fleet_upstreams.py
+++ b/sesamecross/fakes/fleet_upstreams.py
@@ -16,10 +16,10 @@
 from typing import Any
 
 from sesamecross.core import serving
-from sesamecross.devtools import fleet_batch
-from sesamecross.devtools import fleet_scenarios
-from sesamecross.devtools import fleet_server
-from sesamecross.devtools import fleet_store
+from sesamecross.fakes import fleet_batch
+from sesamecross.fakes import fleet_scenarios
+from sesamecross.fakes import fleet_server
+from sesamecross.fakes import fleet_store
 from sesamecross.fakes import platform_store
 from sesamecross.fakes import simulated_engine
 
