Revert "Pacer: an engine that reads slowly is admitted what it reads"

Found in review: the learned speed only falls. It is measured while 5,000 tokens are unread, and at a low rate they never are again: after an engine of 38,000 tokens a second had stalled for 2 s it was sent 8,109 a second for good, and 54 of 115 requests were refused each 5 s. Prompts that were never read counted as read, too.

--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -31,8 +31,6 @@
 # detector has noticed whether it is alive.
 AVOID_S = roster_lib.LIVENESS_TIMEOUT_S
 SWEEP_INTERVAL_S = 0.25
-# How long a pacer without requests remembers how fast its engine reads.
-IDLE_PACER_TTL_S = 30.0
 # Retry delay of a request that needs a permit while no pacer answers: until the
 # failure detector has noticed, and another one is asked.
 NO_PACER_RETRY_AFTER_S = 1.0
@@ -82,8 +80,6 @@
         self._mesh = mesh
         self._ticker = ticker or ticker_lib.Ticker()
         self._pacers: dict[str, pacer_lib.Pacer | slot_limiter.SlotLimiter] = {}
-        # When each of them last had a request.
-        self._used_s: dict[str, float] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
             int, asyncio.Future[fm.AdmissionReply]
@@ -109,13 +105,10 @@
         """
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
-            now_s = asyncio.get_running_loop().time()
             for upstream in list(self._pacers):
-                if not self._pacers[upstream].is_idle:
-                    self._used_s[upstream] = now_s
-                    self._grant(upstream)
-                elif now_s - self._used_s[upstream] >= IDLE_PACER_TTL_S:
-                    del self._pacers[upstream], self._used_s[upstream]
+                self._grant(upstream)
+                if self._pacers[upstream].is_idle:
+                    del self._pacers[upstream]
 
     async def stop(self) -> None:
         """Redirects all waiting admission requests to the next pacer.
@@ -359,8 +352,7 @@
             case fm.AdmissionRelease(me=me, number=number, upstream=upstream):
                 pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    now_s = asyncio.get_running_loop().time()
-                    pacer.release((me.name, number), now_s)
+                    pacer.release((me.name, number))
                     self._grant(upstream)
             case fm.AdmissionReply(me=me, number=number, verdict=verdict):
                 if verdict is fm.AdmissionDecision.LEAVING:
@@ -388,7 +380,6 @@
                 else slot_limiter.SlotLimiter()
             )
             self._pacers[upstream] = pacer
-        self._used_s[upstream] = now_s
         key = (message.me.name, message.number)
         decisions = pacer.request(
             key,
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -40,14 +40,9 @@
 from typing import Protocol
 from typing import TypeVar
 
-# Most prompt tokens per second admitted to an engine: two thirds of what the
-# engines of the first deployments prefill when they do nothing else. One that
-# is found to read fewer is admitted what it reads.
+# Prompt tokens per second admitted to an engine: two thirds of what the engines
+# of the first deployments prefill when they do nothing else.
 PREFILL_TOKENS_PER_S = 25_000.0
-# Weight of the initial speed in seconds of reading, and by how much each prompt
-# that was read reduces the weight of those before it.
-READ_PRIOR_S = 0.5
-READ_DECAY = 0.9
 # Tokens that may be sent at once: an ordinary prompt.
 BURST_TOKENS = 1_500.0
 # Tokens that may be granted and not yet prefilled: 0.2 s of prefill. This limit
@@ -160,9 +155,6 @@
         "_granted_rate",
         "_late_credit",
         "_is_full",
-        "_read_tokens",
-        "_read_s",
-        "_saturated_since_s",
         "_at_s",
     )
 
@@ -182,13 +174,6 @@
         # before them.
         self._late_credit = 0.0
         self._is_full = False
-        # Tokens read while the engine always had some to read, and how long
-        # that took, in seconds.
-        self._read_tokens = PREFILL_TOKENS_PER_S * READ_PRIOR_S
-        self._read_s = READ_PRIOR_S
-        # Since when prompts have waited for unread ones, and for nothing else;
-        # no earlier than the last time that one was read.
-        self._saturated_since_s: float | None = None
         self._at_s = 0.0
 
     @property
@@ -230,23 +215,12 @@
                 self._late_requested_rate += rate
         return self.grant(batch, now_s)
 
-    def release(self, key: Key, now_s: float) -> None:
+    def release(self, key: Key) -> None:
         """Records that a prompt was prefilled, or will not be sent."""
         self._waiting.pop(key, None)
         known = self._prefilling.pop(key, None)
-        if known is None:
-            return
-        self._pending_tokens -= known[0]
-        if self._saturated_since_s is not None:
-            took_s = now_s - self._saturated_since_s
-            self._read_tokens = self._read_tokens * READ_DECAY + known[0]
-            self._read_s = self._read_s * READ_DECAY + took_s
-            self._saturated_since_s = now_s
-
-    @property
-    def tokens_per_s(self) -> float:
-        """Prompt tokens per second that are admitted."""
-        return min(PREFILL_TOKENS_PER_S, self._read_tokens / self._read_s)
+        if known is not None:
+            self._pending_tokens -= known[0]
 
     def waiting(self, now_s: float) -> tuple[Key, ...]:
         """Returns the waiting requests in the order of their turns."""
@@ -260,24 +234,16 @@
         granted = []
         free_slots = self._free_slots(batch, now_s)
         late, others = self._queues(now_s)
-        is_saturated = False
         while late or others:
             queue = self._next_queue(late, others)
             request = queue[0]
-            if len(granted) >= free_slots:
-                break
-            is_saturated = self._is_saturated_for(request)
-            if is_saturated or not self._has_room(request):
+            if len(granted) >= free_slots or not self._has_room(request):
                 break
             queue.popleft()
             self._grant_request(request, now_s)
             self._update_late_credit(request, has_late=bool(late))
             granted.append(request.key)
         self._is_full = len(granted) >= free_slots
-        if not is_saturated:
-            self._saturated_since_s = None
-        elif self._saturated_since_s is None:
-            self._saturated_since_s = now_s
         refused = self._too_late(late, others, now_s)
         for key in refused:
             del self._waiting[key]
@@ -339,7 +305,7 @@
           others: All others, in order.
           now_s: Monotonic time.
         """
-        rate = self.tokens_per_s
+        rate = PREFILL_TOKENS_PER_S
         if self._is_full:
             rate = max(FULL_MIN_TOKENS_PER_S, min(rate, self._granted_rate))
         refused = []
@@ -365,7 +331,7 @@
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._at_s)
-        self._level = max(0.0, self._level - elapsed_s * self.tokens_per_s)
+        self._level = max(0.0, self._level - elapsed_s * PREFILL_TOKENS_PER_S)
         decay = math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
         self._requested_rate *= decay
         self._late_requested_rate *= decay
@@ -382,12 +348,13 @@
         limit = max(1, min(MAX_STREAMS, int(batch.slots * MAX_BATCH_SHARE)))
         return max(0, limit - int(batch.running) - unreported)
 
-    def _is_saturated_for(self, request: _WaitingRequest) -> bool:
-        """Whether the engine has as much to read as it may have."""
-        unread = self._pending_tokens + request.charged_tokens
-        return bool(self._prefilling) and unread > MAX_PENDING_TOKENS
-
     def _has_room(self, request: _WaitingRequest) -> bool:
+        if (
+            self._prefilling
+            and self._pending_tokens + request.charged_tokens
+            > MAX_PENDING_TOKENS
+        ):
+            return False
         return self._level + request.charged_tokens <= BURST_TOKENS
 
     def next_check_s(self, now_s: float) -> float | None:
@@ -397,9 +364,9 @@
         interval_s = (
             FULL_CHECK_INTERVAL_S if self._is_full else MIN_CHECK_INTERVAL_S
         )
-        return now_s + max(interval_s, self._level / self.tokens_per_s)
+        return now_s + max(interval_s, self._level / PREFILL_TOKENS_PER_S)
 
     def _expire(self, now_s: float) -> None:
         for key, (_, at_s) in list(self._prefilling.items()):
             if now_s - at_s > PREFILL_TIMEOUT_S:
-                self.release(key, now_s)
+                self.release(key)
--- a/sesamecross/ops/fleet/slot_limiter_test.py
+++ b/sesamecross/ops/fleet/slot_limiter_test.py
@@ -97,7 +97,7 @@
                 ends_s = upstream.arrive(now_s, rng.uniform(0.02, 0.6))
                 at(ends_s + latency_s(), "end", key)
             case "end" if rng.random() >= loss:
-                limiter.release(key, now_s)
+                limiter.release(key)
         for granted in decisions.granted:
             at(now_s + latency_s(), "send", granted)
     return upstream
