--- a/sesamecross/ports/service_http.py
+++ b/sesamecross/ports/service_http.py
@@ -31,17 +31,18 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
-def _end_reuse(connection: urllib3.connection.HTTPConnection | None) -> None:
-    """Makes the pool open another connection in place of this one.
+def _take_socket(
+    connection: urllib3.connection.HTTPConnection | None,
+) -> socket.socket | None:
+    """Takes the socket from a connection, whose next call opens another one.
 
-    Another thread may have taken it from the pool. Its call then fails, whereas
-    closing the socket could give the descriptor to a third connection.
+    Before the body is read: that returns the connection to the pool, where
+    another thread may take it. The response keeps the socket open.
     """
-    sock = connection.sock if connection is not None else None
-    if sock is not None:
-        # The service may have closed it already.
-        with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_RDWR)
+    if connection is None:
+        return None
+    sock, connection.sock = connection.sock, None
+    return sock
 
 
 class HttpService:
@@ -89,14 +90,14 @@
             # Before the body is read, which returns the connection to the pool.
             response.close()
             return http_client.Failed("answer of another call")
-        connection = response.connection
-        body = response.read(MAX_ANSWER_BYTES + 1)
+        # After an answer without an id, a second one would not be told from
+        # that to the next call.
+        sock = _take_socket(response.connection) if answered is None else None
+        with contextlib.closing(sock) if sock else contextlib.nullcontext():
+            body = response.read(MAX_ANSWER_BYTES + 1)
         if len(body) > MAX_ANSWER_BYTES:
             response.close()
             return http_client.Failed("answer too large")
-        if answered is None:
-            # A second answer would not be told from that to the next call.
-            _end_reuse(connection)
         response.release_conn()
         content_type = response.headers.get(
             "Content-Type", "application/octet-stream"
--- a/sesamecross/ports/service_http_test.py
+++ b/sesamecross/ports/service_http_test.py
@@ -1,5 +1,6 @@
 """Tests of what a plain service's bytes count as: its answer, or a failure."""
 
+import concurrent.futures
 import contextlib
 import socket
 import threading
@@ -103,3 +104,21 @@
     else:
         assert answer == data.Answer(200, "application/octet-stream", body)
     service.close()
+
+
+def test_answers_without_an_id_fail_no_call_of_another_thread():
+    """Guards against a socket that is shut down while another call uses it."""
+    threads, calls = 8, 400
+    body = HEAD + b"Content-Length: 4\r\n\r\nbody"
+    service = Service([body] * threads * calls)
+    client = service_http.HttpService()
+
+    def run(_: int) -> list[object]:
+        return [call(client, service, number) for number in range(calls)]
+
+    with concurrent.futures.ThreadPoolExecutor(threads) as pool:
+        outcomes = [
+            one for each in pool.map(run, range(threads)) for one in each
+        ]
+    service.close()
+    assert {type(one) for one in outcomes} == {data.Answer}
