Adapters: none that is not declared takes a place or is waited for

Found in review: callers may name any adapter. One that nobody declared was planned in its turn: two adapters in use were withdrawn for it, the engine answered 400 to its load, and while it was asked for once in 4 s no other adapter got a place there. The memory of missed models, by then of adapters too, never forgot a name. adapter_slots_test: the new row failed before (load of m/zzz, two withdrawals).

--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -93,6 +93,18 @@
     adapters: int
     adapter_mb: float
 
+    def has_adapter(self, name: str) -> bool:
+        """Whether an adapter of this name is declared."""
+        number = name.removeprefix("a")
+        # As text, since a caller's number may have any length.
+        return (
+            name.startswith("a")
+            and number.isdecimal()
+            and len(number) <= len(str(self.adapters))
+            and number == str(int(number))
+            and 1 <= int(number) <= self.adapters
+        )
+
 
 class EngineSpec(msgspec.Struct, frozen=True):
     """Capacity of the engines of a service.
--- a/sesamecross/ops/fleet/adapter_slots.py
+++ b/sesamecross/ops/fleet/adapter_slots.py
@@ -235,11 +235,18 @@
         for target in wanted
         if not inventory.is_held_or_loading(target)
         and _model_of(target) in inventory.models
-        and _model_of(target) in inputs.spec.models
+        and _is_declared(inputs, target)
         and (engine.name, _model_of(target)) not in inputs.withdrawn
     ]
 
 
+def _is_declared(inputs: data.Inputs, target: str) -> bool:
+    """Whether the adapter can be loaded at all: callers may name any."""
+    name, _, adapter = target.partition("/")
+    model = inputs.spec.models.get(name)
+    return model is not None and model.has_adapter(adapter)
+
+
 def _model_of(target: str) -> str:
     return target.partition("/")[0]
 
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -113,9 +113,10 @@
 class MissedModels:
     """Since when requests of one instance have found no engine for a model."""
 
-    __slots__ = ("_seen",)
+    __slots__ = ("_seen", "_pruned_s")
 
     def __init__(self) -> None:
+        self._pruned_s = 0.0
         # By model and origin: when the first and the last request missed it.
         self._seen: dict[
             tuple[str, stream_origins.StreamOrigin | None], tuple[float, float]
@@ -134,6 +135,7 @@
           now_s: Monotonic time.
           origin: Where the request's stream began, if it has begun.
         """
+        self._prune(now_s)
         key = (model, origin)
         first_s, last_s = self._seen.get(key, (now_s, now_s))
         if now_s - last_s > MISS_RESET_S:
@@ -142,6 +144,17 @@
         self._seen[key] = (first_s, now_s)
         return first_s
 
+    def _prune(self, now_s: float) -> None:
+        """Forgets outdated misses: callers may name any model."""
+        if now_s - self._pruned_s < MISS_RESET_S:
+            return
+        self._pruned_s = now_s
+        self._seen = {
+            key: (first_s, last_s)
+            for key, (first_s, last_s) in self._seen.items()
+            if now_s - last_s <= MISS_RESET_S
+        }
+
 
 def decide_model(
     times: RequestTimes,
