--- a/sesamecross/ops/fleet/pacer_test.py
+++ b/sesamecross/ops/fleet/pacer_test.py
@@ -1,5 +1,7 @@
 """Tests of pacing: the order of turns, the rate, and early refusals."""
 
+import collections
+
 import pytest
 
 from sesamecross.ops.fleet import pacer as pacer_lib
@@ -205,3 +207,74 @@
         if refused == (key(0),)
     ]
     assert decided == [pytest.approx(patience_s, abs=0.02)]
+
+
+def simulate_engine(pacer, read_tokens_per_s, requests, until_s):
+    """Simulates an engine that reads one prompt after the other.
+
+    Args:
+      pacer: Its pacer.
+      read_tokens_per_s: The engine's speed.
+      requests: As those of `simulate`.
+      until_s: Duration of the simulation.
+
+    Returns:
+      When each request was sent, read and refused, by its number.
+    """
+    sent, read, refused = {}, {}, {}
+    ends = collections.deque()
+    busy_until_s = 0.0
+    queue = collections.deque(enumerate(requests))
+    for step in range(int(until_s / 0.005)):
+        now_s = step * 0.005
+        decisions = [pacer.grant(EMPTY_BATCH, now_s)]
+        while queue and queue[0][1][0] <= now_s:
+            number, (at_s, tokens, spare_s, wait_limit_s) = queue.popleft()
+            decisions.append(
+                pacer.request(
+                    key(number),
+                    tokens,
+                    at_s + spare_s,
+                    at_s + wait_limit_s,
+                    EMPTY_BATCH,
+                    now_s,
+                )
+            )
+        for decision in decisions:
+            for _, number in decision.granted:
+                sent[number] = now_s
+                took_s = requests[number][1] / read_tokens_per_s
+                busy_until_s = max(busy_until_s, now_s + 0.01) + took_s
+                ends.append((busy_until_s, number))
+            for _, number in decision.refused:
+                refused[number] = now_s
+        while ends and ends[0][0] <= now_s:
+            read_s, number = ends.popleft()
+            read[number] = read_s
+            pacer.release(key(number))
+    return sent, read, refused
+
+
+@pytest.mark.parametrize("read_tokens_per_s", [6_000, 10_000, 20_000])
+def test_few_prompts_are_sent_to_a_slow_engine_in_vain(read_tokens_per_s):
+    """Guards against callers held for a turn that they then leave in.
+
+    The engine is slower than those of the first deployments, and twice as much
+    is asked as it reads. A caller leaves 0.3 s after the last time at which its
+    prompt may be sent.
+    """
+    tokens = 1_900
+    interval_s = tokens / read_tokens_per_s / 2
+    requests = [
+        (number * interval_s, tokens, 0.3, 2.1)
+        for number in range(int(20 / interval_s))
+    ]
+    sent, read, refused = simulate_engine(
+        pacer_lib.Pacer(), read_tokens_per_s, requests, 20.0
+    )
+    late = [n for n in sent if read.get(n, 20.0) > requests[n][0] + 2.4]
+    assert len(late) < 0.1 * len(sent)
+    # Who is refused learns that early.
+    held_s = sorted(refused[n] - requests[n][0] for n in refused)
+    assert held_s[int(0.9 * len(held_s))] < 0.6
+    assert len(read) > 0.85 * 20.0 * read_tokens_per_s / tokens
