--- a/sesamecross/devtools/fleet_trial.py
+++ b/sesamecross/devtools/fleet_trial.py
@@ -3,8 +3,8 @@
 What shows only with real processes, real clocks and shared cores is missed by
 simulations. Here dozens of gateways share a machine with strict callers, who
 ask for many models in the proportions of a deployment, while all gateways are
-killed and started again. The result judges the gateways only if the machine's cores
-were not full: the report says so.
+killed and started again. The result judges the gateways only if the machine's
+cores were not full: the report says so.
 
     python -m sesamecross.devtools.fleet_trial --gateways 67 --engines 45 \
         --rate 120 --seconds 40 --kill-all-at 15 --seed 1
