--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -46,6 +46,8 @@
 SLOT_WAIT_S = 0.5
 # Longest id of a caller that is logged.
 _MAX_LOGGED_ID = 64
+# Most parts of a prompt that are logged.
+_MAX_LOGGED_PARTS = 16
 # A request that waited longer than this for its model is late for that reason
 # and says nothing about whether the model's engines keep up.
 LATENESS_MAX_MODEL_WAIT_S = 0.1
@@ -756,7 +758,8 @@
                 self._forwarder._state.directory.replaced(
                     upstream.entry.instance_id
                 )
-            case retry_policy.Lost():
+            case retry_policy.Lost(reason=reason):
+                self._log_loss(upstream, reason)
                 if not self._relayed_by:
                     upstream.reachability.record_loss(now_s)
                 if not self._is_path_suspect(upstream):
@@ -764,6 +767,23 @@
             case retry_policy.NotRun():
                 upstream.health.record_failure(now_s)
 
+    def _log_loss(self, upstream: directory.KnownUpstream, reason: str) -> None:
+        """Logs what the prompt of a lost request shares with others."""
+        call = self._request.call
+        if call is None:
+            return
+        self._forwarder._log.info(
+            "lost",
+            id=self._request.request_id,
+            upstream=upstream.entry.instance_id,
+            why=reason,
+            events=self._relay.event_count if self._relay else 0,
+            parts=[
+                part.part_id[:_MAX_LOGGED_ID]
+                for part in call.parts[:_MAX_LOGGED_PARTS]
+            ],
+        )
+
     def _is_path_suspect(self, upstream: directory.KnownUpstream) -> bool:
         """Whether a failure is probably due to this instance's own links.
 
