--- a/sesamecross/fakes/platform_caller.py
+++ b/sesamecross/fakes/platform_caller.py
@@ -48,7 +48,11 @@
 
 
 class Call:
-    """One request on a new connection, or on a reused one."""
+    """One request on a new connection, or on a reused one.
+
+    Attributes:
+      shared_parts: The parts of a prompt but for the last, which is its own.
+    """
 
     def __init__(
         self,
@@ -67,6 +71,7 @@
         """
         self.request_id = request_id()
         self.body = f"body of {self.request_id}".encode()
+        self.shared_parts = ("5c1e07a2",)
         self._path = path
         self._front = front
         self.connection = reused or self._connect(receive_buffer)
@@ -117,7 +122,8 @@
         if for_model:
             send("Model", MODEL)
             send("Token-Usage", "60,50")
-            send("Prompt-Prefix", f"5c1e07a2:40,{self.request_id}:20")
+            parts = [f"{part}:40" for part in self.shared_parts]
+            send("Prompt-Prefix", ",".join([*parts, f"{self.request_id}:20"]))
         for name, value in headers.items():
             send(name, value)
         if wait_for_continue:
--- a/sesamecross/fakes/platform_upstream.py
+++ b/sesamecross/fakes/platform_upstream.py
@@ -69,6 +69,9 @@
     Attributes:
       rejection_limit: Stated in all its answers, unless it is None.
       most_running: The most plain answers that were held at the same time.
+      crashing_part: The part of a prompt under which it crashes as it begins
+        to answer; empty for none.
+      is_crashed: Whether it has crashed.
     """
 
     def __init__(
@@ -116,7 +119,8 @@
         self._born_ms = int(time.time() * 1000)
         self._lock = threading.Lock()
         self._released = threading.Event()
-        self._is_crashed = False
+        self.crashing_part = ""
+        self.is_crashed = False
         self.route("GET", "/v1/report", self._report)
         self.route("POST", "/v1/order", self._order)
         self.route("GET", "/health", self._health)
@@ -135,7 +139,7 @@
 
     def crash(self) -> None:
         """Cuts all streams and stops; the entry in the store stays."""
-        self._is_crashed = True
+        self.is_crashed = True
         self.server.shut_down()
 
     def register(self, state: str = "ready") -> None:
@@ -249,6 +253,8 @@
         if self.rejection_limit is not None:
             headers["Server-Brittle"] = str(self.rejection_limit)
         caller_socket = request.environ[http_server.CONNECTION].socket
+        if self.crashing_part and self.crashing_part in _shared_parts(request):
+            self._crash_while_answering(run, caller_socket)
         if is_stream:
             target = request.header("Model")
             headers["Content-Type"] = "text/event-stream"
@@ -264,6 +270,15 @@
             self._running -= 1
         return base.Response(run.answer, headers=headers)
 
+    def _crash_while_answering(
+        self, run: Run, caller_socket: socket.socket
+    ) -> None:
+        run.is_cut = True
+        self.is_crashed = True
+        caller_socket.shutdown(socket.SHUT_RDWR)
+        # Not from this thread: the server waits for all of its threads.
+        threading.Thread(target=self.server.shut_down, daemon=True).start()
+
     def _events(self, request: base.Request) -> list[bytes]:
         """Returns the events of a stream from where it is resumed."""
         events = _events(request.header("Request-Id"), self._version)
@@ -285,10 +300,10 @@
             else:
                 yield b"".join(events[:EVENTS_BEFORE_HOLD])
                 self._wait_until_released(run, caller_socket)
-                if self._is_crashed:
+                if self.is_crashed:
                     return
                 yield from events[EVENTS_BEFORE_HOLD:]
-            is_complete = not self._is_crashed
+            is_complete = not self.is_crashed
         finally:
             run.is_cut = run.is_cut or not is_complete
             with self._lock:
@@ -299,7 +314,7 @@
         self, events: list[bytes], caller_socket: socket.socket
     ) -> Iterator[bytes]:
         for event in events:
-            if self._is_crashed:
+            if self.is_crashed:
                 caller_socket.shutdown(socket.SHUT_RDWR)
                 return
             yield event
@@ -310,7 +325,7 @@
     ) -> None:
         """Waits until the test releases it, or the connection is closed."""
         while not self._released.wait(_POLL_INTERVAL_S):
-            if self._is_crashed:
+            if self.is_crashed:
                 caller_socket.shutdown(socket.SHUT_RDWR)
                 return
             if _is_closed(caller_socket):
@@ -318,6 +333,12 @@
                 return
 
 
+def _shared_parts(request: base.Request) -> list[str]:
+    """Returns the ids of a prompt's parts but for the last."""
+    parts = request.header("Prompt-Prefix").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 def _is_closed(caller_socket: socket.socket) -> bool:
     """Returns whether the peer closed; it must not send anything meanwhile."""
     if not select.select([caller_socket], [], [], 0)[0]:
--- /dev/null
+++ b/sesamecross/gateway/crashing_prompts_test.py
@@ -0,0 +1,85 @@
+"""Tests of prompts that crash each engine, at gateways that share engines."""
+
+import asyncio
+import dataclasses
+
+from sesamecross.fakes import gateway_site
+from sesamecross.fakes import platform_caller
+from sesamecross.fakes import platform_site
+
+WRITERS = platform_site.WRITERS
+# Shared by all prompts, by those of a caller, and by those that crash engines.
+FIRST_PART, CALLER_PART, BAD_PART = "5c1e07a2", "91bd3f06", "e4402b7d"
+ENGINES = 12
+ROUNDS = 16
+ROUND_S = 0.3
+# The users' bound: so many after the fifth.
+MAX_CRASHES = 5 + 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What the callers of one scenario received.
+
+    Attributes:
+      bad: Statuses of requests with the part that crashes engines.
+      sound: Statuses of all others.
+      crashes: Engines that crashed.
+    """
+
+    bad: list[int]
+    sound: list[int]
+    crashes: int
+
+
+def status_of(front: tuple[str, int], *shared_parts: str) -> int:
+    """Sends one request; returns the status of its answer, 0 if it is cut."""
+    call = platform_caller.Call(front, platform_site.PATHS[WRITERS])
+    call.shared_parts = shared_parts
+    call.send(for_model=True)
+    answer = call.finish()
+    call.close()
+    return 0 if answer.error else answer.status
+
+
+async def play(rounds: int) -> Result:
+    """Sends prompts with the bad part at all gateways, beside sound ones."""
+    async with gateway_site.running_site(gateways=3) as site:
+        engines = [
+            site.upstreams[0],
+            *(site.add_upstream(WRITERS) for _ in range(ENGINES - 1)),
+        ]
+        for engine in engines:
+            engine.release_answers()
+            engine.crashing_part = BAD_PART
+        await site.wait_ready()
+        bad, sound = [], []
+        for number in range(rounds):
+            fronts = [one.front for one in site.gateways]
+            front = fronts[number % len(fronts)]
+            bad.append(
+                await asyncio.to_thread(
+                    status_of, front, FIRST_PART, CALLER_PART, BAD_PART
+                )
+            )
+            sound.extend(
+                await asyncio.gather(
+                    *(
+                        asyncio.to_thread(
+                            status_of, one, FIRST_PART, CALLER_PART
+                        )
+                        for one in fronts
+                    )
+                )
+            )
+            await asyncio.sleep(ROUND_S)
+        return Result(bad, sound, sum(one.is_crashed for one in engines))
+
+
+def test_a_part_that_crashes_engines_is_withheld():
+    """Guards against one part of prompts that ends engine after engine."""
+    result = asyncio.run(play(ROUNDS))
+    assert result.crashes <= MAX_CRASHES
+    # The last ones of each gateway are refused at once and served.
+    assert result.bad[-3:] == [503] * 3
+    assert result.sound[-9:] == [200] * 9
