Prompts with a part that crashes engines are withheld by all instances

Cause: an engine's end was known as a failure of that engine alone. Nothing related it to what its requests held, and no instance saw more than a few of the ends, so each instance sent the next prompt with the part to the next engine.

Change: an instance that loses a request before its answer was under way finds out whether the engine has ended (its port refuses, or another incarnation answers) and tells all others which prompts were unanswered there (CrashNews, relayed by hubs). A part is withheld after three ends of separate cause if no prompt with it was ever answered to the end anywhere, after five if one was; the deepest such part first, and what it explains says nothing against others. Instances that know an answer object before that. Withheld prompts are refused at once, also while they wait, with the time after which they are let through again: 300 s at first, then one crash is enough and one answer clears the part. The lease's holder repeats what is withheld and records it in the store, for instances that start and for all killed at one moment.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -363,6 +363,62 @@
     seen: list[SeenVersions] = []
 
 
+class UnansweredPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that an engine left unanswered as it ended.
+
+    Attributes:
+      shared: The parts that other prompts may share, in order.
+      own: The last part.
+    """
+
+    shared: list[str]
+    own: str
+
+
+class CrashedEngine(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that ended while it had requests.
+
+    Attributes:
+      age_s: Seconds since its connections broke.
+    """
+
+    upstream: str
+    age_s: float
+    prompts: list[UnansweredPrompt]
+
+
+class AnsweredPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts one of which was answered to the end, `age_s` ago."""
+
+    part: str
+    age_s: float
+
+
+class WithheldPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part whose prompts crash engines, so that none is sent.
+
+    Attributes:
+      left_s: For how long none will be sent, in seconds.
+      hold_s: How long that was at first.
+    """
+
+    part: str
+    left_s: float
+    hold_s: float
+
+
+class CrashNews(
+    msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=13
+):
+    """What an instance has learned of prompts that crash engines."""
+
+    me: Member
+    number: int
+    crashes: list[CrashedEngine] = []
+    answered: list[AnsweredPart] = []
+    withheld: list[WithheldPart] = []
+
+
 Message = (
     Report
     | Summary
@@ -376,6 +432,7 @@
     | OriginRecord
     | OriginQuery
     | OriginReply
+    | CrashNews
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -11,6 +11,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import catalog
 from sesamecross.gateway import connection_pool as connection_pool_lib
+from sesamecross.gateway import crash_guard
 from sesamecross.gateway import engine_client
 from sesamecross.gateway import follower
 from sesamecross.gateway import forwarder as forwarder_lib
@@ -34,6 +35,7 @@
 from sesamecross.gateway import sync
 from sesamecross.gateway import upstream_connector
 from sesamecross.gateway import version_recorder
+from sesamecross.gateway import withheld_recorder
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import store_polling
@@ -211,18 +213,28 @@
             address,
             self._rng,
         )
+        guard = crash_guard.CrashGuard(
+            self.state,
+            self.mesh,
+            self.forwarder.connector,
+            lambda: self.lease.holds,
+            self.metrics,
+            ticker,
+        )
+        self.forwarder.search_context.crash_guard = guard
         proxy = store_proxy.StoreProxy(client, self.mesh)
+        records = version_recorder.RecordStore(
+            self._registrar, client, proxy, instances_topic
+        )
         recorder = version_recorder.VersionRecorder(
             self.state,
-            version_recorder.RecordStore(
-                self._registrar, client, proxy, instances_topic
-            ),
+            records,
             origins,
             lambda: self.lease.holds,
             ticker,
         )
         self._joiner = joiner.Joiner(
-            self._registrar, self.mesh, instance, self.state
+            self._registrar, self.mesh, instance, self.state, guard
         )
         return [
             self.front,
@@ -270,6 +282,10 @@
             pacing,
             origins,
             recorder,
+            guard,
+            withheld_recorder.WithheldRecorder(
+                guard, records, lambda: self.lease.holds, ticker
+            ),
         ]
 
     def _build_report(self) -> fm.Report:
--- /dev/null
+++ b/sesamecross/gateway/crash_guard.py
@@ -0,0 +1,363 @@
+"""Withholds prompts with a part that crashes engines.
+
+Such prompts come at any instance, no two alike, and each ends the engine that
+begins to answer it, with all requests there. So instances tell each other which
+prompts an engine left unanswered as it ended, and which parts are answered
+elsewhere. What follows from that is decided in
+`sesamecross.ops.fleet.crash_ledger`; this module observes, verifies and sends.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from sesamecross.core import fleet_messages as fm
+from sesamecross.core import serving
+from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import upstream_connector
+from sesamecross.ops.fleet import crash_evidence
+from sesamecross.ops.fleet import crash_ledger
+from sesamecross.ops.fleet import directory
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import ticker as ticker_lib
+
+STEP_INTERVAL_S = 0.1
+# A datagram may be lost, and a hub may end.
+RESEND_AFTER_S = (0.4, 1.2)
+# How often the lease holder repeats what is withheld, for new instances.
+ANNOUNCE_INTERVAL_S = 2.0
+# How often and for how long it is verified that an engine has ended. It stays
+# in the store's list for some seconds.
+VERIFY_INTERVAL_S = 0.2
+VERIFY_ATTEMPTS = 10
+# An engine that ends may answer for a moment longer.
+MIN_VERIFY_S = 0.5
+# A prompt whose answer had been written for so long did not crash the engine.
+MAX_WRITTEN_S = 0.5
+# Bounds of one message.
+MAX_PROMPTS_OF_ENGINE = 16
+
+
+class _Observed:
+    """What this instance has seen of an engine that has perhaps ended."""
+
+    __slots__ = ("upstream", "born_ms", "lost_s", "prompts", "has_ended")
+
+    def __init__(self, upstream: directory.KnownUpstream, lost_s: float):
+        self.upstream = upstream
+        self.born_ms = upstream.entry.born_ms
+        self.lost_s = lost_s
+        self.prompts: set[crash_evidence.Prompt] = set()
+        self.has_ended = False
+
+
+class CrashGuard:
+    """Component that exchanges what crashed engines, and withholds it."""
+
+    is_vital = False
+    name = "crashes"
+
+    __slots__ = (
+        "_state",
+        "_mesh",
+        "_connector",
+        "_is_holder",
+        "_metrics",
+        "_ticker",
+        "_log",
+        "_ledger",
+        "_observed",
+        "_verifications",
+        "_resends",
+        "_announced_s",
+    )
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        mesh: mesh_lib.Mesh,
+        connector: upstream_connector.UpstreamConnector,
+        is_holder: Callable[[], bool],
+        metrics: metrics_lib.Metrics,
+        ticker: ticker_lib.Ticker | None = None,
+    ):
+        """Initializes the guard.
+
+        Args:
+          state: Is notified of changes.
+          mesh: Exchanges messages with the other instances.
+          connector: Verifies that an engine has ended.
+          is_holder: Whether this instance holds the lease.
+          metrics: Of the process.
+          ticker: The process's ticker.
+        """
+        self._state = state
+        self._mesh = mesh
+        self._connector = connector
+        self._is_holder = is_holder
+        self._metrics = metrics
+        self._ticker = ticker or ticker_lib.Ticker()
+        self._log = logs.get_logger("crashes")
+        self._ledger = crash_ledger.CrashLedger()
+        # By the engine's incarnation.
+        self._observed: dict[str, _Observed] = {}
+        self._verifications: set[asyncio.Task] = set()
+        # When to send a crash again.
+        self._resends: list[tuple[float, str]] = []
+        self._announced_s = 0.0
+        mesh.add_listener(self._on_message)
+
+    @property
+    def withheld(self) -> tuple[crash_ledger.Withheld, ...]:
+        """The parts that are withheld now."""
+        return self._ledger.withheld
+
+    async def run(self) -> None:
+        """Sends again, announces and forgets."""
+        while True:
+            await self._ticker.wait(STEP_INTERVAL_S)
+            now_s = asyncio.get_running_loop().time()
+            if self._ledger.crash_count or self._ledger.withheld:
+                self._step(now_s)
+            self._resend(now_s)
+            self._announce(now_s)
+            self._forget(now_s)
+
+    async def stop(self) -> None:
+        """Ends the verifications; others know the rest."""
+        for task in self._verifications:
+            task.cancel()
+
+    # -- requests ----------------------------------------------------------
+
+    def left_s(self, call: serving.ModelCall) -> float | None:
+        """Returns for how long a call is withheld; None if it may be sent."""
+        if not self._ledger.withheld:
+            return None
+        prompt = crash_evidence.prompt_of(call)
+        if prompt is None:
+            return None
+        return self._ledger.left_s(prompt, asyncio.get_running_loop().time())
+
+    def may_send_again(self, call: serving.ModelCall) -> bool:
+        """Whether a call that an engine did not answer may go to another."""
+        prompt = crash_evidence.prompt_of(call)
+        return prompt is None or not self._ledger.is_suspected(prompt)
+
+    def record_answer(self, call: serving.ModelCall) -> None:
+        """Records that a call was answered to the end."""
+        prompt = crash_evidence.prompt_of(call)
+        if prompt is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        cleared = self._ledger.add_own_answer(prompt, now_s)
+        if cleared:
+            self._log.info("part answered", parts=cleared)
+            self._send(answered=[fm.AnsweredPart(one, 0.0) for one in cleared])
+
+    def record_loss(
+        self,
+        call: serving.ModelCall,
+        upstream: directory.KnownUpstream,
+        first_event_s: float | None,
+    ) -> None:
+        """Records that an engine's connection broke before the answer's end.
+
+        Args:
+          call: The request.
+          upstream: The engine.
+          first_event_s: Loop time of the answer's first event; None before it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        prompt = crash_evidence.prompt_of(call)
+        if prompt is None:
+            return
+        if first_event_s is not None and now_s - first_event_s > MAX_WRITTEN_S:
+            return
+        entry = upstream.entry
+        engine = f"{entry.instance_id}/{entry.born_ms}"
+        observed = self._observed.get(engine)
+        if observed is None:
+            observed = self._observed[engine] = _Observed(upstream, now_s)
+            task = asyncio.create_task(self._verify(engine, observed))
+            self._verifications.add(task)
+            task.add_done_callback(self._verifications.discard)
+        if len(observed.prompts) < MAX_PROMPTS_OF_ENGINE:
+            observed.prompts.add(prompt)
+        if observed.has_ended:
+            self._report(engine, observed)
+
+    async def _verify(self, engine: str, observed: _Observed) -> None:
+        """Reports the engine's prompts once it is known to have ended."""
+        has_ended = None
+        for _ in range(VERIFY_ATTEMPTS):
+            has_ended = await self._connector.has_ended(
+                observed.upstream, observed.born_ms
+            )
+            lasted_s = asyncio.get_running_loop().time() - observed.lost_s
+            if has_ended or (has_ended is False and lasted_s >= MIN_VERIFY_S):
+                break
+            await asyncio.sleep(VERIFY_INTERVAL_S)
+        now_s = asyncio.get_running_loop().time()
+        self._log.info(
+            "engine ended" if has_ended else "engine has not ended",
+            upstream=engine,
+            prompts=[
+                (*prompt.shared[-4:], prompt.own) for prompt in observed.prompts
+            ],
+            is_known=has_ended is not None,
+            after_ms=round((now_s - observed.lost_s) * 1000),
+        )
+        if has_ended:
+            observed.has_ended = True
+            self._report(engine, observed)
+        else:
+            self._observed.pop(engine, None)
+
+    # -- exchange ----------------------------------------------------------
+
+    def _report(self, engine: str, observed: _Observed) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._ledger.add_crash(engine, observed.lost_s, observed.prompts)
+        self._resends.extend(
+            (now_s + after_s, engine) for after_s in RESEND_AFTER_S
+        )
+        self._send_crashes([engine], now_s)
+        self._on_evidence(now_s)
+
+    def _send_crashes(self, engines: Iterable[str], now_s: float) -> None:
+        crashes = []
+        for engine in engines:
+            observed = self._observed.get(engine)
+            if observed is None:
+                continue
+            prompts = [
+                fm.UnansweredPrompt(list(prompt.shared), prompt.own)
+                for prompt in observed.prompts
+            ]
+            crashes.append(
+                fm.CrashedEngine(
+                    engine, round(now_s - observed.lost_s, 3), prompts
+                )
+            )
+        if crashes:
+            self._send(crashes=crashes)
+
+    def _send(
+        self,
+        crashes: Iterable[fm.CrashedEngine] = (),
+        answered: Iterable[fm.AnsweredPart] = (),
+        withheld: Iterable[fm.WithheldPart] = (),
+    ) -> None:
+        if self._mesh.roster is None:
+            return
+        self._mesh.broadcast(
+            fm.CrashNews(
+                self._mesh.me,
+                self._mesh.next_number(),
+                list(crashes),
+                list(answered),
+                list(withheld),
+            )
+        )
+
+    def _resend(self, now_s: float) -> None:
+        due = {one for at_s, one in self._resends if at_s <= now_s}
+        if due:
+            self._resends = [one for one in self._resends if one[0] > now_s]
+            self._send_crashes(sorted(due), now_s)
+
+    def _announce(self, now_s: float) -> None:
+        is_due = now_s - self._announced_s >= ANNOUNCE_INTERVAL_S
+        if not is_due or not self._ledger.withheld or not self._is_holder():
+            return
+        self._announced_s = now_s
+        self._send(
+            withheld=[
+                fm.WithheldPart(
+                    one.part, round(one.until_s - now_s, 1), one.hold_s
+                )
+                for one in self._ledger.withheld
+            ]
+        )
+
+    def _on_message(self, message: fm.Message) -> None:
+        match message:
+            case fm.CrashNews():
+                self._on_news(message)
+
+    def _on_news(self, news: fm.CrashNews) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for crash in news.crashes:
+            self._ledger.add_crash(
+                crash.upstream,
+                now_s - max(0.0, crash.age_s),
+                [
+                    crash_evidence.Prompt(tuple(prompt.shared), prompt.own)
+                    for prompt in crash.prompts
+                ],
+            )
+        for answer in news.answered:
+            self._ledger.add_reported_answer(
+                answer.part, now_s - max(0.0, answer.age_s), now_s
+            )
+        for one in news.withheld:
+            left_s = min(one.left_s, crash_ledger.ANNOUNCED_LIFE_S)
+            if self._ledger.add_withheld(one.part, left_s, one.hold_s, now_s):
+                self._log.warning(
+                    "part withheld", by=news.me.name, withheld=one.part
+                )
+                self._state.notify_change()
+        if news.crashes:
+            self._on_evidence(now_s)
+
+    def restore(self, part: str, left_s: float, hold_s: float) -> None:
+        """Takes over what the store says is withheld."""
+        now_s = asyncio.get_running_loop().time()
+        if self._ledger.add_withheld(part, left_s, hold_s, now_s):
+            self._log.warning("part withheld", by="store", withheld=part)
+            self._state.notify_change()
+
+    # -- decisions ---------------------------------------------------------
+
+    def _on_evidence(self, now_s: float) -> None:
+        objections = self._ledger.own_objections(now_s)
+        if objections:
+            self._log.info("part answered", parts=list(objections))
+            self._send(
+                answered=[
+                    fm.AnsweredPart(part, round(now_s - at_s, 3))
+                    for part, at_s in objections.items()
+                ]
+            )
+        self._step(now_s)
+
+    def _step(self, now_s: float) -> None:
+        begun = self._ledger.step(now_s)
+        for one in begun:
+            self._log.warning(
+                "part withheld",
+                by="own finding",
+                withheld=one.part,
+                for_s=round(one.hold_s),
+                crashes=self._ledger.crash_count,
+            )
+            self._announced_s = 0.0
+        if begun:
+            # Requests that wait with it are refused now.
+            self._state.notify_change()
+        self._metrics.set(
+            "sesamecross_withheld_parts",
+            "Parts of prompts that are withheld as they crash engines.",
+            {},
+            len(self._ledger.withheld),
+        )
+
+    def _forget(self, now_s: float) -> None:
+        self._observed = {
+            engine: observed
+            for engine, observed in self._observed.items()
+            if now_s - observed.lost_s < crash_ledger.CRASH_LIFE_S
+        }
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sesamecross.core import serving
+from sesamecross.gateway import crash_guard as crash_guard_lib
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import demand as demand_lib
@@ -43,6 +44,8 @@
         target. Arguments: service, target, the engine that lacks it, or empty,
         and the software version that an engine must have, or empty.
       pacing: Prefill admission; set when the application is assembled.
+      crash_guard: Withholds prompts that crash engines; set when the
+        application is assembled.
     """
 
     state: state_lib.State
@@ -55,6 +58,7 @@
     )
     request_placement: Callable[[str, str, str, str], None] = _ignore_request
     pacing: pacing_lib.Pacing | None = None
+    crash_guard: crash_guard_lib.CrashGuard | None = None
 
 
 class EngineSearch:
@@ -136,6 +140,8 @@
         loop = asyncio.get_running_loop()
         while True:
             now_s = loop.time()
+            if self.is_withheld():
+                return None
             if self.origin is not None and not self._usable():
                 # Nobody can serve it. The caller may find more elsewhere.
                 self.retry_after_s = NO_VERSION_RETRY_AFTER_S
@@ -153,6 +159,9 @@
                 # Refused callers count as late: the model needs more engines.
                 self._context.demand.record_outcome(self.demand_key, True)
                 return None
+            if self.is_withheld():
+                self.release_permit()
+                return None
             if self._is_still_usable(choice.upstream):
                 self.choice = choice
                 self._context.demand.record_prompt(
@@ -161,6 +170,19 @@
                 return choice.upstream
             self.release_permit()
 
+    def is_withheld(self) -> bool:
+        """Whether prompts with a part of this one crash engines.
+
+        If so, the search is over.
+        """
+        guard = self._context.crash_guard
+        left_s = guard.left_s(self._call) if guard is not None else None
+        if left_s is None:
+            return False
+        self.retry_after_s = left_s
+        self._limit = wait_policy.Limit.WITHHELD
+        return True
+
     def release_permit(self) -> None:
         """Releases the permit: the prefill is done, or nothing is sent."""
         if self._permit is not None:
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -36,6 +36,7 @@
       on_stream_begun: Called once, before the first event is forwarded.
       on_first_event: Called once, at the next event.
       first_event_s: Loop time of the first event, or None.
+      attempt_first_event_s: The same of the current attempt.
       max_gap_s: The longest pause between events so far.
       max_gap_at_s: Loop time at which that pause ended.
     """
@@ -49,6 +50,7 @@
         "on_stream_begun",
         "on_first_event",
         "first_event_s",
+        "attempt_first_event_s",
         "max_gap_s",
         "max_gap_at_s",
         "_last_event_s",
@@ -61,6 +63,7 @@
         self.event_count = 0
         self.last_event_id = ""
         self.first_event_s: float | None = None
+        self.attempt_first_event_s: float | None = None
         self.max_gap_s = 0.0
         self.max_gap_at_s = 0.0
         self._last_event_s = 0.0
@@ -86,6 +89,7 @@
         The head that is forwarded is that of the first attempt with events.
         """
         self._partial_event = b""
+        self.attempt_first_event_s = None
         if not self.event_count:
             self._head = (status, list(headers))
 
@@ -107,6 +111,8 @@
         now_s = asyncio.get_running_loop().time()
         if self.upstream is not None:
             self.upstream.reachability.record_contact(now_s)
+        if self.attempt_first_event_s is None:
+            self.attempt_first_event_s = now_s
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -463,8 +463,9 @@
                     return self._time_out()
             self._note = f"{self._note} {failure}".strip()
             self._tried_ids.add(upstream.entry.instance_id)
-            may_spend = self._history.sends == 0 or retry_budget.spend(
-                loop.time(), state.instance_count
+            may_spend = self._history.sends == 0 or (
+                self._may_send_again(failure)
+                and retry_budget.spend(loop.time(), state.instance_count)
             )
             match retry_policy.decide_after_failure(
                 self._route, failure, self._history, may_spend
@@ -476,6 +477,14 @@
                 case retry_policy.NextAction.FAIL:
                     return self._fail(502)
 
+    def _may_send_again(self, failure: retry_policy.Failure) -> bool:
+        """Whether another engine would not crash, as far as is known."""
+        guard = self._forwarder.search_context.crash_guard
+        is_lost = isinstance(failure, retry_policy.Lost)
+        if not is_lost or self._search is None or guard is None:
+            return True
+        return guard.may_send_again(self._request.call)
+
     def _is_too_late(self) -> bool:
         """Whether a request that waited would be cut off by the stop's end.
 
@@ -574,6 +583,11 @@
                 if not self._is_path_suspect(upstream):
                     upstream.health.record_failure(loop.time())
                 return retry_policy.NotSent(str(error) or type(error).__name__)
+            if self._search is not None and self._search.is_withheld():
+                self._forwarder._connection_pool.release(
+                    upstream.entry.address, connection
+                )
+                return retry_policy.NotSent("withheld")
             self._relayed_by = connection.relayed_by
             if self._relayed_by and prefill_tracker is not None:
                 prefill_tracker.is_relayed = True
@@ -748,8 +762,11 @@
                 else:
                     upstream.health.record_success(now_s)
                     upstream.record_duration(took_s)
+                if status < 300:
+                    self._record_model_answer()
             case attempt_lib.StreamCompleted():
                 upstream.health.record_success(now_s)
+                self._record_model_answer()
             case retry_policy.NotRun(is_absent=True):
                 call = self._request.call
                 if call is not None:
@@ -759,7 +776,7 @@
                     upstream.entry.instance_id
                 )
             case retry_policy.Lost(reason=reason):
-                self._log_loss(upstream, reason)
+                self._record_model_loss(upstream, reason)
                 if not self._relayed_by:
                     upstream.reachability.record_loss(now_s)
                 if not self._is_path_suspect(upstream):
@@ -767,11 +784,23 @@
             case retry_policy.NotRun():
                 upstream.health.record_failure(now_s)
 
-    def _log_loss(self, upstream: directory.KnownUpstream, reason: str) -> None:
-        """Logs what the prompt of a lost request shares with others."""
+    def _record_model_answer(self) -> None:
+        guard = self._forwarder.search_context.crash_guard
+        if self._search is not None and guard is not None:
+            guard.record_answer(self._request.call)
+
+    def _record_model_loss(
+        self, upstream: directory.KnownUpstream, reason: str
+    ) -> None:
+        """Records a lost request, and what its prompt shares with others."""
         call = self._request.call
-        if call is None:
+        if self._search is None:
             return
+        guard = self._forwarder.search_context.crash_guard
+        if guard is not None:
+            relay = self._relay
+            first_event_s = relay.attempt_first_event_s if relay else None
+            guard.record_loss(call, upstream, first_event_s)
         self._forwarder._log.info(
             "lost",
             id=self._request.request_id,
--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -3,11 +3,13 @@
 import asyncio
 
 from sesamecross.core import serving
+from sesamecross.gateway import crash_guard as crash_guard_lib
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import registrar as registrar_lib
 from sesamecross.gateway import start_steps
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import version_records
+from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 
@@ -34,6 +36,7 @@
         "_mesh",
         "_instance",
         "_state",
+        "_guard",
         "_log",
     )
 
@@ -43,12 +46,14 @@
         mesh: mesh_lib.Mesh,
         instance: serving.Instance,
         state: state_lib.State,
+        guard: crash_guard_lib.CrashGuard,
     ):
         self.leave_timeout_s = LEAVE_TIMEOUT_S
         self._registrar = registrar
         self._mesh = mesh
         self._instance = instance
         self._state = state
+        self._guard = guard
         self._log = logs.get_logger("versions")
 
     async def run(self) -> None:
@@ -86,6 +91,10 @@
     def _on_listed(
         self, records: dict[str, store.KeyedRecord], begun_s: float
     ) -> None:
+        for one in withheld_records.read_records(
+            records, registrar_lib.wall_clock_ms()
+        ):
+            self._guard.restore(one.part, one.left_s, one.hold_s)
         if self._state.has_read_versions:
             return
         recorded = version_records.read_records(
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -144,6 +144,8 @@
         self._hub_progress = store_polling.HubProgress()
         self._last_contact_s = 0.0
         self._last_placement = (-1, -1, -1)
+        # By sender, the incarnation and number of its last news of crashes.
+        self._last_news: dict[str, tuple[int, int]] = {}
         self._listeners: list[MessageListener] = []
         self.lease: fm.LeaseAnnouncement | None = None
         self.lease_received_s = 0.0
@@ -254,8 +256,8 @@
         self._number += 1
         return self._number
 
-    def broadcast(self, message: fm.Placement) -> None:
-        """Sends a placement to all hubs, which relay it to their zones."""
+    def broadcast(self, message: fm.Placement | fm.CrashNews) -> None:
+        """Sends a message to all hubs, which relay it to their zones."""
         if self.roster is None or self.transport is None:
             return
         now_s = asyncio.get_running_loop().time()
@@ -268,7 +270,7 @@
                 self._send_bytes(data, self.roster.get(hub))
 
     def _relay(self, data: bytes, source: str, now_s: float) -> None:
-        """Relays a placement to the members of this hub's zone."""
+        """Relays a message to the members of this hub's zone."""
         for member in self._members(now_s):
             if member.name != source:
                 self._send_bytes(data, member)
@@ -573,13 +575,19 @@
                 self._on_view(message, now_s)
             case fm.Placement():
                 # Hubs are inferred, not elected: if two instances both consider
-                # themselves the hub, a placement that came back would circulate
+                # themselves the hub, a message that came back would circulate
                 # for ever.
                 if not self._is_new_placement(message):
                     return
                 if self._is_hub(now_s):
                     self._relay(data, message.me.name, now_s)
                 self._notify_listeners(message)
+            case fm.CrashNews():
+                if not self._is_new_news(message):
+                    return
+                if self._is_hub(now_s):
+                    self._relay(data, message.me.name, now_s)
+                self._notify_listeners(message)
             case fm.LeaseRelease(lease=lease):
                 self._on_lease(lease, now_s)
             case (
@@ -600,6 +608,13 @@
         self._last_placement = number
         return True
 
+    def _is_new_news(self, message: fm.CrashNews) -> bool:
+        number = (message.me.incarnation, message.number)
+        if number <= self._last_news.get(message.me.name, (-1, -1)):
+            return False
+        self._last_news[message.me.name] = number
+        return True
+
     def _count(self, reason: str) -> None:
         self._metrics.count(
             "sesamecross_datagrams_dropped_total",
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -152,6 +152,44 @@
             upstream.reachability.record_connected(loop.time())
         return connection
 
+    async def has_ended(
+        self, upstream: directory.KnownUpstream, born_ms: int
+    ) -> bool | None:
+        """Finds out whether an incarnation of an engine has ended.
+
+        Args:
+          upstream: The engine.
+          born_ms: The incarnation's start, in wall-clock ms.
+
+        Returns:
+          Whether it has; None if that can't be told now.
+        """
+        if upstream.entry.born_ms > born_ms:
+            return True
+        report = await self._ask_engine(upstream.entry)
+        if report is not None:
+            upstream.reachability.record_contact(
+                asyncio.get_running_loop().time()
+            )
+            return report.born_ms > born_ms
+        try:
+            connection = await self._connect_directly(
+                upstream,
+                connection_pool_lib.CONNECT_TIMEOUT_S,
+                requires_new=True,
+            )
+        except ConnectionRefusedError:
+            now_s = asyncio.get_running_loop().time()
+            # A port that only this instance finds closed is behind a cut.
+            is_reached = upstream.others_reachability.hears > 0
+            if is_reached or self._state.directory.is_isolated(now_s):
+                return None
+            return True
+        except OSError:
+            return None
+        connection.close()
+        return None
+
     def verify_suspected(self, instances: Sequence[str], me: str) -> None:
         """Probes upstreams that only other instances find unreachable.
 
--- a/sesamecross/gateway/version_recorder.py
+++ b/sesamecross/gateway/version_recorder.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import store_proxy
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import version_records
+from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
@@ -52,7 +53,9 @@
         records = {record.key: record for record in page.records}
         return registrar_lib.TopicList(records, page.end)
 
-    async def append(self, write: version_records.Write) -> store.AppendOutcome:
+    async def append(
+        self, write: version_records.Write | withheld_records.Write
+    ) -> store.AppendOutcome:
         """Makes a write on its condition."""
         if write.value is None:
             return await self._client.append(
--- /dev/null
+++ b/sesamecross/gateway/withheld_recorder.py
@@ -0,0 +1,74 @@
+"""Keeps the store's records of parts of prompts that crash engines.
+
+What is written is decided in `sesamecross.ops.fleet.withheld_records`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from sesamecross.gateway import crash_guard as crash_guard_lib
+from sesamecross.gateway import registrar as registrar_lib
+from sesamecross.gateway import version_recorder
+from sesamecross.ops.fleet import withheld_records
+from sesamecross.ports import store
+from sesamecross.runtime import logs
+from sesamecross.runtime import ticker as ticker_lib
+
+STEP_INTERVAL_S = 0.1
+# Pause after a write that failed.
+RETRY_INTERVAL_S = 1.0
+
+
+class WithheldRecorder:
+    """Component that writes the records while this instance is the writer."""
+
+    is_vital = False
+    name = "withheld records"
+
+    __slots__ = ("_guard", "_records", "_is_writer", "_ticker", "_log")
+
+    def __init__(
+        self,
+        guard: crash_guard_lib.CrashGuard,
+        records: version_recorder.RecordStore,
+        is_writer: Callable[[], bool],
+        ticker: ticker_lib.Ticker | None = None,
+    ):
+        self._guard = guard
+        self._records = records
+        self._is_writer = is_writer
+        self._ticker = ticker or ticker_lib.Ticker()
+        self._log = logs.get_logger("crashes")
+
+    async def run(self) -> None:
+        """Writes what is due, one record after the other."""
+        writer = withheld_records.RecordWriter()
+        while True:
+            await self._ticker.wait(STEP_INTERVAL_S)
+            if not self._is_writer():
+                # Another instance may write meanwhile.
+                writer = withheld_records.RecordWriter()
+                continue
+            await self._step(writer)
+
+    async def stop(self) -> None:
+        """Does nothing: the records stay."""
+
+    async def _step(self, writer: withheld_records.RecordWriter) -> None:
+        withheld = self._guard.withheld
+        due = writer.next_write(
+            withheld,
+            asyncio.get_running_loop().time(),
+            registrar_lib.wall_clock_ms(),
+        )
+        if due is None:
+            return
+        part, write = due
+        outcome = await self._records.append(write)
+        if isinstance(outcome, store.Appended):
+            writer.on_written(part, withheld)
+            event = "record dropped" if write.value is None else "recorded"
+            self._log.info(event, withheld=part)
+            return
+        self._log.warning("not recorded", withheld=part, why=str(outcome))
+        await asyncio.sleep(RETRY_INTERVAL_S)
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -55,6 +55,7 @@
       ENGINE_BUSY: The engine loads a model, and an adapter only after that.
       NO_TURN: The engines that hold the model have too much to read.
       NO_VERSION: No engine of the stream's version can be sent requests.
+      WITHHELD: Prompts with one of the request's parts crash engines.
     """
 
     NO_PLAN = "no plan for the model"
@@ -64,6 +65,7 @@
     ENGINE_BUSY = "engine loads a model"
     NO_TURN = "no turn"
     NO_VERSION = "no engine of the version"
+    WITHHELD = "prompts with this part crash engines"
 
 
 class Wait(msgspec.Struct, frozen=True):
