Crash evidence: answers that got under way, shares of many crashes, objections

By a simulation of fleets of guards: an answer counts from when it began, once it has been written for half a second; while many engines crash, a part must have to do with half of the crashes since its first; a withheld part explains crashes; an instance that has just started asks for more; one instance speaks for several that know an answer.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -379,16 +379,17 @@
     """An engine that ended while it had requests.
 
     Attributes:
+      engine: Its incarnation.
       age_s: Seconds since its connections broke.
     """
 
-    upstream: str
+    engine: str
     age_s: float
     prompts: list[UnansweredPrompt]
 
 
 class AnsweredPart(msgspec.Struct, frozen=True, array_like=True):
-    """A part of prompts one of which was answered to the end, `age_s` ago."""
+    """A part of prompts, to one of which an answer began `age_s` ago."""
 
     part: str
     age_s: float
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -218,6 +218,7 @@
             self.mesh,
             self.forwarder.connector,
             lambda: self.lease.holds,
+            self._rng,
             self.metrics,
             ticker,
         )
--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -10,9 +10,12 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+import random
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.gateway import event_relay
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import upstream_connector
@@ -26,6 +29,10 @@
 STEP_INTERVAL_S = 0.1
 # A datagram may be lost, and a hub may end.
 RESEND_AFTER_S = (0.4, 1.2)
+# The same for an answer, which must come before others withhold its parts.
+RESEND_ANSWER_AFTER_S = (0.15, 0.4)
+# Many instances may know an answer. Within this time one speaks for them.
+OBJECTION_SPREAD_S = 0.25
 # How often the lease holder repeats what is withheld, for new instances.
 ANNOUNCE_INTERVAL_S = 2.0
 # How often and for how long it is verified that an engine has ended. It stays
@@ -34,8 +41,6 @@
 VERIFY_ATTEMPTS = 10
 # An engine that ends may answer for a moment longer.
 MIN_VERIFY_S = 0.5
-# A prompt whose answer had been written for so long did not crash the engine.
-MAX_WRITTEN_S = 0.5
 # Bounds of one message.
 MAX_PROMPTS_OF_ENGINE = 16
 
@@ -71,7 +76,10 @@
         "_observed",
         "_verifications",
         "_resends",
+        "_answer_resends",
         "_announced_s",
+        "_objection",
+        "_rng",
     )
 
     def __init__(
@@ -80,6 +88,7 @@
         mesh: mesh_lib.Mesh,
         connector: upstream_connector.UpstreamConnector,
         is_holder: Callable[[], bool],
+        rng: random.Random,
         metrics: metrics_lib.Metrics,
         ticker: ticker_lib.Ticker | None = None,
     ):
@@ -90,6 +99,7 @@
           mesh: Exchanges messages with the other instances.
           connector: Verifies that an engine has ended.
           is_holder: Whether this instance holds the lease.
+          rng: Spreads what several instances would send at one moment.
           metrics: Of the process.
           ticker: The process's ticker.
         """
@@ -97,16 +107,21 @@
         self._mesh = mesh
         self._connector = connector
         self._is_holder = is_holder
+        self._rng = rng
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("crashes")
-        self._ledger = crash_ledger.CrashLedger()
+        self._ledger = crash_ledger.CrashLedger(
+            asyncio.get_running_loop().time()
+        )
         # By the engine's incarnation.
         self._observed: dict[str, _Observed] = {}
         self._verifications: set[asyncio.Task] = set()
-        # When to send a crash again.
+        # When to send a crash or an answer again.
         self._resends: list[tuple[float, str]] = []
+        self._answer_resends: list[tuple[float, str]] = []
         self._announced_s = 0.0
+        self._objection: asyncio.TimerHandle | None = None
         mesh.add_listener(self._on_message)
 
     @property
@@ -129,6 +144,8 @@
         """Ends the verifications; others know the rest."""
         for task in self._verifications:
             task.cancel()
+        if self._objection is not None:
+            self._objection.cancel()
 
     # -- requests ----------------------------------------------------------
 
@@ -146,16 +163,20 @@
         prompt = crash_evidence.prompt_of(call)
         return prompt is None or not self._ledger.is_suspected(prompt)
 
-    def record_answer(self, call: serving.ModelCall) -> None:
-        """Records that a call was answered to the end."""
+    def record_answer(self, call: serving.ModelCall, began_s: float) -> None:
+        """Records that an answer is under way, or has come to its end.
+
+        Args:
+          call: The request.
+          began_s: Loop time of the answer's first event.
+        """
         prompt = crash_evidence.prompt_of(call)
         if prompt is None:
             return
-        now_s = asyncio.get_running_loop().time()
-        cleared = self._ledger.add_own_answer(prompt, now_s)
+        cleared = self._ledger.add_own_answer(prompt, began_s)
         if cleared:
-            self._log.info("part answered", parts=cleared)
-            self._send(answered=[fm.AnsweredPart(one, 0.0) for one in cleared])
+            self._send_answers(dict.fromkeys(cleared, began_s))
+            self._state.notify_change()
 
     def record_loss(
         self,
@@ -174,7 +195,9 @@
         prompt = crash_evidence.prompt_of(call)
         if prompt is None:
             return
-        if first_event_s is not None and now_s - first_event_s > MAX_WRITTEN_S:
+        if first_event_s is not None and now_s - first_event_s >= (
+            event_relay.UNDER_WAY_S
+        ):
             return
         entry = upstream.entry
         engine = f"{entry.instance_id}/{entry.born_ms}"
@@ -225,7 +248,7 @@
             (now_s + after_s, engine) for after_s in RESEND_AFTER_S
         )
         self._send_crashes([engine], now_s)
-        self._on_evidence(now_s)
+        self._object_soon()
 
     def _send_crashes(self, engines: Iterable[str], now_s: float) -> None:
         crashes = []
@@ -263,11 +286,37 @@
             )
         )
 
+    def _send_answers(self, answered_s: Mapping[str, float]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._log.info("part answered", parts=list(answered_s))
+        self._answer_resends.extend(
+            (now_s + after_s, part)
+            for part in answered_s
+            for after_s in RESEND_ANSWER_AFTER_S
+        )
+        self._broadcast_answers(answered_s, now_s)
+
+    def _broadcast_answers(
+        self, answered_s: Mapping[str, float], now_s: float
+    ) -> None:
+        self._send(
+            answered=[
+                fm.AnsweredPart(part, round(now_s - at_s, 3))
+                for part, at_s in answered_s.items()
+            ]
+        )
+
     def _resend(self, now_s: float) -> None:
-        due = {one for at_s, one in self._resends if at_s <= now_s}
+        due, self._resends = _split_due(self._resends, now_s)
         if due:
-            self._resends = [one for one in self._resends if one[0] > now_s]
-            self._send_crashes(sorted(due), now_s)
+            self._send_crashes(due, now_s)
+        due, self._answer_resends = _split_due(self._answer_resends, now_s)
+        if due:
+            answered_s = {part: self._ledger.own_answer_s(part) for part in due}
+            self._broadcast_answers(
+                {part: at for part, at in answered_s.items() if at is not None},
+                now_s,
+            )
 
     def _announce(self, now_s: float) -> None:
         is_due = now_s - self._announced_s >= ANNOUNCE_INTERVAL_S
@@ -292,7 +341,7 @@
         now_s = asyncio.get_running_loop().time()
         for crash in news.crashes:
             self._ledger.add_crash(
-                crash.upstream,
+                crash.engine,
                 now_s - max(0.0, crash.age_s),
                 [
                     crash_evidence.Prompt(tuple(prompt.shared), prompt.own)
@@ -301,17 +350,25 @@
             )
         for answer in news.answered:
             self._ledger.add_reported_answer(
-                answer.part, now_s - max(0.0, answer.age_s), now_s
+                answer.part, now_s - max(0.0, answer.age_s)
             )
         for one in news.withheld:
-            left_s = min(one.left_s, crash_ledger.ANNOUNCED_LIFE_S)
-            if self._ledger.add_withheld(one.part, left_s, one.hold_s, now_s):
-                self._log.warning(
-                    "part withheld", by=news.me.name, withheld=one.part
-                )
-                self._state.notify_change()
-        if news.crashes:
-            self._on_evidence(now_s)
+            self._on_withheld(one, news.me.name, now_s)
+        if news.crashes and self._ledger.has_news:
+            self._object_soon()
+
+    def _on_withheld(
+        self, one: fm.WithheldPart, holder: str, now_s: float
+    ) -> None:
+        answered_s = self._ledger.own_answer_s(one.part)
+        left_s = min(one.left_s, crash_ledger.ANNOUNCED_LIFE_S)
+        if not self._ledger.add_withheld(one.part, left_s, one.hold_s, now_s):
+            return
+        self._log.warning("part withheld", by=holder, withheld=one.part)
+        if answered_s is not None and self._ledger.clear(one.part, answered_s):
+            # The holder does not know of the answer.
+            self._send_answers({one.part: answered_s})
+        self._state.notify_change()
 
     def restore(self, part: str, left_s: float, hold_s: float) -> None:
         """Takes over what the store says is withheld."""
@@ -322,17 +379,19 @@
 
     # -- decisions ---------------------------------------------------------
 
-    def _on_evidence(self, now_s: float) -> None:
-        objections = self._ledger.own_objections(now_s)
-        if objections:
-            self._log.info("part answered", parts=list(objections))
-            self._send(
-                answered=[
-                    fm.AnsweredPart(part, round(now_s - at_s, 3))
-                    for part, at_s in objections.items()
-                ]
+    def _object_soon(self) -> None:
+        """Objects in a moment, unless another instance does so before."""
+        if self._objection is None:
+            self._objection = asyncio.get_running_loop().call_later(
+                self._rng.uniform(0, OBJECTION_SPREAD_S), self._object
             )
-        self._step(now_s)
+
+    def _object(self) -> None:
+        """Tells others of answers without which they would withhold a part."""
+        self._objection = None
+        objections = self._ledger.own_objections()
+        if objections:
+            self._send_answers(objections)
 
     def _step(self, now_s: float) -> None:
         begun = self._ledger.step(now_s)
@@ -361,3 +420,11 @@
             for engine, observed in self._observed.items()
             if now_s - observed.lost_s < crash_ledger.CRASH_LIFE_S
         }
+
+
+def _split_due(
+    resends: list[tuple[float, str]], now_s: float
+) -> tuple[list[str], list[tuple[float, str]]]:
+    """Returns the names that are due, and the rest."""
+    due = sorted({name for at_s, name in resends if at_s <= now_s})
+    return due, [one for one in resends if one[0] > now_s]
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -14,6 +14,9 @@
 from sesamecross.ops.fleet import directory
 
 _MAX_EVENT_BYTES = 1024 * 1024
+# An answer that has been written for so long did not end its engine by being
+# begun.
+UNDER_WAY_S = 0.5
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 
@@ -35,6 +38,8 @@
       versions: The software versions that sent events so far, in order.
       on_stream_begun: Called once, before the first event is forwarded.
       on_first_event: Called once, at the next event.
+      on_under_way: Called once in each attempt, with the loop time of its first
+        event, when events have come for `UNDER_WAY_S`.
       first_event_s: Loop time of the first event, or None.
       attempt_first_event_s: The same of the current attempt.
       max_gap_s: The longest pause between events so far.
@@ -49,6 +54,7 @@
         "versions",
         "on_stream_begun",
         "on_first_event",
+        "on_under_way",
         "first_event_s",
         "attempt_first_event_s",
         "max_gap_s",
@@ -57,6 +63,7 @@
         "_response_writer",
         "_head",
         "_partial_event",
+        "_is_under_way",
     )
 
     def __init__(self, response_writer: response_writer_lib.ResponseWriter):
@@ -72,9 +79,11 @@
         self.versions: list[str | None] = []
         self.on_stream_begun: Callable[[], None] | None = None
         self.on_first_event: Callable[[], None] | None = None
+        self.on_under_way: Callable[[float], None] | None = None
         self._response_writer = response_writer
         self._head: tuple[int, list[serving.Header]] | None = None
         self._partial_event = b""
+        self._is_under_way = False
 
     @property
     def is_at_event_boundary(self) -> bool:
@@ -90,6 +99,7 @@
         """
         self._partial_event = b""
         self.attempt_first_event_s = None
+        self._is_under_way = False
         if not self.event_count:
             self._head = (status, list(headers))
 
@@ -111,8 +121,7 @@
         now_s = asyncio.get_running_loop().time()
         if self.upstream is not None:
             self.upstream.reachability.record_contact(now_s)
-        if self.attempt_first_event_s is None:
-            self.attempt_first_event_s = now_s
+        self._check_under_way(now_s)
         if self.first_event_s is None:
             self.first_event_s = now_s
         else:
@@ -136,6 +145,15 @@
                 status, headers, complete_events
             )
 
+    def _check_under_way(self, now_s: float) -> None:
+        if self.attempt_first_event_s is None:
+            self.attempt_first_event_s = now_s
+        written_s = now_s - self.attempt_first_event_s
+        if not self._is_under_way and written_s >= UNDER_WAY_S:
+            self._is_under_way = True
+            if self.on_under_way is not None:
+                self.on_under_way(self.attempt_first_event_s)
+
     def _record_event_ids(self, complete_events: bytes) -> None:
         for event in complete_events.split(_EVENT_END):
             if not event.strip():
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -377,6 +377,7 @@
         if self._route.kind is serving.RouteKind.STREAM:
             self._relay = event_relay.EventRelay(self._response_writer)
             self._relay.on_stream_begun = self._on_stream_begun
+            self._relay.on_under_way = self._record_model_answer
             if self._is_resumed and not await self._find_origin():
                 self._note = "nobody knows where the stream began"
                 if self._lookup.is_early:
@@ -763,10 +764,12 @@
                     upstream.health.record_success(now_s)
                     upstream.record_duration(took_s)
                 if status < 300:
-                    self._record_model_answer()
+                    self._record_model_answer(now_s - took_s)
             case attempt_lib.StreamCompleted():
                 upstream.health.record_success(now_s)
-                self._record_model_answer()
+                first_event_s = self._relay.attempt_first_event_s
+                if first_event_s is not None:
+                    self._record_model_answer(first_event_s)
             case retry_policy.NotRun(is_absent=True):
                 call = self._request.call
                 if call is not None:
@@ -784,10 +787,10 @@
             case retry_policy.NotRun():
                 upstream.health.record_failure(now_s)
 
-    def _record_model_answer(self) -> None:
+    def _record_model_answer(self, began_s: float) -> None:
         guard = self._forwarder.search_context.crash_guard
         if self._search is not None and guard is not None:
-            guard.record_answer(self._request.call)
+            guard.record_answer(self._request.call, began_s)
 
     def _record_model_loss(
         self, upstream: directory.KnownUpstream, reason: str
--- a/sesamecross/ops/fleet/crash_evidence.py
+++ b/sesamecross/ops/fleet/crash_evidence.py
@@ -1,12 +1,13 @@
 """Finds the parts of prompts that crash engines.
 
 An engine that crashes takes all its requests with it, so each crash points at
-every prompt that the engine had not yet answered, and at every part that these
-share with others. A part crashes engines if it was in such a prompt at several
-crashes and no prompt with it is answered to the end. Once a part is found, the
-crashes that it explains say nothing against the others.
+every prompt whose answer had not been under way for a while, and at every part
+that these share with others. A part crashes engines if it was in such a prompt
+at several crashes and no answer to a prompt with it gets under way. Once a part
+is found, the crashes that it explains say nothing against the others.
 """
 
+import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
@@ -16,17 +17,26 @@
 
 from sesamecross.core import serving
 
-# Crashes that count against a part whose prompts were never answered, and
+# Crashes of separate cause that it takes against a part.
+MIN_CAUSES = 3
+# Engines that it takes against a part whose prompts were never answered, and
 # against one whose prompts were.
 MIN_CRASHES = 3
 MIN_CRASHES_ONCE_ANSWERED = 5
+# More of them, if the part has to do with less than this share of the crashes
+# since its first one: while many engines crash, most prompts are lost.
+MIN_SHARE = 0.5
+MIN_CRASHES_OF_MANY = 3
+# A part at fewer engines than this share of another's was only beside it.
+PEER_SHARE = 0.75
 # Engines that end within this time may have one cause of their own, like a
 # rack that loses power: they count as one crash.
 SAME_CAUSE_S = 0.3
 # One caller that repeats its prompt is no evidence against a part.
 MIN_PROMPTS = 2
-# A crash this soon after an answer does not count: the two may overlap.
-ANSWER_HOLDS_S = 2.0
+# A crash this soon after an answer has begun does not count: that answers do
+# get under way is known only some time after they have begun.
+ANSWER_HOLDS_S = 0.5
 # Longer ids of parts are replaced by a digest.
 MAX_PART_BYTES = 32
 # Of a longer prompt, the first and the last parts count.
@@ -50,10 +60,11 @@
     """An engine that ended, and the prompts that it left unanswered.
 
     Attributes:
+      engine: Its incarnation.
       at_s: Monotonic time at which its connections broke.
     """
 
-    upstream: str
+    engine: str
     at_s: float
     prompts: frozenset[Prompt]
 
@@ -79,42 +90,74 @@
     return f"#{digest.hexdigest()}"
 
 
+class Knowledge(msgspec.Struct, frozen=True):
+    """What is known besides the crashes.
+
+    Attributes:
+      answered_s: By part, the monotonic time at which the last answer to a
+        prompt with it began that got under way.
+      withheld: Parts that were found before.
+      is_complete: Whether any answer would be known; an instance that has just
+        started has missed many.
+    """
+
+    answered_s: Mapping[str, float] = {}
+    withheld: frozenset[str] = frozenset()
+    is_complete: bool = True
+
+
 class _Evidence:
     """What speaks against one part."""
 
-    __slots__ = ("causes", "own_parts", "depth")
+    __slots__ = ("causes", "engines", "own_parts", "depth")
 
     def __init__(self) -> None:
         self.causes: set[int] = set()
+        self.engines: set[str] = set()
         self.own_parts: set[str] = set()
         self.depth = 0
 
 
+class _Suspect(msgspec.Struct, frozen=True, order=True):
+    """A part with enough evidence; the largest one is the most suspect."""
+
+    was_never_answered: bool
+    depth: int
+    unanswered_since: float
+    engines: int
+    part: str
+
+
 def find_crashing_parts(
-    crashes: Iterable[EngineCrash], answered_s: Mapping[str, float]
+    crashes: Iterable[EngineCrash], knowledge: Knowledge
 ) -> tuple[str, ...]:
     """Returns the parts that crash engines, each after those found before it.
 
-    Of parts that the same crashes point at, the deepest of those never answered
-    is found: withholding it affects the fewest prompts.
-
-    Args:
-      crashes: Engines that ended.
-      answered_s: Monotonic time of the last complete answer to a prompt with a
-        part; missing if there was none.
+    Of parts that nearly the same engines point at, the deepest of those never
+    answered is found: withholding it affects the fewest prompts. Parts that are
+    withheld are not found again.
     """
     unexplained = _numbered_by_cause(crashes)
+    for part in knowledge.withheld:
+        unexplained = _without(part, unexplained)
     found: list[str] = []
     while True:
-        part = _most_suspect(unexplained, answered_s)
+        part = _most_suspect(unexplained, knowledge)
         if part is None:
             return tuple(found)
         found.append(part)
-        unexplained = [
-            (cause, crash)
-            for cause, crash in unexplained
-            if not any(part in prompt.shared for prompt in crash.prompts)
-        ]
+        unexplained = _without(part, unexplained)
+
+
+def _without(
+    part: str, numbered: Iterable[tuple[int, EngineCrash]]
+) -> list[tuple[int, EngineCrash]]:
+    """Returns the crashes that a part does not explain."""
+    return [
+        (cause, crash)
+        for cause, crash in numbered
+        if not any(part in prompt.shared for prompt in crash.prompts)
+    ]
 
 
 def count_crashes(
@@ -152,27 +195,39 @@
                     continue
                 evidence = by_part.setdefault(part, _Evidence())
                 evidence.causes.add(cause)
+                evidence.engines.add(crash.engine)
                 evidence.own_parts.add(prompt.own)
                 evidence.depth = max(evidence.depth, depth)
     return by_part
 
 
 def _most_suspect(
-    numbered: Iterable[tuple[int, EngineCrash]],
-    answered_s: Mapping[str, float],
+    numbered: list[tuple[int, EngineCrash]], knowledge: Knowledge
 ) -> str | None:
-    suspects = []
+    answered_s = knowledge.answered_s
+    causes = sorted({cause for cause, _ in numbered})
+    suspects: list[_Suspect] = []
     for part, evidence in _collect(numbered, answered_s).items():
+        count = len(evidence.causes)
+        if count < MIN_CAUSES or len(evidence.own_parts) < MIN_PROMPTS:
+            continue
         last_answer_s = answered_s.get(part, -math.inf)
-        needed = (
-            MIN_CRASHES
-            if last_answer_s == -math.inf
-            else MIN_CRASHES_ONCE_ANSWERED
-        )
-        if (
-            len(evidence.causes) >= needed
-            and len(evidence.own_parts) >= MIN_PROMPTS
-        ):
-            rank = (-last_answer_s, evidence.depth, len(evidence.causes), part)
-            suspects.append(rank)
-    return max(suspects)[-1] if suspects else None
+        needed = MIN_CRASHES
+        if last_answer_s > -math.inf or not knowledge.is_complete:
+            needed = MIN_CRASHES_ONCE_ANSWERED
+        first = bisect.bisect_left(causes, min(evidence.causes))
+        if count < MIN_SHARE * (len(causes) - first):
+            needed += MIN_CRASHES_OF_MANY
+        if len(evidence.engines) >= needed:
+            suspects.append(
+                _Suspect(
+                    last_answer_s == -math.inf,
+                    evidence.depth,
+                    -last_answer_s,
+                    len(evidence.engines),
+                    part,
+                )
+            )
+    most = max((one.engines for one in suspects), default=0)
+    peers = [one for one in suspects if one.engines >= PEER_SHARE * most]
+    return max(peers).part if peers else None
--- a/sesamecross/ops/fleet/crash_ledger.py
+++ b/sesamecross/ops/fleet/crash_ledger.py
@@ -3,8 +3,8 @@
 Each instance sees few of the crashes and few of the answers, so what the others
 report is added to what it saw itself. A part of prompts is withheld for a
 limited time: software changes, and a finding may be wrong. After that one more
-crash is enough to withhold it again, for longer, and one complete answer clears
-it.
+crash is enough to withhold it again, for longer, and one answer that gets under
+way clears it.
 """
 
 from collections.abc import Iterable
@@ -23,7 +23,9 @@
 # How long a part that is no longer withheld is under suspicion.
 TRIAL_LIFE_S = 3600.0
 # A part is withheld once others had this long to report answers to it.
-OBJECTION_S = 0.25
+OBJECTION_S = 0.7
+# An instance that started this recently has missed many answers.
+NEW_INSTANCE_S = 20.0
 # What the lease holder withholds counts this long without being repeated.
 ANNOUNCED_LIFE_S = 30.0
 # Bounds of the tables. Only a crash adds to those of crashes and of parts.
@@ -88,15 +90,20 @@
     """The crashes, answers and withheld parts that one instance knows of."""
 
     __slots__ = (
+        "_started_s",
         "_crashes",
         "_own_answers",
         "_reported_answers",
         "_suspected_since_s",
         "_withheld",
         "_trials",
+        "_has_news",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, started_s: float = -math.inf):
+        """Initializes the ledger; `started_s` is the instance's start."""
+        self._started_s = started_s
+        # By the engine's incarnation.
         self._crashes: dict[str, EngineCrash] = {}
         # What all instances know, and what only this one does.
         self._reported_answers = _LastAnswers()
@@ -104,12 +111,18 @@
         self._suspected_since_s: dict[str, float] = {}
         self._withheld: dict[str, Withheld] = {}
         self._trials: dict[str, _Trial] = {}
+        self._has_news = False
 
     @property
     def withheld(self) -> tuple[Withheld, ...]:
         """The parts that are withheld now."""
         return tuple(self._withheld.values())
 
+    @property
+    def has_news(self) -> bool:
+        """Whether anything has come since the last step."""
+        return self._has_news
+
     @property
     def crash_count(self) -> int:
         """Number of crashes that count."""
@@ -118,42 +131,41 @@
     # -- evidence --------------------------------------------------------
 
     def add_crash(
-        self, upstream: str, at_s: float, prompts: Iterable[Prompt]
+        self, engine: str, at_s: float, prompts: Iterable[Prompt]
     ) -> bool:
         """Adds an engine that ended; returns whether that is news."""
-        known = self._crashes.get(upstream)
+        known = self._crashes.get(engine)
         reported = frozenset(prompts)
         if known is not None:
             at_s = min(at_s, known.at_s)
             reported |= known.prompts
         kept = frozenset(sorted(reported)[:MAX_PROMPTS_OF_CRASH])
-        crash = EngineCrash(upstream, at_s, kept)
+        self._crashes[engine] = EngineCrash(engine, at_s, kept)
         if known is not None and kept == known.prompts:
-            self._crashes[upstream] = crash
             return False
-        self._crashes[upstream] = crash
         if len(self._crashes) > MAX_CRASHES:
             oldest = min(self._crashes.values(), key=lambda one: one.at_s)
-            del self._crashes[oldest.upstream]
+            del self._crashes[oldest.engine]
+        self._has_news = True
         return True
 
-    def add_own_answer(self, prompt: Prompt, now_s: float) -> tuple[str, ...]:
-        """Adds a complete answer; returns the parts that others must know of.
+    def add_own_answer(self, prompt: Prompt, began_s: float) -> tuple[str, ...]:
+        """Adds an answer that got under way.
 
-        These are parts that were suspected or withheld.
+        Returns:
+          The parts that others must know of: suspected or withheld until now.
         """
         cleared = []
         for part in prompt.shared:
-            self._own_answers.record(part, now_s)
-            if self._is_accused(part):
-                self._clear(part, now_s)
+            self._own_answers.record(part, began_s)
+            if self._is_accused(part) and self.clear(part, began_s):
                 cleared.append(part)
         return tuple(cleared)
 
-    def add_reported_answer(self, part: str, at_s: float, now_s: float) -> None:
+    def add_reported_answer(self, part: str, began_s: float) -> None:
         """Adds an answer that another instance has seen."""
-        if self._reported_answers.record(part, at_s):
-            self._clear(part, now_s)
+        if self._reported_answers.record(part, began_s):
+            self.clear(part, began_s)
 
     def _is_accused(self, part: str) -> bool:
         return (
@@ -162,11 +174,19 @@
             or part in self._suspected_since_s
         )
 
-    def _clear(self, part: str, now_s: float) -> None:
-        self._suspected_since_s.pop(part, None)
+    def clear(self, part: str, began_s: float) -> bool:
+        """Takes note of an answer; returns whether it clears the part."""
+        self._has_news = True
+        known = self._withheld.get(part)
+        if known is not None and began_s < known.since_s:
+            # It began before the crashes that count against the part.
+            others = frozenset(self._withheld) - {part}
+            if part in self._find(self._answers(), others):
+                return False
+        self._withheld.pop(part, None)
         self._trials.pop(part, None)
-        if part not in self._find(now_s, self._all_answers()):
-            self._withheld.pop(part, None)
+        self._suspected_since_s.pop(part, None)
+        return True
 
     # -- withheld parts ----------------------------------------------------
 
@@ -183,8 +203,14 @@
         since_s = known.since_s if known is not None else now_s
         self._withheld[part] = Withheld(part, since_s, until_s, hold_s)
         self._trials.pop(part, None)
+        self._has_news = True
         return known is None
 
+    def own_answer_s(self, part: str) -> float | None:
+        """Returns when the last answer seen here to a part began."""
+        at_s = self._own_answers.get(part)
+        return None if at_s == -math.inf else at_s
+
     def left_s(self, prompt: Prompt, now_s: float) -> float | None:
         """Returns for how long a prompt is still withheld; None if it isn't."""
         times = [
@@ -200,10 +226,10 @@
 
         Such a prompt is not sent a second time by the same instance.
         """
-        answers = self._all_answers()
+        answers = self._answers()
         crashes = self._crashes.values()
         return any(
-            answers.get(part, -math.inf) == -math.inf
+            part not in answers
             and crash_evidence.count_crashes(part, crashes, answers)
             >= crash_evidence.MIN_CRASHES - 1
             for part in prompt.shared
@@ -212,62 +238,78 @@
     def step(self, now_s: float) -> tuple[Withheld, ...]:
         """Forgets what is old; returns the parts that are withheld from now."""
         self._forget(now_s)
-        found = self._find(now_s, self._all_answers())
-        self._suspected_since_s = {
-            part: self._suspected_since_s.get(part, now_s) for part in found
-        }
-        begun = []
-        for part in found:
-            is_due = now_s - self._suspected_since_s[part] >= OBJECTION_S
-            is_known = part in self._withheld
-            if is_known or not is_due or len(self._withheld) >= MAX_WITHHELD:
-                continue
-            trial = self._trials.pop(part, None)
-            hold_s = (
-                min(trial.hold_s * 2, MAX_HOLD_S) if trial else FIRST_HOLD_S
+        if self._has_news:
+            self._has_news = False
+            found = self._find(
+                self._answers(), frozenset(self._withheld), self._is_new(now_s)
             )
-            withheld = Withheld(part, now_s, now_s + hold_s, hold_s)
-            self._withheld[part] = withheld
-            begun.append(withheld)
+            self._suspected_since_s = {
+                part: self._suspected_since_s.get(part, now_s) for part in found
+            }
+        begun = []
+        for part, since_s in list(self._suspected_since_s.items()):
+            is_due = now_s - since_s >= OBJECTION_S
+            if is_due and len(self._withheld) < MAX_WITHHELD:
+                begun.append(self._withhold(part, now_s))
         return tuple(begun)
 
-    def own_objections(self, now_s: float) -> dict[str, float]:
-        """Returns the answers without which the others would withhold a part.
+    def _withhold(self, part: str, now_s: float) -> Withheld:
+        trial = self._trials.pop(part, None)
+        hold_s = min(trial.hold_s * 2, MAX_HOLD_S) if trial else FIRST_HOLD_S
+        withheld = Withheld(part, now_s, now_s + hold_s, hold_s)
+        self._withheld[part] = withheld
+        del self._suspected_since_s[part]
+        self._has_news = True
+        return withheld
+
+    def _is_new(self, now_s: float) -> bool:
+        return now_s - self._started_s < NEW_INSTANCE_S
+
+    def own_objections(self) -> dict[str, float]:
+        """Returns the answers without which others would withhold a part.
 
         Returns:
-          By part, when it was last answered here; reported from now on.
+          By part, when the last answer to it seen here began; counts as
+          reported from now on.
         """
-        found = self._find(now_s, self._reported_only())
-        objections = {}
-        for part in found:
-            at_s = self._own_answers.get(part)
-            if self._reported_answers.record(part, at_s):
-                objections[part] = at_s
-        return objections
+        withheld = frozenset(self._withheld)
+        objections: dict[str, float] = {}
+        while True:
+            found = self._find(self._answers(include_own=False), withheld)
+            news = {
+                part: at_s
+                for part in found
+                if self._reported_answers.record(
+                    part, at_s := self._own_answers.get(part)
+                )
+            }
+            if not news:
+                return objections
+            objections |= news
 
     def _find(
-        self, now_s: float, answers: Mapping[str, float]
+        self,
+        answers: Mapping[str, float],
+        withheld: frozenset[str],
+        is_new: bool = False,
     ) -> tuple[str, ...]:
         crashes = tuple(self._crashes.values())
-        found = list(crash_evidence.find_crashing_parts(crashes, answers))
-        for part, trial in self._trials.items():
-            if part not in found and any(
-                crash.at_s > trial.since_s
-                and any(part in prompt.shared for prompt in crash.prompts)
-                and crash.at_s > answers.get(part, -math.inf)
-                for crash in crashes
-            ):
-                found.append(part)
-        return tuple(found)
-
-    def _all_answers(self) -> dict[str, float]:
-        """Returns the last answers to the parts that crashes point at."""
-        return self._answers(include_own=True)
-
-    def _reported_only(self) -> dict[str, float]:
-        return self._answers(include_own=False)
+        knowledge = crash_evidence.Knowledge(answers, withheld, not is_new)
+        found = crash_evidence.find_crashing_parts(crashes, knowledge)
+        again = [
+            part
+            for part, trial in self._trials.items()
+            if part not in found
+            and crash_evidence.count_crashes(
+                part,
+                [crash for crash in crashes if crash.at_s > trial.since_s],
+                answers,
+            )
+        ]
+        return (*found, *again)
 
-    def _answers(self, include_own: bool) -> dict[str, float]:
+    def _answers(self, include_own: bool = True) -> dict[str, float]:
+        """Returns the last answers to the parts that crashes point at."""
         answers = {}
         for crash in self._crashes.values():
             for prompt in crash.prompts:
@@ -285,21 +327,14 @@
                 del self._withheld[part]
                 self._trials[part] = _Trial(now_s, known.hold_s)
                 # They are explained, and count against no other part.
-                self._drop_crashes_with(part)
-        self._trials = {
-            part: trial
-            for part, trial in self._trials.items()
-            if now_s - trial.since_s < TRIAL_LIFE_S
-        }
-        self._crashes = {
-            upstream: crash
-            for upstream, crash in self._crashes.items()
-            if now_s - crash.at_s < CRASH_LIFE_S
-        }
-
-    def _drop_crashes_with(self, part: str) -> None:
-        self._crashes = {
-            upstream: crash
-            for upstream, crash in self._crashes.items()
-            if not any(part in prompt.shared for prompt in crash.prompts)
-        }
+                self._crashes = {
+                    engine: crash
+                    for engine, crash in self._crashes.items()
+                    if not any(part in one.shared for one in crash.prompts)
+                }
+        for part, trial in list(self._trials.items()):
+            if now_s - trial.since_s >= TRIAL_LIFE_S:
+                del self._trials[part]
+        for engine, crash in list(self._crashes.items()):
+            if now_s - crash.at_s >= CRASH_LIFE_S:
+                del self._crashes[engine]
