--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -394,7 +394,7 @@
             self._send_answers(objections)
 
     def _step(self, now_s: float) -> None:
-        begun = self._ledger.step(now_s)
+        begun = self._ledger.step(now_s, self._is_holder())
         for one in begun:
             self._log.warning(
                 "part withheld",
--- a/sesamecross/ops/fleet/crash_evidence.py
+++ b/sesamecross/ops/fleet/crash_evidence.py
@@ -31,7 +31,7 @@
 PEER_SHARE = 0.75
 # Engines that end within this time may have one cause of their own, like a
 # rack that loses power: they count as one crash.
-SAME_CAUSE_S = 0.3
+SAME_CAUSE_S = 0.15
 # One caller that repeats its prompt is no evidence against a part.
 MIN_PROMPTS = 2
 # A crash this soon after an answer has begun does not count: that answers do
@@ -99,11 +99,14 @@
       withheld: Parts that were found before.
       is_complete: Whether any answer would be known; an instance that has just
         started has missed many.
+      skew_s: How far the times that others know may differ; what any of them
+        might find is found.
     """
 
     answered_s: Mapping[str, float] = {}
     withheld: frozenset[str] = frozenset()
     is_complete: bool = True
+    skew_s: float = 0.0
 
 
 class _Evidence:
@@ -123,8 +126,8 @@
 
     was_never_answered: bool
     depth: int
-    unanswered_since: float
     engines: int
+    last_answer_age: float
     part: str
 
 
@@ -137,7 +140,7 @@
     answered is found: withholding it affects the fewest prompts. Parts that are
     withheld are not found again.
     """
-    unexplained = _numbered_by_cause(crashes)
+    unexplained = _numbered_by_cause(crashes, knowledge.skew_s)
     for part in knowledge.withheld:
         unexplained = _without(part, unexplained)
     found: list[str] = []
@@ -164,18 +167,19 @@
     part: str, crashes: Iterable[EngineCrash], answered_s: Mapping[str, float]
 ) -> int:
     """Returns how many crashes count against a part."""
-    evidence = _collect(_numbered_by_cause(crashes), answered_s).get(part)
+    numbered = _numbered_by_cause(crashes)
+    evidence = _collect(numbered, Knowledge(answered_s)).get(part)
     return len(evidence.causes) if evidence is not None else 0
 
 
 def _numbered_by_cause(
-    crashes: Iterable[EngineCrash],
+    crashes: Iterable[EngineCrash], skew_s: float = 0.0
 ) -> list[tuple[int, EngineCrash]]:
     numbered = []
     cause = 0
     first_s = -math.inf
     for crash in sorted(crashes, key=lambda one: one.at_s):
-        if crash.at_s - first_s > SAME_CAUSE_S:
+        if crash.at_s - first_s > SAME_CAUSE_S - skew_s:
             cause += 1
             first_s = crash.at_s
         numbered.append((cause, crash))
@@ -183,15 +187,15 @@
 
 
 def _collect(
-    numbered: Iterable[tuple[int, EngineCrash]],
-    answered_s: Mapping[str, float],
+    numbered: Iterable[tuple[int, EngineCrash]], knowledge: Knowledge
 ) -> dict[str, _Evidence]:
+    answered_s = knowledge.answered_s
+    holds_s = ANSWER_HOLDS_S - knowledge.skew_s
     by_part: dict[str, _Evidence] = {}
     for cause, crash in numbered:
         for prompt in crash.prompts:
             for depth, part in enumerate(prompt.shared):
-                holds_until_s = answered_s.get(part, -math.inf) + ANSWER_HOLDS_S
-                if crash.at_s <= holds_until_s:
+                if crash.at_s <= answered_s.get(part, -math.inf) + holds_s:
                     continue
                 evidence = by_part.setdefault(part, _Evidence())
                 evidence.causes.add(cause)
@@ -207,7 +211,7 @@
     answered_s = knowledge.answered_s
     causes = sorted({cause for cause, _ in numbered})
     suspects: list[_Suspect] = []
-    for part, evidence in _collect(numbered, answered_s).items():
+    for part, evidence in _collect(numbered, knowledge).items():
         count = len(evidence.causes)
         if count < MIN_CAUSES or len(evidence.own_parts) < MIN_PROMPTS:
             continue
@@ -223,8 +227,8 @@
                 _Suspect(
                     last_answer_s == -math.inf,
                     evidence.depth,
-                    -last_answer_s,
                     len(evidence.engines),
+                    -last_answer_s,
                     part,
                 )
             )
--- a/sesamecross/ops/fleet/crash_ledger.py
+++ b/sesamecross/ops/fleet/crash_ledger.py
@@ -18,12 +18,17 @@
 # How long crashes count.
 CRASH_LIFE_S = 600.0
 # How long a part is withheld at first; twice as long each further time.
-FIRST_HOLD_S = 300.0
+FIRST_HOLD_S = 120.0
 MAX_HOLD_S = 3600.0
 # How long a part that is no longer withheld is under suspicion.
 TRIAL_LIFE_S = 3600.0
+# The lease holder lets such a part through this much sooner than the others, so
+# that few prompts find out whether engines still crash.
+TRIAL_LEAD_S = 10.0
 # A part is withheld once others had this long to report answers to it.
 OBJECTION_S = 0.7
+# By how much instances may differ in the times of crashes and answers.
+MAX_SKEW_S = 0.1
 # An instance that started this recently has missed many answers.
 NEW_INSTANCE_S = 20.0
 # What the lease holder withholds counts this long without being repeated.
@@ -97,6 +102,7 @@
         "_suspected_since_s",
         "_withheld",
         "_trials",
+        "_trial_delay_s",
         "_has_news",
     )
 
@@ -111,6 +117,7 @@
         self._suspected_since_s: dict[str, float] = {}
         self._withheld: dict[str, Withheld] = {}
         self._trials: dict[str, _Trial] = {}
+        self._trial_delay_s = TRIAL_LEAD_S
         self._has_news = False
 
     @property
@@ -203,6 +210,7 @@
         since_s = known.since_s if known is not None else now_s
         self._withheld[part] = Withheld(part, since_s, until_s, hold_s)
         self._trials.pop(part, None)
+        self._release_explained()
         self._has_news = True
         return known is None
 
@@ -214,10 +222,9 @@
     def left_s(self, prompt: Prompt, now_s: float) -> float | None:
         """Returns for how long a prompt is still withheld; None if it isn't."""
         times = [
-            known.until_s - now_s
+            max(0.0, known.until_s + self._trial_delay_s - now_s)
             for part in prompt.shared
             if (known := self._withheld.get(part)) is not None
-            and known.until_s > now_s
         ]
         return max(times, default=None)
 
@@ -235,8 +242,11 @@
             for part in prompt.shared
         )
 
-    def step(self, now_s: float) -> tuple[Withheld, ...]:
+    def step(
+        self, now_s: float, is_holder: bool = False
+    ) -> tuple[Withheld, ...]:
         """Forgets what is old; returns the parts that are withheld from now."""
+        self._trial_delay_s = 0.0 if is_holder else TRIAL_LEAD_S
         self._forget(now_s)
         if self._has_news:
             self._has_news = False
@@ -248,7 +258,7 @@
             }
         begun = []
         for part, since_s in list(self._suspected_since_s.items()):
-            is_due = now_s - since_s >= OBJECTION_S
+            is_due = part in self._trials or now_s - since_s >= OBJECTION_S
             if is_due and len(self._withheld) < MAX_WITHHELD:
                 begun.append(self._withhold(part, now_s))
         return tuple(begun)
@@ -259,9 +269,35 @@
         withheld = Withheld(part, now_s, now_s + hold_s, hold_s)
         self._withheld[part] = withheld
         del self._suspected_since_s[part]
+        self._release_explained()
         self._has_news = True
         return withheld
 
+    def _release_explained(self) -> None:
+        """Releases the parts whose crashes other withheld parts explain.
+
+        While nearly all engines crash, a sound part can be taken for the cause
+        until the crashes go on without it.
+        """
+        found = self._find(self._answers(), frozenset())
+        for part in list(self._withheld):
+            crashes = [
+                crash
+                for crash in self._crashes.values()
+                if any(part in prompt.shared for prompt in crash.prompts)
+            ]
+            if part in found or not crashes:
+                continue
+            if all(
+                any(
+                    other in self._withheld and other in prompt.shared
+                    for other in found
+                    for prompt in crash.prompts
+                )
+                for crash in crashes
+            ):
+                del self._withheld[part]
+
     def _is_new(self, now_s: float) -> bool:
         return now_s - self._started_s < NEW_INSTANCE_S
 
@@ -275,7 +311,9 @@
         withheld = frozenset(self._withheld)
         objections: dict[str, float] = {}
         while True:
-            found = self._find(self._answers(include_own=False), withheld)
+            found = self._find(
+                self._answers(include_own=False), withheld, skew_s=MAX_SKEW_S
+            )
             news = {
                 part: at_s
                 for part in found
@@ -292,9 +330,12 @@
         answers: Mapping[str, float],
         withheld: frozenset[str],
         is_new: bool = False,
+        skew_s: float = 0.0,
     ) -> tuple[str, ...]:
         crashes = tuple(self._crashes.values())
-        knowledge = crash_evidence.Knowledge(answers, withheld, not is_new)
+        knowledge = crash_evidence.Knowledge(
+            answers, withheld, not is_new, skew_s
+        )
         found = crash_evidence.find_crashing_parts(crashes, knowledge)
         again = [
             part
@@ -323,7 +364,7 @@
 
     def _forget(self, now_s: float) -> None:
         for part, known in list(self._withheld.items()):
-            if known.until_s <= now_s:
+            if known.until_s + self._trial_delay_s <= now_s:
                 del self._withheld[part]
                 self._trials[part] = _Trial(now_s, known.hold_s)
                 # They are explained, and count against no other part.
