A stream without framing that ends before its first event is broken off

An engine that crashes as it begins to answer may have sent the head of a stream that has neither a length nor chunks. The end of the connection then passed for the end of an empty stream: the caller got an empty success. Failed before: attempt_test[framing2--False]. Ends within an event, by any framing, were seen as broken off before.

--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -17,6 +17,8 @@
 from sesamecross.ops.fleet import retry_policy
 from sesamecross.ports import http_codec as http_codec_lib
 
+# Without any of these a body ends with its connection.
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 # Limit of a buffered response; services respond with kilobytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
@@ -151,15 +153,19 @@
     def on_end(self) -> None:
         """Handles the end of the response."""
         if self._is_stream:
-            if self._relay.is_at_event_boundary:
-                self._set_outcome(StreamCompleted())
-            else:
-                self._set_outcome(
-                    retry_policy.Lost("stream ended within an event")
-                )
+            self._set_outcome(self._stream_outcome())
             return
         self._set_outcome(self._complete_outcome())
 
+    def _stream_outcome(self) -> Outcome:
+        if not self._relay.is_at_event_boundary:
+            return retry_policy.Lost("stream ended within an event")
+        is_framed = any(name in _FRAMING_HEADERS for name, _ in self._headers)
+        if not is_framed and self._relay.attempt_first_event_s is None:
+            # The end of the connection alone would make it an answer.
+            return retry_policy.Lost("closed before the first event")
+        return StreamCompleted()
+
     def _complete_outcome(self) -> Outcome:
         head_info = self._head_info
         if head_info.was_not_executed:
