--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -268,11 +268,16 @@
 class AdmissionRelease(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=8
 ):
-    """Tells the pacer that a prompt was processed or will not be sent."""
+    """Tells the pacer that a prompt was processed or will not be sent.
+
+    Attributes:
+      was_read: Whether it was processed.
+    """
 
     me: Member
     number: int
     upstream: str
+    was_read: bool = False
 
 
 class LeaseRelease(
