Own interface: a block of prompts that crashes engines is withheld by its entry

An entry now remembers which calls an engine left without a token, takes the engine for ended if a report has another epoch or says that it isn't reachable, and decides by the ledger of the gateways. Such calls are refused at once with the time after which they are let through again, say whether they may have run, and are not tried a third time. Not shared between entries: each learns by itself (open).

--- a/sesamecross/core/refusal.py
+++ b/sesamecross/core/refusal.py
@@ -102,6 +102,18 @@
     )
 
 
+def withheld(retry_after_s: int, executed: Executed) -> Refusal:
+    """Refuses a call whose prompt shares a block that crashes engines."""
+    return Refusal(
+        503,
+        "prompt-withheld",
+        "Prompts with a part of this one have crashed engines",
+        "Change the prompt, or try again after the time given",
+        executed,
+        retry_after_s,
+    )
+
+
 def overloaded(retry_after_s: int) -> Refusal:
     """Refuses a call that can't be answered within its latency objective."""
     return Refusal(
--- a/sesamecross/ops/dispatch.py
+++ b/sesamecross/ops/dispatch.py
@@ -14,6 +14,7 @@
 from sesamecross.core import data
 from sesamecross.core import refusal
 from sesamecross.ops import call_queue
+from sesamecross.ops import crash_watch
 from sesamecross.ops import estimates
 from sesamecross.ops import retry
 from sesamecross.ops import routing
@@ -103,6 +104,7 @@
         "_open_calls",
         "_dispatch_count",
         "_entry_count",
+        "_crash_watch",
     )
 
     def __init__(
@@ -124,6 +126,7 @@
         self._open_calls: dict[str, _OpenCall] = {}
         self._dispatch_count = 0
         self._entry_count = 1
+        self._crash_watch = crash_watch.CrashWatch()
 
     @property
     def open_calls(self) -> int:
@@ -174,6 +177,7 @@
         state = self.upstreams.get(report.upstream)
         if state is None:
             return
+        self._crash_watch.record_report(report)
         earlier = state.report
         if earlier is not None and earlier.epoch != report.epoch:
             # Restarted: its cache is empty and earlier refusals are void.
@@ -213,8 +217,18 @@
         """Accepts a new call; its action may follow later."""
         open_call = _OpenCall(call)
         self._open_calls[call.call_id] = open_call
+        left_s = self._crash_watch.left_s(call, now_ms)
+        if left_s is not None:
+            return [self._withhold(open_call, left_s)]
         return self._dispatch_or_queue(open_call, now_ms)
 
+    def _withhold(self, open_call: _OpenCall, left_s: float) -> Refuse:
+        executed = refusal.Executed.NO
+        if open_call.may_have_run:
+            executed = refusal.Executed.UNKNOWN
+        answer = refusal.withheld(max(1, math.ceil(left_s)), executed)
+        return self._refuse(open_call, answer)
+
     def _dispatch_or_queue(
         self, open_call: _OpenCall, now_ms: int
     ) -> list[Action]:
@@ -355,6 +369,7 @@
         open_call.state.own_calls -= 1
         if complete:
             self.budget.succeeded()
+            self._crash_watch.record_answer(open_call.call, now_ms)
         return self._dispatch_queued(now_ms)
 
     def _learn(
@@ -410,6 +425,11 @@
         open_call = self._open_calls.get(call_id)
         if open_call is None:
             return []
+        is_unanswered = open_call.in_prefill and open_call.state is not None
+        if is_unanswered and isinstance(failure, MayHaveRun):
+            self._crash_watch.record_loss(
+                open_call.call, open_call.state.report, now_ms
+            )
         self._record_failure(open_call, failure, now_ms)
         open_call.excluded.add(open_call.upstream)
         open_call.may_have_run |= isinstance(failure, MayHaveRun)
@@ -443,6 +463,9 @@
         if now_ms >= call.deadline_ms:
             executed = refusal.Executed.UNKNOWN
             return self._refuse(open_call, refusal.deadline_passed(executed))
+        left_s = self._crash_watch.left_s(call, now_ms)
+        if left_s is not None:
+            return self._withhold(open_call, left_s)
         eligible = self._eligible_upstreams(open_call, now_ms)
         if not eligible:
             # Every upstream failed this call once; a passing fault may be over.
@@ -454,7 +477,9 @@
             isinstance(failure, NotRun) and open_call.attempts < MAX_ATTEMPTS
         )
         allowed = is_free or (
-            open_call.attempts < MAX_ATTEMPTS and self.budget.spend()
+            open_call.attempts < MAX_ATTEMPTS
+            and self._crash_watch.may_send_again(call)
+            and self.budget.spend()
         )
         if not eligible or not allowed:
             return self._refuse(open_call, self._no_upstream_refusal(open_call))
@@ -496,6 +521,11 @@
             return actions
         for call in self.queue.by_priority(now_ms):
             open_call = self._open_calls[call.call_id]
+            left_s = self._crash_watch.left_s(call, now_ms)
+            if left_s is not None:
+                self.queue.remove(call.call_id)
+                actions.append(self._withhold(open_call, left_s))
+                continue
             eligible = self._eligible_upstreams(open_call, now_ms)
             with_capacity = _upstreams_with_capacity(
                 call, eligible, self._location, now_ms
