Pacer: only an engine that reads below half the rate counts as slow

Engines read prompts between the steps of running streams, so the measured speed is below the constant rate on any busy engine, and callers were refused who would have been served. The slow engines of the test read a quarter and two fifths of the rate.

--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -60,6 +60,9 @@
 SPEED_PROMPTS = 3
 SPEED_MIN_UNREAD_TOKENS = 2 * BURST_TOKENS
 SPEED_LIFE_S = 3.0
+# Prompts are read between the steps of running streams, so that any engine
+# reads below the rate. Only one below this share of it counts as slow.
+SLOW_SHARE = 0.5
 MIN_CHECK_INTERVAL_S = 0.005
 # Maximum number of streams at an engine, see above: as many as bring a third of
 # its prefill rate in prompts, at 290 output and 650 prompt tokens each.
@@ -357,7 +360,7 @@
             rate = max(FULL_MIN_TOKENS_PER_S, min(rate, self._granted_rate))
         ahead = self._level
         speed = self._speed.tokens_per_s(now_s)
-        if speed < rate:
+        if speed < SLOW_SHARE * rate:
             rate = max(FULL_MIN_TOKENS_PER_S, speed)
             ahead = self._pending_tokens
         unread = ahead
