New connections that would wait too long to be read are closed unread

If a load balancer hands most new connections of a zone to one instance, its processor may not keep up: all requests there are read late, and their callers leave after a second. A limited number of new connections now wait to be read.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import joiner
 from sesamecross.gateway import lease_manager
 from sesamecross.gateway import listener
+from sesamecross.gateway import load_monitor
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import origin_registry
 from sesamecross.gateway import pacing as pacing_lib
@@ -36,6 +37,7 @@
 from sesamecross.gateway import upstream_connector
 from sesamecross.gateway import version_recorder
 from sesamecross.gateway import withheld_recorder
+from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import store_polling
@@ -134,8 +136,9 @@
         )
         self._readiness = status.StatusHandler(self.state, None)
         metrics = status.StatusHandler(self.state, self.metrics)
+        shedder = connection_shedder.ConnectionShedder()
         self.front = listener.Listener(
-            "front", instance.front_address, self.forwarder
+            "front", instance.front_address, self.forwarder, shedder=shedder
         )
         client = store_client.StoreClient(
             instance.store_address, adapter.store_codec, self.metrics
@@ -253,6 +256,7 @@
             reachability_monitor.ReachabilityMonitor(
                 self.state, self.mesh, self.forwarder.connector, ticker
             ),
+            load_monitor.LoadMonitor(shedder, self.metrics, ticker),
             self._reloader,
             self._joiner,
             self.mesh,
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -176,6 +176,14 @@
         """Logs a request that was rejected before it could be parsed."""
         self._log.warning("malformed", status=status, why=reason)
 
+    def on_shed(self) -> None:
+        """Counts a new connection that was closed unread."""
+        self._metrics.count(
+            "sesamecross_connections_shed_total",
+            "New connections closed unread, as the processor is busy.",
+            {},
+        )
+
     def handle(
         self,
         request: serving.Request,
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from sesamecross.gateway import server_connection
+from sesamecross.ops.fleet import connection_shedder
 
 # Length of the accept queue. When another instance stops, the platform's
 # load balancer moves all callers of a zone here at once.
@@ -28,6 +29,7 @@
         "_address",
         "_handler",
         "_server",
+        "_shedder",
         "connections",
     )
 
@@ -37,12 +39,14 @@
         address: str,
         handler: server_connection.RequestHandler,
         is_vital: bool = True,
+        shedder: connection_shedder.ConnectionShedder | None = None,
     ):
         self.name = name
         self.is_vital = is_vital
         self.is_helper = not is_vital
         self._address = address
         self._handler = handler
+        self._shedder = shedder
         self._server: asyncio.Server | None = None
         self.connections: set[server_connection.ServerConnection] = set()
 
@@ -65,7 +69,7 @@
         host, _, port = self._address.rpartition(":")
         self._server = await loop.create_server(
             lambda: server_connection.ServerConnection(
-                self._handler, loop, self.connections
+                self._handler, loop, self.connections, self._shedder
             ),
             host,
             int(port),
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -15,6 +15,7 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import response_writer as response_writer_lib
+from sesamecross.ops.fleet import connection_shedder
 
 # Requests that a caller may pipeline on one connection. Beyond them reading
 # is paused, as a flood would otherwise be buffered in memory.
@@ -55,6 +56,9 @@
     def on_rejected(self, status: int, reason: str) -> None:
         """Called when a request is rejected before it reaches `handle`."""
 
+    def on_shed(self) -> None:
+        """Called when a new connection is closed unread."""
+
 
 class RequestHead:
     """The head of a request; filled while it is read."""
@@ -92,6 +96,8 @@
         "_is_reading",
         "_owes_continue",
         "_is_closing",
+        "_shedder",
+        "_wait_number",
     )
 
     def __init__(
@@ -99,7 +105,19 @@
         handler: RequestHandler,
         loop: asyncio.AbstractEventLoop,
         connections: set["ServerConnection"],
+        shedder: connection_shedder.ConnectionShedder | None = None,
     ):
+        """Initializes the connection.
+
+        Args:
+          handler: Handles its requests.
+          loop: The event loop.
+          connections: The open connections.
+          shedder: Decides whether the connection is read; all are without it.
+        """
+        self._shedder = shedder
+        # Its number at the shedder while it is new and unread.
+        self._wait_number: int | None = None
         self._handler = handler
         self._loop = loop
         self._connections = connections
@@ -167,6 +185,13 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and starts the idle timeout."""
+        if self._shedder is not None:
+            self._wait_number = self._shedder.admit(self._loop.time())
+            if self._wait_number is None:
+                self._is_closing = True
+                self._handler.on_shed()
+                transport.abort()
+                return
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         self._connections.add(self)
@@ -174,6 +199,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses data."""
+        self._end_wait()
         if self._is_closing:
             return
         if not self._is_reading:
@@ -195,6 +221,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cleans up, whichever side closed the connection."""
+        self._end_wait()
         self._disarm()
         self._connections.discard(self)
         self._transport = None
@@ -204,6 +231,11 @@
             response_writer, self._response_writer = self._response_writer, None
             response_writer.notify_caller_gone()
 
+    def _end_wait(self) -> None:
+        if self._wait_number is not None:
+            self._shedder.end_wait(self._wait_number)
+            self._wait_number = None
+
     def pause_writing(self) -> None:
         """Reports that the caller reads slowly."""
         if self._response_writer is not None:
--- a/sesamecross/gateway/server_connection_test.py
+++ b/sesamecross/gateway/server_connection_test.py
@@ -16,6 +16,7 @@
 from sesamecross.gateway import listener
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
+from sesamecross.ops.fleet import connection_shedder
 
 # Ends a test that hangs; no test waits this long.
 TEST_TIMEOUT_S = 10.0
@@ -33,6 +34,9 @@
 
 
 class _Loop:
+    def time(self) -> float:
+        return 0.0
+
     def call_later(self, after_s, call, *args) -> _Timer:
         return _Timer()
 
@@ -81,6 +85,7 @@
         self.limits = LIMITS
         self.is_closing = False
         self.requests: list[tuple[bytes, bytes, bytes]] = []
+        self.shed = 0
 
     def parse_request(self, head, body):
         self.requests.append((head.method, head.target, body))
@@ -92,6 +97,9 @@
     def on_rejected(self, status, reason) -> None:
         """Tests check the written status instead."""
 
+    def on_shed(self) -> None:
+        self.shed += 1
+
 
 def run_scenario(pieces) -> tuple[_Handler, _Transport]:
     handler, transport = _Handler(), _Transport()
@@ -553,3 +561,31 @@
         timed.respond()
         answers.append(timed.transport.written[before:])
     assert [strict_response.parse(one).body for one in answers] == [b"ok"] * 3
+
+
+def test_a_new_connection_beyond_the_limit_is_closed_unread():
+    """Guards against requests that wait until their callers have left."""
+    shedder = connection_shedder.ConnectionShedder()
+
+    def connect() -> tuple[server_connection.ServerConnection, _Transport]:
+        transport = _Transport()
+        connection = server_connection.ServerConnection(
+            handler, _Loop(), connections, shedder
+        )
+        connection.connection_made(transport)
+        return connection, transport
+
+    handler, connections = _Handler(), set()
+    waiting = [connect()[0] for _ in range(connection_shedder.MAX_UNREAD)]
+    shed, transport = connect()
+    shed.data_received(GET)
+    assert (transport.is_closed, transport.written) == (True, b"")
+    assert (handler.shed, handler.requests) == (1, [])
+    # Once one of them is read or gone, the next one is admitted.
+    waiting[0].data_received(GET)
+    waiting[1].connection_lost(None)
+    for _ in range(2):
+        admitted, transport = connect()
+        admitted.data_received(GET)
+        assert statuses(transport) == [200]
+    assert len(connections) == connection_shedder.MAX_UNREAD + 1
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -56,6 +56,9 @@
     def on_rejected(self, status: int, reason: str) -> None:
         """Does nothing: malformed probes aren't logged."""
 
+    def on_shed(self) -> None:
+        """Does nothing: no probe is shed."""
+
     def handle(
         self,
         request: serving.Request,
