Crash guard: an engine is asked a quarter of a second after its connection broke

At most two reports are asked of an engine that lives on, instead of three. The users' bound is four seconds after the fifth crash.

--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -37,8 +37,8 @@
 ANNOUNCE_INTERVAL_S = 2.0
 # How often and for how long it is verified that an engine has ended. It stays
 # in the store's list for some seconds.
-VERIFY_INTERVAL_S = 0.2
-VERIFY_ATTEMPTS = 10
+VERIFY_INTERVAL_S = 0.25
+VERIFY_ATTEMPTS = 8
 # An engine that ends may answer for a moment longer.
 MIN_VERIFY_S = 0.5
 # Bounds of one message.
@@ -216,13 +216,13 @@
         """Reports the engine's prompts once it is known to have ended."""
         has_ended = None
         for _ in range(VERIFY_ATTEMPTS):
+            await asyncio.sleep(VERIFY_INTERVAL_S)
             has_ended = await self._connector.has_ended(
                 observed.upstream, observed.born_ms
             )
             lasted_s = asyncio.get_running_loop().time() - observed.lost_s
             if has_ended or (has_ended is False and lasted_s >= MIN_VERIFY_S):
                 break
-            await asyncio.sleep(VERIFY_INTERVAL_S)
         now_s = asyncio.get_running_loop().time()
         self._log.info(
             "engine ended" if has_ended else "engine has not ended",
@@ -415,6 +415,8 @@
         )
 
     def _forget(self, now_s: float) -> None:
+        if not self._observed:
+            return
         self._observed = {
             engine: observed
             for engine, observed in self._observed.items()
