--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -268,16 +268,11 @@
 class AdmissionRelease(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=8
 ):
-    """Tells the pacer that a prompt was processed or will not be sent.
-
-    Attributes:
-      was_read: Whether it was processed.
-    """
+    """Tells the pacer that a prompt was processed or will not be sent."""
 
     me: Member
     number: int
     upstream: str
-    was_read: bool = False
 
 
 class LeaseRelease(
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -183,10 +183,10 @@
         self._limit = wait_policy.Limit.WITHHELD
         return True
 
-    def release_permit(self, was_read: bool = False) -> None:
+    def release_permit(self) -> None:
         """Releases the permit: the prefill is done, or nothing is sent."""
         if self._permit is not None:
-            self._context.pacing.release(self._permit, was_read)
+            self._context.pacing.release(self._permit)
             self._permit = None
 
     # -- candidates ----------------------------------------------------
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -333,13 +333,13 @@
         if member is not None:
             self._mesh.send(message, member)
 
-    def release(self, permit: Permit, was_read: bool = False) -> None:
+    def release(self, permit: Permit) -> None:
         """Releases a permit: the prompt was read, or will not be sent."""
         if not permit.is_open:
             return
         permit.is_open = False
         message = fm.AdmissionRelease(
-            self._mesh.me, permit.number, permit.upstream, was_read
+            self._mesh.me, permit.number, permit.upstream
         )
         self._send(message, permit.pacer)
 
@@ -349,12 +349,11 @@
         match message:
             case fm.AdmissionRequest():
                 self._on_request(message)
-            case fm.AdmissionRelease():
-                pacer = self._pacers.get(message.upstream)
+            case fm.AdmissionRelease(me=me, number=number, upstream=upstream):
+                pacer = self._pacers.get(upstream)
                 if pacer is not None:
-                    key = (message.me.name, message.number)
-                    pacer.release(key, message.was_read)
-                    self._grant(message.upstream)
+                    pacer.release((me.name, number))
+                    self._grant(upstream)
             case fm.AdmissionReply(me=me, number=number, verdict=verdict):
                 if verdict is fm.AdmissionDecision.LEAVING:
                     self._record_departure(me)
--- a/sesamecross/gateway/prefill_tracker.py
+++ b/sesamecross/gateway/prefill_tracker.py
@@ -17,8 +17,8 @@
     """Accounts for the prompt of one attempt at an engine.
 
     Attributes:
-      on_prefill_done: Called once, when the attempt is over or the prompt was
-        read, and with whether it was.
+      on_prefill_done: Called once, when the prompt was read or the attempt is
+        over.
       is_relayed: The request goes by way of a peer, so that its stream says
         nothing about this instance's own path to the engine.
     """
@@ -40,7 +40,7 @@
         choice: engine_choice.Choice,
         call: serving.ModelCall,
         uses: target_uses.TargetUses,
-        on_prefill_done: Callable[[bool], None],
+        on_prefill_done: Callable[[], None],
     ):
         self.on_prefill_done = on_prefill_done
         self.is_relayed = False
@@ -64,7 +64,7 @@
             return
         if not self.is_relayed:
             self._upstream.reachability.streaming += 1
-        self._finish_prefill(was_read=True)
+        self._finish_prefill()
         took_ms = (asyncio.get_running_loop().time() - self._started_s) * 1000
         speed_model = self._upstream.engine.speed(self._call.model)
         speed_model.observe(self._ahead_tokens + self._tokens, took_ms)
@@ -72,12 +72,12 @@
     def end(self) -> None:
         """Ends the attempt, whether the prompt was read or not."""
         if not self._is_prefilled:
-            self._finish_prefill(was_read=False)
+            self._finish_prefill()
         elif not self.is_relayed:
             self._upstream.reachability.streaming -= 1
         self._uses.end(self._upstream.entry.instance_id, self._call)
 
-    def _finish_prefill(self, was_read: bool) -> None:
+    def _finish_prefill(self) -> None:
         self._is_prefilled = True
-        self.on_prefill_done(was_read)
+        self.on_prefill_done()
         self._upstream.engine.own_prompt_tokens -= self._tokens
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -55,14 +55,6 @@
 LATE_SHARE = 0.15
 # Limit on the tokens that these may claim at once.
 MAX_LATE_CREDIT = 2 * BURST_TOKENS
-# The engine's speed is measured over so many prompts while this much is unread,
-# as it then reads all the time, and forgotten after so long: it may be faster.
-SPEED_PROMPTS = 3
-SPEED_MIN_UNREAD_TOKENS = 2 * BURST_TOKENS
-SPEED_LIFE_S = 3.0
-# Prompts are read between the steps of running streams, so that any engine
-# reads below the rate. Only one below this share of it counts as slow.
-SLOW_SHARE = 0.5
 MIN_CHECK_INTERVAL_S = 0.005
 # Maximum number of streams at an engine, see above: as many as bring a third of
 # its prefill rate in prompts, at 290 output and 650 prompt tokens each.
@@ -150,43 +142,6 @@
     )
 
 
-class _SpeedMeter:
-    """Measures how fast an engine reads while it has enough to read."""
-
-    __slots__ = ("_reads", "_measured", "_measured_s")
-
-    def __init__(self) -> None:
-        # When prompts were read, and their tokens, since there was enough.
-        self._reads: deque[tuple[float, int]] = deque(maxlen=SPEED_PROMPTS + 1)
-        self._measured = math.inf
-        self._measured_s = -math.inf
-
-    def record(self, tokens: int, unread_tokens: int, now_s: float) -> None:
-        """Records a prompt that was read.
-
-        Args:
-          tokens: The prompt's.
-          unread_tokens: Those that were unread until then, with the prompt's.
-          now_s: Monotonic time.
-        """
-        if unread_tokens < SPEED_MIN_UNREAD_TOKENS:
-            self._reads.clear()
-            return
-        self._reads.append((now_s, tokens))
-        if len(self._reads) <= SPEED_PROMPTS:
-            return
-        span_s = now_s - self._reads[0][0]
-        read = sum(tokens for _, tokens in self._reads) - self._reads[0][1]
-        self._measured = read / span_s if span_s > 0 else math.inf
-        self._measured_s = now_s
-
-    def tokens_per_s(self, now_s: float) -> float:
-        """Returns the speed; infinite if it was not measured recently."""
-        if now_s - self._measured_s > SPEED_LIFE_S:
-            return math.inf
-        return self._measured
-
-
 class Pacer:
     """Prompts queued for and sent to one engine. Deterministic."""
 
@@ -200,7 +155,6 @@
         "_granted_rate",
         "_late_credit",
         "_is_full",
-        "_speed",
         "_at_s",
     )
 
@@ -220,7 +174,6 @@
         # before them.
         self._late_credit = 0.0
         self._is_full = False
-        self._speed = _SpeedMeter()
         self._at_s = 0.0
 
     @property
@@ -262,15 +215,12 @@
                 self._late_requested_rate += rate
         return self.grant(batch, now_s)
 
-    def release(self, key: Key, was_read: bool = True) -> None:
+    def release(self, key: Key) -> None:
         """Records that a prompt was prefilled, or will not be sent."""
         self._waiting.pop(key, None)
         known = self._prefilling.pop(key, None)
-        if known is None:
-            return
-        if was_read:
-            self._speed.record(known[0], self._pending_tokens, self._at_s)
-        self._pending_tokens -= known[0]
+        if known is not None:
+            self._pending_tokens -= known[0]
 
     def waiting(self, now_s: float) -> tuple[Key, ...]:
         """Returns the waiting requests in the order of their turns."""
@@ -358,22 +308,17 @@
         rate = PREFILL_TOKENS_PER_S
         if self._is_full:
             rate = max(FULL_MIN_TOKENS_PER_S, min(rate, self._granted_rate))
-        ahead = self._level
-        speed = self._speed.tokens_per_s(now_s)
-        if speed < SLOW_SHARE * rate:
-            rate = max(FULL_MIN_TOKENS_PER_S, speed)
-            ahead = self._pending_tokens
-        unread = ahead
         refused = []
         others_rate = self._requested_rate - self._late_requested_rate
         late_rate = max(rate * LATE_SHARE, rate - others_rate)
+        ahead = self._level
         for request in late:
             if now_s + ahead / late_rate > request.until_s:
                 refused.append(request.key)
             else:
                 ahead += request.charged_tokens
         spare = max(0.0, rate - self._requested_rate)
-        ahead = unread
+        ahead = self._level
         for request in others:
             starts_s = now_s + ahead / rate
             if starts_s > request.due_s:
@@ -424,4 +369,4 @@
     def _expire(self, now_s: float) -> None:
         for key, (_, at_s) in list(self._prefilling.items()):
             if now_s - at_s > PREFILL_TIMEOUT_S:
-                self.release(key, was_read=False)
+                self.release(key)
--- a/sesamecross/ops/fleet/slot_limiter.py
+++ b/sesamecross/ops/fleet/slot_limiter.py
@@ -57,7 +57,7 @@
         self._waiting.setdefault(key, _WaitingRequest(key, due_s, until_s))
         return self.grant(batch, now_s)
 
-    def release(self, key: pacer.Key, _was_read: bool = False) -> None:
+    def release(self, key: pacer.Key) -> None:
         """Records that a request has ended, or will not be sent."""
         self._waiting.pop(key, None)
         self._admitted.pop(key, None)
