--- a/sesamecross/fakes/platform_store.py
+++ b/sesamecross/fakes/platform_store.py
@@ -74,6 +74,15 @@
         self._changed.notify_all()
         return len(records) - 1
 
+    def has_key_with(self, prefix: str) -> bool:
+        """Whether any topic has a record whose key begins so."""
+        with self._changed:
+            return any(
+                key.startswith(prefix)
+                for records in self._topics.values()
+                for key, _ in records
+            )
+
     # -- what gateways call ----------------------------------------------
 
     def _append(self, request: base.Request) -> base.Response:
--- a/sesamecross/gateway/crashing_prompts_test.py
+++ b/sesamecross/gateway/crashing_prompts_test.py
@@ -6,6 +6,7 @@
 from sesamecross.fakes import gateway_site
 from sesamecross.fakes import platform_caller
 from sesamecross.fakes import platform_site
+from sesamecross.ops.fleet import withheld_records
 
 WRITERS = platform_site.WRITERS
 # Shared by all prompts, by those of a caller, and by those that crash engines.
@@ -83,3 +84,34 @@
     # The last ones of each gateway are refused at once and served.
     assert result.bad[-3:] == [503] * 3
     assert result.sound[-9:] == [200] * 9
+
+
+async def _restart_all_after_a_finding() -> int:
+    """Returns the status of a bad prompt at the only instance, a new one."""
+    async with gateway_site.running_site(gateways=1) as site:
+        engine = site.upstreams[0]
+        engine.release_answers()
+        engine.crashing_part = BAD_PART
+        first = site.gateways[0]
+        guard = first.app.forwarder.search_context.crash_guard
+        guard.restore(BAD_PART, left_s=60.0, hold_s=120.0)
+        async with asyncio.timeout(gateway_site.TEST_TIMEOUT_S):
+            while not site.store.has_key_with(withheld_records.KEY_PREFIX):
+                await asyncio.sleep(0.05)
+        first.kill()
+        await first.tree.stop()
+        site.gateways[0] = gateway_site.Gateway(
+            "front-9", site.store.server.address
+        )
+        site.gateways[0].tree.start()
+        await site.gateways[0].wait_ready(len(site.upstreams), 0)
+        status = await asyncio.to_thread(
+            status_of, site.gateways[0].front, FIRST_PART, BAD_PART
+        )
+        assert not engine.is_crashed
+        return status
+
+
+def test_what_is_withheld_outlives_all_instances():
+    """Guards against a finding that ends with those who made it."""
+    assert asyncio.run(_restart_all_after_a_finding()) == 503
