--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -377,6 +377,10 @@
                 self._arrived_s,
                 self._deadline_s,
             )
+            if self._search.is_withheld():
+                # It asks for nothing that could be loaded for it.
+                self._retry_after_s = self._search.retry_after_s
+                return self._refuse_or_fail("withheld")
             self._forwarder.search_context.demand.record_request(
                 self._search.demand_key,
                 self._arrived_s,
