Crash news: one engine in a message; times that are no numbers count as the limit

Sixteen prompts of 64 parts are 32 KB at most; two engines of them did not fit in a datagram and were dropped with an error. A time left of nan from a peer would have withheld a part for ever. Found by reading; the second has a test.

--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -41,7 +41,7 @@
 VERIFY_ATTEMPTS = 8
 # An engine that ends may answer for a moment longer.
 MIN_VERIFY_S = 0.5
-# Bounds of one message.
+# Bounds one message.
 MAX_PROMPTS_OF_ENGINE = 16
 
 
@@ -195,9 +195,8 @@
         prompt = crash_evidence.prompt_of(call)
         if prompt is None:
             return
-        if first_event_s is not None and now_s - first_event_s >= (
-            event_relay.UNDER_WAY_S
-        ):
+        written_s = 0.0 if first_event_s is None else now_s - first_event_s
+        if written_s >= event_relay.UNDER_WAY_S:
             return
         entry = upstream.entry
         engine = f"{entry.instance_id}/{entry.born_ms}"
@@ -251,7 +250,6 @@
         self._object_soon()
 
     def _send_crashes(self, engines: Iterable[str], now_s: float) -> None:
-        crashes = []
         for engine in engines:
             observed = self._observed.get(engine)
             if observed is None:
@@ -260,13 +258,9 @@
                 fm.UnansweredPrompt(list(prompt.shared), prompt.own)
                 for prompt in observed.prompts
             ]
-            crashes.append(
-                fm.CrashedEngine(
-                    engine, round(now_s - observed.lost_s, 3), prompts
-                )
-            )
-        if crashes:
-            self._send(crashes=crashes)
+            age_s = round(now_s - observed.lost_s, 3)
+            # One in a message, which has to fit in a datagram.
+            self._send(crashes=[fm.CrashedEngine(engine, age_s, prompts)])
 
     def _send(
         self,
@@ -361,7 +355,8 @@
         self, one: fm.WithheldPart, holder: str, now_s: float
     ) -> None:
         answered_s = self._ledger.own_answer_s(one.part)
-        left_s = min(one.left_s, crash_ledger.ANNOUNCED_LIFE_S)
+        # In this order, a value that is no number counts as the limit.
+        left_s = min(crash_ledger.ANNOUNCED_LIFE_S, one.left_s)
         if not self._ledger.add_withheld(one.part, left_s, one.hold_s, now_s):
             return
         self._log.warning("part withheld", by=holder, withheld=one.part)
--- a/sesamecross/ops/fleet/crash_ledger.py
+++ b/sesamecross/ops/fleet/crash_ledger.py
@@ -202,7 +202,8 @@
     ) -> bool:
         """Adds a part that others withhold; returns whether that is news."""
         known = self._withheld.get(part)
-        until_s = now_s + min(left_s, MAX_HOLD_S)
+        # In this order, a value that is no number counts as the limit.
+        until_s = now_s + min(MAX_HOLD_S, left_s)
         if known is not None and known.until_s >= until_s:
             return False
         if known is None and len(self._withheld) >= MAX_WITHHELD:
@@ -265,7 +266,7 @@
 
     def _withhold(self, part: str, now_s: float) -> Withheld:
         trial = self._trials.pop(part, None)
-        hold_s = min(trial.hold_s * 2, MAX_HOLD_S) if trial else FIRST_HOLD_S
+        hold_s = min(MAX_HOLD_S, trial.hold_s * 2) if trial else FIRST_HOLD_S
         withheld = Withheld(part, now_s, now_s + hold_s, hold_s)
         self._withheld[part] = withheld
         del self._suspected_since_s[part]
--- a/sesamecross/ops/fleet/crash_ledger_test.py
+++ b/sesamecross/ops/fleet/crash_ledger_test.py
@@ -120,3 +120,16 @@
         ledger.add_own_answer(prompt(number, f"part-{number}"), float(number))
     assert ledger.own_answer_s("part-0") is None
     assert ledger.own_answer_s("first") is not None
+
+
+@pytest.mark.parametrize("left_s", [float("nan"), float("inf"), 1e12])
+def test_a_part_is_withheld_no_longer_than_the_limit(left_s):
+    """Guards against a message that withholds a part for ever."""
+    ledger = crash_ledger.CrashLedger()
+    ledger.add_withheld(BAD, left_s, left_s, 0.0)
+    end_s = crash_ledger.MAX_HOLD_S + crash_ledger.TRIAL_LEAD_S
+    ledger.step(end_s)
+    assert ledger.left_s(prompt(1), end_s) is None
+    ledger.add_crash("i-1", end_s + 1, [prompt(1)])
+    (begun,) = ledger.step(end_s + 1)
+    assert begun.hold_s == crash_ledger.MAX_HOLD_S
