--- a/sesamecross/devtools/processes.py
+++ b/sesamecross/devtools/processes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import itertools
 import os
 import pathlib
 import signal
@@ -20,20 +21,34 @@
 READY_TIMEOUT_S = 25.0
 
 
+# Below the ports that Linux hands out to connections by default.
+_FIRST_PORT, _END_PORT = 12_000, 32_000
+_PORTS_OF_PROCESS = 128
+_port_numbers = itertools.count()
+
+
 class NotReadyError(Exception):
     """A process did not become ready in time."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that were free just now; they are not reserved."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Returns loopback ports that were free just now; they are not reserved.
+
+    The kernel hands out none of them: connections of other processes would
+    take them before the caller binds them. Processes that run side by side
+    begin at different ports, by process id.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        number = os.getpid() * _PORTS_OF_PROCESS + next(_port_numbers)
+        port = _FIRST_PORT + number % (_END_PORT - _FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
 
 
 class Process:
