Crash guard: an instance asks the others before it withholds a part

Instances reported answers unasked, after working out what others would find. Now the one that suspects a part asks, at most every 0.3 s over all, and one of those who know answers for all.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -411,13 +411,18 @@
 class CrashNews(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=13
 ):
-    """What an instance has learned of prompts that crash engines."""
+    """What an instance has learned of prompts that crash engines.
+
+    Attributes:
+      suspected: Parts that it will withhold, unless others report answers.
+    """
 
     me: Member
     number: int
     crashes: list[CrashedEngine] = []
     answered: list[AnsweredPart] = []
     withheld: list[WithheldPart] = []
+    suspected: list[str] = []
 
 
 Message = (
--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 import random
 
 from sesamecross.core import fleet_messages as fm
@@ -32,7 +33,9 @@
 # The same for an answer, which must come before others withhold its parts.
 RESEND_ANSWER_AFTER_S = (0.15, 0.4)
 # Many instances may know an answer. Within this time one speaks for them.
-OBJECTION_SPREAD_S = 0.25
+REPLY_SPREAD_S = 0.2
+# A part is not asked about again, by any instance, within this time.
+ASK_INTERVAL_S = 0.3
 # How often the lease holder repeats what is withheld, for new instances.
 ANNOUNCE_INTERVAL_S = 2.0
 # How often and for how long it is verified that an engine has ended. It stays
@@ -78,7 +81,9 @@
         "_resends",
         "_answer_resends",
         "_announced_s",
-        "_objection",
+        "_asked",
+        "_reply",
+        "_asked_s",
         "_rng",
     )
 
@@ -121,7 +126,12 @@
         self._resends: list[tuple[float, str]] = []
         self._answer_resends: list[tuple[float, str]] = []
         self._announced_s = 0.0
-        self._objection: asyncio.TimerHandle | None = None
+        # Suspected parts about which an answer may be reported, and the timer
+        # for it.
+        self._asked: set[str] = set()
+        self._reply: asyncio.TimerHandle | None = None
+        # When any instance last asked about a part.
+        self._asked_s: dict[str, float] = {}
         mesh.add_listener(self._on_message)
 
     @property
@@ -144,8 +154,8 @@
         """Ends the verifications; others know the rest."""
         for task in self._verifications:
             task.cancel()
-        if self._objection is not None:
-            self._objection.cancel()
+        if self._reply is not None:
+            self._reply.cancel()
 
     # -- requests ----------------------------------------------------------
 
@@ -247,7 +257,6 @@
             (now_s + after_s, engine) for after_s in RESEND_AFTER_S
         )
         self._send_crashes([engine], now_s)
-        self._object_soon()
 
     def _send_crashes(self, engines: Iterable[str], now_s: float) -> None:
         for engine in engines:
@@ -267,6 +276,7 @@
         crashes: Iterable[fm.CrashedEngine] = (),
         answered: Iterable[fm.AnsweredPart] = (),
         withheld: Iterable[fm.WithheldPart] = (),
+        suspected: Iterable[str] = (),
     ) -> None:
         if self._mesh.roster is None:
             return
@@ -277,6 +287,7 @@
                 list(crashes),
                 list(answered),
                 list(withheld),
+                list(suspected),
             )
         )
 
@@ -348,8 +359,8 @@
             )
         for one in news.withheld:
             self._on_withheld(one, news.me.name, now_s)
-        if news.crashes and self._ledger.has_news:
-            self._object_soon()
+        self._asked_s |= dict.fromkeys(news.suspected, now_s)
+        self._reply_soon(news.suspected)
 
     def _on_withheld(
         self, one: fm.WithheldPart, holder: str, now_s: float
@@ -374,22 +385,45 @@
 
     # -- decisions ---------------------------------------------------------
 
-    def _object_soon(self) -> None:
-        """Objects in a moment, unless another instance does so before."""
-        if self._objection is None:
-            self._objection = asyncio.get_running_loop().call_later(
-                self._rng.uniform(0, OBJECTION_SPREAD_S), self._object
+    def _ask(self, now_s: float) -> None:
+        """Asks for answers to parts that will be withheld without any."""
+        suspected = self._ledger.suspected
+        due = [
+            part
+            for part in sorted(suspected)
+            if now_s - self._asked_s.get(part, -math.inf) >= ASK_INTERVAL_S
+        ]
+        self._asked_s = {
+            part: at_s
+            for part, at_s in self._asked_s.items()
+            if now_s - at_s < ASK_INTERVAL_S
+        } | dict.fromkeys(due, now_s)
+        if due:
+            self._log.info("parts suspected", parts=due)
+            self._send(suspected=due)
+
+    def _reply_soon(self, parts: Iterable[str]) -> None:
+        """Reports answers in a moment, unless another instance does so."""
+        self._asked.update(parts)
+        if self._asked and self._reply is None:
+            self._reply = asyncio.get_running_loop().call_later(
+                self._rng.uniform(0, REPLY_SPREAD_S), self._send_reply
             )
 
-    def _object(self) -> None:
-        """Tells others of answers without which they would withhold a part."""
-        self._objection = None
-        objections = self._ledger.own_objections()
-        if objections:
-            self._send_answers(objections)
+    def _send_reply(self) -> None:
+        self._reply = None
+        answered_s = {
+            part: at_s
+            for part in sorted(self._asked)
+            if (at_s := self._ledger.unreported_answer_s(part)) is not None
+        }
+        self._asked.clear()
+        if answered_s:
+            self._send_answers(answered_s)
 
     def _step(self, now_s: float) -> None:
         begun = self._ledger.step(now_s, self._is_holder())
+        self._ask(now_s)
         for one in begun:
             self._log.warning(
                 "part withheld",
--- a/sesamecross/ops/fleet/crash_evidence.py
+++ b/sesamecross/ops/fleet/crash_evidence.py
@@ -99,14 +99,11 @@
       withheld: Parts that were found before.
       is_complete: Whether any answer would be known; an instance that has just
         started has missed many.
-      skew_s: How far the times that others know may differ; what any of them
-        might find is found.
     """
 
     answered_s: Mapping[str, float] = {}
     withheld: frozenset[str] = frozenset()
     is_complete: bool = True
-    skew_s: float = 0.0
 
 
 class _Evidence:
@@ -140,7 +137,7 @@
     answered is found: withholding it affects the fewest prompts. Parts that are
     withheld are not found again.
     """
-    unexplained = _numbered_by_cause(crashes, knowledge.skew_s)
+    unexplained = _numbered_by_cause(crashes)
     for part in knowledge.withheld:
         unexplained = _without(part, unexplained)
     found: list[str] = []
@@ -168,18 +165,18 @@
 ) -> int:
     """Returns how many crashes count against a part."""
     numbered = _numbered_by_cause(crashes)
-    evidence = _collect(numbered, Knowledge(answered_s)).get(part)
+    evidence = _collect(numbered, answered_s).get(part)
     return len(evidence.causes) if evidence is not None else 0
 
 
 def _numbered_by_cause(
-    crashes: Iterable[EngineCrash], skew_s: float = 0.0
+    crashes: Iterable[EngineCrash],
 ) -> list[tuple[int, EngineCrash]]:
     numbered = []
     cause = 0
     first_s = -math.inf
     for crash in sorted(crashes, key=lambda one: one.at_s):
-        if crash.at_s - first_s > SAME_CAUSE_S - skew_s:
+        if crash.at_s - first_s > SAME_CAUSE_S:
             cause += 1
             first_s = crash.at_s
         numbered.append((cause, crash))
@@ -187,15 +184,15 @@
 
 
 def _collect(
-    numbered: Iterable[tuple[int, EngineCrash]], knowledge: Knowledge
+    numbered: Iterable[tuple[int, EngineCrash]],
+    answered_s: Mapping[str, float],
 ) -> dict[str, _Evidence]:
-    answered_s = knowledge.answered_s
-    holds_s = ANSWER_HOLDS_S - knowledge.skew_s
     by_part: dict[str, _Evidence] = {}
     for cause, crash in numbered:
         for prompt in crash.prompts:
             for depth, part in enumerate(prompt.shared):
-                if crash.at_s <= answered_s.get(part, -math.inf) + holds_s:
+                holds_until_s = answered_s.get(part, -math.inf) + ANSWER_HOLDS_S
+                if crash.at_s <= holds_until_s:
                     continue
                 evidence = by_part.setdefault(part, _Evidence())
                 evidence.causes.add(cause)
@@ -211,7 +208,7 @@
     answered_s = knowledge.answered_s
     causes = sorted({cause for cause, _ in numbered})
     suspects: list[_Suspect] = []
-    for part, evidence in _collect(numbered, knowledge).items():
+    for part, evidence in _collect(numbered, answered_s).items():
         count = len(evidence.causes)
         if count < MIN_CAUSES or len(evidence.own_parts) < MIN_PROMPTS:
             continue
--- a/sesamecross/ops/fleet/crash_ledger.py
+++ b/sesamecross/ops/fleet/crash_ledger.py
@@ -27,8 +27,8 @@
 TRIAL_LEAD_S = 10.0
 # A part is withheld once others had this long to report answers to it.
 OBJECTION_S = 0.7
-# By how much instances may differ in the times of crashes and answers.
-MAX_SKEW_S = 0.1
+# An answer that began little later than a reported one is not reported.
+MIN_NEWER_S = 0.2
 # An instance that started this recently has missed many answers.
 NEW_INSTANCE_S = 20.0
 # What the lease holder withholds counts this long without being repeated.
@@ -126,9 +126,9 @@
         return tuple(self._withheld.values())
 
     @property
-    def has_news(self) -> bool:
-        """Whether anything has come since the last step."""
-        return self._has_news
+    def suspected(self) -> frozenset[str]:
+        """The parts that are withheld soon, unless an answer is reported."""
+        return frozenset(self._suspected_since_s)
 
     @property
     def crash_count(self) -> int:
@@ -302,41 +302,25 @@
     def _is_new(self, now_s: float) -> bool:
         return now_s - self._started_s < NEW_INSTANCE_S
 
-    def own_objections(self) -> dict[str, float]:
-        """Returns the answers without which others would withhold a part.
+    def unreported_answer_s(self, part: str) -> float | None:
+        """Returns when the last answer to a part began that others don't know.
 
-        Returns:
-          By part, when the last answer to it seen here began; counts as
-          reported from now on.
+        It counts as reported from now on.
         """
-        withheld = frozenset(self._withheld)
-        objections: dict[str, float] = {}
-        while True:
-            found = self._find(
-                self._answers(include_own=False), withheld, skew_s=MAX_SKEW_S
-            )
-            news = {
-                part: at_s
-                for part in found
-                if self._reported_answers.record(
-                    part, at_s := self._own_answers.get(part)
-                )
-            }
-            if not news:
-                return objections
-            objections |= news
+        at_s = self._own_answers.get(part)
+        if at_s <= self._reported_answers.get(part) + MIN_NEWER_S:
+            return None
+        self._reported_answers.record(part, at_s)
+        return at_s
 
     def _find(
         self,
         answers: Mapping[str, float],
         withheld: frozenset[str],
         is_new: bool = False,
-        skew_s: float = 0.0,
     ) -> tuple[str, ...]:
         crashes = tuple(self._crashes.values())
-        knowledge = crash_evidence.Knowledge(
-            answers, withheld, not is_new, skew_s
-        )
+        knowledge = crash_evidence.Knowledge(answers, withheld, not is_new)
         found = crash_evidence.find_crashing_parts(crashes, knowledge)
         again = [
             part
@@ -350,15 +334,16 @@
         ]
         return (*found, *again)
 
-    def _answers(self, include_own: bool = True) -> dict[str, float]:
+    def _answers(self) -> dict[str, float]:
         """Returns the last answers to the parts that crashes point at."""
         answers = {}
         for crash in self._crashes.values():
             for prompt in crash.prompts:
                 for part in prompt.shared:
-                    at_s = self._reported_answers.get(part)
-                    if include_own:
-                        at_s = max(at_s, self._own_answers.get(part))
+                    at_s = max(
+                        self._reported_answers.get(part),
+                        self._own_answers.get(part),
+                    )
                     if at_s > -math.inf:
                         answers[part] = at_s
         return answers
