Crash guard: started when it runs, asks about the store's records, a strict majority

It now takes its start when it begins to run. - A record of the store may be wrong, and its part was then withheld by an instance that started for its whole time. It now asks the others, and one that has seen an answer clears it (test: a wrong record is corrected by others).

--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -84,6 +84,7 @@
         "_asked",
         "_reply",
         "_asked_s",
+        "_restored",
         "_rng",
     )
 
@@ -116,9 +117,7 @@
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("crashes")
-        self._ledger = crash_ledger.CrashLedger(
-            asyncio.get_running_loop().time()
-        )
+        self._ledger = crash_ledger.CrashLedger()
         # By the engine's incarnation.
         self._observed: dict[str, _Observed] = {}
         self._verifications: set[asyncio.Task] = set()
@@ -130,6 +129,8 @@
         # for it.
         self._asked: set[str] = set()
         self._reply: asyncio.TimerHandle | None = None
+        # Parts of the store's records, which may be wrong.
+        self._restored: set[str] = set()
         # When any instance last asked about a part.
         self._asked_s: dict[str, float] = {}
         mesh.add_listener(self._on_message)
@@ -141,6 +142,7 @@
 
     async def run(self) -> None:
         """Sends again, announces and forgets."""
+        self._ledger.started_s = asyncio.get_running_loop().time()
         while True:
             await self._ticker.wait(STEP_INTERVAL_S)
             now_s = asyncio.get_running_loop().time()
@@ -381,13 +383,17 @@
         now_s = asyncio.get_running_loop().time()
         if self._ledger.add_withheld(part, left_s, hold_s, now_s):
             self._log.warning("part withheld", by="store", withheld=part)
+            self._restored.add(part)
             self._state.notify_change()
 
     # -- decisions ---------------------------------------------------------
 
     def _ask(self, now_s: float) -> None:
         """Asks for answers to parts that will be withheld without any."""
-        suspected = self._ledger.suspected
+        if self._mesh.roster is None:
+            return
+        suspected = self._ledger.suspected | self._restored
+        self._restored.clear()
         due = [
             part
             for part in sorted(suspected)
--- a/sesamecross/gateway/crash_guard_simulation_test.py
+++ b/sesamecross/gateway/crash_guard_simulation_test.py
@@ -239,7 +239,8 @@
 
     # -- callers -----------------------------------------------------------
 
-    def _call(self, is_bad: bool) -> serving.ModelCall:
+    def call(self, is_bad: bool) -> serving.ModelCall:
+        """Draws a prompt."""
         self._numbers += 1
         caller = min(int(self.rng.expovariate(0.4)), CALLERS - 1)
         topic = BAD_PART
@@ -293,7 +294,7 @@
             await asyncio.sleep(BAD_FROM_S)
         until_s = BAD_UNTIL_S if is_bad else END_S
         while rate and loop.time() < until_s:
-            call = self._call(is_bad)
+            call = self.call(is_bad)
             self.send(call, is_bad)
             if is_bad:
                 loop.call_later(REPEAT_AFTER_S, self.send, call, is_bad)
@@ -324,6 +325,10 @@
         )
         for guard in self.guards:
             await guard.stop()
+        self.end()
+
+    def end(self) -> None:
+        """Ends all that runs."""
         for task in list(self._tasks):
             task.cancel()
 
@@ -355,22 +360,26 @@
         return sent / (sent + withheld)
 
 
-def play(case: Case) -> Fleet:
+def run(scenario):
+    """Runs a coroutine on virtual time."""
     loop = virtual_time_loop.VirtualTimeLoop()
     try:
         asyncio.set_event_loop(loop)
-
-        async def scenario() -> Fleet:
-            fleet = Fleet(case)
-            await fleet.play()
-            return fleet
-
-        return loop.run_until_complete(scenario())
+        return loop.run_until_complete(scenario)
     finally:
         asyncio.set_event_loop(None)
         loop.close()
 
 
+def play(case: Case) -> Fleet:
+    async def scenario() -> Fleet:
+        fleet = Fleet(case)
+        await fleet.play()
+        return fleet
+
+    return run(scenario())
+
+
 NO_BAD_PART = [
     Case(8, 6, 12.0, crashes_every_s=1.0),
     Case(8, 10, 25.0, racks_at=(6.0, 9.0, 12.0, 15.0, 18.0, 21.0)),
@@ -414,7 +423,7 @@
         *with_seeds(NO_BAD_PART),
         *(
             dataclasses.replace(NO_BAD_PART[0], seed=seed)
-            for seed in (72, 94, 177)
+            for seed in (72, 94, 177, 3)
         ),
     ],
     ids=str,
@@ -435,3 +444,25 @@
     assert fleet.bad_sent_later <= MAX_LATER
     # Not one message for each instance or prompt.
     assert fleet.broadcasts <= 40 * len(fleet.bad_crashes_s) + 400
+
+
+def test_a_wrong_record_of_the_store_is_corrected_by_others():
+    """Guards against a finding that outlives what speaks against it."""
+
+    async def scenario() -> tuple[float | None, float | None]:
+        fleet = Fleet(Case(3, 1, rate=0.0))
+        await asyncio.sleep(1.0)
+        call = fleet.call(is_bad=False)
+        bad_call = fleet.call(is_bad=True)
+        fleet.guards[0].record_answer(call, 0.0)
+        started = fleet.guards[2]
+        for part in (call.parts[1].part_id, BAD_PART):
+            started.restore(part, 60.0, 60.0)
+        await asyncio.sleep(1.0)
+        left_s = started.left_s(call), started.left_s(bad_call)
+        fleet.end()
+        return left_s
+
+    sound_s, bad_s = run(scenario())
+    assert sound_s is None
+    assert bad_s is not None
--- a/sesamecross/ops/fleet/crash_evidence.py
+++ b/sesamecross/ops/fleet/crash_evidence.py
@@ -23,8 +23,8 @@
 # against one whose prompts were.
 MIN_CRASHES = 3
 MIN_CRASHES_ONCE_ANSWERED = 5
-# More of them, if the part has to do with less than this share of the crashes
-# since its first one: while many engines crash, most prompts are lost.
+# More of them, unless the part has to do with more than this share of the
+# crashes since its first one: while many engines crash, most prompts are lost.
 MIN_SHARE = 0.5
 MIN_CRASHES_OF_MANY = 3
 # A part at fewer engines than this share of another's was only beside it.
@@ -217,7 +217,7 @@
         if last_answer_s > -math.inf or not knowledge.is_complete:
             needed = MIN_CRASHES_ONCE_ANSWERED
         first = bisect.bisect_left(causes, min(evidence.causes))
-        if count < MIN_SHARE * (len(causes) - first):
+        if count <= MIN_SHARE * (len(causes) - first):
             needed += MIN_CRASHES_OF_MANY
         if len(evidence.engines) >= needed:
             suspects.append(
--- a/sesamecross/ops/fleet/crash_ledger.py
+++ b/sesamecross/ops/fleet/crash_ledger.py
@@ -92,10 +92,14 @@
 
 
 class CrashLedger:
-    """The crashes, answers and withheld parts that one instance knows of."""
+    """The crashes, answers and withheld parts that one instance knows of.
+
+    Attributes:
+      started_s: When the instance started, after which it sees answers.
+    """
 
     __slots__ = (
-        "_started_s",
+        "started_s",
         "_crashes",
         "_own_answers",
         "_reported_answers",
@@ -106,9 +110,8 @@
         "_has_news",
     )
 
-    def __init__(self, started_s: float = -math.inf):
-        """Initializes the ledger; `started_s` is the instance's start."""
-        self._started_s = started_s
+    def __init__(self) -> None:
+        self.started_s = -math.inf
         # By the engine's incarnation.
         self._crashes: dict[str, EngineCrash] = {}
         # What all instances know, and what only this one does.
@@ -300,7 +303,7 @@
                 del self._withheld[part]
 
     def _is_new(self, now_s: float) -> bool:
-        return now_s - self._started_s < NEW_INSTANCE_S
+        return now_s - self.started_s < NEW_INSTANCE_S
 
     def unreported_answer_s(self, part: str) -> float | None:
         """Returns when the last answer to a part began that others don't know.
