--- a/sesamecross/operators/losses.py
+++ b/sesamecross/operators/losses.py
@@ -41,6 +41,7 @@
     ADAPTER_NOT_LOADED = "refused: a place, but no load of the adapter in time"
     ENGINE_BUSY = "refused: the engine loads a model before the adapter"
     NO_VERSION = "refused: no upstream of the stream's version"
+    WITHHELD = "refused: prompts with one of its parts crash engines"
     NO_CONFIGURATION = "refused: no configuration yet"
     STOPPING = "refused: the instance stops"
     NO_UPSTREAM = "refused: no upstream"
@@ -63,6 +64,7 @@
     wait_policy.Limit.ADAPTER_NOT_LOADED.value: (Cause.ADAPTER_NOT_LOADED,) * 2,
     wait_policy.Limit.ENGINE_BUSY.value: (Cause.ENGINE_BUSY,) * 2,
     wait_policy.Limit.NO_VERSION.value: (Cause.NO_VERSION,) * 2,
+    wait_policy.Limit.WITHHELD.value: (Cause.WITHHELD,) * 2,
 }
 
 
