Answers without end are cut off: bytes beside the body, time without progress, fields, events, memory

What callers saw: an upstream that sends lines of a head for ever filled an instance (32 to 653 MB in 10 s on, real processes), and informational heads held connections to the request's deadline.

Cause: ClientConnection bounded neither a head's bytes, fields or number, nor the time for it; control answers over their limit were read on to their end; buffered answers had a bound each and none over all; a stream could have any number of events.

Now one meter (ops/fleet/answer_bounds.py) counts what arrives beside an answer's body and for how long nothing else arrives, for gateways and for the own interface's engine streams. Over a bound the connection is closed at once and the attempt counts as lost, against the upstream's health. Large answers share a budget of an instance. sesamecross_answers_cut_total counts by cause.

--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -14,13 +14,12 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import event_relay
+from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ops.fleet import retry_policy
 from sesamecross.ports import http_codec as http_codec_lib
 
 # Without any of these a body ends with its connection.
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
-# Limit of a buffered response; services respond with kilobytes.
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 class CompleteResponse(msgspec.Struct, frozen=True):
@@ -62,6 +61,7 @@
         "_head_info",
         "_chunks",
         "_body_size",
+        "_memory",
         "_is_stream",
     )
 
@@ -73,6 +73,7 @@
         relay: event_relay.EventRelay | None,
         http_codec: http_codec_lib.HttpCodec,
         is_connection_used: bool,
+        memory: answer_bounds.AnswerMemory | None = None,
     ):
         """Initializes the attempt.
 
@@ -83,6 +84,7 @@
           relay: Forwards the events if the response is a stream.
           http_codec: Parses the head.
           is_connection_used: The connection has carried another request.
+          memory: What the answers of all attempts may hold.
         """
         self._http_codec = http_codec
         self._is_connection_used = is_connection_used
@@ -99,6 +101,7 @@
         self._head_info: http_codec_lib.ResponseHead | None = None
         self._chunks: list[bytes] = []
         self._body_size = 0
+        self._memory = memory or answer_bounds.AnswerMemory()
         self._is_stream = False
 
     def on_head(self, status: int, headers: list[serving.Header]) -> bool:
@@ -144,11 +147,18 @@
             except event_relay.InvalidEvent as error:
                 self._set_outcome(retry_policy.Lost(str(error)))
             return
+        excess = self._memory.grow(self._body_size, len(data))
+        if excess is not None:
+            self._set_outcome(retry_policy.Lost(excess.value))
+            return
         self._body_size += len(data)
-        if self._body_size > MAX_RESPONSE_BYTES:
-            self._set_outcome(retry_policy.Lost("response too large"))
-        else:
-            self._chunks.append(data)
+        self._chunks.append(data)
+
+    def release(self) -> None:
+        """Gives back the memory of the body; the attempt is over."""
+        self._memory.release(self._body_size)
+        self._body_size = 0
+        self._chunks = []
 
     def on_end(self) -> None:
         """Handles the end of the response."""
--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -2,8 +2,9 @@
 
 A response that is truncated, malformed or meant for another request must
 never pass as valid. The connection delivers each response to one receiver,
-reports how it ended, and tells whether it can be reused. `httptools` does the
-parsing.
+reports how it ended, and tells whether it can be reused. An upstream that sends
+without end is cut off (`sesamecross.ops.fleet.answer_bounds`). `httptools` does
+the parsing.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 import httptools
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import answer_bounds
 from sesamecross.transport import keepalive
 
 # The connection is closed after more responses to other requests than this:
@@ -84,6 +86,7 @@
         "_has_head",
         "_is_unusable",
         "_is_complete",
+        "_meter",
     )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, relayed_by: str = ""):
@@ -104,6 +107,7 @@
         self._has_head = False
         self._is_unusable = False
         self._is_complete = False
+        self._meter = answer_bounds.AnswerMeter()
 
     @property
     def is_available(self) -> bool:
@@ -127,6 +131,7 @@
         self._mismatched_responses = 0
         self._has_head = False
         self._is_complete = False
+        self._meter = answer_bounds.AnswerMeter()
         self.request_count += 1
         self._transport.write(data)
 
@@ -176,6 +181,10 @@
             self._on_invalid_data(f"malformed response: {error}")
         if self._is_complete:
             self._finish_response()
+            return
+        self._meter.add_received(len(data), self._loop.time())
+        if self._meter.excess is not None:
+            self._fail(self._meter.excess.value)
 
     def _on_invalid_data(self, reason: str) -> None:
         # Data after a complete response is not part of it.
@@ -210,9 +219,12 @@
             self._is_unusable = True
         self._headers = []
         self._has_framing = False
+        self._meter.begin_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header; its name is lower-cased."""
+        if not self._meter.add_field():
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name in (b"content-length", _TRANSFER_ENCODING):
@@ -230,7 +242,10 @@
         """Passes the head of an expected response to the receiver."""
         status = self._parser.get_status_code()
         self._is_accepted = False
-        if self._is_complete or status < _FIRST_FINAL_STATUS:
+        if self._is_complete or self._meter.excess is not None:
+            return
+        if status < _FIRST_FINAL_STATUS:
+            self._meter.add_informational_head()
             return
         if not self._parser.should_keep_alive():
             self._is_unusable = True
@@ -241,6 +256,7 @@
             return
         if self._receiver.on_head(status, self._headers):
             self._has_head = True
+            self._meter.add_head()
             if self._is_head_request:
                 # The parser can't be told that no body follows.
                 self._is_unusable = True
@@ -268,6 +284,7 @@
     def on_body(self, data: bytes) -> None:
         """Passes body data to the receiver."""
         if self._is_accepted and self._receiver is not None:
+            self._meter.add_body(len(data))
             self._receiver.on_body(data)
 
     def on_message_complete(self) -> None:
--- a/sesamecross/gateway/control_client.py
+++ b/sesamecross/gateway/control_client.py
@@ -10,9 +10,11 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import client_connection
+from sesamecross.ops.fleet import answer_bounds
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# A page of the store has 1 MB, in base64.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -47,10 +49,12 @@
         "_headers",
         "_chunks",
         "_body_size",
+        "_max_bytes",
     )
 
-    def __init__(self, outcome_future: asyncio.Future):
+    def __init__(self, outcome_future: asyncio.Future, max_bytes: int):
         self._outcome_future = outcome_future
+        self._max_bytes = max_bytes
         self._status = 0
         self._headers: tuple[serving.Header, ...] = ()
         self._chunks: list[bytes] = []
@@ -63,13 +67,14 @@
 
     def on_body(self, data: bytes) -> None:
         self._body_size += len(data)
-        if self._body_size <= MAX_BODY_BYTES:
+        if self._body_size <= self._max_bytes:
             self._chunks.append(data)
+        else:
+            # The call closes the connection.
+            self._chunks.clear()
+            self._set_outcome(NoAnswer(answer_bounds.Excess.BODY.value))
 
     def on_end(self) -> None:
-        if self._body_size > MAX_BODY_BYTES:
-            self._set_outcome(NoAnswer("response too large"))
-            return
         body = b"".join(self._chunks)
         self._set_outcome(Answer(self._status, self._headers, body))
 
@@ -84,15 +89,22 @@
 class ControlClient:
     """Calls one address over keep-alive connections.
 
-    Connections that were idle for `max_idle_s` are not reused.
+    Connections that were idle for `max_idle_s` are not reused. An answer with
+    a body of over `max_bytes` counts as none.
     """
 
-    __slots__ = ("_address", "_idle", "_max_idle_s")
+    __slots__ = ("_address", "_idle", "_max_idle_s", "_max_bytes")
 
-    def __init__(self, address: str, max_idle_s: float = 4.0):
+    def __init__(
+        self,
+        address: str,
+        max_idle_s: float = 4.0,
+        max_bytes: int | None = None,
+    ):
         self._address = address
         self._idle: list[client_connection.ClientConnection] = []
         self._max_idle_s = max_idle_s
+        self._max_bytes = max_bytes or MAX_BODY_BYTES
 
     async def call(
         self,
@@ -125,7 +137,7 @@
             client_connection.encode_request(
                 method, target, host + headers, body
             ),
-            _ResponseCollector(outcome_future),
+            _ResponseCollector(outcome_future, self._max_bytes),
         )
         try:
             await asyncio.wait(
--- a/sesamecross/gateway/engine_client.py
+++ b/sesamecross/gateway/engine_client.py
@@ -11,6 +11,8 @@
 # connection. One that doesn't respond may execute the order much later, so a
 # longer wait is of no use; the order is sent again.
 CALL_TIMEOUT_S = 0.3
+# A report names an engine's models and adapters.
+MAX_ANSWER_BYTES = 512 * 1024
 
 
 class EngineClient:
@@ -65,7 +67,9 @@
     ) -> control_client.Outcome:
         client = self._clients.get(address)
         if client is None:
-            client = control_client.ControlClient(address)
+            client = control_client.ControlClient(
+                address, max_bytes=MAX_ANSWER_BYTES
+            )
             self._clients[address] = client
         return await client.call(
             call.method,
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -11,9 +11,9 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import response_writer as response_writer_lib
+from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ops.fleet import directory
 
-_MAX_EVENT_BYTES = 1024 * 1024
 # An answer that has been written for so long did not end its engine by being
 # begun.
 UNDER_WAY_S = 0.5
@@ -22,7 +22,7 @@
 
 
 class InvalidEvent(Exception):
-    """The upstream sent an unterminated event that is too large."""
+    """The upstream sent an event, or more of them, than an answer may have."""
 
 
 class EventRelay:
@@ -63,10 +63,24 @@
         "_response_writer",
         "_head",
         "_partial_event",
+        "_partial_since_s",
+        "_max_events",
+        "_separators",
         "_is_under_way",
     )
 
-    def __init__(self, response_writer: response_writer_lib.ResponseWriter):
+    def __init__(
+        self,
+        response_writer: response_writer_lib.ResponseWriter,
+        output_tokens: int = 0,
+    ):
+        """Initializes the relay.
+
+        Args:
+          response_writer: Writes to the caller.
+          output_tokens: The most tokens that the request asks for; 0 if it
+            does not say.
+        """
         self.event_count = 0
         self.last_event_id = ""
         self.first_event_s: float | None = None
@@ -83,6 +97,9 @@
         self._response_writer = response_writer
         self._head: tuple[int, list[serving.Header]] | None = None
         self._partial_event = b""
+        self._partial_since_s = 0.0
+        self._max_events = answer_bounds.max_events(output_tokens)
+        self._separators = 0
         self._is_under_way = False
 
     @property
@@ -107,18 +124,26 @@
         """Forwards the events completed by `data`.
 
         Raises:
-          InvalidEvent: An unterminated event exceeds `_MAX_EVENT_BYTES`.
+          InvalidEvent: The stream passes a bound of `answer_bounds`.
         """
+        was_partial = bool(self._partial_event)
         complete_events, separator, partial_event = (
             self._partial_event + data
         ).rpartition(_EVENT_END)
-        if len(partial_event) > _MAX_EVENT_BYTES:
-            raise InvalidEvent("unterminated event too large")
         self._partial_event = partial_event
+        now_s = asyncio.get_running_loop().time()
+        if separator or not was_partial:
+            self._partial_since_s = now_s
+        if len(partial_event) > answer_bounds.MAX_EVENT_BYTES:
+            raise InvalidEvent(answer_bounds.Excess.EVENT.value)
+        if now_s - self._partial_since_s > answer_bounds.MAX_EVENT_S:
+            raise InvalidEvent(answer_bounds.Excess.SLOW_EVENT.value)
         if not separator:
             return
         complete_events += separator
-        now_s = asyncio.get_running_loop().time()
+        self._separators += complete_events.count(_EVENT_END)
+        if self._separators > self._max_events:
+            raise InvalidEvent(answer_bounds.Excess.EVENTS.value)
         if self.upstream is not None:
             self.upstream.reachability.record_contact(now_s)
         self._check_under_way(now_s)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -25,6 +25,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import upstream_connector
 from sesamecross.gateway import upstream_words
+from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import request_ledger
@@ -48,6 +49,7 @@
 _MAX_LOGGED_ID = 64
 # Most parts of a prompt that are logged.
 _MAX_LOGGED_PARTS = 16
+_EXCESSES = frozenset(excess.value for excess in answer_bounds.Excess)
 # A request that waited longer than this for its model is late for that reason
 # and says nothing about whether the model's engines keep up.
 LATENESS_MAX_MODEL_WAIT_S = 0.1
@@ -79,6 +81,7 @@
         "_log",
         "_open_tasks",
         "_ready_by_s",
+        "_answer_memory",
         "search_context",
         "uses",
         "connector",
@@ -113,6 +116,7 @@
         # Until when requests wait for the first configuration; None before the
         # first of them.
         self._ready_by_s: float | None = None
+        self._answer_memory = answer_bounds.AnswerMemory()
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -407,7 +411,10 @@
                 self._deadline_s,
             )
         if self._route.kind is serving.RouteKind.STREAM:
-            self._relay = event_relay.EventRelay(self._response_writer)
+            call = request.call
+            self._relay = event_relay.EventRelay(
+                self._response_writer, call.output_tokens if call else 0
+            )
             self._relay.on_stream_begun = self._on_stream_begun
             self._relay.on_under_way = self._record_model_answer
             if self._is_resumed and not await self._find_origin():
@@ -719,6 +726,7 @@
             self._relay,
             self._forwarder._http_codec,
             is_connection_used=connection.request_count > 0,
+            memory=self._forwarder._answer_memory,
         )
         attempt.on_response_head = functools.partial(
             self._record_response_head, upstream
@@ -745,7 +753,10 @@
             attempt,
             is_head_request=request.method == b"HEAD",
         )
-        await asyncio.wait([attempt.outcome_future], timeout=left_s)
+        try:
+            await asyncio.wait([attempt.outcome_future], timeout=left_s)
+        finally:
+            attempt.release()
         if not attempt.outcome_future.done():
             connection.abort()
             self._connection = None
@@ -822,6 +833,12 @@
         self, upstream: directory.KnownUpstream, reason: str
     ) -> None:
         """Records a lost request, and what its prompt shares with others."""
+        if reason in _EXCESSES:
+            self._forwarder._metrics.count(
+                "sesamecross_answers_cut_total",
+                "Answers of upstreams that were cut off, by the bound passed.",
+                {"why": reason},
+            )
         guard = self._forwarder.request_guard
         if guard is not None:
             guard.record_loss(self._request_fingerprint(), upstream)
--- a/sesamecross/ports/engine_stream.py
+++ b/sesamecross/ports/engine_stream.py
@@ -8,12 +8,14 @@
 
 import dataclasses
 import socket
+import time
 import urllib.parse
 
 import httptools
 from urllib3.util import connection
 
 from sesamecross.core import retry_after
+from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ports import http_client
 from sesamecross.ports import sse
 
@@ -82,9 +84,14 @@
 
 
 class _ResponseHandler:
-    """Callbacks of the HTTP parser, which collect the final response."""
+    """Callbacks of the HTTP parser, which collect the final response.
+
+    Attributes:
+      meter: Counts what arrives.
+    """
 
     __slots__ = (
+        "meter",
         "headers",
         "parser",
         "status",
@@ -94,6 +101,7 @@
     )
 
     def __init__(self) -> None:
+        self.meter = answer_bounds.AnswerMeter()
         self.headers: dict[str, str] = {}
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
@@ -106,9 +114,12 @@
         """Whether the end of the connection doesn't end the body."""
         return not self.headers.keys().isdisjoint(_FRAMING_HEADERS)
 
+    def on_message_begin(self) -> None:
+        self.meter.begin_head()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         # What follows the head are trailers, or another response.
-        if not self.is_head_complete:
+        if self.meter.add_field() and not self.is_head_complete:
             key = name.decode("latin-1").lower()
             self.headers[key] = value.decode("latin-1")
 
@@ -118,12 +129,15 @@
             return
         if status < _FIRST_FINAL_STATUS:
             self.headers.clear()
+            self.meter.add_informational_head()
             return
+        self.meter.add_head()
         self.status = status
         self.is_head_complete = True
 
     def on_body(self, body: bytes) -> None:
         if not self.is_complete:
+            self.meter.add_body(len(body))
             self.chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -213,6 +227,10 @@
             if not self._response.is_complete:
                 raise StreamBroken(f"not HTTP ({error})") from error
         self._ended = self._ended or self._response.is_complete
+        meter = self._response.meter
+        meter.add_received(len(data), time.monotonic())
+        if meter.excess is not None and not self._ended:
+            raise StreamBroken(meter.excess.value)
 
     def fileno(self) -> int:
         """Returns the file descriptor to wait on."""
