Pacer: turns at an engine that reads slowly are foretold by what it has read

What callers saw: at an engine slower than those of the first deployments, who was refused had been held for 1.9 s (0.6 s asked).

Cause: turns were foretold by a rate that was found at the first engines, whatever held the requests up. Now, while the limit on prompts that are not yet read holds requests up all the time, the rate is what the engine has read since (0.5 to 3 s). Ruled out by earlier trials: a speed by first events, and a lower rate that is kept after the time of trouble.

Before: pacer_test slow engine [6000] and [10000] fail.

--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -25,6 +25,10 @@
 their prompts or the speed of their model, would be late each time they come
 back: a part of the rate is kept for them, in the order in which they come.
 
+An engine may also read prompts more slowly than at the rate. Then the limit on
+prompts that are not yet read holds requests up, all the time; once it has done
+so for a while, turns are foretold by what the engine has read meanwhile.
+
 A nearly full batch admits no more prompts until streams end. Each stream makes
 the steps of all others longer, and prompts come between the steps. With three
 quarters of the slots in use half of all streams had a pause over the bound,
@@ -48,6 +52,10 @@
 # Tokens that may be granted and not yet prefilled: 0.2 s of prefill. This limit
 # takes effect on engines slower than the rate.
 MAX_PENDING_TOKENS = 5_000
+# How long the limit must have held requests up before the engine's own rate is
+# known, and the longest time over which that is measured.
+MIN_BACKLOG_S = 0.5
+MAX_BACKLOG_WINDOW_S = 3.0
 # A prompt not reported as prefilled by then no longer counts: its sender is
 # gone, or the report was lost.
 PREFILL_TIMEOUT_S = 1.5
@@ -119,6 +127,43 @@
     refused: tuple[Key, ...]
 
 
+class _Backlog:
+    """Measures what an engine reads while prompts wait for it all the time."""
+
+    __slots__ = ("_windows",)
+
+    def __init__(self) -> None:
+        # Start and tokens read since; a second, younger window replaces the
+        # first one once that is too long.
+        self._windows: list[tuple[float, float]] = []
+
+    def begin(self, now_s: float) -> None:
+        """Notes that prompts wait for others to be read."""
+        if not self._windows:
+            self._windows = [(now_s, 0.0), (now_s + MIN_BACKLOG_S, 0.0)]
+        elif now_s - self._windows[0][0] > MAX_BACKLOG_WINDOW_S:
+            self._windows = [self._windows[1], (now_s, 0.0)]
+
+    def end(self) -> None:
+        """Notes that no prompt waits for others to be read."""
+        self._windows = []
+
+    def add(self, tokens: int, now_s: float) -> None:
+        """Adds a prompt that was read."""
+        self._windows = [
+            (start_s, read + tokens if now_s >= start_s else read)
+            for start_s, read in self._windows
+        ]
+
+    def rate(self, now_s: float) -> float | None:
+        """Returns tokens read per second; None while that is unknown."""
+        if not self._windows:
+            return None
+        start_s, read = self._windows[0]
+        lasted_s = now_s - start_s
+        return read / lasted_s if lasted_s >= MIN_BACKLOG_S else None
+
+
 class _Waiting(Protocol):
     key: Key
     due_s: float
@@ -155,6 +200,7 @@
         "_granted_rate",
         "_late_credit",
         "_is_full",
+        "_backlog",
         "_at_s",
     )
 
@@ -174,6 +220,7 @@
         # before them.
         self._late_credit = 0.0
         self._is_full = False
+        self._backlog = _Backlog()
         self._at_s = 0.0
 
     @property
@@ -221,6 +268,7 @@
         known = self._prefilling.pop(key, None)
         if known is not None:
             self._pending_tokens -= known[0]
+            self._backlog.add(known[0], self._at_s)
 
     def waiting(self, now_s: float) -> tuple[Key, ...]:
         """Returns the waiting requests in the order of their turns."""
@@ -244,6 +292,10 @@
             self._update_late_credit(request, has_late=bool(late))
             granted.append(request.key)
         self._is_full = len(granted) >= free_slots
+        if (late or others) and self._exceeds_pending(request):
+            self._backlog.begin(now_s)
+        else:
+            self._backlog.end()
         refused = self._too_late(late, others, now_s)
         for key in refused:
             del self._waiting[key]
@@ -306,19 +358,23 @@
           now_s: Monotonic time.
         """
         rate = PREFILL_TOKENS_PER_S
+        ahead = self._level
+        read_rate = self._backlog.rate(now_s)
         if self._is_full:
             rate = max(FULL_MIN_TOKENS_PER_S, min(rate, self._granted_rate))
+        elif read_rate is not None:
+            rate = max(FULL_MIN_TOKENS_PER_S, min(rate, read_rate))
+            ahead = max(ahead, self._pending_tokens - MAX_PENDING_TOKENS)
         refused = []
         others_rate = self._requested_rate - self._late_requested_rate
         late_rate = max(rate * LATE_SHARE, rate - others_rate)
-        ahead = self._level
+        ahead_of_late = ahead
         for request in late:
-            if now_s + ahead / late_rate > request.until_s:
+            if now_s + ahead_of_late / late_rate > request.until_s:
                 refused.append(request.key)
             else:
-                ahead += request.charged_tokens
+                ahead_of_late += request.charged_tokens
         spare = max(0.0, rate - self._requested_rate)
-        ahead = self._level
         for request in others:
             starts_s = now_s + ahead / rate
             if starts_s > request.due_s:
@@ -348,12 +404,13 @@
         limit = max(1, min(MAX_STREAMS, int(batch.slots * MAX_BATCH_SHARE)))
         return max(0, limit - int(batch.running) - unreported)
 
+    def _exceeds_pending(self, request: _WaitingRequest) -> bool:
+        """Whether too many prompts before it have not been read yet."""
+        pending_tokens = self._pending_tokens + request.charged_tokens
+        return bool(self._prefilling) and pending_tokens > MAX_PENDING_TOKENS
+
     def _has_room(self, request: _WaitingRequest) -> bool:
-        if (
-            self._prefilling
-            and self._pending_tokens + request.charged_tokens
-            > MAX_PENDING_TOKENS
-        ):
+        if self._exceeds_pending(request):
             return False
         return self._level + request.charged_tokens <= BURST_TOKENS
 
