Callers' keys: workspaces, revocation as a lease on freshness

Now keys are kept by digest (ops/fleet/caller_keys.py); the workspace that holds a key is named to the upstream, whatever the caller sent; no key leaves the gateway, also not on an anonymous route. 401 comes once the configuration is known to be the newest as of the request's arrival, or is younger than the bound after a wait of 0.4 s. A workspace's priority goes before the route's. The fingerprint of a request tells workspaces apart.

A key is served only while the configuration was the newest less than the bound ago (ops/fleet/freshness.py), on a clock that counts suspension. Hubs read the store every 0.14 of the bound; others learn it from reports, views and summaries: each says which message of the receiver it answers, so that the age counts from the receiver's own sending. An instance that hears nothing asks the store itself, one after the other by rank. A version that can't be decoded vouches for nothing.

Not built yet: quotas.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -121,7 +121,13 @@
 class Report(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=1
 ):
-    """A member's own statistics, sent to the hub of its zone."""
+    """A member's own statistics, sent to the hub of its zone.
+
+    Attributes:
+      configuration_age_s: For how long it may have missed a newer
+        configuration; None if it does not know.
+      heard: By hub, the number of its last view that this member has received.
+    """
 
     me: Member
     number: int
@@ -130,12 +136,20 @@
     demand: list[TargetDemand] = []
     failing: list[UpstreamOutcomes] = []
     lease: LeaseAnnouncement | None = None
+    configuration_age_s: float | None = None
+    heard: dict[str, int] = {}
 
 
 class Summary(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=2
 ):
-    """The totals of a zone, sent by its hub to the other hubs."""
+    """The totals of a zone, sent by its hub to the other hubs.
+
+    Attributes:
+      configuration_age_s: As in a report.
+      heard: By hub, the number of its last summary that the sender has
+        received.
+    """
 
     me: Member
     number: int
@@ -145,6 +159,8 @@
     demand: list[TargetDemand] = []
     failing: list[UpstreamOutcomes] = []
     lease: LeaseAnnouncement | None = None
+    configuration_age_s: float | None = None
+    heard: dict[str, int] = {}
 
 
 class View(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=3):
@@ -152,6 +168,7 @@
 
     Attributes:
       taken: By member, the number of its report that the totals include.
+      configuration_age_s: As in a report.
     """
 
     me: Member
@@ -163,6 +180,7 @@
     demand: list[TargetDemand] = []
     failing: list[UpstreamOutcomes] = []
     lease: LeaseAnnouncement | None = None
+    configuration_age_s: float | None = None
 
 
 class EnginePlacement(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -52,6 +52,7 @@
         event id.
       is_model_call: Requests name a model and list the parts of their
         prompt.
+      is_anonymous: Requests need no key.
     """
 
     name: str
@@ -66,6 +67,7 @@
     gap_s: float
     is_resumable: bool
     is_model_call: bool
+    is_anonymous: bool = False
 
     @property
     def is_retry_safe(self) -> bool:
@@ -151,13 +153,55 @@
     idle_timeout_s: float = 15.0
 
 
+class Quota(msgspec.Struct, frozen=True):
+    """What a workspace may use, over all instances.
+
+    Attributes:
+      rate_per_s: Requests or tokens a second.
+      burst: The same, at once.
+      counts_tokens: Whether tokens are counted instead of requests.
+      plain_tokens: What a request counts that states no tokens.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    plain_tokens: float
+
+    def cost(self, tokens: int | None) -> float:
+        """Returns what a request counts that states so many tokens."""
+        if not self.counts_tokens:
+            return 1.0
+        return float(self.plain_tokens if tokens is None else tokens)
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """A customer whose callers bear keys.
+
+    Attributes:
+      key_digests: Of its keys (`sesamecross.ops.fleet.caller_keys`).
+      urgency: Goes before that of routes; None if it has none.
+      quota: None if it has no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    urgency: int | None = None
+    quota: Quota | None = None
+
+
 class Configuration(msgspec.Struct, frozen=True):
-    """One version of the operators' configuration. Versions only increase."""
+    """One version of the operators' configuration. Versions only increase.
+
+    Attributes:
+      workspaces: None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 class ResidentModel(msgspec.Struct, frozen=True):
@@ -267,6 +311,11 @@
       call: Set if the request names a model.
       first_attempt_id: Id of the caller's attempt that brought the first event
         of the stream that it resumes, or empty.
+      key_digest: Of the caller's key; empty if it bears none, or several.
+      tokens: Those of the prompt and the most of the answer together; None if
+        the caller did not say.
+      workspace: Whose request it is, once that is known; None if it needs no
+        key.
     """
 
     method: bytes
@@ -279,6 +328,9 @@
     last_event_id: str
     call: ModelCall | None
     first_attempt_id: str = ""
+    key_digest: bytes = b""
+    tokens: int | None = None
+    workspace: Workspace | None = None
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -300,6 +352,12 @@
         upstream.
       checks_fencing: Whether upstreams reject orders with an older fencing
         token.
+      is_revocation_strict: Whether `revoke_s` binds instances that can't read
+        the store too.
+      revoke_s: From the store's publication of a configuration without a key
+        until no request with it is let in.
+      quota_window_s, quota_overage, quota_slack: In any window, a workspace may
+        use its quota's rate and burst, by a share and a number more.
     """
 
     drain_s: float = 2.5
@@ -313,6 +371,11 @@
     loads_overage: float = 1.1
     address_reuse_s: float = 2.0
     checks_fencing: bool = False
+    is_revocation_strict: bool = False
+    revoke_s: float = 5.0
+    quota_window_s: float = 8.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 class Instance(msgspec.Struct, frozen=True):
--- a/sesamecross/fakes/base.py
+++ b/sesamecross/fakes/base.py
@@ -63,6 +63,14 @@
         key = "HTTP_" + name.upper().replace("-", "_")
         return self.environ.get(key, default)
 
+    def headers(self) -> dict[str, str]:
+        """Returns the request's headers, with names in lower case."""
+        return {
+            name.removeprefix("HTTP_").replace("_", "-").lower(): value
+            for name, value in self.environ.items()
+            if name.startswith("HTTP_")
+        }
+
     def query(self) -> dict[str, str]:
         """Returns the query's fields; repeated fields are not supported."""
         pairs = self.environ.get("QUERY_STRING", "").split("&")
--- a/sesamecross/fakes/platform_upstream.py
+++ b/sesamecross/fakes/platform_upstream.py
@@ -52,6 +52,7 @@
     Attributes:
       answer: The complete body of the answer.
       is_cut: Whether the connection was closed before the end of the answer.
+      headers: Of the request, by name in lower case.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     signature: str
     answer: bytes
     is_cut: bool = False
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class PlatformUpstream(base.FakeServer):
@@ -262,6 +264,7 @@
             b"".join(self._events(request))
             if is_stream
             else _plain_answer(request_id, self._answer_bytes),
+            headers=request.headers(),
         )
         with self._lock:
             self.runs.append(run)
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -16,6 +16,7 @@
 from sesamecross.gateway import engine_client
 from sesamecross.gateway import follower
 from sesamecross.gateway import forwarder as forwarder_lib
+from sesamecross.gateway import freshness_keeper
 from sesamecross.gateway import joiner
 from sesamecross.gateway import lease_manager
 from sesamecross.gateway import listener
@@ -177,8 +178,10 @@
             platform_catalog.configuration,
             self._rng,
             max_backoff_s=self.mesh.max_store_backoff_s,
-            poll_s=self.mesh.store_poll_s,
+            poll_s=self.mesh.configuration_poll_s,
             ticker=ticker,
+            confirm=platform_catalog.configuration.confirm,
+            clock=self.state.freshness.now_s,
         )
         upstreams = follower.Follower(
             client,
@@ -280,6 +283,9 @@
                 self.state, self.mesh, self.forwarder.connector, ticker
             ),
             load_monitor.LoadMonitor(shedder, self.metrics, ticker),
+            freshness_keeper.FreshnessKeeper(
+                self.state, self.mesh, configurations, ticker
+            ),
             self._reloader,
             self._joiner,
             self.mesh,
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -28,7 +28,7 @@
 class ConfigurationSink:
     """Applies the operators' newest configuration."""
 
-    __slots__ = ("_state", "_key", "_decode", "_log", "raw")
+    __slots__ = ("_state", "_key", "_decode", "_log", "_is_understood", "raw")
 
     def __init__(
         self, state: state_lib.State, key: str, decode: ConfigurationDecoder
@@ -37,6 +37,8 @@
         self._key = key
         self._decode = decode
         self._log = logs.get_logger("configuration")
+        # Whether the newest record could be applied.
+        self._is_understood = False
         self.raw = topic_records.TopicRecords()
 
     @property
@@ -56,12 +58,20 @@
             self._log.exception("record not applied", offset=record.offset)
 
     def _apply(self, record: store.KeyedRecord) -> None:
+        self._is_understood = False
         configuration = self._decode(record.value)
         if configuration is None:
             self._log.warning("unreadable", offset=record.offset)
             return
         before = self._state.version
-        if self._state.offer_configuration(configuration):
+        is_new = self._state.offer_configuration(configuration)
+        self._is_understood = True
+        if is_new:
+            if self._state.keys is not None and self._state.keys.doubled:
+                self._log.warning(
+                    "keys of several workspaces name none",
+                    keys=self._state.keys.doubled,
+                )
             self._log.info(
                 "in force",
                 version=configuration.version,
@@ -70,6 +80,11 @@
                 routes=len(configuration.routes),
             )
 
+    def confirm(self, as_of_s: float) -> None:
+        """Notes that no record was newer than the known ones at that moment."""
+        if self._is_understood:
+            self._state.freshness.learn(as_of_s)
+
     def on_listed(self, keys: set[str], end: int) -> None:
         """Does nothing: a configuration that is not listed stays in force."""
 
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -61,6 +61,8 @@
         "_open_read",
         "_read_begun_s",
         "_ticker",
+        "_confirm",
+        "_clock",
     )
 
     def __init__(
@@ -76,6 +78,8 @@
         ),
         poll_s: Callable[[], float] = lambda: store_polling.READER_POLL_S,
         ticker: ticker_lib.Ticker | None = None,
+        confirm: Callable[[float], None] = lambda _: None,
+        clock: Callable[[], float] = lambda: 0.0,
     ):
         """Initializes the follower.
 
@@ -90,6 +94,9 @@
           max_backoff_s: The longest backoff after failed calls.
           poll_s: How long a read waits for a record.
           ticker: The process's ticker.
+          confirm: Called when all records of a moment of `clock` were passed
+            on.
+          clock: The clock of these moments.
         """
         self._client = client
         self._topic = topic
@@ -106,6 +113,8 @@
         self._open_read: asyncio.Task[store.ReadOutcome] | None = None
         self._read_begun_s = 0.0
         self._ticker = ticker or ticker_lib.Ticker()
+        self._confirm = confirm
+        self._clock = clock
 
     @property
     def name(self) -> str:
@@ -164,6 +173,7 @@
             self._open_read.cancel()
 
     async def _list_topic(self) -> bool:
+        sent_s = self._clock()
         after = ""
         start: int | None = None
         keys: set[str] = set()
@@ -183,6 +193,7 @@
         self._sink.on_listed(keys, start)
         self._sink.on_progress(start)
         self._offset = start
+        self._confirm(sent_s)
         self._set_reachable(True, None)
         self._log.info("listed", topic=self._topic, keys=len(keys), end=start)
         return True
@@ -193,6 +204,7 @@
         wait_s = self._poll_s() if self._reachable else 0.0
         # Another instance may have supplied records that this one did not read.
         self._offset = max(self._offset, self._sink.end)
+        sent_s = self._clock()
         outcome = await self._read(wait_s)
         match outcome:
             case store.Page(records, next_offset):
@@ -200,6 +212,9 @@
                     self._sink.on_record(record)
                 self._offset = next_offset
                 self._sink.on_progress(next_offset)
+                if not records:
+                    # Others may follow those of a full page.
+                    self._confirm(sent_s)
                 self._set_reachable(True, None)
                 return True
             case store.Expired(first):
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -10,6 +10,8 @@
 import math
 import random
 
+import msgspec
+
 from sesamecross.core import serving
 from sesamecross.gateway import attempt as attempt_lib
 from sesamecross.gateway import client_connection
@@ -26,6 +28,7 @@
 from sesamecross.gateway import upstream_connector
 from sesamecross.gateway import upstream_words
 from sesamecross.ops.fleet import answer_bounds
+from sesamecross.ops.fleet import caller_keys
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import request_ledger
@@ -45,6 +48,10 @@
 # How long requests wait for the first configuration and list of upstreams. Both
 # take a tenth of a second from a store that answers.
 START_WAIT_S = 0.5
+# How long a request waits for word of its key: whether a newer configuration
+# has it, or that there is none newer.
+KEY_WAIT_S = 0.4
+KEY_CHECK_INTERVAL_S = 0.05
 # Longest id of a caller that is logged.
 _MAX_LOGGED_ID = 64
 # Most parts of a prompt that are logged.
@@ -182,6 +189,8 @@
             caller_info.last_event_id,
             caller_info.call,
             caller_info.first_attempt_id,
+            caller_info.key_digest,
+            caller_info.tokens,
         )
 
     def on_rejected(self, status: int, reason: str) -> None:
@@ -375,6 +384,10 @@
             self._note = "stopping"
             self._retry_after_s = 0.0
             return self._refuse(0.0)
+        refused = await self._check_key()
+        if refused is not None:
+            return refused
+        request = self._request
         if not self._route.targets:
             # Operators declared no service, or weights of zero. The request
             # has not run, and can succeed once they declare one.
@@ -425,12 +438,64 @@
                 return self._refuse(self._retry_after_s)
         return await self._run_attempts()
 
+    async def _check_key(self) -> str | None:
+        """Finds the workspace by the request's key.
+
+        Returns:
+          The outcome if the request was answered, or None.
+        """
+        state = self._forwarder._state
+        loop = asyncio.get_running_loop()
+        arrived_s = state.freshness.now_s()
+        ends_s = loop.time() + KEY_WAIT_S
+        while True:
+            verdict = caller_keys.judge(
+                state.keys,
+                self._route,
+                self._request.key_digest,
+                state.is_fresh,
+            )
+            match verdict:
+                case caller_keys.Admitted(workspace=workspace):
+                    if workspace is not None:
+                        self._request = msgspec.structs.replace(
+                            self._request, workspace=workspace
+                        )
+                    return None
+                case caller_keys.UnknownKey() if (
+                    state.freshness.as_of_s >= arrived_s
+                ):
+                    # No version that was in force on arrival has it.
+                    self._note = "unknown key"
+                    return self._fail(401)
+            left_s = ends_s - loop.time()
+            if left_s <= 0 or self._forwarder.stop is not None:
+                break
+            await state.wait_for_change(min(left_s, KEY_CHECK_INTERVAL_S))
+        if (
+            isinstance(verdict, caller_keys.UnknownKey)
+            and state.freshness.age_s() < state.bounds.config_apply_s
+        ):
+            self._note = "unknown key"
+            return self._fail(401)
+        self._note = "configuration may be old"
+        self._retry_after_s = DEFAULT_RETRY_AFTER_S
+        return self._refuse(self._retry_after_s)
+
     @property
     def _is_resumed(self) -> bool:
         """Whether the caller has received a part of the stream before."""
         request = self._request
         return bool(request.last_event_id or request.first_attempt_id)
 
+    @property
+    def _urgency(self) -> int:
+        """The priority, in which a workspace's goes before the route's."""
+        workspace = self._request.workspace
+        if workspace is not None and workspace.urgency is not None:
+            return workspace.urgency
+        return self._route.urgency
+
     @property
     def _stream_life_s(self) -> float:
         """For how long a caller may resume the stream."""
@@ -734,8 +799,9 @@
         forward_context = http_codec_lib.ForwardContext(
             entry.instance_id,
             left_s,
-            self._route.urgency if self._route.is_model_call else None,
+            self._urgency if self._route.is_model_call else None,
             self._relay.last_event_id if self._relay else "",
+            self._forwarder._state.keys is not None,
         )
         headers = self._forwarder._http_codec.upstream_request_headers(
             request, forward_context
@@ -933,11 +999,17 @@
             note=self._note,
             via=self._relayed_by,
             config=self._forwarder._state.version,
+            workspace=self._workspace_name,
             **self._refusal_fields(outcome),
             **self._stream_fields(),
             **self._engine_fields(),
         )
 
+    @property
+    def _workspace_name(self) -> str:
+        workspace = self._request.workspace
+        return workspace.name if workspace is not None else ""
+
     def _refusal_fields(self, outcome: str) -> dict[str, object]:
         """Returns a refusal's retry delay and its grounds."""
         if outcome != "refused":
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -16,6 +16,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import freshness
 from sesamecross.ops.fleet import health
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import report_totals
@@ -24,6 +25,7 @@
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
+from sesamecross.utils import rendezvous
 
 DIGEST_BYTES = 12
 # Below the largest UDP payload, with room for headers.
@@ -50,6 +52,8 @@
 SILENT_CONTACT_INTERVAL_S = 0.5
 # Own reports kept until a view says which of them its totals include.
 MAX_UNCONFIRMED_REPORTS = 16
+# Room for the numbers of one incarnation's messages.
+NUMBER_BITS = 32
 # The value of `left_s` that marks a released lease.
 RELEASED_LEFT_S = -1.0
 
@@ -146,6 +150,8 @@
         self._last_placement = (-1, -1, -1)
         # By sender, the incarnation and number of its last news of crashes.
         self._last_news: dict[str, tuple[int, int]] = {}
+        # By hub, the number of its last view or summary.
+        self._heard: dict[str, int] = {}
         self._listeners: list[MessageListener] = []
         self.lease: fm.LeaseAnnouncement | None = None
         self.lease_received_s = 0.0
@@ -160,6 +166,9 @@
         """Joins the mesh once this start is registered."""
         now_s = asyncio.get_running_loop().time()
         self._secret = secret
+        # No number of an earlier incarnation is used again, as peers repeat
+        # the last one that they know.
+        self._number = max(0, me.incarnation) << NUMBER_BITS
         self.roster = roster_lib.Roster(me, now_s)
         self.roster.registered(others)
 
@@ -310,9 +319,31 @@
             return True
         return self._hub_progress.is_stalled(now_s)
 
+    def asks_for_freshness(self) -> bool:
+        """Whether this instance finds out itself if there is a newer version.
+
+        That is a hub, always, and another once its hub tells nothing: one
+        after the other, so that not all ask.
+        """
+        state = self._state
+        if state.keys is None or self.roster is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        if self._is_hub(now_s):
+            return True
+        bound_s = state.bounds.revoke_s
+        age_s = state.freshness.age_s()
+        if age_s < freshness.ask_after_s(bound_s, 0):
+            return False
+        me = self.roster.me
+        names = [me.name, *(one.name for one in self._members(now_s))]
+        ranked = rendezvous.top(f"fresh/{me.zone}", names, len(names))
+        rank = ranked.index(me.name)
+        return age_s >= freshness.ask_after_s(bound_s, rank)
+
     def max_store_backoff_s(self) -> float:
         """Returns the longest backoff between calls that the store refuses."""
-        if self.roster is None:
+        if self.roster is None or self.asks_for_freshness():
             return store_polling.READER_MAX_BACKOFF_S
         now_s = asyncio.get_running_loop().time()
         hub = self.roster.hub_of(self.roster.me.zone, now_s)
@@ -327,6 +358,13 @@
             return store_polling.READER_POLL_S
         return store_polling.MEMBER_POLL_S
 
+    def configuration_poll_s(self) -> float:
+        """Returns how long a read of the configuration waits for a record."""
+        if self.asks_for_freshness():
+            read_s = freshness.READ_SHARE * self._state.bounds.revoke_s
+            return min(store_polling.READER_POLL_S, read_s)
+        return self.store_poll_s()
+
     def _report_to_hub(self, now_s: float) -> None:
         me = self.roster.me
         hub = self.roster.hub_of(me.zone, now_s)
@@ -338,22 +376,25 @@
         is_due = now_s - self._last_report_s >= roster_lib.HEARTBEAT_INTERVAL_S
         if not is_due and self._is_unchanged(report):
             return
-        self._number += 1
+        number = self.next_number()
         report = fm.Report(
             self.me,
-            self._number,
+            number,
             report.loads,
             report.uses,
             report.demand,
             report.failing,
             report.lease,
+            self._state.freshness.told_age_s(),
+            {hub: self._heard.get(hub, 0)},
         )
         self._last_report = report
         self._last_report_s = now_s
         if hub == me.name:
             self._reports.take(report, now_s)
             return
-        self._unconfirmed_reports[self._number] = report
+        self._state.freshness.record_sent(number)
+        self._unconfirmed_reports[number] = report
         while len(self._unconfirmed_reports) > MAX_UNCONFIRMED_REPORTS:
             del self._unconfirmed_reports[next(iter(self._unconfirmed_reports))]
         self.send(report, self.roster.get(hub))
@@ -383,7 +424,14 @@
             [],
             totals.failures(),
             lease,
+            self._state.freshness.told_age_s(),
+            {
+                hub: self._heard[hub]
+                for zone in zones
+                if (hub := self.roster.hub_of(zone, now_s)) in self._heard
+            },
         )
+        self._state.freshness.record_sent(without_demand.number)
         # Only the lease's holder needs the demand, which is the larger part of
         # the message.
         with_demand = msgspec.structs.replace(
@@ -462,7 +510,9 @@
             [],
             totals.failures(),
             lease,
+            self._state.freshness.told_age_s(),
         )
+        self._state.freshness.record_sent(view.number)
         data = self._encode(view)
         holder = lease.holder if lease else ""
         sent = 0
@@ -571,6 +621,11 @@
             case fm.Report():
                 self._reports.take(message, now_s)
                 self._on_lease(message.lease, now_s)
+                self._learn_freshness(
+                    message.me,
+                    message.heard.get(self.roster.me.name, 0),
+                    message.configuration_age_s,
+                )
             case fm.Summary():
                 self._on_summary(message, now_s)
             case fm.View():
@@ -605,6 +660,19 @@
             ):
                 self._notify_listeners(message)
 
+    def _learn_freshness(
+        self, sender: fm.Member, number: int, age_s: float | None
+    ) -> None:
+        """Learns how old the configuration is, from one that has no newer.
+
+        Args:
+          sender: The instance that tells its age.
+          number: The last message of this instance that it had received.
+          age_s: The age when it told it.
+        """
+        if sender.configuration <= self._state.version:
+            self._state.freshness.learn_from_peer(number, age_s)
+
     def _is_new_placement(self, message: fm.Placement) -> bool:
         number = (message.fence, message.me.incarnation, message.number)
         if number <= self._last_placement:
@@ -638,6 +706,12 @@
 
     def _on_summary(self, message: fm.Summary, now_s: float) -> None:
         if self._summaries.take(message, now_s):
+            self._heard[message.me.name] = message.number
+            self._learn_freshness(
+                message.me,
+                message.heard.get(self.roster.me.name, 0),
+                message.configuration_age_s,
+            )
             for member in message.members:
                 self.roster.on_heartbeat(member, now_s)
             self._on_lease(message.lease, now_s)
@@ -649,7 +723,9 @@
         for member in message.members:
             self.roster.on_heartbeat(member, now_s)
         self._on_lease(message.lease, now_s)
+        self._heard[message.me.name] = message.number
         number = message.taken.get(self.roster.me.name, 0)
+        self._learn_freshness(message.me, number, message.configuration_age_s)
         taken = self._unconfirmed_reports.get(number)
         own = [taken] if taken is not None else []
         self._set_peer_totals(
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 import msgspec
@@ -13,7 +14,9 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import start_steps
+from sesamecross.ops.fleet import caller_keys
 from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import freshness as freshness_lib
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
@@ -56,6 +59,8 @@
       fleet_demand, fleet_uses: Sums over all instances; known to the lease
         holder only.
       start_steps: When this start could first do what.
+      keys: Callers' keys; None if requests need none.
+      freshness: As of when the configuration is known to be the newest.
     """
 
     __slots__ = (
@@ -79,9 +84,15 @@
         "_rejection_limits",
         "start_steps",
         "_change_event",
+        "keys",
+        "freshness",
     )
 
-    def __init__(self, instance: serving.Instance):
+    def __init__(
+        self,
+        instance: serving.Instance,
+        boot_clock: Callable[[], float] = freshness_lib.boot_time_s,
+    ):
         self.location = service_choice.Location(
             instance.zone, dict(instance.regions)
         )
@@ -90,6 +101,8 @@
         self.directory = directory_lib.Directory(instance.bounds.drain_s)
         self.routes = route_table.RouteTable(())
         self.configuration: serving.Configuration | None = None
+        self.keys: caller_keys.KeyTable | None = None
+        self.freshness = freshness_lib.Freshness(boot_clock)
         self.has_upstream_list = False
         self.instance_count: int | None = None
         self.upstreams_offset = -1
@@ -193,6 +206,13 @@
         """Whether requests can be served."""
         return self.configuration is not None and self.has_upstream_list
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether keys may be served."""
+        return not self.bounds.is_revocation_strict or (
+            self.freshness.is_within(self.bounds.revoke_s)
+        )
+
     @property
     def version(self) -> int:
         """The configuration's version; -1 without a configuration."""
@@ -209,10 +229,14 @@
         """Applies a configuration if it is newer than the current one."""
         if configuration.version <= self.version:
             return False
-        # If the route table can't be built, the current state stays.
+        # If a table can't be built, the current state stays.
         routes = route_table.RouteTable(configuration.routes)
+        keys = None
+        if configuration.workspaces is not None:
+            keys = caller_keys.KeyTable(configuration.workspaces)
         self.configuration = configuration
         self.routes = routes
+        self.keys = keys
         for route in configuration.routes:
             self.extend_life(stream_origins.life_s(route))
         self._record_start_step(start_steps.Step.CONFIGURATION)
--- a/sesamecross/ops/fleet/request_ledger.py
+++ b/sesamecross/ops/fleet/request_ledger.py
@@ -39,9 +39,12 @@
 def fingerprint(request: serving.Request) -> bytes:
     """Returns what stays the same over all attempts for the same request.
 
-    That is all that an upstream runs: method, host, path, body and prompt.
+    That is all that an upstream runs: method, host, path, body and prompt, for
+    one workspace.
     """
     texts = [request.host]
+    if request.workspace is not None:
+        texts.append(f"for {request.workspace.name}")
     call = request.call
     if call is not None:
         texts += [call.target, f"{call.prompt_tokens},{call.output_tokens}"]
--- a/sesamecross/platform/catalog.py
+++ b/sesamecross/platform/catalog.py
@@ -5,12 +5,17 @@
 None for it, and their users log the records that they skip.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import caller_keys
 from sesamecross.platform import untrusted
 
 SECONDS_PER_MS = 0.001
+_TOKENS = "tokens"
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _WireTarget(msgspec.Struct, frozen=True):
@@ -36,6 +41,7 @@
     session_affinity: bool = False
     resumable: bool = False
     target_gap_ms: float = 0.0
+    anonymous: bool = False
 
 
 class _WireModel(msgspec.Struct, frozen=True, rename="camel"):
@@ -73,11 +79,23 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _WireTenant(msgspec.Struct, frozen=True, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: untrusted.Number | None = None
+    unit: str = "requests"
+    plain_tokens: _NotNegative = 0.0
+    # No limit if 0.
+    rate_per_s: _NotNegative = 0.0
+    burst: _NotNegative = 0.0
+
+
 class _WireConfiguration(msgspec.Struct, frozen=True):
     version: untrusted.NonNegative
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = _WireLimits()
+    tenants: list[_WireTenant] | None = None
 
 
 class WireResidentModel(msgspec.Struct, frozen=True):
@@ -137,12 +155,32 @@
                 wire.limits.header_timeout_ms * SECONDS_PER_MS,
                 wire.limits.idle_timeout_ms * SECONDS_PER_MS,
             ),
+            None
+            if wire.tenants is None
+            else tuple(_workspace(tenant) for tenant in wire.tenants),
         )
     except (untrusted.DecodeError, KeyError):
         # The KeyError is an unknown kind of route.
         return None
 
 
+def _workspace(wire: _WireTenant) -> serving.Workspace:
+    quota = None
+    if wire.rate_per_s > 0:
+        quota = serving.Quota(
+            wire.rate_per_s,
+            wire.burst,
+            wire.unit == _TOKENS,
+            wire.plain_tokens,
+        )
+    return serving.Workspace(
+        wire.name,
+        frozenset(caller_keys.digest(key.encode()) for key in wire.api_keys),
+        wire.priority,
+        quota,
+    )
+
+
 def _route(wire: _WireRoute) -> serving.Route:
     targets = tuple(
         serving.Target(target.service, target.weight)
@@ -164,6 +202,7 @@
         wire.target_gap_ms * SECONDS_PER_MS,
         wire.resumable,
         wire.session_affinity,
+        wire.anonymous,
     )
 
 
--- a/sesamecross/platform/headers.py
+++ b/sesamecross/platform/headers.py
@@ -10,6 +10,7 @@
 from sesamecross.core import connection_headers
 from sesamecross.core import retry_after
 from sesamecross.core import serving
+from sesamecross.ops.fleet import caller_keys
 from sesamecross.ports import http_codec
 
 _REQUEST_ID = b"request-id"
@@ -27,6 +28,9 @@
 _REJECTION_LIMIT = b"server-brittle"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+_AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"bearer"
+_TENANT = b"tenant"
 _EXPECTED_INSTANCE = b"expected-instance"
 _REQUEST_PRIORITY = b"request-priority"
 _MISDIRECTED_STATUS = 421
@@ -40,6 +44,7 @@
         _DEADLINE_MS,
         _EXPECTED_INSTANCE,
         _REQUEST_PRIORITY,
+        _TENANT,
         b"expected-version",
         b"hold",
         b"pin-ms",
@@ -67,6 +72,7 @@
     headers: Iterable[serving.Header],
 ) -> http_codec.RequestHead:
     """Parses a caller's request headers; names are in lower case."""
+    headers = tuple(headers)
     by_name = dict(headers)
     return http_codec.RequestHead(
         by_name.get(_REQUEST_ID, b"").decode("latin-1"),
@@ -74,9 +80,31 @@
         by_name.get(_LAST_EVENT_ID, b"").decode("latin-1"),
         _parse_model_call(by_name),
         by_name.get(_RESUMES, b"").decode("latin-1"),
+        _parse_key_digest(headers),
+        _parse_tokens(by_name.get(_TOKEN_USAGE)),
     )
 
 
+def _parse_key_digest(headers: Iterable[serving.Header]) -> bytes:
+    values = [value for name, value in headers if name == _AUTHORIZATION]
+    if len(values) != 1:
+        return b""
+    scheme, _, key = values[0].strip().partition(b" ")
+    key = key.strip()
+    if scheme.lower() != _KEY_SCHEME or not key:
+        return b""
+    return caller_keys.digest(key)
+
+
+def _parse_tokens(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    prompt, _, output = value.partition(b",")
+    if not prompt.strip().isdigit():
+        return None
+    return _parse_count(prompt) + _parse_count(output)
+
+
 def _parse_deadline_s(value: bytes | None) -> float | None:
     if value is None:
         return None
@@ -136,6 +164,11 @@
         headers.append((_LAST_EVENT_ID, last_event_id.encode("latin-1")))
     headers.append((_DEADLINE_MS, b"%d" % max(1, int(context.left_s * 1000))))
     headers.extend(expected_instance_header(context.instance_id))
+    if context.takes_keys:
+        headers = [one for one in headers if one[0] != _AUTHORIZATION]
+    if request.workspace is not None:
+        name = request.workspace.name.encode("latin-1", "replace")
+        headers.append((_TENANT, name))
     if context.urgency is not None:
         headers.append(
             (_REQUEST_PRIORITY, b"%d" % min(9, max(0, context.urgency)))
--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -51,6 +51,11 @@
     ceiling_overage: float = 1.1
     reuse_after_s: float = 2.0
     require_fencing: bool = False
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
+    quota_window_s: float = 8.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _WirePlatform(msgspec.Struct, frozen=True):
@@ -181,6 +186,12 @@
         _RangeCheck(
             "bounds.reuseAfterS", bounds.reuse_after_s, 0, MAX_DURATION_S
         ),
+        _RangeCheck("bounds.revokeMs", bounds.revoke_ms, 0, max_duration_ms),
+        _RangeCheck(
+            "bounds.quotaWindowS", bounds.quota_window_s, 0, MAX_DURATION_S
+        ),
+        _RangeCheck("bounds.quotaOverage", bounds.quota_overage, 0, MAX_COUNT),
+        _RangeCheck("bounds.quotaSlack", bounds.quota_slack, 0, MAX_COUNT),
     ]
 
 
@@ -241,5 +252,10 @@
             bounds.ceiling_overage,
             bounds.reuse_after_s,
             bounds.require_fencing,
+            bounds.strict_revoke,
+            bounds.revoke_ms * SECONDS_PER_MS,
+            bounds.quota_window_s,
+            bounds.quota_overage,
+            bounds.quota_slack,
         ),
     )
--- a/sesamecross/ports/http_codec.py
+++ b/sesamecross/ports/http_codec.py
@@ -23,6 +23,9 @@
       call: Set if the request names a model.
       first_attempt_id: Id of the caller's attempt that brought the first event
         of the stream that it resumes, or empty.
+      key_digest: Of the caller's key; empty if it bears none, or several.
+      tokens: Those of the prompt and the most of the answer together; None if
+        the caller did not say.
     """
 
     request_id: str
@@ -30,6 +33,8 @@
     last_event_id: str
     call: serving.ModelCall | None
     first_attempt_id: str = ""
+    key_digest: bytes = b""
+    tokens: int | None = None
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
@@ -71,12 +76,15 @@
       left_s: Time until the caller's deadline, in seconds.
       urgency: Priority from 0 to 9 for engines, or None.
       last_event_id: Event after which a stream continues, or empty.
+      takes_keys: Whether callers' keys are meant for the gateway, which does
+        not pass them on.
     """
 
     instance_id: str
     left_s: float
     urgency: int | None
     last_event_id: str
+    takes_keys: bool = False
 
 
 class ControlCall(msgspec.Struct, frozen=True):
