Quotas of workspaces, over all instances, by sums of a sliding window

Each instance admits by itself and tells what it admitted in the last window and what was asked for of late, in the reports, summaries and views that are sent anyway (ops/fleet/quota_ledger.py). Near the limit a request is admitted with the probability that makes all together admit what is free within 0.8 s. Hubs keep what instances that are gone had admitted for a window; an instance that does not hear others uses its part only. 429 says when there is room; what has not run is given back; a repeat counts again. The check comes before any demand for a model is recorded.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -83,6 +83,14 @@
     total: float
 
 
+class WorkspaceUse(msgspec.Struct, frozen=True, array_like=True):
+    """What was admitted and asked for of a workspace's quota, decayed."""
+
+    workspace: str
+    admitted: float
+    asked: float
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """An instance and its replication progress.
 
@@ -138,6 +146,7 @@
     lease: LeaseAnnouncement | None = None
     configuration_age_s: float | None = None
     heard: dict[str, int] = {}
+    quotas: list[WorkspaceUse] = []
 
 
 class Summary(
@@ -161,6 +170,7 @@
     lease: LeaseAnnouncement | None = None
     configuration_age_s: float | None = None
     heard: dict[str, int] = {}
+    quotas: list[WorkspaceUse] = []
 
 
 class View(msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=3):
@@ -181,6 +191,7 @@
     failing: list[UpstreamOutcomes] = []
     lease: LeaseAnnouncement | None = None
     configuration_age_s: float | None = None
+    quotas: list[WorkspaceUse] = []
 
 
 class EnginePlacement(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -369,6 +369,10 @@
             self.forwarder.search_context.demand.rows(now_s),
             failing,
             self.mesh.known_lease(now_s),
+            quotas=[
+                fm.WorkspaceUse(name, used.admitted, used.asked)
+                for name, used in self.state.quotas.rows(now_s).items()
+            ],
         )
 
     @property
--- a/sesamecross/gateway/caller_keys_test.py
+++ b/sesamecross/gateway/caller_keys_test.py
@@ -205,3 +205,35 @@
                     await asyncio.sleep(0.02)
 
     asyncio.run(scenario())
+
+
+def test_requests_over_the_quota_hear_when_to_return():
+    """Guards against a workspace that takes more than its quota."""
+
+    async def scenario() -> None:
+        async with gateway_site.running_site(gateways=1) as site:
+            limited = configuration(100, a=[KEY], b=[OTHER_KEY])
+            limited["tenants"][0] |= {
+                "unit": "tokens",
+                "plainTokens": 200,
+                "ratePerS": 100,
+                "burst": 0,
+            }
+            site.store.publish(limited)
+            state = site.gateways[0].app.state
+            async with asyncio.timeout(WAIT_S):
+                while state.version != 100:
+                    await asyncio.sleep(0.02)
+            front, path = site.gateways[0].front, platform_site.PATHS[DESK]
+            statuses = [
+                await asyncio.to_thread(call, front, path, BEARER, DESK)
+                for _ in range(8)
+            ]
+            refused = [one for one, status in statuses if status == 429]
+            assert 2 <= len(refused) <= 6
+            assert not any(site.runs_of(one) for one in refused)
+            other = {"Authorization": f"Bearer {OTHER_KEY}"}
+            _, status = await asyncio.to_thread(call, front, path, other, DESK)
+            assert status == 200
+
+    asyncio.run(scenario())
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -243,6 +243,7 @@
         "_sent_ids",
         "_retry_after_s",
         "_note",
+        "_admitted_s",
         "_is_started",
         "_is_shut_down",
     )
@@ -280,6 +281,8 @@
         self._sent_ids: set[str] = set()
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         self._note = ""
+        # When its quota admitted it; None if that was not asked.
+        self._admitted_s: float | None = None
         self._is_started = False
         self._is_shut_down = False
 
@@ -302,6 +305,7 @@
                 self._connection.abort()
             if self._search is not None:
                 self._search.release_permit()
+            self._settle_quota()
             if not self._response_writer.is_finished:
                 # An internal error; whether the request ran is unknown.
                 self._fail(500)
@@ -345,11 +349,11 @@
 
     # -- responses of the gateway itself -------------------------------
 
-    def _refuse(self, retry_after_s: float) -> str:
+    def _refuse(self, retry_after_s: float, status: int = 503) -> str:
         headers = self._forwarder._http_codec.refusal(
             self._request.request_id, retry_after_s
         )
-        self._response_writer.send_response(503, headers, b"")
+        self._response_writer.send_response(status, headers, b"")
         return "refused"
 
     def _fail(self, status: int) -> str:
@@ -384,7 +388,7 @@
             self._note = "stopping"
             self._retry_after_s = 0.0
             return self._refuse(0.0)
-        refused = await self._check_key()
+        refused = await self._check_key() or self._check_quota()
         if refused is not None:
             return refused
         request = self._request
@@ -482,6 +486,48 @@
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         return self._refuse(self._retry_after_s)
 
+    def _check_quota(self) -> str | None:
+        """Takes what the request counts from its workspace's quota.
+
+        Returns:
+          The outcome if the request was refused, or None.
+        """
+        workspace = self._request.workspace
+        if workspace is None or workspace.quota is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        cost = workspace.quota.cost(self._request.tokens)
+        refusal = self._forwarder._state.quotas.admit(workspace, cost, now_s)
+        if refusal is None:
+            self._admitted_s = now_s
+            return None
+        self._note = "over the workspace's quota"
+        self._retry_after_s = refusal.after_s
+        return self._refuse(refusal.after_s, 429)
+
+    def _settle_quota(self) -> None:
+        """Gives back what a request counts that no upstream has run."""
+        if self._admitted_s is None or self._history.possibly_ran_at:
+            return
+        workspace = self._request.workspace
+        self._forwarder._state.quotas.give_back(
+            workspace,
+            workspace.quota.cost(self._request.tokens),
+            self._admitted_s,
+            asyncio.get_running_loop().time(),
+        )
+
+    def _charge_repeat(self) -> None:
+        """Counts a further send, which may run like the first."""
+        if self._admitted_s is None or self._history.sends <= 1:
+            return
+        workspace = self._request.workspace
+        self._forwarder._state.quotas.charge(
+            workspace,
+            workspace.quota.cost(self._request.tokens),
+            asyncio.get_running_loop().time(),
+        )
+
     @property
     def _is_resumed(self) -> bool:
         """Whether the caller has received a part of the stream before."""
@@ -810,6 +856,7 @@
             self._relay.upstream_version = upstream.version
         self._connection = connection
         self._history.sends += 1
+        self._charge_repeat()
         self._sent_ids.add(entry.instance_id)
         self._history.possibly_ran_at.add(entry.instance_id)
         connection.send(
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import freshness
 from sesamecross.ops.fleet import health
+from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import reachability
 from sesamecross.ops.fleet import report_totals
 from sesamecross.ops.fleet import roster as roster_lib
@@ -387,6 +388,7 @@
             report.lease,
             self._state.freshness.told_age_s(),
             {hub: self._heard.get(hub, 0)},
+            report.quotas,
         )
         self._last_report = report
         self._last_report_s = now_s
@@ -413,6 +415,8 @@
             return
         reports = self._reports.fresh(now_s)
         totals = report_totals.aggregate(reports)
+        window_s = self._state.bounds.quota_window_s
+        totals.add_quotas(self._reports.gone_quotas(now_s, window_s))
         lease = self._lease_announcement(now_s)
         holder_zone = self._holder_zone(lease)
         without_demand = fm.Summary(
@@ -430,6 +434,7 @@
                 for zone in zones
                 if (hub := self.roster.hub_of(zone, now_s)) in self._heard
             },
+            totals.quota_uses(),
         )
         self._state.freshness.record_sent(without_demand.number)
         # Only the lease's holder needs the demand, which is the larger part of
@@ -479,6 +484,9 @@
             return
         sources = self._reports.fresh(now_s) + self._summaries.fresh(now_s)
         totals = report_totals.aggregate(sources)
+        window_s = self._state.bounds.quota_window_s
+        for messages in (self._reports, self._summaries):
+            totals.add_quotas(messages.gone_quotas(now_s, window_s))
         self._send_views(sources, totals, now_s)
         own = [self._last_report] if self._last_report is not None else []
         self._set_peer_totals(totals, report_totals.aggregate(own))
@@ -511,6 +519,7 @@
             totals.failures(),
             lease,
             self._state.freshness.told_age_s(),
+            totals.quota_uses(),
         )
         self._state.freshness.record_sent(view.number)
         data = self._encode(view)
@@ -754,5 +763,22 @@
             known.others_outcomes = _subtract_outcomes(
                 fleet.failing.get(name), own.failing.get(name)
             )
+        if self._state.keys is not None:
+            self._set_peer_quotas(fleet, own)
         self._state.fleet_uses = fleet.in_use
         self._state.fleet_demand = fleet.demand
+
+    def _set_peer_quotas(
+        self, fleet: report_totals.Totals, own: report_totals.Totals
+    ) -> None:
+        """Sets what the other instances use of quotas."""
+        nothing = quota_ledger.Usage()
+        now_s = asyncio.get_running_loop().time()
+        self._state.quotas.record_others(
+            {
+                name: used.minus(own.quotas.get(name, nothing))
+                for name, used in fleet.quotas.items()
+            },
+            now_s,
+        )
+        self._state.quotas.set_share(self.roster.heard_share(now_s))
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import random
 
 import msgspec
 
@@ -17,6 +18,7 @@
 from sesamecross.ops.fleet import caller_keys
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import freshness as freshness_lib
+from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
@@ -60,6 +62,7 @@
         holder only.
       start_steps: When this start could first do what.
       keys: Callers' keys; None if requests need none.
+      quotas: What workspaces use of their quotas.
       freshness: As of when the configuration is known to be the newest.
     """
 
@@ -86,6 +89,7 @@
         "_change_event",
         "keys",
         "freshness",
+        "quotas",
     )
 
     def __init__(
@@ -103,6 +107,8 @@
         self.configuration: serving.Configuration | None = None
         self.keys: caller_keys.KeyTable | None = None
         self.freshness = freshness_lib.Freshness(boot_clock)
+        self.quotas = quota_ledger.QuotaLedger(random.Random(instance.name))
+        self._set_quota_tolerance()
         self.has_upstream_list = False
         self.instance_count: int | None = None
         self.upstreams_offset = -1
@@ -141,6 +147,7 @@
                 before.zone, dict(instance.regions)
             )
             self.bounds = instance.bounds
+            self._set_quota_tolerance()
             self.directory.drain_s = instance.bounds.drain_s
             for budget in self._retry_budgets.values():
                 # New budgets would forget the retries already spent, and
@@ -148,6 +155,14 @@
                 budget.set_limits(*self._retry_limits())
         return SettingsChange(frozenset(at_once), frozenset(changed - at_once))
 
+    def _set_quota_tolerance(self) -> None:
+        bounds = self.bounds
+        self.quotas.set_tolerance(
+            quota_ledger.Tolerance(
+                bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+            )
+        )
+
     def notify_change(self) -> None:
         """Wakes all tasks that wait for a change of state."""
         changed, self._change_event = self._change_event, asyncio.Event()
@@ -237,6 +252,9 @@
         self.configuration = configuration
         self.routes = routes
         self.keys = keys
+        self.quotas.keep_only(
+            frozenset(one.name for one in configuration.workspaces or ())
+        )
         for route in configuration.routes:
             self.extend_life(stream_origins.life_s(route))
         self._record_start_step(start_steps.Step.CONFIGURATION)
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -11,6 +11,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.ops.fleet import health
+from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import reachability
 
 # A report older than this no longer counts. Members send at least every 0.4 s;
@@ -30,6 +31,7 @@
       in_use: Requests in flight by engine and target.
       demand: By service and target.
       failing: Outcomes by upstream.
+      quotas: Use of quotas, by workspace.
     """
 
     running: dict[str, int]
@@ -38,6 +40,7 @@
     in_use: dict[tuple[str, str], int]
     demand: dict[tuple[str, str], fm.TargetDemand]
     failing: dict[str, health.Outcomes]
+    quotas: dict[str, quota_ledger.Usage]
 
     def loads(self) -> list[fm.UpstreamLoad]:
         """Returns the loads as message fields."""
@@ -60,6 +63,21 @@
             for (upstream, target), running in self.in_use.items()
         ]
 
+    def add_quotas(self, rows: Iterable[fm.WorkspaceUse]) -> None:
+        """Adds rows of the use of quotas."""
+        for row in rows:
+            used = self.quotas.get(row.workspace, quota_ledger.Usage())
+            self.quotas[row.workspace] = quota_ledger.Usage(
+                used.admitted + row.admitted, used.asked + row.asked
+            )
+
+    def quota_uses(self) -> list[fm.WorkspaceUse]:
+        """Returns the use of quotas as message fields."""
+        return [
+            fm.WorkspaceUse(name, usage.admitted, usage.asked)
+            for name, usage in self.quotas.items()
+        ]
+
     def failures(self) -> list[fm.UpstreamOutcomes]:
         """Returns the outcomes as message fields."""
         return [
@@ -72,7 +90,7 @@
 
 def aggregate(sources: Iterable[Source | fm.View]) -> Totals:
     """Returns the totals over reports and summaries."""
-    totals = Totals({}, {}, {}, {}, {}, {})
+    totals = Totals({}, {}, {}, {}, {}, {}, {})
     for source in sources:
         for load in source.loads:
             name = load.upstream
@@ -97,6 +115,7 @@
             if known is not None:
                 outcomes = known.plus(outcomes)
             totals.failing[entry.upstream] = outcomes
+        totals.add_quotas(source.quotas)
     return totals
 
 
@@ -135,12 +154,20 @@
 
 
 class LatestMessages:
-    """Keeps the latest message of each sender."""
+    """Keeps the latest message of each sender.
+
+    What senders admitted of quotas is kept for a window after they are gone or
+    have started again: the window that is limited still holds it.
+    """
 
-    __slots__ = ("_messages",)
+    __slots__ = ("_messages", "_gone")
 
     def __init__(self) -> None:
         self._messages: dict[str, tuple[Source, float]] = {}
+        # By sender and incarnation, when it was last heard, and its rows.
+        self._gone: dict[
+            tuple[str, int], tuple[float, list[fm.WorkspaceUse]]
+        ] = {}
 
     def take(self, message: Source, now_s: float) -> bool:
         """Stores a message unless a later one of its sender is known.
@@ -155,9 +182,36 @@
             before = (previous.me.incarnation, previous.number)
             if (message.me.incarnation, message.number) <= before:
                 return False
+            if message.me.incarnation != previous.me.incarnation:
+                self._keep_gone(previous, known[1])
+            else:
+                self._gone.pop((name, message.me.incarnation), None)
         self._messages[name] = (message, now_s)
         return True
 
+    def _keep_gone(self, message: Source, heard_s: float) -> None:
+        if message.quotas:
+            rows = [
+                fm.WorkspaceUse(row.workspace, row.admitted, 0.0)
+                for row in message.quotas
+            ]
+            key = (message.me.name, message.me.incarnation)
+            self._gone[key] = (heard_s, rows)
+
+    def gone_quotas(
+        self, now_s: float, window_s: float
+    ) -> list[fm.WorkspaceUse]:
+        """Returns what senders that are gone admitted in the last window."""
+        for message, heard_s in self._messages.values():
+            if now_s - heard_s >= REPORT_TTL_S:
+                self._keep_gone(message, heard_s)
+        self._gone = {
+            key: (heard_s, rows)
+            for key, (heard_s, rows) in self._gone.items()
+            if now_s - heard_s < window_s
+        }
+        return [row for _, rows in self._gone.values() for row in rows]
+
     def fresh(self, now_s: float) -> list[Source]:
         """Returns the messages that are recent enough to count."""
         return [
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -18,6 +18,8 @@
 # least every HEARTBEAT_INTERVAL_S (0.4 s); three in a row may be lost.
 LIVENESS_TIMEOUT_S = 1.6
 HEARTBEAT_INTERVAL_S = 0.4
+# An instance that is silent for so long does not serve on behind a cut.
+GONE_AFTER_S = 60.0
 # Registered instances that have sent no message may be a hub for this long
 # after this instance's start: the instances of a deployment start at about the
 # same time.
@@ -200,6 +202,20 @@
             if name not in self._alive_names
         ]
 
+    def heard_share(self, now_s: float) -> float:
+        """Returns which part of the instances is heard, this one included.
+
+        Those that were silent for long are taken to be gone.
+        """
+        lost = sum(
+            name not in self._alive_names
+            and known.last_heartbeat_s is not None
+            and now_s - known.last_heartbeat_s < GONE_AFTER_S
+            for name, known in self._known.items()
+        )
+        heard = 1 + self.count_alive(now_s)
+        return heard / (heard + lost)
+
     def hub_of(self, zone: str, now_s: float) -> str | None:
         """Returns the name of a zone's hub, or None if it has no members."""
         self._refresh(now_s)
