--- a/sesamecross/ops/fleet/quota_ledger.py
+++ b/sesamecross/ops/fleet/quota_ledger.py
@@ -24,9 +24,11 @@
 
 from sesamecross.core import serving
 
-# The part of the tolerance that the limit uses; the rest is for what is not
-# known yet.
-TOLERANCE_SHARE = 0.2
+# The parts of the tolerance that the limit uses; the rest is for what is not
+# known yet. That of the slack shrinks as the quota outgrows it, as what is not
+# known grows with the quota.
+OVERAGE_SHARE = 0.1
+SLACK_SHARE = 1.5
 # The time within which what is free may be admitted.
 CONTROL_S = 0.8
 # How old the others' sums are on average: a report, a summary and a view.
@@ -59,8 +61,11 @@
 def limit_of(quota: serving.Quota, tolerance: Tolerance) -> float:
     """Returns what may be used in any window."""
     owed = quota.rate_per_s * tolerance.window_s + quota.burst
-    tolerated = owed * tolerance.overage + tolerance.slack
-    return owed + TOLERANCE_SHARE * tolerated
+    slack = 0.0
+    if tolerance.slack > 0:
+        slack = SLACK_SHARE * tolerance.slack / (tolerance.slack + owed)
+        slack = tolerance.slack * min(0.5, slack)
+    return owed + OVERAGE_SHARE * owed * tolerance.overage + slack
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -155,7 +160,7 @@
 
     def own_demand(self) -> float:
         """Returns what this instance is asked for in a second."""
-        return max(self.asked / ASKED_TIME_S, self._recent / GROWTH_TIME_S)
+        return self.asked / ASKED_TIME_S
 
     def in_use(self, limit: float) -> float:
         """Returns what all admitted in the last window, as expected."""
