Quotas: what is given back leaves the window with its request; messages have a bounded number of rows

Found by reading: a return was kept as an entry of its own behind later ones, so the window had too little once the request itself had passed out of it; and the sums that a hub tells had no bound. Tests: quota_ledger_test.py and gone_quotas_test.py, each failed before.

--- a/sesamecross/ops/fleet/gone_quotas_test.py
+++ b/sesamecross/ops/fleet/gone_quotas_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesamecross.core import fleet_messages as fm
+from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import report_totals
 
 WINDOW_S = 8.0
@@ -41,3 +42,15 @@
     rows = messages.gone_quotas(now_s, WINDOW_S)
     assert [row.admitted for row in rows] == expected
     assert all(row.asked == 0 for row in rows)
+
+
+def test_rows_of_all_instances_are_bounded():
+    """Guards against messages that grow with the number of workspaces."""
+    totals = report_totals.aggregate([])
+    totals.add_quotas(
+        fm.WorkspaceUse(f"w{number}", float(number), 0.0)
+        for number in range(5 * quota_ledger.MAX_ROWS)
+    )
+    rows = totals.quota_uses()
+    assert len(rows) == quota_ledger.MAX_ROWS
+    assert rows[0].admitted == 5 * quota_ledger.MAX_ROWS - 1
--- a/sesamecross/ops/fleet/quota_ledger.py
+++ b/sesamecross/ops/fleet/quota_ledger.py
@@ -143,10 +143,12 @@
         self._events.append((self._at_s, cost))
 
     def give_back(self, cost: float, admitted_s: float) -> None:
-        """Takes an admitted request out again."""
-        if admitted_s > self._at_s - self._window_s:
-            self.admitted -= cost
-            self._events.append((admitted_s, -cost))
+        """Takes an admitted request out again, if the window still has it."""
+        try:
+            self._events.remove((admitted_s, cost))
+        except ValueError:
+            return
+        self.admitted -= cost
 
     def others_demand(self) -> float:
         """Returns what others are asked for in a second, as expected."""
--- a/sesamecross/ops/fleet/quota_ledger_test.py
+++ b/sesamecross/ops/fleet/quota_ledger_test.py
@@ -90,6 +90,15 @@
     assert ledger.rows(20.0).get("w", Usage()).admitted == 0
 
 
+def test_a_return_takes_nothing_from_later_windows(ledger):
+    """Guards against returns that outlive the request that they undo."""
+    assert ledger.admit(workspace(), 1_000, 0.0) is None
+    assert ledger.admit(workspace(), 2_000, 5.0) is None
+    ledger.give_back(workspace(), 1_000, 0.0, 5.5)
+    assert ledger.rows(6.0)["w"].admitted == 2_000
+    assert ledger.rows(9.0)["w"].admitted == 2_000
+
+
 def test_a_repeat_counts_again(ledger):
     assert ledger.admit(workspace(), 1_000, 0.0) is None
     ledger.charge(workspace(), 1_000, 0.1)
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import heapq
 
 import msgspec
 
@@ -72,10 +73,15 @@
             )
 
     def quota_uses(self) -> list[fm.WorkspaceUse]:
-        """Returns the use of quotas as message fields."""
+        """Returns the use of quotas as message fields, the largest first."""
+        most = heapq.nlargest(
+            quota_ledger.MAX_ROWS,
+            self.quotas.items(),
+            key=lambda row: (row[1].admitted, row[0]),
+        )
         return [
             fm.WorkspaceUse(name, usage.admitted, usage.asked)
-            for name, usage in self.quotas.items()
+            for name, usage in most
         ]
 
     def failures(self) -> list[fm.UpstreamOutcomes]:
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -207,13 +207,13 @@
 
         Those that were silent for long are taken to be gone.
         """
+        heard = 1 + self.count_alive(now_s)
         lost = sum(
             name not in self._alive_names
             and known.last_heartbeat_s is not None
             and now_s - known.last_heartbeat_s < GONE_AFTER_S
             for name, known in self._known.items()
         )
-        heard = 1 + self.count_alive(now_s)
         return heard / (heard + lost)
 
     def hub_of(self, zone: str, now_s: float) -> str | None:
