Quotas: one cost of a request, rows of long-gone senders are not rebuilt; answer bounds stand above their use

Read once more: a request's cost was worked out in three places of the forwarder; a hub built the rows of senders that were silent for longer than a window ten times a second, only to drop them; WorkspaceUse said that admitted sums decay, as in a way that was not kept; constants of answer_bounds.py stood below the code that uses them. Behaviour is the same.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -84,7 +84,12 @@
 
 
 class WorkspaceUse(msgspec.Struct, frozen=True, array_like=True):
-    """What was admitted and asked for of a workspace's quota, decayed."""
+    """Use of a workspace's quota, as in `ops.fleet.quota_ledger.Usage`.
+
+    Attributes:
+      admitted: In the last window.
+      asked: Decaying sum of late.
+    """
 
     workspace: str
     admitted: float
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -486,6 +486,12 @@
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         return self._refuse(self._retry_after_s)
 
+    @property
+    def _quota_cost(self) -> float:
+        """What the request counts of its workspace's quota."""
+        request = self._request
+        return request.workspace.quota.cost(request.tokens)
+
     def _check_quota(self) -> str | None:
         """Takes what the request counts from its workspace's quota.
 
@@ -496,8 +502,9 @@
         if workspace is None or workspace.quota is None:
             return None
         now_s = asyncio.get_running_loop().time()
-        cost = workspace.quota.cost(self._request.tokens)
-        refusal = self._forwarder._state.quotas.admit(workspace, cost, now_s)
+        refusal = self._forwarder._state.quotas.admit(
+            workspace, self._quota_cost, now_s
+        )
         if refusal is None:
             self._admitted_s = now_s
             return None
@@ -509,10 +516,9 @@
         """Gives back what a request counts that no upstream has run."""
         if self._admitted_s is None or self._history.possibly_ran_at:
             return
-        workspace = self._request.workspace
         self._forwarder._state.quotas.give_back(
-            workspace,
-            workspace.quota.cost(self._request.tokens),
+            self._request.workspace,
+            self._quota_cost,
             self._admitted_s,
             asyncio.get_running_loop().time(),
         )
@@ -521,10 +527,9 @@
         """Counts a further send, which may run like the first."""
         if self._admitted_s is None or self._history.sends <= 1:
             return
-        workspace = self._request.workspace
         self._forwarder._state.quotas.charge(
-            workspace,
-            workspace.quota.cost(self._request.tokens),
+            self._request.workspace,
+            self._quota_cost,
             asyncio.get_running_loop().time(),
         )
 
--- a/sesamecross/ops/fleet/answer_bounds.py
+++ b/sesamecross/ops/fleet/answer_bounds.py
@@ -19,6 +19,17 @@
 MAX_HEADER_FIELDS = 256
 # Heads of status 1xx before the final one.
 MAX_INFORMATIONAL_HEADS = 16
+# An answer up to this size is always kept; a larger one takes a part of what
+# all large answers of an instance may hold at once.
+SMALL_ANSWER_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_LARGE_ANSWERS_BYTES = 12 * 1024 * 1024
+# An event holds a token or more; a few more tell of the stream itself.
+EXTRA_EVENTS = 64
+MAX_EVENTS = 1_000_000
+MAX_EVENT_BYTES = 256 * 1024
+# How long bytes of one event may arrive without its end.
+MAX_EVENT_S = 2.5
 
 
 class Excess(enum.Enum):
@@ -112,13 +123,6 @@
             self.excess = excess
 
 
-# An answer up to this size is always kept; a larger one takes a part of what
-# all large answers of an instance may hold at once.
-SMALL_ANSWER_BYTES = 64 * 1024
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
-MAX_LARGE_ANSWERS_BYTES = 12 * 1024 * 1024
-
-
 class AnswerMemory:
     """Bounds the answers that are kept until they are whole, over all.
 
@@ -172,11 +176,3 @@
         not say.
     """
     return MAX_EVENTS if output_tokens <= 0 else output_tokens + EXTRA_EVENTS
-
-
-# An event holds a token or more; a few more tell of the stream itself.
-EXTRA_EVENTS = 64
-MAX_EVENTS = 1_000_000
-MAX_EVENT_BYTES = 256 * 1024
-# How long bytes of one event may arrive without its end.
-MAX_EVENT_S = 2.5
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -209,7 +209,7 @@
     ) -> list[fm.WorkspaceUse]:
         """Returns what senders that are gone admitted in the last window."""
         for message, heard_s in self._messages.values():
-            if now_s - heard_s >= REPORT_TTL_S:
+            if REPORT_TTL_S <= now_s - heard_s < window_s:
                 self._keep_gone(message, heard_s)
         self._gone = {
             key: (heard_s, rows)
