The forwarder is split: context, progress, admission, sending, recording, log

A request's life now has a module for each step: request_task (the flow), request_admission (key and quota), request_sender (one attempt), outcome_recorder (what attempts show), request_log (its line), with request_context (what all requests share) and request_progress (what is known of one). No behaviour changes.

--- a/sesamecross/gateway/app_test.py
+++ b/sesamecross/gateway/app_test.py
@@ -24,6 +24,7 @@
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import forwarder as forwarder_lib
+from sesamecross.gateway import request_context
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import store_client
@@ -635,7 +636,7 @@
     monkeypatch,
 ):
     """Guards against callers held by an instance that the store ignores."""
-    monkeypatch.setattr(forwarder_lib, "START_WAIT_S", 0.05)
+    monkeypatch.setattr(request_context, "START_WAIT_S", 0.05)
 
     async def run_scenario():
         async with running_gateway(is_configured=False) as gateway:
