--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -50,6 +50,9 @@
 DURATION_S = 3.0
 ONE_WAY_S = 0.001
 MODELS = 200
+# Processor time of a fixed loop, to which the figures of a fleet are scaled:
+# on a shared machine the speed of a core varies by a third.
+REFERENCE_S = 0.02
 REQUEST_S = 1.5
 # Components that call the store or listen on sockets.
 _NOT_PERIODIC = frozenset(
@@ -75,6 +78,16 @@
 )
 
 
+def _speed() -> float:
+    """Returns how fast the processor is now, against the reference."""
+    begun_s = time.thread_time()
+    counts: dict[str, int] = {}
+    for number in range(60_000):
+        key = f"{number % 97}"
+        counts[key] = max(number, counts.get(key, 0))
+    return REFERENCE_S / (time.thread_time() - begun_s)
+
+
 class _Meter:
     """Adds up the processor time of methods."""
 
@@ -224,24 +237,26 @@
 def _measure_fleet(size: _Deployment, profile: cProfile.Profile | None) -> None:
     meter = _Meter()
 
-    async def scenario() -> float:
+    async def scenario() -> tuple[float, float]:
         fleet = _Fleet(size)
         await asyncio.sleep(SETTLE_S)
+        speed = _speed()
         meter.seconds.clear()
         meter.calls.clear()
         begun_s = time.process_time()
         with profile or contextlib.nullcontext():
             await asyncio.sleep(DURATION_S)
         spent_s = time.process_time() - begun_s
+        speed = (speed + _speed()) / 2
         await fleet.stop()
-        return spent_s
+        return spent_s, speed
 
     with (
         asyncio.Runner(loop_factory=virtual_time_loop.VirtualTimeLoop) as one,
         meter.measuring(() if profile else _ACTIVITIES),
     ):
-        spent_s = one.run(scenario())
-    second = size.instances * DURATION_S
+        spent_s, speed = one.run(scenario())
+    second = size.instances * DURATION_S / speed
     print(
         f"{size.instances} instances, {size.engines} engines, {size.rate}"
         f" requests/s each: {spent_s / second * 1000:.2f} ms/s per instance"
@@ -249,7 +264,7 @@
     for _, _, label in _ACTIVITIES if not profile else ():
         print(
             f"  {label:26} {meter.seconds[label] / second * 1000:8.3f} ms/s"
-            f" {meter.calls[label] / second:8.1f} /s"
+            f" {meter.calls[label] / second / speed:8.1f} /s"
         )
 
 
