--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -52,7 +52,9 @@
 MODELS = 200
 # Processor time of a fixed loop, to which the figures of a fleet are scaled:
 # on a shared machine the speed of a core varies by a third.
-REFERENCE_S = 0.02
+# The loop runs between the slices of a measurement.
+REFERENCE_S = 0.005
+SLICES = 20
 REQUEST_S = 1.5
 # Components that call the store or listen on sockets.
 _NOT_PERIODIC = frozenset(
@@ -78,14 +80,14 @@
 )
 
 
-def _speed() -> float:
-    """Returns how fast the processor is now, against the reference."""
+def _reference_loop_s() -> float:
+    """Returns the processor time of a fixed loop."""
     begun_s = time.thread_time()
     counts: dict[str, int] = {}
-    for number in range(60_000):
+    for number in range(15_000):
         key = f"{number % 97}"
         counts[key] = max(number, counts.get(key, 0))
-    return REFERENCE_S / (time.thread_time() - begun_s)
+    return time.thread_time() - begun_s
 
 
 class _Meter:
@@ -240,14 +242,16 @@
     async def scenario() -> tuple[float, float]:
         fleet = _Fleet(size)
         await asyncio.sleep(SETTLE_S)
-        speed = _speed()
         meter.seconds.clear()
         meter.calls.clear()
-        begun_s = time.process_time()
-        with profile or contextlib.nullcontext():
-            await asyncio.sleep(DURATION_S)
-        spent_s = time.process_time() - begun_s
-        speed = (speed + _speed()) / 2
+        spent_s, loops_s = 0.0, 0.0
+        for _ in range(SLICES):
+            begun_s = time.process_time()
+            with profile or contextlib.nullcontext():
+                await asyncio.sleep(DURATION_S / SLICES)
+            spent_s += time.process_time() - begun_s
+            loops_s += _reference_loop_s()
+        speed = SLICES * REFERENCE_S / loops_s
         await fleet.stop()
         return spent_s, speed
 
