Hubs add up loads in plain numbers, and demand only for those who use it

Demand and uses of all reports were added up in each round at each hub, though only the lease's holder and the hub of its zone read them. Loads of an upstream that this instance does not use are taken over from a view as they are.

--- a/sesamecross/fakes/placement_simulation.py
+++ b/sesamecross/fakes/placement_simulation.py
@@ -12,11 +12,13 @@
 import dataclasses
 import enum
 
+from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.fakes import samples
 from sesamecross.fakes import simulated_engine
 from sesamecross.gateway import placement_controller
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import report_totals
 from sesamecross.runtime import metrics as metrics_lib
 
 SERVICE = "writers"
@@ -229,10 +231,13 @@
 
     def publish_running_requests(self) -> None:
         """Reports the running requests to the controller."""
-        self.state.fleet_uses = {
-            (ENGINE, target): count
+        uses = [
+            fm.TargetLoad(ENGINE, target, count)
             for target, count in self.engine.running_requests.items()
-        }
+        ]
+        self.state.fleet_totals = report_totals.aggregate(
+            [fm.Report(samples.MEMBER, 0, uses=uses)]
+        )
 
     def restart(self) -> None:
         """Restarts the engine at the same address, empty.
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -16,6 +16,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import freshness
 from sesamecross.ops.fleet import health
 from sesamecross.ops.fleet import quota_ledger
@@ -58,6 +59,9 @@
 # The value of `left_s` that marks a released lease.
 RELEASED_LEFT_S = -1.0
 
+_NO_REPORTS = reachability.ReachabilityCounts()
+_NO_OUTCOMES = health.Outcomes()
+
 MessageListener = Callable[[fm.Message], None]
 ReportSource = Callable[[], fm.Report]
 
@@ -67,7 +71,7 @@
 ) -> health.Outcomes:
     """Returns the outcomes seen by all instances but this one."""
     if fleet is None:
-        return health.Outcomes()
+        return _NO_OUTCOMES
     if own is None:
         return fleet
     return health.Outcomes(
@@ -82,7 +86,7 @@
 ) -> reachability.ReachabilityCounts:
     """Returns the counts over all instances but this one."""
     if fleet is None:
-        return reachability.ReachabilityCounts()
+        return _NO_REPORTS
     if own is None:
         return fleet
     return reachability.ReachabilityCounts(
@@ -437,21 +441,24 @@
             totals.quota_uses(),
         )
         self._state.freshness.record_sent(without_demand.number)
-        # Only the lease's holder needs the demand, which is the larger part of
-        # the message.
-        with_demand = msgspec.structs.replace(
-            without_demand,
-            uses=totals.uses(),
-            demand=list(totals.demand.values()),
-        )
+        data = b""
         for zone in zones:
             hub = self.roster.hub_of(zone, now_s)
-            if hub is not None:
-                needs_demand = holder_zone in (None, zone)
-                self.send(
-                    with_demand if needs_demand else without_demand,
-                    self.roster.get(hub),
+            if hub is None:
+                continue
+            to = self.roster.get(hub)
+            if holder_zone in (None, zone):
+                # Only the lease's holder needs the demand, which is the larger
+                # part of the message.
+                with_demand = msgspec.structs.replace(
+                    without_demand,
+                    uses=totals.uses(),
+                    demand=list(totals.demand.values()),
                 )
+                self.send(with_demand, to)
+            else:
+                data = data or self._encode(without_demand)
+                self._send_bytes(data, to)
 
     def _holder_zone(self, lease: fm.LeaseAnnouncement | None) -> str | None:
         """Returns the zone of the lease's holder, or None if it is unknown."""
@@ -750,23 +757,41 @@
 
         These are the fleet's totals less this instance's own part.
         """
+        running, tokens = fleet.running, fleet.prompt_tokens
+        reports, failing = fleet.reports, fleet.failing
         for known in self._state.directory:
             name = known.entry.instance_id
-            running = fleet.running.get(name, 0) - own.running.get(name, 0)
-            tokens = fleet.prompt_tokens.get(name, 0)
-            tokens -= own.prompt_tokens.get(name, 0)
-            known.others_running = max(0, running)
-            known.engine.others_prompt_tokens = max(0, tokens)
-            known.others_reachability = _subtract_reports(
-                fleet.reports.get(name), own.reports.get(name)
-            )
-            known.others_outcomes = _subtract_outcomes(
-                fleet.failing.get(name), own.failing.get(name)
-            )
+            if name in own.running or name in own.failing:
+                self._set_others(known, fleet, own)
+                continue
+            # Most upstreams are not in use by this instance: nothing has to be
+            # subtracted.
+            known.others_running = max(0, running.get(name, 0))
+            known.engine.others_prompt_tokens = max(0, tokens.get(name, 0))
+            known.others_reachability = reports.get(name, _NO_REPORTS)
+            known.others_outcomes = failing.get(name, _NO_OUTCOMES)
         if self._state.keys is not None:
             self._set_peer_quotas(fleet, own)
-        self._state.fleet_uses = fleet.in_use
-        self._state.fleet_demand = fleet.demand
+        self._state.fleet_totals = fleet
+
+    def _set_others(
+        self,
+        known: directory.KnownUpstream,
+        fleet: report_totals.Totals,
+        own: report_totals.Totals,
+    ) -> None:
+        name = known.entry.instance_id
+        running = fleet.running.get(name, 0) - own.running.get(name, 0)
+        tokens = fleet.prompt_tokens.get(name, 0)
+        tokens -= own.prompt_tokens.get(name, 0)
+        known.others_running = max(0, running)
+        known.engine.others_prompt_tokens = max(0, tokens)
+        known.others_reachability = _subtract_reports(
+            fleet.reports.get(name), own.reports.get(name)
+        )
+        known.others_outcomes = _subtract_outcomes(
+            fleet.failing.get(name), own.failing.get(name)
+        )
 
     def _set_peer_quotas(
         self, fleet: report_totals.Totals, own: report_totals.Totals
--- a/sesamecross/gateway/mesh_load_test.py
+++ b/sesamecross/gateway/mesh_load_test.py
@@ -14,6 +14,7 @@
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import report_totals
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.runtime import metrics as metrics_lib
 
@@ -202,3 +203,29 @@
         if line.startswith("sesamecross_datagram_bytes_sent_total")
     ]
     assert counted == [transport.bytes]
+
+
+def test_views_need_no_demand_if_the_holder_is_in_another_zone(monkeypatch):
+    """Guards against work whose result no instance of the zone uses."""
+    added = []
+    monkeypatch.setattr(
+        report_totals, "_add_demand", lambda *entry: added.append(entry)
+    )
+
+    async def run() -> None:
+        mesh, _ = hub()
+        deliver_all(mesh, 1)
+        holder = member(2, 1)
+        lease = fm.LeaseAnnouncement(holder.name, holder.incarnation, 1, 9.0)
+        mesh.update_lease(lease, asyncio.get_running_loop().time())
+        for _ in range(5):
+            now_s = asyncio.get_running_loop().time()
+            mesh._update_zone(now_s)
+            await asyncio.sleep(mesh_lib.MAX_VIEW_INTERVAL_S)
+        assert mesh._state.fleet_totals.running
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        runner.run(run())
+    assert not added
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -19,6 +19,7 @@
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import freshness as freshness_lib
 from sesamecross.ops.fleet import quota_ledger
+from sesamecross.ops.fleet import report_totals
 from sesamecross.ops.fleet import retry_budget
 from sesamecross.ops.fleet import route_table
 from sesamecross.ops.fleet import service_choice
@@ -58,8 +59,8 @@
         the start.
       longest_life_s: For how long any stream may be resumed. It does not become
         shorter, as older streams still live.
-      fleet_demand, fleet_uses: Sums over all instances; known to the lease
-        holder only.
+      fleet_totals: Sums over all instances; those of demand and uses are known
+        to the lease holder only.
       start_steps: When this start could first do what.
       keys: Callers' keys; None if requests need none.
       quotas: What workspaces use of their quotas.
@@ -80,8 +81,7 @@
         "versions",
         "has_read_versions",
         "longest_life_s",
-        "fleet_demand",
-        "fleet_uses",
+        "fleet_totals",
         "_instance",
         "_retry_budgets",
         "_rejection_limits",
@@ -117,14 +117,23 @@
         self.versions = version_history.VersionHistory()
         self.has_read_versions = False
         self.longest_life_s = 0.0
-        self.fleet_demand: dict[tuple[str, str], fm.TargetDemand] = {}
-        self.fleet_uses: dict[tuple[str, str], int] = {}
+        self.fleet_totals = report_totals.aggregate(())
         self.start_steps = start_steps.StartSteps()
         self._change_event = asyncio.Event()
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
         # By service, the limit that its upstreams stated last, and when.
         self._rejection_limits: dict[str, tuple[int, float]] = {}
 
+    @property
+    def fleet_demand(self) -> dict[tuple[str, str], fm.TargetDemand]:
+        """Demand by service and target, as known to the lease holder."""
+        return self.fleet_totals.demand
+
+    @property
+    def fleet_uses(self) -> dict[tuple[str, str], int]:
+        """Requests in flight by engine and target, as known to the holder."""
+        return self.fleet_totals.in_use
+
     def apply_settings(self, instance: serving.Instance) -> SettingsChange:
         """Applies new settings; returns what changed.
 
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -6,10 +6,9 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import heapq
 
-import msgspec
-
 from sesamecross.core import fleet_messages as fm
 from sesamecross.ops.fleet import health
 from sesamecross.ops.fleet import quota_ledger
@@ -22,26 +21,99 @@
 Source = fm.Report | fm.Summary
 
 
-class Totals(msgspec.Struct):
+class Totals:
     """Totals over the reports of several sources.
 
+    Demand and uses are added up once somebody asks: only the lease's holder and
+    the hub of its zone do, and they are most of the work.
+
     Attributes:
       running: Requests in flight by upstream.
       prompt_tokens: Prompt tokens without an event yet, by upstream.
       reports: Reachability by upstream.
-      in_use: Requests in flight by engine and target.
-      demand: By service and target.
       failing: Outcomes by upstream.
       quotas: Use of quotas, by workspace.
     """
 
-    running: dict[str, int]
-    prompt_tokens: dict[str, int]
-    reports: dict[str, reachability.ReachabilityCounts]
-    in_use: dict[tuple[str, str], int]
-    demand: dict[tuple[str, str], fm.TargetDemand]
-    failing: dict[str, health.Outcomes]
-    quotas: dict[str, quota_ledger.Usage]
+    __slots__ = (
+        "running",
+        "prompt_tokens",
+        "reports",
+        "failing",
+        "quotas",
+        "_sources",
+        "_in_use",
+        "_demand",
+    )
+
+    def __init__(self, sources: Sequence[Source | fm.View]):
+        self.running: dict[str, int] = {}
+        self.prompt_tokens: dict[str, int] = {}
+        self.reports: dict[str, reachability.ReachabilityCounts] = {}
+        self.failing: dict[str, health.Outcomes] = {}
+        self.quotas: dict[str, quota_ledger.Usage] = {}
+        self._sources = sources
+        self._in_use: dict[tuple[str, str], int] | None = None
+        self._demand: dict[tuple[str, str], fm.TargetDemand] | None = None
+        self._add_loads()
+        for source in sources:
+            for entry in source.failing:
+                self._add_outcomes(entry)
+            self.add_quotas(source.quotas)
+
+    def _add_loads(self) -> None:
+        """Adds up the loads, in plain numbers: a hub has hundreds of rows."""
+        sums: dict[str, list[int]] = {}
+        for source in self._sources:
+            for load in source.loads:
+                row = sums.get(load.upstream)
+                if row is None:
+                    sums[load.upstream] = [
+                        load.running,
+                        load.prompt_tokens,
+                        load.hears,
+                        load.silent,
+                        load.refused,
+                    ]
+                    continue
+                row[0] += load.running
+                row[1] += load.prompt_tokens
+                row[2] += load.hears
+                row[3] += load.silent
+                row[4] += load.refused
+        counts = reachability.ReachabilityCounts
+        for name, (running, tokens, hears, silent, refused) in sums.items():
+            self.running[name] = running
+            self.prompt_tokens[name] = tokens
+            self.reports[name] = counts(hears, silent, refused)
+
+    def _add_outcomes(self, entry: fm.UpstreamOutcomes) -> None:
+        outcomes = health.Outcomes(entry.failed, entry.total)
+        known = self.failing.get(entry.upstream)
+        if known is not None:
+            outcomes = known.plus(outcomes)
+        self.failing[entry.upstream] = outcomes
+
+    @property
+    def in_use(self) -> dict[tuple[str, str], int]:
+        """Requests in flight by engine and target."""
+        if self._in_use is None:
+            self._in_use = in_use = {}
+            for source in self._sources:
+                for use in source.uses:
+                    key = (use.upstream, use.target)
+                    in_use[key] = in_use.get(key, 0) + use.running
+        return self._in_use
+
+    @property
+    def demand(self) -> dict[tuple[str, str], fm.TargetDemand]:
+        """Demand by service and target."""
+        if self._demand is None:
+            self._demand = {}
+            for source in self._sources:
+                for entry in source.demand:
+                    _add_demand(self._demand, entry)
+        return self._demand
 
     def loads(self) -> list[fm.UpstreamLoad]:
         """Returns the loads as message fields."""
@@ -96,33 +168,7 @@
 
 def aggregate(sources: Iterable[Source | fm.View]) -> Totals:
     """Returns the totals over reports and summaries."""
-    totals = Totals({}, {}, {}, {}, {}, {}, {})
-    for source in sources:
-        for load in source.loads:
-            name = load.upstream
-            totals.running[name] = totals.running.get(name, 0) + load.running
-            tokens = totals.prompt_tokens.get(name, 0) + load.prompt_tokens
-            totals.prompt_tokens[name] = tokens
-            reported = reachability.ReachabilityCounts(
-                load.hears, load.silent, load.refused
-            )
-            known = totals.reports.get(name)
-            if known is not None:
-                reported = known.combined_with(reported)
-            totals.reports[name] = reported
-        for use in source.uses:
-            key = (use.upstream, use.target)
-            totals.in_use[key] = totals.in_use.get(key, 0) + use.running
-        for entry in source.demand:
-            _add_demand(totals.demand, entry)
-        for entry in source.failing:
-            outcomes = health.Outcomes(entry.failed, entry.total)
-            known = totals.failing.get(entry.upstream)
-            if known is not None:
-                outcomes = known.plus(outcomes)
-            totals.failing[entry.upstream] = outcomes
-        totals.add_quotas(source.quotas)
-    return totals
+    return Totals(tuple(sources))
 
 
 def _add_demand(
