Requests that may be repeated use connections that were idle for longer

The connector knows idle limits for such requests; the sender now tells it which ones they are. Repeatable: idempotent routes and streams that may be resumed.

--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -69,7 +69,10 @@
         try:
             try:
                 connection = await self._context.connector.connect(
-                    upstream, left_s, self._requires_new_connection(upstream)
+                    upstream,
+                    left_s,
+                    self._requires_new_connection(upstream),
+                    self._progress.route.is_retry_safe,
                 )
             except OSError as error:
                 if not self._recorder.is_path_suspect(upstream):
