Components whose condition does not hold are checked without waking their tasks

Followers that don't read, recorders that don't write, and the watch of the holder woke a task ten times a second to find nothing to do. The ticker now checks their conditions at the same moments. An instance looks for one that is ahead only if any ever reported to be.

--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -135,8 +135,9 @@
         """Lists the topic, then reads from the end of the listing."""
         while True:
             if self._offset is not None and not self._should_read():
-                await self._ticker.wait(IDLE_POLL_S)
-                continue
+                await self._ticker.wait_until(
+                    lambda: self._should_read(), IDLE_POLL_S
+                )
             if self._offset is None:
                 is_done = await self._list_topic()
             else:
--- a/sesamecross/gateway/freshness_keeper.py
+++ b/sesamecross/gateway/freshness_keeper.py
@@ -48,7 +48,9 @@
         while True:
             await self._ticker.wait(CHECK_INTERVAL_S)
             if self._state.keys is None:
-                continue
+                await self._ticker.wait_until(
+                    lambda: self._state.keys is not None, CHECK_INTERVAL_S
+                )
             if self._mesh.asks_for_freshness():
                 self._configurations.replace_read()
             is_fresh = self._state.is_fresh
--- a/sesamecross/gateway/idle_load_test.py
+++ b/sesamecross/gateway/idle_load_test.py
@@ -21,6 +21,8 @@
 
 DURATION_S = 10.0
 ZONES = 6
+# Of the tasks that act in each round, and checks of conditions for the others.
+MAX_CALLBACKS_PER_S = 90
 # Components that call the store or listen on sockets; they wait for these.
 NOT_PERIODIC = frozenset(
     {"front", "ready", "metrics", "joiner", "sync", "reloader"}
@@ -49,6 +51,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.wake_ups = 0
+        self.callbacks = 0
         select = self._virtual_selector.select
 
         def counting_select(timeout=None):
@@ -57,20 +60,27 @@
 
         self._virtual_selector.select = counting_select
 
+    def call_soon(self, callback, *args, context=None):
+        self.callbacks += 1
+        return super().call_soon(callback, *args, context=context)
+
 
 async def _do_nothing() -> None:
     """Takes the place of the lease's steps, which call the store."""
 
 
-def wake_ups(instances: int) -> int:
-    """Returns how often an idle instance wakes in `DURATION_S`."""
+def count_work(instances: int) -> tuple[int, int]:
+    """Returns how often an idle instance wakes in `DURATION_S`.
+
+    And how many callbacks it then runs, such as the steps of tasks.
+    """
     gateway = app_lib.GatewayApp.from_config(
         msgspec.structs.replace(samples.INSTANCE, zone="z1"),
         program.adapter(),
         settings.SettingsFile(""),
     )
 
-    async def scenario() -> int:
+    async def scenario() -> tuple[int, int]:
         loop = asyncio.get_running_loop()
         components = gateway.components()
         gateway.mesh.join(member(1), b"secret", ())
@@ -84,18 +94,19 @@
             if component.name not in NOT_PERIODIC:
                 tasks.append(asyncio.create_task(component.run()))
         await asyncio.sleep(0.5)
-        before = loop.wake_ups
+        before = loop.wake_ups, loop.callbacks
         heard = 0
         while loop.time() < 0.5 + DURATION_S:
             for number in range(2, instances + 1):
                 gateway.mesh.roster.on_heartbeat(member(number), loop.time())
             heard += 1
             await asyncio.sleep(0.4)
+        work = loop.wake_ups - before[0], loop.callbacks - before[1]
         for task in tasks:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        return loop.wake_ups - before - heard
+        return work[0] - heard, work[1] - heard
 
     with asyncio.Runner(loop_factory=_CountingLoop) as runner:
         return runner.run(scenario())
@@ -109,4 +120,15 @@
 
     Each of them woke the process at moments of its own, 75 times a second.
     """
-    assert wake_ups(instances) <= DURATION_S / ticker_lib.GRID_S
+    wake_ups, _ = count_work(instances)
+    assert wake_ups <= DURATION_S / ticker_lib.GRID_S
+
+
+@pytest.mark.parametrize("instances", [8, 195])
+def test_an_idle_instance_runs_few_steps_of_tasks(instances):
+    """Guards against tasks that are woken only to find that nothing is due.
+
+    They were most of the cost of an idle instance: 144 callbacks a second.
+    """
+    _, callbacks = count_work(instances)
+    assert callbacks <= MAX_CALLBACKS_PER_S * DURATION_S
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -200,8 +200,11 @@
         loop = asyncio.get_running_loop()
         while True:
             await self._ticker.wait(POLL_INTERVAL_S)
-            if self._mesh.roster is None:
-                continue
+            if not self._may_be_behind():
+                self._lag.caught_up()
+                await self._ticker.wait_until(
+                    self._may_be_behind, POLL_INTERVAL_S
+                )
             source = self._best_source(loop.time())
             own_progress = (self._state.version, self._state.upstreams_offset)
             best = None
@@ -219,6 +222,14 @@
         """Closes the stream."""
         self._close_stream()
 
+    def _may_be_behind(self) -> bool:
+        """Whether any instance has ever been further ahead than this one is."""
+        roster = self._mesh.roster
+        return roster is not None and (
+            roster.furthest_configuration > self._state.version
+            or roster.furthest_upstreams > self._state.upstreams_offset
+        )
+
     def _best_source(self, now_s: float) -> fm.Member | None:
         """Returns the instance furthest ahead, its own zone preferred.
 
@@ -371,14 +382,17 @@
     async def run(self) -> None:
         """Watches the holder while this instance is a candidate."""
         while True:
-            await self._ticker.wait(POLL_INTERVAL_S)
+            await self._ticker.wait_until(self._is_watcher, POLL_INTERVAL_S)
             holder = self._holder()
-            if holder is not None and self._is_candidate():
+            if holder is not None:
                 await self._watch(holder)
 
     async def stop(self) -> None:
         """Does nothing: the stream ends with the component."""
 
+    def _is_watcher(self) -> bool:
+        return self._holder() is not None and self._is_candidate()
+
     def _holder(self) -> fm.Member | None:
         mesh = self._mesh
         if mesh.roster is None or mesh.lease is None:
--- a/sesamecross/gateway/version_recorder.py
+++ b/sesamecross/gateway/version_recorder.py
@@ -95,7 +95,7 @@
             await self._ticker.wait(STEP_INTERVAL_S)
             if not self._is_writer():
                 self._writer = None
-                continue
+                await self._ticker.wait_until(self._is_writer, STEP_INTERVAL_S)
             if self._state.configuration is None:
                 continue
             if self._writer is None:
--- a/sesamecross/gateway/withheld_recorder.py
+++ b/sesamecross/gateway/withheld_recorder.py
@@ -67,7 +67,7 @@
             if not self._is_writer():
                 # Another instance may write meanwhile.
                 writer = withheld_records.RecordWriter(self._key_prefix)
-                continue
+                await self._ticker.wait_until(self._is_writer, STEP_INTERVAL_S)
             await self._step(writer)
 
     async def stop(self) -> None:
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -50,10 +50,17 @@
     Which instances are alive, and the zones' hubs, are asked for many times a
     second and change when an instance starts or stops. They are kept until
     then, so that asking costs the same in a deployment of any size.
+
+    Attributes:
+      me: This instance.
+      furthest_configuration, furthest_upstreams: The furthest read positions
+        that any other instance ever reported.
     """
 
     __slots__ = (
         "me",
+        "furthest_configuration",
+        "furthest_upstreams",
         "_known",
         "_started_s",
         "_version",
@@ -67,6 +74,8 @@
 
     def __init__(self, me: fm.Member, now_s: float):
         self.me = me
+        self.furthest_configuration = -1
+        self.furthest_upstreams = -1
         self._known: dict[str, KnownMember] = {}
         self._started_s = now_s
         self._version = 0
@@ -100,6 +109,10 @@
     def _update(
         self, member: fm.Member, last_heartbeat_s: float | None
     ) -> bool:
+        if member.configuration > self.furthest_configuration:
+            self.furthest_configuration = member.configuration
+        if member.upstreams > self.furthest_upstreams:
+            self.furthest_upstreams = member.upstreams
         known = self._known.get(member.name)
         if known is None:
             self._known[member.name] = KnownMember(member, last_heartbeat_s)
--- a/sesamecross/ops/fleet/store_polling.py
+++ b/sesamecross/ops/fleet/store_polling.py
@@ -80,6 +80,10 @@
         self._missing: Progress | None = None
         self._since_s = 0.0
 
+    def caught_up(self) -> None:
+        """Notes that no instance knows more than this one."""
+        self._missing = None
+
     def duration_s(
         self, mine: Progress, best: Progress | None, now_s: float
     ) -> float:
--- a/sesamecross/runtime/ticker_test.py
+++ b/sesamecross/runtime/ticker_test.py
@@ -94,3 +94,65 @@
     moments = [run(first_wake_s(rng.random())) for _ in range(60)]
     thirds = {int(moment / interval_s * 3) for moment in moments}
     assert thirds >= {0, 1, 2}
+
+
+def test_a_condition_is_checked_at_each_moment_without_waking_its_task():
+    """Guards against tasks that are woken only to find nothing to do."""
+
+    async def scenario() -> tuple[int, int, float]:
+        ticker = ticker_lib.Ticker(0.02)
+        loop = asyncio.get_running_loop()
+        checks = 0
+        is_set = False
+
+        def condition() -> bool:
+            nonlocal checks
+            checks += 1
+            return is_set
+
+        async def set_later() -> None:
+            nonlocal is_set
+            for _ in range(10):
+                await ticker.wait(0.1)
+            is_set = True
+
+        setting = asyncio.create_task(set_later())
+        await asyncio.sleep(0)
+        futures = 0
+        create_future = loop.create_future
+
+        def counting_create_future():
+            nonlocal futures
+            futures += 1
+            return create_future()
+
+        loop.create_future = counting_create_future
+        await ticker.wait_until(condition, 0.1)
+        await setting
+        # One of the condition; the others are those of `set_later`.
+        return checks, futures - 9, loop.time()
+
+    checks, futures, at_s = run(scenario())
+    assert checks == 10
+    assert futures == 1
+    # At the moment at which it was set, not at the next one.
+    assert at_s == pytest.approx(0.92, abs=0.01)
+
+
+def test_a_failing_condition_fails_its_own_task_only():
+    """Guards against a task that waits for ever, and others with it."""
+
+    def fail() -> bool:
+        raise ValueError
+
+    async def scenario() -> None:
+        ticker = ticker_lib.Ticker()
+        failing = asyncio.create_task(ticker.wait_until(fail, 0.1))
+        cancelled = asyncio.create_task(ticker.wait_until(fail, 0.1))
+        await asyncio.sleep(0)
+        cancelled.cancel()
+        await ticker.wait_until(lambda: failing.done(), 0.1)
+        with pytest.raises(ValueError):
+            await failing
+
+    run(scenario())
