Views: no call for each instance that lives on, no look for suspects without any

A view's list of instances is taken in by one loop. Upstreams are looked at for verification only if some instance may find one unreachable.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -349,12 +349,14 @@
         now_s = asyncio.get_running_loop().time()
         loads = []
         failing = []
-        reported_state = self.state.directory.reported_state
+        directory = self.state.directory
         unknown = reachability.State.UNKNOWN
         # Called in each round for all upstreams, most of which this instance
         # has not used lately: nothing is computed for these.
-        for known in self.state.directory:
-            state = reported_state(known, now_s)
+        for known in directory:
+            state = known.reachability.state(now_s)
+            if state is not unknown:
+                state = directory.reported_state(known, now_s)
             if known.own_running or state is not unknown:
                 loads.append(_upstream_load(known, state))
             outcomes = known.health.outcomes(now_s)
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -728,16 +728,14 @@
                 message.heard.get(self.roster.me.name, 0),
                 message.configuration_age_s,
             )
-            for member in message.members:
-                self.roster.on_heartbeat(member, now_s)
+            self.roster.on_heartbeats(message.members, now_s)
             self._on_lease(message.lease, now_s)
 
     def _on_view(self, message: fm.View, now_s: float) -> None:
         if message.me.zone == self.roster.me.zone:
             hub = message.me
             self._hub_progress.record_position(hub.name, hub.upstreams, now_s)
-        for member in message.members:
-            self.roster.on_heartbeat(member, now_s)
+        self.roster.on_heartbeats(message.members, now_s)
         self._on_lease(message.lease, now_s)
         self._heard[message.me.name] = message.number
         number = message.taken.get(self.roster.me.name, 0)
--- a/sesamecross/gateway/reachability_monitor.py
+++ b/sesamecross/gateway/reachability_monitor.py
@@ -19,6 +19,23 @@
 _UNREACHABLE = (reachability.State.SILENT, reachability.State.REFUSED)
 
 
+def _may_be_suspected(known: directory.KnownUpstream, now_s: float) -> bool:
+    """Whether an upstream may be down although the path there works.
+
+    A quick look at what is necessary for that: some instance can't reach it,
+    or streams that it sends here are silent.
+    """
+    others = known.others_reachability
+    return (
+        others.silent > 0
+        or others.refused > 0
+        or (
+            known.reachability.streaming > 0
+            and known.reachability.state(now_s) is reachability.State.SILENT
+        )
+    )
+
+
 class ReachabilityMonitor:
     """Component that logs each change, at most one per upstream and check.
 
@@ -35,6 +52,7 @@
         "_ticker",
         "_log",
         "_unreachable_since_s",
+        "_had_suspects",
     )
 
     def __init__(
@@ -51,6 +69,7 @@
         self._log = logs.get_logger("reachability")
         # By the upstream's instance id.
         self._unreachable_since_s: dict[str, float] = {}
+        self._had_suspects = False
 
     async def run(self) -> None:
         """Checks all upstreams until cancelled."""
@@ -67,6 +86,13 @@
         roster = self._mesh.roster
         if roster is None or self._state.directory.unreachable_count(now_s):
             return
+        had_suspects = self._had_suspects
+        self._had_suspects = any(
+            _may_be_suspected(known, now_s) for known in self._state.directory
+        )
+        # Once more after the last one, so that its checks are forgotten.
+        if not (self._had_suspects or had_suspects):
+            return
         names = [
             member.name
             for member in roster.alive(now_s)
--- a/sesamecross/ops/fleet/reachability.py
+++ b/sesamecross/ops/fleet/reachability.py
@@ -131,7 +131,8 @@
     @property
     def last_reached_s(self) -> float:
         """When the upstream last answered or accepted a connection."""
-        return max(self.last_response_s, self._connected_s)
+        response_s, connected_s = self.last_response_s, self._connected_s
+        return response_s if response_s > connected_s else connected_s
 
     def was_reached(self, now_s: float) -> bool:
         """Whether the upstream answered or accepted a connection recently."""
--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -106,6 +106,30 @@
             return False
         return self._update(member, now_s)
 
+    def on_heartbeats(self, members: Iterable[fm.Member], now_s: float) -> None:
+        """Records a hub's report of many instances.
+
+        A view lists all of the deployment several times a second, and nearly
+        all of them only live on.
+        """
+        furthest_configuration = self.furthest_configuration
+        furthest_upstreams = self.furthest_upstreams
+        alive_names = self._alive_names
+        for member in members:
+            known = self._known.get(member.name)
+            if (
+                known is not None
+                and member.name in alive_names
+                and known.member.incarnation == member.incarnation
+                and known.member.zone == member.zone
+                and member.configuration <= furthest_configuration
+                and member.upstreams <= furthest_upstreams
+            ):
+                known.member = member
+                known.last_heartbeat_s = now_s
+            else:
+                self.on_heartbeat(member, now_s)
+
     def _update(
         self, member: fm.Member, last_heartbeat_s: float | None
     ) -> bool:
--- a/sesamecross/ops/fleet/roster_test.py
+++ b/sesamecross/ops/fleet/roster_test.py
@@ -1,11 +1,14 @@
 """Tests of the roster, against a model that keeps nothing."""
 
+import random
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 
 from sesamecross.core import fleet_messages as fm
+from sesamecross.fakes import call_count
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.utils import rendezvous
 
@@ -137,3 +140,44 @@
         for zone in ZONES:
             roster.hub_of(zone, now_s)
     assert not hashed
+
+
+def test_a_list_of_heartbeats_is_the_same_as_single_ones():
+    """Guards against a short cut that misses a new, changed or silent one."""
+    rng = random.Random(5)
+    me = member("front-1", zone="z1")
+    single = roster_lib.Roster(me, 0.0)
+    listed = roster_lib.Roster(me, 0.0)
+    for step in range(400):
+        now_s = step * 0.3
+        members = [
+            fm.Member(
+                f"front-{rng.randrange(1, 6)}",
+                1 + rng.randrange(1 + step // 100),
+                f"z{rng.randrange(10) // 9}",
+                "h:1",
+                rng.randrange(step + 1),
+                rng.randrange(step + 1),
+            )
+            for _ in range(rng.randrange(4))
+        ]
+        for each in members:
+            single.on_heartbeat(each, now_s)
+        listed.on_heartbeats(members, now_s)
+        for one in ("z0", "z1"):
+            assert single.hub_of(one, now_s) == listed.hub_of(one, now_s)
+        assert single.alive(now_s) == listed.alive(now_s)
+        assert single.version(now_s) == listed.version(now_s)
+        assert single.furthest_upstreams == listed.furthest_upstreams
+        assert single.furthest_configuration == listed.furthest_configuration
+
+
+def test_instances_that_live_on_cost_no_call_each():
+    """Guards against views whose cost grows with the number of instances."""
+    roster = roster_lib.Roster(member("front-0"), 0.0)
+    members = [member(f"front-{number}") for number in range(1, 195)]
+    roster.on_heartbeats(members, 1.0)
+    assert roster.count_alive(1.0) == 194
+    calls = call_count.calls_of(lambda: roster.on_heartbeats(members, 1.4))
+    assert calls <= 2
+    assert roster.count_alive(2.9) == 194
