--- a/sesamecross/ops/fleet/roster.py
+++ b/sesamecross/ops/fleet/roster.py
@@ -50,10 +50,17 @@
     Which instances are alive, and the zones' hubs, are asked for many times a
     second and change when an instance starts or stops. They are kept until
     then, so that asking costs the same in a deployment of any size.
+
+    Attributes:
+      me: This instance.
+      furthest_configuration, furthest_upstreams: The furthest read positions
+        that any other instance ever reported.
     """
 
     __slots__ = (
         "me",
+        "furthest_configuration",
+        "furthest_upstreams",
         "_known",
         "_started_s",
         "_version",
@@ -67,6 +74,8 @@
 
     def __init__(self, me: fm.Member, now_s: float):
         self.me = me
+        self.furthest_configuration = -1
+        self.furthest_upstreams = -1
         self._known: dict[str, KnownMember] = {}
         self._started_s = now_s
         self._version = 0
@@ -97,9 +106,37 @@
             return False
         return self._update(member, now_s)
 
+    def on_heartbeats(self, members: Iterable[fm.Member], now_s: float) -> None:
+        """Records a hub's report of many instances.
+
+        A view lists all of the deployment several times a second, and nearly
+        all of them only live on.
+        """
+        furthest_configuration = self.furthest_configuration
+        furthest_upstreams = self.furthest_upstreams
+        alive_names = self._alive_names
+        for member in members:
+            known = self._known.get(member.name)
+            if (
+                known is not None
+                and member.name in alive_names
+                and known.member.incarnation == member.incarnation
+                and known.member.zone == member.zone
+                and member.configuration <= furthest_configuration
+                and member.upstreams <= furthest_upstreams
+            ):
+                known.member = member
+                known.last_heartbeat_s = now_s
+            else:
+                self.on_heartbeat(member, now_s)
+
     def _update(
         self, member: fm.Member, last_heartbeat_s: float | None
     ) -> bool:
+        if member.configuration > self.furthest_configuration:
+            self.furthest_configuration = member.configuration
+        if member.upstreams > self.furthest_upstreams:
+            self.furthest_upstreams = member.upstreams
         known = self._known.get(member.name)
         if known is None:
             self._known[member.name] = KnownMember(member, last_heartbeat_s)
