--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -258,6 +258,10 @@
       tokens: Prompt tokens that the engine would have to process.
       spare_s: How long the prompt can wait and still be on time, in seconds.
       patience_s: How long the prompt can wait at all, in seconds.
+      output_tokens: The most that its answer may have.
+      urgency: 0 is the most urgent.
+      workspace: Whose request it is, or empty.
+      cached_tokens: Prompt tokens that the engine holds and need not process.
     """
 
     me: Member
@@ -266,6 +270,10 @@
     tokens: int
     spare_s: float
     patience_s: float
+    output_tokens: int = 0
+    urgency: int = 0
+    workspace: str = ""
+    cached_tokens: int = 0
 
 
 class AdmissionDecision(enum.IntEnum):
@@ -291,22 +299,36 @@
 
     Attributes:
       after_s: Seconds after which a refused caller should retry; 0 otherwise.
+      upstream: The engine, if its pacer holds a lease for each request until it
+        ends; empty otherwise.
     """
 
     me: Member
     number: int
     verdict: AdmissionDecision
     after_s: float = 0.0
+    upstream: str = ""
 
 
 class AdmissionRelease(
     msgspec.Struct, frozen=True, array_like=True, tag_field="t", tag=8
 ):
-    """Tells the pacer that a prompt was processed or will not be sent."""
+    """Tells the pacer that a prompt was processed or will not be sent.
+
+    Where the pacer holds a lease for each request, it tells how far the request
+    has got, and is repeated while the request lasts.
+
+    Attributes:
+      stage: 0 if the request has ended or will not be sent, 1 if its prompt was
+        processed, 2 if it was sent (`ops.fleet.engine_budget.Stage`).
+      memory_tokens: Tokens of memory that the request takes.
+    """
 
     me: Member
     number: int
     upstream: str
+    stage: int = 0
+    memory_tokens: int = 0
 
 
 class LeaseRelease(
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -215,7 +215,7 @@
             self.state, self.mesh, self.metrics, ticker
         )
         self.forwarder.origins = origins
-        pacing = pacing_lib.Pacing(self.state, self.mesh, ticker)
+        pacing = pacing_lib.Pacing(self.state, self.mesh, ticker, self.metrics)
         self.forwarder.search_context.pacing = pacing
         address = f"{instance.ip}:{instance.ports[0]}"
         instances_topic = f"{adapter.own_topic_prefix}instances"
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import crash_guard as crash_guard_lib
 from sesamecross.gateway import pacing as pacing_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_choice
@@ -80,6 +81,7 @@
         "_call",
         "_arrived_s",
         "_deadline_s",
+        "_owner",
         "_refused_by",
         "_planned_arrival_s",
         "_model_wait_s",
@@ -95,6 +97,7 @@
         call: serving.ModelCall,
         arrived_s: float,
         deadline_s: float,
+        owner: admission_order.Owner = admission_order.NO_OWNER,
     ):
         self.choice: engine_choice.Choice | None = None
         self.retry_after_s = 0.0
@@ -104,6 +107,7 @@
         self._call = call
         self._arrived_s = arrived_s
         self._deadline_s = deadline_s
+        self._owner = owner
         # Engines for which the request was refused admission.
         self._refused_by: set[str] = set()
         # When the model is expected, by the placement plan read last.
@@ -187,8 +191,13 @@
         self._limit = wait_policy.Limit.WITHHELD
         return True
 
+    def begin_permit(self) -> None:
+        """Records that the engine has read the prompt."""
+        if self._permit is not None:
+            self._context.pacing.begin(self._permit)
+
     def release_permit(self) -> None:
-        """Releases the permit: the prefill is done, or nothing is sent."""
+        """Releases the permit: the request has ended, or nothing is sent."""
         if self._permit is not None:
             self._context.pacing.release(self._permit)
             self._permit = None
@@ -440,12 +449,11 @@
         send_deadline_s = wait_policy.send_deadline_s(
             route, self._arrived_s, self._deadline_s
         )
+        self.release_permit()
         started_s = loop.time()
         result = await self._context.pacing.acquire(
             choice.upstream,
-            choice.uncached_tokens,
-            self._due_s() - choice.expected_s,
-            send_deadline_s,
+            self._ask(choice, send_deadline_s),
             self._context.state.has_rejection_limit(
                 choice.upstream.entry.service, started_s
             ),
@@ -462,6 +470,22 @@
         self._permit = result
         return True
 
+    def _ask(
+        self, choice: engine_choice.Choice, until_s: float
+    ) -> admission_order.Ask:
+        """Returns what the request needs of an engine."""
+        urgency = self._owner.urgency
+        tokens = choice.uncached_tokens
+        return admission_order.Ask(
+            tokens,
+            self._call.output_tokens,
+            self._route.urgency if urgency is None else urgency,
+            self._owner.workspace,
+            self._due_s() - choice.expected_s,
+            until_s,
+            max(0, self._call.prompt_tokens - tokens),
+        )
+
     def _due_s(self) -> float:
         """Returns when the first event is due.
 
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -58,9 +58,7 @@
     def __init__(self, wait_s: float):
         self._wait_s = wait_s
 
-    async def acquire(
-        self, known, tokens, due_s, until_s, requires_grant=False
-    ):
+    async def acquire(self, known, ask, requires_grant=False):
         await asyncio.sleep(self._wait_s)
         return pacing_lib.Permit(known.entry.instance_id, 1, "")
 
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -2,19 +2,29 @@
 
 Each engine has one pacer, an instance chosen by rendezvous hashing. All
 instances request a permit from it before they send a prompt to the engine.
+
+At engines with small batches a permit is a lease on a batch slot and on memory,
+which lasts until the stream ends. Its holder confirms it periodically, so that
+the next pacer learns of it when an engine's pacer changes.
 """
 
 import asyncio
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.ops.fleet import admission_order
+from sesamecross.ops.fleet import budget_pacer
 from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.ops.fleet import engine_budget
 from sesamecross.ops.fleet import pacer as pacer_lib
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import slot_limiter
+from sesamecross.runtime import logs
+from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.utils import rendezvous
 
@@ -64,6 +74,22 @@
     is_open: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    """A permit that its holder confirms until the stream ends."""
+
+    permit: Permit
+    known: directory_lib.KnownUpstream
+    memory_tokens: int
+    stage: engine_budget.Stage
+    confirmed_s: float
+
+
+_AnyPacer = (
+    pacer_lib.Pacer | slot_limiter.SlotLimiter | budget_pacer.BudgetPacer
+)
+
+
 class Pacing:
     """Component for both sides of pacing: requesting and granting."""
 
@@ -75,11 +101,16 @@
         state: state_lib.State,
         mesh: mesh_lib.Mesh,
         ticker: ticker_lib.Ticker | None = None,
+        metrics: metrics_lib.Metrics | None = None,
     ):
         self._state = state
         self._mesh = mesh
         self._ticker = ticker or ticker_lib.Ticker()
-        self._pacers: dict[str, pacer_lib.Pacer | slot_limiter.SlotLimiter] = {}
+        self._metrics = metrics
+        self._log = logs.get_logger("pacing")
+        self._pacers: dict[str, _AnyPacer] = {}
+        # Leases that this instance holds, by the number of their permits.
+        self._leases: dict[int, _Lease] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
             int, asyncio.Future[fm.AdmissionReply]
@@ -105,6 +136,7 @@
         """
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
+            self._confirm_leases()
             for upstream in list(self._pacers):
                 self._grant(upstream)
                 if self._pacers[upstream].is_idle:
@@ -130,25 +162,32 @@
         for pacer in pacers.values():
             for name, number in pacer.waiting(now_s):
                 self._send_leave(name, number)
+        self._leave_lease_holders(pacers.values())
+
+    def _leave_lease_holders(self, pacers: Iterable[_AnyPacer]) -> None:
+        """Makes the holders of leases confirm them to the next pacers."""
+        number_by_name = {
+            name: number
+            for pacer in pacers
+            if isinstance(pacer, budget_pacer.BudgetPacer)
+            for name, number in pacer.holders()
+        }
+        for name, number in number_by_name.items():
+            self._send_leave(name, number)
 
     # -- requesting ----------------------------------------------------
 
     async def acquire(
         self,
         known: directory_lib.KnownUpstream,
-        tokens: int,
-        due_s: float,
-        until_s: float,
+        ask: admission_order.Ask,
         requires_grant: bool = False,
     ) -> Permit | PermitRefused:
         """Waits for a permit to send a prompt.
 
         Args:
           known: The engine, or an upstream of a plain service.
-          tokens: Prompt tokens that it has to read; 0 for a request without a
-            prompt, whose permit is held until the request ends.
-          due_s: Loop time by which the request has to be sent to be on time.
-          until_s: Loop time after which waiting is of no use.
+          ask: What the request needs; its times are loop times.
           requires_grant: Whether the request must not be sent without a pacer's
             permit.
         """
@@ -160,9 +199,7 @@
                     return PermitRefused(NO_PACER_RETRY_AFTER_S)
                 upstream = known.entry.instance_id
                 return Permit(upstream, 0, "", is_open=False)
-            result = await self._request_permit(
-                pacer, known, tokens, due_s, until_s
-            )
+            result = await self._request_permit(pacer, known, ask)
             if result is not None:
                 return result
             silent_pacers += pacer in self._avoided_until_s
@@ -171,9 +208,7 @@
         self,
         pacer: str,
         known: directory_lib.KnownUpstream,
-        tokens: int,
-        due_s: float,
-        until_s: float,
+        ask: admission_order.Ask,
     ) -> Permit | PermitRefused | None:
         """Requests a permit from one pacer.
 
@@ -188,14 +223,12 @@
         reply: asyncio.Future[fm.AdmissionReply] = loop.create_future()
         self._pending_requests[number] = reply
         try:
-            while not reply.done() and loop.time() < until_s:
-                if not await self._deliver_request(
-                    permit, reply, tokens, due_s, until_s
-                ):
+            while not reply.done() and loop.time() < ask.until_s:
+                if not await self._deliver_request(permit, reply, ask):
                     self._avoid(pacer)
                     self.release(permit)
                     return None
-                wait_s = min(RENEWAL_INTERVAL_S, until_s - loop.time())
+                wait_s = min(RENEWAL_INTERVAL_S, ask.until_s - loop.time())
                 await asyncio.wait([reply], timeout=max(0.0, wait_s))
         except asyncio.CancelledError:
             self.release(permit)
@@ -214,15 +247,21 @@
                 return PermitRefused(after_s)
             case fm.AdmissionReply(verdict=fm.AdmissionDecision.LEAVING):
                 return None
+        if ask.tokens and _has_small_batch(known):
+            self._leases[number] = _Lease(
+                permit,
+                known,
+                ask.memory_tokens,
+                engine_budget.Stage.SENT,
+                loop.time(),
+            )
         return permit
 
     async def _deliver_request(
         self,
         permit: Permit,
         reply: asyncio.Future[fm.AdmissionReply],
-        tokens: int,
-        due_s: float,
-        until_s: float,
+        ask: admission_order.Ask,
     ) -> bool:
         """Sends an admission request; returns whether its pacer has replied.
 
@@ -233,12 +272,12 @@
         round_trip_s = self._state.location.round_trip_s(member.zone)
         self._acknowledged.discard(permit.number)
         for _ in range(REQUEST_ATTEMPTS):
-            self._send_request(permit, tokens, due_s, until_s)
-            wait_s = min(round_trip_s + ACK_MARGIN_S, until_s - loop.time())
+            self._send_request(permit, ask)
+            wait_s = min(round_trip_s + ACK_MARGIN_S, ask.until_s - loop.time())
             await asyncio.wait([reply], timeout=max(0.0, wait_s))
             if reply.done() or permit.number in self._acknowledged:
                 return True
-        return loop.time() >= until_s
+        return loop.time() >= ask.until_s
 
     def _avoid(self, pacer: str) -> None:
         """Makes the next pacer serve, as this one does not reply."""
@@ -307,17 +346,19 @@
     def _has_departed(self, member: fm.Member) -> bool:
         return self._departed.get(member.name) == member.incarnation
 
-    def _send_request(
-        self, permit: Permit, tokens: int, due_s: float, until_s: float
-    ) -> None:
+    def _send_request(self, permit: Permit, ask: admission_order.Ask) -> None:
         now_s = asyncio.get_running_loop().time()
         request = fm.AdmissionRequest(
             self._mesh.me,
             permit.number,
             permit.upstream,
-            tokens,
-            round(due_s - now_s, 3),
-            round(until_s - now_s, 3),
+            ask.tokens,
+            round(ask.due_s - now_s, 3),
+            round(ask.until_s - now_s, 3),
+            ask.output_tokens,
+            ask.urgency,
+            ask.workspace,
+            ask.cached_tokens,
         )
         self._send(request, permit.pacer)
 
@@ -333,37 +374,116 @@
         if member is not None:
             self._mesh.send(message, member)
 
+    def begin(self, permit: Permit) -> None:
+        """Records that the engine has read the prompt of a permit.
+
+        Where a permit is a lease, it lasts until `release`; elsewhere it ends.
+        """
+        lease = self._leases.get(permit.number)
+        if lease is None or lease.permit is not permit:
+            self.release(permit)
+            return
+        lease.stage = engine_budget.Stage.READ
+        self._confirm(lease)
+
     def release(self, permit: Permit) -> None:
-        """Releases a permit: the prompt was read, or will not be sent."""
+        """Releases a permit: the request has ended, or will not be sent."""
         if not permit.is_open:
             return
         permit.is_open = False
+        lease = self._leases.get(permit.number)
+        if lease is not None and lease.permit is permit:
+            del self._leases[permit.number]
         message = fm.AdmissionRelease(
             self._mesh.me, permit.number, permit.upstream
         )
         self._send(message, permit.pacer)
 
+    def _confirm_leases(self) -> None:
+        """Confirms the leases that are due, and those whose pacer changed."""
+        now_s = asyncio.get_running_loop().time()
+        for lease in self._leases.values():
+            pacer = self._pacer_of(lease.known)
+            if pacer is None:
+                continue
+            is_due = now_s - lease.confirmed_s >= engine_budget.RENEWAL_S
+            if is_due or pacer != lease.permit.pacer:
+                lease.permit.pacer = pacer
+                self._confirm(lease)
+
+    def _confirm(self, lease: _Lease) -> None:
+        lease.confirmed_s = asyncio.get_running_loop().time()
+        permit = lease.permit
+        message = fm.AdmissionRelease(
+            self._mesh.me,
+            permit.number,
+            permit.upstream,
+            int(lease.stage),
+            lease.memory_tokens,
+        )
+        self._send(message, permit.pacer)
+
     # -- granting ------------------------------------------------------
 
     def _on_message(self, message: fm.Message) -> None:
         match message:
             case fm.AdmissionRequest():
                 self._on_request(message)
-            case fm.AdmissionRelease(me=me, number=number, upstream=upstream):
-                pacer = self._pacers.get(upstream)
-                if pacer is not None:
-                    pacer.release((me.name, number))
-                    self._grant(upstream)
-            case fm.AdmissionReply(me=me, number=number, verdict=verdict):
-                if verdict is fm.AdmissionDecision.LEAVING:
-                    self._record_departure(me)
-                pending = self._pending_requests.get(number)
-                if pending is None or pending.done():
-                    return
-                if verdict is fm.AdmissionDecision.WAIT:
-                    self._acknowledged.add(number)
-                else:
-                    pending.set_result(message)
+            case fm.AdmissionRelease():
+                self._on_release(message)
+            case fm.AdmissionReply():
+                self._on_reply(message)
+
+    def _on_reply(self, message: fm.AdmissionReply) -> None:
+        number, verdict = message.number, message.verdict
+        if verdict is fm.AdmissionDecision.LEAVING:
+            self._record_departure(message.me)
+        pending = self._pending_requests.get(number)
+        if pending is None:
+            if (
+                verdict is fm.AdmissionDecision.SEND
+                and message.upstream
+                and number not in self._leases
+            ):
+                # Nobody waits for this lease any more.
+                self._send(
+                    fm.AdmissionRelease(
+                        self._mesh.me, number, message.upstream
+                    ),
+                    message.me.name,
+                )
+            return
+        if pending.done():
+            return
+        if verdict is fm.AdmissionDecision.WAIT:
+            self._acknowledged.add(number)
+        else:
+            pending.set_result(message)
+
+    def _on_release(self, message: fm.AdmissionRelease) -> None:
+        stage = _stage(message.stage)
+        is_ended = stage is engine_budget.Stage.ENDED
+        if not is_ended and self._has_departed(self._mesh.me):
+            self._send_leave(message.me.name, message.number)
+            return
+        upstream = message.upstream
+        pacer = self._pacers.get(upstream)
+        if pacer is None and not is_ended:
+            # Another pacer has granted this lease.
+            pacer = self._new_pacer(upstream, has_prompt=True)
+        key = (message.me.name, message.number)
+        match pacer:
+            case None:
+                return
+            case budget_pacer.BudgetPacer():
+                now_s = asyncio.get_running_loop().time()
+                memory_tokens = max(0, message.memory_tokens)
+                pacer.record_stage(key, stage, memory_tokens, now_s)
+            case _:
+                if stage is not engine_budget.Stage.SENT:
+                    pacer.release(key)
+        if stage is not engine_budget.Stage.SENT:
+            self._grant(upstream)
 
     def _on_request(self, message: fm.AdmissionRequest) -> None:
         if self._has_departed(self._mesh.me):
@@ -374,21 +494,26 @@
         upstream = message.upstream
         pacer = self._pacers.get(upstream)
         if pacer is None:
-            pacer = (
-                pacer_lib.Pacer()
-                if message.tokens
-                else slot_limiter.SlotLimiter()
-            )
-            self._pacers[upstream] = pacer
+            pacer = self._new_pacer(upstream, has_prompt=message.tokens > 0)
         key = (message.me.name, message.number)
-        decisions = pacer.request(
-            key,
-            message.tokens,
-            now_s + message.spare_s,
-            now_s + message.patience_s,
-            self._batch(upstream),
-            now_s,
-        )
+        due_s = now_s + message.spare_s
+        until_s = now_s + message.patience_s
+        batch = self._batch(upstream)
+        if isinstance(pacer, budget_pacer.BudgetPacer):
+            ask = admission_order.Ask(
+                message.tokens,
+                message.output_tokens,
+                message.urgency,
+                message.workspace,
+                due_s,
+                until_s,
+                message.cached_tokens,
+            )
+            decisions = pacer.request(key, ask, batch, now_s)
+        else:
+            decisions = pacer.request(
+                key, message.tokens, due_s, until_s, batch, now_s
+            )
         if key not in decisions.granted and key not in decisions.refused:
             acknowledgement = fm.AdmissionReply(
                 self._mesh.me, message.number, fm.AdmissionDecision.WAIT
@@ -396,6 +521,25 @@
             self._send(acknowledgement, message.me.name)
         self._send_decisions(upstream, decisions)
 
+    def _new_pacer(self, upstream: str, has_prompt: bool) -> _AnyPacer:
+        """Adds the pacer of an upstream.
+
+        Args:
+          upstream: Its instance id.
+          has_prompt: Whether its requests have prompts: it is an engine then.
+        """
+        known = self._state.directory.get(upstream)
+        pacer: _AnyPacer
+        if not has_prompt:
+            pacer = slot_limiter.SlotLimiter()
+        elif known is not None and _has_small_batch(known):
+            now_s = asyncio.get_running_loop().time()
+            pacer = budget_pacer.BudgetPacer(now_s)
+        else:
+            pacer = pacer_lib.Pacer()
+        self._pacers[upstream] = pacer
+        return pacer
+
     def _grant(self, upstream: str) -> None:
         now_s = asyncio.get_running_loop().time()
         decisions = self._pacers[upstream].grant(self._batch(upstream), now_s)
@@ -405,26 +549,91 @@
         known = self._state.directory.get(upstream)
         if known is None:
             return pacer_lib.Batch(0.0, 1)
-        return pacer_lib.Batch(known.running, known.entry.slots)
+        return pacer_lib.Batch(
+            known.running, known.entry.slots, self._memory_tokens(known)
+        )
+
+    def _memory_tokens(self, known: directory_lib.KnownUpstream) -> int | None:
+        """Returns the memory of an engine as configured; None if unknown."""
+        configuration = self._state.configuration
+        if configuration is None:
+            return None
+        service = configuration.services.get(known.entry.service)
+        if service is None or service.engine is None:
+            return None
+        capacity = service.engine.kv_tokens
+        return capacity if capacity > 0 else None
 
     def _send_decisions(
-        self, upstream: str, decisions: pacer_lib.Decisions
+        self,
+        upstream: str,
+        decisions: pacer_lib.Decisions | budget_pacer.BudgetDecisions,
     ) -> None:
         me = self._mesh.me
+        leased_upstream = ""
+        retry_after_s: Mapping[pacer_lib.Key, float] = {}
+        if isinstance(decisions, budget_pacer.BudgetDecisions):
+            leased_upstream = upstream
+            retry_after_s = decisions.retry_after_s
+            for record in decisions.records:
+                self._record_decision(upstream, record)
         for name, number in decisions.granted:
             self._send(
-                fm.AdmissionReply(me, number, fm.AdmissionDecision.SEND), name
+                fm.AdmissionReply(
+                    me,
+                    number,
+                    fm.AdmissionDecision.SEND,
+                    upstream=leased_upstream,
+                ),
+                name,
             )
         for name, number in decisions.refused:
-            retry_after_s = pacer_lib.OVERLOAD_RETRY_AFTER_S
+            after_s = retry_after_s.get(
+                (name, number), pacer_lib.OVERLOAD_RETRY_AFTER_S
+            )
             self._send(
                 fm.AdmissionReply(
-                    me, number, fm.AdmissionDecision.REFUSE, retry_after_s
+                    me, number, fm.AdmissionDecision.REFUSE, round(after_s, 3)
                 ),
                 name,
             )
         self._schedule_grant(upstream)
 
+    def _record_decision(
+        self, upstream: str, record: budget_pacer.DecisionRecord
+    ) -> None:
+        """Logs and counts a decision with its inputs."""
+        name, number = record.key
+        self._log.info(
+            "admission",
+            engine=upstream,
+            sender=name,
+            number=number,
+            verdict=record.verdict.value,
+            reason=record.reason.value,
+            urgency=record.urgency,
+            workspace=record.workspace,
+            place=record.place,
+            waited_s=round(record.waited_s, 3),
+            leases=record.leases,
+            unleased=record.unleased,
+            memory_tokens=record.memory_tokens,
+            confirmed_age_s=round(record.confirmed_age_s, 3),
+            report_max_age_s=engine_budget.REPORT_AGE_S,
+            after_s=round(record.after_s, 3),
+        )
+        if self._metrics is None:
+            return
+        self._metrics.count(
+            "sesamecross_admissions_total",
+            "Decisions on requests to engines with small batches.",
+            {
+                "verdict": record.verdict.value,
+                "reason": record.reason.value,
+                "urgency": str(record.urgency),
+            },
+        )
+
     def _send_leave(self, name: str, number: int) -> None:
         self._send(
             fm.AdmissionReply(
@@ -449,3 +658,16 @@
         del self._timers[upstream]
         if upstream in self._pacers:
             self._grant(upstream)
+
+
+def _has_small_batch(known: directory_lib.KnownUpstream) -> bool:
+    """Whether permits to send prompts to an engine are leases."""
+    return 0 < known.entry.slots < engine_budget.SMALL_BATCH_SLOTS
+
+
+def _stage(number: int) -> engine_budget.Stage:
+    """Returns the stage; an unknown one is of a request that still runs."""
+    try:
+        return engine_budget.Stage(number)
+    except ValueError:
+        return engine_budget.Stage.READ
--- a/sesamecross/gateway/pacing_test.py
+++ b/sesamecross/gateway/pacing_test.py
@@ -8,6 +8,7 @@
 from sesamecross.core import fleet_messages as fm
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import pacing as pacing_lib
+from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.utils import rendezvous
 
@@ -21,6 +22,10 @@
 )
 
 
+def ask(due_s: float, until_s: float) -> admission_order.Ask:
+    return admission_order.Ask(100, 50, 0, "", due_s, until_s)
+
+
 class _Mesh:
     """Delivers messages to the other instances synchronously."""
 
@@ -68,6 +73,7 @@
         self.engine = types.SimpleNamespace(entry=entry, running=slots)
         state = types.SimpleNamespace(
             directory={ENGINE: self.engine},
+            configuration=None,
             location=types.SimpleNamespace(
                 regions={"z1": "r1"}, round_trip_s=lambda _: 0.0
             ),
@@ -84,7 +90,7 @@
 
     def request_permit(self, name: str, spare_s: float) -> asyncio.Task:
         request = self.pacing_by_name[name].acquire(
-            self.engine, 100, NOW_S + spare_s, NOW_S + 1.7
+            self.engine, ask(NOW_S + spare_s, NOW_S + 1.7)
         )
         return asyncio.create_task(request)
 
@@ -200,7 +206,7 @@
         fleet = _Fleet(16)
         loop = asyncio.get_running_loop()
         request = fleet.pacing_by_name["i3"].acquire(
-            fleet.engine, 100, loop.time() + 0.5, loop.time() + 5.7
+            fleet.engine, ask(loop.time() + 0.5, loop.time() + 5.7)
         )
         task = asyncio.create_task(request)
         await run_pending_tasks()
@@ -224,7 +230,7 @@
         fleet.mesh_by_name["i1"].lost_replies = [True]
         loop = asyncio.get_running_loop()
         request = fleet.pacing_by_name["i3"].acquire(
-            fleet.engine, 100, loop.time() + 0.3, loop.time() + 5.7
+            fleet.engine, ask(loop.time() + 0.3, loop.time() + 5.7)
         )
         started_s = loop.time()
         task = asyncio.create_task(request)
@@ -251,7 +257,7 @@
         for is_killed, pause_s in ((True, 0.1), (False, 2.0), (False, 0.0)):
             fleet.mesh_by_name["i1"].is_killed = is_killed
             permit = await pacing.acquire(
-                fleet.engine, 100, loop.time() + 0.5, loop.time() + 1.7
+                fleet.engine, ask(loop.time() + 0.5, loop.time() + 1.7)
             )
             pacers.append(permit.pacer)
             pacing.release(permit)
--- a/sesamecross/gateway/prefill_tracker.py
+++ b/sesamecross/gateway/prefill_tracker.py
@@ -17,14 +17,16 @@
     """Accounts for the prompt of one attempt at an engine.
 
     Attributes:
-      on_prefill_done: Called once, when the prompt was read or the attempt is
-        over.
+      release_permit: Called when the attempt is over.
+      begin_permit: Called once, when the prompt was read; without it, the
+        permit is released then.
       is_relayed: The request goes by way of a peer, so that its stream says
         nothing about this instance's own path to the engine.
     """
 
     __slots__ = (
-        "on_prefill_done",
+        "release_permit",
+        "begin_permit",
         "is_relayed",
         "_upstream",
         "_call",
@@ -40,9 +42,11 @@
         choice: engine_choice.Choice,
         call: serving.ModelCall,
         uses: target_uses.TargetUses,
-        on_prefill_done: Callable[[], None],
+        release_permit: Callable[[], None],
+        begin_permit: Callable[[], None] | None = None,
     ):
-        self.on_prefill_done = on_prefill_done
+        self.release_permit = release_permit
+        self.begin_permit = begin_permit or release_permit
         self.is_relayed = False
         self._upstream: directory.KnownUpstream = choice.upstream
         self._call = call
@@ -65,6 +69,7 @@
         if not self.is_relayed:
             self._upstream.reachability.streaming += 1
         self._finish_prefill()
+        self.begin_permit()
         took_ms = (asyncio.get_running_loop().time() - self._started_s) * 1000
         speed_model = self._upstream.engine.speed(self._call.model)
         speed_model.observe(self._ahead_tokens + self._tokens, took_ms)
@@ -75,9 +80,9 @@
             self._finish_prefill()
         elif not self.is_relayed:
             self._upstream.reachability.streaming -= 1
+        self.release_permit()
         self._uses.end(self._upstream.entry.instance_id, self._call)
 
     def _finish_prefill(self) -> None:
         self._is_prefilled = True
-        self.on_prefill_done()
         self._upstream.engine.own_prompt_tokens -= self._tokens
--- a/sesamecross/gateway/service_search.py
+++ b/sesamecross/gateway/service_search.py
@@ -10,6 +10,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import pacing
+from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import service_choice
 from sesamecross.ops.fleet import stream_origins
@@ -140,9 +141,14 @@
         wait_s = self._route.objective_s or SLOT_WAIT_S
         result = await self._context.pacing.acquire(
             upstream,
-            0,
-            self._arrived_s + wait_s / 2,
-            min(self._deadline_s, self._arrived_s + wait_s),
+            admission_order.Ask(
+                0,
+                0,
+                self._route.urgency,
+                "",
+                self._arrived_s + wait_s / 2,
+                min(self._deadline_s, self._arrived_s + wait_s),
+            ),
             requires_grant=True,
         )
         match result:
--- /dev/null
+++ b/sesamecross/ops/fleet/admission_order.py
@@ -0,0 +1,450 @@
+"""Orders the requests that wait for one engine.
+
+When an engine has less room than its callers ask for, what is served must
+depend on what the callers need and not on who asks most often. A single order
+decides whose turn is next, who is refused, and when refused callers return:
+
+- the more urgent request goes first;
+- of one urgency, those that can still be on time go before those that can't;
+- among these, the workspaces take turns by virtual time: each has its time
+  advanced by the tokens that it was granted, and the one that is least advanced
+  goes first. A workspace that was idle begins at the time of the others, so
+  that it saves up nothing;
+- of one workspace, the earliest due time goes first.
+
+A part of the capacity is kept for requests that this order would starve: those
+that were late when they came, and those that have waited for a good part of
+their patience. These go by age, and by the same virtual time.
+"""
+
+import bisect
+from collections.abc import Iterator
+import dataclasses
+import zlib
+
+from sesamecross.core import serving
+
+Key = tuple[str, int]
+
+# Part of the capacity that is kept for requests that have waited long.
+KEPT_SHARE = 0.15
+# Share of its patience after which a request has waited long.
+AGEING_SHARE = 0.5
+# How many tokens the kept part may claim at once: two large prompts.
+MAX_KEPT_CREDIT = 10_000.0
+# Order in which urgencies out of range are taken.
+MIN_URGENCY = 0
+MAX_URGENCY = 9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Owner:
+    """Whose request it is.
+
+    Attributes:
+      workspace: Its name; empty if the configuration declares none.
+      urgency: Goes before that of the route; None if the workspace has none.
+    """
+
+    workspace: str = ""
+    urgency: int | None = None
+
+    @classmethod
+    def from_workspace(cls, workspace: serving.Workspace | None) -> "Owner":
+        """Returns the owner of a request of this workspace."""
+        if workspace is None:
+            return cls()
+        return cls(workspace.name, workspace.urgency)
+
+
+NO_OWNER = Owner()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """What a request needs of an engine, and when.
+
+    Attributes:
+      tokens: Prompt tokens that the engine has to read; 0 for a request without
+        a prompt, whose permit is held until the request ends.
+      output_tokens: The most that its answer may have.
+      urgency: 0 is the most urgent.
+      workspace: Whose request it is; empty if the configuration declares none.
+      due_s: Monotonic time by which it has to be sent to be on time.
+      until_s: Monotonic time after which waiting is of no use.
+      cached_tokens: Prompt tokens that the engine need not read, but holds in
+        memory.
+    """
+
+    tokens: int
+    output_tokens: int
+    urgency: int
+    workspace: str
+    due_s: float
+    until_s: float
+    cached_tokens: int = 0
+
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens of memory that the request takes until its end."""
+        counts = (self.tokens, self.cached_tokens, self.output_tokens)
+        return sum(max(0, count) for count in counts)
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingRequest:
+    """A request that waits for its turn.
+
+    Attributes:
+      key: The requesting instance and the number of its request.
+      ask: What it needs.
+      requested_s: Monotonic time of its arrival.
+      is_late: Whether it can no longer be on time.
+    """
+
+    key: Key
+    ask: Ask
+    requested_s: float
+    is_late: bool
+
+    @property
+    def urgency(self) -> int:
+        """Its urgency, in range."""
+        return min(MAX_URGENCY, max(MIN_URGENCY, self.ask.urgency))
+
+    @property
+    def cost(self) -> float:
+        """Tokens that its workspace is charged."""
+        return float(max(1, self.ask.tokens + self.ask.output_tokens))
+
+    @property
+    def ages_s(self) -> float:
+        """When it has waited long: at once if it was late when it came."""
+        if self.ask.due_s < self.requested_s:
+            return self.requested_s
+        patience_s = max(0.0, self.ask.until_s - self.requested_s)
+        return self.requested_s + AGEING_SHARE * patience_s
+
+
+class VirtualTimes:
+    """Turns of workspaces by the tokens that each was granted."""
+
+    __slots__ = ("_times", "_now")
+
+    def __init__(self) -> None:
+        self._times: dict[str, float] = {}
+        self._now = 0.0
+
+    def first(self, workspaces: list[str]) -> str:
+        """Returns the workspace whose turn it is."""
+        return min(workspaces, key=lambda one: (self._time(one), one))
+
+    def charge(self, workspace: str, cost: float) -> None:
+        """Records that a request of a workspace was granted."""
+        start = self._time(workspace)
+        self._now = max(self._now, start)
+        self._times[workspace] = start + cost
+
+    def forget_idle(self, waiting: set[str]) -> None:
+        """Drops workspaces whose time is over and that wait for nothing."""
+        self._times = {
+            name: time
+            for name, time in self._times.items()
+            if time > self._now or name in waiting
+        }
+
+    def _time(self, workspace: str) -> float:
+        return max(self._times.get(workspace, 0.0), self._now)
+
+
+# Entry of a sorted queue: due time or time of arrival, and the key.
+_Entry = tuple[float, Key]
+
+
+class _Queues:
+    """Sorted queues of workspaces, which take turns."""
+
+    __slots__ = ("_queues", "size")
+
+    def __init__(self) -> None:
+        self._queues: dict[str, list[_Entry]] = {}
+        self.size = 0
+
+    def add(self, workspace: str, entry: _Entry) -> None:
+        bisect.insort(self._queues.setdefault(workspace, []), entry)
+        self.size += 1
+
+    def remove(self, workspace: str, entry: _Entry) -> None:
+        queue = self._queues[workspace]
+        del queue[bisect.bisect_left(queue, entry)]
+        self.size -= 1
+        if not queue:
+            del self._queues[workspace]
+
+    def first(self, turns: VirtualTimes) -> Key:
+        if len(self._queues) == 1:
+            queue = next(iter(self._queues.values()))
+        else:
+            queue = self._queues[turns.first(list(self._queues))]
+        return queue[0][1]
+
+    def ahead_of(self, workspace: str, entry: _Entry) -> int:
+        """Returns how many requests here go before a request.
+
+        Workspaces take turns, so each other one sends about as many as go
+        before it in its own.
+        """
+        own = bisect.bisect_left(self._queues.get(workspace, []), entry)
+        return own + sum(
+            min(len(queue), own + 1)
+            for name, queue in self._queues.items()
+            if name != workspace
+        )
+
+    def workspaces(self) -> Iterator[str]:
+        return iter(self._queues)
+
+
+class _Level:
+    """Requests of one urgency."""
+
+    __slots__ = ("on_time", "late", "turns")
+
+    def __init__(self) -> None:
+        self.on_time = _Queues()
+        self.late = _Queues()
+        self.turns = VirtualTimes()
+
+    @property
+    def size(self) -> int:
+        return self.on_time.size + self.late.size
+
+
+class AdmissionOrder:
+    """Requests that wait for one engine, in order. Deterministic."""
+
+    __slots__ = (
+        "_requests",
+        "_levels",
+        "_long_waiting",
+        "_long_turns",
+        "_due_times",
+        "_ageing_times",
+        "_credit",
+        "_checked",
+    )
+
+    def __init__(self) -> None:
+        self._requests: dict[Key, WaitingRequest] = {}
+        # By urgency.
+        self._levels: dict[int, _Level] = {}
+        # Requests that have waited long; they are in their levels as well.
+        self._long_waiting = _Queues()
+        self._long_turns = VirtualTimes()
+        # When requests become late, and have waited long.
+        self._due_times: list[_Entry] = []
+        self._ageing_times: list[_Entry] = []
+        # Tokens that those who have waited long are owed for those granted
+        # before them.
+        self._credit = 0.0
+        # Requests in the order in which their refusal is to be considered.
+        self._checked: dict[Key, None] = {}
+
+    def __contains__(self, key: Key) -> bool:
+        return key in self._requests
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def get(self, key: Key) -> WaitingRequest | None:
+        """Returns a waiting request, or None."""
+        return self._requests.get(key)
+
+    def add(self, key: Key, ask: Ask, now_s: float) -> WaitingRequest:
+        """Adds a request at its place."""
+        request = WaitingRequest(key, ask, now_s, ask.due_s < now_s)
+        self._requests[key] = request
+        self._checked[key] = None
+        level = self._levels.setdefault(request.urgency, _Level())
+        if request.is_late:
+            level.late.add(ask.workspace, (ask.due_s, key))
+        else:
+            level.on_time.add(ask.workspace, (ask.due_s, key))
+            bisect.insort(self._due_times, (ask.due_s, key))
+        bisect.insort(self._ageing_times, (request.ages_s, key))
+        self.advance(now_s)
+        return request
+
+    def remove(self, key: Key) -> WaitingRequest | None:
+        """Removes a request that no longer waits; returns it."""
+        request = self._requests.pop(key, None)
+        if request is None:
+            return None
+        del self._checked[key]
+        ask = request.ask
+        level = self._levels[request.urgency]
+        if request.is_late:
+            level.late.remove(ask.workspace, (ask.due_s, key))
+        else:
+            level.on_time.remove(ask.workspace, (ask.due_s, key))
+            _remove_entry(self._due_times, (ask.due_s, key))
+        if not _remove_entry(self._ageing_times, (request.ages_s, key)):
+            self._long_waiting.remove(ask.workspace, (request.requested_s, key))
+        return request
+
+    def advance(self, now_s: float) -> None:
+        """Moves the requests that have become late, or have waited long."""
+        while self._due_times and self._due_times[0][0] < now_s:
+            entry = self._due_times.pop(0)
+            request = self._requests[entry[1]]
+            request.is_late = True
+            level = self._levels[request.urgency]
+            level.on_time.remove(request.ask.workspace, entry)
+            level.late.add(request.ask.workspace, entry)
+        while self._ageing_times and self._ageing_times[0][0] <= now_s:
+            _, key = self._ageing_times.pop(0)
+            request = self._requests[key]
+            self._long_waiting.add(
+                request.ask.workspace, (request.requested_s, key)
+            )
+
+    def first(self) -> WaitingRequest | None:
+        """Returns the request whose turn is next."""
+        if not self._requests:
+            return None
+        if self._long_waiting.size:
+            request = self._requests[self._long_waiting.first(self._long_turns)]
+            if self._credit >= min(request.cost, MAX_KEPT_CREDIT):
+                return request
+        for urgency in sorted(self._levels):
+            level = self._levels[urgency]
+            if level.on_time.size:
+                return self._requests[level.on_time.first(level.turns)]
+            if level.late.size:
+                return self._requests[level.late.first(level.turns)]
+        return None
+
+    def grant(self, request: WaitingRequest) -> None:
+        """Removes a request that was granted, and charges its workspace."""
+        has_waited_long = (
+            self._long_waiting.size
+            and self._long_waiting.first(self._long_turns) == request.key
+        )
+        self.remove(request.key)
+        workspace, cost = request.ask.workspace, request.cost
+        self._levels[request.urgency].turns.charge(workspace, cost)
+        if has_waited_long:
+            self._long_turns.charge(workspace, cost)
+            self._credit = max(0.0, self._credit - cost)
+        elif self._long_waiting.size:
+            owed = cost * KEPT_SHARE / (1.0 - KEPT_SHARE)
+            self._credit = min(MAX_KEPT_CREDIT, self._credit + owed)
+
+    def place(self, request: WaitingRequest) -> int:
+        """Returns about how many waiting requests go before this one."""
+        ahead = 0
+        urgency = request.urgency
+        for other, level in self._levels.items():
+            if other < urgency:
+                ahead += level.size
+        level = self._levels[urgency]
+        entry = (request.ask.due_s, request.key)
+        if not request.is_late:
+            return ahead + level.on_time.ahead_of(request.ask.workspace, entry)
+        ahead += level.on_time.size
+        return ahead + level.late.ahead_of(request.ask.workspace, entry)
+
+    def long_waiting_before(self, request: WaitingRequest) -> int:
+        """Returns about how many that have waited long go before a request."""
+        entry = (request.requested_s, request.key)
+        return self._long_waiting.ahead_of(request.ask.workspace, entry)
+
+    def to_check(self, count: int) -> list[WaitingRequest]:
+        """Returns some waiting requests, each in its turn."""
+        chosen = []
+        for key in self._checked:
+            if len(chosen) >= count:
+                break
+            chosen.append(self._requests[key])
+        for request in chosen:
+            del self._checked[request.key]
+            self._checked[request.key] = None
+        return chosen
+
+    def in_order(self) -> list[WaitingRequest]:
+        """Returns all waiting requests, by urgency, lateness and due time."""
+        return sorted(
+            self._requests.values(),
+            key=lambda one: (
+                one.urgency,
+                one.is_late,
+                one.ask.due_s,
+                one.key,
+            ),
+        )
+
+    def forget_idle(self) -> None:
+        """Drops what is known of workspaces and urgencies without requests."""
+        for level in self._levels.values():
+            waiting = {*level.on_time.workspaces(), *level.late.workspaces()}
+            level.turns.forget_idle(waiting)
+        self._long_turns.forget_idle(set(self._long_waiting.workspaces()))
+
+
+class ReturnTimes:
+    """When refused callers should retry, in the order of their turns.
+
+    A caller returns when its turn would have come. Callers refused together
+    return one after the other, at the interval at which the engine ends
+    requests, and more urgent ones before less urgent ones.
+    """
+
+    __slots__ = ("_booked_until_s",)
+
+    def __init__(self) -> None:
+        # By urgency, until when returns are spread.
+        self._booked_until_s: dict[int, float] = {}
+
+    def book(
+        self,
+        request: WaitingRequest,
+        turn_s: float,
+        interval_s: float,
+        now_s: float,
+        max_s: float,
+    ) -> float:
+        """Returns after how long a refused caller should retry.
+
+        Args:
+          request: The refused request.
+          turn_s: When its turn would come.
+          interval_s: Mean time between two turns.
+          now_s: Monotonic time.
+          max_s: The longest time to ask for.
+        """
+        urgency = request.urgency
+        booked_s = max(
+            (
+                until_s
+                for other, until_s in self._booked_until_s.items()
+                if other <= urgency
+            ),
+            default=now_s,
+        )
+        at_s = min(max(turn_s, booked_s + interval_s), now_s + max_s)
+        self._booked_until_s[urgency] = at_s
+        return at_s - now_s + interval_s * jitter(request.key)
+
+
+def jitter(key: Key) -> float:
+    """Returns a number in [0, 1) that differs from request to request."""
+    return zlib.crc32(f"{key[0]}/{key[1]}".encode()) / 2**32
+
+
+def _remove_entry(entries: list[_Entry], entry: _Entry) -> bool:
+    """Removes an entry from a sorted list; returns whether it was there."""
+    index = bisect.bisect_left(entries, entry)
+    if index == len(entries) or entries[index] != entry:
+        return False
+    del entries[index]
+    return True
--- /dev/null
+++ b/sesamecross/ops/fleet/budget_pacer.py
@@ -0,0 +1,550 @@
+"""Admission control for engines with small batches.
+
+`pacer.Pacer` counts a request until its first event and takes the streams that
+run from reports. That is exact enough for large batches. In one of 12 slots a
+few requests more or less are a good part of the batch, and they turn over
+within the age of a report. This pacer holds a lease for each request until the
+end of its stream (`engine_budget`), and serves one order of all that wait
+(`admission_order`). Prompts are paced as in `pacer`.
+
+A request that would need more of the memory than is free is not passed by those
+behind it: small requests would otherwise take each piece of memory before there
+is enough for a large one.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+import math
+
+from sesamecross.ops.fleet import admission_order
+from sesamecross.ops.fleet import engine_budget
+from sesamecross.ops.fleet import pacer
+
+# Waiting requests whose refusal is considered at each decision. All are
+# considered in turn, so that the time for a decision doesn't grow with them.
+CHECKED_PER_DECISION = 3
+# The longest Retry-After, as long as the most patient callers wait.
+MAX_RETRY_AFTER_S = 20.0
+
+
+class Verdict(enum.Enum):
+    """What was decided; the values are names in logs and metrics."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    REFUSED = "refused"
+
+
+class Reason(enum.Enum):
+    """Why; the values are names in logs and metrics.
+
+    Attributes:
+      ROOM: The engine has room.
+      SLOTS: All batch slots are in use.
+      MEMORY: Too little memory is free.
+      PROMPTS: Other prompts have to be read first.
+      TOO_LARGE: The prompt exceeds the engine's memory.
+      TURN_TOO_LATE: The turn is expected after the caller stops waiting.
+      TIME_IS_OVER: The caller has stopped waiting.
+    """
+
+    ROOM = "room"
+    SLOTS = "slots"
+    MEMORY = "memory"
+    PROMPTS = "prompts"
+    TOO_LARGE = "too_large"
+    TURN_TOO_LATE = "turn_too_late"
+    TIME_IS_OVER = "time_is_over"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecisionRecord:
+    """A decision and its inputs, for logs and metrics.
+
+    Attributes:
+      place: How many waiting requests go before it.
+      waited_s: How long the request has waited.
+      leases: Requests that hold a lease on the engine.
+      unleased: Further requests there, by reports.
+      memory_tokens: Memory held by leases.
+      confirmed_age_s: Age of the oldest confirmation of these leases.
+      after_s: When a refused caller should retry; 0 otherwise.
+    """
+
+    key: pacer.Key
+    verdict: Verdict
+    reason: Reason
+    urgency: int
+    workspace: str
+    place: int
+    waited_s: float
+    leases: int
+    unleased: int
+    memory_tokens: int
+    confirmed_age_s: float
+    after_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetDecisions:
+    """Requests that may be sent now and those refused, and the grounds.
+
+    Attributes:
+      retry_after_s: When the callers of refused requests should retry.
+    """
+
+    granted: tuple[pacer.Key, ...]
+    refused: tuple[pacer.Key, ...]
+    retry_after_s: Mapping[pacer.Key, float]
+    records: tuple[DecisionRecord, ...]
+
+
+class _Rates:
+    """Requests per second by urgency, decaying."""
+
+    __slots__ = ("_rates", "_at_s")
+
+    def __init__(self) -> None:
+        self._rates: dict[int, float] = {}
+        self._at_s = 0.0
+
+    def add(self, urgency: int, now_s: float) -> None:
+        self._decay(now_s)
+        added = 1.0 / pacer.RATE_TIME_CONSTANT_S
+        self._rates[urgency] = self._rates.get(urgency, 0.0) + added
+
+    def ahead_of(
+        self, urgency: int, includes_equal: bool, now_s: float
+    ) -> float:
+        """Returns the rate of requests that go before those of an urgency."""
+        self._decay(now_s)
+        return sum(
+            rate
+            for other, rate in self._rates.items()
+            if other < urgency or (includes_equal and other == urgency)
+        )
+
+    def _decay(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._at_s)
+        if not elapsed_s:
+            return
+        factor = math.exp(-elapsed_s / pacer.RATE_TIME_CONSTANT_S)
+        for urgency in self._rates:
+            self._rates[urgency] *= factor
+        self._at_s = now_s
+
+
+class _PromptRate:
+    """Prompts that an engine was sent and has not read."""
+
+    __slots__ = ("_unread", "_unread_tokens", "_level", "_backlog", "_at_s")
+
+    def __init__(self) -> None:
+        # Tokens of each prompt, and when it was sent.
+        self._unread: dict[pacer.Key, tuple[int, float]] = {}
+        self._unread_tokens = 0
+        # Tokens sent ahead of the rate.
+        self._level = 0.0
+        self._backlog = pacer.Backlog()
+        self._at_s = 0.0
+
+    def advance(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._at_s)
+        self._level = max(
+            0.0, self._level - elapsed_s * pacer.PREFILL_TOKENS_PER_S
+        )
+        self._at_s = now_s
+        # In the order in which they were sent.
+        while self._unread:
+            key, (_, sent_s) = next(iter(self._unread.items()))
+            if now_s - sent_s <= pacer.PREFILL_TIMEOUT_S:
+                break
+            self.finish(key)
+
+    def has_room(self, tokens: int) -> bool:
+        charged = _charged(tokens)
+        unread = self._unread_tokens + charged
+        if self._unread and unread > pacer.MAX_PENDING_TOKENS:
+            return False
+        return self._level + charged <= pacer.BURST_TOKENS
+
+    def note_waiting(self, tokens: int | None, now_s: float) -> None:
+        """Notes the prompt that waits for others to be read, if any."""
+        unread = self._unread_tokens + _charged(tokens or 0)
+        if tokens is None or not self._unread:
+            self._backlog.end()
+        elif unread > pacer.MAX_PENDING_TOKENS:
+            self._backlog.begin(now_s)
+        else:
+            self._backlog.end()
+
+    def send(self, key: pacer.Key, tokens: int, now_s: float) -> None:
+        self._unread[key] = (tokens, now_s)
+        self._unread_tokens += tokens
+        self._level += tokens
+
+    def finish(self, key: pacer.Key) -> None:
+        """Records that a prompt was read, or will not be."""
+        known = self._unread.pop(key, None)
+        if known is not None:
+            self._unread_tokens -= known[0]
+            self._backlog.add(known[0], self._at_s)
+
+    def wait_s(self, tokens_ahead: float, now_s: float) -> float:
+        """Returns how long prompts take that are sent first."""
+        rate = pacer.PREFILL_TOKENS_PER_S
+        ahead = self._level
+        read_rate = self._backlog.rate(now_s)
+        if read_rate is not None:
+            rate = max(pacer.FULL_MIN_TOKENS_PER_S, min(rate, read_rate))
+            ahead = max(ahead, self._unread_tokens - pacer.MAX_PENDING_TOKENS)
+        return (ahead + tokens_ahead) / rate
+
+    def next_s(self, now_s: float) -> float:
+        """Returns when the next prompt may have its turn."""
+        return now_s + max(
+            pacer.MIN_CHECK_INTERVAL_S, self._level / pacer.PREFILL_TOKENS_PER_S
+        )
+
+
+class BudgetPacer:
+    """Requests that wait for and run at one engine. Deterministic."""
+
+    __slots__ = (
+        "_budget",
+        "_order",
+        "_returns",
+        "_prompts",
+        "_arrivals",
+        "_is_full",
+        "_mean_charged",
+    )
+
+    def __init__(self, now_s: float) -> None:
+        self._budget = engine_budget.EngineBudget(now_s)
+        self._order = admission_order.AdmissionOrder()
+        self._returns = admission_order.ReturnTimes()
+        self._prompts = _PromptRate()
+        self._arrivals = _Rates()
+        self._is_full = False
+        # Smoothed charge of a prompt against the rate.
+        self._mean_charged = pacer.BURST_TOKENS / 2
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no requests wait or hold leases."""
+        return not len(self._order) and not len(self._budget)
+
+    @property
+    def budget(self) -> engine_budget.EngineBudget:
+        """The leases on the engine."""
+        return self._budget
+
+    def holders(self) -> tuple[pacer.Key, ...]:
+        """Returns the requests that hold leases."""
+        return self._budget.keys()
+
+    def waiting(self, now_s: float) -> tuple[pacer.Key, ...]:
+        """Returns the waiting requests in the order of their turns."""
+        self._order.advance(now_s)
+        return tuple(request.key for request in self._order.in_order())
+
+    def request(
+        self,
+        key: pacer.Key,
+        ask: admission_order.Ask,
+        batch: pacer.Batch,
+        now_s: float,
+    ) -> BudgetDecisions:
+        """Queues a request to send a prompt.
+
+        A request that was granted before is granted again, as the answer was
+        lost. One that has ended gets no answer: the message is late.
+        """
+        if key in self._budget:
+            return BudgetDecisions((key,), (), {}, ())
+        if self._budget.has_ended(key):
+            return BudgetDecisions((), (), {}, ())
+        request = self._order.get(key)
+        is_new = request is None
+        if is_new:
+            request = self._order.add(key, ask, now_s)
+            self._arrivals.add(request.urgency, now_s)
+            self._mean_charged += engine_budget.MEAN_WEIGHT * (
+                _charged(ask.tokens) - self._mean_charged
+            )
+            if _is_too_large(ask, batch):
+                record = self._refuse(
+                    request, Reason.TOO_LARGE, 0, batch, now_s
+                )
+                after_s = {key: record.after_s}
+                return BudgetDecisions((), (key,), after_s, (record,))
+        return self._decide(batch, now_s, request if is_new else None)
+
+    def record_stage(
+        self,
+        key: pacer.Key,
+        stage: engine_budget.Stage,
+        memory_tokens: int,
+        now_s: float,
+    ) -> None:
+        """Applies what the sender of a request says of its lease.
+
+        Args:
+          key: The request.
+          stage: How far it has got.
+          memory_tokens: Memory that it takes, if another pacer granted it.
+          now_s: Monotonic time.
+        """
+        if stage is not engine_budget.Stage.SENT:
+            self._prompts.finish(key)
+        if stage is engine_budget.Stage.ENDED:
+            self._order.remove(key)
+            self._budget.end(key, now_s)
+        else:
+            self._order.remove(key)
+            self._budget.confirm(key, memory_tokens, now_s)
+
+    def grant(self, batch: pacer.Batch, now_s: float) -> BudgetDecisions:
+        """Returns the requests that may be sent now, and those refused."""
+        return self._decide(batch, now_s, None)
+
+    def next_check_s(self, now_s: float) -> float | None:
+        """Returns when to check again, or None if no requests wait."""
+        if not len(self._order):
+            return None
+        if self._is_full:
+            return now_s + pacer.FULL_CHECK_INTERVAL_S
+        return self._prompts.next_s(now_s)
+
+    def _decide(
+        self,
+        batch: pacer.Batch,
+        now_s: float,
+        new: admission_order.WaitingRequest | None,
+    ) -> BudgetDecisions:
+        """Grants and refuses what can be decided now.
+
+        Args:
+          batch: How full the engine's batch is.
+          now_s: Monotonic time.
+          new: The request that has just arrived, if any.
+        """
+        self._budget.expire(now_s)
+        self._prompts.advance(now_s)
+        self._order.advance(now_s)
+        records: list[DecisionRecord] = []
+        granted = []
+        reason = Reason.ROOM
+        while (request := self._order.first()) is not None:
+            reason = self._obstacle(request, batch, now_s)
+            if reason is not Reason.ROOM:
+                break
+            self._grant(request, now_s, batch)
+            granted.append(request.key)
+            records.append(
+                self._record(request, Verdict.GRANTED, reason, 0, batch, now_s)
+            )
+        self._is_full = reason in (Reason.SLOTS, Reason.MEMORY)
+        self._prompts.note_waiting(
+            request.ask.tokens if reason is Reason.PROMPTS else None, now_s
+        )
+        checked = self._order.to_check(CHECKED_PER_DECISION)
+        if new is not None and new.key in self._order and new not in checked:
+            checked.append(new)
+        retry_after_s = {}
+        for one in checked:
+            record = self._refuse_if_due(one, batch, now_s)
+            if record is not None:
+                records.append(record)
+                retry_after_s[one.key] = record.after_s
+        if new is not None and new.key in self._order:
+            place = self._order.place(new)
+            records.append(
+                self._record(new, Verdict.WAITING, reason, place, batch, now_s)
+            )
+        return BudgetDecisions(
+            tuple(granted),
+            tuple(retry_after_s),
+            retry_after_s,
+            tuple(records),
+        )
+
+    def _obstacle(
+        self,
+        request: admission_order.WaitingRequest,
+        batch: pacer.Batch,
+        now_s: float,
+    ) -> Reason:
+        """Returns what keeps a request from being sent now."""
+        capacity = _capacity(batch)
+        running = batch.running
+        if not self._budget.free_slots(capacity, running, now_s):
+            return Reason.SLOTS
+        memory_tokens = _memory_tokens(request.ask, batch)
+        if not self._budget.has_memory(capacity, memory_tokens, running, now_s):
+            return Reason.MEMORY
+        if not self._prompts.has_room(request.ask.tokens):
+            return Reason.PROMPTS
+        return Reason.ROOM
+
+    def _grant(
+        self,
+        request: admission_order.WaitingRequest,
+        now_s: float,
+        batch: pacer.Batch,
+    ) -> None:
+        self._order.grant(request)
+        memory_tokens = _memory_tokens(request.ask, batch)
+        self._budget.grant(request.key, memory_tokens, now_s)
+        self._prompts.send(request.key, max(0, request.ask.tokens), now_s)
+
+    def _refuse_if_due(
+        self,
+        request: admission_order.WaitingRequest,
+        batch: pacer.Batch,
+        now_s: float,
+    ) -> DecisionRecord | None:
+        """Refuses a request whose turn is too late; returns the decision."""
+        ask = request.ask
+        place = self._order.place(request)
+        if now_s >= ask.until_s:
+            reason = Reason.TIME_IS_OVER
+        elif (
+            self._budget.has_hold
+            and self._turn_s(request, place, batch, now_s) > ask.until_s
+        ):
+            reason = Reason.TURN_TOO_LATE
+        else:
+            return None
+        return self._refuse(request, reason, place, batch, now_s)
+
+    def _refuse(
+        self,
+        request: admission_order.WaitingRequest,
+        reason: Reason,
+        place: int,
+        batch: pacer.Batch,
+        now_s: float,
+    ) -> DecisionRecord:
+        """Removes a waiting request; returns when its caller should retry."""
+        wait_s = self._wait_s(place, batch, 0.0, now_s)
+        after_s = self._returns.book(
+            request,
+            now_s + wait_s,
+            self._interval_s(batch),
+            now_s,
+            MAX_RETRY_AFTER_S,
+        )
+        self._order.remove(request.key)
+        return self._record(
+            request, Verdict.REFUSED, reason, place, batch, now_s, after_s
+        )
+
+    def _turn_s(
+        self,
+        request: admission_order.WaitingRequest,
+        place: int,
+        batch: pacer.Batch,
+        now_s: float,
+    ) -> float:
+        """Returns when a request's turn is expected.
+
+        Later requests that go before it take a part of what the engine serves.
+        A request that becomes late yields to those of its own urgency, too. The
+        part that is kept for long waits bounds the time in any case.
+        """
+        urgency = request.urgency
+        taken = self._arrivals.ahead_of(urgency, request.is_late, now_s)
+        turn_s = now_s + self._wait_s(place, batch, taken, now_s)
+        if not request.is_late and turn_s > request.ask.due_s:
+            taken = self._arrivals.ahead_of(urgency, True, now_s)
+            turn_s = now_s + self._wait_s(place, batch, taken, now_s)
+        if turn_s <= request.ask.until_s:
+            return turn_s
+        before = self._order.long_waiting_before(request)
+        interval_s = self._interval_s(batch) / admission_order.KEPT_SHARE
+        kept_s = max(now_s, request.ages_s) + (before + 1) * interval_s
+        return min(turn_s, kept_s)
+
+    def _wait_s(
+        self, place: int, batch: pacer.Batch, taken: float, now_s: float
+    ) -> float:
+        """Returns how long the turn after `place` others takes.
+
+        Args:
+          place: How many go first.
+          batch: How full the engine's batch is.
+          taken: Turns per second that later requests take.
+          now_s: Monotonic time.
+        """
+        prompts_s = self._prompts.wait_s(place * self._mean_charged, now_s)
+        free = self._budget.free_slots(_capacity(batch), batch.running, now_s)
+        missing = place + 1 - free
+        if missing <= 0:
+            return prompts_s
+        spare = 1.0 / self._interval_s(batch) - taken
+        if spare <= 0.0:
+            return math.inf
+        return max(prompts_s, missing / spare)
+
+    def _interval_s(self, batch: pacer.Batch) -> float:
+        """Returns the mean time between two ends of streams in a full batch."""
+        hold_s = max(pacer.MIN_CHECK_INTERVAL_S, self._budget.mean_hold_s)
+        return hold_s / pacer.stream_limit(batch)
+
+    def _record(
+        self,
+        request: admission_order.WaitingRequest,
+        verdict: Verdict,
+        reason: Reason,
+        place: int,
+        batch: pacer.Batch,
+        now_s: float,
+        after_s: float = 0.0,
+    ) -> DecisionRecord:
+        budget = self._budget
+        return DecisionRecord(
+            request.key,
+            verdict,
+            reason,
+            request.urgency,
+            request.ask.workspace,
+            place,
+            now_s - request.requested_s,
+            len(budget),
+            budget.unleased(batch.running, now_s),
+            budget.memory_tokens,
+            budget.confirmed_age_s(now_s),
+            after_s,
+        )
+
+
+def _charged(tokens: int) -> float:
+    """Returns a prompt's tokens as counted against the rate, as in `pacer`."""
+    return min(max(0, tokens), pacer.BURST_TOKENS)
+
+
+def _capacity(batch: pacer.Batch) -> engine_budget.Capacity:
+    return engine_budget.Capacity(
+        pacer.stream_limit(batch), batch.memory_tokens
+    )
+
+
+def _is_too_large(ask: admission_order.Ask, batch: pacer.Batch) -> bool:
+    """Whether a prompt exceeds the whole memory of an engine."""
+    if batch.memory_tokens is None:
+        return False
+    prompt_tokens = max(0, ask.tokens) + max(0, ask.cached_tokens)
+    return prompt_tokens > batch.memory_tokens
+
+
+def _memory_tokens(ask: admission_order.Ask, batch: pacer.Batch) -> int:
+    """Returns the memory that a request takes, at most all there is.
+
+    What callers state as the longest answer may exceed what an engine holds.
+    """
+    if batch.memory_tokens is None:
+        return ask.memory_tokens
+    return min(ask.memory_tokens, batch.memory_tokens)
--- /dev/null
+++ b/sesamecross/ops/fleet/engine_budget.py
@@ -0,0 +1,249 @@
+"""Accounts for an engine's batch slots and memory, from permit to stream end.
+
+Reports of the other instances are 0.3 to 0.8 s old. In a small batch that is
+long enough for several streams to begin and end, so the pacer of an engine
+counts the requests that it permits itself: each holds a lease on a slot and on
+memory for its prompt and answer. Its sender confirms the lease while the stream
+lasts. A lease that is not confirmed expires, as its sender is gone.
+
+Requests that the pacer did not permit are in the reports only.
+"""
+
+from collections import deque
+import dataclasses
+import enum
+
+Key = tuple[str, int]
+
+# Batches of fewer slots are accounted for by leases: there, one request too
+# many delays all others at once, and reports are too old to count slots.
+SMALL_BATCH_SLOTS = 20
+# How long an unconfirmed lease is kept, and how often it is confirmed: two
+# confirmations in a row may be lost.
+LEASE_S = 3.0
+RENEWAL_S = 1.0
+# Age of the oldest report that still counts.
+REPORT_AGE_S = 0.8
+# Weight of the newest request in the mean duration of leases and their memory.
+MEAN_WEIGHT = 0.05
+# Mean duration of a lease before the first one has ended.
+FIRST_HOLD_S = 2.0
+
+
+class Stage(enum.IntEnum):
+    """How far the request of a lease has got; names are those on the wire.
+
+    Attributes:
+      ENDED: The stream has ended, or the request will not be sent.
+      READ: The engine has read the prompt; the stream goes on.
+      SENT: The engine has yet to read the prompt.
+    """
+
+    ENDED = 0
+    READ = 1
+    SENT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What an engine has.
+
+    Attributes:
+      slots: Largest number of requests in a batch.
+      memory_tokens: Capacity of its memory for prompts and answers; None if
+        unknown, so that only slots are accounted for.
+    """
+
+    slots: int
+    memory_tokens: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    memory_tokens: int
+    since_s: float
+    confirmed_s: float
+    was_adopted: bool
+
+
+class EngineBudget:
+    """Leases on one engine's slots and memory. Deterministic."""
+
+    __slots__ = (
+        "_leases",
+        "_ended",
+        "_memory_tokens",
+        "_started_s",
+        "_earlier_counts",
+        "_mean_hold_s",
+        "_hold_count",
+        "_mean_tokens",
+    )
+
+    def __init__(self, now_s: float) -> None:
+        self._leases: dict[Key, _Lease] = {}
+        # When leases ended, so that a confirmation that arrives late does not
+        # begin them again.
+        self._ended: dict[Key, float] = {}
+        self._memory_tokens = 0
+        self._started_s = now_s
+        # Numbers of leases that were held until some time, in descending order:
+        # the first one is the highest within the age of reports.
+        self._earlier_counts: deque[tuple[float, int]] = deque()
+        self._mean_hold_s = FIRST_HOLD_S
+        self._hold_count = 0
+        self._mean_tokens = 0.0
+
+    def __contains__(self, key: Key) -> bool:
+        return key in self._leases
+
+    def __len__(self) -> int:
+        return len(self._leases)
+
+    def keys(self) -> tuple[Key, ...]:
+        """Returns the requests that hold leases."""
+        return tuple(self._leases)
+
+    def has_ended(self, key: Key) -> bool:
+        """Whether a lease ended within the last lease time."""
+        return key in self._ended
+
+    @property
+    def has_hold(self) -> bool:
+        """Whether the duration of leases was measured."""
+        return self._hold_count > 0
+
+    @property
+    def mean_hold_s(self) -> float:
+        """Smoothed duration of leases."""
+        return self._mean_hold_s
+
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that is held by leases."""
+        return self._memory_tokens
+
+    def confirmed_age_s(self, now_s: float) -> float:
+        """Returns the time since the least recently confirmed lease was."""
+        oldest_s = min(
+            (lease.confirmed_s for lease in self._leases.values()),
+            default=now_s,
+        )
+        return now_s - oldest_s
+
+    def grant(self, key: Key, memory_tokens: int, now_s: float) -> None:
+        """Begins the lease of a request that may be sent now."""
+        self._begin(key, memory_tokens, now_s, was_adopted=False)
+        if not self._mean_tokens:
+            self._mean_tokens = float(memory_tokens)
+        self._mean_tokens += (memory_tokens - self._mean_tokens) * MEAN_WEIGHT
+
+    def confirm(self, key: Key, memory_tokens: int, now_s: float) -> None:
+        """Keeps a lease, or adopts one that another pacer has granted."""
+        lease = self._leases.get(key)
+        if lease is not None:
+            lease.confirmed_s = now_s
+        elif key not in self._ended:
+            self._begin(key, memory_tokens, now_s, was_adopted=True)
+
+    def end(self, key: Key, now_s: float) -> bool:
+        """Ends a lease; returns whether it was held."""
+        self._ended[key] = now_s
+        lease = self._leases.get(key)
+        if lease is None:
+            return False
+        if not lease.was_adopted:
+            self._hold_count += 1
+            weight = max(MEAN_WEIGHT, 1.0 / self._hold_count)
+            held_s = now_s - lease.since_s
+            self._mean_hold_s += (held_s - self._mean_hold_s) * weight
+        self._remove(key, now_s)
+        return True
+
+    def expire(self, now_s: float) -> list[Key]:
+        """Ends the leases that were not confirmed; returns their keys."""
+        expired = [
+            key
+            for key, lease in self._leases.items()
+            if now_s - lease.confirmed_s > LEASE_S
+        ]
+        for key in expired:
+            self._remove(key, now_s)
+        # In the order in which they ended.
+        while self._ended:
+            key, ended_s = next(iter(self._ended.items()))
+            if now_s - ended_s <= LEASE_S:
+                break
+            del self._ended[key]
+        return expired
+
+    def unleased(self, running: float, now_s: float) -> int:
+        """Returns how many reported requests hold no lease.
+
+        Reports are as old as `REPORT_AGE_S`. They may contain each lease held
+        since then, so that only what exceeds the highest number of leases since
+        then is foreign. A new pacer doesn't know that number: of its leases
+        only those that are older than the reports are certain to be in them.
+
+        Args:
+          running: Requests at the engine, by the reports.
+          now_s: Monotonic time.
+        """
+        oldest_s = now_s - REPORT_AGE_S
+        if self._started_s > oldest_s:
+            reported = sum(
+                1 for lease in self._leases.values() if lease.was_adopted
+            )
+        else:
+            counts = self._earlier_counts
+            while counts and counts[0][0] < oldest_s:
+                counts.popleft()
+            earlier = counts[0][1] if counts else 0
+            reported = max(len(self._leases), earlier)
+        return max(0, int(running) - reported)
+
+    def free_slots(
+        self, capacity: Capacity, running: float, now_s: float
+    ) -> int:
+        """Returns how many more requests the batch may take now."""
+        used = len(self._leases) + self.unleased(running, now_s)
+        return max(0, max(1, capacity.slots) - used)
+
+    def has_memory(
+        self,
+        capacity: Capacity,
+        memory_tokens: int,
+        running: float,
+        now_s: float,
+    ) -> bool:
+        """Whether a request fits into the memory that is not leased.
+
+        Reports state no memory: a request without a lease counts as the mean of
+        those with one.
+        """
+        if capacity.memory_tokens is None:
+            return True
+        foreign = self.unleased(running, now_s) * self._mean_tokens
+        used = self._memory_tokens + foreign
+        return used + memory_tokens <= capacity.memory_tokens
+
+    def _begin(
+        self, key: Key, memory_tokens: int, now_s: float, was_adopted: bool
+    ) -> None:
+        self._record_count(now_s)
+        self._leases[key] = _Lease(memory_tokens, now_s, now_s, was_adopted)
+        self._memory_tokens += memory_tokens
+
+    def _remove(self, key: Key, now_s: float) -> None:
+        self._record_count(now_s)
+        self._memory_tokens -= self._leases.pop(key).memory_tokens
+
+    def _record_count(self, now_s: float) -> None:
+        """Notes the number of leases that were held until now."""
+        count = len(self._leases)
+        counts = self._earlier_counts
+        while counts and counts[-1][1] <= count:
+            counts.pop()
+        counts.append((now_s, count))
+        while counts[0][0] < now_s - REPORT_AGE_S:
+            counts.popleft()
--- a/sesamecross/ops/fleet/pacer.py
+++ b/sesamecross/ops/fleet/pacer.py
@@ -113,10 +113,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Use of an engine's batch, by the latest reports of all instances."""
+    """Use of an engine's batch, by the latest reports of all instances.
+
+    Attributes:
+      running: Requests in flight there.
+      slots: Largest number of requests in the batch.
+      memory_tokens: Capacity of its memory for prompts and answers; None if
+        unknown.
+    """
 
     running: float
     slots: int
+    memory_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,7 +135,7 @@
     refused: tuple[Key, ...]
 
 
-class _Backlog:
+class Backlog:
     """Measures what an engine reads while prompts wait for it all the time."""
 
     __slots__ = ("_windows",)
@@ -187,6 +195,11 @@
     )
 
 
+def stream_limit(batch: Batch) -> int:
+    """Returns the largest number of streams that a batch is given."""
+    return max(1, min(MAX_STREAMS, int(batch.slots * MAX_BATCH_SHARE)))
+
+
 class Pacer:
     """Prompts queued for and sent to one engine. Deterministic."""
 
@@ -220,7 +233,7 @@
         # before them.
         self._late_credit = 0.0
         self._is_full = False
-        self._backlog = _Backlog()
+        self._backlog = Backlog()
         self._at_s = 0.0
 
     @property
@@ -401,7 +414,7 @@
             for _, at_s in self._prefilling.values()
             if now_s - at_s < REPORT_DELAY_S
         )
-        limit = max(1, min(MAX_STREAMS, int(batch.slots * MAX_BATCH_SHARE)))
+        limit = stream_limit(batch)
         return max(0, limit - int(batch.running) - unreported)
 
     def _exceeds_pending(self, request: _WaitingRequest) -> bool:
