--- a/sesamecross/ops/fleet/admission_order.py
+++ b/sesamecross/ops/fleet/admission_order.py
@@ -18,8 +18,10 @@
 """
 
 import bisect
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import math
 import zlib
 
 from sesamecross.core import serving
@@ -100,30 +102,28 @@
       ask: What it needs.
       requested_s: Monotonic time of its arrival.
       is_late: Whether it can no longer be on time.
+      urgency: Its urgency, in range.
+      cost: Tokens that its workspace is charged.
+      ages_s: When it has waited long: at once if it was late when it came.
     """
 
     key: Key
     ask: Ask
     requested_s: float
     is_late: bool
+    urgency: int
+    cost: float
+    ages_s: float
 
-    @property
-    def urgency(self) -> int:
-        """Its urgency, in range."""
-        return min(MAX_URGENCY, max(MIN_URGENCY, self.ask.urgency))
-
-    @property
-    def cost(self) -> float:
-        """Tokens that its workspace is charged."""
-        return float(max(1, self.ask.tokens + self.ask.output_tokens))
-
-    @property
-    def ages_s(self) -> float:
-        """When it has waited long: at once if it was late when it came."""
-        if self.ask.due_s < self.requested_s:
-            return self.requested_s
-        patience_s = max(0.0, self.ask.until_s - self.requested_s)
-        return self.requested_s + AGEING_SHARE * patience_s
+    @classmethod
+    def from_ask(cls, key: Key, ask: Ask, now_s: float) -> "WaitingRequest":
+        """Returns a request that arrives now."""
+        is_late = ask.due_s < now_s
+        urgency = min(MAX_URGENCY, max(MIN_URGENCY, ask.urgency))
+        cost = float(max(1, ask.tokens + ask.output_tokens))
+        patience_s = 0.0 if is_late else max(0.0, ask.until_s - now_s)
+        ages_s = now_s + AGEING_SHARE * patience_s
+        return cls(key, ask, now_s, is_late, urgency, cost, ages_s)
 
 
 class VirtualTimes:
@@ -135,9 +135,17 @@
         self._times: dict[str, float] = {}
         self._now = 0.0
 
-    def first(self, workspaces: list[str]) -> str:
+    def first(self, workspaces: Iterable[str]) -> str:
         """Returns the workspace whose turn it is."""
-        return min(workspaces, key=lambda one: (self._time(one), one))
+        times, now = self._times, self._now
+        best, best_time = "", math.inf
+        for one in workspaces:
+            time = times.get(one, now)
+            if time < now:
+                time = now
+            if time < best_time or (time == best_time and one < best):
+                best, best_time = one, time
+        return best
 
     def charge(self, workspace: str, cost: float) -> None:
         """Records that a request of a workspace was granted."""
@@ -154,7 +162,7 @@
         }
 
     def _time(self, workspace: str) -> float:
-        return max(self._times.get(workspace, 0.0), self._now)
+        return max(self._times.get(workspace, self._now), self._now)
 
 
 # Entry of a sorted queue: due time or time of arrival, and the key.
@@ -185,7 +193,7 @@
         if len(self._queues) == 1:
             queue = next(iter(self._queues.values()))
         else:
-            queue = self._queues[turns.first(list(self._queues))]
+            queue = self._queues[turns.first(self._queues)]
         return queue[0][1]
 
     def ahead_of(self, workspace: str, entry: _Entry) -> int:
@@ -194,12 +202,16 @@
         Workspaces take turns, so each other one sends about as many as go
         before it in its own.
         """
-        own = bisect.bisect_left(self._queues.get(workspace, []), entry)
-        return own + sum(
-            min(len(queue), own + 1)
-            for name, queue in self._queues.items()
-            if name != workspace
-        )
+        queues = self._queues
+        queue = queues.get(workspace, ())
+        own = bisect.bisect_left(queue, entry)
+        if len(queues) == bool(queue):
+            return own
+        ahead = own - min(len(queue), own + 1)
+        for other in queues.values():
+            size = len(other)
+            ahead += size if size <= own else own + 1
+        return ahead
 
     def workspaces(self) -> Iterator[str]:
         return iter(self._queues)
@@ -231,6 +243,7 @@
         "_due_times",
         "_ageing_times",
         "_credit",
+        "_kept_turn",
         "_checked",
     )
 
@@ -247,6 +260,8 @@
         # Tokens that those who have waited long are owed for those granted
         # before them.
         self._credit = 0.0
+        # The request that is first of those that have waited long.
+        self._kept_turn: Key | None = None
         # Requests in the order in which their refusal is to be considered.
         self._checked: dict[Key, None] = {}
 
@@ -262,7 +277,7 @@
 
     def add(self, key: Key, ask: Ask, now_s: float) -> WaitingRequest:
         """Adds a request at its place."""
-        request = WaitingRequest(key, ask, now_s, ask.due_s < now_s)
+        request = WaitingRequest.from_ask(key, ask, now_s)
         self._requests[key] = request
         self._checked[key] = None
         level = self._levels.setdefault(request.urgency, _Level())
@@ -312,8 +327,10 @@
         """Returns the request whose turn is next."""
         if not self._requests:
             return None
+        self._kept_turn = None
         if self._long_waiting.size:
-            request = self._requests[self._long_waiting.first(self._long_turns)]
+            self._kept_turn = self._long_waiting.first(self._long_turns)
+            request = self._requests[self._kept_turn]
             if self._credit >= min(request.cost, MAX_KEPT_CREDIT):
                 return request
         for urgency in sorted(self._levels):
@@ -325,15 +342,11 @@
         return None
 
     def grant(self, request: WaitingRequest) -> None:
-        """Removes a request that was granted, and charges its workspace."""
-        has_waited_long = (
-            self._long_waiting.size
-            and self._long_waiting.first(self._long_turns) == request.key
-        )
+        """Removes the first request, and charges its workspace."""
         self.remove(request.key)
         workspace, cost = request.ask.workspace, request.cost
         self._levels[request.urgency].turns.charge(workspace, cost)
-        if has_waited_long:
+        if request.key == self._kept_turn:
             self._long_turns.charge(workspace, cost)
             self._credit = max(0.0, self._credit - cost)
         elif self._long_waiting.size:
--- a/sesamecross/ops/fleet/budget_pacer.py
+++ b/sesamecross/ops/fleet/budget_pacer.py
@@ -21,9 +21,9 @@
 from sesamecross.ops.fleet import engine_budget
 from sesamecross.ops.fleet import pacer
 
-# Waiting requests whose refusal is considered at each decision. All are
-# considered in turn, so that the time for a decision doesn't grow with them.
-CHECKED_PER_DECISION = 3
+# Waiting requests whose refusal is considered at each check. All are considered
+# in turn, so that the time for a decision doesn't grow with them.
+CHECKED_PER_DECISION = 2
 # The longest Retry-After, as long as the most patient callers wait.
 MAX_RETRY_AFTER_S = 20.0
 
@@ -100,6 +100,26 @@
     records: tuple[DecisionRecord, ...]
 
 
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """What an engine has left, as of one decision.
+
+    Attributes:
+      memory_tokens: Capacity of its memory; None if unknown.
+      unleased: Requests there without a lease, by reports.
+      free_slots: How many more requests the batch may take.
+      ends_per_s: Mean rate at which streams of a full batch end.
+    """
+
+    memory_tokens: int | None
+    unleased: int
+    free_slots: int
+    ends_per_s: float
+
+
+_NOTHING = BudgetDecisions((), (), {}, ())
+
+
 class _Rates:
     """Requests per second by urgency, decaying."""
 
@@ -119,11 +139,12 @@
     ) -> float:
         """Returns the rate of requests that go before those of an urgency."""
         self._decay(now_s)
-        return sum(
-            rate
-            for other, rate in self._rates.items()
-            if other < urgency or (includes_equal and other == urgency)
-        )
+        last = urgency if includes_equal else urgency - 1
+        ahead = 0.0
+        for other, rate in self._rates.items():
+            if other <= last:
+                ahead += rate
+        return ahead
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._at_s)
@@ -274,10 +295,9 @@
             self._mean_charged += engine_budget.MEAN_WEIGHT * (
                 _charged(ask.tokens) - self._mean_charged
             )
-            if _is_too_large(ask, batch):
-                record = self._refuse(
-                    request, Reason.TOO_LARGE, 0, batch, now_s
-                )
+            if _is_too_large(ask, batch.memory_tokens):
+                room = self._room(batch, now_s)
+                record = self._refuse(request, Reason.TOO_LARGE, 0, room, now_s)
                 after_s = {key: record.after_s}
                 return BudgetDecisions((), (key,), after_s, (record,))
         return self._decide(batch, now_s, request if is_new else None)
@@ -334,56 +354,72 @@
         self._budget.expire(now_s)
         self._prompts.advance(now_s)
         self._order.advance(now_s)
+        room = self._room(batch, now_s)
         records: list[DecisionRecord] = []
         granted = []
-        reason = Reason.ROOM
-        while (request := self._order.first()) is not None:
-            reason = self._obstacle(request, batch, now_s)
+        reason = Reason.ROOM if room.free_slots else Reason.SLOTS
+        request = None
+        while (
+            reason is Reason.ROOM
+            and (request := self._order.first()) is not None
+        ):
+            reason = self._obstacle(request, room)
             if reason is not Reason.ROOM:
                 break
-            self._grant(request, now_s, batch)
+            self._grant(request, room, now_s)
             granted.append(request.key)
             records.append(
-                self._record(request, Verdict.GRANTED, reason, 0, batch, now_s)
+                self._record(request, Verdict.GRANTED, reason, 0, room, now_s)
             )
-        self._is_full = reason in (Reason.SLOTS, Reason.MEMORY)
+            if not room.free_slots:
+                reason = Reason.SLOTS
+        self._is_full = reason is Reason.SLOTS or reason is Reason.MEMORY
         self._prompts.note_waiting(
             request.ask.tokens if reason is Reason.PROMPTS else None, now_s
         )
-        checked = self._order.to_check(CHECKED_PER_DECISION)
-        if new is not None and new.key in self._order and new not in checked:
-            checked.append(new)
-        retry_after_s = {}
-        for one in checked:
-            record = self._refuse_if_due(one, batch, now_s)
-            if record is not None:
-                records.append(record)
-                retry_after_s[one.key] = record.after_s
-        if new is not None and new.key in self._order:
+        if new is None:
+            for one in self._order.to_check(CHECKED_PER_DECISION):
+                place = self._order.place(one)
+                why = self._refusal_reason(one, place, room, now_s)
+                if why is not None:
+                    records.append(self._refuse(one, why, place, room, now_s))
+        elif new.key in self._order:
             place = self._order.place(new)
+            why = self._refusal_reason(new, place, room, now_s)
             records.append(
-                self._record(new, Verdict.WAITING, reason, place, batch, now_s)
+                self._record(new, Verdict.WAITING, reason, place, room, now_s)
+                if why is None
+                else self._refuse(new, why, place, room, now_s)
             )
+        if not records:
+            return _NOTHING
+        refused = tuple(
+            one.key for one in records if one.verdict is Verdict.REFUSED
+        )
         return BudgetDecisions(
             tuple(granted),
-            tuple(retry_after_s),
-            retry_after_s,
+            refused,
+            {one.key: one.after_s for one in records if one.after_s},
             tuple(records),
         )
 
+    def _room(self, batch: pacer.Batch, now_s: float) -> _Room:
+        """Returns what the engine has left."""
+        budget = self._budget
+        limit = pacer.stream_limit(batch)
+        unleased = budget.unleased(batch.running, now_s)
+        free = budget.free_slots(limit, unleased)
+        hold_s = max(pacer.MIN_CHECK_INTERVAL_S, budget.mean_hold_s)
+        return _Room(batch.memory_tokens, unleased, free, limit / hold_s)
+
     def _obstacle(
-        self,
-        request: admission_order.WaitingRequest,
-        batch: pacer.Batch,
-        now_s: float,
+        self, request: admission_order.WaitingRequest, room: _Room
     ) -> Reason:
         """Returns what keeps a request from being sent now."""
-        capacity = _capacity(batch)
-        running = batch.running
-        if not self._budget.free_slots(capacity, running, now_s):
-            return Reason.SLOTS
-        memory_tokens = _memory_tokens(request.ask, batch)
-        if not self._budget.has_memory(capacity, memory_tokens, running, now_s):
+        memory_tokens = _memory_tokens(request.ask, room.memory_tokens)
+        if not self._budget.has_memory(
+            room.memory_tokens, memory_tokens, room.unleased
+        ):
             return Reason.MEMORY
         if not self._prompts.has_room(request.ask.tokens):
             return Reason.PROMPTS
@@ -392,115 +428,112 @@
     def _grant(
         self,
         request: admission_order.WaitingRequest,
+        room: _Room,
         now_s: float,
-        batch: pacer.Batch,
     ) -> None:
         self._order.grant(request)
-        memory_tokens = _memory_tokens(request.ask, batch)
+        memory_tokens = _memory_tokens(request.ask, room.memory_tokens)
         self._budget.grant(request.key, memory_tokens, now_s)
         self._prompts.send(request.key, max(0, request.ask.tokens), now_s)
+        room.free_slots -= 1
 
-    def _refuse_if_due(
+    def _refusal_reason(
         self,
         request: admission_order.WaitingRequest,
-        batch: pacer.Batch,
+        place: int,
+        room: _Room,
         now_s: float,
-    ) -> DecisionRecord | None:
-        """Refuses a request whose turn is too late; returns the decision."""
-        ask = request.ask
-        place = self._order.place(request)
-        if now_s >= ask.until_s:
-            reason = Reason.TIME_IS_OVER
-        elif (
-            self._budget.has_hold
-            and self._turn_s(request, place, batch, now_s) > ask.until_s
-        ):
-            reason = Reason.TURN_TOO_LATE
-        else:
-            return None
-        return self._refuse(request, reason, place, batch, now_s)
+    ) -> Reason | None:
+        """Returns why a waiting request is to be refused; None if it is not."""
+        if now_s >= request.ask.until_s:
+            return Reason.TIME_IS_OVER
+        if self._is_too_late(request, place, room, now_s):
+            return Reason.TURN_TOO_LATE
+        return None
 
     def _refuse(
         self,
         request: admission_order.WaitingRequest,
         reason: Reason,
         place: int,
-        batch: pacer.Batch,
+        room: _Room,
         now_s: float,
     ) -> DecisionRecord:
-        """Removes a waiting request; returns when its caller should retry."""
-        wait_s = self._wait_s(place, batch, 0.0, now_s)
+        """Removes a waiting request and books its caller's return."""
+        wait_s = self._wait_s(place, room, 0.0, now_s)
         after_s = self._returns.book(
             request,
             now_s + wait_s,
-            self._interval_s(batch),
+            1.0 / room.ends_per_s,
             now_s,
             MAX_RETRY_AFTER_S,
         )
         self._order.remove(request.key)
         return self._record(
-            request, Verdict.REFUSED, reason, place, batch, now_s, after_s
+            request, Verdict.REFUSED, reason, place, room, now_s, after_s
         )
 
-    def _turn_s(
+    def _is_too_late(
         self,
         request: admission_order.WaitingRequest,
         place: int,
-        batch: pacer.Batch,
+        room: _Room,
         now_s: float,
-    ) -> float:
-        """Returns when a request's turn is expected.
+    ) -> bool:
+        """Whether a request's turn is expected after its caller has left.
 
         Later requests that go before it take a part of what the engine serves.
         A request that becomes late yields to those of its own urgency, too. The
         part that is kept for long waits bounds the time in any case.
         """
-        urgency = request.urgency
-        taken = self._arrivals.ahead_of(urgency, request.is_late, now_s)
-        turn_s = now_s + self._wait_s(place, batch, taken, now_s)
-        if not request.is_late and turn_s > request.ask.due_s:
-            taken = self._arrivals.ahead_of(urgency, True, now_s)
-            turn_s = now_s + self._wait_s(place, batch, taken, now_s)
-        if turn_s <= request.ask.until_s:
-            return turn_s
+        if not self._budget.has_hold:
+            return False
+        ask = request.ask
+        patience_s = ask.until_s - now_s
+        # First as if nothing came later, which mostly decides it.
+        wait_s = self._wait_s(place, room, 0.0, now_s)
+        if wait_s <= patience_s:
+            taken = self._arrivals.ahead_of(
+                request.urgency, request.is_late, now_s
+            )
+            wait_s = self._wait_s(place, room, taken, now_s)
+            if not request.is_late and now_s + wait_s > ask.due_s:
+                taken = self._arrivals.ahead_of(request.urgency, True, now_s)
+                wait_s = self._wait_s(place, room, taken, now_s)
+            if wait_s <= patience_s:
+                return False
         before = self._order.long_waiting_before(request)
-        interval_s = self._interval_s(batch) / admission_order.KEPT_SHARE
-        kept_s = max(now_s, request.ages_s) + (before + 1) * interval_s
-        return min(turn_s, kept_s)
+        kept_per_s = room.ends_per_s * admission_order.KEPT_SHARE
+        kept_s = max(now_s, request.ages_s) + (before + 1) / kept_per_s
+        return kept_s > ask.until_s
 
     def _wait_s(
-        self, place: int, batch: pacer.Batch, taken: float, now_s: float
+        self, place: int, room: _Room, taken: float, now_s: float
     ) -> float:
         """Returns how long the turn after `place` others takes.
 
         Args:
           place: How many go first.
-          batch: How full the engine's batch is.
+          room: What the engine has left.
           taken: Turns per second that later requests take.
           now_s: Monotonic time.
         """
         prompts_s = self._prompts.wait_s(place * self._mean_charged, now_s)
-        free = self._budget.free_slots(_capacity(batch), batch.running, now_s)
-        missing = place + 1 - free
+        missing = place + 1 - room.free_slots
         if missing <= 0:
             return prompts_s
-        spare = 1.0 / self._interval_s(batch) - taken
+        spare = room.ends_per_s - taken
         if spare <= 0.0:
             return math.inf
         return max(prompts_s, missing / spare)
 
-    def _interval_s(self, batch: pacer.Batch) -> float:
-        """Returns the mean time between two ends of streams in a full batch."""
-        hold_s = max(pacer.MIN_CHECK_INTERVAL_S, self._budget.mean_hold_s)
-        return hold_s / pacer.stream_limit(batch)
-
     def _record(
         self,
         request: admission_order.WaitingRequest,
         verdict: Verdict,
         reason: Reason,
         place: int,
-        batch: pacer.Batch,
+        room: _Room,
         now_s: float,
         after_s: float = 0.0,
     ) -> DecisionRecord:
@@ -514,7 +547,7 @@
             place,
             now_s - request.requested_s,
             len(budget),
-            budget.unleased(batch.running, now_s),
+            room.unleased,
             budget.memory_tokens,
             budget.confirmed_age_s(now_s),
             after_s,
@@ -526,25 +559,19 @@
     return min(max(0, tokens), pacer.BURST_TOKENS)
 
 
-def _capacity(batch: pacer.Batch) -> engine_budget.Capacity:
-    return engine_budget.Capacity(
-        pacer.stream_limit(batch), batch.memory_tokens
-    )
-
-
-def _is_too_large(ask: admission_order.Ask, batch: pacer.Batch) -> bool:
+def _is_too_large(ask: admission_order.Ask, memory_tokens: int | None) -> bool:
     """Whether a prompt exceeds the whole memory of an engine."""
-    if batch.memory_tokens is None:
+    if memory_tokens is None:
         return False
     prompt_tokens = max(0, ask.tokens) + max(0, ask.cached_tokens)
-    return prompt_tokens > batch.memory_tokens
+    return prompt_tokens > memory_tokens
 
 
-def _memory_tokens(ask: admission_order.Ask, batch: pacer.Batch) -> int:
+def _memory_tokens(ask: admission_order.Ask, memory_tokens: int | None) -> int:
     """Returns the memory that a request takes, at most all there is.
 
     What callers state as the longest answer may exceed what an engine holds.
     """
-    if batch.memory_tokens is None:
+    if memory_tokens is None:
         return ask.memory_tokens
-    return min(ask.memory_tokens, batch.memory_tokens)
+    return min(ask.memory_tokens, memory_tokens)
--- a/sesamecross/ops/fleet/engine_budget.py
+++ b/sesamecross/ops/fleet/engine_budget.py
@@ -12,6 +12,7 @@
 from collections import deque
 import dataclasses
 import enum
+import math
 
 Key = tuple[str, int]
 
@@ -44,20 +45,6 @@
     SENT = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Capacity:
-    """What an engine has.
-
-    Attributes:
-      slots: Largest number of requests in a batch.
-      memory_tokens: Capacity of its memory for prompts and answers; None if
-        unknown, so that only slots are accounted for.
-    """
-
-    slots: int
-    memory_tokens: int | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class _Lease:
     memory_tokens: int
@@ -75,6 +62,7 @@
         "_memory_tokens",
         "_started_s",
         "_earlier_counts",
+        "_next_expiry_s",
         "_mean_hold_s",
         "_hold_count",
         "_mean_tokens",
@@ -90,6 +78,8 @@
         # Numbers of leases that were held until some time, in descending order:
         # the first one is the highest within the age of reports.
         self._earlier_counts: deque[tuple[float, int]] = deque()
+        # No lease expires before.
+        self._next_expiry_s = math.inf
         self._mean_hold_s = FIRST_HOLD_S
         self._hold_count = 0
         self._mean_tokens = 0.0
@@ -149,6 +139,7 @@
     def end(self, key: Key, now_s: float) -> bool:
         """Ends a lease; returns whether it was held."""
         self._ended[key] = now_s
+        self._next_expiry_s = min(self._next_expiry_s, now_s + LEASE_S)
         lease = self._leases.get(key)
         if lease is None:
             return False
@@ -162,6 +153,8 @@
 
     def expire(self, now_s: float) -> list[Key]:
         """Ends the leases that were not confirmed; returns their keys."""
+        if now_s < self._next_expiry_s:
+            return []
         expired = [
             key
             for key, lease in self._leases.items()
@@ -175,6 +168,9 @@
             if now_s - ended_s <= LEASE_S:
                 break
             del self._ended[key]
+        times_s = [lease.confirmed_s for lease in self._leases.values()]
+        times_s += list(self._ended.values())[:1]
+        self._next_expiry_s = min(times_s, default=math.inf) + LEASE_S
         return expired
 
     def unleased(self, running: float, now_s: float) -> int:
@@ -202,30 +198,33 @@
             reported = max(len(self._leases), earlier)
         return max(0, int(running) - reported)
 
-    def free_slots(
-        self, capacity: Capacity, running: float, now_s: float
-    ) -> int:
-        """Returns how many more requests the batch may take now."""
-        used = len(self._leases) + self.unleased(running, now_s)
-        return max(0, max(1, capacity.slots) - used)
+    def free_slots(self, slots: int, unleased: int) -> int:
+        """Returns how many more requests a batch may take now.
+
+        Args:
+          slots: The batch's slots.
+          unleased: Requests there without a lease.
+        """
+        return max(0, slots - len(self._leases) - unleased)
 
     def has_memory(
-        self,
-        capacity: Capacity,
-        memory_tokens: int,
-        running: float,
-        now_s: float,
+        self, capacity: int | None, memory_tokens: int, unleased: int
     ) -> bool:
         """Whether a request fits into the memory that is not leased.
 
         Reports state no memory: a request without a lease counts as the mean of
         those with one.
+
+        Args:
+          capacity: The engine's memory; None if unknown, so that only slots
+            are accounted for.
+          memory_tokens: Memory that the request takes.
+          unleased: Requests there without a lease.
         """
-        if capacity.memory_tokens is None:
+        if capacity is None:
             return True
-        foreign = self.unleased(running, now_s) * self._mean_tokens
-        used = self._memory_tokens + foreign
-        return used + memory_tokens <= capacity.memory_tokens
+        used = self._memory_tokens + unleased * self._mean_tokens
+        return used + memory_tokens <= capacity
 
     def _begin(
         self, key: Key, memory_tokens: int, now_s: float, was_adopted: bool
@@ -233,6 +232,7 @@
         self._record_count(now_s)
         self._leases[key] = _Lease(memory_tokens, now_s, now_s, was_adopted)
         self._memory_tokens += memory_tokens
+        self._next_expiry_s = min(self._next_expiry_s, now_s + LEASE_S)
 
     def _remove(self, key: Key, now_s: float) -> None:
         self._record_count(now_s)
