--- a/sesamecross/ops/fleet/admission_order.py
+++ b/sesamecross/ops/fleet/admission_order.py
@@ -5,12 +5,12 @@
 decides whose turn is next, who is refused, and when refused callers return:
 
 - the more urgent request goes first;
-- of one urgency, those that can still be on time go before those that can't;
-- among these, the workspaces take turns by virtual time: each has its time
+- of one urgency, the workspaces take turns by virtual time: each has its time
   advanced by the tokens that it was granted, and the one that is least advanced
   goes first. A workspace that was idle begins at the time of the others, so
   that it saves up nothing;
-- of one workspace, the earliest due time goes first.
+- of one workspace, those that can still be on time go before those that can't,
+  and the earliest due time goes first.
 
 A part of the capacity is kept for requests that this order would starve: those
 that were late when they came, and those that have waited for a good part of
@@ -19,7 +19,6 @@
 
 import bisect
 from collections.abc import Iterable
-from collections.abc import Iterator
 import dataclasses
 import math
 import zlib
@@ -32,9 +31,12 @@
 KEPT_SHARE = 0.15
 # Share of its patience after which a request has waited long.
 AGEING_SHARE = 0.5
-# How many tokens the kept part may claim at once: two large prompts.
-MAX_KEPT_CREDIT = 10_000.0
-# Order in which urgencies out of range are taken.
+# How many turns the kept part may claim at once. It is counted in requests, as
+# large ones would otherwise wait until many small ones have had their turns.
+MAX_KEPT_TURNS = 2.0
+# Workspaces whose times are kept before those that are over are dropped.
+MAX_TIMES = 64
+# Urgencies out of this range are taken for the nearest in it.
 MIN_URGENCY = 0
 MAX_URGENCY = 9
 
@@ -152,21 +154,21 @@
         start = self._time(workspace)
         self._now = max(self._now, start)
         self._times[workspace] = start + cost
-
-    def forget_idle(self, waiting: set[str]) -> None:
-        """Drops workspaces whose time is over and that wait for nothing."""
-        self._times = {
-            name: time
-            for name, time in self._times.items()
-            if time > self._now or name in waiting
-        }
+        if len(self._times) > MAX_TIMES:
+            # Those whose time is over begin at the present one anyway.
+            self._times = {
+                name: time
+                for name, time in self._times.items()
+                if time > self._now
+            }
 
     def _time(self, workspace: str) -> float:
         return max(self._times.get(workspace, self._now), self._now)
 
 
-# Entry of a sorted queue: due time or time of arrival, and the key.
-_Entry = tuple[float, Key]
+# Entry of a sorted queue: a time, and the key; or before these, whether the
+# request is late.
+_Entry = tuple[float, Key] | tuple[bool, float, Key]
 
 
 class _Queues:
@@ -194,7 +196,7 @@
             queue = next(iter(self._queues.values()))
         else:
             queue = self._queues[turns.first(self._queues)]
-        return queue[0][1]
+        return queue[0][-1]
 
     def ahead_of(self, workspace: str, entry: _Entry) -> int:
         """Returns how many requests here go before a request.
@@ -204,7 +206,7 @@
         """
         queues = self._queues
         queue = queues.get(workspace, ())
-        own = bisect.bisect_left(queue, entry)
+        own = self.ahead_in_own(workspace, entry)
         if len(queues) == bool(queue):
             return own
         ahead = own - min(len(queue), own + 1)
@@ -213,24 +215,20 @@
             ahead += size if size <= own else own + 1
         return ahead
 
-    def workspaces(self) -> Iterator[str]:
-        return iter(self._queues)
+    def ahead_in_own(self, workspace: str, entry: _Entry) -> int:
+        """Returns how many of its own workspace go before a request."""
+        return bisect.bisect_left(self._queues.get(workspace, ()), entry)
 
 
 class _Level:
     """Requests of one urgency."""
 
-    __slots__ = ("on_time", "late", "turns")
+    __slots__ = ("queues", "turns")
 
     def __init__(self) -> None:
-        self.on_time = _Queues()
-        self.late = _Queues()
+        self.queues = _Queues()
         self.turns = VirtualTimes()
 
-    @property
-    def size(self) -> int:
-        return self.on_time.size + self.late.size
-
 
 class AdmissionOrder:
     """Requests that wait for one engine, in order. Deterministic."""
@@ -242,7 +240,7 @@
         "_long_turns",
         "_due_times",
         "_ageing_times",
-        "_credit",
+        "_kept_turns",
         "_kept_turn",
         "_checked",
     )
@@ -257,9 +255,9 @@
         # When requests become late, and have waited long.
         self._due_times: list[_Entry] = []
         self._ageing_times: list[_Entry] = []
-        # Tokens that those who have waited long are owed for those granted
+        # Turns that those who have waited long are owed for those granted
         # before them.
-        self._credit = 0.0
+        self._kept_turns = 0.0
         # The request that is first of those that have waited long.
         self._kept_turn: Key | None = None
         # Requests in the order in which their refusal is to be considered.
@@ -281,10 +279,8 @@
         self._requests[key] = request
         self._checked[key] = None
         level = self._levels.setdefault(request.urgency, _Level())
-        if request.is_late:
-            level.late.add(ask.workspace, (ask.due_s, key))
-        else:
-            level.on_time.add(ask.workspace, (ask.due_s, key))
+        level.queues.add(ask.workspace, _entry(request))
+        if not request.is_late:
             bisect.insort(self._due_times, (ask.due_s, key))
         bisect.insort(self._ageing_times, (request.ages_s, key))
         self.advance(now_s)
@@ -298,10 +294,8 @@
         del self._checked[key]
         ask = request.ask
         level = self._levels[request.urgency]
-        if request.is_late:
-            level.late.remove(ask.workspace, (ask.due_s, key))
-        else:
-            level.on_time.remove(ask.workspace, (ask.due_s, key))
+        level.queues.remove(ask.workspace, _entry(request))
+        if not request.is_late:
             _remove_entry(self._due_times, (ask.due_s, key))
         if not _remove_entry(self._ageing_times, (request.ages_s, key)):
             self._long_waiting.remove(ask.workspace, (request.requested_s, key))
@@ -310,12 +304,12 @@
     def advance(self, now_s: float) -> None:
         """Moves the requests that have become late, or have waited long."""
         while self._due_times and self._due_times[0][0] < now_s:
-            entry = self._due_times.pop(0)
-            request = self._requests[entry[1]]
+            _, key = self._due_times.pop(0)
+            request = self._requests[key]
+            queues = self._levels[request.urgency].queues
+            queues.remove(request.ask.workspace, _entry(request))
             request.is_late = True
-            level = self._levels[request.urgency]
-            level.on_time.remove(request.ask.workspace, entry)
-            level.late.add(request.ask.workspace, entry)
+            queues.add(request.ask.workspace, _entry(request))
         while self._ageing_times and self._ageing_times[0][0] <= now_s:
             _, key = self._ageing_times.pop(0)
             request = self._requests[key]
@@ -331,14 +325,12 @@
         if self._long_waiting.size:
             self._kept_turn = self._long_waiting.first(self._long_turns)
             request = self._requests[self._kept_turn]
-            if self._credit >= min(request.cost, MAX_KEPT_CREDIT):
+            if self._kept_turns >= 1.0:
                 return request
         for urgency in sorted(self._levels):
             level = self._levels[urgency]
-            if level.on_time.size:
-                return self._requests[level.on_time.first(level.turns)]
-            if level.late.size:
-                return self._requests[level.late.first(level.turns)]
+            if level.queues.size:
+                return self._requests[level.queues.first(level.turns)]
         return None
 
     def grant(self, request: WaitingRequest) -> None:
@@ -348,10 +340,10 @@
         self._levels[request.urgency].turns.charge(workspace, cost)
         if request.key == self._kept_turn:
             self._long_turns.charge(workspace, cost)
-            self._credit = max(0.0, self._credit - cost)
+            self._kept_turns = max(0.0, self._kept_turns - 1.0)
         elif self._long_waiting.size:
-            owed = cost * KEPT_SHARE / (1.0 - KEPT_SHARE)
-            self._credit = min(MAX_KEPT_CREDIT, self._credit + owed)
+            turns = self._kept_turns + KEPT_SHARE / (1.0 - KEPT_SHARE)
+            self._kept_turns = min(MAX_KEPT_TURNS, turns)
 
     def place(self, request: WaitingRequest) -> int:
         """Returns about how many waiting requests go before this one."""
@@ -359,13 +351,14 @@
         urgency = request.urgency
         for other, level in self._levels.items():
             if other < urgency:
-                ahead += level.size
-        level = self._levels[urgency]
-        entry = (request.ask.due_s, request.key)
-        if not request.is_late:
-            return ahead + level.on_time.ahead_of(request.ask.workspace, entry)
-        ahead += level.on_time.size
-        return ahead + level.late.ahead_of(request.ask.workspace, entry)
+                ahead += level.queues.size
+        queues = self._levels[urgency].queues
+        return ahead + queues.ahead_of(request.ask.workspace, _entry(request))
+
+    def place_in_workspace(self, request: WaitingRequest) -> int:
+        """Returns how many of its urgency and workspace go before a request."""
+        queues = self._levels[request.urgency].queues
+        return queues.ahead_in_own(request.ask.workspace, _entry(request))
 
     def long_waiting_before(self, request: WaitingRequest) -> int:
         """Returns about how many that have waited long go before a request."""
@@ -396,13 +389,6 @@
             ),
         )
 
-    def forget_idle(self) -> None:
-        """Drops what is known of workspaces and urgencies without requests."""
-        for level in self._levels.values():
-            waiting = {*level.on_time.workspaces(), *level.late.workspaces()}
-            level.turns.forget_idle(waiting)
-        self._long_turns.forget_idle(set(self._long_waiting.workspaces()))
-
 
 class ReturnTimes:
     """When refused callers should retry, in the order of their turns.
@@ -454,6 +440,11 @@
     return zlib.crc32(f"{key[0]}/{key[1]}".encode()) / 2**32
 
 
+def _entry(request: WaitingRequest) -> _Entry:
+    """Returns a request's place in the queue of its workspace."""
+    return (request.is_late, request.ask.due_s, request.key)
+
+
 def _remove_entry(entries: list[_Entry], entry: _Entry) -> bool:
     """Removes an entry from a sorted list; returns whether it was there."""
     index = bisect.bisect_left(entries, entry)
--- a/sesamecross/ops/fleet/budget_pacer.py
+++ b/sesamecross/ops/fleet/budget_pacer.py
@@ -24,6 +24,9 @@
 # Waiting requests whose refusal is considered at each check. All are considered
 # in turn, so that the time for a decision doesn't grow with them.
 CHECKED_PER_DECISION = 2
+# Rates are brought up to date at this interval, and forgotten below this rate.
+RATE_STEP_S = 0.1
+MIN_RATE = 0.05
 # The longest Retry-After, as long as the most patient callers wait.
 MAX_RETRY_AFTER_S = 20.0
 
@@ -121,39 +124,69 @@
 
 
 class _Rates:
-    """Requests per second by urgency, decaying."""
+    """Requests per second by urgency and workspace, decaying."""
 
-    __slots__ = ("_rates", "_at_s")
+    __slots__ = ("_rates", "_totals", "_at_s")
 
     def __init__(self) -> None:
-        self._rates: dict[int, float] = {}
+        self._rates: dict[int, dict[str, float]] = {}
+        self._totals: dict[int, float] = {}
         self._at_s = 0.0
 
-    def add(self, urgency: int, now_s: float) -> None:
-        self._decay(now_s)
+    def add(self, urgency: int, workspace: str, now_s: float) -> None:
+        self.decay(now_s)
         added = 1.0 / pacer.RATE_TIME_CONSTANT_S
-        self._rates[urgency] = self._rates.get(urgency, 0.0) + added
+        rates = self._rates.setdefault(urgency, {})
+        rates[workspace] = rates.get(workspace, 0.0) + added
+        self._totals[urgency] = self._totals.get(urgency, 0.0) + added
 
-    def ahead_of(
-        self, urgency: int, includes_equal: bool, now_s: float
-    ) -> float:
-        """Returns the rate of requests that go before those of an urgency."""
-        self._decay(now_s)
-        last = urgency if includes_equal else urgency - 1
-        ahead = 0.0
-        for other, rate in self._rates.items():
-            if other <= last:
-                ahead += rate
-        return ahead
-
-    def _decay(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._at_s)
-        if not elapsed_s:
+    def more_urgent(self, urgency: int) -> float:
+        """Returns the rate of requests of higher urgencies."""
+        more = 0.0
+        for other, rate in self._totals.items():
+            if other < urgency:
+                more += rate
+        return more
+
+    def spare(self, urgency: int, workspace: str, capacity: float) -> float:
+        """Returns what a workspace's new requests leave of its share.
+
+        The share is that of max-min fairness: what workspaces below an equal
+        share leave goes to the others.
+
+        Args:
+          urgency: Of its requests.
+          workspace: Its name.
+          capacity: Turns per second for all requests of this urgency.
+        """
+        rates = self._rates.get(urgency, {})
+        own = rates.get(workspace, 0.0)
+        others = self._totals.get(urgency, 0.0) - own
+        share = capacity - others
+        if share >= own:
+            return share - own
+        left, count = capacity, len(rates)
+        for rate in sorted(rates.values()):
+            if rate * count >= left:
+                break
+            left -= rate
+            count -= 1
+        return left / max(1, count) - own
+
+    def decay(self, now_s: float) -> None:
+        elapsed_s = now_s - self._at_s
+        if elapsed_s < RATE_STEP_S:
             return
-        factor = math.exp(-elapsed_s / pacer.RATE_TIME_CONSTANT_S)
-        for urgency in self._rates:
-            self._rates[urgency] *= factor
         self._at_s = now_s
+        factor = math.exp(-elapsed_s / pacer.RATE_TIME_CONSTANT_S)
+        for urgency, rates in self._rates.items():
+            kept = {
+                name: rate * factor
+                for name, rate in rates.items()
+                if rate * factor > MIN_RATE
+            }
+            self._rates[urgency] = kept
+            self._totals[urgency] = sum(kept.values())
 
 
 class _PromptRate:
@@ -291,7 +324,7 @@
         is_new = request is None
         if is_new:
             request = self._order.add(key, ask, now_s)
-            self._arrivals.add(request.urgency, now_s)
+            self._arrivals.add(request.urgency, ask.workspace, now_s)
             self._mean_charged += engine_budget.MEAN_WEIGHT * (
                 _charged(ask.tokens) - self._mean_charged
             )
@@ -379,6 +412,9 @@
         )
         if new is None:
             for one in self._order.to_check(CHECKED_PER_DECISION):
+                if one is request and now_s < one.ask.until_s:
+                    # Room is being made for this one.
+                    continue
                 place = self._order.place(one)
                 why = self._refusal_reason(one, place, room, now_s)
                 if why is not None:
@@ -483,8 +519,8 @@
         """Whether a request's turn is expected after its caller has left.
 
         Later requests that go before it take a part of what the engine serves.
-        A request that becomes late yields to those of its own urgency, too. The
-        part that is kept for long waits bounds the time in any case.
+        A request that becomes late yields to those of its own workspace, too.
+        The part that is kept for long waits bounds the time in any case.
         """
         if not self._budget.has_hold:
             return False
@@ -493,13 +529,12 @@
         # First as if nothing came later, which mostly decides it.
         wait_s = self._wait_s(place, room, 0.0, now_s)
         if wait_s <= patience_s:
-            taken = self._arrivals.ahead_of(
-                request.urgency, request.is_late, now_s
-            )
+            self._arrivals.decay(now_s)
+            taken = self._arrivals.more_urgent(request.urgency)
             wait_s = self._wait_s(place, room, taken, now_s)
-            if not request.is_late and now_s + wait_s > ask.due_s:
-                taken = self._arrivals.ahead_of(request.urgency, True, now_s)
-                wait_s = self._wait_s(place, room, taken, now_s)
+            if request.is_late or now_s + wait_s > ask.due_s:
+                late_s = self._wait_when_late_s(request, room, taken)
+                wait_s = max(wait_s, late_s)
             if wait_s <= patience_s:
                 return False
         before = self._order.long_waiting_before(request)
@@ -507,6 +542,25 @@
         kept_s = max(now_s, request.ages_s) + (before + 1) / kept_per_s
         return kept_s > ask.until_s
 
+    def _wait_when_late_s(
+        self,
+        request: admission_order.WaitingRequest,
+        room: _Room,
+        taken: float,
+    ) -> float:
+        """Returns how long a request waits that all of its workspace pass.
+
+        The first one of its workspace has the next turn, whatever comes later.
+        """
+        workspace = request.ask.workspace
+        place = self._order.place_in_workspace(request)
+        missing = place + 1 - room.free_slots
+        if not place or missing <= 0:
+            return 0.0
+        capacity = room.ends_per_s - taken
+        spare = self._arrivals.spare(request.urgency, workspace, capacity)
+        return missing / spare if spare > 0.0 else math.inf
+
     def _wait_s(
         self, place: int, room: _Room, taken: float, now_s: float
     ) -> float:
--- a/sesamecross/ops/fleet/budget_simulation_test.py
+++ b/sesamecross/ops/fleet/budget_simulation_test.py
@@ -11,8 +11,6 @@
 import itertools
 import random
 
-import pytest
-
 from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import budget_pacer
 from sesamecross.ops.fleet import engine_budget
