--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -34,6 +34,9 @@
 ACK_MARGIN_S = 0.04
 REQUEST_ATTEMPTS = 2
 MAX_SILENT_PACERS = 2
+# The same where permits are leases: in a small batch, the few requests that
+# come before a failure is detected would overfill an engine.
+MAX_SILENT_LEASE_PACERS = 4
 # An acknowledged request is repeated at this interval: its decision may have
 # been lost, and so may its pacer.
 RENEWAL_INTERVAL_S = 0.5
@@ -76,13 +79,19 @@
 
 @dataclasses.dataclass(slots=True)
 class _Lease:
-    """A permit that its holder confirms until the stream ends."""
+    """A permit that its holder confirms until the stream ends.
+
+    Attributes:
+      former_pacers: Instances that have paced the engine meanwhile, and may
+        still count the request.
+    """
 
     permit: Permit
     known: directory_lib.KnownUpstream
     memory_tokens: int
     stage: engine_budget.Stage
     confirmed_s: float
+    former_pacers: set[str] = dataclasses.field(default_factory=set)
 
 
 _AnyPacer = (
@@ -111,6 +120,9 @@
         self._pacers: dict[str, _AnyPacer] = {}
         # Leases that this instance holds, by the number of their permits.
         self._leases: dict[int, _Lease] = {}
+        # Ends of leases that are told a second time, as the first message may
+        # be lost, and to whom.
+        self._repeated_ends: list[tuple[fm.AdmissionRelease, str]] = []
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._pending_requests: dict[
             int, asyncio.Future[fm.AdmissionReply]
@@ -136,6 +148,7 @@
         """
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
+            self._repeat_ends()
             self._confirm_leases()
             for upstream in list(self._pacers):
                 self._grant(upstream)
@@ -192,9 +205,12 @@
             permit.
         """
         silent_pacers = 0
+        max_silent_pacers = MAX_SILENT_PACERS
+        if ask.tokens and _has_small_batch(known):
+            max_silent_pacers = MAX_SILENT_LEASE_PACERS
         while True:
             pacer = self._pacer_of(known)
-            if pacer is None or silent_pacers >= MAX_SILENT_PACERS:
+            if pacer is None or silent_pacers >= max_silent_pacers:
                 if requires_grant:
                     return PermitRefused(NO_PACER_RETRY_AFTER_S)
                 upstream = known.entry.instance_id
@@ -391,13 +407,24 @@
         if not permit.is_open:
             return
         permit.is_open = False
-        lease = self._leases.get(permit.number)
-        if lease is not None and lease.permit is permit:
-            del self._leases[permit.number]
         message = fm.AdmissionRelease(
             self._mesh.me, permit.number, permit.upstream
         )
         self._send(message, permit.pacer)
+        lease = self._leases.get(permit.number)
+        if lease is None or lease.permit is not permit:
+            return
+        del self._leases[permit.number]
+        for pacer in lease.former_pacers:
+            self._send(message, pacer)
+        if permit.pacer != self._mesh.me.name:
+            self._repeated_ends.append((message, permit.pacer))
+
+    def _repeat_ends(self) -> None:
+        """Tells again which leases have ended since the last time."""
+        ends, self._repeated_ends = self._repeated_ends, []
+        for message, pacer in ends:
+            self._send(message, pacer)
 
     def _confirm_leases(self) -> None:
         """Confirms the leases that are due, and those whose pacer changed."""
@@ -407,8 +434,12 @@
             if pacer is None:
                 continue
             is_due = now_s - lease.confirmed_s >= engine_budget.RENEWAL_S
-            if is_due or pacer != lease.permit.pacer:
+            if pacer != lease.permit.pacer:
+                lease.former_pacers.add(lease.permit.pacer)
+                lease.former_pacers.discard(pacer)
                 lease.permit.pacer = pacer
+                is_due = True
+            if is_due:
                 self._confirm(lease)
 
     def _confirm(self, lease: _Lease) -> None:
--- a/sesamecross/ops/fleet/budget_simulation_test.py
+++ b/sesamecross/ops/fleet/budget_simulation_test.py
@@ -11,6 +11,8 @@
 import itertools
 import random
 
+import pytest
+
 from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import budget_pacer
 from sesamecross.ops.fleet import engine_budget
@@ -324,3 +326,141 @@
     standing = serve(_Standing(), requests, until_s, **options)
     new = serve(budget_pacer.BudgetPacer(0.0), requests, until_s, **options)
     return standing, new
+
+
+SEEDS = [1, 2, 3]
+BIG = Kind("big", 12_000, 288, 0, 2.0, 6.0)
+
+
+def is_of(kind: Kind) -> Callable[[Request], bool]:
+    return lambda one: one.kind is kind
+
+
+def is_everyone(_: Request) -> bool:
+    return True
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_requests_are_served_beside_a_flood_of_patient_ones(seed):
+    """Guards against streams that wait behind those that could wait.
+
+    Patient requests come at seven times their usual rate for 12 s, and ask for
+    more than the engine has together with the urgent ones.
+    """
+    load = load_of(
+        arrivals(seed, LIVE, 4, 0, 30),
+        arrivals(seed, PATIENT, 1, 0, 30),
+        arrivals(seed, PATIENT, 6, 8, 20),
+    )
+    standing, new = both(load, 45.0)
+    urgent, patient = is_of(LIVE), is_of(PATIENT)
+    assert standing.served_share(urgent) < 0.8
+    assert new.served_share(urgent) > 0.97
+    # The patient ones wait and lose nothing by it.
+    assert new.served_share(patient) > 0.95
+    assert new.served_share(patient) < new.served_share(urgent) + 0.05
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_workspace_at_ten_times_its_rate_takes_little_from_others(seed):
+    """Guards against eight workspaces that pay for the flood of a ninth."""
+    base = [
+        arrivals(seed, LIVE, 0.6, 0, 30, f"w{number}") for number in range(1, 9)
+    ]
+    calm = load_of(*base, arrivals(seed, LIVE, 0.6, 0, 30, "w0"))
+    flood = load_of(
+        *base,
+        arrivals(seed, LIVE, 0.6, 0, 8, "w0"),
+        arrivals(seed, LIVE, 6.0, 8, 20, "w0"),
+    )
+
+    def is_other(one: Request) -> bool:
+        return one.workspace != "w0"
+
+    standing, new = both(flood, 45.0)
+    _, without = both(calm, 45.0)
+    assert new.served_share(is_other) > 0.94
+    assert new.served_share(is_other) > without.served_share(is_other) - 0.05
+    assert new.served_share(is_other) > standing.served_share(is_other) + 0.1
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("memory_tokens", [20_000, MEMORY_TOKENS])
+def test_large_requests_are_served_among_small_ones(seed, memory_tokens):
+    """Guards against small requests that take each free piece of memory.
+
+    The small ones ask for more than the engine has. Of its memory a large one
+    needs a fifth, or more than half.
+    """
+    load = load_of(
+        arrivals(seed, LIVE, 9, 0, 30), arrivals(seed, BIG, 0.3, 0, 30)
+    )
+    standing, new = both(load, 45.0, memory_tokens=memory_tokens)
+    assert new.served_share(is_of(BIG)) > 0.8
+    assert new.served_share(is_of(BIG)) > new.served_share(is_of(LIVE))
+    assert new.served_share(is_of(LIVE)) > standing.served_share(
+        is_of(LIVE)
+    ) - (0.05 if memory_tokens < MEMORY_TOKENS else 0.0)
+    assert not new.rejected
+    assert not new.waited_inside
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("rate", [4.0, 8.0, 16.0])
+@pytest.mark.parametrize("report_age_s", [0.3, 0.5, 0.8])
+def test_an_engine_is_not_overfilled_while_reports_are_old(
+    seed, rate, report_age_s
+):
+    """Guards against rejections: 129 instances send to one engine.
+
+    What it runs is known from reports of that age.
+    """
+    load = load_of(
+        arrivals(seed, LIVE, rate, 0, 20), arrivals(seed, CHECK, 4, 0, 20)
+    )
+    standing, new = both(load, 30.0, report_age_s=report_age_s)
+    assert new.peak <= SLOTS
+    assert not new.rejected
+    assert len(new.first_events) >= len(standing.first_events)
+    if rate > 4.0 and report_age_s >= 0.5:
+        assert standing.peak > SLOTS
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_requests_without_a_permit_are_seen_in_reports(seed):
+    """Guards against engines overfilled as a tenth is sent without asking."""
+    load = load_of(
+        arrivals(seed, LIVE, 6, 0, 30, unpermitted=0.1),
+        arrivals(seed, CHECK, 4, 0, 30, unpermitted=0.1),
+    )
+    standing, new = both(load, 45.0)
+    assert not new.rejected
+    assert new.peak <= SLOTS + 2
+    assert len(new.first_events) > len(standing.first_events)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_lost_messages_cost_slots_for_no_longer_than_a_lease(seed):
+    """Guards against slots lost for good: one message in ten is lost."""
+    load = arrivals(seed, LIVE, 6, 0, 30)
+    lossless = serve(budget_pacer.BudgetPacer(0.0), load, 45.0)
+    pacer = budget_pacer.BudgetPacer(0.0)
+    lossy = serve(pacer, load, 45.0, loss=0.1)
+    assert lossy.peak <= SLOTS
+    assert lossy.served_share(is_everyone) > (
+        lossless.served_share(is_everyone) - 0.1
+    )
+    assert pacer.is_idle
+
+
+def test_refused_callers_return_spread_over_time():
+    """Guards against waves: all refused callers used to return after 2.5 s."""
+    load = arrivals(1, LIVE, 14, 0, 20)
+    _, new = both(load, 30.0)
+    returns = sorted(
+        new.refused[n] + after_s for n, after_s in new.retry_after_s.items()
+    )
+    assert len(returns) > 60
+    counts = collections.Counter(int(one / 0.5) for one in returns)
+    # An engine ends 3.6 streams in half a second.
+    assert max(counts.values()) <= 8
--- a/sesamecross/ops/fleet/engine_budget.py
+++ b/sesamecross/ops/fleet/engine_budget.py
@@ -25,6 +25,12 @@
 RENEWAL_S = 1.0
 # Age of the oldest report that still counts.
 REPORT_AGE_S = 0.8
+# A pacer that has heard of no lease for this long may have missed some: others
+# have taken its place, or it was frozen.
+SILENCE_S = 1.5 * RENEWAL_S
+# How long a pacer is new: until the holders of leases have noticed the change,
+# and have confirmed theirs.
+NEW_S = LEASE_S
 # Weight of the newest request in the mean duration of leases and their memory.
 MEAN_WEIGHT = 0.05
 # Mean duration of a lease before the first one has ended.
@@ -60,7 +66,8 @@
         "_leases",
         "_ended",
         "_memory_tokens",
-        "_started_s",
+        "_new_until_s",
+        "_heard_s",
         "_earlier_counts",
         "_next_expiry_s",
         "_mean_hold_s",
@@ -74,7 +81,8 @@
         # begin them again.
         self._ended: dict[Key, float] = {}
         self._memory_tokens = 0
-        self._started_s = now_s
+        self._new_until_s = now_s + NEW_S
+        self._heard_s = now_s
         # Numbers of leases that were held until some time, in descending order:
         # the first one is the highest within the age of reports.
         self._earlier_counts: deque[tuple[float, int]] = deque()
@@ -123,6 +131,7 @@
 
     def grant(self, key: Key, memory_tokens: int, now_s: float) -> None:
         """Begins the lease of a request that may be sent now."""
+        self._hear(now_s)
         self._begin(key, memory_tokens, now_s, was_adopted=False)
         if not self._mean_tokens:
             self._mean_tokens = float(memory_tokens)
@@ -130,6 +139,7 @@
 
     def confirm(self, key: Key, memory_tokens: int, now_s: float) -> None:
         """Keeps a lease, or adopts one that another pacer has granted."""
+        self._hear(now_s)
         lease = self._leases.get(key)
         if lease is not None:
             lease.confirmed_s = now_s
@@ -138,6 +148,7 @@
 
     def end(self, key: Key, now_s: float) -> bool:
         """Ends a lease; returns whether it was held."""
+        self._hear(now_s)
         self._ended[key] = now_s
         self._next_expiry_s = min(self._next_expiry_s, now_s + LEASE_S)
         lease = self._leases.get(key)
@@ -178,17 +189,20 @@
 
         Reports are as old as `REPORT_AGE_S`. They may contain each lease held
         since then, so that only what exceeds the highest number of leases since
-        then is foreign. A new pacer doesn't know that number: of its leases
-        only those that are older than the reports are certain to be in them.
+        then is foreign. While a pacer is new, holders of leases are yet to
+        confirm theirs to it. Then only leases that are older than the reports
+        are certain to be in them, and the rest counts as foreign.
 
         Args:
           running: Requests at the engine, by the reports.
           now_s: Monotonic time.
         """
         oldest_s = now_s - REPORT_AGE_S
-        if self._started_s > oldest_s:
+        if now_s < self._new_until_s:
             reported = sum(
-                1 for lease in self._leases.values() if lease.was_adopted
+                1
+                for lease in self._leases.values()
+                if lease.was_adopted or lease.since_s <= oldest_s
             )
         else:
             counts = self._earlier_counts
@@ -226,6 +240,12 @@
         used = self._memory_tokens + unleased * self._mean_tokens
         return used + memory_tokens <= capacity
 
+    def _hear(self, now_s: float) -> None:
+        """Notes that the pacer hears of leases."""
+        if now_s - self._heard_s > SILENCE_S:
+            self._new_until_s = now_s + NEW_S
+        self._heard_s = now_s
+
     def _begin(
         self, key: Key, memory_tokens: int, now_s: float, was_adopted: bool
     ) -> None:
--- a/sesamecross/ops/fleet/engine_budget_test.py
+++ b/sesamecross/ops/fleet/engine_budget_test.py
@@ -21,6 +21,8 @@
 def budget_with(count: int, now_s: float = 0.0) -> engine_budget.EngineBudget:
     """Returns a budget whose pacer is long in office, with some leases."""
     budget = engine_budget.EngineBudget(now_s - 10.0)
+    for step in range(11):
+        budget.end(("other", step), now_s - 10.0 + step)
     for number in range(count):
         budget.grant(key(number), 100, now_s)
     return budget
@@ -73,6 +75,13 @@
     assert budget.unleased(3, 0.3) == 1
 
 
+def test_a_pacer_that_heard_nothing_counts_what_was_running():
+    """Guards against a frozen pacer that goes on with what it knew."""
+    budget = budget_with(0)
+    budget.grant(key(0), 100, 5.0)
+    assert budget.free_slots(SLOTS, budget.unleased(4, 5.1)) == 0
+
+
 def test_a_confirmation_that_arrives_late_does_not_begin_a_lease():
     """Guards against slots that are held for streams that have ended."""
     budget = budget_with(1)
