Patient requests: held at their instance, loaded for in groups

A route is patient if its objective is at least three loads from disk and twice the shortest time for which callers wait for an event. Where more models are declared than fit, its requests are reported apart from other demand, and the holder of the placement lease plans loads for their groups.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -64,6 +64,12 @@
       place_s: Mean time in seconds that a request occupies a batch slot; 0
         until one has ended.
       read_s: Mean prefill time of a request's prompt, in seconds.
+      patient_waiting: Patient requests that wait for a load; they are not in
+        `waiting` (`ops.fleet.patient_demand`).
+      patient_left_ms: How long the most urgent of them that is not late can
+        still wait; negative if all are late.
+      patient_millirate: Patient requests in 1,000 s; they are not in `rate`.
+        Integers, as a 0 takes one byte and most rows have no such request.
     """
 
     service: str
@@ -73,6 +79,9 @@
     late: float
     place_s: float
     read_s: float = 0.0
+    patient_waiting: int = 0
+    patient_left_ms: int = 0
+    patient_millirate: int = 0
 
 
 class UpstreamOutcomes(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -7,6 +7,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import random
 
 import msgspec
@@ -18,6 +20,7 @@
 from sesamecross.ops.fleet import demand as demand_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_choice
+from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import wait_policy
 
@@ -27,6 +30,8 @@
 NO_VERSION_RETRY_AFTER_S = 0.5
 # How often a waiting request checks whether a paused engine has gone on.
 PAUSE_CHECK_INTERVAL_S = 0.05
+# How often an instance checks whether more models are declared than fit.
+PATIENT_CHECK_INTERVAL_S = 1.0
 
 
 def _ignore_request(
@@ -56,11 +61,46 @@
     missing: wait_policy.MissedModels = msgspec.field(
         default_factory=wait_policy.MissedModels
     )
+    patient_services: "PatientServices" = msgspec.field(
+        default_factory=lambda: PatientServices()
+    )
     request_placement: Callable[[str, str, str, str], None] = _ignore_request
     pacing: pacing_lib.Pacing | None = None
     crash_guard: crash_guard_lib.CrashGuard | None = None
 
 
+class PatientServices:
+    """Services where patient requests are held, as known for a short time."""
+
+    __slots__ = ("_known",)
+
+    def __init__(self) -> None:
+        # Until when the answer is used, and the answer, by service.
+        self._known: dict[str, tuple[float, serving.EngineSpec | None]] = {}
+
+    def spec(
+        self, state: state_lib.State, service: str, now_s: float
+    ) -> serving.EngineSpec | None:
+        """Returns what a service's engines can load; None if not in effect."""
+        until_s, spec = self._known.get(service, (0.0, None))
+        if now_s < until_s:
+            return spec
+        configuration = state.configuration
+        declared = (
+            configuration.services.get(service) if configuration else None
+        )
+        spec = declared.engine if declared is not None else None
+        if spec is not None:
+            engines = sum(
+                known.entry.service == service and not known.is_replaced
+                for known in state.directory
+            )
+            if not patient_demand.is_in_effect(spec, engines):
+                spec = None
+        self._known[service] = (now_s + PATIENT_CHECK_INTERVAL_S, spec)
+        return spec
+
+
 class EngineSearch:
     """The search of one request; continues after each failed attempt.
 
@@ -86,6 +126,7 @@
         "_pacing_wait_s",
         "_permit",
         "_limit",
+        "_patient_model",
     )
 
     def __init__(
@@ -113,6 +154,14 @@
         self._permit: pacing_lib.Permit | None = None
         # What ended the search without an engine.
         self._limit: wait_policy.Limit | None = None
+        # The model, if the request is patient.
+        self._patient_model: serving.ModelSpec | None = None
+        service = route.targets[0].service
+        spec = context.patient_services.spec(context.state, service, arrived_s)
+        if spec is not None and patient_demand.is_patient(
+            route, spec, call.model
+        ):
+            self._patient_model = spec.models[call.model]
 
     @property
     def demand_key(self) -> demand_lib.Key:
@@ -129,6 +178,28 @@
         """Time spent waiting for the model or adapter and for admission."""
         return self._model_wait_s + self._pacing_wait_s
 
+    @property
+    def is_patient(self) -> bool:
+        """Whether the request waits for its model with others in a group.
+
+        A stream that goes on does not: it is late already.
+        """
+        return self._patient_model is not None and self.origin is None
+
+    def record_demand(self, read_s: float) -> None:
+        """Counts the request as demand for its model.
+
+        Args:
+          read_s: Estimated prefill time of its prompt.
+        """
+        demand = self._context.demand
+        if self.is_patient:
+            demand.record_patient_request(
+                self.demand_key, self._arrived_s, read_s
+            )
+        else:
+            demand.record_request(self.demand_key, self._arrived_s, read_s)
+
     async def find(
         self, tried: frozenset[str]
     ) -> directory.KnownUpstream | None:
@@ -305,7 +376,10 @@
             await context.state.wait_for_change(PAUSE_CHECK_INTERVAL_S)
             self._model_wait_s += asyncio.get_running_loop().time() - now_s
             return True
-        if choice is None:
+        if choice is None and self.is_patient:
+            # The lease holder learns of it from the instances' reports.
+            pass
+        elif choice is None:
             context.request_placement(service, self._call.model, "", version)
         else:
             engine = choice.upstream.entry.instance_id
@@ -315,16 +389,35 @@
             self.retry_after_s = decision.after_s
             self._limit = self._wait_limit(choice)
             return False
-        context.demand.adjust_waiting(self.demand_key, 1)
-        try:
-            await context.state.wait_for_change(
-                min(PLACEMENT_REQUEST_INTERVAL_S, decision.until_s - now_s)
-            )
-        finally:
-            context.demand.adjust_waiting(self.demand_key, -1)
-            self._model_wait_s += asyncio.get_running_loop().time() - now_s
+        with self._counted_as_waiting(choice):
+            try:
+                await context.state.wait_for_change(
+                    min(PLACEMENT_REQUEST_INTERVAL_S, decision.until_s - now_s)
+                )
+            finally:
+                self._model_wait_s += asyncio.get_running_loop().time() - now_s
         return True
 
+    @contextlib.contextmanager
+    def _counted_as_waiting(
+        self, choice: engine_choice.Choice | None
+    ) -> Iterator[None]:
+        """Counts the request as one that waits for a load."""
+        demand = self._context.demand
+        if choice is None and self.is_patient:
+            due_s = patient_demand.due_to_send_s(self._route, self._arrived_s)
+            demand.begin_patient_wait(self.demand_key, due_s)
+            try:
+                yield
+            finally:
+                demand.end_patient_wait(self.demand_key, due_s)
+        else:
+            demand.adjust_waiting(self.demand_key, 1)
+            try:
+                yield
+            finally:
+                demand.adjust_waiting(self.demand_key, -1)
+
     async def _wait_for_backoff(self, now_s: float) -> bool:
         """Waits until an engine wants requests again, if that is in time.
 
@@ -374,10 +467,20 @@
         )
         if choice is not None:
             return self._decide_adapter_wait(choice, request_times, now_s)
+        self._planned_arrival_s = self._earliest_arrival_s()
+        if self.is_patient:
+            return wait_policy.decide_patient(
+                request_times,
+                self._planned_arrival_s,
+                patient_demand.fastest_load_s(
+                    self._patient_model,
+                    (known.entry.copies for known in self._usable()),
+                ),
+                now_s,
+            )
         missing_since_s = self._context.missing.since(
             self._call.model, now_s, self.origin
         )
-        self._planned_arrival_s = self._earliest_arrival_s()
         return wait_policy.decide_model(
             request_times, self._planned_arrival_s, missing_since_s, now_s
         )
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -22,6 +22,7 @@
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import duty_cycle
 from sesamecross.ops.fleet import load_budget
+from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_steps
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
@@ -122,6 +123,9 @@
         self._down_since_s: dict[str, float] = {}
         self._is_active = False
         self._last_plan_s = 0.0
+        # The demand planned with last, and when it was first seen.
+        self._demand: dict[tuple[str, str], fm.TargetDemand] | None = None
+        self._demand_since_s = 0.0
         self._tick_pace = duty_cycle.DutyCycle(TICK_REST_RATIO)
         self._plan_pace = duty_cycle.DutyCycle(PLAN_REST_RATIO)
         self._request_cooldown = duty_cycle.Cooldown(
@@ -321,6 +325,9 @@
     # -- planning ------------------------------------------------------
 
     def _plan(self, now_s: float) -> None:
+        if self._demand is not self._state.fleet_demand:
+            self._demand = self._state.fleet_demand
+            self._demand_since_s = now_s
         by_service: dict[str, list[placement_types.Engine]] = {}
         for instance_id, tracked in self._tracker.items():
             known = self._state.directory.get(instance_id)
@@ -484,7 +491,12 @@
         if now_s < self._next_target_s.get(service, 0.0):
             return self._targets[service]
         if inputs.is_demand_known:
-            target = placement_target.plan_target(inputs)
+            target = placement_target.plan_target(
+                inputs,
+                lambda decision: self._record_group_load(
+                    service, decision, now_s
+                ),
+            )
         else:
             # The demand for models is unknown: only free memory is filled.
             target = placement_target.fill_free_room(inputs)
@@ -503,6 +515,38 @@
         )
         return target
 
+    def _record_group_load(
+        self,
+        service: str,
+        decision: patient_demand.LoadDecision,
+        now_s: float,
+    ) -> None:
+        """Logs and counts a load that is planned for patient requests."""
+        group = decision.group
+        self._metrics.count(
+            "sesamecross_patient_group_loads_total",
+            "Loads planned for groups of patient requests, by reason.",
+            {"reason": decision.reason.name.lower()},
+        )
+        self._metrics.count(
+            "sesamecross_patient_group_requests_total",
+            "Patient requests in groups for which a load was planned.",
+            {},
+            group.size,
+        )
+        self._log.info(
+            "patient group",
+            service=service,
+            model=group.model,
+            size=group.size,
+            left_ms=round(group.left_s * 1000),
+            why=decision.reason.value,
+            upstream=decision.instance_id,
+            takes_ms=round(decision.takes_s * 1000),
+            cost=round(decision.cost, 2),
+            demand_age_ms=round((now_s - self._demand_since_s) * 1000),
+        )
+
     def _log_target(
         self,
         service: str,
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sesamecross.core import fleet_messages as fm
+from sesamecross.ops.fleet import patient_demand
 
 # Time constant of the rate. Demand moves to other models within a few seconds;
 # this follows it, and a single request still shows for some seconds.
@@ -30,11 +31,20 @@
     late: float = 0.0
     place_s: float = 0.0
     read_s: float = 0.0
+    patient_rate: float = 0.0
+    patient_at_s: float = 0.0
+    # When the patient requests that wait must be sent to be on time.
+    patient_due_s: list[float] = []
 
     def rate_at(self, now_s: float) -> float:
         """Returns the rate, decayed to now."""
         return self.rate * math.exp((self.at_s - now_s) / RATE_TIME_CONSTANT_S)
 
+    def patient_rate_at(self, now_s: float) -> float:
+        """Returns the rate of patient requests, decayed to now."""
+        elapsed_s = now_s - self.patient_at_s
+        return self.patient_rate * math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
+
 
 class DemandMeter:
     """Demand by service and target."""
@@ -58,6 +68,36 @@
         meter.at_s = now_s
         meter.read_s = meter.read_s or read_s
 
+    def record_patient_request(
+        self, key: Key, now_s: float, read_s: float
+    ) -> None:
+        """Counts a patient request, which keeps no model resident.
+
+        Args:
+          key: The requested service and target.
+          now_s: Monotonic time.
+          read_s: As for `record_request`.
+        """
+        meter = self._meters.setdefault(key, _Meter())
+        meter.patient_rate = (
+            meter.patient_rate_at(now_s) + 1.0 / RATE_TIME_CONSTANT_S
+        )
+        meter.patient_at_s = now_s
+        meter.read_s = meter.read_s or read_s
+
+    def begin_patient_wait(self, key: Key, due_s: float) -> None:
+        """Records that a patient request waits for a load.
+
+        Args:
+          key: The requested service and target.
+          due_s: When it must be sent to be on time.
+        """
+        self._meters.setdefault(key, _Meter()).patient_due_s.append(due_s)
+
+    def end_patient_wait(self, key: Key, due_s: float) -> None:
+        """Records that a patient request stops waiting."""
+        self._meters.setdefault(key, _Meter()).patient_due_s.remove(due_s)
+
     def adjust_waiting(self, key: Key, change: int) -> None:
         """Records that a request starts (1) or stops (-1) waiting."""
         self._meters.setdefault(key, _Meter()).waiting += change
@@ -85,7 +125,13 @@
         for key in list(self._meters):
             meter = self._meters[key]
             rate = meter.rate_at(now_s)
-            if rate < MIN_RATE and not meter.waiting:
+            patient_rate = meter.patient_rate_at(now_s)
+            patient_due_s = meter.patient_due_s
+            if (
+                max(rate, patient_rate) < MIN_RATE
+                and not meter.waiting
+                and not patient_due_s
+            ):
                 del self._meters[key]
                 continue
             rows.append(
@@ -96,6 +142,18 @@
                     round(meter.late, 2),
                     round(meter.place_s, 3),
                     round(meter.read_s, 4),
+                    len(patient_due_s),
+                    _milliseconds(
+                        patient_demand.least_left_s(
+                            due_s - now_s for due_s in patient_due_s
+                        )
+                    ),
+                    round(patient_rate * 1000),
                 )
             )
         return rows
+
+
+def _milliseconds(time_s: float) -> int:
+    """Returns a time rounded to ms, and below 0 if it is negative."""
+    return math.floor(time_s * 1000)
--- a/sesamecross/ops/fleet/demand_history.py
+++ b/sesamecross/ops/fleet/demand_history.py
@@ -10,6 +10,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
+from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_types
 
 # Time constant of the long-term rate: a model requested once in this time stays
@@ -18,6 +19,10 @@
 # Cap on the rate that enters the long-term rate, so that a model without
 # further requests can be evicted within seconds, however busy it was.
 MAX_LONG_TERM_RATE = 1.0
+# The same for patient requests, of which a model without groups may have more.
+MAX_PATIENT_RATE = 10.0
+# A smoothed rate of patient requests below this counts as none.
+MIN_PATIENT_RATE = 0.001
 # After this long without any requests, the demand has to be learned again.
 PAUSE_S = 5.0
 
@@ -58,6 +63,7 @@
     __slots__ = (
         "_long_term_rates",
         "_at_s",
+        "_patient_rates",
         "_missing_since_s",
         "_active_since_s",
         "_last_request_s",
@@ -67,6 +73,7 @@
 
     def __init__(self) -> None:
         self._long_term_rates: dict[Key, float] = {}
+        self._patient_rates: dict[Key, float] = {}
         self._at_s: float | None = None
         self._missing_since_s: dict[Key, float] = {}
         self._active_since_s: float | None = None
@@ -141,24 +148,31 @@
         slots_used: dict[str, float] = {}
         prefill: dict[str, float] = {}
         waiting: dict[str, int] = {}
+        patient: dict[str, list[fm.TargetDemand]] = {}
         for (of_service, target), demand_row in reported.items():
             if of_service == service:
                 model = target.partition("/")[0]
                 rates[model] = rates.get(model, 0.0) + demand_row.rate
-                used = demand_row.rate * demand_row.place_s
+                # Patient requests take an engine's time like all others.
+                rate = (
+                    demand_row.rate + max(0, demand_row.patient_millirate) / 1e3
+                )
+                used = rate * demand_row.place_s
                 slots_used[model] = slots_used.get(model, 0.0) + used
-                prefill_load = demand_row.rate * demand_row.read_s
+                prefill_load = rate * demand_row.read_s
                 prefill[model] = prefill.get(model, 0.0) + prefill_load
                 late[model] = (
                     late.get(model, 0.0) + demand_row.rate * demand_row.late
                 )
+                if demand_row.patient_waiting or demand_row.patient_millirate:
+                    patient.setdefault(model, []).append(demand_row)
                 if model == target:
                     waiting[model] = waiting.get(model, 0) + demand_row.waiting
         for of_service, target, _ in requested_targets:
             if of_service == service and "/" not in target:
                 waiting[target] = max(1, waiting.get(target, 0))
-        self._note_activity(bool(rates or waiting), now_s)
-        self._smooth(service, spec, rates, now_s)
+        self._note_activity(bool(rates or waiting or patient), now_s)
+        self._smooth(service, spec, rates, patient, now_s)
         running: dict[str, int] = {}
         for (_, target), count in in_use.items():
             model = target.partition("/")[0]
@@ -176,6 +190,15 @@
                 waiting.get(name, 0),
                 late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
                 self._starved_s(service, name, waiting, held, now_s),
+                self._patient_rates.get((service, name), 0.0),
+                sum(
+                    max(0, row.patient_waiting) for row in patient.get(name, ())
+                ),
+                patient_demand.least_left_s(
+                    row.patient_left_ms / 1e3
+                    for row in patient.get(name, ())
+                    if row.patient_waiting > 0
+                ),
             )
             for name in spec.models
         }
@@ -203,6 +226,7 @@
         service: str,
         spec: serving.EngineSpec,
         rates: Mapping[str, float],
+        patient: Mapping[str, list[fm.TargetDemand]],
         now_s: float,
     ) -> None:
         elapsed_s = 0.0 if self._at_s is None else now_s - self._at_s
@@ -213,3 +237,9 @@
             long_term_rate = self._long_term_rates.get(key, 0.0)
             rate = min(MAX_LONG_TERM_RATE, rates.get(name, 0.0))
             self._long_term_rates[key] = rate + (long_term_rate - rate) * keep
+            smoothed = self._patient_rates.pop(key, 0.0)
+            rate = sum(row.patient_millirate for row in patient.get(name, ()))
+            rate = min(MAX_PATIENT_RATE, max(0.0, rate / 1e3))
+            smoothed = rate + (smoothed - rate) * keep
+            if smoothed >= MIN_PATIENT_RATE:
+                self._patient_rates[key] = smoothed
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -33,6 +33,12 @@
 # Value of such a model's replica if it has no, one, or more others. A model
 # that was given several replicas is probably a busy one.
 IDLE_LOSSES = (IDLE_VALUE, 2 * IDLE_VALUE, 0.0)
+# The same for a model that only patient requests ask for: it makes way before a
+# model without demand, as its group is served and the next one can wait.
+PATIENT_VALUE = 0.5 * IDLE_VALUE
+# Patient requests at a higher rate than this, per second, are no groups: a
+# model that makes way for one would be loaded again at once.
+MAX_GROUP_RATE = 1.0
 
 
 class Draft:
@@ -215,7 +221,7 @@
         return wait_s
     room_value = 0.0
     if not draft.engines_holding(name):
-        room_value = inputs.demand_for(name).value
+        room_value = inputs.demand_for(name).load_value
     evicted = [
         (draft.move_first_s(engine.name, victim, room_value), requests, victim)
         for requests, victim in (
@@ -250,6 +256,10 @@
     others = [
         other_id for other_id in draft.replicas[name] if other_id != instance_id
     ]
+    if not demand.is_in_demand and demand.patient_waiting and not others:
+        return max(PATIENT_VALUE, demand.group_value)
+    if not demand.is_in_demand and demand.patient_rate >= data.MIN_DEMAND_RATE:
+        return _patient_loss(demand, len(others))
     if not demand.is_in_demand:
         return IDLE_LOSSES[min(len(others), len(IDLE_LOSSES) - 1)]
     if others:
@@ -263,3 +273,12 @@
         # It is loaded there first, and the incoming model waits for that load.
         return MOVE_LOSS + demand.value * load_elsewhere_s / HORIZON_S
     return demand.value
+
+
+def _patient_loss(demand: data.ModelDemand, others: int) -> float:
+    """Returns the loss if a model that only patient requests ask for goes."""
+    if others and demand.load / others <= FULL_LOAD:
+        return 0.0
+    beyond_groups = max(0.0, demand.patient_rate - MAX_GROUP_RATE)
+    rare = min(demand.patient_rate, MAX_GROUP_RATE) / MAX_GROUP_RATE
+    return PATIENT_VALUE * (1.0 + 0.5 * rare) + beyond_groups
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -149,6 +149,9 @@
         replica_value = placement_draft.IDLE_VALUE
         if demand.is_in_demand:
             replica_value = max(replica_value, demand.value)
+        if demand.patient_waiting:
+            replica_value = max(replica_value, demand.group_value)
+            return replica_value, "is waited for by patient requests"
         return replica_value, "is held nowhere"
     load = demand.load / replicas
     excess = 0.0
@@ -179,7 +182,7 @@
         return
     # Models without demand leave store loads for models requested next.
     reserved_loads = (
-        0 if inputs.demand_for(name).is_in_demand else RESERVED_LOADS
+        0 if inputs.demand_for(name).has_callers else RESERVED_LOADS
     )
     if from_store and builder.store_loads <= reserved_loads:
         return
@@ -253,7 +256,8 @@
     since_s = inputs.withdrawn.get((instance_id, name))
     if since_s is not None:
         return inputs.now_s - since_s >= WITHDRAW_SETTLE_S
-    return inputs.demand_for(name).rate < data.MIN_DEMAND_RATE
+    demand = inputs.demand_for(name)
+    return max(demand.rate, demand.patient_rate) < data.MIN_DEMAND_RATE
 
 
 # -- adapters -------------------------------------------------------------
--- a/sesamecross/ops/fleet/placement_swaps.py
+++ b/sesamecross/ops/fleet/placement_swaps.py
@@ -50,7 +50,8 @@
         if not inventory.is_held_or_loading(name)
     ]
     return sorted(
-        names, key=lambda name: (-draft.inputs.demand_for(name).value, name)
+        names,
+        key=lambda name: (-draft.inputs.demand_for(name).load_value, name),
     )
 
 
@@ -125,7 +126,7 @@
         for name in sorted(draft.held[instance_id]):
             if engine.inventory.is_held_or_loading(name):
                 continue
-            if not draft.inputs.demand_for(name).is_in_demand:
+            if not draft.inputs.demand_for(name).has_callers:
                 continue
             if draft.is_needed(instance_id, name):
                 continue
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -17,7 +17,9 @@
 
 import msgspec
 
+from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_draft
+from sesamecross.ops.fleet import placement_groups
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_types as data
 
@@ -45,13 +47,46 @@
 MAX_MOVES = 12
 
 
-def plan_target(inputs: data.Inputs) -> data.PlacementTarget:
-    """Returns the models that each engine should hold."""
+def _ignore_load(decision: patient_demand.LoadDecision) -> None:
+    """Default for callers that don't log decisions."""
+
+
+def plan_target(
+    inputs: data.Inputs,
+    on_group_load: placement_groups.OnLoad = _ignore_load,
+) -> data.PlacementTarget:
+    """Returns the models that each engine should hold.
+
+    Args:
+      inputs: What is known.
+      on_group_load: Called for each load planned for patient requests.
+    """
     draft = placement_draft.Draft(inputs, inputs.target)
     placement_swaps.move_to_sooner(draft)
     placement_swaps.swap(draft)
     _meet_version_needs(draft)
-    tried: set[str] = set()
+    if placement_groups.has_groups(inputs):
+        # Groups come after models in demand, and before those without any.
+        _make_moves(
+            draft,
+            {
+                name
+                for name in inputs.spec.models
+                if not inputs.demand_for(name).is_in_demand
+            },
+        )
+        placement_groups.place_groups(draft, on_group_load)
+    _make_moves(draft, set())
+    return {name: frozenset(held) for name, held in draft.held.items()}
+
+
+def _make_moves(draft: placement_draft.Draft, tried: set[str]) -> None:
+    """Adds replicas as long as one has a net gain.
+
+    Args:
+      draft: The target to change.
+      tried: Models that are left out.
+    """
     for _ in range(MAX_MOVES):
         name = _most_valuable(draft, tried)
         if name is None:
@@ -61,7 +96,6 @@
             tried.add(name)
         else:
             _apply(draft, move)
-    return {name: frozenset(held) for name, held in draft.held.items()}
 
 
 def fill_free_room(inputs: data.Inputs) -> data.PlacementTarget:
@@ -71,7 +105,9 @@
     """
     draft = placement_draft.Draft(inputs, {})
     for name in sorted(inputs.spec.models):
-        if not inputs.demand_for(name).waiting or draft.replicas[name]:
+        demand = inputs.demand_for(name)
+        is_waited_for = demand.waiting or demand.patient_waiting
+        if not is_waited_for or draft.replicas[name]:
             continue
         free = [
             engine_id
@@ -157,6 +193,8 @@
     """
     demand = draft.inputs.demand_for(name)
     replicas = draft.replicas[name]
+    if not demand.is_in_demand and replicas and demand.patient_rate > 0:
+        return demand.patient_rate * _excess_share(draft, name)
     if not demand.is_in_demand:
         is_missed = not replicas and draft.inputs.are_engines_known
         return placement_draft.IDLE_VALUE if is_missed else 0.0
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -23,6 +23,9 @@
 VERSION_NEED_VALUE = 2.0
 # Minimum value of a model while a request waits for it, in requests per second.
 WAITING_VALUE = 0.3
+# The requests of a group are served once, and count over this time like the
+# rates of other models.
+GROUP_HORIZON_S = 8.0
 
 
 class ModelDemand(msgspec.Struct, frozen=True):
@@ -36,6 +39,12 @@
       waiting: Requests that wait until it is loaded.
       late: Share of the served requests that missed their latency objective.
       starved_s: For how long requests have found no engine with it.
+      patient_rate: Patient requests per second, smoothed; not in the rates
+        above.
+      patient_waiting: Patient requests that wait until it is loaded; not in
+        `waiting`.
+      patient_left_s: How long the most urgent of them that is not late can
+        still wait; negative if all are late.
     """
 
     rate: float
@@ -44,6 +53,9 @@
     waiting: int
     late: float = 0.0
     starved_s: float = 0.0
+    patient_rate: float = 0.0
+    patient_waiting: int = 0
+    patient_left_s: float = 0.0
 
     @property
     def is_in_demand(self) -> bool:
@@ -56,6 +68,21 @@
         minimum = WAITING_VALUE if self.waiting else 0.0
         return max(self.rate, self.long_term_rate, minimum)
 
+    @property
+    def has_callers(self) -> bool:
+        """Whether it is in demand, or patient requests wait for it."""
+        return self.is_in_demand or self.patient_waiting > 0
+
+    @property
+    def group_value(self) -> float:
+        """Value of its waiting patient requests, in requests per second."""
+        return self.patient_waiting / GROUP_HORIZON_S
+
+    @property
+    def load_value(self) -> float:
+        """Value of a planned load, for urgent and patient requests."""
+        return max(self.value, self.group_value)
+
 
 NO_DEMAND = ModelDemand(0.0, 0.0, 0.0, 0)
 
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -12,6 +12,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.ops.fleet import health
+from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import reachability
 
@@ -147,6 +148,18 @@
             (known.rate, known.place_s), (entry.rate, entry.place_s)
         ),
         _weighted_mean((known.rate, known.read_s), (entry.rate, entry.read_s)),
+        known.patient_waiting + entry.patient_waiting,
+        _least_left_ms(known, entry),
+        known.patient_millirate + entry.patient_millirate,
+    )
+
+
+def _least_left_ms(*rows: fm.TargetDemand) -> int:
+    """Returns how long the most urgent patient request can still wait."""
+    return round(
+        patient_demand.least_left_s(
+            row.patient_left_ms for row in rows if row.patient_waiting
+        )
     )
 
 
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -195,6 +195,38 @@
     return RetryAfter(retry_after_s(desired_s, times.ends_s, now_s))
 
 
+def decide_patient(
+    times: RequestTimes,
+    ready_at_s: float | None,
+    fastest_load_s: float,
+    now_s: float,
+) -> Wait | RetryAfter:
+    """Decides whether a patient request is held until its model is loaded.
+
+    It is held until the last moment at which a load can still be in time, with
+    or without a plan: the lease holder loads models for groups of such
+    requests. Retry-After is not cut to the time that the caller has left, as an
+    earlier retry would be refused too.
+
+    Args:
+      times: The request's times.
+      ready_at_s: When the model is expected; None if no load is planned.
+      fastest_load_s: The shortest time in which an engine can load it.
+      now_s: Monotonic time.
+    """
+    if ready_at_s is not None and ready_at_s >= now_s - OVERDUE_S:
+        until_s = times.send_deadline_s
+        after_s = max(ready_at_s - now_s, OVERDUE_S)
+        if ready_at_s > until_s:
+            return RetryAfter(after_s)
+    else:
+        until_s = times.send_deadline_s - fastest_load_s
+        after_s = fastest_load_s + PLAN_WAIT_S
+    if now_s < until_s:
+        return Wait(until_s)
+    return RetryAfter(max(MIN_RETRY_AFTER_S, after_s))
+
+
 def decide_adapter(times: RequestTimes, now_s: float) -> Wait | RetryAfter:
     """Decides whether a request waits for an adapter that has a free place.
 
