--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -147,6 +147,7 @@
             self._progress.request.call,
             self._context.uses,
             self._progress.search.release_permit,
+            self._progress.search.begin_permit,
         )
         if self._progress.relay is not None:
             self._progress.relay.upstream = upstream
--- a/sesamecross/gateway/request_task.py
+++ b/sesamecross/gateway/request_task.py
@@ -17,6 +17,7 @@
 from sesamecross.gateway import request_sender
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import service_search
+from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_state
 from sesamecross.ops.fleet import retry_policy
@@ -180,7 +181,9 @@
                 # It asks for nothing that could be loaded for it.
                 progress.retry_after_s = progress.search.retry_after_s
                 return self._refuse_or_fail("withheld")
-            self._record_demand()
+            progress.search.record_demand(
+                engine_state.estimate_prefill_s(progress.request.call)
+            )
         if progress.route.kind is serving.RouteKind.STREAM:
             self._begin_stream()
             if progress.is_resumed and not await self._find_origin():
@@ -228,6 +231,9 @@
                 call,
                 progress.arrived_s,
                 progress.deadline_s,
+                admission_order.Owner.from_workspace(
+                    progress.request.workspace
+                ),
             )
         else:
             progress.service_search = service_search.ServiceSearch(
@@ -237,14 +243,6 @@
                 progress.deadline_s,
             )
 
-    def _record_demand(self) -> None:
-        progress = self._progress
-        self._context.search_context.demand.record_request(
-            progress.search.demand_key,
-            progress.arrived_s,
-            engine_state.estimate_prefill_s(progress.request.call),
-        )
-
     def _begin_stream(self) -> None:
         progress = self._progress
         call = progress.request.call
