Guards: an end that follows a reset is not put down to the requests that were reset

Cause: connections of an instance were reset while their upstreams lived; one of these ended for another reason before the first look at it, 0.25 s later, so the requests counted it as a third upstream that ended under them and were withheld.

--- a/sesamecross/gateway/request_guard.py
+++ b/sesamecross/gateway/request_guard.py
@@ -211,7 +211,10 @@
         observed = self._observed.get(name)
         if observed is None:
             observed = self._observed[name] = _Observed(now_s)
-            task = asyncio.create_task(self._verify(name, upstream, observed))
+            verification = self._verifier.verify(upstream, now_s, request)
+            task = asyncio.create_task(
+                self._verify(name, observed, verification)
+            )
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         if len(observed.requests) < MAX_REQUESTS_OF_LOSS:
@@ -232,11 +235,10 @@
     async def _verify(
         self,
         name: str,
-        upstream: directory.KnownUpstream,
         observed: _Observed,
+        verification: asyncio.Task[bool | None],
     ) -> None:
         """Tells all what has become of the upstream."""
-        verification = self._verifier.verify(upstream, observed.lost_s)
         # What can't be told counts as a broken connection.
         observed.has_ended = bool(await asyncio.shield(verification))
         for request in observed.requests:
