--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -151,7 +151,7 @@
 def _member(number: int) -> fm.Member:
     zone = f"z{number % ZONES}"
     address = f"10.0.{number // 200}.{number % 200}:7380"
-    return fm.Member(f"front-{number}", 1000 + number, zone, address, 1, 1)
+    return fm.Member(f"front-{number}", 1000 + number, zone, address, -1, -1)
 
 
 def _upstream(number: int) -> serving.Upstream:
