--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -49,6 +49,7 @@
 from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import http_codec as http_codec_lib
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import supervisor
@@ -217,7 +218,7 @@
             lambda: self.state.bounds.lease_s,
             ticker,
             lambda: self.state.directory.is_mostly_unreachable(
-                asyncio.get_running_loop().time()
+                event_loop.now_s()
             ),
         )
         controller = placement_controller.PlacementController(
@@ -346,7 +347,7 @@
 
     def _build_report(self) -> fm.Report:
         """Builds the report of this instance for the others."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         loads = []
         failing = []
         directory = self.state.directory
@@ -408,7 +409,7 @@
         of these call the store, which can take a second, and requests
         accepted meanwhile would be cut off by the process's exit.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         started_s = loop.time()
         self._readiness.is_stopping = True
         self.relay_server.is_stopping = True
@@ -443,7 +444,7 @@
         used its whole time that exceeds the grace period, and the process
         would be killed.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         left_s = max(0.0, started_s + self.state.bounds.grace_s - now_s)
         share_s = left_s * STORE_GRACE_SHARE
         self.lease.release_timeout_s = min(
@@ -465,7 +466,7 @@
         self, condition: Callable[[], bool], started_s: float
     ) -> None:
         """Waits while the condition holds, until the stop's end."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             # Settings may change during the drain.
             self.forwarder.stop = self._current_stop(started_s)
--- a/sesamecross/gateway/catalog.py
+++ b/sesamecross/gateway/catalog.py
@@ -10,7 +10,6 @@
 and repeated failures would end the process.
 """
 
-import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +18,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 ConfigurationDecoder = Callable[[bytes], serving.Configuration | None]
@@ -123,7 +123,7 @@
     def _apply(self, record: store.KeyedRecord) -> None:
         directory = self._state.directory
         if record.value is None:
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             directory.lapsed(record.key, now_s)
             self._log.info("lapsed", id=record.key, offset=record.offset)
             self._state.notify_change()
@@ -135,7 +135,7 @@
         known = directory.get(record.key)
         before = known.entry if known is not None else None
         if directory.update_entry(entry):
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             self._state.versions.record_upstream(entry, now_s)
             self._state.notify_change()
             # The models that an upstream holds change with each order, for each
@@ -170,7 +170,7 @@
         """Notes that all records before `end` have been applied."""
         self.raw.advance_end(end)
         self._state.upstreams_offset = self.raw.end
-        self._state.upstreams_read_s = asyncio.get_running_loop().time()
+        self._state.upstreams_read_s = event_loop.now_s()
         self._state.mark_upstreams_listed()
 
 
--- a/sesamecross/gateway/control_client.py
+++ b/sesamecross/gateway/control_client.py
@@ -11,6 +11,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import client_connection
 from sesamecross.ops.fleet import answer_bounds
+from sesamecross.runtime import event_loop
 
 CONNECT_TIMEOUT_S = 1.0
 # A page of the store has 1 MB, in base64.
@@ -119,7 +120,7 @@
         If none arrives, the idle connections are closed together with the
         call's own: they have probably failed for the same reason.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         deadline_s = loop.time() + timeout_s
         connection = self._take_idle(loop.time())
         if connection is None:
--- a/sesamecross/gateway/crash_guard.py
+++ b/sesamecross/gateway/crash_guard.py
@@ -23,6 +23,7 @@
 from sesamecross.ops.fleet import crash_evidence
 from sesamecross.ops.fleet import crash_ledger
 from sesamecross.ops.fleet import directory
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -134,10 +135,10 @@
 
     async def run(self) -> None:
         """Sends again, announces and forgets."""
-        self._ledger.started_s = asyncio.get_running_loop().time()
+        self._ledger.started_s = event_loop.now_s()
         while True:
             await self._ticker.wait(STEP_INTERVAL_S)
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             if self._ledger.crash_count or self._ledger.withheld:
                 self._step(now_s)
             self._resend(now_s)
@@ -161,7 +162,7 @@
         prompt = crash_evidence.prompt_of(call)
         if prompt is None:
             return None
-        return self._ledger.left_s(prompt, asyncio.get_running_loop().time())
+        return self._ledger.left_s(prompt, event_loop.now_s())
 
     def may_send_again(self, call: serving.ModelCall) -> bool:
         """Whether a call that an engine did not answer may go to another."""
@@ -196,7 +197,7 @@
           upstream: The engine.
           first_event_s: Loop time of the answer's first event; None before it.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         prompt = crash_evidence.prompt_of(call)
         if prompt is None:
             return
@@ -240,7 +241,7 @@
     # -- exchange ----------------------------------------------------------
 
     def _report(self, engine: str, observed: _Observed) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._ledger.add_crash(engine, observed.lost_s, observed.prompts)
         self._resends.extend(
             (now_s + after_s, engine) for after_s in RESEND_AFTER_S
@@ -281,7 +282,7 @@
         )
 
     def _send_answers(self, answered_s: Mapping[str, float]) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._log.info("part answered", parts=list(answered_s))
         self._answer_resends.extend(
             (now_s + after_s, part)
@@ -332,7 +333,7 @@
                 self._on_news(message)
 
     def _on_news(self, news: fm.CrashNews) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         for crash in news.crashes:
             self._ledger.add_crash(
                 crash.engine,
@@ -367,7 +368,7 @@
 
     def restore(self, part: str, left_s: float, hold_s: float) -> None:
         """Takes over what the store says is withheld."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self._ledger.add_withheld(part, left_s, hold_s, now_s):
             self._log.warning("part withheld", by="store", withheld=part)
             self._restored.add(part)
@@ -399,7 +400,7 @@
         """Reports answers in a moment, unless another instance does so."""
         self._asked.update(parts)
         if self._asked and self._reply is None:
-            self._reply = asyncio.get_running_loop().call_later(
+            self._reply = event_loop.running().call_later(
                 self._rng.uniform(0, REPLY_SPREAD_S), self._send_reply
             )
 
--- a/sesamecross/gateway/end_verifier.py
+++ b/sesamecross/gateway/end_verifier.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from sesamecross.ops.fleet import directory
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 # How often and for how long it is asked. An upstream that has ended stays in
@@ -73,7 +74,7 @@
     ) -> bool | None:
         born_ms = upstream.entry.born_ms
         has_ended = None
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         for _ in range(VERIFY_ATTEMPTS):
             await asyncio.sleep(VERIFY_INTERVAL_S)
             has_ended = await self._connector.has_ended(upstream, born_ms)
--- a/sesamecross/gateway/engine_tracker.py
+++ b/sesamecross/gateway/engine_tracker.py
@@ -6,7 +6,6 @@
 under way, or the tracked count of orders differed from the engine's.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
@@ -21,6 +20,7 @@
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import engine_inventory
 from sesamecross.ops.fleet import placement_types
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 
@@ -215,7 +215,7 @@
     async def _request_report(
         self, tracked: TrackedEngine, known: directory_lib.KnownUpstream
     ) -> None:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         tracked.has_open_call = True
         requested_s = loop.time()
         try:
--- a/sesamecross/gateway/follower.py
+++ b/sesamecross/gateway/follower.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import store_client
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -163,7 +164,7 @@
         """
         if self._open_read is None:
             return
-        open_for_s = asyncio.get_running_loop().time() - self._read_begun_s
+        open_for_s = event_loop.now_s() - self._read_begun_s
         if open_for_s >= store_client.CALL_TIMEOUT_S:
             self._log.warning(
                 "read replaced",
@@ -235,7 +236,7 @@
             self._client.read(self._topic, self._offset, wait_s)
         )
         self._open_read = read
-        self._read_begun_s = asyncio.get_running_loop().time()
+        self._read_begun_s = event_loop.now_s()
         try:
             await asyncio.wait([read])
         finally:
--- a/sesamecross/gateway/idle_load_test.py
+++ b/sesamecross/gateway/idle_load_test.py
@@ -23,6 +23,8 @@
 ZONES = 6
 # Of the tasks that act in each round, and checks of conditions for the others.
 MAX_CALLBACKS_PER_S = 90
+# By the library's own functions, such as `asyncio.sleep`.
+MAX_LOOP_LOOKUPS_PER_S = 10
 # Components that call the store or listen on sockets; they wait for these.
 NOT_PERIODIC = frozenset(
     {"front", "ready", "metrics", "joiner", "sync", "reloader"}
@@ -132,3 +134,22 @@
     """
     _, callbacks = count_work(instances)
     assert callbacks <= MAX_CALLBACKS_PER_S * DURATION_S
+
+
+def test_an_idle_instance_rarely_asks_for_its_event_loop(monkeypatch):
+    """Guards against a system call at each look at the time.
+
+    `asyncio.get_running_loop` makes one; see `runtime.event_loop`.
+    """
+    find = asyncio.get_running_loop
+    calls = 0
+
+    def counting_find():
+        nonlocal calls
+        calls += 1
+        return find()
+
+    monkeypatch.setattr(asyncio, "get_running_loop", counting_find)
+    monkeypatch.setattr(asyncio.events, "get_running_loop", counting_find)
+    count_work(8)
+    assert calls <= MAX_LOOP_LOOKUPS_PER_S * DURATION_S
--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -12,6 +12,7 @@
 from sesamecross.ops.fleet import version_records
 from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 # How long a planned stop waits for the store.
@@ -75,7 +76,7 @@
             await self._read_versions()
 
     async def _wait_for_upstreams(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         until_s = loop.time() + UPSTREAMS_WAIT_S
         while not self._state.has_upstream_list and loop.time() < until_s:
             await self._state.wait_for_change(until_s - loop.time())
@@ -85,7 +86,7 @@
         await self._wait_for_upstreams()
         if not self._state.has_upstream_list:
             return
-        begun_s = asyncio.get_running_loop().time()
+        begun_s = event_loop.now_s()
         listed = await self._registrar.list_records()
         if listed is None:
             await asyncio.sleep(registrar_lib.RETRY_INTERVAL_S)
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -14,6 +14,7 @@
 from sesamecross.ops.fleet import lease as lease_lib
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.utils import rendezvous
@@ -221,7 +222,7 @@
             self._cut_off_since_s = now_s
         if now_s - self._cut_off_since_s < CUT_OFF_TIMEOUT_S:
             return False
-        alive = self._mesh.roster.alive(asyncio.get_running_loop().time())
+        alive = self._mesh.roster.alive(event_loop.now_s())
         return any(not member.unreachable for member in alive)
 
     async def _resign(self) -> None:
@@ -239,7 +240,7 @@
         self._mesh.announce_release(self._next_candidates())
 
     def _rank(self) -> int:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         roster = self._mesh.roster
         version = roster.version(now_s)
         if version != self._rank_version:
@@ -252,7 +253,7 @@
 
     def _next_candidates(self) -> list[fm.Member]:
         """Returns the next candidates, assuming this instance is gone."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         alive = {
             member.name: member
             for member in self._mesh.roster.alive(now_s)
@@ -266,7 +267,7 @@
         roster = self._mesh.roster
         if lease is None or lease.holder == roster.me.name:
             return False
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         left_s = lease.left_s - (now_s - self._mesh.lease_received_s)
         return left_s > 0 and roster.is_alive(lease.holder, now_s)
 
@@ -329,9 +330,7 @@
                 self.machine.fence,
                 self.machine.left_s(boottime_clock()),
             )
-            self._mesh.update_lease(
-                announcement, asyncio.get_running_loop().time()
-            )
+            self._mesh.update_lease(announcement, event_loop.now_s())
 
 
 def _find_lease(newest: store.NewestPage) -> lease_lib.Record | None:
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -4,6 +4,7 @@
 
 from sesamecross.gateway import server_connection
 from sesamecross.ops.fleet import connection_shedder
+from sesamecross.runtime import event_loop
 
 # Length of the accept queue. When another instance stops, the platform's
 # load balancer moves all callers of a zone here at once.
@@ -65,7 +66,7 @@
 
     async def run(self) -> None:
         """Listens until cancelled."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         host, _, port = self._address.rpartition(":")
         self._server = await loop.create_server(
             lambda: server_connection.ServerConnection(
@@ -86,7 +87,7 @@
         on being sent meanwhile. A connection that the kernel accepts while
         the port closes is reset unread, which its caller can recognise.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         deadline_s = loop.time() + timeout_s
         # Connections in the accept queue look established to their callers,
         # and would be reset if the port closed first.
--- a/sesamecross/gateway/load_monitor.py
+++ b/sesamecross/gateway/load_monitor.py
@@ -1,8 +1,7 @@
 """Tells the shedder of connections how late the event loop is."""
 
-import asyncio
-
 from sesamecross.ops.fleet import connection_shedder
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -32,7 +31,7 @@
 
     async def run(self) -> None:
         """Measures until cancelled."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         last_s = loop.time()
         while True:
             await self._ticker.wait(CHECK_INTERVAL_S)
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -24,6 +24,7 @@
 from sesamecross.ops.fleet import report_totals
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import store_polling
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -169,7 +170,7 @@
         self, me: fm.Member, secret: bytes, others: tuple[fm.Member, ...]
     ) -> None:
         """Joins the mesh once this start is registered."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._secret = secret
         # No number of an earlier incarnation is used again, as peers repeat
         # the last one that they know.
@@ -198,7 +199,7 @@
 
     async def run(self) -> None:
         """Sends reports, summaries and views periodically."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(ROUND_INTERVAL_S)
             if self.roster is None or self.transport is None:
@@ -215,7 +216,7 @@
 
     async def open(self, ip: str, port: int) -> None:
         """Binds the datagram port."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         await loop.create_datagram_endpoint(
             lambda: _DatagramProtocol(self), local_addr=(ip, port)
         )
@@ -276,7 +277,7 @@
         """Sends a message to all hubs, which relay it to their zones."""
         if self.roster is None or self.transport is None:
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         data = self._encode(message)
         for zone in self._state.location.regions:
             hub = self.roster.hub_of(zone, now_s)
@@ -319,7 +320,7 @@
 
     def should_read_store(self) -> bool:
         """Returns whether this instance reads the list of upstreams itself."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self.roster is not None and self._is_hub(now_s):
             return True
         return self._hub_progress.is_stalled(now_s)
@@ -333,7 +334,7 @@
         state = self._state
         if state.keys is None or self.roster is None:
             return False
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self._is_hub(now_s):
             return True
         bound_s = state.bounds.revoke_s
@@ -350,7 +351,7 @@
         """Returns the longest backoff between calls that the store refuses."""
         if self.roster is None or self.asks_for_freshness():
             return store_polling.READER_MAX_BACKOFF_S
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         hub = self.roster.hub_of(self.roster.me.zone, now_s)
         if hub == self.roster.me.name or not self.roster.is_alive(hub, now_s):
             return store_polling.READER_MAX_BACKOFF_S
@@ -358,7 +359,7 @@
 
     def store_poll_s(self) -> float:
         """Returns how long a read of the store waits for a record."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self.roster is None or self._is_hub(now_s):
             return store_polling.READER_POLL_S
         return store_polling.MEMBER_POLL_S
@@ -585,7 +586,7 @@
             of the release they wait, as the last news says that the lease is
             held.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         lease = self.lease
         if lease is None or lease.holder != self.roster.me.name:
             return
@@ -627,7 +628,7 @@
             "Datagrams received from other instances, by kind of message.",
             {"kind": type(message).__name__},
         )
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if message.me.name == self.roster.me.name:
             return
         if not self.roster.on_heartbeat(message.me, now_s):
@@ -796,7 +797,7 @@
     ) -> None:
         """Sets what the other instances use of quotas."""
         nothing = quota_ledger.Usage()
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._state.quotas.record_others(
             {
                 name: used.minus(own.quotas.get(name, nothing))
--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import version_history
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -108,7 +109,7 @@
         """Forgets old streams, and tells new keepers of the others."""
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             self._state.record_versions(now_s)
             self._state.versions.forget(now_s - self._state.longest_life_s)
             live = list(self._table.live(now_s))
@@ -145,7 +146,7 @@
         for reply in query.replies:
             if not reply.is_known:
                 seen = _seen_by_service(reply)
-                versions.adopt(seen, life_s, asyncio.get_running_loop().time())
+                versions.adopt(seen, life_s, event_loop.now_s())
 
     # -- recording -----------------------------------------------------
 
@@ -166,7 +167,7 @@
         """
         if not attempt_id or origin.version is None:
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         key = stream_origins.stream_key(host, attempt_id)
         self._table.record(key, origin, now_s, life_s)
         if not self._is_joined:
@@ -249,7 +250,7 @@
           services: The services that its route forwards to.
           life_s: For how long a stream may be resumed.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         started_s = loop.time()
         attempt_id = request.first_attempt_id
         key = stream_origins.stream_key(
@@ -338,7 +339,7 @@
         """Asks the keepers of a stream; returns what they answered."""
         if not self._is_joined:
             return _Query(())
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._update_ring(now_s)
         keepers = self._ring.keepers(
             key, self._mesh.roster.me.name, stream_origins.ASKED_KEEPERS
@@ -374,7 +375,7 @@
     def _on_message(self, message: fm.Message) -> None:
         match message:
             case fm.OriginRecord(origins=origins):
-                now_s = asyncio.get_running_loop().time()
+                now_s = event_loop.now_s()
                 for one in origins:
                     self._table.record(
                         one.key,
@@ -390,7 +391,7 @@
                     query.add(message)
 
     def _reply(self, query: fm.OriginQuery) -> fm.OriginReply:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         known = self._table.find(query.key, now_s)
         if known is not None:
             origin = known.origin or stream_origins.StreamOrigin("", "")
--- a/sesamecross/gateway/placement_publisher.py
+++ b/sesamecross/gateway/placement_publisher.py
@@ -6,7 +6,6 @@
 directly, without a relay by a hub.
 """
 
-import asyncio
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -15,6 +14,7 @@
 from sesamecross.gateway import start_steps
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import engine_inventory
+from sesamecross.runtime import event_loop
 
 # Expected times of adapters are published again once they differ by this from
 # the published ones: requests wait, or are told to come back, by them.
@@ -86,7 +86,7 @@
 
     def apply(self, message: fm.Placement) -> None:
         """Applies the lease holder's placement, unless it is outdated."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         lease = self._mesh.lease
         if lease is not None and message.fence < lease.fence:
             return
--- a/sesamecross/gateway/reachability_monitor.py
+++ b/sesamecross/gateway/reachability_monitor.py
@@ -5,13 +5,12 @@
 crash from a partition.
 """
 
-import asyncio
-
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.gateway import upstream_connector
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import reachability
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -73,7 +72,7 @@
 
     async def run(self) -> None:
         """Checks all upstreams until cancelled."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(CHECK_INTERVAL_S)
             self.check(loop.time())
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -19,6 +19,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import store_client
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 SECRET_KEY = "secret"
@@ -96,7 +97,7 @@
         is_first = True
         writes = 0
         while True:
-            begun_s = asyncio.get_running_loop().time()
+            begun_s = event_loop.now_s()
             listed = await self.list_records()
             if listed is not None:
                 records = listed.records
--- a/sesamecross/gateway/relay_client.py
+++ b/sesamecross/gateway/relay_client.py
@@ -12,6 +12,7 @@
 from sesamecross.gateway import relay_messages
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import relay_choice
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.transport import streams
 
@@ -97,7 +98,7 @@
         Raises:
           OSError: No peer could open one; nothing was sent.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         ends_s = loop.time() + timeout_s
         reason = "no peer to relay by"
         for peer in self._peers(entry, loop.time()):
@@ -168,7 +169,7 @@
             stream.close()
             return opened.answer, None
         connection = client_connection.ClientConnection(
-            asyncio.get_running_loop(), relayed_by=peer.name
+            event_loop.running(), relayed_by=peer.name
         )
         _RelayedSide(connection).start(stream)
         return opened.answer, connection
--- a/sesamecross/gateway/relay_server.py
+++ b/sesamecross/gateway/relay_server.py
@@ -7,6 +7,7 @@
 from sesamecross.gateway import relay_messages
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory as directory_lib
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.transport import keepalive
@@ -41,7 +42,7 @@
             # Nothing was asked yet.
             self.transport.abort()
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._known.reachability.record_contact(now_s)
         self.origin.write(
             len(data).to_bytes(relay_messages.LENGTH_BYTES, "big") + data
@@ -176,7 +177,7 @@
             or known.is_retired
         ):
             return relay_messages.RelayAnswer.UNKNOWN, None
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         now_s = loop.time()
         if known.wants_backoff(now_s):
             # It wants none from this instance, whoever sends them.
@@ -201,7 +202,7 @@
         self, known: directory_lib.KnownUpstream
     ) -> _UpstreamSide:
         host, _, port = known.entry.address.rpartition(":")
-        _, upstream_side = await asyncio.get_running_loop().create_connection(
+        _, upstream_side = await event_loop.running().create_connection(
             lambda: _UpstreamSide(known), host, int(port)
         )
         return upstream_side
@@ -209,7 +210,7 @@
     async def _join(
         self, stream: streams.Stream, upstream_side: _UpstreamSide
     ) -> None:
-        closed = asyncio.get_running_loop().create_future()
+        closed = event_loop.running().create_future()
         # Before the answer: the request may arrive as soon as it is sent.
         upstream_side.origin = stream.transport
         stream.transport.set_write_buffer_limits(high=BUFFER_HIGH_BYTES)
--- a/sesamecross/gateway/request_guard.py
+++ b/sesamecross/gateway/request_guard.py
@@ -19,6 +19,7 @@
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import request_ledger
 from sesamecross.ops.fleet import send_gate
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -125,7 +126,7 @@
                 questions += 1
                 self._ask_peers()
             await self._ticker.wait(STEP_INTERVAL_S)
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             due = {name for at_s, name in self._resends if at_s <= now_s}
             self._resends = [one for one in self._resends if one[0] > now_s]
             self._send_losses(due)
@@ -145,7 +146,7 @@
         """The requests that are withheld now, by fingerprint in hex."""
         if self.is_idle:
             return ()
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         return tuple(
             crash_ledger.Withheld(
                 request.hex(), now_s, until_s, until_s - now_s
@@ -160,7 +161,7 @@
           request: The fingerprint in hex.
           left_s: For how long it is withheld.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         try:
             fingerprint = bytes.fromhex(request)
         except ValueError:
@@ -181,7 +182,7 @@
           request: Its fingerprint.
           arrived_s: Loop time at which this attempt arrived.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         return self._ledger.judge(request, arrived_s, now_s)
 
     def record_answer(self, request: bytes, sent_s: float) -> None:
@@ -193,7 +194,7 @@
         """
         if not self._ledger.add_answer(request, sent_s):
             return
-        age_s = asyncio.get_running_loop().time() - sent_s
+        age_s = event_loop.now_s() - sent_s
         self._send(answered=[fm.AnsweredRequest(request, round(age_s, 3))])
         self._state.notify_change()
 
@@ -206,7 +207,7 @@
           request: The request's fingerprint.
           upstream: Where it was sent.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         name = end_verifier.incarnation(upstream)
         observed = self._observed.get(name)
         if observed is None:
@@ -219,7 +220,7 @@
         loss = request_ledger.RequestLoss(name, now_s, observed.has_ended)
         if self._ledger.add_loss(request, loss):
             self._log_if_withheld(request, "own finding")
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         if not self._unsent:
             # All requests that break off at one moment go into one message.
             loop.call_soon(self._send_unsent)
@@ -248,7 +249,7 @@
         self._state.notify_change()
         self._send_losses([name])
         if observed.has_ended:
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             self._resends.extend(
                 (now_s + after_s, name) for after_s in RESEND_AFTER_S
             )
@@ -266,7 +267,7 @@
         self._send_losses(suspects)
 
     def _send_losses(self, names: Iterable[str]) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         losses = [
             fm.LostRequests(
                 name,
@@ -292,7 +293,7 @@
                 self._send(losses=known)
 
     def _ask_peers(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         me = self._mesh.me
         peers = [
             one for one in self._mesh.roster.alive(now_s) if one.name != me.name
@@ -302,7 +303,7 @@
             self._mesh.send(question, peer)
 
     def _answer_question(self, question: fm.RequestQuestion) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         known = self._known(now_s, min_ended=1)
         if known:
             number = self._mesh.next_number()
@@ -345,7 +346,7 @@
                 self._answer_question(message)
 
     def _on_news(self, news: fm.RequestNews) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         is_changed = False
         for lost in news.losses:
             at_s = now_s - max(0.0, lost.age_s)
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -26,6 +26,7 @@
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import version_history
 from sesamecross.ops.fleet import version_records
+from sesamecross.runtime import event_loop
 
 # How long a stated limit on rejections holds without another response.
 REJECTION_LIMIT_TTL_S = 10.0
@@ -188,7 +189,7 @@
         """Records that the upstreams were read since the start."""
         if not self.has_upstream_list:
             self.has_upstream_list = True
-            self.upstreams_listed_s = asyncio.get_running_loop().time()
+            self.upstreams_listed_s = event_loop.now_s()
             self._record_start_step(start_steps.Step.UPSTREAMS)
             self.notify_change()
 
@@ -208,7 +209,7 @@
         if self.upstreams_listed_s is None or begun_s < self.upstreams_listed_s:
             return False
         self.extend_life(recorded.life_s)
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self.versions.restore(recorded.offsets, recorded.life_s, now_s)
         self.has_read_versions = True
         return True
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -1,6 +1,5 @@
 """HTTP endpoints of the instance itself: readiness and metrics."""
 
-import asyncio
 import collections
 
 from sesamecross.core import serving
@@ -8,6 +7,7 @@
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import reachability
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -75,7 +75,7 @@
             )
 
     def _set_gauges(self, metrics: metrics_lib.Metrics) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         read_s = self._state.upstreams_read_s
         if read_s is not None:
             metrics.set(
--- a/sesamecross/gateway/store_proxy.py
+++ b/sesamecross/gateway/store_proxy.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_messages
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.transport import streams
 
@@ -179,7 +180,7 @@
         The instance asked last is kept while it is alive. Otherwise instances
         of other zones are preferred, as partitions usually cut off whole zones.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         alive = self._mesh.roster.alive(now_s)
         if self._stream is not None:
             for member in alive:
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -1,9 +1,8 @@
 """Periodically removes expired upstreams and stale idle connections."""
 
-import asyncio
-
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -32,7 +31,7 @@
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
             now_s = loop.time()
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -30,6 +30,7 @@
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 from sesamecross.transport import keepalive
@@ -197,7 +198,7 @@
 
     async def run(self) -> None:
         """Compares read positions periodically and fetches what is missing."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(POLL_INTERVAL_S)
             if not self._may_be_behind():
@@ -267,7 +268,7 @@
                     upstreams = self._received_upstreams(answer)
         except (streams.StreamClosedError, TimeoutError) as error:
             self._close_stream()
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.now_s()
             self._avoided_until_s = {
                 name: until_s
                 for name, until_s in self._avoided_until_s.items()
--- a/sesamecross/gateway/upstream_words.py
+++ b/sesamecross/gateway/upstream_words.py
@@ -6,13 +6,12 @@
 so it is told.
 """
 
-import asyncio
-
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import directory
 from sesamecross.ports import http_codec
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 
@@ -59,7 +58,7 @@
         head: http_codec.ResponseHead,
     ) -> None:
         service = upstream.entry.service
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self._state.record_rejection_limit(
             service, head.rejection_limit, now_s
         ):
@@ -76,7 +75,7 @@
         backoff_s: float | None,
         is_leaving: bool,
     ) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if is_leaving and not upstream.is_leaving:
             upstream.is_leaving = True
             self._log.info(
--- a/sesamecross/gateway/version_recorder.py
+++ b/sesamecross/gateway/version_recorder.py
@@ -17,6 +17,7 @@
 from sesamecross.ops.fleet import version_records
 from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -108,7 +109,7 @@
 
     async def _step(self, writer: version_records.VersionWriter) -> bool:
         """Takes one step; returns whether the next one may be due at once."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         wall_ms = registrar_lib.wall_clock_ms()
         action = writer.next_action(self._observed(now_s), now_s, wall_ms)
         match action:
@@ -152,7 +153,7 @@
         self._state.extend_life(recorded.life_s)
         self._state.versions.record_origins(
             writer.on_listed(recorded, listed.end),
-            asyncio.get_running_loop().time(),
+            event_loop.now_s(),
         )
         return True
 
@@ -164,7 +165,7 @@
         outcome = await self._records.append(write)
         match outcome:
             case store.Appended(offset):
-                now_s = asyncio.get_running_loop().time()
+                now_s = event_loop.now_s()
                 writer.on_written(write, offset, now_s)
             case _:
                 writer.on_not_written()
--- a/sesamecross/gateway/withheld_recorder.py
+++ b/sesamecross/gateway/withheld_recorder.py
@@ -12,6 +12,7 @@
 from sesamecross.ops.fleet import crash_ledger
 from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -77,7 +78,7 @@
         withheld = self._guard.withheld
         due = writer.next_write(
             withheld,
-            asyncio.get_running_loop().time(),
+            event_loop.now_s(),
             registrar_lib.wall_clock_ms(),
         )
         if due is None:
--- a/sesamecross/runtime/ticker.py
+++ b/sesamecross/runtime/ticker.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from sesamecross.runtime import event_loop
+
 # Intervals are multiples of this, in seconds.
 GRID_S = 0.05
 
@@ -52,7 +54,7 @@
           interval_s: A multiple of `GRID_S`. The wait is at most this long, and
             exactly this long if the last one ended just now.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         due = self._next(loop, max(1, round(interval_s / GRID_S)))
         future: asyncio.Future[None] = loop.create_future()
         self._waiting[due].append(future)
@@ -71,7 +73,7 @@
             taken their steps. What it raises is raised here.
           interval_s: A multiple of `GRID_S`, between two checks.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         steps = max(1, round(interval_s / GRID_S))
         check = _Check(condition, steps, loop.create_future())
         self._checks[self._next(loop, steps)].append(check)
@@ -97,10 +99,10 @@
         checks = self._checks.pop(due)
         if checks:
             # After the steps of the tasks that were just woken.
-            asyncio.get_running_loop().call_soon(self._check, checks)
+            event_loop.running().call_soon(self._check, checks)
 
     def _check(self, checks: list[_Check]) -> None:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         for check in checks:
             if check.future.done():
                 continue
