--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -24,6 +24,7 @@
 import resource
 import subprocess
 import sys
+import tempfile
 import time
 from typing import Any
 
@@ -66,7 +67,8 @@
     (mesh_lib.Mesh, "on_datagram", "datagram received"),
     (mesh_lib.Mesh, "_on_view", "- a view applied"),
     (mesh_lib.Mesh, "_report_to_hub", "report to the hub"),
-    (app_lib.GatewayApp, "_build_report", "- built"),
+    (app_lib.GatewayApp, "_build_loads", "- loads"),
+    (app_lib.GatewayApp, "_complete_report", "- the rest, if sent"),
     (mesh_lib.Mesh, "_send_summaries", "summaries between hubs"),
     (mesh_lib.Mesh, "_update_zone", "views to the zone"),
 )
@@ -300,12 +302,16 @@
 
 
 def _measure_imports(starts: int) -> None:
-    code = "import sesamecross.platform.program"
-    subprocess.run([sys.executable, "-c", code], check=True)
-    before = resource.getrusage(resource.RUSAGE_CHILDREN)
-    for _ in range(starts):
-        subprocess.run([sys.executable, "-c", code], check=True)
-    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    """Starts processes that find compiled modules, as those of a deployment."""
+    command = [sys.executable, "-c", "import sesamecross.platform.program"]
+    with tempfile.TemporaryDirectory() as directory:
+        variables = dict(os.environ, PYTHONPYCACHEPREFIX=directory)
+        variables.pop("PYTHONDONTWRITEBYTECODE", None)
+        subprocess.run(command, check=True, env=variables)
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        for _ in range(starts):
+            subprocess.run(command, check=True, env=variables)
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
     spent_s = after.ru_utime + after.ru_stime
     spent_s -= before.ru_utime + before.ru_stime
     print(f"imports of a start: {spent_s / starts * 1000:.0f} ms")
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -173,7 +173,11 @@
             catalog.UpstreamSink(self.state, adapter.decode_upstream),
         )
         self.mesh = mesh_lib.Mesh(
-            self.state, self._build_report, self.metrics, ticker
+            self.state,
+            self._build_loads,
+            self.metrics,
+            ticker,
+            self._complete_report,
         )
         engines = engine_client.EngineClient(adapter.http_codec, self.metrics)
         self.forwarder.connector = upstream_connector.UpstreamConnector(
@@ -347,9 +351,12 @@
 
     def _build_report(self) -> fm.Report:
         """Builds the report of this instance for the others."""
+        return self._complete_report(self._build_loads())
+
+    def _build_loads(self) -> fm.Report:
+        """Builds the part of a report whose changes are sent at once."""
         now_s = event_loop.now_s()
         loads = []
-        failing = []
         directory = self.state.directory
         unknown = reachability.State.UNKNOWN
         # Called in each round for all upstreams, most of which this instance
@@ -360,31 +367,39 @@
                 state = directory.reported_state(known, now_s)
             if known.own_running or state is not unknown:
                 loads.append(_upstream_load(known, state))
-            outcomes = known.health.outcomes(now_s)
-            if outcomes.failed or known.others_outcomes.failed:
-                share = outcomes.plus(known.others_outcomes).share
-                if outcomes.total and share >= MIN_REPORTED_FAILURE_SHARE:
-                    failing.append(
-                        fm.UpstreamOutcomes(
-                            known.entry.instance_id,
-                            round(outcomes.failed, 1),
-                            round(outcomes.total, 1),
-                        )
-                    )
-        return fm.Report(
-            self.mesh.me,
-            0,
-            loads,
-            self.forwarder.uses.rows(),
-            self.forwarder.search_context.demand.rows(now_s),
-            failing,
-            self.mesh.known_lease(now_s),
+        return fm.Report(self.mesh.me, 0, loads, self.forwarder.uses.rows())
+
+    def _complete_report(self, report: fm.Report) -> fm.Report:
+        """Adds the part of a report whose changes alone cause none."""
+        now_s = event_loop.now_s()
+        return msgspec.structs.replace(
+            report,
+            demand=self.forwarder.search_context.demand.rows(now_s),
+            failing=self._reported_failures(now_s),
+            lease=self.mesh.known_lease(now_s),
             quotas=[
                 fm.WorkspaceUse(name, used.admitted, used.asked)
                 for name, used in self.state.quotas.rows(now_s).items()
             ],
         )
 
+    def _reported_failures(self, now_s: float) -> list[fm.UpstreamOutcomes]:
+        failing = []
+        for known in self.state.directory:
+            outcomes = known.health.outcomes(now_s)
+            if not (outcomes.failed or known.others_outcomes.failed):
+                continue
+            share = outcomes.plus(known.others_outcomes).share
+            if outcomes.total and share >= MIN_REPORTED_FAILURE_SHARE:
+                failing.append(
+                    fm.UpstreamOutcomes(
+                        known.entry.instance_id,
+                        round(outcomes.failed, 1),
+                        round(outcomes.total, 1),
+                    )
+                )
+        return failing
+
     @property
     def _is_busy(self) -> bool:
         """Whether the process's exit would cut off a request or response.
--- a/sesamecross/gateway/app_report_test.py
+++ b/sesamecross/gateway/app_report_test.py
@@ -9,6 +9,7 @@
 from sesamecross.fakes import samples
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import app as app_lib
+from sesamecross.gateway import mesh as mesh_lib
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.platform import program
 from sesamecross.platform import settings
@@ -84,3 +85,39 @@
     ) as runner:
         few, many = runner.run(scenario())
     assert (many - few) / 100 <= CALLS_PER_IDLE_UPSTREAM
+
+
+def test_a_report_is_completed_only_if_it_is_sent():
+    """Guards against demand that is computed in each round and thrown away."""
+    app = app_lib.GatewayApp.from_config(
+        samples.INSTANCE, program.adapter(), settings.SettingsFile("")
+    )
+
+    async def scenario() -> tuple[int, int]:
+        app.components()
+        app.mesh.join(samples.MEMBER, b"secret", ())
+        completed = []
+        complete = app.mesh._complete_report
+        app.mesh._complete_report = lambda report: (
+            completed.append(report),
+            complete(report),
+        )[1]
+        for _ in range(40):
+            await asyncio.sleep(mesh_lib.ROUND_INTERVAL_S)
+            app.mesh._report_to_hub(asyncio.get_running_loop().time())
+        unchanged = len(completed)
+        app.state.directory.update_entry(upstream("u1"))
+        known = app.state.directory.get("u1")
+        for running in range(1, 11):
+            known.own_running = running
+            app.mesh._report_to_hub(asyncio.get_running_loop().time())
+        assert app.mesh._last_report.loads[0].running == 10
+        return unchanged, len(completed) - unchanged
+
+    with asyncio.Runner(
+        loop_factory=virtual_time_loop.VirtualTimeLoop
+    ) as runner:
+        unchanged, changed = runner.run(scenario())
+    # One for each heartbeat.
+    assert unchanged <= 11
+    assert changed == 10
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -65,6 +65,7 @@
 
 MessageListener = Callable[[fm.Message], None]
 ReportSource = Callable[[], fm.Report]
+ReportCompleter = Callable[[fm.Report], fm.Report]
 
 
 def _subtract_outcomes(
@@ -129,9 +130,21 @@
         report_source: ReportSource,
         metrics: metrics_lib.Metrics,
         ticker: ticker_lib.Ticker | None = None,
+        complete_report: ReportCompleter = lambda report: report,
     ):
+        """Initializes the component.
+
+        Args:
+          state: The instance's state.
+          report_source: Builds the part of a report whose changes are sent at
+            once; called in each round.
+          metrics: Counts datagrams.
+          ticker: The process's ticker.
+          complete_report: Adds the rest; called for a report that is sent.
+        """
         self._state = state
         self._report_source = report_source
+        self._complete_report = complete_report
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("mesh")
@@ -382,6 +395,7 @@
         is_due = now_s - self._last_report_s >= roster_lib.HEARTBEAT_INTERVAL_S
         if not is_due and self._is_unchanged(report):
             return
+        report = self._complete_report(report)
         number = self.next_number()
         report = fm.Report(
             self.me,
