--- a/sesamecross/gateway/end_verifier.py
+++ b/sesamecross/gateway/end_verifier.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from sesamecross.ops.fleet import directory
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 
 # How often and for how long it is asked. An upstream that has ended stays in
@@ -112,7 +113,7 @@
     ) -> bool | None:
         born_ms = upstream.entry.born_ms
         has_ended = None
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         wait_s, min_s = FIRST_CHECK_S, MIN_VERIFY_S
         for _ in range(VERIFY_ATTEMPTS + 1):
             await asyncio.sleep(wait_s)
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -24,6 +24,7 @@
 from sesamecross.ops.fleet import report_totals
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import store_polling
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -64,6 +65,7 @@
 
 MessageListener = Callable[[fm.Message], None]
 ReportSource = Callable[[], fm.Report]
+ReportCompleter = Callable[[fm.Report], fm.Report]
 
 
 def _subtract_outcomes(
@@ -128,9 +130,21 @@
         report_source: ReportSource,
         metrics: metrics_lib.Metrics,
         ticker: ticker_lib.Ticker | None = None,
+        complete_report: ReportCompleter = lambda report: report,
     ):
+        """Initializes the component.
+
+        Args:
+          state: The instance's state.
+          report_source: Builds the part of a report whose changes are sent at
+            once; called in each round.
+          metrics: Counts datagrams.
+          ticker: The process's ticker.
+          complete_report: Adds the rest; called for a report that is sent.
+        """
         self._state = state
         self._report_source = report_source
+        self._complete_report = complete_report
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("mesh")
@@ -169,7 +183,7 @@
         self, me: fm.Member, secret: bytes, others: tuple[fm.Member, ...]
     ) -> None:
         """Joins the mesh once this start is registered."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._secret = secret
         # No number of an earlier incarnation is used again, as peers repeat
         # the last one that they know.
@@ -198,7 +212,7 @@
 
     async def run(self) -> None:
         """Sends reports, summaries and views periodically."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(ROUND_INTERVAL_S)
             if self.roster is None or self.transport is None:
@@ -215,7 +229,7 @@
 
     async def open(self, ip: str, port: int) -> None:
         """Binds the datagram port."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         await loop.create_datagram_endpoint(
             lambda: _DatagramProtocol(self), local_addr=(ip, port)
         )
@@ -276,7 +290,7 @@
         """Sends a message to all hubs, which relay it to their zones."""
         if self.roster is None or self.transport is None:
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         data = self._encode(message)
         for zone in self._state.location.regions:
             hub = self.roster.hub_of(zone, now_s)
@@ -319,7 +333,7 @@
 
     def should_read_store(self) -> bool:
         """Returns whether this instance reads the list of upstreams itself."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self.roster is not None and self._is_hub(now_s):
             return True
         return self._hub_progress.is_stalled(now_s)
@@ -333,7 +347,7 @@
         state = self._state
         if state.keys is None or self.roster is None:
             return False
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self._is_hub(now_s):
             return True
         bound_s = state.bounds.revoke_s
@@ -350,7 +364,7 @@
         """Returns the longest backoff between calls that the store refuses."""
         if self.roster is None or self.asks_for_freshness():
             return store_polling.READER_MAX_BACKOFF_S
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         hub = self.roster.hub_of(self.roster.me.zone, now_s)
         if hub == self.roster.me.name or not self.roster.is_alive(hub, now_s):
             return store_polling.READER_MAX_BACKOFF_S
@@ -358,7 +372,7 @@
 
     def store_poll_s(self) -> float:
         """Returns how long a read of the store waits for a record."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if self.roster is None or self._is_hub(now_s):
             return store_polling.READER_POLL_S
         return store_polling.MEMBER_POLL_S
@@ -381,6 +395,7 @@
         is_due = now_s - self._last_report_s >= roster_lib.HEARTBEAT_INTERVAL_S
         if not is_due and self._is_unchanged(report):
             return
+        report = self._complete_report(report)
         number = self.next_number()
         report = fm.Report(
             self.me,
@@ -585,7 +600,7 @@
             of the release they wait, as the last news says that the lease is
             held.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         lease = self.lease
         if lease is None or lease.holder != self.roster.me.name:
             return
@@ -627,7 +642,7 @@
             "Datagrams received from other instances, by kind of message.",
             {"kind": type(message).__name__},
         )
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         if message.me.name == self.roster.me.name:
             return
         if not self.roster.on_heartbeat(message.me, now_s):
@@ -796,7 +811,7 @@
     ) -> None:
         """Sets what the other instances use of quotas."""
         nothing = quota_ledger.Usage()
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.now_s()
         self._state.quotas.record_others(
             {
                 name: used.minus(own.quotas.get(name, nothing))
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -3,10 +3,9 @@
 It also counts the connections opened since, which costs a request nothing.
 """
 
-import asyncio
-
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import state as state_lib
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -47,7 +46,7 @@
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             await self._ticker.wait(SWEEP_INTERVAL_S)
             now_s = loop.time()
