--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -44,6 +44,9 @@
 # detector has noticed whether it is alive.
 AVOID_S = roster_lib.LIVENESS_TIMEOUT_S
 SWEEP_INTERVAL_S = 0.25
+# The same where permits are leases, as two pacers of one engine grant its slots
+# twice. If a tenth of the messages are lost, an attempt fails with 0.19.
+LEASE_REQUEST_ATTEMPTS = 3
 # Retry delay of a request that needs a permit while no pacer answers: until the
 # failure detector has noticed, and another one is asked.
 NO_PACER_RETRY_AFTER_S = 1.0
@@ -238,9 +241,13 @@
         permit = Permit(upstream, number, pacer)
         reply: asyncio.Future[fm.AdmissionReply] = loop.create_future()
         self._pending_requests[number] = reply
+        holds_lease = ask.tokens > 0 and _has_small_batch(known)
+        attempts = LEASE_REQUEST_ATTEMPTS if holds_lease else REQUEST_ATTEMPTS
         try:
             while not reply.done() and loop.time() < ask.until_s:
-                if not await self._deliver_request(permit, reply, ask):
+                if not await self._deliver_request(
+                    permit, reply, ask, attempts
+                ):
                     self._avoid(pacer)
                     self.release(permit)
                     return None
@@ -263,7 +270,7 @@
                 return PermitRefused(after_s)
             case fm.AdmissionReply(verdict=fm.AdmissionDecision.LEAVING):
                 return None
-        if ask.tokens and _has_small_batch(known):
+        if holds_lease:
             self._leases[number] = _Lease(
                 permit,
                 known,
@@ -278,6 +285,7 @@
         permit: Permit,
         reply: asyncio.Future[fm.AdmissionReply],
         ask: admission_order.Ask,
+        attempts: int,
     ) -> bool:
         """Sends an admission request; returns whether its pacer has replied.
 
@@ -287,7 +295,7 @@
         member = self._mesh.roster.get(permit.pacer) or self._mesh.me
         round_trip_s = self._state.location.round_trip_s(member.zone)
         self._acknowledged.discard(permit.number)
-        for _ in range(REQUEST_ATTEMPTS):
+        for _ in range(attempts):
             self._send_request(permit, ask)
             wait_s = min(round_trip_s + ACK_MARGIN_S, ask.until_s - loop.time())
             await asyncio.wait([reply], timeout=max(0.0, wait_s))
--- a/sesamecross/gateway/pacing_failures_test.py
+++ b/sesamecross/gateway/pacing_failures_test.py
@@ -277,9 +277,9 @@
 
 
 FREEZE_S = engine_budget.LEASE_S + 2.0
-# An instance whose messages are lost takes its pacer for silent and asks the next
-# one, so that two of them grant permits for about a second.
-MAX_LOST_EXCESS = 3
+# An instance whose messages are lost takes its pacer for silent and asks the
+# next one, so that two of them grant permits for about a second.
+MAX_LOST_EXCESS = 1
 
 
 @pytest.mark.parametrize("seed", [1, 2])
