--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -475,3 +475,108 @@
     found = searches.loop.run_until_complete(search.find(frozenset()))
     assert found is known
     assert searches.loop.time() == pytest.approx(adapter_s, abs=0.01)
+
+
+PATIENT_ROUTE = msgspec.structs.replace(ROUTE, objective_s=5.0, timeout_s=20.0)
+LOAD_S, DISK_LOAD_S = 6.0, 1.3
+MODELS = {
+    name: serving.ModelSpec(name, 40.0, LOAD_S, DISK_LOAD_S, 0.6, 0, 1.0)
+    for name in ("m", "n", "o", "p")
+}
+
+
+def search_patient(
+    deadline_s: float,
+    models: int = 4,
+    loaded_s: float | None = None,
+    origin: stream_origins.StreamOrigin | None = None,
+):
+    """Searches an engine for a patient request whose model nobody holds.
+
+    Returns:
+      The search, the engine found, what was asked for, the demand rows after
+      1 s, and the time until it ended.
+    """
+    searches = _Searches(("e1",), permit_wait_s=0.0)
+    declared = dict(list(MODELS.items())[:models])
+    spec = serving.EngineSpec(12, 60_000, 130.0, 8, 16.0, 8, declared)
+    searches.state.offer_configuration(
+        serving.Configuration(
+            1,
+            (),
+            {"s": serving.Service("s", "/health", 100, spec)},
+            serving.CallerLimits(),
+        )
+    )
+
+    def hold(model: str) -> None:
+        searches.state.directory.update_entry(
+            msgspec.structs.replace(
+                engine("e1"), models=(serving.ResidentModel(model),)
+            )
+        )
+        searches.state.notify_change()
+
+    hold("n")
+    if loaded_s is not None:
+        searches.loop.call_at(loaded_s, hold, "m")
+    asked: list = []
+    searches._context.request_placement = lambda *request: asked.append(request)
+    search = engine_search.EngineSearch(
+        searches._context, PATIENT_ROUTE, CALL, 0.0, deadline_s
+    )
+    search.origin = origin
+    search.record_demand(0.02)
+    rows: list[fm.TargetDemand] = []
+    searches.loop.call_at(
+        1.0, lambda: rows.extend(searches._context.demand.rows(1.0))
+    )
+    found = searches.loop.run_until_complete(search.find(frozenset()))
+    return search, found, asked, rows, searches.loop.time()
+
+
+def test_a_patient_request_is_held_until_its_model_is_loaded():
+    """Guards against a refusal of a request that can wait for a load."""
+    _, found, asked, rows, took_s = search_patient(20.0, loaded_s=7.0)
+    assert found is not None
+    assert took_s == pytest.approx(7.0, abs=0.05)
+    # No urgent request asks for the model.
+    assert not asked
+    (row,) = rows
+    assert (row.rate, row.waiting, row.patient_waiting) == (0.0, 0, 1)
+    assert row.patient_left_ms == pytest.approx(3700, abs=10)
+
+
+def test_a_patient_request_is_held_as_long_as_a_load_can_be_in_time():
+    """Guards against callers who are held for nothing, or not long enough."""
+    search, found, _, _, took_s = search_patient(20.0)
+    assert found is None
+    assert took_s == pytest.approx(
+        20.0 - wait_policy.SEND_MARGIN_S - LOAD_S, abs=0.05
+    )
+    assert search.retry_after_s >= LOAD_S
+    assert logged_limit(search) == wait_policy.Limit.NO_PLAN.value
+
+
+def test_a_patient_request_that_no_load_can_serve_is_refused_at_once():
+    """Guards against callers who wait for a load that comes too late."""
+    search, found, _, _, took_s = search_patient(6.0)
+    assert found is None
+    assert took_s == pytest.approx(0.0, abs=0.001)
+    assert search.retry_after_s >= LOAD_S
+
+
+def test_requests_are_not_held_where_all_models_fit():
+    """Guards against a change for deployments that hold all their models."""
+    search, found, asked, _, took_s = search_patient(20.0, models=3)
+    assert found is None
+    assert not search.is_patient
+    assert asked
+    assert took_s == pytest.approx(wait_policy.PLAN_WAIT_S, abs=0.01)
+
+
+def test_a_stream_that_goes_on_is_not_patient():
+    """Guards against a pause of seconds in the middle of an answer."""
+    origin = stream_origins.StreamOrigin("s", "v1")
+    search, *_ = search_patient(20.0, origin=origin)
+    assert not search.is_patient
--- a/sesamecross/ops/fleet/demand_history.py
+++ b/sesamecross/ops/fleet/demand_history.py
@@ -5,6 +5,7 @@
 unloaded each time. Unloading follows the slower average that is kept here.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import math
 
@@ -53,6 +54,12 @@
     return max(prefill, max(slots_used, running) / max(1, spec.slots))
 
 
+def _group_size(rows: Iterable[fm.TargetDemand]) -> int:
+    """Returns the number of patient requests that wait for one model."""
+    size = sum(max(0, row.patient_waiting) for row in rows)
+    return min(size, patient_demand.MAX_GROUP)
+
+
 class DemandHistory:
     """Smoothed demand by service and model.
 
@@ -191,9 +198,7 @@
                 late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
                 self._starved_s(service, name, waiting, held, now_s),
                 self._patient_rates.get((service, name), 0.0),
-                sum(
-                    max(0, row.patient_waiting) for row in patient.get(name, ())
-                ),
+                _group_size(patient.get(name, ())),
                 patient_demand.least_left_s(
                     row.patient_left_ms / 1e3
                     for row in patient.get(name, ())
--- a/sesamecross/ops/fleet/patient_demand.py
+++ b/sesamecross/ops/fleet/patient_demand.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sesamecross.core import serving
+from sesamecross.ops.fleet import placement_types
 from sesamecross.ops.fleet import wait_policy
 
 # A patient request's objective is at least this many times the time to load its
@@ -24,7 +25,7 @@
 PATIENT_FIRST_EVENT_TIMEOUTS = 2.0
 # Time from a decision to the first request sent: reports are up to 0.8 s old,
 # and the plan, the order and the published placement take the rest.
-DECISION_LAG_S = 1.2
+DECISION_LAG_S = 1.5
 # Reported counts above this are a mistake; they must not outweigh all else.
 MAX_GROUP = 10_000
 
@@ -66,13 +67,14 @@
       takes_s: Time until the model can serve.
       cost: Requests lost by it: those of models that make way, and the load.
       is_free: Whether no model has to make way.
-      evicts_in_demand: Whether a model that other requests ask for makes way.
+      demand_lost: Value, in requests per second, of the models that make way
+        and that other requests ask for.
     """
 
     takes_s: float
     cost: float
     is_free: bool
-    evicts_in_demand: bool
+    demand_lost: float
 
 
 class LoadDecision(msgspec.Struct, frozen=True):
@@ -90,8 +92,11 @@
 
 
 # A group is loaded before it is due if it has this many times the requests that
-# are lost by the load, as for any other model that makes another one give way.
-VALUE_RATIO = 1.5
+# are lost by the load. Below that, more requests join it until it is due.
+VALUE_RATIO = 4.0
+# A due group evicts models only if its value is this many times theirs, as for
+# any other model (`placement_target`).
+EVICTION_GAIN_RATIO = 1.5
 
 
 def places(spec: serving.EngineSpec, engines: int) -> int:
@@ -176,17 +181,31 @@
     )
 
 
+def is_in_time(group: Group, takes_s: float) -> bool:
+    """Whether a load that begins now serves a group in time."""
+    return group.left_s >= takes_s
+
+
+def may_evict(group: Group, demand_lost: float) -> bool:
+    """Whether a due group may evict models that other requests ask for."""
+    value = max(
+        placement_types.WAITING_VALUE,
+        group.size / placement_types.GROUP_HORIZON_S,
+    )
+    return value >= demand_lost * EVICTION_GAIN_RATIO
+
+
 def decide(group: Group, load: Load) -> LoadReason | None:
     """Returns why a group is worth a load now, or None if it waits.
 
-    A due group evicts no model that other requests ask for, unless it is worth
-    more.
+    A due group is worth as much as urgent requests that wait for a model: it
+    evicts no model for which others ask more.
     """
     if load.is_free:
         return LoadReason.FREE
     if group.size > load.cost * VALUE_RATIO:
         return LoadReason.VALUE
-    if load.evicts_in_demand:
+    if not may_evict(group, load.demand_lost):
         return None
     if group.left_s < 0:
         return LoadReason.OVERDUE
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -35,7 +35,7 @@
 IDLE_LOSSES = (IDLE_VALUE, 2 * IDLE_VALUE, 0.0)
 # The same for a model that only patient requests ask for: it makes way before a
 # model without demand, as its group is served and the next one can wait.
-PATIENT_VALUE = 0.5 * IDLE_VALUE
+PATIENT_VALUE = 5.0 * IDLE_VALUE
 # Patient requests at a higher rate than this, per second, are no groups: a
 # model that makes way for one would be loaded again at once.
 MAX_GROUP_RATE = 1.0
--- a/sesamecross/ops/fleet/placement_groups.py
+++ b/sesamecross/ops/fleet/placement_groups.py
@@ -23,7 +23,10 @@
 DELAY_COST_PER_S = 0.05
 # Share of the engines that load a model for a group at the same time. An engine
 # executes one order at a time; the others stay free for urgent models.
-MAX_LOADING_SHARE = 0.25
+MAX_LOADING_SHARE = 0.5
+# The same while a group will be late: a load from the store takes an engine's
+# time for seconds, and a late answer is worth less.
+MAX_LATE_LOADING_SHARE = 0.25
 MAX_GROUPS_PER_PLAN = 12
 
 OnLoad = Callable[[patient_demand.LoadDecision], None]
@@ -52,27 +55,33 @@
     _drop_served(draft)
     groups = [
         patient_demand.Group(
-            name,
-            min(demand.patient_waiting, patient_demand.MAX_GROUP),
-            demand.patient_left_s,
+            name, demand.patient_waiting, demand.patient_left_s
         )
         for name, demand in draft.inputs.demand.items()
         if demand.patient_waiting and draft.replicas.get(name) == set()
     ]
-    loads_left = _loads_left(draft)
+    loading = _loading_engines(draft)
+    planned = 0
     for group in patient_demand.by_urgency(groups):
-        if loads_left <= 0:
+        if planned >= MAX_GROUPS_PER_PLAN:
+            return
+        if loading + planned >= _most_loads(draft, MAX_LOADING_SHARE):
             return
         best = _best_candidate(draft, group)
         if best is None:
             continue
+        is_late = not patient_demand.is_in_time(group, best.load.takes_s)
+        if is_late and loading + planned >= _most_loads(
+            draft, MAX_LATE_LOADING_SHARE
+        ):
+            continue
         reason = patient_demand.decide(group, best.load)
         if reason is None:
             continue
         for victim in best.victims:
             draft.remove(best.instance_id, victim)
         draft.add(best.instance_id, group.model)
-        loads_left -= 1
+        planned += 1
         on_load(
             patient_demand.LoadDecision(
                 group,
@@ -103,17 +112,23 @@
     ]
 
 
-def _loads_left(draft: placement_draft.Draft) -> int:
-    """Returns how many more loads for groups may be planned."""
-    most = max(1, int(len(draft.engines) * MAX_LOADING_SHARE))
+def _most_loads(draft: placement_draft.Draft, share: float) -> int:
+    """Returns how many engines may load a model for a group at a time."""
+    return max(1, int(len(draft.engines) * share))
+
+
+def _loading_engines(draft: placement_draft.Draft) -> int:
+    """Returns how many engines load a model for a group, or are to do so."""
     under_way = 0
     for instance_id, engine in draft.engines.items():
         loading = {one for one in engine.inventory.loading if "/" not in one}
         names = loading.union(_planned(draft, instance_id))
         under_way += any(
-            not draft.inputs.demand_for(name).is_in_demand for name in names
+            draft.inputs.demand_for(name).patient_waiting
+            and not draft.inputs.demand_for(name).is_in_demand
+            for name in names
         )
-    return min(MAX_GROUPS_PER_PLAN, most - under_way)
+    return under_way
 
 
 def _best_candidate(
@@ -130,8 +145,9 @@
             continue
         load = candidate.load
         key = (
-            load.evicts_in_demand,
-            load.takes_s + patient_demand.DECISION_LAG_S > group.left_s >= 0,
+            not patient_demand.may_evict(group, load.demand_lost),
+            group.left_s >= 0
+            and not patient_demand.is_in_time(group, load.takes_s),
             load.cost + load.takes_s * DELAY_COST_PER_S,
             instance_id,
         )
@@ -153,28 +169,28 @@
             takes_s += max(0.0, ready_s - inputs.now_s)
     missing_mb = inputs.size(name) - draft.free_mb[instance_id]
     victims: list[str] = []
-    evicts_in_demand = False
+    demand_lost = 0.0
     if missing_mb > 0:
         rated = []
         for other in sorted(draft.held[instance_id]):
             lost = _lost_requests(draft, instance_id, other)
             if lost is not None:
-                in_demand = inputs.demand_for(other).is_in_demand
-                rated.append((in_demand, lost, other))
-        for in_demand, lost, other in sorted(rated):
+                rated.append((lost, other))
+        for lost, other in sorted(rated):
             if missing_mb <= 0:
                 break
             missing_mb -= inputs.size(other)
             victims.append(other)
             cost += lost
             takes_s += _eviction_s(draft, instance_id, other)
-            evicts_in_demand = evicts_in_demand or in_demand
+            if inputs.demand_for(other).is_in_demand:
+                demand_lost += draft.loss(instance_id, other)
         if missing_mb > 0:
             return None
     return _Candidate(
         instance_id,
         tuple(victims),
-        patient_demand.Load(takes_s, cost, not victims, evicts_in_demand),
+        patient_demand.Load(takes_s, cost, not victims, demand_lost),
     )
 
 
