Plain upstreams: a slow mean without use moves towards the usual one

A mean was only learned by use, so an upstream whose few answers had been slow was not chosen again beside a fast one, and neither was a new one, which is assumed to take 50 ms. Each request that goes elsewhere now moves the mean by a twentieth towards that of the chosen upstream, plus the round trip, and the first answer after that counts half.

--- a/sesamecross/gateway/service_search.py
+++ b/sesamecross/gateway/service_search.py
@@ -97,9 +97,13 @@
         untried = [one for one in usable if one.entry.instance_id not in tried]
         candidates = untried or usable
         reachable = state.directory.best_access(candidates, now_s)
-        return service_choice.choose(
-            reachable or candidates, state.location, now_s, self._context.rng
+        candidates = reachable or candidates
+        chosen = service_choice.choose(
+            candidates, state.location, now_s, self._context.rng
         )
+        if chosen is not None:
+            service_choice.relax_unused(candidates, chosen, state.location)
+        return chosen
 
     async def _wait_for_backoff(self, now_s: float) -> bool:
         """Waits until an upstream wants requests again, if that is soon.
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -29,6 +29,9 @@
 LAPSED_USE_SHARE = 0.75
 # Weight of the newest request in the average duration.
 DURATION_WEIGHT = 0.1
+# The same after the average was replaced by an assumption: one slow answer
+# shows that an upstream is still slow.
+RELAXED_DURATION_WEIGHT = 0.5
 # From this share of failures on, no new requests are sent if another upstream
 # can serve them.
 DOWN_FAILURE_SHARE = 0.75
@@ -77,6 +80,7 @@
       engine: What it holds, if it is an engine.
       mean_duration_s: Smoothed duration of a request there; 0 before the first
         one has ended.
+      is_duration_relaxed: Whether that is assumed, for want of use.
       idle_connections: Idle connections to it, where new ones are scarce;
         otherwise empty.
     """
@@ -97,6 +101,7 @@
         reachability_lib.ReachabilityCounts()
     )
     mean_duration_s: float = 0.0
+    is_duration_relaxed: bool = False
     engine: engine_state.EngineState = msgspec.field(
         default_factory=engine_state.EngineState
     )
@@ -183,9 +188,18 @@
         """Updates the average duration of requests there."""
         if not self.mean_duration_s:
             self.mean_duration_s = duration_s
-        self.mean_duration_s += (
-            duration_s - self.mean_duration_s
-        ) * DURATION_WEIGHT
+        weight = (
+            RELAXED_DURATION_WEIGHT
+            if self.is_duration_relaxed
+            else DURATION_WEIGHT
+        )
+        self.is_duration_relaxed = False
+        self.mean_duration_s += (duration_s - self.mean_duration_s) * weight
+
+    def relax_duration(self, duration_s: float) -> None:
+        """Replaces an average that has not been confirmed by use."""
+        self.mean_duration_s = duration_s
+        self.is_duration_relaxed = True
 
 
 class Directory:
--- a/sesamecross/ops/fleet/service_choice.py
+++ b/sesamecross/ops/fleet/service_choice.py
@@ -24,6 +24,10 @@
 FAILURE_PENALTY_S = 1.0
 # Assumed duration of a request at an upstream that has not completed any.
 INITIAL_DURATION_S = 0.05
+# By which share the mean of an unused upstream moves towards the usual one at
+# each request. A slower one is tried again after some tens of requests, so that
+# few are slow on its account.
+UNUSED_WEIGHT = 0.05
 # Candidates this close to the best are chosen from at random, so that instances
 # with the same view do not all choose the same upstream.
 TIE_TOLERANCE_S = 0.003
@@ -88,3 +92,35 @@
         if cost_s <= best_s + TIE_TOLERANCE_S
     ]
     return connection_subset.choose(close, rng)
+
+
+def relax_unused(
+    candidates: Iterable[directory.KnownUpstream],
+    chosen: directory.KnownUpstream,
+    location: Location,
+) -> None:
+    """Lets the durations of slower candidates become those of the chosen one.
+
+    A mean is only learned by use. Without this, an upstream whose few answers
+    were slow, or one that is new and assumed to be, would not be used beside
+    fast ones, however fast it is.
+
+    Args:
+      candidates: Those that the request could have been sent to.
+      chosen: The one it is sent to.
+      location: Where this instance is. Durations contain the round trip.
+    """
+    if not chosen.mean_duration_s:
+        return
+    service = chosen.entry.service
+    for known in candidates:
+        if known is chosen or known.entry.service != service:
+            continue
+        usual_s = chosen.mean_duration_s + location.round_trip_s(
+            known.entry.zone
+        )
+        duration_s = known.mean_duration_s or INITIAL_DURATION_S
+        if duration_s > usual_s:
+            known.relax_duration(
+                duration_s + (usual_s - duration_s) * UNUSED_WEIGHT
+            )
