Gateways find the running event loop without a system call everywhere

The modules of the split forwarder, pacing, search and placement used asyncio.get_running_loop, which asks the kernel for the process id at each call; they now use runtime.event_loop as the others do.

--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -15,6 +15,7 @@
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import answer_bounds
+from sesamecross.runtime import event_loop
 from sesamecross.transport import keepalive
 
 # The connection is closed after more responses to other requests than this:
@@ -338,7 +339,7 @@
     Raises:
       OSError: The connection failed or timed out (`TimeoutError`).
     """
-    loop = asyncio.get_running_loop()
+    loop = event_loop.running()
     host, _, port = address.rpartition(":")
     async with asyncio.timeout(timeout_s):
         _, connection = await loop.create_connection(
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -5,7 +5,6 @@
 are made in `sesamecross.ops.fleet`; this module does the waiting.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -24,6 +23,7 @@
 from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import wait_policy
+from sesamecross.runtime import event_loop
 
 # Interval at which a waiting request repeats its placement request.
 PLACEMENT_REQUEST_INTERVAL_S = 0.25
@@ -212,7 +212,7 @@
         Args:
           tried: Engines that were tried before; used only as a last resort.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             now_s = loop.time()
             if self.is_withheld():
@@ -276,7 +276,7 @@
     # -- candidates ----------------------------------------------------
 
     def _usable(self) -> list[directory.KnownUpstream]:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         usable = []
         for target in self._route.targets:
             known = self._context.state.directory.usable(target.service, now_s)
@@ -352,7 +352,7 @@
         The wait for admission lasts up to 1.7 s. Meanwhile the engine may have
         begun to leave, and must get no new requests, or unloaded the model.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         may_receive = self._context.state.directory.may_receive(known, now_s)
         if self.origin is not None and not known.is_of(self.origin):
             return False
@@ -362,7 +362,7 @@
 
     def _has_alternative(self) -> bool:
         """Whether another engine holds the target and has not refused."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         return bool(self._holders(self._usable(), self._call.target, now_s))
 
     # -- waits ---------------------------------------------------------
@@ -383,7 +383,7 @@
             service, version = self.origin.service, self.origin.version
         if choice is None and self._has_paused_holder(now_s):
             await context.state.wait_for_change(PAUSE_CHECK_INTERVAL_S)
-            self._model_wait_s += asyncio.get_running_loop().time() - now_s
+            self._model_wait_s += event_loop.running().time() - now_s
             return True
         if choice is None and self.is_patient:
             # The lease holder learns of it from the instances' reports.
@@ -404,7 +404,7 @@
                     min(PLACEMENT_REQUEST_INTERVAL_S, decision.until_s - now_s)
                 )
             finally:
-                self._model_wait_s += asyncio.get_running_loop().time() - now_s
+                self._model_wait_s += event_loop.running().time() - now_s
         return True
 
     @contextlib.contextmanager
@@ -446,7 +446,7 @@
             self._context.demand.record_outcome(self.demand_key, True)
             return False
         await self._context.state.wait_for_change(end_s - now_s)
-        self._model_wait_s += asyncio.get_running_loop().time() - now_s
+        self._model_wait_s += event_loop.running().time() - now_s
         return True
 
     def _has_paused_holder(self, now_s: float) -> bool:
@@ -547,7 +547,7 @@
 
     async def _acquire_permit(self, choice: engine_choice.Choice) -> bool:
         """Waits for permission to send the prompt to the engine."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         route = self._route
         send_deadline_s = wait_policy.send_deadline_s(
             route, self._arrived_s, self._deadline_s
@@ -602,7 +602,7 @@
 
     def refusal_fields(self) -> dict[str, object]:
         """Returns the grounds of a refusal and the age of the plan."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         fields: dict[str, object] = {}
         if self._limit is not None:
             fields["limit"] = self._limit.value
--- a/sesamecross/gateway/event_relay.py
+++ b/sesamecross/gateway/event_relay.py
@@ -5,7 +5,6 @@
 sees one response with the first upstream's head.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -13,6 +12,7 @@
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ops.fleet import directory
+from sesamecross.runtime import event_loop
 
 # An answer that has been written for so long did not end its engine by being
 # begun.
@@ -131,7 +131,7 @@
             self._partial_event + data
         ).rpartition(_EVENT_END)
         self._partial_event = partial_event
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if separator or not was_partial:
             self._partial_since_s = now_s
         if len(partial_event) > answer_bounds.MAX_EVENT_BYTES:
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
 from sesamecross.ports import http_codec as http_codec_lib
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 
 
@@ -63,7 +64,7 @@
         The exit would otherwise cut the request off, or make it look like an
         internal error.
         """
-        self.stop = self.stop.ended(asyncio.get_running_loop().time())
+        self.stop = self.stop.ended(event_loop.running().time())
         for request_task in list(self._open_tasks):
             request_task.shut_down()
 
--- a/sesamecross/gateway/outcome_recorder.py
+++ b/sesamecross/gateway/outcome_recorder.py
@@ -1,6 +1,5 @@
 """Records what a request's attempts show of upstreams, models and prompts."""
 
-import asyncio
 import math
 
 from sesamecross.gateway import attempt as attempt_lib
@@ -10,6 +9,7 @@
 from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import retry_policy
+from sesamecross.runtime import event_loop
 
 _EXCESSES = frozenset(excess.value for excess in answer_bounds.Excess)
 # A request that waited longer than this for its model is late for that reason
@@ -43,7 +43,7 @@
           outcome: What came of it; None if its deadline passed.
           took_s: How long it took.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if not self._progress.relayed_by and not isinstance(
             outcome, (retry_policy.Lost, retry_policy.NotSent, type(None))
         ):
@@ -138,7 +138,7 @@
         Health adds up the failures of all instances, so one that is cut off
         would make the others avoid sound upstreams.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if not upstream.reachability.is_path_failing(now_s):
             return False
         return (
@@ -151,7 +151,7 @@
         search = self._progress.search
         if search is None:
             return
-        took_s = asyncio.get_running_loop().time() - self._progress.arrived_s
+        took_s = event_loop.running().time() - self._progress.arrived_s
         self._context.search_context.demand.record_service_time(
             search.demand_key, max(0.0, took_s - search.total_wait_s)
         )
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -23,6 +23,7 @@
 from sesamecross.ops.fleet import pacer as pacer_lib
 from sesamecross.ops.fleet import roster as roster_lib
 from sesamecross.ops.fleet import slot_limiter
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -169,7 +170,7 @@
         """
         if self._mesh.roster is None:
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         self._record_departure(self._mesh.me)
         pacers, self._pacers = self._pacers, {}
         for timer in self._timers.values():
@@ -236,7 +237,7 @@
           that another one has to be asked.
         """
         upstream = known.entry.instance_id
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         number = self._mesh.next_number()
         permit = Permit(upstream, number, pacer)
         reply: asyncio.Future[fm.AdmissionReply] = loop.create_future()
@@ -291,7 +292,7 @@
 
         It is sent again if there is no reply, unless its time is over.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         member = self._mesh.roster.get(permit.pacer) or self._mesh.me
         round_trip_s = self._state.location.round_trip_s(member.zone)
         self._acknowledged.discard(permit.number)
@@ -305,7 +306,7 @@
 
     def _avoid(self, pacer: str) -> None:
         """Makes the next pacer serve, as this one does not reply."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         self._avoided_until_s[pacer] = now_s + AVOID_S
         self._known_pacers.clear()
 
@@ -329,7 +330,7 @@
         roster = self._mesh.roster
         if roster is None or self._mesh.transport is None:
             return None
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         self._end_avoidance(now_s)
         key = (roster.version(now_s), self._state.location.regions)
         if key != self._known_pacers_key:
@@ -371,7 +372,7 @@
         return self._departed.get(member.name) == member.incarnation
 
     def _send_request(self, permit: Permit, ask: admission_order.Ask) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         request = fm.AdmissionRequest(
             self._mesh.me,
             permit.number,
@@ -436,7 +437,7 @@
 
     def _confirm_leases(self) -> None:
         """Confirms the leases that are due, and those whose pacer changed."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         for lease in self._leases.values():
             pacer = self._pacer_of(lease.known)
             if pacer is None:
@@ -451,7 +452,7 @@
                 self._confirm(lease)
 
     def _confirm(self, lease: _Lease) -> None:
-        lease.confirmed_s = asyncio.get_running_loop().time()
+        lease.confirmed_s = event_loop.running().time()
         permit = lease.permit
         message = fm.AdmissionRelease(
             self._mesh.me,
@@ -515,7 +516,7 @@
             case None:
                 return
             case budget_pacer.BudgetPacer():
-                now_s = asyncio.get_running_loop().time()
+                now_s = event_loop.running().time()
                 memory_tokens = max(0, message.memory_tokens)
                 pacer.record_stage(key, stage, memory_tokens, now_s)
             case _:
@@ -529,7 +530,7 @@
             # Requests from other instances arrive until the port is closed.
             self._send_leave(message.me.name, message.number)
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         upstream = message.upstream
         pacer = self._pacers.get(upstream)
         if pacer is None:
@@ -572,7 +573,7 @@
         if not has_prompt:
             pacer = slot_limiter.SlotLimiter()
         elif known is not None and _has_small_batch(known):
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.running().time()
             pacer = budget_pacer.BudgetPacer(now_s)
         else:
             pacer = pacer_lib.Pacer()
@@ -580,7 +581,7 @@
         return pacer
 
     def _grant(self, upstream: str) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         decisions = self._pacers[upstream].grant(self._batch(upstream), now_s)
         self._send_decisions(upstream, decisions)
 
@@ -683,7 +684,7 @@
 
     def _schedule_grant(self, upstream: str) -> None:
         """Schedules the next grant of an engine's waiting requests."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         pacer = self._pacers.get(upstream)
         if pacer is None or upstream in self._timers:
             return
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -27,6 +27,7 @@
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
 from sesamecross.ops.fleet import placement_types
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import ticker as ticker_lib
@@ -138,7 +139,7 @@
 
     async def run(self) -> None:
         """Runs the controller while the lease is held."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             if not self._is_active and not self._lease.may_order:
                 await self._ticker.wait(IDLE_INTERVAL_S)
@@ -188,7 +189,7 @@
           version: The software version that an engine must have, or empty.
         """
         lease = self._mesh.lease
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if self._lease.holds:
             if self._request_cooldown.is_due(
                 ("", service, target, upstream, version), now_s
@@ -227,7 +228,7 @@
     def _add_placement_request(
         self, service: str, target: str, upstream: str, version: str = ""
     ) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if version:
             self._version_requests[(service, target, version)] = now_s
         else:
@@ -278,9 +279,9 @@
         is_due = now_s - self._last_plan_s >= PLAN_INTERVAL_S
         if is_due and self._plan_pace.may_begin(now_s):
             self._last_plan_s = now_s
-            started_s = asyncio.get_running_loop().time()
+            started_s = event_loop.running().time()
             self._plan(now_s)
-            finished_s = asyncio.get_running_loop().time()
+            finished_s = event_loop.running().time()
             self._plan_pace.done(started_s, finished_s)
             plan_time_s = finished_s - started_s
         self._publish_placements(now_s)
@@ -509,7 +510,7 @@
             self._expected_loads[name] = {
                 model: now_s + wait_s for model, wait_s in waits.items()
             }
-        took_s = asyncio.get_running_loop().time() - now_s
+        took_s = event_loop.running().time() - now_s
         self._next_target_s[service] = now_s + max(
             TARGET_INTERVAL_S, took_s * TARGET_REST_RATIO
         )
@@ -658,7 +659,7 @@
         order: serving.EngineOrder,
         budget: load_budget.LoadBudget,
     ) -> None:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         sent_s = loop.time()
         answer = serving.OrderAnswer.UNKNOWN
         try:
--- a/sesamecross/gateway/prefill_tracker.py
+++ b/sesamecross/gateway/prefill_tracker.py
@@ -4,13 +4,13 @@
 request waits there; the time to the first event measures its prefill speed.
 """
 
-import asyncio
 from collections.abc import Callable
 
 from sesamecross.core import serving
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import engine_choice
 from sesamecross.ops.fleet import target_uses
+from sesamecross.runtime import event_loop
 
 
 class PrefillTracker:
@@ -56,7 +56,7 @@
         self._ahead_tokens = (
             engine.own_prompt_tokens + engine.others_prompt_tokens
         )
-        self._started_s = asyncio.get_running_loop().time()
+        self._started_s = event_loop.running().time()
         self._is_prefilled = False
         engine.own_prompt_tokens += self._tokens
         engine.cache.record_prompt(call)
@@ -70,7 +70,7 @@
             self._upstream.reachability.streaming += 1
         self._finish_prefill()
         self.begin_permit()
-        took_ms = (asyncio.get_running_loop().time() - self._started_s) * 1000
+        took_ms = (event_loop.running().time() - self._started_s) * 1000
         speed_model = self._upstream.engine.speed(self._call.model)
         speed_model.observe(self._ahead_tokens + self._tokens, took_ms)
 
--- a/sesamecross/gateway/request_admission.py
+++ b/sesamecross/gateway/request_admission.py
@@ -1,12 +1,11 @@
 """Admits a request by its key and its workspace's quota."""
 
-import asyncio
-
 import msgspec
 
 from sesamecross.gateway import request_context
 from sesamecross.gateway import request_progress
 from sesamecross.ops.fleet import caller_keys
+from sesamecross.runtime import event_loop
 
 # How long a request waits for word of its key: whether a newer configuration
 # has it, or that there is none newer.
@@ -52,7 +51,7 @@
           Why the request is rejected, or None.
         """
         state = self._context.state
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         arrived_s = state.freshness.now_s()
         ends_s = loop.time() + KEY_WAIT_S
         while True:
@@ -104,7 +103,7 @@
         workspace = self._progress.request.workspace
         if workspace is None or workspace.quota is None:
             return None
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         refusal = self._context.state.quotas.admit(
             workspace, self._quota_cost, now_s
         )
@@ -123,7 +122,7 @@
             self._progress.request.workspace,
             self._quota_cost,
             self._admitted_s,
-            asyncio.get_running_loop().time(),
+            event_loop.running().time(),
         )
 
     def charge_repeat(self) -> None:
@@ -133,5 +132,5 @@
         self._context.state.quotas.charge(
             self._progress.request.workspace,
             self._quota_cost,
-            asyncio.get_running_loop().time(),
+            event_loop.running().time(),
         )
--- a/sesamecross/gateway/request_context.py
+++ b/sesamecross/gateway/request_context.py
@@ -4,8 +4,6 @@
 clients and guards; they get them from here.
 """
 
-import asyncio
-
 from sesamecross.gateway import connection_pool as connection_pool_lib
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import origin_registry
@@ -17,6 +15,7 @@
 from sesamecross.ops.fleet import stopping
 from sesamecross.ops.fleet import target_uses
 from sesamecross.ports import http_codec as http_codec_lib
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 
@@ -101,7 +100,7 @@
         Returns:
           Whether requests can be served.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         if self._ready_by_s is None:
             self._ready_by_s = loop.time() + START_WAIT_S
         while not self.state.is_ready and self.stop is None:
--- a/sesamecross/gateway/request_log.py
+++ b/sesamecross/gateway/request_log.py
@@ -1,9 +1,8 @@
 """The line that is logged when a request has ended."""
 
-import asyncio
-
 from sesamecross.gateway import request_context
 from sesamecross.gateway import request_progress
+from sesamecross.runtime import event_loop
 
 # Longest id of a caller, or of a part of a prompt, that is logged.
 MAX_ID = 64
@@ -17,7 +16,7 @@
     outcome: str,
 ) -> None:
     """Logs and counts how a request ended."""
-    took_s = asyncio.get_running_loop().time() - progress.arrived_s
+    took_s = event_loop.running().time() - progress.arrived_s
     context.metrics.count(
         "sesamecross_requests_total",
         "Requests of callers, by outcome.",
--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -14,6 +14,7 @@
 from sesamecross.ops.fleet import retry_policy
 from sesamecross.ops.fleet import send_gate
 from sesamecross.ports import http_codec as http_codec_lib
+from sesamecross.runtime import event_loop
 
 
 class RequestSender:
@@ -52,7 +53,7 @@
         self, upstream: directory.KnownUpstream
     ) -> attempt_lib.Outcome | None:
         """Sends the request once; returns None when its deadline passed."""
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         left_s = self._progress.deadline_s - loop.time()
         if left_s <= 0:
             return None
@@ -103,7 +104,7 @@
 
     def _reason_not_to_send(self, upstream: directory.KnownUpstream) -> str:
         """Returns what has become known since the choice; empty if nothing."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if (
             self._progress.search is not None
             and self._progress.search.is_withheld()
@@ -159,7 +160,7 @@
         upstream: directory.KnownUpstream,
         connection: client_connection.ClientConnection,
     ) -> attempt_lib.Outcome | None:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         entry = upstream.entry
         request = self._progress.request
         left_s = self._progress.deadline_s - loop.time()
--- a/sesamecross/gateway/request_task.py
+++ b/sesamecross/gateway/request_task.py
@@ -23,6 +23,7 @@
 from sesamecross.ops.fleet import retry_policy
 from sesamecross.ops.fleet import send_gate
 from sesamecross.ops.fleet import stream_origins
+from sesamecross.runtime import event_loop
 
 # An instance that has just started knows more by then.
 EARLY_RETRY_AFTER_S = 0.25
@@ -54,7 +55,7 @@
         self._context = context
         self._response_writer = response_writer
         progress = request_progress.RequestProgress(
-            request, asyncio.get_running_loop().time()
+            request, event_loop.running().time()
         )
         self._progress = progress
         self._admission = request_admission.RequestAdmission(context, progress)
@@ -303,7 +304,7 @@
             )
 
     async def _run_attempts(self) -> str:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         state = self._context.state
         retry_budget = state.retry_budget(self._progress.route)
         retry_budget.request(loop.time())
@@ -352,7 +353,7 @@
         Returns:
           Whether the request may be sent.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         while True:
             match self._sender.judge():
                 case send_gate.Send():
@@ -389,7 +390,7 @@
             or self._progress.history.possibly_ran_at
         ):
             return False
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         return not stop.has_time_for(
             self._progress.route, self._progress.request.call, now_s
         )
--- a/sesamecross/gateway/service_search.py
+++ b/sesamecross/gateway/service_search.py
@@ -5,8 +5,6 @@
 for a slot of one that must not turn too many away.
 """
 
-import asyncio
-
 from sesamecross.core import serving
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import pacing
@@ -15,6 +13,7 @@
 from sesamecross.ops.fleet import service_choice
 from sesamecross.ops.fleet import stream_origins
 from sesamecross.ops.fleet import wait_policy
+from sesamecross.runtime import event_loop
 
 # Over which time requests that waited for an upstream are sent to it.
 BACKOFF_SPREAD_S = 0.1
@@ -70,7 +69,7 @@
         """
         self.note = ""
         while True:
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.running().time()
             usable = self._of_origin(
                 known
                 for target in self._route.targets
@@ -137,7 +136,7 @@
         Returns:
           Whether the request may be sent.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if not self._context.state.has_rejection_limit(
             upstream.entry.service, now_s
         ):
--- a/sesamecross/gateway/upstream_connector.py
+++ b/sesamecross/gateway/upstream_connector.py
@@ -19,6 +19,7 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import connection_subset
 from sesamecross.ops.fleet import directory
+from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.utils import rendezvous
 
@@ -98,7 +99,7 @@
           OSError: No connection could be opened in time, neither directly nor
             by way of a peer. Nothing was sent.
         """
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         started_s = loop.time()
         self._record_use(upstream, started_s)
         access = self._access(upstream, started_s)
@@ -173,7 +174,7 @@
         """
         if not self._uses[upstream.entry.service].is_scarce:
             return False
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         if now_s - self._suspect_zones_s >= SUSPECT_ZONES_TTL_S:
             self._suspect_zones_s = now_s
             self._suspect_zones = frozenset(
@@ -208,7 +209,7 @@
         requires_new: bool = False,
         is_repeatable: bool = False,
     ) -> client_connection.ClientConnection:
-        loop = asyncio.get_running_loop()
+        loop = event_loop.running()
         address = upstream.entry.address
         began_s = loop.time()
         try:
@@ -251,9 +252,7 @@
         is_engine = self._is_engine(upstream)
         report = await self._ask_engine(upstream.entry) if is_engine else None
         if report is not None:
-            upstream.reachability.record_contact(
-                asyncio.get_running_loop().time()
-            )
+            upstream.reachability.record_contact(event_loop.running().time())
             return report.born_ms > born_ms
         try:
             connection = await self._connect_directly(
@@ -262,7 +261,7 @@
                 requires_new=True,
             )
         except ConnectionRefusedError:
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.running().time()
             # A port that only this instance finds closed is behind a cut.
             is_reached = upstream.others_reachability.hears > 0
             if is_reached or self._state.directory.is_isolated(now_s):
@@ -297,7 +296,7 @@
           instances: Names of the live instances that reach their upstreams.
           me: This instance's name.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = event_loop.running().time()
         checks, self._checks = self._checks, {}
         for known in self._state.directory:
             instance_id = known.entry.instance_id
@@ -332,7 +331,7 @@
         else:
             is_alive = await self._probe(upstream)
         if is_alive:
-            now_s = asyncio.get_running_loop().time()
+            now_s = event_loop.running().time()
             upstream.reachability.record_contact(now_s)
 
     def _is_engine(self, upstream: directory.KnownUpstream) -> bool:
