--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -16,11 +16,9 @@
 from collections.abc import Callable
 import contextlib
 import cProfile
-import dataclasses
 import functools
 import os
 import pstats
-import random
 import resource
 import subprocess
 import sys
@@ -28,39 +26,28 @@
 import time
 from typing import Any
 
-import msgspec
-
-from sesamecross.core import fleet_messages as fm
-from sesamecross.core import serving
 from sesamecross.fakes import gateway_site
-from sesamecross.fakes import platform_site
-from sesamecross.fakes import samples
+from sesamecross.fakes import simulated_fleet
 from sesamecross.fakes import virtual_time_loop
 from sesamecross.gateway import app as app_lib
-from sesamecross.gateway import follower
+from sesamecross.gateway import client_connection
+from sesamecross.gateway import engine_search
+from sesamecross.gateway import event_relay
 from sesamecross.gateway import forwarder
 from sesamecross.gateway import mesh as mesh_lib
-from sesamecross.platform import program
-from sesamecross.platform import settings
+from sesamecross.gateway import server_connection
+from sesamecross.gateway import service_search
+from sesamecross.ops.fleet import route_table
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
 
-ZONES = 6
-REGIONS = {f"z{zone}": f"r{zone % 3}" for zone in range(ZONES)}
 SETTLE_S = 4.0
 DURATION_S = 3.0
-ONE_WAY_S = 0.001
-MODELS = 200
 # Processor time of a fixed loop, to which the figures of a fleet are scaled:
 # on a shared machine the speed of a core varies by a third.
 # The loop runs between the slices of a measurement.
 REFERENCE_S = 0.005
 SLICES = 20
-REQUEST_S = 1.5
-# Components that call the store or listen on sockets.
-_NOT_PERIODIC = frozenset(
-    {"front", "ready", "metrics", "joiner", "sync", "reloader"}
-)
 # Methods whose processor time is reported, with the name of the activity. That
 # of the methods they call which are also listed is included.
 _ACTIVITIES = (
@@ -72,10 +59,18 @@
     (mesh_lib.Mesh, "_send_summaries", "summaries between hubs"),
     (mesh_lib.Mesh, "_update_zone", "views to the zone"),
 )
+# The other steps of a request wait, so that their time can't be told from that
+# of others; `--profile` shows their functions.
 _STEPS = (
-    (forwarder.Forwarder, "parse_request", "parse"),
-    (forwarder._RequestTask, "_check_key", "key"),
+    (server_connection.ServerConnection, "data_received", "received"),
+    (forwarder.Forwarder, "parse_request", "- parsed"),
+    (route_table.RouteTable, "find", "route"),
     (forwarder._RequestTask, "_check_quota", "quota"),
+    (engine_search.EngineSearch, "_choose_engine", "choice of an engine"),
+    (service_search.ServiceSearch, "_choose", "choice of a service"),
+    (client_connection.ClientConnection, "send", "sent"),
+    (client_connection.ClientConnection, "data_received", "answer received"),
+    (event_relay.EventRelay, "feed", "- events relayed"),
     (forwarder._RequestTask, "_log_outcome", "log and metrics"),
     (metrics_lib.Metrics, "count", "- counters"),
     (metrics_lib.Metrics, "observe", "- histograms"),
@@ -126,123 +121,13 @@
         return measured
 
 
-class _Transport:
-    """Delivers datagrams to the other instances."""
-
-    def __init__(self, meshes: dict[str, mesh_lib.Mesh]):
-        self._meshes = meshes
-
-    def is_closing(self) -> bool:
-        return False
-
-    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        receiver = self._meshes[f"{address[0]}:{address[1]}"]
-        loop = asyncio.get_running_loop()
-        loop.call_later(ONE_WAY_S, receiver.on_datagram, data)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Deployment:
-    """The size of a deployment; `rate` is in requests/s per instance."""
-
-    instances: int
-    engines: int
-    rate: float
-
-
-def _member(number: int) -> fm.Member:
-    zone = f"z{number % ZONES}"
-    address = f"10.0.{number // 200}.{number % 200}:7380"
-    return fm.Member(f"front-{number}", 1000 + number, zone, address, -1, -1)
-
-
-def _upstream(number: int) -> serving.Upstream:
-    name = f"i-{number * 2654435761 % 2**40:010x}"
-    zone = f"z{number % ZONES}"
-    return serving.Upstream(name, "s", "10.9.0.9:80", zone, 16, False, 1)
-
-
-class _Fleet:
-    """The applications of a deployment, on virtual time."""
-
-    def __init__(self, size: _Deployment):
-        self._size = size
-        self._rng = random.Random(1)
-        self._meshes: dict[str, mesh_lib.Mesh] = {}
-        self._tasks: list[asyncio.Task] = []
-        members = tuple(_member(number) for number in range(size.instances))
-        for me in members:
-            self._start(me, members)
-
-    def _start(self, me: fm.Member, members: tuple[fm.Member, ...]) -> None:
-        gateway = app_lib.GatewayApp.from_config(
-            msgspec.structs.replace(
-                samples.INSTANCE, name=me.name, zone=me.zone, regions=REGIONS
-            ),
-            program.adapter(),
-            settings.SettingsFile(""),
-        )
-        for number in range(self._size.engines):
-            gateway.state.directory.update_entry(_upstream(number))
-        components = gateway.components()
-        gateway.mesh.join(me, b"secret", members)
-        gateway.mesh.transport = _Transport(self._meshes)
-        # Else all hubs would exchange what only a lease's holder needs.
-        holder = fm.LeaseAnnouncement(members[0].name, 1000, 1, 1e6)
-        gateway.mesh.update_lease(holder, 0.0)
-        self._meshes[me.address] = gateway.mesh
-        gateway.lease._step = _do_nothing
-        for one in components:
-            if isinstance(one, follower.Follower):
-                one._offset = 1
-                one._should_read = lambda: False
-            if one.name not in _NOT_PERIODIC:
-                self._tasks.append(asyncio.create_task(one.run()))
-        if self._size.rate:
-            self._tasks.append(asyncio.create_task(self._serve(gateway)))
-
-    async def _serve(self, gateway: app_lib.GatewayApp) -> None:
-        """Changes what an instance reports as its requests would."""
-        loop = asyncio.get_running_loop()
-        upstreams = list(gateway.state.directory)
-        while True:
-            await asyncio.sleep(self._rng.expovariate(self._size.rate))
-            known = self._rng.choice(upstreams)
-            model = f"m-{self._rng.randrange(MODELS):03}"
-            call = serving.ModelCall(model, "", 800, 300, ())
-            demand = gateway.forwarder.search_context.demand
-            demand.record_request(("s", model), loop.time(), 0.03)
-            self._begin(gateway, known, call)
-            loop.call_later(REQUEST_S, self._end, gateway, known, call)
-
-    def _begin(self, gateway, known, call) -> None:
-        known.own_running += 1
-        gateway.forwarder.uses.begin(known.entry.instance_id, call)
-        known.reachability.record_contact(asyncio.get_running_loop().time())
-
-    def _end(self, gateway, known, call) -> None:
-        known.own_running -= 1
-        gateway.forwarder.uses.end(known.entry.instance_id, call)
-        now_s = asyncio.get_running_loop().time()
-        known.reachability.record_contact(now_s)
-        known.health.record_success(now_s)
-
-    async def stop(self) -> None:
-        """Ends all tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-
-async def _do_nothing() -> None:
-    """Takes the place of the lease's steps, which call the store."""
-
-
-def _measure_fleet(size: _Deployment, profile: cProfile.Profile | None) -> None:
+def _measure_fleet(
+    size: simulated_fleet.Deployment, profile: cProfile.Profile | None
+) -> None:
     meter = _Meter()
 
     async def scenario() -> tuple[float, float]:
-        fleet = _Fleet(size)
+        fleet = simulated_fleet.Fleet(size)
         await asyncio.sleep(SETTLE_S)
         meter.seconds.clear()
         meter.calls.clear()
@@ -275,16 +160,16 @@
 
 
 async def _measure_requests(
-    count: int, profile: cProfile.Profile | None
+    service: str, count: int, profile: cProfile.Profile | None
 ) -> None:
-    """Sends plain requests to one gateway, whose loop runs in this thread."""
+    """Sends requests to one gateway, whose loop runs in this thread."""
     meter = _Meter()
     async with gateway_site.running_site(gateways=1) as site:
         front = site.gateways[0].front
 
         def send(number: int) -> None:
             for _ in range(number):
-                gateway_site.call(front, platform_site.DESK)
+                gateway_site.call(front, service)
 
         await asyncio.to_thread(send, 20)
         idle_s = -time.thread_time()
@@ -296,7 +181,7 @@
                 await asyncio.to_thread(send, count)
             spent_s = time.thread_time() - begun_s
             spent_s -= idle_s * (time.monotonic() - wall_s)
-    print(f"a request to a plain service: {spent_s / count * 1000:.2f} ms")
+    print(f"a request to {service}: {spent_s / count * 1000:.2f} ms")
     for _, _, label in _STEPS if not profile else ():
         print(f"  {label:26} {meter.seconds[label] / count * 1000:8.3f} ms")
 
@@ -340,10 +225,13 @@
     if arguments.starts:
         _measure_imports(arguments.starts)
     if arguments.requests:
-        asyncio.run(_measure_requests(arguments.requests, profile))
+        for service in gateway_site.SERVICES:
+            asyncio.run(_measure_requests(service, arguments.requests, profile))
     for instances in arguments.instances:
         for rate in arguments.rate:
-            size = _Deployment(instances, arguments.engines, rate)
+            size = simulated_fleet.Deployment(
+                instances, arguments.engines, rate
+            )
             _measure_fleet(size, profile)
     if profile is not None:
         pstats.Stats(profile).sort_stats("tottime").print_stats(40)
