--- a/sesamecross/ops/fleet/admission_order.py
+++ b/sesamecross/ops/fleet/admission_order.py
@@ -19,8 +19,8 @@
 
 import bisect
 from collections.abc import Iterable
+import hashlib
 import math
-import zlib
 
 import msgspec
 
@@ -35,6 +35,8 @@
 # How many turns the kept part may claim at once. It is counted in requests, as
 # large ones would otherwise wait until many small ones have had their turns.
 MAX_KEPT_TURNS = 2.0
+# For how long after a refused caller's turn others are booked.
+RETURN_SPREAD_S = 2.5
 # The most that a workspace is charged for a request: counts that callers state
 # may be false.
 MAX_COST = 50_000
@@ -404,7 +406,9 @@
 
     A caller returns when its turn would have come. Callers refused together
     return one after the other, at the interval at which the engine ends
-    requests, and more urgent ones before less urgent ones.
+    requests, and more urgent ones before less urgent ones. Many of them are
+    served elsewhere and do not return, so that only `RETURN_SPREAD_S` is
+    booked. Beyond that, returns are spread evenly over this time.
     """
 
     __slots__ = ("_booked_until_s",)
@@ -428,7 +432,7 @@
           turn_s: When its turn would come.
           interval_s: Mean time between two turns.
           now_s: Monotonic time.
-          max_s: The longest time to ask for.
+          max_s: The longest time until a turn that is asked for.
         """
         urgency = request.urgency
         booked_s = max(
@@ -439,14 +443,18 @@
             ),
             default=now_s,
         )
-        at_s = min(max(turn_s, booked_s + interval_s), now_s + max_s)
+        turn_s = min(turn_s, now_s + max_s)
+        at_s = max(turn_s, booked_s + interval_s)
+        if at_s > turn_s + RETURN_SPREAD_S:
+            return turn_s - now_s + RETURN_SPREAD_S * jitter(request.key)
         self._booked_until_s[urgency] = at_s
         return at_s - now_s + interval_s * jitter(request.key)
 
 
 def jitter(key: Key) -> float:
     """Returns a number in [0, 1) that differs from request to request."""
-    return zlib.crc32(f"{key[0]}/{key[1]}".encode()) / 2**32
+    digest = hashlib.blake2b(f"{key[0]}/{key[1]}".encode(), digest_size=4)
+    return int.from_bytes(digest.digest()) / 2**32
 
 
 def _entry(request: WaitingRequest) -> _Entry:
--- a/sesamecross/ops/fleet/admission_order_test.py
+++ b/sesamecross/ops/fleet/admission_order_test.py
@@ -229,12 +229,20 @@
 def test_return_times_are_bounded_and_end():
     """Guards against times that grow without end under lasting overload."""
     returns = admission_order.ReturnTimes()
+    times = []
     for number in range(1000):
         request = admission_order.WaitingRequest.from_ask(
             key(number), ask(), 0.0
         )
-        after_s = returns.book(request, 1.0, 0.25, 0.0, 20.0)
-    assert after_s <= 20.25
+        times.append(returns.book(request, 1.0, 0.25, 0.0, 20.0))
+    latest_s = 1.0 + admission_order.RETURN_SPREAD_S + 0.25
+    assert max(times) <= latest_s
+    # They return spread over all of this time.
+    per_bin = [
+        sum(start <= one < start + 0.5 for one in times)
+        for start in (1.0, 1.5, 2.0, 2.5, 3.0)
+    ]
+    assert min(per_bin) > 150
     request = admission_order.WaitingRequest.from_ask(key(0), ask(), 60.0)
     assert returns.book(request, 60.5, 0.25, 60.0, 20.0) < 1.0
 
--- a/sesamecross/ops/fleet/budget_pacer_test.py
+++ b/sesamecross/ops/fleet/budget_pacer_test.py
@@ -98,7 +98,7 @@
     urgent = [one for urgency, one in after_s if not urgency]
     patient = [one for urgency, one in after_s if urgency]
     assert min(urgent) > 1.2
-    assert urgent[-1] > urgent[0] + 1.0
+    assert max(urgent) > urgent[0] + 1.0
     assert len(set(urgent + patient)) == len(after_s)
     assert sum(patient) / len(patient) > sum(urgent) / len(urgent)
 
