Quota simulation: instances draw independent random numbers

All simulated instances used random.Random(1), so they admitted and refused alike, which no deployment does. They now draw from the case's seed and their number. Bounds, seeds and checks are unchanged.

--- a/sesamecross/ops/fleet/quota_simulation_test.py
+++ b/sesamecross/ops/fleet/quota_simulation_test.py
@@ -61,7 +61,7 @@
             None,
             serving.Quota(case.rate, case.rate, True, 200),
         )
-        self.ledgers = [self._new() for _ in range(case.instances)]
+        self.ledgers = [self._new(number) for number in range(case.instances)]
         self.zone = [number % case.zones for number in range(case.instances)]
         # What each instance has heard of each zone.
         self.reports: list[quota_ledger.Usage] = []
@@ -71,8 +71,10 @@
         # What was refused although less than what is owed was used.
         self.refused_within: list[tuple[float, float]] = []
 
-    def _new(self) -> quota_ledger.QuotaLedger:
-        ledger = quota_ledger.QuotaLedger(random.Random(1))
+    def _new(self, number: int) -> quota_ledger.QuotaLedger:
+        # Equal draws at all instances would make them decide alike.
+        rng = random.Random(f"{self.case.seed}/{number}")
+        ledger = quota_ledger.QuotaLedger(rng)
         ledger.set_tolerance(TOLERANCE)
         return ledger
 
@@ -89,7 +91,7 @@
         used = self.reports[number]
         kept = quota_ledger.Usage(used.admitted)
         self.gone.append((now_s + 8.0, self.zone[number], kept))
-        self.ledgers[number] = self._new()
+        self.ledgers[number] = self._new(number)
 
     def _hears(self, one: int, other: int, now_s: float) -> bool:
         return self._is_cut(one, now_s) == self._is_cut(other, now_s)
