--- a/sesamecross/ops/fleet/quota_shares.py
+++ b/sesamecross/ops/fleet/quota_shares.py
@@ -175,15 +175,20 @@
         self._used_sum += parts
         return self._next_key
 
-    def settle(self, key: int, now_s: float) -> None:
-        """Notes that the borrower has spent a loan before now."""
-        if key in self._used:
-            ready_s, parts = self._used[key]
-            ready_s = min(ready_s, now_s + self._window_s)
-            self._used[key] = (ready_s, parts)
+    def settle(self, key: int, spent: int, now_s: float) -> None:
+        """Notes what of a loan was spent before now; no more of it will be."""
+        if key not in self._used:
+            return
+        ready_s, parts = self._used[key]
+        left = min(parts, max(0, spent))
+        self._used_sum -= parts - left
+        ready_s = min(ready_s, now_s + self._window_s)
+        self._used[key] = (ready_s, left)
+        if not left:
+            del self._used[key]
 
     def give_back(self, key: int) -> None:
-        """Takes back parts that were not used and never will be."""
+        """Takes back parts that were not spent and never will be."""
         _, parts = self._used.pop(key, (0.0, 0))
         self._used_sum -= parts
 
--- a/sesamecross/ops/fleet/quota_shares_test.py
+++ b/sesamecross/ops/fleet/quota_shares_test.py
@@ -60,7 +60,7 @@
         # Lender, key, borrower, and when it asked by its own clock.
         self.loans: list[tuple[Peer, int, Peer, float, int]] = []
         # Of loans that were spent, or never will be.
-        self.settled: list[tuple[Peer, int, bool]] = []
+        self.settled: list[tuple[Peer, int, int]] = []
         self.spent: list[tuple[float, float, float]] = []
 
     def _spend(self, cost: float, bound: float) -> None:
@@ -221,22 +221,26 @@
             self.loans.append((one, key, to, asked_s, parts))
 
     @stateful.precondition(lambda self: self.loans)
-    @stateful.rule(loan=st.integers(0, 9), spends=st.booleans())
+    @stateful.rule(
+        loan=st.integers(0, 9), spends=st.sampled_from((1.0, 0.5, 0.0))
+    )
     def uses_a_loan(self, loan, spends):
         """A borrower takes a reply once; later copies are not its own."""
         number = len(self.loans) - 1 - loan % len(self.loans)
         lender, key, to, asked_s, parts = self.loans.pop(number)
-        spends = spends and qs.is_in_time(asked_s, self.now_s + to.clock_s)
-        if spends:
-            self._spend(parts * to.bound / qs.PARTS, to.bound)
-        self.settled.append((lender, key, spends))
+        spent = 0
+        if qs.is_in_time(asked_s, self.now_s + to.clock_s):
+            spent = round(parts * spends)
+        if spent:
+            self._spend(spent * to.bound / qs.PARTS, to.bound)
+        self.settled.append((lender, key, spent))
 
     @stateful.precondition(lambda self: self.settled)
     @stateful.rule(message=st.integers(0, 9))
     def hears_of_a_loan(self, message):
         lender, key, spent = self.settled[-1 - message % len(self.settled)]
         if spent:
-            lender.holder.settle(key, self.now_s + lender.clock_s)
+            lender.holder.settle(key, spent, self.now_s + lender.clock_s)
         else:
             lender.holder.give_back(key)
 
@@ -275,7 +279,7 @@
             "delay_s": (0.0, 0.0, 0.1, 0.24, 1.0),
         },
     ),
-    "uses_a_loan": (3, {"loan": _ANY, "spends": (True, True, False)}),
+    "uses_a_loan": (3, {"loan": _ANY, "spends": (1.0, 1.0, 0.5, 0.0)}),
     "hears_of_a_loan": (2, {"message": _ANY}),
 }
 _NEEDS = {
