--- a/sesamecross/ops/fleet/quota_share_agent.py
+++ b/sesamecross/ops/fleet/quota_share_agent.py
@@ -18,9 +18,9 @@
 
 # What all homes together hold without demand. The rest stays with the granter,
 # for homes that need more and for the time after a restart of all.
-REST_PARTS = 450_000
+REST_PARTS = 550_000
 # What all homes together keep free beyond what is in use.
-HEADROOM_PARTS = 100_000
+HEADROOM_PARTS = 200_000
 # How often a share is renewed: several times within a lease.
 RENEWAL_S = 1.0
 # How long a reply is awaited: a round trip between regions (40 ms) and a
@@ -33,7 +33,9 @@
 # How long a granter waits for the store to take a higher cap.
 MAX_HOLD_S = 0.03
 # For how long a raised cap stays, as each change is a write to the store.
-CAP_STAYS_S = 5.0
+CAP_STAYS_S = 1.0
+# How far a cap is set above what is handed out.
+CAP_MARGIN_PARTS = 30_000
 MIN_RETRY_AFTER_S = 0.1
 
 
@@ -390,15 +392,19 @@
         granting = self.granting
         if granting is None:
             return None
+        outstanding = granting.outstanding(now_s)
         if self._held_requests and granting.cap < qs.PARTS:
             self._raised_s = now_s
-            return qs.PARTS
-        rest = REST_PARTS + HEADROOM_PARTS // 2
-        lowest = max(rest, granting.outstanding(now_s))
-        if granting.cap >= rest and now_s - self._raised_s < CAP_STAYS_S:
-            return None
-        if granting.cap > lowest + HEADROOM_PARTS or granting.cap < rest:
-            return lowest
+            missing = sum(
+                max(0, request.wanted - request.held)
+                for _, request in self._held_requests
+            )
+            return min(qs.PARTS, outstanding + missing + CAP_MARGIN_PARTS)
+        target = max(REST_PARTS, outstanding) + CAP_MARGIN_PARTS
+        is_low = granting.cap < REST_PARTS
+        is_high = granting.cap > target + CAP_MARGIN_PARTS
+        if is_low or (is_high and now_s - self._raised_s >= CAP_STAYS_S):
+            return min(qs.PARTS, target)
         return None
 
     def on_cap_stored(self, now_s: float) -> list[Outgoing]:
--- a/sesamecross/ops/fleet/quota_shares.py
+++ b/sesamecross/ops/fleet/quota_shares.py
@@ -14,6 +14,7 @@
 here are deterministic.
 """
 
+import heapq
 import math
 
 import msgspec
@@ -28,7 +29,7 @@
 LOAN_S = 0.25
 # How long a granter may grant after the sending of its last confirmed write or
 # read of its record.
-AUTHORITY_S = 2.0
+AUTHORITY_S = 1.0
 
 
 def parts_of(cost: float, bound: float) -> int:
@@ -97,6 +98,7 @@
         "_number",
         "_sent_s",
         "_used",
+        "_queue",
         "_used_sum",
         "_next_key",
     )
@@ -111,6 +113,8 @@
         self._sent_s = -math.inf
         # By key: when the parts can be spent again, and how many.
         self._used: dict[int, tuple[float, int]] = {}
+        # By when they can be; entries of what was settled since are outdated.
+        self._queue: list[tuple[float, int]] = []
         self._used_sum = 0
         self._next_key = 0
 
@@ -120,10 +124,12 @@
         return self._term
 
     def _advance(self, now_s: float) -> None:
-        for key, (ready_s, parts) in list(self._used.items()):
-            if ready_s <= now_s:
+        while self._queue and self._queue[0][0] <= now_s:
+            ready_s, key = heapq.heappop(self._queue)
+            used = self._used.get(key)
+            if used is not None and used[0] <= ready_s:
                 del self._used[key]
-                self._used_sum -= parts
+                self._used_sum -= used[1]
 
     def held(self, now_s: float) -> int:
         """Returns what is or may be in use, or may still be spent."""
@@ -172,6 +178,7 @@
         self._next_key += 1
         ready_s = now_s + after_s + self._window_s
         self._used[self._next_key] = (ready_s, parts)
+        heapq.heappush(self._queue, (ready_s, self._next_key))
         self._used_sum += parts
         return self._next_key
 
@@ -183,9 +190,11 @@
         left = min(parts, max(0, spent))
         self._used_sum -= parts - left
         ready_s = min(ready_s, now_s + self._window_s)
-        self._used[key] = (ready_s, left)
         if not left:
             del self._used[key]
+            return
+        self._used[key] = (ready_s, left)
+        heapq.heappush(self._queue, (ready_s, key))
 
     def give_back(self, key: int) -> None:
         """Takes back parts that were not spent and never will be."""
@@ -266,20 +275,16 @@
         # A holder's parts stay counted for so long after its lease: what it
         # spent or lent last, and until an overtaken granter has noticed.
         self._tail_s = window_s + LOAN_S + AUTHORITY_S
-        self._unknown_until_s = now_s + AUTHORITY_S + LEASE_S + self._tail_s
+        self._unknown_until_s = now_s + LEASE_S + self._tail_s
         self._authority_until_s = sent_s + AUTHORITY_S
         self._leases: dict[tuple[str, int], _Lease] = {}
 
     def _advance(self, now_s: float) -> None:
         if now_s >= self._unknown_until_s:
             self._unknown = 0
+        # None ends before the unknown does, so no holder is adopted twice.
         for holder, lease in list(self._leases.items()):
-            if now_s < lease.until_s:
-                continue
-            lease.parts = 0
-            # While there is something to adopt, no holder may do so twice, not
-            # even by a request that was held up.
-            if now_s >= self._unknown_until_s:
+            if now_s >= lease.until_s:
                 del self._leases[holder]
 
     def outstanding(self, now_s: float) -> int:
--- a/sesamecross/ops/fleet/quota_shares_test.py
+++ b/sesamecross/ops/fleet/quota_shares_test.py
@@ -402,6 +402,57 @@
     assert other.free(late_s + 20.0) == 5
 
 
+def test_a_loan_counts_until_its_borrower_may_have_spent_it():
+    granter, holder = granted()
+    exchange(granter, holder, qs.PARTS, 0.5)
+    assert holder.lend(qs.PARTS, 0.5) is not None
+    assert holder.used(8.5 + qs.LOAN_S - 0.01) == qs.PARTS
+    assert holder.used(8.5 + qs.LOAN_S) == 0
+
+
+def test_a_request_that_was_held_up_is_not_adopted_twice():
+    """Guards against a successor that takes others' parts for known."""
+    term = qs.Granter(qs.Record(2, qs.PARTS), WINDOW_S, 0.0, 0.0)
+    late = qs.ShareRequest(("front-1", 1), 1, 2, 400_000, 400_000)
+    term.on_request(late, 0.1)
+    before_s = qs.LEASE_S + WINDOW_S + qs.LOAN_S + qs.AUTHORITY_S - 0.01
+    term.confirm(before_s)
+    assert term.on_request(late, before_s) is None
+    assert term.outstanding(before_s) == qs.PARTS
+    # What was unknown has expired with it.
+    assert term.outstanding(before_s + 0.02) == 400_000
+    assert term.outstanding(before_s + 0.2) == 0
+
+
+def test_more_than_is_unknown_is_not_adopted():
+    """Guards against a holder that states what nobody has granted."""
+    term = qs.Granter(qs.Record(2, 300_000), WINDOW_S, 0.0, 0.0)
+    term.on_request(qs.ShareRequest(("front-1", 1), 1, 2, qs.PARTS, 0), 0.1)
+    assert term.outstanding(0.1) == 300_000
+
+
+def test_a_holder_that_obeys_an_earlier_term_is_not_adopted():
+    """Guards against parts that two granters can hand on."""
+    term = qs.Granter(qs.Record(2, 300_000), WINDOW_S, 0.0, 0.0)
+    request = qs.ShareRequest(("front-1", 1), 1, 1, 300_000, 0)
+    assert term.on_request(request, 0.1).parts is None
+    other = qs.ShareRequest(("front-2", 1), 1, 2, 0, qs.PARTS)
+    assert term.on_request(other, 0.1).parts == 0
+
+
+@pytest.mark.parametrize(
+    "number, term, held, wanted",
+    [(1, 3, 0, 5), (1, 2, -1, 5), (1, 2, 0, -5), (0, 2, 0, 5)],
+)
+def test_requests_that_make_no_sense_change_nothing(number, term, held, wanted):
+    """Guards against numbers that would free what others hold."""
+    granter = qs.Granter(qs.Record(2, 300_000), WINDOW_S, 0.0, 0.0)
+    granter.on_request(qs.ShareRequest(("front-1", 1), 0, 2, 9, 0), 0.0)
+    request = qs.ShareRequest(("front-1", 1), number, term, held, wanted)
+    assert granter.on_request(request, 0.1) is None
+    assert granter.outstanding(0.1) == 300_000
+
+
 @pytest.mark.parametrize(
     "cost, bound, parts",
     [
