Engines: instances exchange how slow their answers are

With 129 instances each sees few answers of an engine, and short streams leave no sign of a slow one in the requests in flight. Rows of failures now also carry the times to first events over the usual, for slow engines only (16 at most), and the choice multiplies an engine's expected time by up to 3. In effect where there are more instances than batch slots.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -76,11 +76,17 @@
 
 
 class UpstreamOutcomes(msgspec.Struct, frozen=True, array_like=True):
-    """Decayed counts of recent outcomes at an upstream: failures, and all."""
+    """Decayed counts of recent outcomes at an upstream: failures, and all.
+
+    Attributes:
+      ratios, answers: As in `ops.fleet.upstream_speed.SpeedTally`.
+    """
 
     upstream: str
     failed: float
     total: float
+    ratios: float = 0.0
+    answers: float = 0.0
 
 
 class WorkspaceUse(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -68,8 +68,6 @@
 # that call the store while they stop. The rest is for the process's exit.
 STORE_GRACE_SHARE = 0.4
 _POLL_INTERVAL_S = 0.05
-# Smaller shares of failures are not reported.
-MIN_REPORTED_FAILURE_SHARE = 0.05
 
 
 class PlatformAdapter(msgspec.Struct, frozen=True):
@@ -335,7 +333,6 @@
         """Builds the report of this instance for the others."""
         now_s = asyncio.get_running_loop().time()
         loads = []
-        failing = []
         for known in self.state.directory:
             name = known.entry.instance_id
             state = self.state.directory.reported_state(known, now_s)
@@ -351,18 +348,16 @@
                         counts.refused,
                     )
                 )
-            outcomes = known.health.outcomes(now_s)
-            if (
-                outcomes.total
-                and known.failure_share(now_s) >= MIN_REPORTED_FAILURE_SHARE
-            ):
-                failing.append(
-                    fm.UpstreamOutcomes(
-                        name,
-                        round(outcomes.failed, 1),
-                        round(outcomes.total, 1),
-                    )
-                )
+        failing = [
+            fm.UpstreamOutcomes(
+                name,
+                round(outcomes.failed, 1),
+                round(outcomes.total, 1),
+                round(outcomes.speed.ratios, 1),
+                round(outcomes.speed.count, 1),
+            )
+            for name, outcomes in self.state.directory.reported_outcomes(now_s)
+        ]
         return fm.Report(
             self.mesh.me,
             0,
--- a/sesamecross/gateway/mesh.py
+++ b/sesamecross/gateway/mesh.py
@@ -73,6 +73,7 @@
     return health.Outcomes(
         max(0.0, fleet.failed - own.failed),
         max(0.0, fleet.total - own.total),
+        fleet.speed.minus(own.speed),
     )
 
 
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -12,6 +12,8 @@
 from sesamecross.runtime import ticker as ticker_lib
 
 SWEEP_INTERVAL_S = 0.5
+# From this slowness on, an upstream is logged as slow.
+SLOW_FROM = 1.2
 
 
 class Sweeper:
@@ -28,6 +30,7 @@
         "_ticker",
         "_metrics",
         "_counted",
+        "_slow",
     )
 
     def __init__(
@@ -44,6 +47,7 @@
         self._metrics = metrics or metrics_lib.Metrics()
         # Connections opened and reused, as far as they are counted.
         self._counted = (0, 0)
+        self._slow: set[str] = set()
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
@@ -53,10 +57,38 @@
             now_s = loop.time()
             self._connection_pool.close_stale(now_s)
             self._count_connections()
+            self._update_speeds(now_s)
             for known in self._state.directory.remove_lapsed(now_s):
                 self._connection_pool.forget(known.entry.address)
                 self._log.info("forgotten", id=known.entry.instance_id)
 
+    def _update_speeds(self, now_s: float) -> None:
+        directory = self._state.directory
+        directory.update_usual_speeds(self._state.instance_count or 1, now_s)
+        slow = set()
+        for known in directory:
+            name, slowness = known.entry.instance_id, known.slowness(now_s)
+            # One that is about to count as usual is not logged again and again.
+            if slowness >= SLOW_FROM or (name in self._slow and slowness > 1):
+                slow.add(name)
+            if (name in slow) != (name in self._slow):
+                self._log.info(
+                    "slow" if name in slow else "no longer slow",
+                    id=name,
+                    slowness=round(slowness, 2),
+                    usual=round(known.usual_ratio, 2),
+                    own=round(known.engine.speed_record.recent(now_s).count, 1),
+                    others=round(known.others_outcomes.speed.count, 1),
+                )
+        if slow != self._slow:
+            self._metrics.set(
+                "sesamecross_slow_upstreams",
+                "Upstreams that are slower than is usual in their service.",
+                {},
+                len(slow),
+            )
+        self._slow = slow
+
     def _count_connections(self) -> None:
         pool = self._connection_pool
         counts = (pool.opened_count, pool.reused_count)
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -12,7 +12,9 @@
 from collections.abc import Iterable
 from collections.abc import Sized
 import enum
+import heapq
 import math
+import statistics
 
 import msgspec
 
@@ -22,6 +24,7 @@
 from sesamecross.ops.fleet import health as health_lib
 from sesamecross.ops.fleet import reachability as reachability_lib
 from sesamecross.ops.fleet import stream_origins
+from sesamecross.ops.fleet import upstream_speed
 
 # A lapsed entry is used as a last resort for this share of the drain bound:
 # entries also lapse during a store outage, and return within two seconds of its
@@ -35,6 +38,12 @@
 # From this share of failures on, no new requests are sent if another upstream
 # can serve them.
 DOWN_FAILURE_SHARE = 0.75
+# Smaller shares of failures are not reported.
+MIN_REPORTED_FAILURE_SHARE = 0.05
+# Bounds the rows of slow upstreams in a report; the slowest are reported.
+MAX_SLOW_ROWS = 16
+# A tally that has decayed below this is not reported.
+MIN_REPORTED_ANSWERS = 0.05
 # An instance is isolated if it reaches none of at least this many upstreams.
 # Fewer may have crashed at the same moment.
 ISOLATION_MIN_UPSTREAMS = 2
@@ -81,6 +90,7 @@
       mean_duration_s: Smoothed duration of a request there; 0 before the first
         one has ended.
       is_duration_relaxed: Whether that is assumed, for want of use.
+      usual_ratio: What is usual in its service; 0 if that is unknown.
       idle_connections: Idle connections to it, where new ones are scarce;
         otherwise empty.
     """
@@ -105,6 +115,7 @@
     engine: engine_state.EngineState = msgspec.field(
         default_factory=engine_state.EngineState
     )
+    usual_ratio: float = 0.0
     idle_connections: Sized = ()
 
     @property
@@ -150,6 +161,16 @@
         """Returns the recent share of failures over all instances."""
         return self.health.outcomes(now_s).plus(self.others_outcomes).share
 
+    def slowness(self, now_s: float) -> float:
+        """Returns how many times slower than usual it is, from 1."""
+        # Each choice asks this of each engine; most have nothing to add up.
+        if self.usual_ratio <= 0:
+            return 1.0
+        tally = self.engine.speed_record.recent(now_s)
+        if self.others_outcomes.speed.count:
+            tally = tally.plus(self.others_outcomes.speed)
+        return tally.slowness(self.usual_ratio)
+
     def access(self, now_s: float, is_isolated: bool) -> Access:
         """Returns how this instance can send a new request there.
 
@@ -339,6 +360,58 @@
             and known.lapsed_s is None
         ]
 
+    def reported_outcomes(
+        self, now_s: float
+    ) -> list[tuple[str, health_lib.Outcomes]]:
+        """Returns the outcomes at upstreams that fail or are slow.
+
+        Those that are neither are left out: most upstreams are sound.
+        """
+        slow = {
+            known.entry.instance_id: slowness
+            for known in self._known.values()
+            if (slowness := known.slowness(now_s))
+            >= upstream_speed.MIN_REPORTED_SLOWNESS
+        }
+        slow_names = set(heapq.nlargest(MAX_SLOW_ROWS, slow, key=slow.get))
+        reported = []
+        for name, known in self._known.items():
+            outcomes = known.health.outcomes(now_s)
+            has_failures = (
+                outcomes.total > 0
+                and known.failure_share(now_s) >= MIN_REPORTED_FAILURE_SHARE
+            )
+            if not has_failures:
+                outcomes = health_lib.Outcomes()
+            if name in slow_names:
+                outcomes = health_lib.Outcomes(
+                    outcomes.failed,
+                    outcomes.total,
+                    known.engine.speed_record.recent(now_s),
+                )
+            if has_failures or outcomes.speed.count >= MIN_REPORTED_ANSWERS:
+                reported.append((name, outcomes))
+        return reported
+
+    def update_usual_speeds(self, instances: int, now_s: float) -> None:
+        """Sets what is usual in each service: the median of its upstreams.
+
+        It is known only where there are more instances than an upstream has
+        slots. With fewer, each sees enough answers of its own.
+
+        Args:
+          instances: How many there are.
+          now_s: Monotonic time.
+        """
+        ratios: dict[str, list[float]] = {}
+        for known in self._known.values():
+            ratio = known.engine.speed_record.usual_ratio(now_s)
+            if ratio > 0 and instances > known.entry.slots:
+                ratios.setdefault(known.entry.service, []).append(ratio)
+        for known in self._known.values():
+            found = ratios.get(known.entry.service)
+            known.usual_ratio = statistics.median_low(found) if found else 0.0
+
     def is_isolated(self, now_s: float) -> bool:
         """Whether this instance is cut off from the upstreams.
 
--- a/sesamecross/ops/fleet/engine_choice.py
+++ b/sesamecross/ops/fleet/engine_choice.py
@@ -115,7 +115,7 @@
     adapter_ready_s = _adapter_ready_s(call, known, place, now_s)
     expected_s = (
         location.round_trip_s(known.entry.zone)
-        + first_ms / 1000
+        + first_ms / 1000 * known.slowness(now_s)
         + overflow / slots * SLOT_HOLD_S
         + (known.running / slots) ** 2 * FULL_BATCH_PENALTY_S
         + known.failure_share(now_s) * FAILURE_PENALTY_S
--- a/sesamecross/ops/fleet/engine_state.py
+++ b/sesamecross/ops/fleet/engine_state.py
@@ -12,6 +12,7 @@
 from sesamecross.core import serving
 from sesamecross.ops import estimates
 from sesamecross.ops.fleet import prefix_cache
+from sesamecross.ops.fleet import upstream_speed
 
 # Initial estimates of the time to a first event without prefill, and of the
 # prefill time per prompt token, used until requests have been measured.
@@ -25,6 +26,23 @@
 PLACEMENT_TTL_S = 5.0
 
 
+class EngineLine(estimates.LinearFit):
+    """The line of one model at one engine."""
+
+    __slots__ = ("_record",)
+
+    def __init__(self, record: upstream_speed.SpeedRecord):
+        super().__init__(
+            INITIAL_FIRST_EVENT_MS, INITIAL_PREFILL_MS, _TYPICAL_TOKENS
+        )
+        self._record = record
+
+    def observe(self, x: float, y: float) -> None:
+        """Adds an observation, also to what is reported of the engine."""
+        super().observe(x, y)
+        self._record.record(y / _reference_ms(x))
+
+
 class EngineState(msgspec.Struct):
     """State of one incarnation of an engine.
 
@@ -37,6 +55,7 @@
         were sent and have no event yet.
       speeds: By model, the line from prompt tokens to the first event, in ms.
       cache: Prompt prefixes that the engine probably caches.
+      speed_record: Times to first events, compared with the initial line.
     """
 
     placement: fm.EnginePlacement | None = None
@@ -48,6 +67,9 @@
     cache: prefix_cache.PrefixCache = msgspec.field(
         default_factory=prefix_cache.PrefixCache
     )
+    speed_record: upstream_speed.SpeedRecord = msgspec.field(
+        default_factory=upstream_speed.SpeedRecord
+    )
     # The latest result of `targets`, and what it was derived from.
     _targets: frozenset[str] = frozenset()
     _targets_source: tuple[
@@ -139,13 +161,15 @@
         """Returns the line from prompt tokens to the first event, in ms."""
         line = self.speeds.get(model)
         if line is None:
-            line = estimates.LinearFit(
-                INITIAL_FIRST_EVENT_MS, INITIAL_PREFILL_MS, _TYPICAL_TOKENS
-            )
+            line = EngineLine(self.speed_record)
             self.speeds[model] = line
         return line
 
 
+def _reference_ms(tokens: float) -> float:
+    return INITIAL_FIRST_EVENT_MS + INITIAL_PREFILL_MS * tokens
+
+
 def estimate_prefill_s(call: serving.ModelCall) -> float:
     """Returns an initial estimate of a prompt's prefill time."""
     return call.prompt_tokens * INITIAL_PREFILL_MS / 1000
--- a/sesamecross/ops/fleet/health.py
+++ b/sesamecross/ops/fleet/health.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from sesamecross.ops.fleet import upstream_speed
+
 # Half-life of an outcome: an upstream that has recovered is used again within
 # seconds, and one that keeps failing is tried every few seconds.
 HALF_LIFE_S = 4.0
@@ -16,14 +18,19 @@
 
 
 class Outcomes(msgspec.Struct, frozen=True):
-    """Decayed counts of failures and of all outcomes."""
+    """Decayed counts of failures and of all outcomes, and recent speeds."""
 
     failed: float = 0.0
     total: float = 0.0
+    speed: upstream_speed.SpeedTally = upstream_speed.SpeedTally()
 
     def plus(self, other: "Outcomes") -> "Outcomes":
         """Returns the sums."""
-        return Outcomes(self.failed + other.failed, self.total + other.total)
+        return Outcomes(
+            self.failed + other.failed,
+            self.total + other.total,
+            self.speed.plus(other.speed),
+        )
 
     @property
     def share(self) -> float:
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -14,6 +14,7 @@
 from sesamecross.ops.fleet import health
 from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import reachability
+from sesamecross.ops.fleet import upstream_speed
 
 # A report older than this no longer counts. Members send at least every 0.4 s;
 # summaries cross regions and may be lost.
@@ -88,7 +89,11 @@
         """Returns the outcomes as message fields."""
         return [
             fm.UpstreamOutcomes(
-                upstream, round(entry.failed, 1), round(entry.total, 1)
+                upstream,
+                round(entry.failed, 1),
+                round(entry.total, 1),
+                round(entry.speed.ratios, 1),
+                round(entry.speed.count, 1),
             )
             for upstream, entry in self.failing.items()
         ]
@@ -116,7 +121,11 @@
         for entry in source.demand:
             _add_demand(totals.demand, entry)
         for entry in source.failing:
-            outcomes = health.Outcomes(entry.failed, entry.total)
+            outcomes = health.Outcomes(
+                entry.failed,
+                entry.total,
+                upstream_speed.SpeedTally(entry.ratios, entry.answers),
+            )
             known = totals.failing.get(entry.upstream)
             if known is not None:
                 outcomes = known.plus(outcomes)
