--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -70,8 +70,6 @@
 # that call the store while they stop. The rest is for the process's exit.
 STORE_GRACE_SHARE = 0.4
 _POLL_INTERVAL_S = 0.05
-# Smaller shares of failures are not reported.
-MIN_REPORTED_FAILURE_SHARE = 0.05
 
 
 class PlatformAdapter(msgspec.Struct, frozen=True):
@@ -377,7 +375,7 @@
         return msgspec.structs.replace(
             report,
             demand=self.forwarder.search_context.demand.rows(now_s),
-            failing=self._reported_failures(now_s),
+            failing=self._reported_outcomes(now_s),
             lease=self.mesh.known_lease(now_s),
             quotas=[
                 fm.WorkspaceUse(name, used.admitted, used.asked)
@@ -385,22 +383,17 @@
             ],
         )
 
-    def _reported_failures(self, now_s: float) -> list[fm.UpstreamOutcomes]:
-        failing = []
-        for known in self.state.directory:
-            outcomes = known.health.outcomes(now_s)
-            if not (outcomes.failed or known.others_outcomes.failed):
-                continue
-            share = outcomes.plus(known.others_outcomes).share
-            if outcomes.total and share >= MIN_REPORTED_FAILURE_SHARE:
-                failing.append(
-                    fm.UpstreamOutcomes(
-                        known.entry.instance_id,
-                        round(outcomes.failed, 1),
-                        round(outcomes.total, 1),
-                    )
-                )
-        return failing
+    def _reported_outcomes(self, now_s: float) -> list[fm.UpstreamOutcomes]:
+        return [
+            fm.UpstreamOutcomes(
+                name,
+                round(outcomes.failed, 1),
+                round(outcomes.total, 1),
+                round(outcomes.speed.ratios, 1),
+                round(outcomes.speed.count, 1),
+            )
+            for name, outcomes in self.state.directory.reported_outcomes(now_s)
+        ]
 
     @property
     def _is_busy(self) -> bool:
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -14,6 +14,7 @@
 from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import quota_ledger
 from sesamecross.ops.fleet import reachability
+from sesamecross.ops.fleet import upstream_speed
 
 # A report older than this no longer counts. Members send at least every 0.4 s;
 # summaries cross regions and may be lost.
@@ -89,7 +90,11 @@
             self.reports[name] = counts(hears, silent, refused)
 
     def _add_outcomes(self, entry: fm.UpstreamOutcomes) -> None:
-        outcomes = health.Outcomes(entry.failed, entry.total)
+        outcomes = health.Outcomes(
+            entry.failed,
+            entry.total,
+            upstream_speed.SpeedTally(entry.ratios, entry.answers),
+        )
         known = self.failing.get(entry.upstream)
         if known is not None:
             outcomes = known.plus(outcomes)
@@ -161,7 +166,11 @@
         """Returns the outcomes as message fields."""
         return [
             fm.UpstreamOutcomes(
-                upstream, round(entry.failed, 1), round(entry.total, 1)
+                upstream,
+                round(entry.failed, 1),
+                round(entry.total, 1),
+                round(entry.speed.ratios, 1),
+                round(entry.speed.count, 1),
             )
             for upstream, entry in self.failing.items()
         ]
