--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -370,15 +370,18 @@
         slow = {
             known.entry.instance_id: slowness
             for known in self._known.values()
-            if (slowness := known.slowness(now_s))
+            if known.usual_ratio > 0
+            and (slowness := known.slowness(now_s))
             >= upstream_speed.MIN_REPORTED_SLOWNESS
         }
         slow_names = set(heapq.nlargest(MAX_SLOW_ROWS, slow, key=slow.get))
         reported = []
         for name, known in self._known.items():
             outcomes = known.health.outcomes(now_s)
+            # Computed only for upstreams that fail anywhere, which are few.
             has_failures = (
                 outcomes.total > 0
+                and (outcomes.failed > 0 or known.others_outcomes.failed > 0)
                 and known.failure_share(now_s) >= MIN_REPORTED_FAILURE_SHARE
             )
             if not has_failures:
