--- a/sesamecross/fakes/placement_fleet.py
+++ b/sesamecross/fakes/placement_fleet.py
@@ -37,7 +37,7 @@
 PREFILL_S = 0.02
 
 
-class Kind(msgspec.Struct):
+class Kind(msgspec.Struct, frozen=True):
     """A kind of requests.
 
     Attributes:
@@ -91,6 +91,8 @@
     bursts: tuple[tuple[float, float, float], ...] = ()
     lost: tuple[float, ...] = ()
     holder_changes: tuple[float, ...] = ()
+    urgent_kind: Kind = URGENT
+    patient_kind: Kind = PATIENT
 
 
 class Deployment(msgspec.Struct):
@@ -360,9 +362,14 @@
             if from_s <= elapsed_s < until_s:
                 factor = more
         kinds = (
-            (URGENT, "urgent", self._load.urgent_rate, self._urgent_names),
             (
-                PATIENT,
+                self._load.urgent_kind,
+                "urgent",
+                self._load.urgent_rate,
+                self._urgent_names,
+            ),
+            (
+                self._load.patient_kind,
                 "patient",
                 self._load.patient_rate * factor,
                 self._patient_names,
@@ -387,7 +394,7 @@
         )
         request = Request(kind, model, self.now_s, self.now_s, is_patient)
         if self._counts:
-            if kind is URGENT:
+            if kind is self._load.urgent_kind:
                 self.result.urgent += 1
             else:
                 self.result.patient += 1
@@ -501,7 +508,7 @@
         self._meter.record_outcome(key, is_late)
         if request.arrived_s < self._counts_from_s:
             return
-        if kind is URGENT:
+        if kind is self._load.urgent_kind:
             self.result.urgent_found += request.attempt_s == request.arrived_s
         elif is_late:
             self.result.patient_late += 1
--- a/sesamecross/ops/fleet/patient_demand_test.py
+++ b/sesamecross/ops/fleet/patient_demand_test.py
@@ -317,7 +317,13 @@
 KITAMI = placement_fleet.Deployment(45, 196, 16, 3.0, 0.6, 0.5, 14.0)
 KYPARISSI = placement_fleet.Deployment()
 SPREAD = placement_fleet.Load(
-    urgent_rate=154.0, patient_rate=27.1, patient_models=120
+    urgent_rate=154.0,
+    patient_rate=27.1,
+    patient_models=120,
+    urgent_kind=placement_fleet.Kind(placement_fleet.route(0.507, 12.169), 0.9),
+    patient_kind=placement_fleet.Kind(
+        placement_fleet.route(6.007, 15.018), 1.2
+    ),
 )
 BURST = ((0.0, 20.0, 2.5),)
 
@@ -336,6 +342,9 @@
     runs = [
         placement_fleet.compare(load, seed, 20.0, deployment) for seed in SEEDS
     ]
+    for seed, (before, after) in zip(SEEDS, runs, strict=True):
+        print(f"seed {seed} without groups: {before}")
+        print(f"seed {seed} with groups: {after}")
     return [
         {
             "urgent": statistics.mean(one.urgent_share for one in way),
--- a/sesamecross/ops/fleet/placement_swaps.py
+++ b/sesamecross/ops/fleet/placement_swaps.py
@@ -64,10 +64,10 @@
     load starts, two models can swap their engines at no cost.
     """
     planned = [
-        (draft.inputs.demand_for(name).load_value, name, instance_id)
+        (draft.inputs.demand_for(name).value, name, instance_id)
         for instance_id in draft.engines
         for name in _planned_models(draft, instance_id)
-        if draft.inputs.demand_for(name).has_callers
+        if draft.inputs.demand_for(name).is_in_demand
     ]
     planned.sort(key=lambda entry: (-entry[0], entry[1:]))
     moved: set[tuple[str, str]] = set()
