Leases on engines' slots and the exchange of speeds apply where models are scarce

Both are in effect where more models are declared than the known engines hold at once, as patient requests are.

--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -15,6 +15,7 @@
 from sesamecross.core import serving
 from sesamecross.gateway import crash_guard as crash_guard_lib
 from sesamecross.gateway import pacing as pacing_lib
+from sesamecross.gateway import scarce_models as scarce_models_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import demand as demand_lib
@@ -31,8 +32,6 @@
 NO_VERSION_RETRY_AFTER_S = 0.5
 # How often a waiting request checks whether a paused engine has gone on.
 PAUSE_CHECK_INTERVAL_S = 0.05
-# How often an instance checks whether more models are declared than fit.
-PATIENT_CHECK_INTERVAL_S = 1.0
 
 
 def _ignore_request(
@@ -62,46 +61,14 @@
     missing: wait_policy.MissedModels = msgspec.field(
         default_factory=wait_policy.MissedModels
     )
-    patient_services: "PatientServices" = msgspec.field(
-        default_factory=lambda: PatientServices()
+    scarce_models: scarce_models_lib.ScarceModels = msgspec.field(
+        default_factory=scarce_models_lib.ScarceModels
     )
     request_placement: Callable[[str, str, str, str], None] = _ignore_request
     pacing: pacing_lib.Pacing | None = None
     crash_guard: crash_guard_lib.CrashGuard | None = None
 
 
-class PatientServices:
-    """Services where patient requests are held, as known for a short time."""
-
-    __slots__ = ("_known",)
-
-    def __init__(self) -> None:
-        # Until when the answer is used, and the answer, by service.
-        self._known: dict[str, tuple[float, serving.EngineSpec | None]] = {}
-
-    def spec(
-        self, state: state_lib.State, service: str, now_s: float
-    ) -> serving.EngineSpec | None:
-        """Returns what a service's engines can load; None if not in effect."""
-        until_s, spec = self._known.get(service, (0.0, None))
-        if now_s < until_s:
-            return spec
-        configuration = state.configuration
-        declared = (
-            configuration.services.get(service) if configuration else None
-        )
-        spec = declared.engine if declared is not None else None
-        if spec is not None:
-            engines = sum(
-                known.entry.service == service and not known.is_replaced
-                for known in state.directory
-            )
-            if not patient_demand.is_in_effect(spec, engines):
-                spec = None
-        self._known[service] = (now_s + PATIENT_CHECK_INTERVAL_S, spec)
-        return spec
-
-
 class EngineSearch:
     """The search of one request; continues after each failed attempt.
 
--- a/sesamecross/gateway/pacing.py
+++ b/sesamecross/gateway/pacing.py
@@ -15,6 +15,7 @@
 
 from sesamecross.core import fleet_messages as fm
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import scarce_models as scarce_models_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import admission_order
 from sesamecross.ops.fleet import budget_pacer
@@ -121,6 +122,7 @@
         self._ticker = ticker or ticker_lib.Ticker()
         self._metrics = metrics
         self._log = logs.get_logger("pacing")
+        self._scarce_models = scarce_models_lib.ScarceModels()
         self._pacers: dict[str, _AnyPacer] = {}
         # Leases that this instance holds, by the number of their permits.
         self._leases: dict[int, _Lease] = {}
@@ -210,7 +212,7 @@
         """
         silent_pacers = 0
         max_silent_pacers = MAX_SILENT_PACERS
-        if ask.tokens and _has_small_batch(known):
+        if ask.tokens and self._uses_leases(known):
             max_silent_pacers = MAX_SILENT_LEASE_PACERS
         while True:
             pacer = self._pacer_of(known)
@@ -242,7 +244,7 @@
         permit = Permit(upstream, number, pacer)
         reply: asyncio.Future[fm.AdmissionReply] = loop.create_future()
         self._pending_requests[number] = reply
-        holds_lease = ask.tokens > 0 and _has_small_batch(known)
+        holds_lease = ask.tokens > 0 and self._uses_leases(known)
         attempts = LEASE_REQUEST_ATTEMPTS if holds_lease else REQUEST_ATTEMPTS
         try:
             while not reply.done() and loop.time() < ask.until_s:
@@ -463,6 +465,19 @@
         )
         self._send(message, permit.pacer)
 
+    def _uses_leases(self, known: directory_lib.KnownUpstream) -> bool:
+        """Whether permits to send prompts to an engine are leases.
+
+        If all models fit, each has the engines that it needs, and reports are
+        exact enough.
+        """
+        return (
+            0 < known.entry.slots < engine_budget.SMALL_BATCH_SLOTS
+            and self._scarce_models.is_possible(
+                self._state, known.entry.service, event_loop.now_s()
+            )
+        )
+
     # -- granting ------------------------------------------------------
 
     def _on_message(self, message: fm.Message) -> None:
@@ -572,7 +587,7 @@
         pacer: _AnyPacer
         if not has_prompt:
             pacer = slot_limiter.SlotLimiter()
-        elif known is not None and _has_small_batch(known):
+        elif known is not None and self._uses_leases(known):
             now_s = event_loop.running().time()
             pacer = budget_pacer.BudgetPacer(now_s)
         else:
@@ -700,11 +715,6 @@
             self._grant(upstream)
 
 
-def _has_small_batch(known: directory_lib.KnownUpstream) -> bool:
-    """Whether permits to send prompts to an engine are leases."""
-    return 0 < known.entry.slots < engine_budget.SMALL_BATCH_SLOTS
-
-
 def _stage(number: int) -> engine_budget.Stage:
     """Returns the stage; an unknown one is of a request that still runs."""
     try:
--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -4,6 +4,7 @@
 """
 
 from sesamecross.gateway import connection_pool as connection_pool_lib
+from sesamecross.gateway import scarce_models as scarce_models_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
@@ -30,6 +31,7 @@
         "_metrics",
         "_counted",
         "_slow",
+        "_scarce_models",
     )
 
     def __init__(
@@ -47,6 +49,8 @@
         # Connections opened and reused, as far as they are counted.
         self._counted = (0, 0)
         self._slow: set[str] = set()
+        # Elsewhere models have the engines that they need.
+        self._scarce_models = scarce_models_lib.ScarceModels()
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
@@ -63,7 +67,13 @@
 
     def _update_speeds(self, now_s: float) -> None:
         directory = self._state.directory
-        directory.update_usual_speeds(self._state.instance_count or 1, now_s)
+        directory.update_usual_speeds(
+            self._state.instance_count or 1,
+            now_s,
+            lambda service: self._scarce_models.is_possible(
+                self._state, service, now_s
+            ),
+        )
         slow = set()
         for known in directory:
             name, slowness = known.entry.instance_id, known.slowness(now_s)
