--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -161,7 +161,7 @@
         """
         demand = self._context.demand
         service, _ = self.demand_key
-        spec = self._context.patient_services.spec(
+        spec = self._context.scarce_models.spec(
             self._context.state, service, self._arrived_s
         )
         if spec is not None and patient_demand.is_patient(
--- a/sesamecross/gateway/pacing_failures_test.py
+++ b/sesamecross/gateway/pacing_failures_test.py
@@ -130,7 +130,7 @@
     def _add(self, name: str) -> None:
         mesh = _Mesh(self, name)
         entry = types.SimpleNamespace(
-            instance_id=ENGINE, zone="z1", slots=SLOTS
+            service="models", instance_id=ENGINE, zone="z1", slots=SLOTS
         )
         known = types.SimpleNamespace(entry=entry, running=0)
         state = types.SimpleNamespace(
--- a/sesamecross/gateway/pacing_test.py
+++ b/sesamecross/gateway/pacing_test.py
@@ -68,7 +68,7 @@
 
     def __init__(self, slots: int) -> None:
         entry = types.SimpleNamespace(
-            instance_id=ENGINE, zone="z1", slots=slots
+            service="models", instance_id=ENGINE, zone="z1", slots=slots
         )
         self.engine = types.SimpleNamespace(entry=entry, running=slots)
         state = types.SimpleNamespace(
