Endless answers: the test replaces the loop where the relay looks for it

It replaced asyncio.get_running_loop, which the relay no longer calls since it finds the loop without a system call; the stand-in then stayed behind as this thread's loop and failed 51 later tests.

--- a/sesamecross/gateway/endless_answers_test.py
+++ b/sesamecross/gateway/endless_answers_test.py
@@ -1,6 +1,5 @@
 """Tests of upstreams that send without end, until they are cut off."""
 
-import asyncio
 import contextlib
 import itertools
 import random
@@ -13,6 +12,7 @@
 from sesamecross.ops.fleet import answer_bounds
 from sesamecross.ports import engine_stream
 from sesamecross.ports import http_client
+from sesamecross.runtime import event_loop
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -151,7 +151,7 @@
 def test_a_stream_without_end_is_cut_off(data, pause_s, monkeypatch):
     """Guards against streams longer than the request can have asked for."""
     clock = _Clock()
-    monkeypatch.setattr(asyncio, "get_running_loop", lambda: clock)
+    monkeypatch.setattr(event_loop, "running", lambda: clock)
     relay = event_relay.EventRelay(_Writer(), output_tokens=300)
     relay.begin_stream(200, [])
     with pytest.raises(event_relay.InvalidEvent):
@@ -162,7 +162,7 @@
 
 
 def test_a_stream_of_as_many_events_as_asked_for_passes(monkeypatch):
-    monkeypatch.setattr(asyncio, "get_running_loop", _Clock)
+    monkeypatch.setattr(event_loop, "running", _Clock)
     relay = event_relay.EventRelay(_Writer(), output_tokens=300)
     relay.begin_stream(200, [])
     for number in range(300):
