--- a/sesamecross/devtools/instance_cost.py
+++ b/sesamecross/devtools/instance_cost.py
@@ -35,6 +35,8 @@
 from sesamecross.gateway import event_relay
 from sesamecross.gateway import forwarder
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import request_admission
+from sesamecross.gateway import request_log
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import service_search
 from sesamecross.ops.fleet import route_table
@@ -65,13 +67,13 @@
     (server_connection.ServerConnection, "data_received", "received"),
     (forwarder.Forwarder, "parse_request", "- parsed"),
     (route_table.RouteTable, "find", "route"),
-    (forwarder._RequestTask, "_check_quota", "quota"),
+    (request_admission.RequestAdmission, "_check_quota", "quota"),
     (engine_search.EngineSearch, "_choose_engine", "choice of an engine"),
     (service_search.ServiceSearch, "_choose", "choice of a service"),
     (client_connection.ClientConnection, "send", "sent"),
     (client_connection.ClientConnection, "data_received", "answer received"),
     (event_relay.EventRelay, "feed", "- events relayed"),
-    (forwarder._RequestTask, "_log_outcome", "log and metrics"),
+    (request_log, "log_outcome", "log and metrics"),
     (metrics_lib.Metrics, "count", "- counters"),
     (metrics_lib.Metrics, "observe", "- histograms"),
 )
@@ -95,7 +97,7 @@
         self.calls: collections.Counter[str] = collections.Counter()
 
     @contextlib.contextmanager
-    def measuring(self, methods: tuple[tuple[type, str, str], ...]):
+    def measuring(self, methods: tuple[tuple[Any, str, str], ...]):
         """Replaces methods by ones that are measured, within the context."""
         originals = [
             (cls, name, getattr(cls, name)) for cls, name, _ in methods
