--- a/sesamecross/gateway/sweeper.py
+++ b/sesamecross/gateway/sweeper.py
@@ -4,7 +4,6 @@
 """
 
 from sesamecross.gateway import connection_pool as connection_pool_lib
-from sesamecross.gateway import scarce_models as scarce_models_lib
 from sesamecross.gateway import state as state_lib
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
@@ -12,8 +11,6 @@
 from sesamecross.runtime import ticker as ticker_lib
 
 SWEEP_INTERVAL_S = 0.5
-# From this slowness on, an upstream is logged as slow.
-SLOW_FROM = 1.2
 
 
 class Sweeper:
@@ -30,8 +27,6 @@
         "_ticker",
         "_metrics",
         "_counted",
-        "_slow",
-        "_scarce_models",
     )
 
     def __init__(
@@ -48,9 +43,6 @@
         self._metrics = metrics or metrics_lib.Metrics()
         # Connections opened and reused, as far as they are counted.
         self._counted = (0, 0)
-        self._slow: set[str] = set()
-        # Elsewhere models have the engines that they need.
-        self._scarce_models = scarce_models_lib.ScarceModels()
 
     async def run(self) -> None:
         """Cleans up until cancelled."""
@@ -60,44 +52,10 @@
             now_s = loop.time()
             self._connection_pool.close_stale(now_s)
             self._count_connections()
-            self._update_speeds(now_s)
             for known in self._state.directory.remove_lapsed(now_s):
                 self._connection_pool.forget(known.entry.address)
                 self._log.info("forgotten", id=known.entry.instance_id)
 
-    def _update_speeds(self, now_s: float) -> None:
-        directory = self._state.directory
-        directory.update_usual_speeds(
-            self._state.instance_count or 1,
-            now_s,
-            lambda service: self._scarce_models.is_possible(
-                self._state, service, now_s
-            ),
-        )
-        slow = set()
-        for known in directory:
-            name, slowness = known.entry.instance_id, known.slowness(now_s)
-            # One that is about to count as usual is not logged again and again.
-            if slowness >= SLOW_FROM or (name in self._slow and slowness > 1):
-                slow.add(name)
-            if (name in slow) != (name in self._slow):
-                self._log.info(
-                    "slow" if name in slow else "no longer slow",
-                    id=name,
-                    slowness=round(slowness, 2),
-                    usual=round(known.usual_ratio, 2),
-                    own=round(known.engine.speed_record.recent(now_s).count, 1),
-                    others=round(known.others_outcomes.speed.count, 1),
-                )
-        if slow != self._slow:
-            self._metrics.set(
-                "sesamecross_slow_upstreams",
-                "Upstreams that are slower than is usual in their service.",
-                {},
-                len(slow),
-            )
-        self._slow = slow
-
     def _count_connections(self) -> None:
         pool = self._connection_pool
         counts = (pool.opened_count, pool.reused_count)
