--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -356,14 +356,12 @@
             await context.state.wait_for_change(PAUSE_CHECK_INTERVAL_S)
             self._model_wait_s += event_loop.running().time() - now_s
             return True
-        if choice is None and self.is_patient:
-            # The lease holder learns of it from the instances' reports.
-            pass
-        elif choice is None:
-            context.request_placement(service, self._call.model, "", version)
-        else:
+        if choice is not None:
             engine = choice.upstream.entry.instance_id
             context.request_placement(service, self._call.target, engine, "")
+        elif not self.is_patient:
+            # Of patient ones the lease holder learns from instances' reports.
+            context.request_placement(service, self._call.model, "", version)
         decision = self._decide_wait(choice, now_s)
         if isinstance(decision, wait_policy.RetryAfter):
             self.retry_after_s = decision.after_s
--- a/sesamecross/gateway/request_task.py
+++ b/sesamecross/gateway/request_task.py
@@ -158,7 +158,8 @@
     async def _run(self) -> str:
         if self._is_shut_down:
             return self._respond_to_shutdown()
-        if not await self._context.wait_until_ready():
+        context = self._context
+        if not context.state.is_ready and not await context.wait_until_ready():
             self._progress.note = "no configuration yet"
             return self._refuse(1.0)
         answered = self._find_route()
--- a/sesamecross/ops/fleet/directory.py
+++ b/sesamecross/ops/fleet/directory.py
@@ -9,7 +9,6 @@
 requests to all upstreams.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sized
 import enum
@@ -397,12 +396,7 @@
                 reported.append((name, outcomes))
         return reported
 
-    def update_usual_speeds(
-        self,
-        instances: int,
-        now_s: float,
-        is_compared: Callable[[str], bool] = lambda service: True,
-    ) -> None:
+    def update_usual_speeds(self, instances: int, now_s: float) -> None:
         """Sets what is usual in each service: the median of its upstreams.
 
         It is known only where there are more instances than an upstream has
@@ -411,18 +405,12 @@
         Args:
           instances: How many there are.
           now_s: Monotonic time.
-          is_compared: Whether the upstreams of a service are compared.
         """
         ratios: dict[str, list[float]] = {}
         for known in self._known.values():
             ratio = known.engine.speed_record.usual_ratio(now_s)
             if ratio > 0 and instances > known.entry.slots:
                 ratios.setdefault(known.entry.service, []).append(ratio)
-        ratios = {
-            service: found
-            for service, found in ratios.items()
-            if is_compared(service)
-        }
         for known in self._known.values():
             found = ratios.get(known.entry.service)
             known.usual_ratio = statistics.median_low(found) if found else 0.0
