Answers that callers leave unread share a part of the memory

What callers would see: callers that ask for large answers and don't read them fill the process, which is killed with the requests of all others. The same cause as that of the bodies: an answer counts in AnswerMemory until it is whole, and from then on stood, uncounted, in the write buffer of its connection.

Above it the connection that has been behind for longest is cut, counted in sesamecross_unread_answers_cut_total and logged. The same bound holds for events of streams. A large answer is no longer joined with its head.

--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import body_budget
+from sesamecross.ops.fleet import unread_answers
 from sesamecross.ports import http_codec as http_codec_lib
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
@@ -33,9 +34,10 @@
 
     Attributes:
       body_budget: The memory for the bodies of callers' requests.
+      unread_answers: What callers have not read yet.
     """
 
-    __slots__ = ("body_budget", "_open_tasks")
+    __slots__ = ("body_budget", "unread_answers", "_open_tasks")
 
     def __init__(
         self,
@@ -56,6 +58,7 @@
         self.body_budget = body_budget.BodyBudget(
             state.memory_bytes, event_loop.now_s, process_memory.resident_bytes
         )
+        self.unread_answers = unread_answers.UnreadAnswers(state.memory_bytes)
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -170,6 +173,30 @@
             {},
         )
 
+    def on_unread(
+        self, connection: server_connection.ServerConnection, size: int
+    ) -> None:
+        """Counts what a caller has not read; cuts some if it is too much."""
+        if not size:
+            self.unread_answers.forget(connection)
+            return
+        before = self.unread_answers.cut
+        self.unread_answers.set_memory(self.state.memory_bytes)
+        self.unread_answers.record(connection, size)
+        cut = self.unread_answers.cut - before
+        if cut:
+            self.metrics.count(
+                "sesamecross_unread_answers_cut_total",
+                "Connections cut, as callers left too much unread.",
+                {},
+                cut,
+            )
+            self.log.warning(
+                "answers left unread: cut",
+                connections=cut,
+                held=self.unread_answers.held_bytes,
+            )
+
     def handle(
         self,
         request: serving.Request,
--- a/sesamecross/gateway/response_writer.py
+++ b/sesamecross/gateway/response_writer.py
@@ -15,6 +15,8 @@
 from sesamecross.core import serving
 
 _BODYLESS_STATUSES = frozenset((204, 304))
+# A larger body is written without a copy beside its head.
+_JOINED_BODY_BYTES = 64 * 1024
 
 
 class Connection(Protocol):
@@ -111,9 +113,11 @@
             out.append(b"content-length: %d\r\n" % len(body))
         out.append(self._connection_header())
         out.append(b"\r\n")
-        if self._has_body:
+        if self._has_body and len(body) <= _JOINED_BODY_BYTES:
             out.append(body)
         self._connection.write(b"".join(out))
+        if self._has_body and len(body) > _JOINED_BODY_BYTES:
+            self._connection.write(body)
         self._finish()
 
     def begin_chunked(
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -19,13 +19,14 @@
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import body_budget
 from sesamecross.ops.fleet import connection_shedder
+from sesamecross.ops.fleet import unread_answers
 
 # Requests that a caller may pipeline on one connection. Beyond them reading
 # is paused, as a flood would otherwise be buffered in memory.
 _MAX_PIPELINED = 4
 # High-water mark of a slow caller's write buffer, above which reading from
 # the upstream is paused.
-WRITE_BUFFER_HIGH_BYTES = 64 * 1024
+WRITE_BUFFER_HIGH_BYTES = unread_answers.UNCOUNTED_BYTES
 # Lingering close: how long a closing connection is still read, so that its
 # last response arrives. Covers some round trips between regions and a slow
 # link; callers that read the response close earlier. Those that go on sending
@@ -85,6 +86,14 @@
     def on_shed(self) -> None:
         """Called when a new connection is closed unread."""
 
+    def on_unread(self, connection: "ServerConnection", size: int) -> None:
+        """Called when a caller has left bytes unread, or has caught up.
+
+        Args:
+          connection: May be aborted.
+          size: Bytes; 0 if it has caught up or is closed.
+        """
+
 
 class RequestHead:
     """The head of a request; filled while it is read."""
@@ -126,6 +135,7 @@
         "_shedder",
         "_wait_number",
         "_has_discarded",
+        "_is_behind",
         "_lingers_until_s",
     )
 
@@ -179,6 +189,8 @@
         # until when it may go on sending.
         self._has_discarded = False
         self._lingers_until_s = 0.0
+        # Whether the caller has left more unread than a connection may hold.
+        self._is_behind = False
 
     @property
     def is_idle(self) -> bool:
@@ -265,6 +277,7 @@
         self._transport = None
         self._is_closing = True
         self._discard_body()
+        self._forget_unread()
         for _, body in self._pipelined:
             body_buffer.close(body)
         self._pipelined.clear()
@@ -279,14 +292,28 @@
 
     def pause_writing(self) -> None:
         """Reports that the caller reads slowly."""
+        self._is_behind = True
+        self._loop.call_soon(self._count_unread)
         if self._response_writer is not None:
             self._response_writer.notify_caller_slow(True)
 
     def resume_writing(self) -> None:
         """Reports that the caller has caught up."""
+        self._forget_unread()
         if self._response_writer is not None:
             self._response_writer.notify_caller_slow(False)
 
+    def _count_unread(self) -> None:
+        """Counts what is left of a response that has just been written."""
+        if self._is_behind and self._transport is not None:
+            size = self._transport.get_write_buffer_size()
+            self._handler.on_unread(self, size)
+
+    def _forget_unread(self) -> None:
+        if self._is_behind:
+            self._is_behind = False
+            self._handler.on_unread(self, 0)
+
     # -- httptools -----------------------------------------------------
 
     def on_message_begin(self) -> None:
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -94,6 +94,13 @@
     def on_shed(self) -> None:
         """Does nothing: no probe is shed."""
 
+    def on_unread(
+        self, connection: server_connection.ServerConnection, size: int
+    ) -> None:
+        """Closes the connection of a scrape that is left unread."""
+        if size:
+            connection.abort()
+
     def handle(
         self,
         request: serving.Request,
--- a/tests/body_memory_test.py
+++ b/tests/memory_test.py
@@ -1,7 +1,8 @@
-"""Tests of the memory that callers' bodies take, with a real gateway."""
+"""Tests of the memory that requests and answers take, with a real gateway."""
 
 import asyncio
 import collections
+import contextlib
 
 import pytest
 
@@ -12,6 +13,8 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 LARGE_BYTES = 4_100_000
 BURST = 40
+# Each leaves an answer of some megabytes unread.
+SILENT_CALLERS = 40
 UPLOADS = {
     "with a length": body_callers.Upload(LARGE_BYTES),
     "in chunks": body_callers.Upload(LARGE_BYTES, is_chunked=True),
@@ -37,6 +40,7 @@
             )
         )
         one.add_upstream(platform_site.DESK)
+        one.add_upstream(platform_site.ARCHIVE)
         one.gateway.start()
         one.gateway.wait_ready()
         one.wait_until_known()
@@ -80,3 +84,19 @@
         assert one.status != 503 or not site.runs_of(one.request_id)
         assert one.status != 503 or one.retry_after_s is not None
         assert one.status != 200 or len(site.runs_of(one.request_id)) == 1
+
+
+def test_answers_that_nobody_reads_do_not_exceed_the_memory(site):
+    """Guards against callers that leave large answers in the process."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(SILENT_CALLERS):
+            call = site.call(platform_site.ARCHIVE, receive_buffer=4096)
+            stack.callback(call.close)
+            call.send()
+            site.gateway.wait_log_line("request: ", id=call.request_id)
+        assert site.gateway.is_running
+        _, peak = site.gateway.memory_bytes()
+        assert peak < MEMORY_MB * 1_000_000
+        call = site.call(platform_site.DESK)
+        call.send()
+        assert call.finish().status == 200
