Pipelined requests and fields of heads are bounded in what they take

What callers would see: the memory of one instance is filled by a few callers that pipeline thousands of requests of 30 bytes, or send heads of thousands of fields of 6 bytes: both within the configuration's limits, and both many times their bytes once parsed. Reading was paused only after all that had arrived, up to 256 KB on each connection, had been parsed.

Change: a connection parses 2 KB at a time outside bodies, and keeps the rest unparsed once more than four requests wait; it goes on when an answer is sent. Within a body it parses 64 KB at a time. A head has at most 256 fields (431).

Evidence: two tests of server_connection_test.py, 4,000 pipelined requests of which all were parsed at once, and a head of 300 fields, failed before.

--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -68,6 +68,9 @@
 
     abort = close
 
+    def is_closing(self) -> bool:
+        return self.is_closed
+
     def write_eof(self) -> None:
         """The caller may go on sending."""
 
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -24,6 +24,13 @@
 # Requests that a caller may pipeline on one connection. Beyond them reading
 # is paused, as a flood would otherwise be buffered in memory.
 _MAX_PIPELINED = 4
+# Bytes that are parsed before the requests among them are counted. Those beyond
+# the limit stay unparsed, as a request takes many times its bytes.
+_PARSED_BYTES = 2 * 1024
+# The same within a body, before the event loop serves others.
+_PARSED_BODY_BYTES = 64 * 1024
+# Each field of a head takes memory beside its bytes.
+_MAX_HEADER_FIELDS = 256
 # High-water mark of a slow caller's write buffer, above which reading from
 # the upstream is paused.
 WRITE_BUFFER_HIGH_BYTES = unread_answers.UNCOUNTED_BYTES
@@ -136,6 +143,8 @@
         "_wait_number",
         "_has_discarded",
         "_is_behind",
+        "_unparsed",
+        "_is_parsing",
         "_lingers_until_s",
     )
 
@@ -191,11 +200,18 @@
         self._lingers_until_s = 0.0
         # Whether the caller has left more unread than a connection may hold.
         self._is_behind = False
+        # What has arrived behind too many pipelined requests.
+        self._unparsed = b""
+        self._is_parsing = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled."""
-        return self._response_writer is None and not self._is_reading
+        return (
+            self._response_writer is None
+            and not self._is_reading
+            and not self._unparsed
+        )
 
     @property
     def is_busy(self) -> bool:
@@ -216,7 +232,9 @@
     def closes_after_response(self) -> bool:
         """Whether the connection closes after the current response."""
         return self._is_closing or (
-            self._handler.is_closing and not self._pipelined
+            self._handler.is_closing
+            and not self._pipelined
+            and not self._unparsed
         )
 
     @property
@@ -252,6 +270,29 @@
         if self._is_closing:
             self._has_discarded = True
             return
+        self._unparsed += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parses what has arrived, until too many requests are pipelined."""
+        if self._is_parsing:
+            return
+        data, start = self._unparsed, 0
+        self._unparsed, self._is_parsing = b"", True
+        while (
+            start < len(data)
+            and not self._is_closing
+            and len(self._pipelined) <= _MAX_PIPELINED
+        ):
+            size = _PARSED_BODY_BYTES if self._incoming_body else _PARSED_BYTES
+            self._feed(data[start : start + size])
+            start += size
+        self._is_parsing = False
+        if start < len(data) and not self._is_closing:
+            self._unparsed = data[start:]
+            self._transport.pause_reading()
+
+    def _feed(self, data: bytes) -> None:
         if not self._is_reading:
             # Even an empty line before a request starts the head timeout.
             self._is_reading_head = True
@@ -278,6 +319,7 @@
         self._is_closing = True
         self._discard_body()
         self._forget_unread()
+        self._unparsed = b""
         for _, body in self._pipelined:
             body_buffer.close(body)
         self._pipelined.clear()
@@ -335,6 +377,9 @@
         """Collects a header; its name is lower-cased."""
         # Four bytes for the colon, the space and the line end.
         self._count_head_bytes(len(name) + len(value) + 4)
+        if len(self._head.headers) >= _MAX_HEADER_FIELDS:
+            self._reject_status = 431
+            return
         self._head.headers.append((name.lower(), value))
 
     def _count_head_bytes(self, size: int) -> None:
@@ -543,14 +588,26 @@
             else:
                 self.close()
             return
-        if len(self._pipelined) <= _MAX_PIPELINED:
-            self._transport.resume_reading()
         self._handle_next()
+        if len(self._pipelined) <= _MAX_PIPELINED:
+            self._resume_reading()
         self._send_owed_continue()
         if self.is_idle:
             self._is_reading_head = False
             self._arm_read_timeout()
 
+    def _resume_reading(self) -> None:
+        """Goes on with what has arrived, and then with what arrives."""
+        if self._unparsed:
+            self._parse()
+        if (
+            not self._unparsed
+            and self._transport is not None
+            and not self._transport.is_closing()
+            and len(self._pipelined) <= _MAX_PIPELINED
+        ):
+            self._transport.resume_reading()
+
     def _handle_next(self) -> None:
         if self._response_writer is not None or not self._pipelined:
             return
--- a/sesamecross/gateway/server_connection_test.py
+++ b/sesamecross/gateway/server_connection_test.py
@@ -589,3 +589,42 @@
         admitted.data_received(GET)
         assert statuses(transport) == [200]
     assert len(connections) == connection_shedder.MAX_UNREAD + 1
+
+
+def test_pipelined_requests_are_not_all_parsed_at_once():
+    """Guards against floods of requests that take many times their bytes."""
+    count = 4000
+    one = _TimedConnection()
+    one.connection.data_received(
+        b"".join(GET.replace(b"/a/", b"/%d/" % n) for n in range(count))
+    )
+    assert len(one.connection._pipelined) < 100
+    for _ in range(count):
+        one.respond()
+        assert len(one.connection._pipelined) < 100
+    targets = [target for _, target, _ in one.handler.requests]
+    assert targets == [b"/%d/" % n for n in range(count)]
+    assert statuses(one.transport) == [200] * count
+    assert one.connection.is_idle
+
+
+def test_a_caller_that_leaves_behind_a_flood_is_forgotten():
+    one = _TimedConnection()
+    one.connection.data_received(GET * 4000)
+    one.connection.connection_lost(None)
+    assert not one.connection._pipelined
+    one.respond()
+    assert len(one.handler.requests) == 1
+
+
+def test_a_head_of_many_fields_is_rejected():
+    """Guards against short fields that each take many times their bytes."""
+    handler = _Handler()
+    handler.limits = msgspec.structs.replace(LIMITS, max_header_bytes=16_384)
+    transport = _Transport()
+    connection = server_connection.ServerConnection(handler, _Loop(), set())
+    connection.connection_made(transport)
+    connection.data_received(GET[:-2] + b"a:\r\n" * 200 + b"\r\n")
+    assert statuses(transport) == [200]
+    connection.data_received(GET[:-2] + b"a:\r\n" * 300 + b"\r\n")
+    assert statuses(transport) == [200, 431]
