Versions that came and left before their record are read from the log

Change: the record of completeness holds the offset of the list of upstreams up to which it is true. Who starts reads the log of that list from there on and adds its versions; where the log has been compacted, or the record has no offset, the record counts as none and such streams are refused. The record is renewed every 5 s, or 512 entries, instead of 20 s: the platform keeps 20 s of history.

Why this works: each version that serves is in that log before any stream begins at it, whatever becomes of writes to the records.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -38,6 +38,7 @@
 from sesamecross.gateway import sweeper
 from sesamecross.gateway import sync
 from sesamecross.gateway import upstream_connector
+from sesamecross.gateway import upstream_history
 from sesamecross.gateway import upstream_words
 from sesamecross.gateway import version_recorder
 from sesamecross.gateway import withheld_recorder
@@ -285,6 +286,9 @@
             self.state,
             guard,
             request_guard,
+            upstream_history.UpstreamHistory(
+                client, adapter.upstreams_topic, adapter.decode_upstream
+            ),
         )
         return [
             self.front,
--- a/sesamecross/gateway/joiner.py
+++ b/sesamecross/gateway/joiner.py
@@ -9,6 +9,7 @@
 from sesamecross.gateway import request_guard as request_guard_lib
 from sesamecross.gateway import start_steps
 from sesamecross.gateway import state as state_lib
+from sesamecross.gateway import upstream_history
 from sesamecross.ops.fleet import version_records
 from sesamecross.ops.fleet import withheld_records
 from sesamecross.ports import store
@@ -40,6 +41,8 @@
         "_state",
         "_guard",
         "_request_guard",
+        "_history",
+        "_listed",
         "_log",
     )
 
@@ -51,6 +54,7 @@
         state: state_lib.State,
         guard: crash_guard_lib.CrashGuard,
         request_guard: request_guard_lib.RequestGuard,
+        history: upstream_history.UpstreamHistory,
     ):
         self.leave_timeout_s = LEAVE_TIMEOUT_S
         self._registrar = registrar
@@ -59,6 +63,11 @@
         self._state = state
         self._guard = guard
         self._request_guard = request_guard
+        self._history = history
+        # The records that were listed last, and when that was asked for.
+        self._listed: tuple[version_records.RecordedVersions, float] | None = (
+            None
+        )
         self._log = logs.get_logger("versions")
 
     async def run(self) -> None:
@@ -72,8 +81,8 @@
         self._state.start_steps.record(start_steps.Step.JOINED)
         if joined.is_new_deployment:
             self._state.versions.mark_complete()
-        while not self._state.has_read_versions:
-            await self._read_versions()
+        while not await self._restore_versions():
+            await self._list_versions()
 
     async def _wait_for_upstreams(self) -> None:
         loop = event_loop.running()
@@ -81,7 +90,31 @@
         while not self._state.has_upstream_list and loop.time() < until_s:
             await self._state.wait_for_change(until_s - loop.time())
 
-    async def _read_versions(self) -> None:
+    async def _restore_versions(self) -> bool:
+        """Takes over the records that were listed; returns whether it could.
+
+        The log of upstreams tells of versions that came and left since they
+        were written. Where it has been compacted, the records are not complete.
+        """
+        if self._listed is None:
+            return False
+        (recorded, begun_s), self._listed = self._listed, None
+        if recorded.life_s > 0:
+            since = await self._history.read(
+                recorded.upstreams, self._state.upstreams_offset
+            )
+            if since is None:
+                await asyncio.sleep(registrar_lib.RETRY_INTERVAL_S)
+                return False
+            recorded = recorded.plus(since.origins, since.is_complete)
+        if not self._state.restore_versions(recorded, begun_s):
+            return False
+        self._log.info(
+            "read", versions=len(recorded.offsets), life_s=recorded.life_s
+        )
+        return True
+
+    async def _list_versions(self) -> None:
         """Lists the records once more, after the upstreams."""
         await self._wait_for_upstreams()
         if not self._state.has_upstream_list:
@@ -103,17 +136,10 @@
             records, wall_ms, withheld_records.REQUEST_KEY_PREFIX
         ):
             self._request_guard.restore(one.part, one.left_s)
-        if self._state.has_read_versions:
-            return
         recorded = version_records.read_records(
             records, registrar_lib.wall_clock_ms()
         )
-        if self._state.restore_versions(recorded, begun_s):
-            self._log.info(
-                "read",
-                versions=len(recorded.offsets),
-                life_s=recorded.life_s,
-            )
+        self._listed = (recorded, begun_s)
 
     async def stop(self) -> None:
         """Removes the registration, if there is one."""
--- a/sesamecross/gateway/version_recorder.py
+++ b/sesamecross/gateway/version_recorder.py
@@ -89,6 +89,7 @@
         self._log = logs.get_logger("versions")
         self._writer: version_records.VersionWriter | None = None
         self._backoff_s = INITIAL_BACKOFF_S
+        self._is_first_claim = True
 
     async def run(self) -> None:
         """Writes what is due, one record after the other."""
@@ -101,6 +102,7 @@
                 continue
             if self._writer is None:
                 self._writer = version_records.VersionWriter()
+                self._is_first_claim = True
             while await self._step(self._writer):
                 pass
 
@@ -141,6 +143,7 @@
             life_s,
             state.versions.is_complete(life_s, now_s)
             and self._origins.is_current(now_s),
+            state.upstreams_offset,
         )
 
     async def _list(self, writer: version_records.VersionWriter) -> bool:
@@ -188,4 +191,7 @@
                     "dropped", service=origin.service, version=origin.version
                 )
             case version_records.WriteComplete(life_s=life_s):
-                self._log.info("complete", life_s=life_s)
+                # Renewals are frequent, and change nothing.
+                if self._is_first_claim:
+                    self._log.info("complete", life_s=life_s)
+                self._is_first_claim = False
--- a/sesamecross/ops/fleet/version_records.py
+++ b/sesamecross/ops/fleet/version_records.py
@@ -5,6 +5,10 @@
 have begun a stream that can still be resumed, and one that says that these are
 all. An instance that starts reads both, together with the list of instances.
 
+The record of completeness says up to which offset of the upstreams' list it is
+true. Whoever starts reads that list's log from there on, so that a version that
+came and left before it could be recorded is not missed.
+
 A version is recorded when it is first seen, and dropped once it has not served
 for longer than any stream may live. Each write is conditional on the list on
 which it was decided, so that of two writers, and of a write that arrives late,
@@ -23,8 +27,10 @@
 # Listed before the versions: they are complete if this was there before them.
 COMPLETE_KEY = "complete-versions"
 VERSION_PREFIX = "version/"
-# How often the record of completeness is written again.
-RENEWAL_INTERVAL_S = 20.0
+# How often the record of completeness is written again: well within the store's
+# history, and before the log of upstreams has grown by much.
+RENEWAL_INTERVAL_S = 5.0
+RENEWAL_ENTRIES = 512
 # An older one may have been followed by software that keeps no such records.
 # Clocks of instances differ by seconds.
 MAX_AGE_S = 90.0
@@ -46,10 +52,13 @@
     Attributes:
       life_s: For how long a stream may have lived that one of them began.
       written_ms: Wall-clock time.
+      upstreams: Offset of the list of upstreams up to which that holds;
+        negative if the writer does not say.
     """
 
     life_s: float
     written_ms: int
+    upstreams: int = -1
 
 
 class RecordedVersions(msgspec.Struct, frozen=True):
@@ -57,12 +66,22 @@
 
     Attributes:
       offsets: By version, the offset of its record.
-      life_s: Any stream that began in so long a time is of one of them; 0 if
-        that is not known.
+      life_s: Any stream that began in so long a time is of one of them, or of
+        one listed from `upstreams` on; 0 if that is not known.
+      upstreams: An offset of the list of upstreams, or negative.
     """
 
     offsets: Mapping[Origin, int]
     life_s: float
+    upstreams: int = -1
+
+    def plus(
+        self, origins: Iterable[Origin], is_complete: bool
+    ) -> "RecordedVersions":
+        """Adds versions that were listed since; unknown if some may lack."""
+        offsets = dict.fromkeys(origins, -1) | dict(self.offsets)
+        life_s = self.life_s if is_complete else 0.0
+        return RecordedVersions(offsets, life_s, self.upstreams)
 
 
 def read_records(
@@ -84,21 +103,14 @@
             is_readable = False
         else:
             offsets[Origin(known.service, known.version)] = record.offset
-    life_s = 0.0
     complete = records.get(COMPLETE_KEY)
-    if is_readable and complete is not None:
-        life_s = _complete_life_s(complete.value, wall_ms)
-    return RecordedVersions(offsets, life_s)
-
-
-def _complete_life_s(value: bytes | None, wall_ms: int) -> float:
-    known = _decode(value, _CompleteRecord)
-    if known is None:
-        return 0.0
-    age_s = (wall_ms - known.written_ms) / 1000
-    if abs(age_s) > MAX_AGE_S:
-        return 0.0
-    return stream_origins.bounded_life_s(known.life_s)
+    if not is_readable or complete is None:
+        return RecordedVersions(offsets, 0.0)
+    known = _decode(complete.value, _CompleteRecord)
+    if known is None or abs(wall_ms - known.written_ms) > MAX_AGE_S * 1000:
+        return RecordedVersions(offsets, 0.0)
+    life_s = stream_origins.bounded_life_s(known.life_s)
+    return RecordedVersions(offsets, life_s, known.upstreams)
 
 
 def _decode(value: bytes | None, kind: type):
@@ -126,12 +138,14 @@
       seen: Those that served within the longest life of a stream.
       life_s: That life.
       is_complete: Whether the writer would have seen any other.
+      upstreams: Offset of the list of upstreams up to which it has read.
     """
 
     served: frozenset[Origin]
     seen: frozenset[Origin]
     life_s: float
     is_complete: bool
+    upstreams: int = -1
 
 
 class ReadTopic(msgspec.Struct, frozen=True):
@@ -180,6 +194,7 @@
     life_s: float
     written_ms: int
     at: int
+    upstreams: int = -1
 
     @property
     def key(self) -> str:
@@ -190,7 +205,7 @@
     def value(self) -> bytes:
         """The record's value."""
         return msgspec.msgpack.encode(
-            _CompleteRecord(self.life_s, self.written_ms)
+            _CompleteRecord(self.life_s, self.written_ms, self.upstreams)
         )
 
 
@@ -211,8 +226,8 @@
         self._end: int | None = None
         self._offsets: dict[Origin, int] | None = None
         self._served: frozenset[Origin] | None = None
-        # The life and time of the last record of completeness.
-        self._complete: tuple[float, float] | None = None
+        # The last record of completeness, and when it was written.
+        self._complete: tuple[WriteComplete, float] | None = None
 
     def next_action(
         self, observed: Observed, now_s: float, wall_ms: int
@@ -247,15 +262,21 @@
             return None
         for origin in _sorted(recorded - observed.seen):
             return DropVersion(origin, at)
-        if self._is_renewal_due(observed.life_s, now_s):
-            return WriteComplete(observed.life_s, wall_ms, at)
+        if self._is_renewal_due(observed, now_s):
+            return WriteComplete(
+                observed.life_s, wall_ms, at, observed.upstreams
+            )
         return None
 
-    def _is_renewal_due(self, life_s: float, now_s: float) -> bool:
+    def _is_renewal_due(self, observed: Observed, now_s: float) -> bool:
         if self._complete is None:
             return True
-        known_life_s, at_s = self._complete
-        return known_life_s != life_s or now_s - at_s >= RENEWAL_INTERVAL_S
+        known, at_s = self._complete
+        return (
+            known.life_s != observed.life_s
+            or now_s - at_s >= RENEWAL_INTERVAL_S
+            or observed.upstreams - known.upstreams >= RENEWAL_ENTRIES
+        )
 
     def on_listed(
         self, recorded: RecordedVersions, end: int
@@ -283,8 +304,8 @@
                 self._offsets[origin] = offset
             case DropVersion(origin=origin):
                 self._offsets.pop(origin, None)
-            case WriteComplete(life_s=life_s):
-                self._complete = (life_s, now_s)
+            case WriteComplete():
+                self._complete = (write, now_s)
 
     def on_not_written(self) -> None:
         """Takes note of a write that did not take effect, or perhaps did."""
