--- a/sesamecross/fakes/body_callers.py
+++ b/sesamecross/fakes/body_callers.py
@@ -8,6 +8,7 @@
 
 # Only ends callers that hang.
 HANG_TIMEOUT_S = 40.0
+_WRITE_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,13 +109,17 @@
 
 async def _send_body(writer: asyncio.StreamWriter, upload: Upload) -> None:
     left = upload.size if upload.stops_at is None else upload.stops_at
+    # Many small pieces are written together.
+    pieces = 1 if upload.pause_s else max(1, _WRITE_BYTES // upload.piece_bytes)
     try:
         while left:
-            piece = b"x" * min(left, upload.piece_bytes)
-            left -= len(piece)
+            size = min(left, upload.piece_bytes)
+            count = min(pieces, left // size)
+            left -= count * size
+            piece = b"x" * size
             if upload.is_chunked:
-                piece = b"%x\r\n%s\r\n" % (len(piece), piece)
-            writer.write(piece)
+                piece = b"%x\r\n%s\r\n" % (size, piece)
+            writer.write(piece * count)
             await writer.drain()
             if upload.pause_s:
                 await asyncio.sleep(upload.pause_s)
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -59,6 +59,11 @@
             state.memory_bytes, event_loop.now_s, process_memory.resident_bytes
         )
         self.unread_answers = unread_answers.UnreadAnswers(state.memory_bytes)
+        state.memory_listeners += [
+            self.answer_memory.set_memory,
+            self.body_budget.set_memory,
+            self.unread_answers.set_memory,
+        ]
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -97,7 +102,6 @@
         Raises:
           NoRoomError: There is no memory for it.
         """
-        self.body_budget.set_memory(self.state.memory_bytes)
         return incoming_body.IncomingBody(
             self.body_budget, self._body_owner(head), length, max_bytes
         )
@@ -181,7 +185,6 @@
             self.unread_answers.forget(connection)
             return
         before = self.unread_answers.cut
-        self.unread_answers.set_memory(self.state.memory_bytes)
         self.unread_answers.record(connection, size)
         cut = self.unread_answers.cut - before
         if cut:
--- a/sesamecross/gateway/request_context.py
+++ b/sesamecross/gateway/request_context.py
@@ -79,7 +79,7 @@
         self.log = logs.get_logger("request")
         self.search_context = search_context
         self.uses = target_uses.TargetUses()
-        self.answer_memory = answer_bounds.AnswerMemory()
+        self.answer_memory = answer_bounds.AnswerMemory(state.memory_bytes)
         self.connector: upstream_connector.UpstreamConnector | None = None
         self.origins: origin_registry.OriginRegistry | None = None
         self.request_guard: request_guard_lib.RequestGuard | None = None
--- a/sesamecross/gateway/state.py
+++ b/sesamecross/gateway/state.py
@@ -49,6 +49,7 @@
 
     Attributes:
       memory_bytes: What the process may use.
+      memory_listeners: Called with that when it changes.
       instance_count: Number of instances that share the budgets; None if
         unknown.
       has_upstream_list: Whether the upstreams were read since the start.
@@ -73,6 +74,7 @@
         "location",
         "bounds",
         "memory_bytes",
+        "memory_listeners",
         "directory",
         "routes",
         "configuration",
@@ -105,6 +107,7 @@
         )
         self.bounds = instance.bounds
         self.memory_bytes = instance.memory_bytes
+        self.memory_listeners: list[Callable[[int], None]] = []
         self._instance = instance
         self.directory = directory_lib.Directory(instance.bounds.drain_s)
         self.routes = route_table.RouteTable(())
@@ -158,7 +161,10 @@
             memory_bytes=instance.memory_bytes,
             regions=instance.regions,
         )
-        self.memory_bytes = instance.memory_bytes
+        if "memory_bytes" in changed:
+            self.memory_bytes = instance.memory_bytes
+            for listener in self.memory_listeners:
+                listener(self.memory_bytes)
         if at_once:
             self.location = service_choice.Location(
                 before.zone, dict(instance.regions)
--- a/sesamecross/gateway/state_test.py
+++ b/sesamecross/gateway/state_test.py
@@ -92,3 +92,16 @@
         state.retry_budget(ROUTE).request(100.0)
     state.apply_settings(instance_with_bounds(retry_extra=0.0, retry_ratio=0.0))
     assert spend_until_exhausted(state.retry_budget(ROUTE), 100.0) <= 1
+
+
+def test_changed_memory_is_in_force_at_once():
+    """Guards against budgets that keep the limit of the start."""
+    state = state_lib.State(samples.INSTANCE)
+    told = []
+    state.memory_listeners.append(told.append)
+    for memory_bytes in (400_000_000, 400_000_000, 200_000_000):
+        state.apply_settings(
+            msgspec.structs.replace(samples.INSTANCE, memory_bytes=memory_bytes)
+        )
+    assert told == [400_000_000, 200_000_000]
+    assert state.memory_bytes == 200_000_000
--- a/sesamecross/ops/fleet/answer_bounds.py
+++ b/sesamecross/ops/fleet/answer_bounds.py
@@ -9,6 +9,8 @@
 
 import enum
 
+from sesamecross.core import serving
+
 # All bytes beside the body: heads, other answers, framing. A late answer to an
 # earlier request has some kilobytes.
 MAX_OVERHEAD_BYTES = 256 * 1024
@@ -23,7 +25,7 @@
 # all large answers of an instance may hold at once.
 SMALL_ANSWER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-MAX_LARGE_ANSWERS_BYTES = 12 * 1024 * 1024
+LARGE_ANSWERS_MEMORY_SHARE = 0.04
 # An event holds a token or more; a few more tell of the stream itself.
 EXTRA_EVENTS = 64
 MAX_EVENTS = 1_000_000
@@ -130,10 +132,26 @@
     upstreams that answer without end take nothing from the small ones.
     """
 
-    __slots__ = ("_large_bytes",)
+    __slots__ = ("_large_bytes", "_limit")
 
-    def __init__(self) -> None:
+    def __init__(self, memory_bytes: int = serving.DEFAULT_MEMORY_BYTES):
+        """Initializes the books.
+
+        Args:
+          memory_bytes: What the process may use.
+        """
         self._large_bytes = 0
+        self.set_memory(memory_bytes)
+
+    def set_memory(self, memory_bytes: int) -> None:
+        """Sets what the process may use; one answer always has room."""
+        share = int(memory_bytes * LARGE_ANSWERS_MEMORY_SHARE)
+        self._limit = max(MAX_ANSWER_BYTES, share)
+
+    @property
+    def limit_bytes(self) -> int:
+        """What large answers may hold."""
+        return self._limit
 
     @property
     def large_bytes(self) -> int:
@@ -154,7 +172,7 @@
         if after > MAX_ANSWER_BYTES:
             return Excess.BODY
         more = _large(after) - _large(before)
-        if self._large_bytes + more > MAX_LARGE_ANSWERS_BYTES:
+        if self._large_bytes + more > self._limit:
             return Excess.MEMORY
         self._large_bytes += more
         return None
