A relayed connection holds 80 KB a direction at most

It reads 32 KB at a time into a buffer of its own and holds 16 KB more: 41 MB.

relay_test.py: a body of 32 MB by way of a peer to an upstream that doesn't read is held by neither instance and arrives whole; the bound over all connections is checked against the memory, and failed before (256 KB reads).

--- a/sesamecross/gateway/relay_server.py
+++ b/sesamecross/gateway/relay_server.py
@@ -17,14 +17,33 @@
 # descriptors and some KB of buffers.
 MAX_RELAYED = 256
 # Bytes buffered for a side that reads slowly, above which the other side is not
-# read.
-BUFFER_HIGH_BYTES = 64 * 1024
+# read, and what is read at a time. Together they bound the memory of a side.
+BUFFER_HIGH_BYTES = 16 * 1024
+READ_BYTES = 32 * 1024
 
 
-class _UpstreamSide(asyncio.Protocol):
+class _Side(asyncio.BufferedProtocol):
+    """One side of a relayed connection; reads a bounded number of bytes."""
+
+    def __init__(self) -> None:
+        self._read_buffer = bytearray(READ_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        # A copy, as the other side's transport may keep what it can't send.
+        self._on_data(bytes(memoryview(self._read_buffer)[:nbytes]))
+
+    def _on_data(self, data: bytes) -> None:
+        raise NotImplementedError
+
+
+class _UpstreamSide(_Side):
     """The relaying instance's connection to the upstream."""
 
     def __init__(self, known: directory_lib.KnownUpstream):
+        super().__init__()
         self._known = known
         self.transport: asyncio.Transport | None = None
         self.origin: asyncio.Transport | None = None
@@ -37,7 +56,7 @@
         if sock is not None:
             keepalive.enable(sock)
 
-    def data_received(self, data: bytes) -> None:
+    def _on_data(self, data: bytes) -> None:
         if self.origin is None:
             # Nothing was asked yet.
             self.transport.abort()
@@ -73,16 +92,17 @@
             self.origin.resume_reading()
 
 
-class _OriginSide(asyncio.Protocol):
+class _OriginSide(_Side):
     """The relaying instance's connection from the instance that asked."""
 
     def __init__(
         self, upstream: asyncio.Transport, closed: asyncio.Future[None]
     ):
+        super().__init__()
         self._upstream = upstream
         self._closed = closed
 
-    def data_received(self, data: bytes) -> None:
+    def _on_data(self, data: bytes) -> None:
         self._upstream.write(data)
 
     def eof_received(self) -> bool:
--- a/sesamecross/gateway/relay_test.py
+++ b/sesamecross/gateway/relay_test.py
@@ -12,11 +12,13 @@
 from hypothesis import strategies as st
 import pytest
 
+from sesamecross.core import body_buffer
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import hlc
 from sesamecross.core import serving
 from sesamecross.fakes import samples
+from sesamecross.gateway import client_connection
 from sesamecross.gateway import relay_client as relay_client_lib
 from sesamecross.gateway import relay_server
 from sesamecross.gateway import state as state_lib
@@ -436,3 +438,46 @@
     assert connection.has_ended is (lost == 0)
     if connection.has_ended:
         assert connection.received == content
+
+
+def test_a_large_body_by_way_of_a_peer_is_held_by_neither():
+    """Guards against bodies that fill the memory of an instance that relays."""
+    # More than the kernel holds on both ways.
+    body = body_buffer.BodyBuffer(32_000_000)
+    body.append(bytes(range(250)) * 128_000)
+    may_read = asyncio.Event()
+    received = []
+
+    async def serve(reader, writer) -> None:
+        await may_read.wait()
+        await reader.readuntil(b"\r\n\r\n")
+        received.append(await reader.readexactly(len(body)))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def scenario() -> None:
+        entry = await start_upstream(serve)
+        peer = Peer("front-1", (entry,))
+        await peer.start()
+        connection = await client(peer).connect(entry, TEST_TIMEOUT_S)
+        receiver = Receiver()
+        head = client_connection.encode_request(b"POST", b"/", [], body)
+        connection.send(head, receiver, body=body)
+        await asyncio.sleep(0.5)
+        assert not connection.is_request_sent
+        bound = relay_server.BUFFER_HIGH_BYTES + relay_server.READ_BYTES
+        for transports in peer.relay_server._open:
+            for transport in transports:
+                assert transport.get_write_buffer_size() <= bound
+        may_read.set()
+        assert await receiver.ended == b"ok"
+        assert received == [body.read(0, len(body))]
+        peer.end_process()
+
+    run(scenario)
+
+
+def test_all_relayed_connections_together_are_bounded():
+    """Guards against relays that fill the memory of an instance."""
+    a_side = relay_server.BUFFER_HIGH_BYTES + 2 * relay_server.READ_BYTES
+    most = 2 * relay_server.MAX_RELAYED * a_side
+    assert most <= 0.2 * serving.DEFAULT_MEMORY_BYTES
