A body in tiny chunks lets the event loop serve others

What callers saw: small requests wait while another caller sends a body in chunks of a few bytes: all that has arrived on its connection, up to 256 KB and tens of thousands of parts, was parsed at one go, for each such caller in turn.

Change: after 512 parts the rest stays unparsed until the event loop has served others.

A test of the turns failed before.

--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -26,6 +26,10 @@
     def __init__(self) -> None:
         self.now_s = 0.0
         self.timers: list[tuple[float, object]] = []
+        self.soon: list = []
+
+    def call_soon(self, call) -> None:
+        self.soon.append(call)
 
     def time(self) -> float:
         return self.now_s
@@ -194,6 +198,8 @@
     caller = _Caller()
     for start in range(0, len(data), 60_000):
         caller.receive(data[start : start + 60_000])
+        while caller.loop.soon:
+            caller.loop.soon.pop()()
     end(caller)
     assert caller.status == status
     assert caller.budget.reserved_bytes == caller.budget.received_bytes == 0
@@ -270,3 +276,26 @@
         caller.loop.advance(1.0)
         caller.receive(b"x")
     assert caller.transport.is_closed
+
+
+def test_a_body_in_tiny_chunks_lets_others_be_served():
+    """Guards against a caller whose chunks keep the event loop busy."""
+    caller = _Caller()
+    caller.receive(in_chunks(40_000, 1))
+    turns = 0
+    while caller.loop.soon:
+        turns += 1
+        caller.loop.soon.pop()()
+    assert [len(body) for body in caller.bodies] == [40_000]
+    # 16 KB hold 2,730 chunks.
+    assert turns >= 40_000 // 2_800
+
+
+def test_a_caller_that_leaves_amid_tiny_chunks_is_forgotten():
+    caller = _Caller()
+    caller.receive(in_chunks(40_000, 1))
+    leave(caller)
+    for call in caller.loop.soon:
+        call()
+    assert caller.budget.reserved_bytes == 0
+    assert not caller.bodies
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -27,8 +27,10 @@
 # Bytes that are parsed before the requests among them are counted. Those beyond
 # the limit stay unparsed, as a request takes many times its bytes.
 _PARSED_BYTES = 2 * 1024
-# The same within a body, before the event loop serves others.
-_PARSED_BODY_BYTES = 64 * 1024
+# The same within a body. After so many parts, of a body in small chunks, the
+# event loop serves others.
+_PARSED_BODY_BYTES = 16 * 1024
+_PARTS_PER_TURN = 512
 # Each field of a head takes memory beside its bytes.
 _MAX_HEADER_FIELDS = 256
 # High-water mark of a slow caller's write buffer, above which reading from
@@ -145,6 +147,7 @@
         "_is_behind",
         "_unparsed",
         "_is_parsing",
+        "_parts",
         "_lingers_until_s",
     )
 
@@ -203,6 +206,8 @@
         # What has arrived behind too many pipelined requests.
         self._unparsed = b""
         self._is_parsing = False
+        # Parts of bodies that were parsed in this turn of the event loop.
+        self._parts = 0
 
     @property
     def is_idle(self) -> bool:
@@ -279,9 +284,11 @@
             return
         data, start = self._unparsed, 0
         self._unparsed, self._is_parsing = b"", True
+        self._parts = 0
         while (
             start < len(data)
             and not self._is_closing
+            and self._parts <= _PARTS_PER_TURN
             and len(self._pipelined) <= _MAX_PIPELINED
         ):
             size = _PARSED_BODY_BYTES if self._incoming_body else _PARSED_BYTES
@@ -291,6 +298,8 @@
         if start < len(data) and not self._is_closing:
             self._unparsed = data[start:]
             self._transport.pause_reading()
+            if len(self._pipelined) <= _MAX_PIPELINED:
+                self._loop.call_soon(self._resume_reading)
 
     def _feed(self, data: bytes) -> None:
         if not self._is_reading:
@@ -452,6 +461,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Buffers body data within the limits."""
+        self._parts += 1
         if self._is_closing:
             return
         self._body_size += len(data)
