Bodies that can never have room are rejected for good

A body above half of the memory limit was refused with 503 and a time to return, which was untrue: its caller would return in vain. It is answered 413 now. A test of both framings failed before.

--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -136,7 +136,7 @@
             bytes=error.size,
             reserved=self.body_budget.reserved_bytes,
             received=self.body_budget.received_bytes,
-            retry_after_s=round(error.retry_after_s, 2),
+            retry_after_s=error.retry_after_s,
         )
         return self.http_codec.refusal(
             caller_info.request_id, error.retry_after_s
--- a/sesamecross/gateway/incoming_body.py
+++ b/sesamecross/gateway/incoming_body.py
@@ -9,10 +9,10 @@
 
     Attributes:
       size: Bytes that were asked for.
-      retry_after_s: When there will probably be room.
+      retry_after_s: When there will probably be room; None if never.
     """
 
-    def __init__(self, size: int, retry_after_s: float):
+    def __init__(self, size: int, retry_after_s: float | None):
         super().__init__(f"no memory for a body of {size} bytes")
         self.size = size
         self.retry_after_s = retry_after_s
@@ -70,9 +70,9 @@
         size = len(self._buffer) + len(data)
         if size > self._reservation.size:
             capacity = self._buffer.capacity
-            if size > capacity or not self._budget.resize(
-                self._reservation, capacity
-            ):
+            if size > capacity:
+                raise self._no_room(size)
+            if not self._budget.resize(self._reservation, capacity):
                 raise self._no_room(capacity)
         self._buffer.append(data)
         self._budget.record_received(self._reservation, len(data))
@@ -90,4 +90,6 @@
         self._budget.release(self._reservation)
 
     def _no_room(self, size: int) -> NoRoomError:
+        if size > self._budget.largest_body_bytes:
+            return NoRoomError(size, None)
         return NoRoomError(size, self._budget.retry_after_s(size))
--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -112,6 +112,8 @@
         return incoming_body.IncomingBody(self.budget, "", length, max_bytes)
 
     def on_no_room(self, head, error):
+        if error.retry_after_s is None:
+            return []
         return [(b"retry-after", b"%.2f" % error.retry_after_s)]
 
     def on_rejected(self, status, reason) -> None:
@@ -237,6 +239,21 @@
     assert not caller.bodies
 
 
+@pytest.mark.parametrize(
+    "data", [with_length(1_000_000, 0), in_chunks(800_000, 1000)]
+)
+def test_a_body_that_never_has_room_is_rejected_for_good(data):
+    """Guards against callers that return with what can't be served."""
+    caller = _Caller()
+    caller.budget.set_memory(1_200_000)
+    caller.receive(data)
+    while caller.loop.soon:
+        caller.loop.soon.pop()()
+    assert caller.status == 413
+    assert b"retry-after" not in caller.transport.written
+    assert caller.budget.reserved_bytes == 0
+
+
 def test_small_bodies_are_read_beside_large_ones():
     """Guards against small requests that are refused beside large ones."""
     caller = _Caller()
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -657,7 +657,8 @@
         headers = self._handler.on_no_room(self._head, error)
         if self._response_writer is None and self._transport is not None:
             self._write_rejection(
-                503, response_writer_lib.encode_headers(headers)
+                413 if error.retry_after_s is None else 503,
+                response_writer_lib.encode_headers(headers),
             )
 
     def reject_partial_request(self) -> None:
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -70,7 +70,7 @@
         Raises:
           NoRoomError: Always.
         """
-        raise incoming_body.NoRoomError(length or max_bytes, 0.0)
+        raise incoming_body.NoRoomError(length or max_bytes, None)
 
     def on_no_room(
         self,
