Pipelined requests wait while their caller leaves answers unread

What callers would see: a caller that pipelines requests with large answers and reads none had all of them written into its connection's buffer, beyond what was counted when it fell behind. The next request is handled once it has read.

A refused body in chunks can't keep its room.

--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -116,6 +116,9 @@
             return []
         return [(b"retry-after", b"%.2f" % error.retry_after_s)]
 
+    def on_unread(self, connection, size) -> None:
+        """Not bounded here."""
+
     def on_rejected(self, status, reason) -> None:
         """The status is written."""
 
@@ -316,3 +319,33 @@
         call()
     assert caller.budget.reserved_bytes == 0
     assert not caller.bodies
+
+
+def test_the_next_answer_waits_until_the_caller_has_read():
+    """Guards against pipelined requests whose answers nobody reads."""
+    caller = _Caller()
+    caller.receive(with_length(5) * 3)
+    caller.connection.pause_writing()
+    caller.respond()
+    assert not caller.writers
+    assert not caller.connection.is_idle
+    caller.connection.resume_writing()
+    for _ in range(2):
+        caller.respond()
+    assert caller.transport.written.count(b"HTTP/1.1 200") == 3
+    assert caller.connection.is_idle
+
+
+def test_a_caller_that_is_behind_is_not_read_for_ever():
+    """Guards against requests that pile up behind an unread answer."""
+    caller = _Caller()
+    caller.receive(with_length(5))
+    caller.connection.pause_writing()
+    caller.respond()
+    caller.receive(with_length(5) * 2000)
+    assert not caller.writers
+    assert len(caller.connection._pipelined) < 100
+    caller.connection.resume_writing()
+    for _ in range(2000):
+        caller.respond()
+    assert caller.transport.written.count(b"HTTP/1.1 200") == 2001
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -215,6 +215,7 @@
         return (
             self._response_writer is None
             and not self._is_reading
+            and not self._pipelined
             and not self._unparsed
         )
 
@@ -353,6 +354,10 @@
         self._forget_unread()
         if self._response_writer is not None:
             self._response_writer.notify_caller_slow(False)
+        elif not self._is_closing:
+            self._handle_next()
+            if len(self._pipelined) <= _MAX_PIPELINED:
+                self._resume_reading()
 
     def _count_unread(self) -> None:
         """Counts what is left of a response that has just been written."""
@@ -493,13 +498,14 @@
             self._limits.max_body_bytes, self._handler.limits.max_body_bytes
         )
         try:
-            body = self._handler.begin_body(self._head, length, max_bytes)
+            self._incoming_body = self._handler.begin_body(
+                self._head, length, max_bytes
+            )
             if self._body:
-                body.append(self._body)
+                self._incoming_body.append(self._body)
         except incoming_body.NoRoomError as error:
             self._refuse_body(error)
-            return
-        self._incoming_body, self._body = body, b""
+        self._body = b""
 
     def _discard_body(self) -> None:
         """Returns the memory of the body being read."""
@@ -621,6 +627,9 @@
     def _handle_next(self) -> None:
         if self._response_writer is not None or not self._pipelined:
             return
+        if self._is_behind:
+            # Another answer would only be kept for the caller as well.
+            return
         head, body = self._pipelined.popleft()
         is_head_request = head.method == b"HEAD"
         self._response_writer = response_writer_lib.ResponseWriter(
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -9,11 +9,14 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import body_budget
 from sesamecross.ops.fleet import reachability
+from sesamecross.ops.fleet import unread_answers
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import process_memory
 
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
+# Of the memory that callers' unread answers may take, the part for scrapes.
+_MEMORY_SHARE = 0.1
 _LIMITS = serving.CallerLimits(max_body_bytes=1024)
 
 
@@ -24,7 +27,7 @@
       is_stopping: While set, the instance reports that it isn't ready.
     """
 
-    __slots__ = ("is_stopping", "_state", "_metrics", "_bodies")
+    __slots__ = ("is_stopping", "_state", "_metrics", "_bodies", "_unread")
 
     def __init__(
         self,
@@ -43,6 +46,9 @@
         self._state = state
         self._metrics = metrics
         self._bodies = bodies
+        self._unread = unread_answers.UnreadAnswers(
+            int(state.memory_bytes * _MEMORY_SHARE)
+        )
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -97,9 +103,11 @@
     def on_unread(
         self, connection: server_connection.ServerConnection, size: int
     ) -> None:
-        """Closes the connection of a scrape that is left unread."""
+        """Bounds what slow scrapes keep in memory."""
         if size:
-            connection.abort()
+            self._unread.record(connection, size)
+        else:
+            self._unread.forget(connection)
 
     def handle(
         self,
--- a/sesamecross/gateway/status_test.py
+++ b/sesamecross/gateway/status_test.py
@@ -71,3 +71,23 @@
         f'{name}{{step="{step}"}}'
         for step in ("upstreams", "configuration", "ready")
     ]
+
+
+def test_a_slow_scrape_is_not_cut():
+    """Guards against metrics that a slow link can't fetch."""
+    handler = status.StatusHandler(
+        state_lib.State(samples.INSTANCE), metrics_lib.Metrics()
+    )
+    cut = []
+
+    class Connection:
+        def abort(self) -> None:
+            cut.append(self)
+
+    slow = Connection()
+    handler.on_unread(slow, 300_000)
+    handler.on_unread(slow, 0)
+    assert not cut
+    for _ in range(100):
+        handler.on_unread(Connection(), 300_000)
+    assert cut
