--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -63,6 +63,7 @@
         super().__init__()
         self.written = b""
         self.is_closed = False
+        self.unsent = 0
 
     def write(self, data) -> None:
         self.written += data
@@ -79,7 +80,7 @@
         """The caller may go on sending."""
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return self.unsent
 
     def pause_reading(self) -> None:
         """Nothing is read from here."""
@@ -325,10 +326,12 @@
     """Guards against pipelined requests whose answers nobody reads."""
     caller = _Caller()
     caller.receive(with_length(5) * 3)
+    caller.transport.unsent = 100_000
     caller.connection.pause_writing()
     caller.respond()
     assert not caller.writers
     assert not caller.connection.is_idle
+    caller.transport.unsent = 0
     caller.connection.resume_writing()
     for _ in range(2):
         caller.respond()
@@ -340,11 +343,13 @@
     """Guards against requests that pile up behind an unread answer."""
     caller = _Caller()
     caller.receive(with_length(5))
+    caller.transport.unsent = 100_000
     caller.connection.pause_writing()
     caller.respond()
     caller.receive(with_length(5) * 2000)
     assert not caller.writers
     assert len(caller.connection._pipelined) < 100
+    caller.transport.unsent = 0
     caller.connection.resume_writing()
     for _ in range(2000):
         caller.respond()
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -627,7 +627,7 @@
     def _handle_next(self) -> None:
         if self._response_writer is not None or not self._pipelined:
             return
-        if self._is_behind:
+        if self._is_behind and self._transport.get_write_buffer_size() > 0:
             # Another answer would only be kept for the caller as well.
             return
         head, body = self._pipelined.popleft()
