Memory tests publish configurations as all others do

PlatformSite.publish already counts the version and writes the configuration; the memory tests and the tool for bursts of bodies did both by hand. No change of behaviour: tests/memory_test.py, 7 tests, as before.

--- a/sesamecross/devtools/body_bursts.py
+++ b/sesamecross/devtools/body_bursts.py
@@ -102,12 +102,7 @@
     """Sends a burst to a gateway process of its own."""
     site = platform_site.PlatformSite(directory, memory_mb)
     try:
-        site.version += 1
-        site.store.publish(
-            platform_site.configuration(
-                site.version, idle_ms=15_000, max_body_bytes=MAX_BODY_BYTES
-            )
-        )
+        site.publish(idle_ms=15_000, max_body_bytes=MAX_BODY_BYTES)
         site.add_upstream(platform_site.DESK)
         site.gateway.start()
         site.gateway.wait_ready()
--- a/tests/memory_test.py
+++ b/tests/memory_test.py
@@ -33,12 +33,7 @@
 def site(tmp_path):
     one = platform_site.PlatformSite(tmp_path, MEMORY_MB)
     try:
-        one.version += 1
-        one.store.publish(
-            platform_site.configuration(
-                one.version, idle_ms=3000, max_body_bytes=MAX_BODY_BYTES
-            )
-        )
+        one.publish(idle_ms=3000, max_body_bytes=MAX_BODY_BYTES)
         one.add_upstream(platform_site.DESK)
         one.add_upstream(platform_site.ARCHIVE)
         one.gateway.start()
