Connections end requests, and go on reading, in one place each

The check for too many pipelined requests stood before both calls of _resume_reading, which makes it itself. ClientConnection._abandon repeated abort() line by line, and the size of a piece of a body was stated twice.

--- a/sesamecross/core/body_buffer.py
+++ b/sesamecross/core/body_buffer.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterator
 import mmap
 
-_PIECE_BYTES = 64 * 1024
+# What is read of a large body at a time.
+PIECE_BYTES = 64 * 1024
 
 
 class BodyBuffer:
@@ -71,8 +72,8 @@
     if not isinstance(body, BodyBuffer):
         yield body
         return
-    for start in range(0, len(body), _PIECE_BYTES):
-        yield body.read(start, _PIECE_BYTES)
+    for start in range(0, len(body), PIECE_BYTES):
+        yield body.read(start, PIECE_BYTES)
 
 
 def close(body: bytes | BodyBuffer) -> None:
--- a/sesamecross/gateway/client_connection.py
+++ b/sesamecross/gateway/client_connection.py
@@ -25,7 +25,6 @@
 _FIRST_FINAL_STATUS = 200
 # A large body is handed to the socket in pieces as the upstream takes them, and
 # after so many of them the event loop serves others.
-_PIECE_BYTES = 64 * 1024
 _PIECES_PER_TURN = 4
 _TRANSFER_ENCODING = b"transfer-encoding"
 _CHUNKED = b"chunked"
@@ -180,7 +179,7 @@
                 return
             if self._transport is None or self._transport.is_closing():
                 return
-            piece = body.read(self._sent_bytes, _PIECE_BYTES)
+            piece = body.read(self._sent_bytes, body_buffer.PIECE_BYTES)
             self._sent_bytes += len(piece)
             if self._sent_bytes >= len(body):
                 self._unsent_body = None
@@ -270,7 +269,6 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Handles a reset or the close of the connection."""
         self._is_unusable = True
-        self._unsent_body = None
         self._fail(f"connection lost: {error or 'closed'}")
         self._transport = None
         if self.on_lost is not None:
@@ -391,11 +389,7 @@
 
     def _abandon(self) -> None:
         """Aborts the connection: response boundaries on it are unknown."""
-        self._receiver = None
-        self._unsent_body = None
-        self._is_unusable = True
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort()
 
 
 async def connect(address: str, timeout_s: float) -> ClientConnection:
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -356,8 +356,7 @@
             self._response_writer.notify_caller_slow(False)
         elif not self._is_closing:
             self._handle_next()
-            if len(self._pipelined) <= _MAX_PIPELINED:
-                self._resume_reading()
+            self._resume_reading()
 
     def _count_unread(self) -> None:
         """Counts what is left of a response that has just been written."""
@@ -605,8 +604,7 @@
                 self.close()
             return
         self._handle_next()
-        if len(self._pipelined) <= _MAX_PIPELINED:
-            self._resume_reading()
+        self._resume_reading()
         self._send_owed_continue()
         if self.is_idle:
             self._is_reading_head = False
@@ -647,28 +645,29 @@
         """Rejects the request being read and stops reading requests."""
         if self._is_closing or self._transport is None:
             return
+        self._handler.on_rejected(status, reason)
+        self._end_requests(status, b"")
+
+    def _end_requests(self, status: int, extra_headers: bytes) -> None:
+        """Stops reading requests, and rejects the one being read."""
         self._is_closing = True
         self._discard_body()
-        self._handler.on_rejected(status, reason)
-        if self._response_writer is None:
-            self._write_rejection(status, b"")
+        if self._response_writer is None and self._transport is not None:
+            self._write_rejection(status, extra_headers)
         # A response in progress ends first; then `closes_after_response`
         # closes the connection.
 
     def _refuse_body(self, error: incoming_body.NoRoomError) -> None:
         """Refuses the request being read, as there is no memory for its body.
 
-        A response in progress ends first, and closes the connection: the caller
+        If a response is in progress, its end closes the connection: the caller
         learns from that that the request was not read.
         """
-        self._is_closing = True
-        self._discard_body()
         headers = self._handler.on_no_room(self._head, error)
-        if self._response_writer is None and self._transport is not None:
-            self._write_rejection(
-                413 if error.retry_after_s is None else 503,
-                response_writer_lib.encode_headers(headers),
-            )
+        self._end_requests(
+            413 if error.retry_after_s is None else 503,
+            response_writer_lib.encode_headers(headers),
+        )
 
     def reject_partial_request(self) -> None:
         """Rejects a partially read request, as the process is about to exit.
@@ -680,10 +679,8 @@
             and not self._is_closing
             and self._response_writer is None
         ):
-            self._is_closing = True
-            self._discard_body()
             self._handler.on_rejected(503, "incomplete at the process's exit")
-            self._write_rejection(503, b"retry-after: 0\r\n")
+            self._end_requests(503, b"retry-after: 0\r\n")
 
     def _write_rejection(self, status: int, extra_headers: bytes) -> None:
         head = response_writer_lib.status_line(status) + extra_headers
