--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -40,7 +40,7 @@
 ENTRY_OUTLIVES_S = 1.5
 LEAVING_SERVES_S = 2.5
 END_TIMEOUT_S = 30.0
-_PROMISES_NOT_RUN = (408, 421, 429, 503)
+PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,7 +144,7 @@
         self._publish()
         for _ in range(ENGINES):
             self._add_engine(VERSIONS[0])
-        self._add(platform_site.DESK)
+        self._add_desks()
         for gateway in self._gateways:
             gateway.store_address = self._store.server.address
             gateway.start()
@@ -188,6 +188,10 @@
         self._all_upstreams.append(one)
         return one
 
+    def _add_desks(self) -> None:
+        """Starts the upstreams of the service that takes orders."""
+        self._add(platform_site.DESK)
+
     def _add_engine(self, version: str) -> None:
         self._engines.append(self._add(platform_site.WRITERS, version))
 
@@ -202,7 +206,8 @@
 
     # -- faults ----------------------------------------------------------
 
-    def _inject_faults(self) -> None:
+    def _faults(self) -> list[Callable[[], None]]:
+        """Returns what may go wrong."""
         faults = [
             self._stop_gateway,
             self._kill_gateway,
@@ -214,6 +219,10 @@
         ]
         if self._plan.kills_all:
             faults.append(self._kill_all_gateways)
+        return faults
+
+    def _inject_faults(self) -> None:
+        faults = self._faults()
         running = []
         # Of its own, so that a seed has the same faults each time.
         rng = random.Random(f"{self._plan.seed}/faults")
@@ -461,6 +470,10 @@
     # -- promises --------------------------------------------------------
 
     def _check(self) -> None:
+        self._check_orders()
+        self._check_streams()
+
+    def _check_orders(self) -> None:
         runs: dict[str, list[platform_upstream.Run]] = {}
         for upstream in self._all_upstreams:
             for run in upstream.runs:
@@ -469,12 +482,14 @@
             ran = runs.get(order.request_id, [])
             if len(ran) > 1:
                 self._break(f"order {order.request_id} ran {len(ran)} times")
-            if order.status in _PROMISES_NOT_RUN and ran:
+            if order.status in PROMISES_NOT_RUN and ran:
                 self._break(f"order {order.request_id} was refused and ran")
             if order.status == 200 and [one.answer for one in ran] != [
                 order.body
             ]:
                 self._break(f"order {order.request_id}: another answer")
+
+    def _check_streams(self) -> None:
         for stream in self._streams:
             expected = list(range(1, len(stream.numbers) + 1))
             if stream.numbers != expected:
--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -104,6 +104,16 @@
         self._memory = memory or answer_bounds.AnswerMemory()
         self._is_stream = False
 
+    @property
+    def status(self) -> int:
+        """Status of the answer; 0 before its head."""
+        return self._status
+
+    @property
+    def answer_head(self) -> http_codec_lib.ResponseHead | None:
+        """The head of the answer; None before it."""
+        return self._head_info
+
     def on_head(self, status: int, headers: list[serving.Header]) -> bool:
         """Accepts the head, or returns False if it is for another request."""
         head_info = self._http_codec.parse_response_head(status, headers)
@@ -112,6 +122,9 @@
         )
         if head_info.request_id != self._request_id and not is_unnamed:
             return False
+        self._status = status
+        self._headers = tuple(headers)
+        self._head_info = head_info
         if is_unnamed:
             self.is_connection_reusable = False
             if self._is_connection_used:
@@ -120,9 +133,6 @@
                     retry_policy.Lost("response names no request")
                 )
                 return True
-        self._status = status
-        self._headers = tuple(headers)
-        self._head_info = head_info
         if self.on_response_head is not None:
             self.on_response_head(head_info)
         is_success = 200 <= status < 300
--- a/sesamecross/gateway/late_answer_test.py
+++ b/sesamecross/gateway/late_answer_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog import testing
 
 from sesamecross.fakes import scripted_gateway
 from sesamecross.fakes import strict_response
@@ -75,3 +76,19 @@
     answers, gateway = ask_twice(scripts, "once", ["aaaa"])
     assert answers[0].status == 503
     assert len(gateway.requests) == gateway.connections_opened > 1
+
+
+def test_each_send_that_did_not_run_leaves_a_line():
+    """Guards against a request that ran twice without a trace of how."""
+    refusal = REFUSAL.replace(b"Busy\r\n", b"Busy\r\nRequest-Id: {id}\r\n")
+    scripts = [scripted_gateway.Script(refusal)] * MAX_SENDS
+    with testing.capture_logs() as lines:
+        ask_twice(scripts, "once", ["aaaa"])
+    sends = [line for line in lines if line["event"] == "send not run"]
+    assert [line["send"] for line in sends] == list(range(1, len(sends) + 1))
+    for line in sends:
+        assert line["id"] == line["answers"] == "aaaa"
+        assert (line["status"], line["not_executed"]) == (503, True)
+        assert (line["carried"], line["possible_runs"]) == (0, 0)
+        assert (line["kind"], line["routed_by"]) == ("once", line["config"])
+    assert lines[-1]["sends"] == len(sends) > 1
--- a/sesamecross/gateway/request_log.py
+++ b/sesamecross/gateway/request_log.py
@@ -1,7 +1,10 @@
 """The line that is logged when a request has ended."""
 
+from sesamecross.gateway import attempt as attempt_lib
+from sesamecross.gateway import client_connection
 from sesamecross.gateway import request_context
 from sesamecross.gateway import request_progress
+from sesamecross.ops.fleet import retry_policy
 from sesamecross.runtime import event_loop
 
 # Longest id of a caller, or of a part of a prompt, that is logged.
@@ -38,6 +41,8 @@
         ms=round(took_s * 1000),
         note=progress.note,
         via=progress.relayed_by,
+        kind=progress.route.kind.value if progress.route else "",
+        routed_by=progress.route_version,
         config=context.state.version,
         workspace=progress.workspace_name,
         **_refusal_fields(progress, outcome),
@@ -46,6 +51,59 @@
     )
 
 
+def log_failed_send(
+    context: request_context.RequestContext,
+    progress: request_progress.RequestProgress,
+    connection: client_connection.ClientConnection,
+    attempt: attempt_lib.Attempt,
+    outcome: attempt_lib.Outcome | None,
+) -> None:
+    """Logs a send after which the request may be sent again, or fails.
+
+    Args:
+      context: What the requests share.
+      progress: The request.
+      connection: On which it was sent.
+      attempt: What was received on it.
+      outcome: What was made of that; None if its deadline passed.
+    """
+    match outcome:
+        case retry_policy.NotRun():
+            text = "not run"
+        case retry_policy.Lost():
+            text = "may have run"
+        case None:
+            text = "timed out"
+        case _:
+            return
+    entry = progress.upstream.entry
+    answer: dict[str, object] = {}
+    if attempt.answer_head is not None:
+        answer = {
+            "status": attempt.status,
+            "not_executed": attempt.answer_head.was_not_executed,
+            "answers": attempt.answer_head.request_id[:MAX_ID],
+            "answered_by": attempt.answer_head.instance_id[:MAX_ID],
+        }
+    context.log.info(
+        f"send {text}",
+        id=progress.request.request_id[:MAX_ID],
+        kind=progress.route.kind.value,
+        routed_by=progress.route_version,
+        config=context.state.version,
+        send=progress.history.sends,
+        upstream=entry.instance_id,
+        born=entry.born_ms,
+        address=entry.address,
+        # Requests that the connection carried before this one.
+        carried=connection.request_count - 1,
+        via=connection.relayed_by,
+        sent=connection.is_request_sent,
+        possible_runs=len(progress.history.possibly_ran_at),
+        **answer,
+    )
+
+
 def _refusal_fields(
     progress: request_progress.RequestProgress, outcome: str
 ) -> dict[str, object]:
--- a/sesamecross/gateway/request_progress.py
+++ b/sesamecross/gateway/request_progress.py
@@ -25,6 +25,8 @@
       request: With its workspace, once its key is known.
       arrived_s: Loop time of its arrival.
       route: Set once it is found.
+      route_version: The configuration's version by which it was found; -1
+        before.
       deadline_s: Loop time until which it may be answered; 0 before its route
         is known.
       history: What its attempts have come to.
@@ -44,6 +46,7 @@
     request: serving.Request
     arrived_s: float
     route: serving.Route | None = None
+    route_version: int = -1
     deadline_s: float = 0.0
     history: retry_policy.AttemptHistory = msgspec.field(
         default_factory=retry_policy.AttemptHistory
--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -10,6 +10,7 @@
 from sesamecross.gateway import prefill_tracker as prefill_tracker_lib
 from sesamecross.gateway import request_admission
 from sesamecross.gateway import request_context
+from sesamecross.gateway import request_log
 from sesamecross.gateway import request_progress
 from sesamecross.ops.fleet import directory
 from sesamecross.ops.fleet import retry_policy
@@ -214,11 +215,13 @@
         if not attempt.outcome_future.done():
             connection.abort()
             self._progress.connection = None
+            self._log_failed_send(connection, attempt, None)
             return None
         self._progress.connection = None
         outcome = attempt.outcome_future.result()
         if isinstance(outcome, retry_policy.NotRun):
             self._progress.history.possibly_ran_at.discard(entry.instance_id)
+        self._log_failed_send(connection, attempt, outcome)
         if (
             self._progress.relay is not None
             and self._progress.relay.event_count
@@ -231,3 +234,13 @@
         else:
             self._context.connection_pool.release(entry.address, connection)
         return outcome
+
+    def _log_failed_send(
+        self,
+        connection: client_connection.ClientConnection,
+        attempt: attempt_lib.Attempt,
+        outcome: attempt_lib.Outcome | None,
+    ) -> None:
+        request_log.log_failed_send(
+            self._context, self._progress, connection, attempt, outcome
+        )
--- a/sesamecross/gateway/request_task.py
+++ b/sesamecross/gateway/request_task.py
@@ -201,6 +201,7 @@
         """Finds the route; returns the outcome if there is none to use."""
         progress = self._progress
         request = progress.request
+        progress.route_version = self._context.state.version
         progress.route = self._context.state.routes.find(
             request.host, request.path.decode("latin-1")
         )
