--- a/sesamecross/fakes/scripted_gateway.py
+++ b/sesamecross/fakes/scripted_gateway.py
@@ -219,7 +219,7 @@
 
 
 class ScriptedGateway:
-    """A forwarder with one upstream; create it inside a running loop.
+    """A forwarder with one upstream address; create it inside a running loop.
 
     Attributes:
       scripts: What the upstream sends after each request, in order; nothing
@@ -227,7 +227,18 @@
       requests: What the upstream received.
     """
 
-    def __init__(self, scripts: Sequence[Script]):
+    def __init__(
+        self,
+        scripts: Sequence[Script],
+        instance_ids: Sequence[str] = (INSTANCE_ID,),
+    ):
+        """Creates the gateway.
+
+        Args:
+          scripts: What the upstream sends after each request, in order.
+          instance_ids: The upstreams known at the address; several if it was
+            restarted under other ids.
+        """
         self.scripts = list(scripts)
         self.requests: list[bytes] = []
         self._answers: set[asyncio.Task] = set()
@@ -240,9 +251,10 @@
                 serving.CallerLimits(),
             )
         )
-        state.directory.update_entry(
-            serving.Upstream(INSTANCE_ID, "s", "u:1", "z1", 9, False, 1)
-        )
+        for instance_id in instance_ids:
+            state.directory.update_entry(
+                serving.Upstream(instance_id, "s", "u:1", "z1", 9, False, 1)
+            )
         state.mark_upstreams_listed()
         self._pool = pool = _Pool(self)
         self.forwarder = forwarder_lib.Forwarder(
--- a/sesamecross/gateway/late_answer_test.py
+++ b/sesamecross/gateway/late_answer_test.py
@@ -14,18 +14,25 @@
     b"Content-Length: 4\r\n\r\n{id}"
 )
 REFUSAL = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+NAMED_REFUSAL = REFUSAL.replace(b"Busy\r\n", b"Busy\r\nRequest-Id: {id}\r\n")
+MISDIRECTED = (
+    b"HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+)
 ANONYMOUS = (
     b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\n"
 )
 
 
 def ask_twice(
-    scripts: list[scripted_gateway.Script], route: str, request_ids: list[str]
+    scripts: list[scripted_gateway.Script],
+    route: str,
+    request_ids: list[str],
+    instance_ids: tuple[str, ...] = (scripted_gateway.INSTANCE_ID,),
 ) -> tuple[list[strict_response.Answer], scripted_gateway.ScriptedGateway]:
     """Returns the answers to requests on a caller's connection, one by one."""
 
     async def scenario():
-        gateway = scripted_gateway.ScriptedGateway(scripts)
+        gateway = scripted_gateway.ScriptedGateway(scripts, instance_ids)
         caller = gateway.caller()
         answers = [
             strict_response.parse(await caller.ask("POST", route, request_id))
@@ -51,11 +58,30 @@
     assert repeats <= (route == "plain")
 
 
-def test_a_refusal_on_a_new_connection_is_the_requests_own():
-    """Guards against a failure where the request can be sent again."""
-    scripts = [scripted_gateway.Script(REFUSAL)] * MAX_SENDS
-    answers, _ = ask_twice(scripts, "once", ["aaaa"])
-    assert answers[0].status == 503
+@pytest.mark.parametrize(
+    ("refusal", "expected"),
+    [(NAMED_REFUSAL, 503), (MISDIRECTED, 503), (REFUSAL, 502)],
+    ids=["named", "misdirected", "unnamed"],
+)
+def test_only_a_refusal_that_names_the_request_is_its_own(refusal, expected):
+    """Guards against refusals that are not true, and failures that need not be.
+
+    A refusal that names no request may have been sent before the request came.
+    """
+    scripts = [scripted_gateway.Script(refusal)] * MAX_SENDS
+    answers, gateway = ask_twice(scripts, "once", ["aaaa"])
+    assert answers[0].status == expected
+    assert (len(gateway.requests) > 1) == (expected == 503)
+
+
+def test_a_request_runs_once_if_a_new_connection_holds_a_refusal():
+    """Guards against a request that runs and goes out again, as if refused."""
+    scripts = [
+        scripted_gateway.Script(REFUSAL + ANSWER),
+        scripted_gateway.Script(ANSWER),
+    ]
+    _, gateway = ask_twice(scripts, "once", ["aaaa"])
+    assert len(gateway.requests) == 1
 
 
 def test_a_late_answer_without_an_id_answers_no_other_request():
@@ -69,19 +95,26 @@
     assert gateway.connections_opened == 2
 
 
-def test_a_request_is_sent_once_on_a_connection():
-    """Guards against a late refusal of its first try that refuses its next."""
-    refusal = REFUSAL.replace(b"Busy\r\n", b"Busy\r\nRequest-Id: {id}\r\n")
+@pytest.mark.parametrize(
+    "refusal", [NAMED_REFUSAL, MISDIRECTED], ids=["named", "misdirected"]
+)
+@pytest.mark.parametrize(
+    "instance_ids", [("u1",), ("u1", "u2", "u3")], ids=["one", "restarted"]
+)
+def test_a_request_is_sent_once_on_a_connection(refusal, instance_ids):
+    """Guards against a late refusal of its first try that refuses its next.
+
+    An upstream that restarts keeps its address under another id.
+    """
     scripts = [scripted_gateway.Script(refusal)] * MAX_SENDS
-    answers, gateway = ask_twice(scripts, "once", ["aaaa"])
+    answers, gateway = ask_twice(scripts, "once", ["aaaa"], instance_ids)
     assert answers[0].status == 503
     assert len(gateway.requests) == gateway.connections_opened > 1
 
 
 def test_each_send_that_did_not_run_leaves_a_line():
     """Guards against a request that ran twice without a trace of how."""
-    refusal = REFUSAL.replace(b"Busy\r\n", b"Busy\r\nRequest-Id: {id}\r\n")
-    scripts = [scripted_gateway.Script(refusal)] * MAX_SENDS
+    scripts = [scripted_gateway.Script(NAMED_REFUSAL)] * MAX_SENDS
     with testing.capture_logs() as lines:
         ask_twice(scripts, "once", ["aaaa"])
     sends = [line for line in lines if line["event"] == "send not run"]
