A refusal that names no request is not believed

What callers saw: a request that may run once was refused with 503 though it ran, or went out again and ran twice.

Cause: a refusal without Request-Id was taken for the answer on any connection that had carried nothing else. But a connection is new only to this instance: what an upstream sends on it by itself (too many connections, idle for too long) may be under way, or lie in the kernel's buffer, when the request is written, and the upstream then reads and runs it.

Script: a refusal, then the answer, on a new connection gave two sends.

Why this fix works: only the id tells whether an answer was made after its request was read, and upstreams echo it in all answers. Without it the attempt is lost, which promises nothing.

--- a/sesamecross/gateway/attempt.py
+++ b/sesamecross/gateway/attempt.py
@@ -127,8 +127,9 @@
         self._head_info = head_info
         if is_unnamed:
             self.is_connection_reusable = False
-            if self._is_connection_used:
-                # Perhaps a second response to an earlier request.
+            if self._is_connection_used or head_info.was_not_executed:
+                # Perhaps a second response to an earlier request, or a
+                # refusal that was sent before this one came.
                 self._set_outcome(
                     retry_policy.Lost("response names no request")
                 )
