A request goes out again on a connection that has not carried it

Cause: upstreams may answer twice, the second time late, and the id then names the request. So a request that went out again needed a new connection, but only where the upstream's instance id was the same. Connections are kept by address, and an upstream that restarts at its address gets another id, while its old entry stays for some seconds: the request goes to the old id, is answered 421 by the new one, and then goes to the new id on the same connection. A second copy of the 421 is taken for the answer to that send, the request goes on to a third upstream, and both run it.

Fix: the addresses that the request was sent to are kept in place of the ids, so no connection carries it twice.

Failed before: test_a_request_is_sent_once_on_a_connection[restarted-named] and [restarted-misdirected], 2 sends on 1 connection.

--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -27,7 +27,7 @@
         "_progress",
         "_admission",
         "_recorder",
-        "_sent_ids",
+        "_sent_addresses",
     )
 
     def __init__(
@@ -41,8 +41,9 @@
         self._progress = progress
         self._admission = admission
         self._recorder = recorder
-        # Upstreams that the request was sent to.
-        self._sent_ids: set[str] = set()
+        # Where the request was sent to. An upstream that restarts may keep its
+        # address under another id.
+        self._sent_addresses: set[str] = set()
 
     def judge(self) -> send_gate.Verdict:
         """Decides whether any upstream may be sent the request now."""
@@ -124,7 +125,7 @@
         """Whether an earlier response could pass for that to this attempt."""
         return (
             not self._progress.request.request_id
-            or upstream.entry.instance_id in self._sent_ids
+            or upstream.entry.address in self._sent_addresses
         )
 
     def _record_response_head(
@@ -198,7 +199,7 @@
         self._progress.connection = connection
         self._progress.history.sends += 1
         self._admission.charge_repeat()
-        self._sent_ids.add(entry.instance_id)
+        self._sent_addresses.add(entry.address)
         self._progress.history.possibly_ran_at.add(entry.instance_id)
         connection.send(
             client_connection.encode_request(
