What may be repeated is decided by the route in force, and checked where a send begins

Cause: three ways in which a wrong belief could make a request run twice or a refusal untrue. The route of its arrival decided whether a request may be repeated, though operators may have declared since that it may not. The books of sends were kept by upstream, so that a rejection of a second send there cleared a first one that was lost. And nothing but the decision after a failure kept a request from being sent: an error in it had no second check.

Change: each send has its own entry, made before its first byte leaves and struck out only by its own outcome. A repeat asks the newer route too, if the configuration has changed. A send of a request that may run once and may have run does not begin, whatever led to it; that is logged as an error with all inputs, and counted.

--- a/sesamecross/fakes/scripted_gateway.py
+++ b/sesamecross/fakes/scripted_gateway.py
@@ -53,14 +53,16 @@
     size: int = 10_000
 
 
-def _route(name: str) -> serving.Route:
+def _route(
+    name: str, kind: serving.RouteKind, max_upstreams: int
+) -> serving.Route:
     return serving.Route(
         name=name,
         host="h",
         path_prefix=f"/{name}/",
-        kind=_KINDS[name],
+        kind=kind,
         targets=(serving.Target("s", 1.0),),
-        max_upstreams=1,
+        max_upstreams=max_upstreams,
         urgency=1,
         timeout_s=500.0,
         objective_s=1.0,
@@ -167,6 +169,9 @@
             )
 
     async def _answer(self, request: bytes, script: Script) -> None:
+        if self._gateway.before_answer is not None:
+            self._gateway.before_answer()
+            self._gateway.before_answer = None
         found = _REQUEST_ID.search(request)
         request_id = found.group(1) if found else b""
         sent = script.sent.replace(b"{id}", request_id)
@@ -225,12 +230,14 @@
       scripts: What the upstream sends after each request, in order; nothing
         once they are used up.
       requests: What the upstream received.
+      before_answer: Called once, before the first answer.
     """
 
     def __init__(
         self,
         scripts: Sequence[Script],
         instance_ids: Sequence[str] = (INSTANCE_ID,),
+        max_upstreams: int = 1,
     ):
         """Creates the gateway.
 
@@ -242,15 +249,10 @@
         self.scripts = list(scripts)
         self.requests: list[bytes] = []
         self._answers: set[asyncio.Task] = set()
-        state = state_lib.State(samples.INSTANCE)
-        state.offer_configuration(
-            serving.Configuration(
-                1,
-                tuple(_route(name) for name in ROUTES),
-                {"s": serving.Service("s", "/", 100, None)},
-                serving.CallerLimits(),
-            )
-        )
+        self.before_answer: Callable[[], None] | None = None
+        self._max_upstreams = max_upstreams
+        self._state = state = state_lib.State(samples.INSTANCE)
+        self.publish()
         for instance_id in instance_ids:
             state.directory.update_entry(
                 serving.Upstream(instance_id, "s", "u:1", "z1", 9, False, 1)
@@ -271,6 +273,24 @@
         """Connections that were opened to the upstream."""
         return self._pool.opened_count
 
+    def publish(self, **kinds: serving.RouteKind) -> None:
+        """Puts the next configuration in force.
+
+        Args:
+          **kinds: Of routes that are not of their usual kind.
+        """
+        self._state.offer_configuration(
+            serving.Configuration(
+                self._state.version + 1,
+                tuple(
+                    _route(name, kind, self._max_upstreams)
+                    for name, kind in (_KINDS | kinds).items()
+                ),
+                {"s": serving.Service("s", "/", 100, None)},
+                serving.CallerLimits(),
+            )
+        )
+
     def caller(self) -> Caller:
         """Returns a new caller's connection."""
         return Caller(self)
--- a/sesamecross/gateway/late_answer_test.py
+++ b/sesamecross/gateway/late_answer_test.py
@@ -5,8 +5,11 @@
 import pytest
 from structlog import testing
 
+from sesamecross.core import serving
 from sesamecross.fakes import scripted_gateway
 from sesamecross.fakes import strict_response
+from sesamecross.gateway import request_log
+from sesamecross.ops.fleet import retry_policy
 
 MAX_SENDS = 10
 ANSWER = (
@@ -125,3 +128,57 @@
         assert (line["carried"], line["possible_runs"]) == (0, 0)
         assert (line["kind"], line["routed_by"]) == ("once", line["config"])
     assert lines[-1]["sends"] == len(sends) > 1
+
+
+LOST = scripted_gateway.Script(b"HTTP/1.1 200 OK\r\nRequest-Id", ends=True)
+FAILED = scripted_gateway.Script(ANSWER.replace(b"200 OK", b"500 No"))
+
+
+@pytest.mark.parametrize(
+    ("first", "status"), [(LOST, 502), (FAILED, 500)], ids=["lost", "failed"]
+)
+@pytest.mark.parametrize(
+    "kind", [serving.RouteKind.IDEMPOTENT, serving.RouteKind.AT_MOST_ONCE]
+)
+def test_what_may_be_repeated_follows_the_route_in_force(first, status, kind):
+    """Guards against a request that runs twice, as its route was another."""
+
+    async def scenario():
+        scripts = [first, scripted_gateway.Script(ANSWER)]
+        gateway = scripted_gateway.ScriptedGateway(
+            scripts, ("u1", "u2"), max_upstreams=2
+        )
+        gateway.before_answer = lambda: gateway.publish(plain=kind)
+        caller = gateway.caller()
+        answer = strict_response.parse(
+            await caller.ask("POST", "plain", "aaaa")
+        )
+        caller.leave()
+        return answer, gateway
+
+    answer, gateway = asyncio.run(scenario())
+    is_repeated = kind is serving.RouteKind.IDEMPOTENT
+    assert len(gateway.requests) == 1 + is_repeated
+    assert answer.status == (200 if is_repeated else status)
+
+
+def test_no_decision_sends_a_request_again_that_may_have_run(monkeypatch):
+    """Guards against a wrong decision that makes a request run twice."""
+    monkeypatch.setattr(
+        retry_policy,
+        "decide_after_failure",
+        lambda *_: (
+            retry_policy.NextAction.RETRY
+            if not stopped
+            else retry_policy.NextAction.FAIL
+        ),
+    )
+    stopped: list[bool] = []
+
+    def log_prevented(*_) -> None:
+        stopped.append(True)
+
+    monkeypatch.setattr(request_log, "log_prevented_send", log_prevented)
+    answers, gateway = ask_twice([LOST] * 2, "once", ["aaaa"])
+    assert (answers[0].status, len(gateway.requests)) == (502, 1)
+    assert stopped == [True]
--- a/sesamecross/gateway/request_admission.py
+++ b/sesamecross/gateway/request_admission.py
@@ -116,7 +116,7 @@
 
     def settle(self) -> None:
         """Gives back what a request counts that no upstream has run."""
-        if self._admitted_s is None or self._progress.history.possibly_ran_at:
+        if self._admitted_s is None or self._progress.history.may_have_run:
             return
         self._context.state.quotas.give_back(
             self._progress.request.workspace,
--- a/sesamecross/gateway/request_log.py
+++ b/sesamecross/gateway/request_log.py
@@ -51,6 +51,32 @@
     )
 
 
+def log_prevented_send(
+    context: request_context.RequestContext,
+    progress: request_progress.RequestProgress,
+) -> None:
+    """Logs and counts a send that did not begin, as the request may have run.
+
+    Either operators have changed the route since the decision to send it, or
+    that decision was wrong.
+    """
+    context.metrics.count(
+        "sesamecross_sends_prevented_total",
+        "Sends that did not begin, as the request may have run.",
+        {},
+    )
+    context.log.error(
+        "send prevented: it may have run",
+        id=progress.request.request_id[:MAX_ID],
+        kind=progress.route.kind.value,
+        routed_by=progress.route_version,
+        config=context.state.version,
+        sends=progress.history.sends,
+        possibly_ran_at=sorted(progress.history.possibly_ran_at),
+        note=progress.note,
+    )
+
+
 def log_failed_send(
     context: request_context.RequestContext,
     progress: request_progress.RequestProgress,
@@ -99,7 +125,7 @@
         carried=connection.request_count - 1,
         via=connection.relayed_by,
         sent=connection.is_request_sent,
-        possible_runs=len(progress.history.possibly_ran_at),
+        possible_runs=progress.history.possible_runs,
         **answer,
     )
 
--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -4,6 +4,7 @@
 import functools
 
 from sesamecross.core import body_buffer
+from sesamecross.core import serving
 from sesamecross.gateway import attempt as attempt_lib
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import outcome_recorder
@@ -52,6 +53,21 @@
             return send_gate.SEND
         return guard.judge(self._progress.fingerprint, self._progress.arrived_s)
 
+    def repeat_route(self) -> serving.Route:
+        """Returns the route that says whether the request may be repeated.
+
+        That of its arrival, unless operators have declared since that requests
+        on its path may not be.
+        """
+        progress = self._progress
+        if progress.route_version != self._context.state.version:
+            in_force = self._context.state.routes.find(
+                progress.request.host, progress.request.path.decode("latin-1")
+            )
+            if in_force is not None and not in_force.is_retry_safe:
+                return in_force
+        return progress.route
+
     async def attempt(
         self, upstream: directory.KnownUpstream
     ) -> attempt_lib.Outcome | None:
@@ -166,10 +182,15 @@
         loop = event_loop.running()
         entry = upstream.entry
         request = self._progress.request
+        history = self._progress.history
         left_s = self._progress.deadline_s - loop.time()
         if left_s <= 0:
             self._context.connection_pool.release(entry.address, connection)
             return None
+        if not retry_policy.may_send(self.repeat_route(), history):
+            self._context.connection_pool.release(entry.address, connection)
+            request_log.log_prevented_send(self._context, self._progress)
+            return retry_policy.NotSent("it may have run")
         attempt = attempt_lib.Attempt(
             loop,
             request.request_id,
@@ -197,10 +218,9 @@
         if self._progress.relay is not None:
             self._progress.relay.upstream_version = upstream.version
         self._progress.connection = connection
-        self._progress.history.sends += 1
+        send_number = history.begin_send(entry.instance_id)
         self._admission.charge_repeat()
         self._sent_addresses.add(entry.address)
-        self._progress.history.possibly_ran_at.add(entry.instance_id)
         connection.send(
             client_connection.encode_request(
                 request.method, request.path, headers, request.body
@@ -220,14 +240,13 @@
             return None
         self._progress.connection = None
         outcome = attempt.outcome_future.result()
-        if isinstance(outcome, retry_policy.NotRun):
-            self._progress.history.possibly_ran_at.discard(entry.instance_id)
+        history.end_send(send_number, outcome)
         self._log_failed_send(connection, attempt, outcome)
         if (
             self._progress.relay is not None
             and self._progress.relay.event_count
         ):
-            self._progress.history.has_output = True
+            history.has_output = True
         if isinstance(outcome, retry_policy.Lost):
             connection.abort()
         elif not attempt.is_connection_reusable:
--- a/sesamecross/gateway/request_task.py
+++ b/sesamecross/gateway/request_task.py
@@ -110,7 +110,7 @@
         self._progress.add_note("the stop's time is over")
         if (
             self._response_writer.is_started
-            or self._progress.history.possibly_ran_at
+            or self._progress.history.may_have_run
         ):
             return self._fail(502)
         self._progress.retry_after_s = 0.0
@@ -349,7 +349,10 @@
                 and retry_budget.spend(loop.time(), state.instance_count)
             )
             match retry_policy.decide_after_failure(
-                self._progress.route, failure, self._progress.history, may_spend
+                self._sender.repeat_route(),
+                failure,
+                self._progress.history,
+                may_spend,
             ):
                 case retry_policy.NextAction.DELIVER:
                     return self._deliver(response)
@@ -398,7 +401,7 @@
         if (
             stop is None
             or self._progress.search is None
-            or self._progress.history.possibly_ran_at
+            or self._progress.history.may_have_run
         ):
             return False
         now_s = event_loop.running().time()
@@ -419,7 +422,7 @@
         """Whether to retry at another upstream instead of responding."""
         return (
             response.status >= 500
-            and self._progress.route.is_retry_safe
+            and self._sender.repeat_route().is_retry_safe
             and not self._progress.history.has_output
         )
 
@@ -433,7 +436,7 @@
 
     def _refuse_or_fail(self, why: str) -> str:
         self._progress.add_note(why)
-        if self._progress.history.possibly_ran_at:
+        if self._progress.history.may_have_run:
             return self._fail(502)
         return self._refuse(self._progress.retry_after_s)
 
@@ -441,6 +444,6 @@
         if self._response_writer.is_started:
             self._response_writer.abort()
             return "cut at its time"
-        if self._progress.history.possibly_ran_at:
+        if self._progress.history.may_have_run:
             return self._fail(504)
         return self._refuse(request_progress.DEFAULT_RETRY_AFTER_S)
--- a/sesamecross/ops/fleet/retry_policy.py
+++ b/sesamecross/ops/fleet/retry_policy.py
@@ -67,20 +67,61 @@
     DELIVER = "deliver"
 
 
-class AttemptHistory(msgspec.Struct):
+class AttemptHistory:
     """The attempts made so far for one request.
 
+    Each send is entered before its first byte leaves and struck out only if it
+    is known not to have run, so that nothing said of one send clears another.
+
     Attributes:
-      possibly_ran_at: Upstreams that may have run it.
       tries: How often an upstream was chosen for it.
       sends: How often it was sent to any upstream.
       has_output: Whether part of a response has gone to the caller.
     """
 
-    possibly_ran_at: set[str] = msgspec.field(default_factory=set)
-    tries: int = 0
-    sends: int = 0
-    has_output: bool = False
+    __slots__ = ("tries", "sends", "has_output", "_possible_runs")
+
+    def __init__(self) -> None:
+        self.tries = 0
+        self.sends = 0
+        self.has_output = False
+        # By the number of the send, where it may have run.
+        self._possible_runs: dict[int, str] = {}
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any send may have run."""
+        return bool(self._possible_runs)
+
+    @property
+    def possible_runs(self) -> int:
+        """How many sends may have run."""
+        return len(self._possible_runs)
+
+    @property
+    def possibly_ran_at(self) -> frozenset[str]:
+        """The upstreams that may have run it."""
+        return frozenset(self._possible_runs.values())
+
+    def begin_send(self, upstream_id: str) -> int:
+        """Enters a send; returns its number."""
+        self.sends += 1
+        self._possible_runs[self.sends] = upstream_id
+        return self.sends
+
+    def end_send(self, number: int, outcome: object) -> None:
+        """Strikes a send out if its outcome says that it did not run."""
+        if isinstance(outcome, NotRun):
+            self._possible_runs.pop(number, None)
+
+
+def may_send(route: serving.Route, history: AttemptHistory) -> bool:
+    """Whether a request may be sent, whatever led to it.
+
+    Checked where a send begins: no error in a decision or in an upstream's
+    words may make a request run twice that must not.
+    """
+    return route.is_retry_safe or not history.may_have_run
 
 
 # Limit on sends whatever the responses: an upstream that keeps refusing is
@@ -122,7 +163,7 @@
 ) -> bool:
     match failure:
         case NotSent() | NotRun():
-            return route.is_retry_safe or not history.possibly_ran_at
+            return may_send(route, history)
         case Lost() | FailedThere():
             return (
                 route.is_retry_safe
@@ -135,6 +176,6 @@
     match failure:
         case FailedThere():
             return NextAction.DELIVER
-        case NotSent() | NotRun() if not history.possibly_ran_at:
+        case NotSent() | NotRun() if not history.may_have_run:
             return NextAction.REFUSE
     return NextAction.FAIL
--- a/sesamecross/ops/fleet/retry_policy_test.py
+++ b/sesamecross/ops/fleet/retry_policy_test.py
@@ -128,7 +128,13 @@
 def test_action_after_a_failure(
     on_route, failure, possibly_ran_at, sends, may_spend, expected
 ):
-    history = retry_policy.AttemptHistory(set(possibly_ran_at), sends, sends)
+    history = retry_policy.AttemptHistory()
+    for upstream in possibly_ran_at:
+        history.begin_send(upstream)
+    for _ in range(sends - len(possibly_ran_at)):
+        number = history.begin_send("u")
+        history.end_send(number, retry_policy.NotRun(503))
+    history.tries = sends
     got = retry_policy.decide_after_failure(
         on_route, failure, history, may_spend
     )
@@ -165,24 +171,23 @@
             case "not sent":
                 failure = retry_policy.NotSent("refused")
             case "not run":
-                history.sends += 1
                 failure = retry_policy.NotRun(503)
             case "lost":
-                history.sends += 1
-                history.possibly_ran_at.add(upstream)
                 runs += has_run
                 failure = retry_policy.Lost("reset")
             case _:
-                history.sends += 1
-                history.possibly_ran_at.add(upstream)
                 runs += 1
                 failure = retry_policy.FailedThere(500)
+        if not isinstance(failure, retry_policy.NotSent):
+            assert retry_policy.may_send(on_route, history)
+            send = history.begin_send(upstream)
+            history.end_send(send, failure)
         action = retry_policy.decide_after_failure(
             on_route, failure, history, True
         )
         if action is NextAction.REFUSE:
             assert runs == 0
-            assert not history.possibly_ran_at
+            assert not history.may_have_run
         if action is not NextAction.RETRY:
             break
     else:
@@ -191,6 +196,28 @@
     assert runs <= (on_route.max_upstreams if on_route.is_retry_safe else 1)
 
 
+@pytest.mark.parametrize(
+    ("on_route", "expected"), [(REPEATABLE, NextAction.FAIL), (STREAM, None)]
+)
+def test_a_rejection_clears_no_earlier_send_to_the_same_upstream(
+    on_route, expected
+):
+    """Guards against a refusal that is untrue, as a first send was lost."""
+    history = retry_policy.AttemptHistory()
+    history.tries = 2
+    first = history.begin_send("u")
+    history.end_send(first, retry_policy.Lost("reset"))
+    assert retry_policy.may_send(on_route, history) == (expected is not None)
+    if expected is None:
+        return
+    second = history.begin_send("u")
+    history.end_send(second, retry_policy.NotRun(503))
+    assert (history.may_have_run, history.possible_runs) == (True, 1)
+    assert expected is retry_policy.decide_after_failure(
+        on_route, retry_policy.NotRun(503), history, may_spend=False
+    )
+
+
 @pytest.mark.parametrize("instances", [1, 8, 73, 300])
 def test_retries_of_all_instances_stay_within_one_budget(instances):
     """Guards against a fleet-wide budget that is exceeded or never used.
