Soak: an upstream's address and connections pass to another incarnation

With restarts alone an old entry is avoided, as its connections failed, so that hardly any request is answered 421. The test of cut refusals, committed with one answer scripted for several sends, failed for that; it scripts all now.

--- a/sesamecross/devtools/run_once_soak.py
+++ b/sesamecross/devtools/run_once_soak.py
@@ -170,7 +170,11 @@
         return f"i-desk-{self._incarnations}"
 
     def _faults(self) -> list[Callable[[], None]]:
-        restarts = [self._restart_desk, self._restart_desk_under_its_id]
+        restarts = [
+            self._restart_desk,
+            self._restart_desk_under_its_id,
+            self._hand_desk_over,
+        ]
         return super()._faults() + restarts * 2
 
     def _stop(self) -> None:
@@ -205,6 +209,18 @@
         time.sleep(soak.ENTRY_OUTLIVES_S)
         desk.unregister(before)
 
+    def _hand_desk_over(self) -> None:
+        """Another incarnation takes the address and its open connections."""
+        with self._some_desk() as desk:
+            if desk is None:
+                return
+            before = desk.instance_id
+            with self._lock:
+                instance_id = self._next_id()
+            desk.hand_over(instance_id)
+        time.sleep(soak.ENTRY_OUTLIVES_S)
+        desk.unregister(before)
+
     def _restart_desk_under_its_id(self) -> None:
         with self._some_desk() as desk:
             if desk is not None:
@@ -238,6 +254,10 @@
                 self._print_log(request_id)
             if len(arrivals) > 1:
                 self.result.count("outcomes", "order sent again")
+            if any(
+                one.status == ledger_upstream.MISDIRECTED for one in arrivals
+            ):
+                self.result.count("outcomes", "order misdirected")
         for answered in self._answers:
             arrivals = by_request.get(answered.request_id, [])
             answers = [one.answer for one in arrivals if one.answer is not None]
--- a/sesamecross/fakes/ledger_upstream.py
+++ b/sesamecross/fakes/ledger_upstream.py
@@ -19,6 +19,7 @@
 from sesamecross.fakes import platform_store
 from sesamecross.fakes import platform_upstream
 
+MISDIRECTED = 421
 HEAD_END = b"\r\n\r\n"
 # Which refusals name no request and come on a connection that is idle.
 UNASKED_REFUSAL = (
@@ -189,6 +190,12 @@
         self._listener = socket.create_server((self._host, self._port))
         self.start()
 
+    def hand_over(self, instance_id: str) -> None:
+        """Another incarnation takes over the address and its connections."""
+        self.instance_id = instance_id
+        self._born_ms = int(time.time() * 1000)
+        self.register(instance_id)
+
     def register(self, instance_id: str, state: str = "ready") -> None:
         """Writes the entry of an incarnation."""
         self._store.write(
@@ -223,13 +230,11 @@
                     number = self._connections_opened
                 threading.Thread(
                     target=self._serve,
-                    args=(connection, number, self.instance_id),
+                    args=(connection, number),
                     daemon=True,
                 ).start()
 
-    def _serve(
-        self, connection: socket.socket, number: int, instance_id: str
-    ) -> None:
+    def _serve(self, connection: socket.socket, number: int) -> None:
         connection.settimeout(_HANG_TIMEOUT_S)
         received, previous, position = b"", b"", 0
         with contextlib.suppress(OSError), connection:
@@ -248,7 +253,7 @@
                 if previous and self._happens(self._faults.repeated):
                     connection.sendall(previous)
                 arrival = self._answer(
-                    connection, number, position, instance_id, request, is_early
+                    connection, number, position, request, is_early
                 )
                 previous = _encode(arrival)
                 if is_early:
@@ -273,7 +278,6 @@
         connection: socket.socket,
         number: int,
         position: int,
-        instance_id: str,
         request: _Request,
         is_early: bool,
     ) -> Arrival:
@@ -282,9 +286,10 @@
         Raises:
           OSError: The connection has ended.
         """
+        instance_id = self.instance_id
         status, answer = 503, None
         if request.expected not in ("", instance_id):
-            status = 421
+            status = MISDIRECTED
         elif not is_early and self._take_slot():
             status = 200
             answer = f"{instance_id} ran {request.request_id}".encode()
--- a/sesamecross/gateway/cut_answers_test.py
+++ b/sesamecross/gateway/cut_answers_test.py
@@ -9,6 +9,7 @@
 from sesamecross.gateway import client_connection
 from sesamecross.gateway import relay_client
 
+MAX_SENDS = 10
 OK = b"HTTP/1.1 200 OK\r\nRequest-Id: aaaa\r\nResponse-Signature: s\r\n"
 NO_BODY = OK.replace(b"200 OK", b"204 Nothing")
 LENGTH = b"Content-Length: 10\r\n"
@@ -144,8 +145,8 @@
     """Returns what a caller gets if the upstream sends this and closes."""
 
     async def scenario() -> bytes:
-        script = scripted_gateway.Script(sent, ends=True)
-        gateway = scripted_gateway.ScriptedGateway([script])
+        scripts = [scripted_gateway.Script(sent, ends=True)] * MAX_SENDS
+        gateway = scripted_gateway.ScriptedGateway(scripts)
         caller = gateway.caller()
         received = await caller.ask("POST", route, "aaaa")
         caller.leave()
