Lease: only a release, or a later start on the holder's machine, ends it before its time

Cause: two observations counted as proof that the holder's process had ended. A port that refuses connections may be a cut that refuses. And a later incarnation was told by the offset of a registration, which the store may do late or twice, so that a living instance seemed to have started again.

Change: an instance chooses its incarnation before it registers, the topic's end as it finds it, and states it in the record; late and doubled writes of a start bear the same number, and a later start has a larger one, as the record of each that joined lies before that end. The lease names the holder's machine. A later start there proves that the holder has ended, as one machine runs one process; so does a release. A refused port makes candidates read the lease at once, so that it runs out sooner, and proves nothing. An instance takes the lease of its own earlier life only if that was on its machine. Instances of both forms don't agree on incarnations: all are to be replaced.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -115,7 +115,7 @@
     """An instance and its replication progress.
 
     Attributes:
-      incarnation: Offset of its registration; increases with each start.
+      incarnation: Number of its start; increases with each.
       address: IP and port, for both datagrams and streams.
       configuration: The version in force.
       upstreams: Offset up to which it has read the upstreams' entries.
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -335,7 +335,7 @@
             sync.HolderMonitor(
                 self.mesh,
                 self.lease.is_candidate,
-                self.lease.on_holder_exit,
+                self.lease.on_holder_refuses,
                 ticker,
             ),
             controller,
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -25,8 +25,6 @@
 # it considers itself a candidate: two heartbeats. Otherwise all instances that
 # start would read the lease.
 JOIN_SETTLE_S = 2 * roster_lib.HEARTBEAT_INTERVAL_S
-PROBE_INTERVAL_S = 0.4
-PROBE_TIMEOUT_S = 0.3
 # How many instances watch the holder.
 CANDIDATE_COUNT = 3
 # After being cut off from engines for this long, the holder gives up the lease
@@ -43,6 +41,7 @@
     incarnation: int
     fence: int
     is_released: bool
+    address: str = ""
 
 
 def boottime_clock() -> float:
@@ -93,7 +92,8 @@
         self._is_cut_off = is_cut_off
         self._cut_off_since_s: float | None = None
         self._log = logs.get_logger("lease")
-        self._last_probe_s = 0.0
+        # The last incarnation of a holder whose port refused connections.
+        self._refusing: tuple[str, int] | None = None
         self._was_holding = False
         self._settled_s = 0.0
         self.release_timeout_s = RELEASE_TIMEOUT_S
@@ -123,13 +123,21 @@
         """Returns whether this instance is among the next candidates."""
         return self._mesh.roster is not None and self._rank() < CANDIDATE_COUNT
 
-    def on_holder_exit(self, holder: fm.Member) -> None:
-        """Handles a holder whose port refuses connections: it has exited."""
-        if self.machine is not None:
-            self._log.info("holder has exited", holder=holder.name)
-            self.machine.holder_exited(
-                holder.name, holder.incarnation, boottime_clock()
-            )
+    def on_holder_refuses(self, holder: fm.Member) -> None:
+        """Handles a holder whose port refuses connections.
+
+        It has probably ended, but a cut may refuse connections too.
+        """
+        identity = (holder.name, holder.incarnation)
+        if self.machine is None or self._refusing == identity:
+            return
+        self._refusing = identity
+        self._log.info(
+            "holder refuses connections",
+            holder=holder.name,
+            incarnation=holder.incarnation,
+        )
+        self.machine.recheck()
 
     async def run(self) -> None:
         """Runs the state machine periodically."""
@@ -140,7 +148,11 @@
             me = self._mesh.roster.me
             if self.machine is None:
                 self.machine = lease_lib.LeaseStateMachine(
-                    me.name, me.incarnation, self._gap_s(), boottime_clock()
+                    me.name,
+                    me.incarnation,
+                    self._gap_s(),
+                    boottime_clock(),
+                    me.address,
                 )
                 self._settled_s = boottime_clock() + JOIN_SETTLE_S
             self.machine.gap_s = self._gap_s()
@@ -152,7 +164,7 @@
             return
         me = self._mesh.roster.me
         fence = self.machine.fence
-        record = _LeaseRecord(me.name, me.incarnation, fence, True)
+        record = _LeaseRecord(me.name, me.incarnation, fence, True, me.address)
         at = self.machine.released()
         outcome = "no answer in time"
         # The call was sent before the timeout, so it usually takes effect.
@@ -204,7 +216,7 @@
             return
         is_holder_live = self._is_holder_live()
         if not is_holder_live:
-            await self._detect_holder_exit(now_s)
+            self._detect_holder_exit(now_s)
         action = self.machine.next_action(now_s, self._rank(), is_holder_live)
         match action:
             case lease_lib.ReadLease():
@@ -229,7 +241,7 @@
         """Gives up the lease, as its orders don't arrive."""
         me = self._mesh.roster.me
         fence = self.machine.fence
-        record = _LeaseRecord(me.name, me.incarnation, fence, True)
+        record = _LeaseRecord(me.name, me.incarnation, fence, True, me.address)
         outcome = await self._release(record, self.machine.resign())
         self._log.warning(
             "given up: engines can't be reached from here",
@@ -271,29 +283,16 @@
         left_s = lease.left_s - (now_s - self._mesh.lease_received_s)
         return left_s > 0 and roster.is_alive(lease.holder, now_s)
 
-    async def _detect_holder_exit(self, now_s: float) -> None:
-        """Checks whether the holder's process has ended.
-
-        A port that refuses connections, or a later incarnation of the instance,
-        proves it. Silence does not: the holder may be alive but partitioned.
-        """
+    def _detect_holder_exit(self, now_s: float) -> None:
+        """Looks for proof that the holder's process has ended."""
         record = self.machine.record
         if record is None or record.holder in ("", self._mesh.me.name):
             return
-        holder = self._mesh.roster.get(record.holder)
-        if holder is None:
-            return
-        if holder.incarnation > record.incarnation:
+        known = self._mesh.roster.get(record.holder)
+        if known is not None and lease_lib.proves_exit(
+            record, known.name, known.address, known.incarnation
+        ):
             self.machine.holder_exited(record.holder, record.incarnation, now_s)
-            return
-        if now_s - self._last_probe_s < PROBE_INTERVAL_S:
-            return
-        self._last_probe_s = now_s
-        if await _refuses_connections(holder.address):
-            self._log.info("holder has exited", holder=record.holder)
-            self.machine.holder_exited(
-                record.holder, record.incarnation, boottime_clock()
-            )
 
     async def _read_record(self) -> None:
         outcome = await self._proxy.newest(self._topic)
@@ -303,7 +302,7 @@
 
     async def _write_record(self, at: int, fence: int) -> None:
         me = self._mesh.roster.me
-        record = _LeaseRecord(me.name, me.incarnation, fence, False)
+        record = _LeaseRecord(me.name, me.incarnation, fence, False, me.address)
         outcome = await self._proxy.append(
             self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at
         )
@@ -348,18 +347,10 @@
         # RecursionError: the record is nested deeply.
         return None
     return lease_lib.Record(
-        wire.holder, wire.incarnation, offset, wire.fence, wire.is_released
+        wire.holder,
+        wire.incarnation,
+        offset,
+        wire.fence,
+        wire.is_released,
+        wire.address,
     )
-
-
-async def _refuses_connections(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    writer.close()
-    return False
--- a/sesamecross/gateway/lease_manager_test.py
+++ b/sesamecross/gateway/lease_manager_test.py
@@ -402,3 +402,46 @@
     assert told == (1 if is_given_up else 0)
     # Nobody else has taken it meanwhile.
     assert holds_again
+
+
+OTHER_ADDRESS = "127.0.0.1:7402"
+
+
+@pytest.mark.parametrize(
+    ("seen", "waits_s"),
+    [
+        # A cut may refuse connections.
+        ((5, OTHER_ADDRESS), lease_lib.LEASE_DURATION_S),
+        # A machine of the same name elsewhere.
+        ((6, "127.0.0.1:7403"), lease_lib.LEASE_DURATION_S),
+        # One machine runs one process.
+        ((6, OTHER_ADDRESS), lease_lib.RESTART_TIMEOUT_S),
+    ],
+    ids=["refuses", "another machine", "started again"],
+)
+def test_only_a_later_start_there_proves_that_a_holder_has_ended(
+    monkeypatch, seen, waits_s
+):
+    """Guards against a lease that is taken from a living holder."""
+    incarnation, address = seen
+    member = fm.Member("front-2", incarnation, "z1", address, -1, -1)
+    held = lease_manager._LeaseRecord("front-2", 5, 0, False, OTHER_ADDRESS)
+
+    async def scenario():
+        # The port of the holder is closed, as nobody listens there.
+        topic = _Topic(applied_at_once)
+        topic.writes.append(held)
+        manager = manager_on(topic, monkeypatch)
+        manager._mesh.roster.registered([member])
+        running = asyncio.create_task(manager.run())
+        while manager.machine is None or manager.machine.record is None:
+            await topic.run_steps(1)
+        read_s = topic.now_s
+        manager.on_holder_refuses(member)
+        while len(topic.writes) == 1:
+            await topic.run_steps(1)
+        running.cancel()
+        return topic.now_s - read_s
+
+    taken_after_s = asyncio.run(scenario())
+    assert waits_s - 0.2 <= taken_after_s < waits_s + 2.0
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -1,9 +1,12 @@
 """Registers this instance in the store and reads who the others are.
 
 The platform tells a process nothing of the other instances. Each writes one
-keyed record when it starts; the record's offset is the incarnation number of
-that start, so that a later start has a larger number. The very first instance
-also writes the key that authenticates messages between instances.
+keyed record when it starts. Before that it chooses the incarnation number of
+the start, the end of the topic as it finds it, and states it in the record: as
+the store may do a write late or twice, an offset says nothing of the start. The
+record of an earlier start that others know lies before that end, so a later
+start has a larger number. The very first instance also writes the key that
+authenticates messages between instances.
 """
 
 import asyncio
@@ -42,6 +45,8 @@
     nonce: str
     # Wall-clock time of this start; 0 in records of older instances.
     started_ms: int = 0
+    # None in records of older instances, whose number is the record's offset.
+    incarnation: int | None = None
 
 
 class JoinResult(msgspec.Struct, frozen=True):
@@ -94,6 +99,7 @@
           on_listed: Called with all records of each list.
         """
         nonce = secrets.token_hex(8)
+        incarnation: int | None = None
         is_first = True
         writes = 0
         while True:
@@ -105,7 +111,9 @@
                 if is_first:
                     is_first = False
                     self._warn_if_unclean_stop(records)
-                outcome = await self._try_join(records, nonce)
+                if incarnation is None and SECRET_KEY in records:
+                    incarnation = listed.end
+                outcome = await self._try_join(records, nonce, incarnation)
                 if isinstance(outcome, JoinResult):
                     self._log.info(
                         "joined",
@@ -133,7 +141,7 @@
         if earlier is not None:
             self._log.warning(
                 "earlier start ended without a stop",
-                incarnation=earlier.offset,
+                incarnation=incarnation_of(earlier),
             )
 
     async def list_records(self) -> TopicList | None:
@@ -153,7 +161,10 @@
             after = outcome.records[-1].key
 
     async def _try_join(
-        self, records: dict[str, store.KeyedRecord], nonce: str
+        self,
+        records: dict[str, store.KeyedRecord],
+        nonce: str,
+        incarnation: int | None,
     ) -> JoinResult | store.AppendOutcome:
         if SECRET_KEY not in records:
             # The append is conditional on an empty topic: of all instances that
@@ -166,14 +177,17 @@
         if own_record is not None:
             known = _decode(own_record.value)
             if known is not None and known.nonce == nonce:
-                return self._join_result(records, own_record.offset)
-        registration = _Registration(
-            self._instance.zone, self._address, nonce, wall_clock_ms()
-        )
+                return self._join_result(records, incarnation)
         outcome = await self._client.append(
             self._topic,
             INSTANCE_PREFIX + self._instance.name,
-            msgspec.msgpack.encode(registration),
+            encode_registration(
+                self._instance.zone,
+                self._address,
+                nonce,
+                wall_clock_ms(),
+                incarnation,
+            ),
             at=None,
         )
         # The list is read again in any case: it may lack instances that started
@@ -200,7 +214,12 @@
                 continue
             others.append(
                 fm.Member(
-                    name, record.offset, known.zone, known.address, -1, -1
+                    name,
+                    incarnation_of(record),
+                    known.zone,
+                    known.address,
+                    -1,
+                    -1,
                 )
             )
         secret = base64.b64decode(records[SECRET_KEY].value)
@@ -237,6 +256,29 @@
     )
 
 
+def encode_registration(
+    zone: str, address: str, nonce: str, started_ms: int, incarnation: int
+) -> bytes:
+    """Returns the value of a registration."""
+    return msgspec.msgpack.encode(
+        _Registration(zone, address, nonce, started_ms, incarnation)
+    )
+
+
+def address_of(record: store.KeyedRecord) -> str:
+    """Returns where a registered instance runs; empty for a damaged record."""
+    known = _decode(record.value)
+    return known.address if known is not None else ""
+
+
+def incarnation_of(record: store.KeyedRecord) -> int:
+    """Returns the incarnation number of a registration."""
+    known = _decode(record.value)
+    if known is None or known.incarnation is None:
+        return record.offset
+    return known.incarnation
+
+
 def _decode(value: bytes | None) -> _Registration | None:
     if value is None:
         return None
--- a/sesamecross/gateway/registrar_test.py
+++ b/sesamecross/gateway/registrar_test.py
@@ -175,3 +175,32 @@
     assert (waited_s > 0.0) == has_pause
     assert client.calls.count("write") == len(starting)
     assert client.calls.count("list") == 2 * len(starting)
+
+
+def test_a_registration_that_is_done_twice_is_one_start(monkeypatch):
+    """Guards against a late write that makes a living instance look ended."""
+    monkeypatch.setattr(registrar, "RETRY_INTERVAL_S", 0.0)
+
+    class _LateStore(_Store):
+        """Does the first registration once more when it is told to."""
+
+        late: bytes | None = None
+
+        async def append(self, topic, key, value, at):
+            if key != registrar.SECRET_KEY and self.late is None:
+                self.late = value
+                return store.Unknown("no answer")
+            return await super().append(topic, key, value, at)
+
+    async def scenario():
+        client = _LateStore()
+        first = await make_registrar(client, "i1").join()
+        key = registrar.INSTANCE_PREFIX + "i1"
+        await client.append(TOPIC, key, client.late, None)
+        other = await make_registrar(client, "i2").join()
+        again = await make_registrar(client, "i1").join()
+        return first, other, again
+
+    first, other, again = asyncio.run(scenario())
+    assert [one.incarnation for one in other.others] == [first.me.incarnation]
+    assert again.me.incarnation > first.me.incarnation
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -371,12 +371,12 @@
         self,
         mesh: mesh_lib.Mesh,
         is_candidate: Callable[[], bool],
-        on_exit: Callable[[fm.Member], None],
+        on_refused: Callable[[fm.Member], None],
         ticker: ticker_lib.Ticker | None = None,
     ):
         self._mesh = mesh
         self._is_candidate = is_candidate
-        self._on_exit = on_exit
+        self._on_refused = on_refused
         self._ticker = ticker or ticker_lib.Ticker()
         self._stamper = hlc.HybridClock(clock_lib.SystemClock())
 
@@ -420,7 +420,7 @@
                 self._stamper,
             )
         except streams.StreamRefusedError:
-            self._on_exit(holder)
+            self._on_refused(holder)
             await asyncio.sleep(WATCH_INTERVAL_S)
             return
         except streams.StreamClosedError:
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -15,7 +15,9 @@
 
 An instance whose own previous incarnation held the lease takes it at once,
 without the gap: that process has ended, so the orders still come from the same
-machine.
+machine. To others a later start on the holder's machine proves the same.
+Nothing else does: a port that refuses connections may lie behind a cut, and a
+silent holder may be cut off. Then the lease runs out.
 """
 
 import msgspec
@@ -45,6 +47,7 @@
       offset: Offset of the record; a larger one is later.
       fence: Fencing token: the first offset of this holder's unbroken lease.
       is_released: The holder gave it up; the next one waits only for the gap.
+      address: The holder's machine; empty in records of older instances.
     """
 
     holder: str
@@ -52,6 +55,25 @@
     offset: int
     fence: int
     is_released: bool
+    address: str = ""
+
+
+def proves_exit(record: Record, name: str, address: str, start: int) -> bool:
+    """Whether a start of an instance proves that the lease's holder has ended.
+
+    A machine runs one process of an instance at a time.
+
+    Args:
+      record: The lease.
+      name: The instance that started.
+      address: Where it runs.
+      start: Its incarnation.
+    """
+    return (
+        record.holder == name
+        and record.address == address != ""
+        and start > record.incarnation
+    )
 
 
 class ReadLease(msgspec.Struct, frozen=True):
@@ -82,6 +104,7 @@
     __slots__ = (
         "_name",
         "_incarnation",
+        "_address",
         "gap_s",
         "_record",
         "_end",
@@ -99,9 +122,17 @@
         "_is_released",
     )
 
-    def __init__(self, name: str, incarnation: int, gap_s: float, now_s: float):
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        gap_s: float,
+        now_s: float,
+        address: str = "",
+    ):
         self._name = name
         self._incarnation = incarnation
+        self._address = address
         self.gap_s = gap_s
         # The latest known record, and when it was first seen.
         self._record: Record | None = None
@@ -177,7 +208,7 @@
         if self._record is None:
             return self._read_if_due(now_s)
         available_s = self._available_s()
-        if self._record.holder != self._name:
+        if not self._is_own_machine():
             available_s += rank * RANK_DELAY_S
         if now_s < available_s:
             return Idle()
@@ -209,10 +240,15 @@
             return False
         return self._exited_holder == (record.holder, record.incarnation)
 
+    def _is_own_machine(self) -> bool:
+        """Whether the holder was an earlier process of this machine."""
+        record = self._record
+        return (record.holder, record.address) == (self._name, self._address)
+
     def _is_free(self) -> bool:
         """Whether no other machine's orders can be in flight."""
         record = self._record
-        return record.is_released or record.holder in ("", self._name)
+        return record.is_released or not record.holder or self._is_own_machine()
 
     def _available_s(self) -> float:
         """Returns when this instance may first take the lease."""
@@ -224,7 +260,7 @@
 
     def _gap_end_s(self) -> float:
         """Returns when the first order may be sent after a change of holder."""
-        if self._record.holder in ("", self._name):
+        if not self._record.holder or self._is_own_machine():
             return self._seen_s
         if self._record.is_released:
             return self._seen_s + self.gap_s
@@ -253,9 +289,10 @@
             return
         self._record = record
         self._seen_s = now_s
-        is_mine = (record.holder, record.incarnation) == (
+        is_mine = (record.holder, record.incarnation, record.address) == (
             self._name,
             self._incarnation,
+            self._address,
         )
         if not is_mine or record.is_released:
             self._fence = None
@@ -270,7 +307,14 @@
             return
         fence = offset if self._fence is None else self._fence
         self._end = offset + 1
-        record = Record(self._name, self._incarnation, offset, fence, False)
+        record = Record(
+            self._name,
+            self._incarnation,
+            offset,
+            fence,
+            False,
+            self._address,
+        )
         self._record = record
         self._unanswered_since_s = None
         self._apply_write(record, self._sent_s)
@@ -291,6 +335,14 @@
         self._must_read = True
         self._read_sent_s -= READ_SPACING_S
 
+    def recheck(self) -> None:
+        """Reads the lease soon, as the holder has probably ended.
+
+        If it has, the lease runs out that much sooner.
+        """
+        if self._fence is None:
+            self._must_read = True
+
     def holder_exited(
         self, holder: str, incarnation: int, now_s: float
     ) -> None:
@@ -307,7 +359,7 @@
           topic ends there.
         """
         self._record = Record(
-            self._name, self._incarnation, -1, self.fence, True
+            self._name, self._incarnation, -1, self.fence, True, self._address
         )
         self._fence = None
         self._valid_until_s = 0.0
