--- a/sesamecross/fakes/lease_fleet.py
+++ b/sesamecross/fakes/lease_fleet.py
@@ -54,7 +54,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LateWrite:
     due_s: float
-    apply: Callable[[], None]
+    apply: Callable[[], object]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +74,15 @@
       holders: How many processes held the lease, one after the other.
     """
 
-    def __init__(self, seed: int, instances: int, on_refused=None):
+    def __init__(
+        self,
+        seed: int,
+        instances: int,
+        on_refused: Callable[
+            [lease.LeaseStateMachine, lease.Record, float], None
+        ]
+        | None = None,
+    ):
         """Starts all instances.
 
         Args:
@@ -153,7 +161,7 @@
         if name != process.name and (known is None or known[1] <= incarnation):
             process.starts[name] = (address, incarnation)
 
-    def _do_late(self, apply: Callable[[], None], delay_s: float) -> None:
+    def _do_late(self, apply: Callable[[], object], delay_s: float) -> None:
         self._late.append(_LateWrite(self.now_s + delay_s, apply))
 
     # -- faults ----------------------------------------------------------
@@ -179,7 +187,7 @@
         process.is_alive = False
         if restarts or len(self._living()) < 2:
             self._do_late(
-                lambda: self.start(process.name, process.address) and None,
+                lambda: self.start(process.name, process.address),
                 self.rng.uniform(0.2, 4.0),
             )
 
@@ -321,7 +329,7 @@
             else:
                 machine.conflict()
         elif drawn < 0.9:
-            self._do_late(lambda: apply() and None, self.rng.uniform(0.1, 6.0))
+            self._do_late(lambda: apply(), self.rng.uniform(0.1, 6.0))
         elif drawn < 0.95:
             machine.not_written()
         else:
--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -174,6 +174,46 @@
             self._progress.relay.on_first_event = prefill_tracker.on_first_event
         return prefill_tracker
 
+    def _new_attempt(
+        self,
+        upstream: directory.KnownUpstream,
+        connection: client_connection.ClientConnection,
+    ) -> attempt_lib.Attempt:
+        """Returns the receiver of a send's answer."""
+        attempt = attempt_lib.Attempt(
+            event_loop.running(),
+            self._progress.request.request_id,
+            upstream.entry.instance_id,
+            self._progress.relay,
+            self._context.http_codec,
+            is_connection_used=connection.request_count > 0,
+            memory=self._context.answer_memory,
+        )
+        attempt.on_response_head = functools.partial(
+            self._record_response_head, upstream
+        )
+        return attempt
+
+    def _encode(
+        self, upstream: directory.KnownUpstream, left_s: float
+    ) -> bytes:
+        """Returns the request's bytes for an upstream, but for a large body."""
+        progress = self._progress
+        request = progress.request
+        headers = self._context.http_codec.upstream_request_headers(
+            request,
+            http_codec_lib.ForwardContext(
+                upstream.entry.instance_id,
+                left_s,
+                progress.urgency if progress.route.is_model_call else None,
+                progress.relay.last_event_id if progress.relay else "",
+                self._context.state.keys is not None,
+            ),
+        )
+        return client_connection.encode_request(
+            request.method, request.path, headers, request.body
+        )
+
     async def _send(
         self,
         upstream: directory.KnownUpstream,
@@ -191,30 +231,8 @@
             self._context.connection_pool.release(entry.address, connection)
             request_log.log_prevented_send(self._context, self._progress)
             return retry_policy.NotSent("it may have run")
-        attempt = attempt_lib.Attempt(
-            loop,
-            request.request_id,
-            entry.instance_id,
-            self._progress.relay,
-            self._context.http_codec,
-            is_connection_used=connection.request_count > 0,
-            memory=self._context.answer_memory,
-        )
-        attempt.on_response_head = functools.partial(
-            self._record_response_head, upstream
-        )
-        forward_context = http_codec_lib.ForwardContext(
-            entry.instance_id,
-            left_s,
-            self._progress.urgency
-            if self._progress.route.is_model_call
-            else None,
-            self._progress.relay.last_event_id if self._progress.relay else "",
-            self._context.state.keys is not None,
-        )
-        headers = self._context.http_codec.upstream_request_headers(
-            request, forward_context
-        )
+        attempt = self._new_attempt(upstream, connection)
+        data = self._encode(upstream, left_s)
         if self._progress.relay is not None:
             self._progress.relay.upstream_version = upstream.version
         self._progress.connection = connection
@@ -222,9 +240,7 @@
         self._admission.charge_repeat()
         self._sent_addresses.add(entry.address)
         connection.send(
-            client_connection.encode_request(
-                request.method, request.path, headers, request.body
-            ),
+            data,
             attempt,
             is_head_request=request.method == b"HEAD",
             body=body_buffer.buffer_of(request.body),
