Orders: the lease is checked once more when the connection is open

An order was checked before its connection was opened. A process that is suspended meanwhile, or whose connection takes long, would have sent it when its lease had run out. Failed before: the call was sent (control_client_test).

--- a/sesamecross/fakes/placement_simulation.py
+++ b/sesamecross/fakes/placement_simulation.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -169,8 +170,11 @@
                 reported = report
         return reported
 
-    async def order(self, order: serving.EngineOrder) -> serving.OrderAnswer:
+    async def order(
+        self, order: serving.EngineOrder, may_send: Callable[[], bool]
+    ) -> serving.OrderAnswer:
         """Delivers an order as the next of `deliveries` says."""
+        assert may_send()
         target = f"{order.model}/{order.adapter}".rstrip("/")
         delivered = simulated_engine.Order(
             order.loads, target, order.expected_order_count
--- a/sesamecross/gateway/control_client.py
+++ b/sesamecross/gateway/control_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -114,11 +115,21 @@
         headers: list[serving.Header],
         body: bytes,
         timeout_s: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Outcome:
         """Sends a call and waits for its response.
 
         If none arrives, the idle connections are closed together with the
         call's own: they have probably failed for the same reason.
+
+        Args:
+          method: HTTP method.
+          target: Path and query.
+          headers: Further headers.
+          body: Body of the call.
+          timeout_s: For the connection and the response together.
+          may_send: Asked when the connection is open, just before the call is
+            sent.
         """
         loop = event_loop.running()
         deadline_s = loop.time() + timeout_s
@@ -132,6 +143,9 @@
             except OSError as error:
                 self.close_connections()
                 return NotSent(str(error) or type(error).__name__)
+        if not may_send():
+            self._idle.append(connection)
+            return NotSent("no longer to be sent")
         outcome_future = loop.create_future()
         host = [(b"host", self._address.encode())]
         connection.send(
--- a/sesamecross/gateway/control_client_test.py
+++ b/sesamecross/gateway/control_client_test.py
@@ -173,3 +173,20 @@
         return client._idle
 
     assert run(_answer, scenario) == []
+
+
+def test_a_call_that_is_not_to_be_sent_any_more_is_not():
+    """Guards against an order of a holder whose lease ended as it connected."""
+
+    async def scenario(client, server, _listening):
+        outcome = await client.call(
+            b"POST", b"/order", [], b"", TIMEOUT_S, lambda: False
+        )
+        sent = server.calls
+        # The connection serves the next call.
+        await call(client)
+        return outcome, sent, server.connections
+
+    outcome, sent, connections = run(_answer, scenario)
+    assert isinstance(outcome, control_client.NotSent)
+    assert (sent, connections) == (0, 1)
--- a/sesamecross/gateway/engine_client.py
+++ b/sesamecross/gateway/engine_client.py
@@ -49,10 +49,18 @@
             return None
         return self._http_codec.report(outcome.body)
 
-    async def order(self, order: serving.EngineOrder) -> serving.OrderAnswer:
-        """Sends an order to an engine."""
+    async def order(
+        self, order: serving.EngineOrder, may_send: Callable[[], bool]
+    ) -> serving.OrderAnswer:
+        """Sends an order to an engine.
+
+        Args:
+          order: The order.
+          may_send: Whether it may still be given, asked just before it is sent:
+            the process may be suspended while the connection is opened.
+        """
         call = self._http_codec.order_call(order)
-        outcome = await self._call(order.address, call)
+        outcome = await self._call(order.address, call, may_send)
         self._notify(order.instance_id, outcome)
         self._count("order", outcome)
         match outcome:
@@ -63,7 +71,10 @@
         return serving.OrderAnswer.UNKNOWN
 
     async def _call(
-        self, address: str, call: http_codec_lib.ControlCall
+        self,
+        address: str,
+        call: http_codec_lib.ControlCall,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> control_client.Outcome:
         client = self._clients.get(address)
         if client is None:
@@ -77,6 +88,7 @@
             list(call.headers),
             call.body,
             CALL_TIMEOUT_S,
+            may_send,
         )
 
     def _notify(
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -667,7 +667,9 @@
             # have been suspended since the plan was made.
             if not self._lease.may_order:
                 return
-            answer = await self._client.order(order)
+            answer = await self._client.order(
+                order, lambda: self._lease.may_order
+            )
         finally:
             tracked.has_open_call = False
         now_s = loop.time()
--- a/sesamecross/gateway/placement_controller_engine_exit_test.py
+++ b/sesamecross/gateway/placement_controller_engine_exit_test.py
@@ -79,7 +79,7 @@
             100_000,
         )
 
-    async def order(self, order) -> serving.OrderAnswer:
+    async def order(self, order, _may_send) -> serving.OrderAnswer:
         return serving.OrderAnswer.ACCEPTED
 
 
