--- a/sesamecross/devtools/run_once_soak.py
+++ b/sesamecross/devtools/run_once_soak.py
@@ -35,6 +35,7 @@
     cut=0.03,
     reset=0.03,
     unanswered=0.01,
+    large=0.05,
 )
 # How long an address is without a process between two incarnations.
 DOWN_S = (0.0, 0.3)
@@ -42,6 +43,10 @@
 LARGE_BODY_BYTES = 200_000
 LARGE_SHARE = 0.1
 LEAVES_EARLY_SHARE = 0.05
+# Callers that read nothing for a while, with answers and requests behind it.
+PAUSES_SHARE = 0.1
+PAUSE_S = (0.05, 0.4)
+_RECEIVE_BUFFER_BYTES = 8192
 ANSWER_TIMEOUT_S = 20.0
 _READ_BYTES = 65_536
 _STATUS = re.compile(rb"HTTP/1.1 (\d{3}) ")
@@ -78,12 +83,12 @@
         with contextlib.suppress(OSError):
             if self._socket is None:
                 self._received = b""
-                self._socket = socket.create_connection(
-                    self._front(), ANSWER_TIMEOUT_S
-                )
+                self._socket = self._connect()
             self._socket.sendall(sent)
             if self._rng.random() < LEAVES_EARLY_SHARE:
                 raise ConnectionError("left")
+            if self._rng.random() < PAUSES_SHARE:
+                time.sleep(self._rng.uniform(*PAUSE_S))
             while len(answers) < len(request_ids):
                 answers.append(self._read_answer())
         if len(answers) < len(request_ids):
@@ -91,6 +96,19 @@
         missing = request_ids[len(answers) :]
         return answers + [_Answered(one, 0, b"") for one in missing]
 
+    def _connect(self) -> socket.socket:
+        connection = socket.socket()
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
+        connection.settimeout(ANSWER_TIMEOUT_S)
+        try:
+            connection.connect(self._front())
+        except OSError:
+            connection.close()
+            raise
+        return connection
+
     def leave(self) -> None:
         """Closes the connection."""
         if self._socket is not None:
@@ -250,7 +268,11 @@
         for request_id, arrivals in by_request.items():
             runs = sum(one.answer is not None for one in arrivals)
             if runs > 1:
-                self._break(f"order {request_id} ran {runs} times: {arrivals}")
+                sends = [
+                    (one.instance_id, one.connection, one.position, one.status)
+                    for one in arrivals
+                ]
+                self._break(f"order {request_id} ran {runs} times: {sends}")
                 self._print_log(request_id)
             if len(arrivals) > 1:
                 self.result.count("outcomes", "order sent again")
--- a/sesamecross/fakes/ledger_upstream.py
+++ b/sesamecross/fakes/ledger_upstream.py
@@ -30,6 +30,8 @@
 _EXPECTED = re.compile(rb"\r\nexpected-instance: *([^\r]*)", re.IGNORECASE)
 # A close with this discards what is unsent and resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# More than is buffered on the way to a caller that does not read.
+LARGE_ANSWER_BYTES = 1_000_000
 _READ_BYTES = 65_536
 _HANG_TIMEOUT_S = 30.0
 _RUN_S = (0.002, 0.06)
@@ -49,6 +51,7 @@
       cut: The connection ends within the answer.
       reset: The connection is reset after the request ran.
       unanswered: The request runs, and nothing is sent for a second.
+      large: The answer has `LARGE_ANSWER_BYTES`.
     """
 
     repeated: float = 0.0
@@ -58,6 +61,7 @@
     cut: float = 0.0
     reset: float = 0.0
     unanswered: float = 0.0
+    large: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,6 +297,8 @@
         elif not is_early and self._take_slot():
             status = 200
             answer = f"{instance_id} ran {request.request_id}".encode()
+            if self._happens(self._faults.large):
+                answer = answer.ljust(LARGE_ANSWER_BYTES)
         arrival = Arrival(
             request.request_id,
             instance_id,
