--- a/sesamecross/fakes/ledger_upstream.py
+++ b/sesamecross/fakes/ledger_upstream.py
@@ -21,7 +21,7 @@
 
 MISDIRECTED = 421
 HEAD_END = b"\r\n\r\n"
-# Which refusals name no request and come on a connection that is idle.
+# Sent on an idle connection; names no request.
 UNASKED_REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
