--- a/sesamecross/devtools/run_once_soak.py
+++ b/sesamecross/devtools/run_once_soak.py
@@ -35,7 +35,7 @@
     cut=0.03,
     reset=0.03,
     unanswered=0.01,
-    large=0.05,
+    large=0.03,
 )
 # How long an address is without a process between two incarnations.
 DOWN_S = (0.0, 0.3)
@@ -44,7 +44,7 @@
 LARGE_SHARE = 0.1
 LEAVES_EARLY_SHARE = 0.05
 # Callers that read nothing for a while, with answers and requests behind it.
-PAUSES_SHARE = 0.1
+PAUSES_SHARE = 0.2
 PAUSE_S = (0.05, 0.4)
 _RECEIVE_BUFFER_BYTES = 8192
 ANSWER_TIMEOUT_S = 20.0
--- a/sesamecross/fakes/ledger_upstream.py
+++ b/sesamecross/fakes/ledger_upstream.py
@@ -31,7 +31,7 @@
 # A close with this discards what is unsent and resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # More than is buffered on the way to a caller that does not read.
-LARGE_ANSWER_BYTES = 1_000_000
+LARGE_ANSWER_BYTES = 6 * 1024 * 1024
 _READ_BYTES = 65_536
 _HANG_TIMEOUT_S = 30.0
 _RUN_S = (0.002, 0.06)
