One place each for a send's end, the fields of its lines, and an instance's own lease record

Cause: the read-through found a send's end handled on two ways with a wrapper for its log line, three lines that list the same fields of route and configuration, the lease's record built in three places, and a name in proves_exit that always was the record's holder.

--- a/sesamecross/fakes/lease_fleet.py
+++ b/sesamecross/fakes/lease_fleet.py
@@ -182,21 +182,20 @@
             return holder
         return self.rng.choice(self._living())
 
-    def kill(self, process: _Process, restarts: bool) -> None:
-        """Ends a process; another one may start on its machine."""
-        process.is_alive = False
-        if restarts or len(self._living()) < 2:
-            self._do_late(
-                lambda: self.start(process.name, process.address),
-                self.rng.uniform(0.2, 4.0),
-            )
+    def _restart(self, process: _Process) -> None:
+        """Ends a process; another one starts on its machine."""
+        self._end(process)
+        self._do_late(
+            lambda: self.start(process.name, process.address),
+            self.rng.uniform(0.2, 4.0),
+        )
 
     def _inject_fault(self) -> None:
         process = self._victim()
         duration_s = self.rng.uniform(0.5, 9.0)
         match self.rng.randrange(7):
             case 0:
-                self.kill(process, restarts=True)
+                self._restart(process)
             case 1:
                 process.frozen_until_s = self.now_s + duration_s
             case 2 | 3:
@@ -281,9 +280,7 @@
 
     def _look_for_exit(self, process: _Process, record: lease.Record) -> None:
         known = process.starts.get(record.holder)
-        if known is not None and lease.proves_exit(
-            record, record.holder, *known
-        ):
+        if known is not None and lease.proves_exit(record, *known):
             process.machine.holder_exited(
                 record.holder, record.incarnation, self.now_s
             )
@@ -329,7 +326,7 @@
             else:
                 machine.conflict()
         elif drawn < 0.9:
-            self._do_late(lambda: apply(), self.rng.uniform(0.1, 6.0))
+            self._do_late(apply, self.rng.uniform(0.1, 6.0))
         elif drawn < 0.95:
             machine.not_written()
         else:
--- a/sesamecross/gateway/lease_manager.py
+++ b/sesamecross/gateway/lease_manager.py
@@ -162,9 +162,8 @@
         """Releases the lease, so that the next holder need not wait."""
         if not self.holds:
             return
-        me = self._mesh.roster.me
         fence = self.machine.fence
-        record = _LeaseRecord(me.name, me.incarnation, fence, True, me.address)
+        record = self._own_record(fence, is_released=True)
         at = self.machine.released()
         outcome = "no answer in time"
         # The call was sent before the timeout, so it usually takes effect.
@@ -176,6 +175,12 @@
         # that reads too early finds the lease held, and waits until it expires.
         self._mesh.announce_release(self._next_candidates())
 
+    def _own_record(self, fence: int, is_released: bool) -> _LeaseRecord:
+        me = self._mesh.roster.me
+        return _LeaseRecord(
+            me.name, me.incarnation, fence, is_released, me.address
+        )
+
     async def _release(
         self, record: _LeaseRecord, at: int
     ) -> store.AppendOutcome:
@@ -239,9 +244,8 @@
 
     async def _resign(self) -> None:
         """Gives up the lease, as its orders don't arrive."""
-        me = self._mesh.roster.me
         fence = self.machine.fence
-        record = _LeaseRecord(me.name, me.incarnation, fence, True, me.address)
+        record = self._own_record(fence, is_released=True)
         outcome = await self._release(record, self.machine.resign())
         self._log.warning(
             "given up: engines can't be reached from here",
@@ -290,7 +294,7 @@
             return
         known = self._mesh.roster.get(record.holder)
         if known is not None and lease_lib.proves_exit(
-            record, known.name, known.address, known.incarnation
+            record, known.address, known.incarnation
         ):
             self.machine.holder_exited(record.holder, record.incarnation, now_s)
 
@@ -301,8 +305,7 @@
         self.machine.read(_find_lease(outcome), outcome.end, boottime_clock())
 
     async def _write_record(self, at: int, fence: int) -> None:
-        me = self._mesh.roster.me
-        record = _LeaseRecord(me.name, me.incarnation, fence, False, me.address)
+        record = self._own_record(fence, is_released=False)
         outcome = await self._proxy.append(
             self._topic, LEASE_KEY, msgspec.msgpack.encode(record), at
         )
--- a/sesamecross/gateway/request_log.py
+++ b/sesamecross/gateway/request_log.py
@@ -41,9 +41,7 @@
         ms=round(took_s * 1000),
         note=progress.note,
         via=progress.relayed_by,
-        kind=progress.route.kind.value if progress.route else "",
-        routed_by=progress.route_version,
-        config=context.state.version,
+        **_route_fields(context, progress),
         workspace=progress.workspace_name,
         **_refusal_fields(progress, outcome),
         **_stream_fields(progress),
@@ -51,6 +49,18 @@
     )
 
 
+def _route_fields(
+    context: request_context.RequestContext,
+    progress: request_progress.RequestProgress,
+) -> dict[str, object]:
+    """Returns what may be repeated, and by which configurations."""
+    return {
+        "kind": progress.route.kind.value if progress.route else "",
+        "routed_by": progress.route_version,
+        "config": context.state.version,
+    }
+
+
 def log_prevented_send(
     context: request_context.RequestContext,
     progress: request_progress.RequestProgress,
@@ -68,9 +78,7 @@
     context.log.error(
         "send prevented: it may have run",
         id=progress.request.request_id[:MAX_ID],
-        kind=progress.route.kind.value,
-        routed_by=progress.route_version,
-        config=context.state.version,
+        **_route_fields(context, progress),
         sends=progress.history.sends,
         possibly_ran_at=sorted(progress.history.possibly_ran_at),
         note=progress.note,
@@ -114,9 +122,7 @@
     context.log.info(
         f"send {text}",
         id=progress.request.request_id[:MAX_ID],
-        kind=progress.route.kind.value,
-        routed_by=progress.route_version,
-        config=context.state.version,
+        **_route_fields(context, progress),
         send=progress.history.sends,
         upstream=entry.instance_id,
         born=entry.born_ms,
--- a/sesamecross/gateway/request_sender.py
+++ b/sesamecross/gateway/request_sender.py
@@ -249,15 +249,18 @@
             await asyncio.wait([attempt.outcome_future], timeout=left_s)
         finally:
             attempt.release()
-        if not attempt.outcome_future.done():
+        outcome = None
+        if attempt.outcome_future.done():
+            outcome = attempt.outcome_future.result()
+        else:
             connection.abort()
-            self._progress.connection = None
-            self._log_failed_send(connection, attempt, None)
-            return None
         self._progress.connection = None
-        outcome = attempt.outcome_future.result()
         history.end_send(send_number, outcome)
-        self._log_failed_send(connection, attempt, outcome)
+        request_log.log_failed_send(
+            self._context, self._progress, connection, attempt, outcome
+        )
+        if outcome is None:
+            return None
         if (
             self._progress.relay is not None
             and self._progress.relay.event_count
@@ -270,13 +273,3 @@
         else:
             self._context.connection_pool.release(entry.address, connection)
         return outcome
-
-    def _log_failed_send(
-        self,
-        connection: client_connection.ClientConnection,
-        attempt: attempt_lib.Attempt,
-        outcome: attempt_lib.Outcome | None,
-    ) -> None:
-        request_log.log_failed_send(
-            self._context, self._progress, connection, attempt, outcome
-        )
--- a/sesamecross/ops/fleet/lease.py
+++ b/sesamecross/ops/fleet/lease.py
@@ -58,22 +58,17 @@
     address: str = ""
 
 
-def proves_exit(record: Record, name: str, address: str, start: int) -> bool:
-    """Whether a start of an instance proves that the lease's holder has ended.
+def proves_exit(record: Record, address: str, start: int) -> bool:
+    """Whether a start of the lease's holder proves that it ended before.
 
     A machine runs one process of an instance at a time.
 
     Args:
       record: The lease.
-      name: The instance that started.
-      address: Where it runs.
-      start: Its incarnation.
+      address: Where the holder started.
+      start: The incarnation that started.
     """
-    return (
-        record.holder == name
-        and record.address == address != ""
-        and start > record.incarnation
-    )
+    return record.address == address != "" and start > record.incarnation
 
 
 class ReadLease(msgspec.Struct, frozen=True):
