A registration is decoded once, with its incarnation

Cause: each listed registration was decoded twice at a start, for its address and for its incarnation, and two functions stood only for the simulated fleet. Change: decode returns the registration with its incarnation filled in, and all use it. The mutant "higher offset is proof" replaces that function now; it still must break.

--- a/sesamecross/fakes/lease_fleet.py
+++ b/sesamecross/fakes/lease_fleet.py
@@ -10,6 +10,8 @@
 import dataclasses
 import random
 
+import msgspec
+
 from sesamecross.gateway import registrar
 from sesamecross.ops.fleet import lease
 from sesamecross.ports import store
@@ -123,36 +125,30 @@
                 lambda: self._register(name, address, incarnation),
                 self.rng.uniform(0.5, 12.0),
             )
-        own = self._registrations[name]
+        joined = registrar.decode(self._registrations[name]).incarnation
         process = _Process(
             name,
             address,
-            registrar.incarnation_of(own),
-            lease.LeaseStateMachine(
-                name,
-                registrar.incarnation_of(own),
-                GAP_S,
-                self.now_s,
-                address,
-            ),
+            joined,
+            lease.LeaseStateMachine(name, joined, GAP_S, self.now_s, address),
         )
         self.processes.append(process)
         self._list_registrations(process)
         return process
 
     def _register(self, name: str, address: str, incarnation: int) -> None:
-        value = registrar.encode_registration("z1", address, "", 0, incarnation)
+        registration = registrar.Registration("z1", address, "", 0, incarnation)
         self._registrations[name] = store.KeyedRecord(
-            name, value, self._registrations_end
+            name,
+            msgspec.msgpack.encode(registration),
+            self._registrations_end,
         )
         self._registrations_end += 1
 
     def _list_registrations(self, process: _Process) -> None:
         for name, record in self._registrations.items():
-            address = registrar.address_of(record)
-            self._learn(
-                process, name, address, registrar.incarnation_of(record)
-            )
+            known = registrar.decode(record)
+            self._learn(process, name, known.address, known.incarnation)
 
     def _learn(
         self, process: _Process, name: str, address: str, incarnation: int
--- a/sesamecross/gateway/lease_fleet_test.py
+++ b/sesamecross/gateway/lease_fleet_test.py
@@ -1,5 +1,6 @@
 """Tests of the lease over drawn histories of a fleet, and of wrong proofs."""
 
+import msgspec
 import pytest
 
 from sesamecross.fakes import lease_fleet
@@ -33,6 +34,13 @@
     machine.holder_exited(record.holder, record.incarnation, now_s)
 
 
+_decode = registrar.decode
+
+
+def _decode_by_offset(record) -> registrar.Registration:
+    return msgspec.structs.replace(_decode(record), incarnation=record.offset)
+
+
 @pytest.mark.parametrize("mutant", ["refusal", "offset", "name"])
 def test_what_proves_nothing_would_break_the_promise(monkeypatch, mutant):
     """Guards against histories that would not show a wrong proof."""
@@ -41,9 +49,7 @@
         case "refusal":
             options["on_refused"] = _take_for_proof
         case "offset":
-            monkeypatch.setattr(
-                registrar, "incarnation_of", lambda record: record.offset
-            )
+            monkeypatch.setattr(registrar, "decode", _decode_by_offset)
         case "name":
             monkeypatch.setattr(
                 lease.LeaseStateMachine,
--- a/sesamecross/gateway/registrar.py
+++ b/sesamecross/gateway/registrar.py
@@ -36,7 +36,7 @@
 NEW_DEPLOYMENT_MS = 10_000
 
 
-class _Registration(msgspec.Struct, frozen=True):
+class Registration(msgspec.Struct, frozen=True):
     """An instance's record in the store."""
 
     zone: str
@@ -45,7 +45,7 @@
     nonce: str
     # Wall-clock time of this start; 0 in records of older instances.
     started_ms: int = 0
-    # None in records of older instances, whose number is the record's offset.
+    # Not in records of older instances, whose number is the record's offset.
     incarnation: int | None = None
 
 
@@ -139,9 +139,10 @@
         """
         earlier = records.get(INSTANCE_PREFIX + self._instance.name)
         if earlier is not None:
+            known = decode(earlier)
             self._log.warning(
                 "earlier start ended without a stop",
-                incarnation=incarnation_of(earlier),
+                incarnation=known.incarnation if known else earlier.offset,
             )
 
     async def list_records(self) -> TopicList | None:
@@ -175,18 +176,20 @@
             )
         own_record = records.get(INSTANCE_PREFIX + self._instance.name)
         if own_record is not None:
-            known = _decode(own_record.value)
+            known = decode(own_record)
             if known is not None and known.nonce == nonce:
                 return self._join_result(records, incarnation)
         outcome = await self._client.append(
             self._topic,
             INSTANCE_PREFIX + self._instance.name,
-            encode_registration(
-                self._instance.zone,
-                self._address,
-                nonce,
-                wall_clock_ms(),
-                incarnation,
+            msgspec.msgpack.encode(
+                Registration(
+                    self._instance.zone,
+                    self._address,
+                    nonce,
+                    wall_clock_ms(),
+                    incarnation,
+                )
             ),
             at=None,
         )
@@ -209,13 +212,13 @@
         others = []
         for key, record in sorted(records.items()):
             name = key.removeprefix(INSTANCE_PREFIX)
-            known = _decode(record.value)
+            known = decode(record)
             if name == key or name == me.name or known is None:
                 continue
             others.append(
                 fm.Member(
                     name,
-                    incarnation_of(record),
+                    known.incarnation,
                     known.zone,
                     known.address,
                     -1,
@@ -247,7 +250,7 @@
     starts = [
         known.started_ms
         for key, record in records.items()
-        if key != SECRET_KEY and (known := _decode(record.value)) is not None
+        if key != SECRET_KEY and (known := decode(record)) is not None
     ]
     offsets = [record.offset for record in records.values()]
     return (
@@ -256,34 +259,15 @@
     )
 
 
-def encode_registration(
-    zone: str, address: str, nonce: str, started_ms: int, incarnation: int
-) -> bytes:
-    """Returns the value of a registration."""
-    return msgspec.msgpack.encode(
-        _Registration(zone, address, nonce, started_ms, incarnation)
-    )
-
-
-def address_of(record: store.KeyedRecord) -> str:
-    """Returns where a registered instance runs; empty for a damaged record."""
-    known = _decode(record.value)
-    return known.address if known is not None else ""
-
-
-def incarnation_of(record: store.KeyedRecord) -> int:
-    """Returns the incarnation number of a registration."""
-    known = _decode(record.value)
-    if known is None or known.incarnation is None:
-        return record.offset
-    return known.incarnation
-
-
-def _decode(value: bytes | None) -> _Registration | None:
-    if value is None:
+def decode(record: store.KeyedRecord) -> Registration | None:
+    """Returns a registration; None for a damaged record, or another one."""
+    if record.value is None:
         return None
     try:
-        return msgspec.msgpack.decode(value, type=_Registration)
+        known = msgspec.msgpack.decode(record.value, type=Registration)
     except (msgspec.MsgspecError, RecursionError):
         # RecursionError: the record is nested deeply.
         return None
+    if known.incarnation is None:
+        return msgspec.structs.replace(known, incarnation=record.offset)
+    return known
