Soaks share how seeds are run and printed, and what is read of a head

Cause: the new soak had its own loop over seeds, two faults that differed in one call, and the expressions that its upstreams have too. Change: soak.run_plans runs and prints for both; one function replaces an upstream at its address; the expressions stand in ledger_upstream. What is drawn and checked is as before.

--- a/sesamecross/devtools/run_once_soak.py
+++ b/sesamecross/devtools/run_once_soak.py
@@ -11,7 +11,6 @@
 import contextlib
 import dataclasses
 import functools
-import json
 import pathlib
 import random
 import re
@@ -50,8 +49,6 @@
 ANSWER_TIMEOUT_S = 20.0
 _READ_BYTES = 65_536
 _STATUS = re.compile(rb"HTTP/1.1 (\d{3}) ")
-_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
-_REQUEST_ID = re.compile(rb"\r\nrequest-id: *([^\r]*)", re.IGNORECASE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,7 +128,7 @@
         while ledger_upstream.HEAD_END not in self._received:
             self._receive()
         head, _, rest = self._received.partition(ledger_upstream.HEAD_END)
-        length = _LENGTH.search(head)
+        length = ledger_upstream.LENGTH.search(head)
         if length is None:
             # Nobody promises where it ends but the connection.
             raise ConnectionError("no length")
@@ -140,7 +137,7 @@
         while len(self._received) < size:
             self._receive()
         body, self._received = self._received[:size], self._received[size:]
-        named = _REQUEST_ID.search(head)
+        named = ledger_upstream.REQUEST_ID.search(head)
         if b"connection: close" in head.lower():
             self.leave()
         return _Answered(
@@ -215,7 +212,7 @@
                 with self._lock:
                     self._desks.append(desk)
 
-    def _restart_desk(self) -> None:
+    def _replace_desk(self, keeps_connections: bool) -> None:
         """Another incarnation takes the address; the old entry lapses late."""
         with self._some_desk() as desk:
             if desk is None:
@@ -223,21 +220,18 @@
             before = desk.instance_id
             with self._lock:
                 instance_id = self._next_id()
-            desk.restart(instance_id, self._rng.uniform(*DOWN_S))
+            if keeps_connections:
+                desk.hand_over(instance_id)
+            else:
+                desk.restart(instance_id, self._rng.uniform(*DOWN_S))
         time.sleep(soak.ENTRY_OUTLIVES_S)
         desk.unregister(before)
 
+    def _restart_desk(self) -> None:
+        self._replace_desk(keeps_connections=False)
+
     def _hand_desk_over(self) -> None:
-        """Another incarnation takes the address and its open connections."""
-        with self._some_desk() as desk:
-            if desk is None:
-                return
-            before = desk.instance_id
-            with self._lock:
-                instance_id = self._next_id()
-            desk.hand_over(instance_id)
-        time.sleep(soak.ENTRY_OUTLIVES_S)
-        desk.unregister(before)
+        self._replace_desk(keeps_connections=True)
 
     def _restart_desk_under_its_id(self) -> None:
         with self._some_desk() as desk:
@@ -312,14 +306,13 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--seconds", type=float, default=12.0)
     flags = parser.parse_args()
-    has_broken = False
-    for seed in range(flags.first, flags.first + flags.seeds):
-        plan = soak.Plan(seed, flags.gateways, flags.callers, flags.seconds)
-        result = run_seed(plan)
-        has_broken = has_broken or bool(result.broken)
-        print(json.dumps({"seed": seed} | dataclasses.asdict(result)))
-        sys.stdout.flush()
-    return 1 if has_broken else 0
+    return soak.run_plans(
+        (
+            soak.Plan(seed, flags.gateways, flags.callers, flags.seconds)
+            for seed in range(flags.first, flags.first + flags.seeds)
+        ),
+        run_seed,
+    )
 
 
 if __name__ == "__main__":
--- a/sesamecross/devtools/soak.py
+++ b/sesamecross/devtools/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 import http.client
@@ -543,6 +544,17 @@
         return Soak(plan, pathlib.Path(directory)).run()
 
 
+def run_plans(plans: Iterable[Plan], run: Callable[[Plan], Result]) -> int:
+    """Runs soaks one by one; prints each result, returns 1 if any broke."""
+    has_broken = False
+    for plan in plans:
+        result = run(plan)
+        has_broken = has_broken or bool(result.broken)
+        document = {"seed": plan.seed} | dataclasses.asdict(result)
+        print(json.dumps(document), flush=True)
+    return 1 if has_broken else 0
+
+
 def main() -> int:
     """Runs soaks; returns 1 if a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -553,9 +565,8 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--versions", type=int, default=len(VERSIONS))
     flags = parser.parse_args()
-    has_broken = False
-    for seed in range(flags.first, flags.first + flags.seeds):
-        result = run_seed(
+    return run_plans(
+        (
             Plan(
                 seed,
                 flags.gateways,
@@ -563,10 +574,10 @@
                 flags.seconds,
                 flags.versions,
             )
-        )
-        has_broken = has_broken or bool(result.broken)
-        print(json.dumps({"seed": seed} | dataclasses.asdict(result)))
-    return 1 if has_broken else 0
+            for seed in range(flags.first, flags.first + flags.seeds)
+        ),
+        run_seed,
+    )
 
 
 if __name__ == "__main__":
--- a/sesamecross/fakes/ledger_upstream.py
+++ b/sesamecross/fakes/ledger_upstream.py
@@ -25,8 +25,8 @@
 UNASKED_REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
-_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
-_REQUEST_ID = re.compile(rb"\r\nrequest-id: *([^\r]*)", re.IGNORECASE)
+LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
+REQUEST_ID = re.compile(rb"\r\nrequest-id: *([^\r]*)", re.IGNORECASE)
 _EXPECTED = re.compile(rb"\r\nexpected-instance: *([^\r]*)", re.IGNORECASE)
 # A close with this discards what is unsent and resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -111,9 +111,9 @@
     __slots__ = ("request_id", "expected", "length")
 
     def __init__(self, head: bytes):
-        named = _REQUEST_ID.search(head)
+        named = REQUEST_ID.search(head)
         expected = _EXPECTED.search(head)
-        length = _LENGTH.search(head)
+        length = LENGTH.search(head)
         self.request_id = named.group(1).decode() if named else ""
         self.expected = expected.group(1).decode() if expected else ""
         self.length = int(length.group(1)) if length else 0
