Failing: real processes under clients that keep to no limit

Cause to be shown: what arrives is counted where the parser hands it over, so that bytes it keeps, skips or never hands over are read without a bound; the number of connections, and what they hold together, has none.

Crowds and bounds are fixed here, before the product changes.

--- a/sesamecross/devtools/processes.py
+++ b/sesamecross/devtools/processes.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import contextlib
 import itertools
 import os
 import pathlib
@@ -132,6 +133,23 @@
 )
 
 
+def open_sockets(pid: int) -> int:
+    """Returns how many sockets a process has open."""
+    count = 0
+    for path in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+        # A descriptor may be closed meanwhile.
+        with contextlib.suppress(OSError):
+            count += os.readlink(path).startswith("socket:")
+    return count
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Returns the largest resident memory that a process has had."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    fields = dict(line.partition(":")[::2] for line in text.splitlines())
+    return int(fields["VmHWM"].split()[0]) * 1024
+
+
 def get_json(url: str) -> object:
     """Returns the JSON document at `url`."""
     return _http.request("GET", url).json()
--- a/sesamecross/fakes/platform_instance.py
+++ b/sesamecross/fakes/platform_instance.py
@@ -30,6 +30,9 @@
 # The most that a planned stop may take; longer than any test holds a request.
 GRACE_S = 60.0
 MEMORY_MB = 300
+MAX_FDS = 4100
+# Of the descriptors, those that the platform reserves for files.
+FILE_FDS = 200
 _FRONT_PORT = 8149
 _READY_PORT = 8141
 _INTERNAL_PORTS = [7380, 7395]
@@ -91,6 +94,7 @@
         bounds: Mapping[str, Any] = types.MappingProxyType({}),
         variables: Mapping[str, str] = types.MappingProxyType({}),
         memory_mb: int = MEMORY_MB,
+        max_fds: int = MAX_FDS,
     ):
         """Creates the instance; `start` starts its process.
 
@@ -102,12 +106,14 @@
           bounds: Bounds that differ from the usual ones.
           variables: Further environment variables of the process.
           memory_mb: What the platform allows the process, in 10**6 bytes.
+          max_fds: Descriptors that the platform allows the process.
         """
         self.name = name
         self._location = location or Location()
         self._bounds = bounds
         self._variables = variables
         self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self._host = unused_loopback_host()
         self._path = directory / "node.toml"
         self.store_address = store_address
@@ -129,6 +135,16 @@
         """The address at which the platform asks whether it is ready."""
         return self._host, _READY_PORT
 
+    @property
+    def metrics(self) -> tuple[str, int]:
+        """The address of its metrics."""
+        return self._host, program.METRICS_PORT
+
+    @property
+    def peers(self) -> tuple[str, int]:
+        """The address for streams of other instances."""
+        return self._host, _INTERNAL_PORTS[0]
+
     @property
     def pid(self) -> int | None:
         """The id of its newest process."""
@@ -168,7 +184,10 @@
                     "reuseAfterS": 2,
                     **self._bounds,
                 },
-                "limits": {"memoryMb": self.memory_mb},
+                "limits": {
+                    "memoryMb": self.memory_mb,
+                    "maxFds": self.max_fds,
+                },
                 "platform": {"address": self.store_address, "form": "log"},
             }
         )
@@ -232,6 +251,10 @@
             for name in ("VmRSS", "VmHWM")
         )
 
+    def open_sockets(self) -> int:
+        """Returns how many sockets the process has open."""
+        return processes.open_sockets(self.pid)
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
--- a/sesamecross/fakes/platform_site.py
+++ b/sesamecross/fakes/platform_site.py
@@ -42,6 +42,7 @@
 }
 IDLE_MS = 120_000
 MAX_BODY_BYTES = 1_000_000
+MAX_HEADER_BYTES = 16_384
 # Configuration versions may skip numbers.
 VERSION_STEP = 7
 ANSWER_BYTES = 200
@@ -82,6 +83,7 @@
     streams_resumable: bool = False,
     desk_is_safe: bool = False,
     max_body_bytes: int = MAX_BODY_BYTES,
+    max_header_bytes: int = MAX_HEADER_BYTES,
 ) -> dict[str, Any]:
     """Returns a complete configuration, as operators write it."""
     routes = [
@@ -124,7 +126,7 @@
         "routes": routes,
         "services": services,
         "limits": {
-            "maxHeaderBytes": 16_384,
+            "maxHeaderBytes": max_header_bytes,
             "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": IDLE_MS,
             "idleTimeoutMs": idle_ms,
@@ -139,11 +141,15 @@
         self,
         directory: pathlib.Path,
         memory_mb: int = platform_instance.MEMORY_MB,
+        max_fds: int = platform_instance.MAX_FDS,
     ):
         self.store = platform_store.PlatformStore("127.0.0.1:0")
         self.store.start()
         self.gateway = platform_instance.PlatformInstance(
-            directory, self.store.server.address, memory_mb=memory_mb
+            directory,
+            self.store.server.address,
+            memory_mb=memory_mb,
+            max_fds=max_fds,
         )
         # The newest upstream of each service, and those that were replaced.
         self.upstreams: dict[str, platform_upstream.PlatformUpstream] = {}
