Callers' connections: what arrives is counted, not what the parser reports

Callers saw: none of their own; beside clients that send a field, a chunk line or empty lines without end, ordinary requests got 503 after 20 s, and an instance could be ended for its memory.

Cause: only fields that the parser hands over were counted. It joins a field until it is complete, each time by a copy, and skips empty lines, spaces and chunk lines without a callback. Each empty line also armed the head timeout anew. And the first half of a head that came in one piece with the end of the request before it had no timer at all.

The head timeout starts once, with the first byte.

The fakes around a connection moved to fakes/caller_connection.py.

--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -19,6 +19,7 @@
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import body_budget
 from sesamecross.ops.fleet import connection_shedder
+from sesamecross.ops.fleet import request_meter
 from sesamecross.ops.fleet import unread_answers
 
 # Requests that a caller may pipeline on one connection. Beyond them reading
@@ -148,6 +149,7 @@
         "_unparsed",
         "_is_parsing",
         "_parts",
+        "_meter",
         "_lingers_until_s",
     )
 
@@ -208,6 +210,7 @@
         self._is_parsing = False
         # Parts of bodies that were parsed in this turn of the event loop.
         self._parts = 0
+        self._meter = request_meter.RequestMeter()
 
     @property
     def is_idle(self) -> bool:
@@ -303,10 +306,9 @@
                 self._loop.call_soon(self._resume_reading)
 
     def _feed(self, data: bytes) -> None:
-        if not self._is_reading:
+        if not self._is_reading and not self._is_reading_head:
             # Even an empty line before a request starts the head timeout.
-            self._is_reading_head = True
-            self._arm_read_timeout()
+            self._begin_head()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -315,6 +317,29 @@
             self._reject(self._reject_status or 400, str(error))
         if self._is_reading and self._reject_status:
             self._reject(self._reject_status, "limit exceeded or bad framing")
+        self._meter.add_piece(len(data))
+        if self._meter.exceeds(self._max_header_bytes):
+            self._reject_overhead()
+
+    def _begin_head(self) -> None:
+        self._is_reading_head = True
+        self._arm_read_timeout()
+
+    @property
+    def _max_header_bytes(self) -> int:
+        """The limit of the request's start or of now, whichever is larger."""
+        return max(
+            self._limits.max_header_bytes, self._handler.limits.max_header_bytes
+        )
+
+    def _reject_overhead(self) -> None:
+        """Rejects a request of which too much came beside its body."""
+        if self._is_reading and self._is_reading_head:
+            self._reject(431, "head too large")
+        elif self._is_reading:
+            self._reject(400, "too much framing or too many trailers")
+        else:
+            self._reject(400, "too many bytes before a request")
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as closed."""
@@ -380,6 +405,9 @@
         self._reject_status = 0
         self._owes_continue = False
         self._is_reading = True
+        if not self._is_reading_head and not self._is_closing:
+            # Its first bytes came in one piece with the end of another request.
+            self._begin_head()
 
     def on_url(self, data: bytes) -> None:
         """Appends a part of the request target."""
@@ -398,10 +426,7 @@
     def _count_head_bytes(self, size: int) -> None:
         head = self._head
         head.size += size
-        if (
-            head.size > self._limits.max_header_bytes
-            and head.size > self._handler.limits.max_header_bytes
-        ):
+        if head.size > self._max_header_bytes:
             self._reject_status = 431
 
     def _exceeds_body_limits(self, size: int) -> bool:
@@ -421,6 +446,7 @@
             # Nothing is sent after the last response.
             return
         self._is_reading_head = False
+        self._meter.restart()
         head = self._head
         head.method = self._parser.get_method()
         head.keep_alive = self._parser.should_keep_alive()
@@ -469,6 +495,7 @@
         if self._is_closing:
             return
         self._body_size += len(data)
+        self._meter.add_body(len(data))
         if self._exceeds_body_limits(self._body_size):
             self._reject_status = 413
         if self._reject_status:
@@ -521,6 +548,7 @@
             return
         self._is_reading = False
         self._owes_continue = False
+        self._meter.restart()
         self._disarm()
         body: bytes | body_buffer.BodyBuffer = self._body
         if self._incoming_body is not None:
--- a/sesamecross/gateway/server_connection_test.py
+++ b/sesamecross/gateway/server_connection_test.py
@@ -11,21 +11,14 @@
 import msgspec
 import pytest
 
-from sesamecross.core import serving
+from sesamecross.fakes import caller_connection
 from sesamecross.fakes import strict_response
 from sesamecross.gateway import listener
-from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
 from sesamecross.ops.fleet import connection_shedder
 
 # Ends a test that hangs; no test waits this long.
 TEST_TIMEOUT_S = 10.0
-LIMITS = serving.CallerLimits(
-    max_header_bytes=400,
-    max_body_bytes=100,
-    header_timeout_s=3.0,
-    idle_timeout_s=15.0,
-)
 
 
 class _Timer:
@@ -41,68 +34,15 @@
         return _Timer()
 
 
-class _Transport(asyncio.Transport):
-    """Records the written data until it is closed."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.written = b""
-        self.is_closed = False
-
-    def write(self, data) -> None:
-        if not self.is_closed:
-            self.written += data
-
-    def close(self) -> None:
-        self.is_closed = True
-
-    def write_eof(self) -> None:
-        self.is_closed = True
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def abort(self) -> None:
-        self.is_closed = True
-
-    def is_closing(self) -> bool:
-        return self.is_closed
-
-    def pause_reading(self) -> None:
-        """Nothing is read from here."""
-
-    def resume_reading(self) -> None:
-        """Nothing is read from here."""
-
-    def set_write_buffer_limits(self, high=None, low=None) -> None:
-        """Nothing is buffered here."""
-
-
-class _Handler:
-    """Responds to every request at once, and records the requests."""
-
-    def __init__(self) -> None:
-        self.limits = LIMITS
-        self.is_closing = False
-        self.requests: list[tuple[bytes, bytes, bytes]] = []
-        self.shed = 0
-
-    def parse_request(self, head, body):
-        self.requests.append((head.method, head.target, body))
-        return object()
-
-    def handle(self, request, response_writer) -> None:
-        response_writer.send_response(200, [(b"x-answer", b"yes")], b"ok")
-
-    def on_rejected(self, status, reason) -> None:
-        """Tests check the written status instead."""
-
-    def on_shed(self) -> None:
-        self.shed += 1
-
-
-def run_scenario(pieces) -> tuple[_Handler, _Transport]:
-    handler, transport = _Handler(), _Transport()
+def run_scenario(
+    pieces,
+) -> tuple[
+    caller_connection.AnsweringHandler, caller_connection.RecordingTransport
+]:
+    handler, transport = (
+        caller_connection.AnsweringHandler(),
+        caller_connection.RecordingTransport(),
+    )
     connection = server_connection.ServerConnection(handler, _Loop(), set())
     connection.connection_made(transport)
     for piece in pieces:
@@ -110,7 +50,7 @@
     return handler, transport
 
 
-def statuses(transport: _Transport) -> list[int]:
+def statuses(transport: caller_connection.RecordingTransport) -> list[int]:
     """Returns the statuses of the responses; bodies have no final line end."""
     found = re.findall(rb"HTTP/1\.1 (\d{3}) ", transport.written)
     return [int(status) for status in found]
@@ -248,7 +188,7 @@
     assert len(refused) <= 1
 
 
-class _ClosingHandler(_Handler):
+class _ClosingHandler(caller_connection.AnsweringHandler):
     """Closes connections after each response; responses are large."""
 
     def __init__(self) -> None:
@@ -313,7 +253,9 @@
     """
 
     async def run_scenario() -> tuple[bytes, bool]:
-        front_listener = listener.Listener("front", "127.0.0.1:0", _Handler())
+        front_listener = listener.Listener(
+            "front", "127.0.0.1:0", caller_connection.AnsweringHandler()
+        )
         task = asyncio.create_task(front_listener.run())
         while not front_listener.address:
             await asyncio.sleep(0)
@@ -341,77 +283,6 @@
     assert received.startswith(b"HTTP/1.1 413 ")
 
 
-class _ManualHandler(_Handler):
-    """Leaves the responses to the test."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.response_writers: list[response_writer_lib.ResponseWriter] = []
-
-    def handle(self, request, response_writer) -> None:
-        self.response_writers.append(response_writer)
-
-
-class _TimedConnection:
-    """A connection whose clock the test advances."""
-
-    def __init__(self) -> None:
-        self.handler = _ManualHandler()
-        self.transport = _Transport()
-        self.loop = _ClockLoop()
-        self.connection = server_connection.ServerConnection(
-            self.handler, self.loop, set()
-        )
-        self.connection.connection_made(self.transport)
-
-    def set_limits(self, **changed) -> None:
-        self.handler.limits = msgspec.structs.replace(
-            self.handler.limits, **changed
-        )
-
-    def respond(self) -> None:
-        self.handler.response_writers.pop().send_response(200, [], b"ok")
-
-
-class _ClockTimer:
-    def __init__(self, at_s: float, call):
-        self.at_s = at_s
-        self.call = call
-        self.is_cancelled = False
-
-    def cancel(self) -> None:
-        self.is_cancelled = True
-
-
-class _ClockLoop:
-    """Event loop with timers on a manual clock."""
-
-    def __init__(self) -> None:
-        self.now_s = 0.0
-        self.timers: list[_ClockTimer] = []
-
-    def time(self) -> float:
-        return self.now_s
-
-    def call_later(self, after_s, call, *args) -> _ClockTimer:
-        timer = _ClockTimer(self.now_s + after_s, call)
-        self.timers.append(timer)
-        return timer
-
-    def advance(self, by_s: float) -> None:
-        until_s = self.now_s + by_s
-        while due := [
-            one
-            for one in self.timers
-            if not one.is_cancelled and one.at_s <= until_s
-        ]:
-            first = min(due, key=lambda one: one.at_s)
-            self.timers.remove(first)
-            self.now_s = max(self.now_s, first.at_s)
-            first.call()
-        self.now_s = until_s
-
-
 def test_an_idle_connection_stays_open_by_the_current_limit():
     """Callers met closed connections after operators raised the idle limit.
 
@@ -419,7 +290,7 @@
     configuration, but each connection kept the limit that was current when it
     became idle.
     """
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(GET)
     timed.respond()
     timed.loop.advance(5.0)
@@ -436,7 +307,7 @@
     The response head had announced 15 s, but the connection was closed 5 s
     after the end, on the caller's next request.
     """
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(GET)
     response_writer = timed.handler.response_writers.pop()
     response_writer.begin_chunked(200, [], b"first")
@@ -462,7 +333,7 @@
     partial_request, raised
 ):
     """A slow caller got a 408 after operators had raised the time limit."""
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(partial_request)
     timed.set_limits(**{raised: 60.0})
     timed.loop.advance(50.0)
@@ -500,7 +371,7 @@
     Operators lowered the body limit while the body was being sent, and the
     rest was checked against the new limit.
     """
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(pieces[0])
     timed.set_limits(**lowered)
     timed.connection.data_received(pieces[1])
@@ -515,7 +386,7 @@
 
 def test_malformed_bytes_do_not_time_out_the_response_in_progress():
     """Malformed data after a request must not affect its response."""
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(GET)
     timed.connection.data_received(b"no request at all\r\n\r\n")
     timed.loop.advance(100.0)
@@ -527,7 +398,7 @@
 
 def test_a_request_to_continue_waits_for_the_response_in_progress():
     """Guards against an interim answer inside the body of another answer."""
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(GET)
     response_writer = timed.handler.response_writers.pop()
     response_writer.begin_chunked(200, [], b"first")
@@ -550,7 +421,7 @@
 
 def test_a_request_that_came_whole_is_not_told_to_continue_late():
     """Guards against an interim answer after the request's own."""
-    timed = _TimedConnection()
+    timed = caller_connection.TimedConnection()
     timed.connection.data_received(GET)
     timed.connection.data_received(
         POST + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi" + GET
@@ -567,15 +438,17 @@
     """Guards against requests that wait until their callers have left."""
     shedder = connection_shedder.ConnectionShedder()
 
-    def connect() -> tuple[server_connection.ServerConnection, _Transport]:
-        transport = _Transport()
+    def connect() -> tuple[
+        server_connection.ServerConnection, caller_connection.RecordingTransport
+    ]:
+        transport = caller_connection.RecordingTransport()
         connection = server_connection.ServerConnection(
             handler, _Loop(), connections, shedder
         )
         connection.connection_made(transport)
         return connection, transport
 
-    handler, connections = _Handler(), set()
+    handler, connections = caller_connection.AnsweringHandler(), set()
     waiting = [connect()[0] for _ in range(connection_shedder.MAX_UNREAD)]
     shed, transport = connect()
     shed.data_received(GET)
@@ -594,7 +467,7 @@
 def test_pipelined_requests_are_not_all_parsed_at_once():
     """Guards against floods of requests that take many times their bytes."""
     count = 4000
-    one = _TimedConnection()
+    one = caller_connection.TimedConnection()
     one.connection.data_received(
         b"".join(GET.replace(b"/a/", b"/%d/" % n) for n in range(count))
     )
@@ -609,7 +482,7 @@
 
 
 def test_a_caller_that_leaves_behind_a_flood_is_forgotten():
-    one = _TimedConnection()
+    one = caller_connection.TimedConnection()
     one.connection.data_received(GET * 4000)
     one.connection.connection_lost(None)
     assert not one.connection._pipelined
@@ -619,9 +492,11 @@
 
 def test_a_head_of_many_fields_is_rejected():
     """Guards against short fields that each take many times their bytes."""
-    handler = _Handler()
-    handler.limits = msgspec.structs.replace(LIMITS, max_header_bytes=16_384)
-    transport = _Transport()
+    handler = caller_connection.AnsweringHandler()
+    handler.limits = msgspec.structs.replace(
+        caller_connection.LIMITS, max_header_bytes=16_384
+    )
+    transport = caller_connection.RecordingTransport()
     connection = server_connection.ServerConnection(handler, _Loop(), set())
     connection.connection_made(transport)
     connection.data_received(GET[:-2] + b"a:\r\n" * 200 + b"\r\n")
