Callers' trailers are dropped, and do not become headers

Callers saw: a chunked request whose trailers were Host, Deadline-Ms or a key was forwarded with these beside or in place of what its head said.

Cause: the parser reports trailers by the callback of fields, after the head's framing was checked; they were appended to the head.

Change: fields that come after the head are dropped (RFC 9110, 6.5.1). Their bytes are bounded by the meter of what surrounds a body.

--- a/sesamecross/fakes/caller_connection.py
+++ b/sesamecross/fakes/caller_connection.py
@@ -66,11 +66,13 @@
         self.limits = LIMITS
         self.is_closing = False
         self.requests: list[tuple[bytes, bytes, bytes]] = []
+        self.headers: list[list[serving.Header]] = []
         self.shed = 0
 
     def parse_request(self, head, body):
         """Records the request."""
         self.requests.append((head.method, head.target, body))
+        self.headers.append(head.headers)
         return object()
 
     def handle(self, request, response_writer) -> None:
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -415,7 +415,13 @@
         self._count_head_bytes(len(data))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header; its name is lower-cased."""
+        """Collects a header; its name is lower-cased.
+
+        Trailers are dropped: they come after the framing, the deadline and the
+        key were checked (RFC 9110, 6.5.1).
+        """
+        if not self._is_reading_head:
+            return
         # Four bytes for the colon, the space and the line end.
         self._count_head_bytes(len(name) + len(value) + 4)
         if len(self._head.headers) >= _MAX_HEADER_FIELDS:
--- a/sesamecross/gateway/server_connection_bounds_test.py
+++ b/sesamecross/gateway/server_connection_bounds_test.py
@@ -22,6 +22,7 @@
     "chunk extension": (CHUNKED + b"1;", b"e", 400),
     "trailer name": (LAST_CHUNK, b"n", 400),
     "trailer value": (LAST_CHUNK + b"X: ", b"v", 400),
+    "trailers": (LAST_CHUNK, b"X: v\r\n", 400),
 }
 
 
@@ -99,3 +100,27 @@
     one.loop.advance(LIMITS.header_timeout_s + 0.1)
     assert last_status(one.transport) == 408
     assert one.transport.is_closed
+
+
+SMUGGLED = {
+    "host": (b"Host: evil\r\n", b"host", b"a"),
+    "deadline": (b"Deadline-Ms: 90000\r\n", b"deadline-ms", b"2000"),
+    "key": (b"Authorization: Bearer x\r\n", b"authorization", b"Bearer k"),
+    "id": (b"Request-Id: other\r\n", b"request-id", b"own"),
+    "anything else": (b"X-Smuggled: 1\r\n", b"x-smuggled", None),
+}
+
+
+@pytest.mark.parametrize("name", SMUGGLED)
+def test_trailers_do_not_become_headers(name):
+    """Guards against trailers that pass by the checks of the head."""
+    trailers, field, value = SMUGGLED[name]
+    own = b"Deadline-Ms: 2000\r\nAuthorization: Bearer k\r\nRequest-Id: own\r\n"
+    one = caller_connection.TimedConnection()
+    one.connection.data_received(
+        HEAD + own + LAST_CHUNK.removeprefix(HEAD) + trailers + b"\r\n"
+    )
+    (headers,) = one.handler.headers
+    assert [v for n, v in headers if n == field] == [value] * (
+        value is not None
+    )
