A refused caller is read for one request more, and its connection is closed

Callers saw: connections of refused clients took gigabytes, at the price of the event loop's time; a connection whose next request timed out while a response was under way stayed open, and nobody read it.

Cause: after a refusal the connection was read for the operator's idle timeout, whatever came. And a rejection behind a response whose head had announced no close ended neither the connection nor its timer.

Change: reading ends with the bytes of one request of the largest size, so the refusal still arrives at a caller that sends one; the connection closes within two linger times. The end of a response closes a connection on which a request behind it was rejected. What is kept of a rejected request is returned.

--- a/sesamecross/fakes/caller_connection.py
+++ b/sesamecross/fakes/caller_connection.py
@@ -17,12 +17,18 @@
 
 
 class RecordingTransport(asyncio.Transport):
-    """Records the written data until it is closed."""
+    """Records the written data until it is closed.
+
+    Attributes:
+      closes_at_eof: Whether the caller closes once it has read the response.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.written = b""
         self.is_closed = False
+        self.is_paused = False
+        self.closes_at_eof = True
 
     def write(self, data) -> None:
         """Records data unless the transport is closed."""
@@ -34,8 +40,8 @@
         self.is_closed = True
 
     def write_eof(self) -> None:
-        """Closes it: nothing is written any more."""
-        self.is_closed = True
+        """Records the end of what is written."""
+        self.is_closed = self.is_closed or self.closes_at_eof
 
     def get_write_buffer_size(self) -> int:
         """Returns 0: all data is taken at once."""
@@ -50,10 +56,12 @@
         return self.is_closed
 
     def pause_reading(self) -> None:
-        """Nothing is read from here."""
+        """Records that nothing is read."""
+        self.is_paused = True
 
     def resume_reading(self) -> None:
-        """Nothing is read from here."""
+        """Records that data is read."""
+        self.is_paused = False
 
     def set_write_buffer_limits(self, high=None, low=None) -> None:
         """Nothing is buffered here."""
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -145,6 +145,7 @@
         "_shedder",
         "_wait_number",
         "_has_discarded",
+        "_discarded_bytes",
         "_is_behind",
         "_unparsed",
         "_is_parsing",
@@ -202,6 +203,7 @@
         # Whether data came lately from a caller that was already answered, and
         # until when it may go on sending.
         self._has_discarded = False
+        self._discarded_bytes = 0
         self._lingers_until_s = 0.0
         # Whether the caller has left more unread than a connection may hold.
         self._is_behind = False
@@ -277,11 +279,29 @@
         """Parses data."""
         self._end_wait()
         if self._is_closing:
-            self._has_discarded = True
+            self._discard(len(data))
             return
         self._unparsed += data
         self._parse()
 
+    def _discard(self, size: int) -> None:
+        """Drops what comes after the last request, up to a bound.
+
+        Whoever sends more than a whole request has not been sending one, and
+        is read no longer.
+        """
+        self._has_discarded = True
+        self._discarded_bytes += size
+        if self._has_sent_a_request_more:
+            self._transport.pause_reading()
+
+    @property
+    def _has_sent_a_request_more(self) -> bool:
+        limits = self._handler.limits
+        return self._discarded_bytes > (
+            limits.max_header_bytes + limits.max_body_bytes
+        )
+
     def _parse(self) -> None:
         """Parses what has arrived, until too many requests are pipelined."""
         if self._is_parsing:
@@ -320,6 +340,13 @@
         self._meter.add_piece(len(data))
         if self._meter.exceeds(self._max_header_bytes):
             self._reject_overhead()
+        if self._is_closing:
+            self._forget_request()
+
+    def _forget_request(self) -> None:
+        """Returns the memory of a request that is not read on."""
+        self._head = RequestHead()
+        self._parser = None
 
     def _begin_head(self) -> None:
         self._is_reading_head = True
@@ -608,7 +635,8 @@
         stop. Closing a socket with unread data resets the connection, and the
         caller loses what it has not received by then. So only the write side
         is closed; received data is discarded until the caller closes, or has
-        sent nothing for `LINGER_S`, or has had the time for a whole body.
+        sent nothing for `LINGER_S`, or has had the time, or sent the bytes, of
+        a whole request.
         """
         self._is_closing = True
         self._has_discarded = False
@@ -618,7 +646,8 @@
         # The caller's reset may have arrived without being handled yet.
         with contextlib.suppress(OSError):
             self._transport.write_eof()
-        self._transport.resume_reading()
+        if not self._has_sent_a_request_more:
+            self._transport.resume_reading()
         self._arm(LINGER_S)
 
     def on_response_sent(self, closes: bool, may_follow: bool) -> None:
@@ -637,6 +666,10 @@
             else:
                 self.close()
             return
+        if self._is_closing and not self._pipelined:
+            # The request behind this one was rejected meanwhile.
+            self._close_lingering()
+            return
         self._handle_next()
         self._resume_reading()
         self._send_owed_continue()
--- a/sesamecross/gateway/server_connection_bounds_test.py
+++ b/sesamecross/gateway/server_connection_bounds_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesamecross.fakes import caller_connection
+from sesamecross.gateway import server_connection
 from sesamecross.ops.fleet import request_meter
 
 HEAD = b"POST /a/ HTTP/1.1\r\nHost: a\r\n"
@@ -124,3 +125,32 @@
     assert [v for n, v in headers if n == field] == [value] * (
         value is not None
     )
+
+
+def test_a_refusal_behind_a_response_under_way_closes_the_connection():
+    """Guards against a connection that stays open and is read by nobody."""
+    one = caller_connection.TimedConnection()
+    one.connection.data_received(HEAD + b"\r\n" + HEAD)
+    response_writer = one.handler.response_writers.pop()
+    response_writer.begin_chunked(200, [], b"first")
+    one.loop.advance(LIMITS.header_timeout_s + 0.1)
+    assert not one.transport.is_closed
+    response_writer.end_chunked()
+    assert one.transport.is_closed
+
+
+def test_a_refused_caller_is_read_for_one_request_more():
+    """Guards against reading for minutes what nobody wants.
+
+    A caller that sends a body of the largest size still gets the refusal.
+    """
+    one = caller_connection.TimedConnection()
+    one.transport.closes_at_eof = False
+    one.connection.data_received(HEAD + b"Content-Length: x\r\n\r\n")
+    size = LIMITS.max_body_bytes + LIMITS.max_header_bytes
+    one.connection.data_received(b"v" * size)
+    assert not one.transport.is_paused
+    one.connection.data_received(b"v")
+    assert one.transport.is_paused
+    one.loop.advance(2 * server_connection.LINGER_S)
+    assert one.transport.is_closed
