Silent connections do not keep new ones from being read

Cause: the shedder took a connection for unread for 2 s, although the event loop had read all that had arrived several times by then.

Change: a connection that has brought nothing within two recorded turns of the loop is idle, and takes no place. Turns are late when the loop is busy, so what waits because of load still counts.

--- a/sesamecross/ops/fleet/connection_shedder.py
+++ b/sesamecross/ops/fleet/connection_shedder.py
@@ -14,6 +14,9 @@
 MAX_UNREAD = 128
 # A connection that brings nothing for so long is idle, and does not wait.
 IDLE_AFTER_S = 2.0
+# The same in recorded turns: between two of them, the event loop has read all
+# that has arrived, so it is silent and not merely unread.
+IDLE_AFTER_TURNS = 2
 # An instance that is ready always takes connections.
 MIN_UNREAD = 8
 # Lateness of a turn of the event loop from which the limit is halved, and below
@@ -27,11 +30,13 @@
 class ConnectionShedder:
     """Limits the new connections that wait to be read."""
 
-    __slots__ = ("_unread", "_numbers", "_admitted", "_limit")
+    __slots__ = ("_unread", "_numbers", "_admitted", "_limit", "_turns")
 
     def __init__(self) -> None:
-        # When each of them came, by its number, the oldest first.
-        self._unread: dict[int, float] = {}
+        # When and in which turn each of them came, by its number, the oldest
+        # first.
+        self._unread: dict[int, tuple[float, int]] = {}
+        self._turns = 0
         self._numbers = 0
         # Since the last turn of the event loop.
         self._admitted = 0
@@ -49,14 +54,17 @@
           Its number; None if it is to be closed unread.
         """
         while self._unread:
-            oldest = next(iter(self._unread))
-            if now_s - self._unread[oldest] < IDLE_AFTER_S:
+            oldest, (came_s, turn) = next(iter(self._unread.items()))
+            if (
+                now_s - came_s < IDLE_AFTER_S
+                and self._turns - turn <= IDLE_AFTER_TURNS
+            ):
                 break
             del self._unread[oldest]
         if len(self._unread) >= self._limit:
             return None
         self._numbers += 1
-        self._unread[self._numbers] = now_s
+        self._unread[self._numbers] = now_s, self._turns
         self._admitted += 1
         return self._numbers
 
@@ -67,6 +75,7 @@
     def record_turn(self, lateness_s: float) -> None:
         """Records how late a turn of the event loop was."""
         # A process that was suspended is late without any work.
+        self._turns += 1
         is_loaded = self._admitted >= self._limit // 2
         self._admitted = 0
         if lateness_s >= BUSY_LATENESS_S and is_loaded:
--- a/sesamecross/ops/fleet/connection_shedder_test.py
+++ b/sesamecross/ops/fleet/connection_shedder_test.py
@@ -102,3 +102,17 @@
         assert shedder.admit(0.0) is not None
     assert shedder.admit(1.0) is None
     assert shedder.admit(connection_shedder.IDLE_AFTER_S) is not None
+
+
+def test_silent_connections_take_no_place_once_the_loop_has_read_them():
+    """Guards against a crowd that connects, says nothing and keeps others out.
+
+    Half a second at most, at the loop's usual pace.
+    """
+    shedder = connection_shedder.ConnectionShedder()
+    for _ in range(connection_shedder.MAX_UNREAD):
+        assert shedder.admit(0.0) is not None
+    for turn in range(connection_shedder.IDLE_AFTER_TURNS + 1):
+        assert shedder.admit(0.1 * turn) is None
+        shedder.record_turn(0.0)
+    assert shedder.admit(0.3) is not None
