Descriptors are divided among ports, and the least useful connection makes room

Callers saw: with more open connections than descriptors, none of their own.

Cause: nothing bounded the connections of a port; limits.maxFds was not read.

Change: callers' port, peers' streams, readiness and metrics each have a share of the sockets that settings and system allow; the rest is for upstreams, store and peers. At the bound the connection goes that lingers, is unfinished or is idle, in this order and each for longest, never one whose request is under way; a newcomer is closed unread only if all are under way.

--- a/sesamecross/core/serving.py
+++ b/sesamecross/core/serving.py
@@ -18,6 +18,8 @@
 
 # What a process may use whose settings state no limit.
 DEFAULT_MEMORY_BYTES = 256_000_000
+# Sockets that a process may have open whose settings state no limit.
+DEFAULT_MAX_SOCKETS = 3_900
 
 
 class RouteKind(enum.Enum):
@@ -393,6 +395,7 @@
       regions: Region by zone, for the whole deployment.
       heartbeat_s: Interval at which upstreams renew their registration.
       memory_bytes: What the process may use before it is killed.
+      max_sockets: Sockets that the process may have open.
     """
 
     name: str
@@ -407,6 +410,7 @@
     heartbeat_s: float
     bounds: Bounds
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_sockets: int = DEFAULT_MAX_SOCKETS
 
 
 class EngineOrder(msgspec.Struct, frozen=True):
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -42,6 +42,7 @@
 from sesamecross.gateway import upstream_words
 from sesamecross.gateway import version_recorder
 from sesamecross.gateway import withheld_recorder
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import reachability
@@ -53,6 +54,7 @@
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
+from sesamecross.runtime import process_limits
 from sesamecross.runtime import supervisor
 from sesamecross.runtime import ticker as ticker_lib
 
@@ -159,8 +161,15 @@
             self.state, self.metrics, self.forwarder.body_budget
         )
         shedder = connection_shedder.ConnectionShedder()
+        ports = connection_limiter.DescriptorLimits.from_sockets(
+            process_limits.max_sockets(instance.max_sockets)
+        )
         self.front = listener.Listener(
-            "front", instance.front_address, self.forwarder, shedder=shedder
+            "front",
+            instance.front_address,
+            self.forwarder,
+            shedder=shedder,
+            limits=ports.callers,
         )
         client = store_client.StoreClient(
             instance.store_address, adapter.store_codec, self.metrics
@@ -292,13 +301,19 @@
         )
         return [
             self.front,
-            listener.Listener("ready", instance.ready_address, self._readiness),
+            listener.Listener(
+                "ready",
+                instance.ready_address,
+                self._readiness,
+                limits=ports.status,
+            ),
             # Not vital: callers are served even if its port is taken.
             listener.Listener(
                 "metrics",
                 f"{instance.ip}:{adapter.metrics_port}",
                 metrics,
                 is_vital=False,
+                limits=ports.status,
             ),
             configurations,
             upstreams,
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -3,12 +3,11 @@
 import asyncio
 
 from sesamecross.gateway import server_connection
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.runtime import event_loop
 
-# Length of the accept queue. When another instance stops, the platform's
-# load balancer moves all callers of a zone here at once.
-ACCEPT_BACKLOG = 1024
+_UNLIMITED = connection_limiter.PortLimits(1_000_000, 1024)
 # Interval at which a shutdown checks for remaining connections.
 _POLL_INTERVAL_S = 0.02
 
@@ -31,6 +30,8 @@
         "_handler",
         "_server",
         "_shedder",
+        "_limiter",
+        "_backlog",
         "connections",
     )
 
@@ -41,13 +42,26 @@
         handler: server_connection.RequestHandler,
         is_vital: bool = True,
         shedder: connection_shedder.ConnectionShedder | None = None,
+        limits: connection_limiter.PortLimits = _UNLIMITED,
     ):
+        """Initializes the listener.
+
+        Args:
+          name: Of the component.
+          address: Where to listen.
+          handler: Handles the requests.
+          is_vital: See the class.
+          shedder: Decides whether a new connection is read.
+          limits: What the port takes.
+        """
         self.name = name
         self.is_vital = is_vital
         self.is_helper = not is_vital
         self._address = address
         self._handler = handler
         self._shedder = shedder
+        self._limiter = connection_limiter.ConnectionLimiter(limits.connections)
+        self._backlog = limits.backlog
         self._server: asyncio.Server | None = None
         self.connections: set[server_connection.ServerConnection] = set()
 
@@ -70,11 +84,15 @@
         host, _, port = self._address.rpartition(":")
         self._server = await loop.create_server(
             lambda: server_connection.ServerConnection(
-                self._handler, loop, self.connections, self._shedder
+                self._handler,
+                loop,
+                self.connections,
+                self._shedder,
+                self._limiter,
             ),
             host,
             int(port),
-            backlog=ACCEPT_BACKLOG,
+            backlog=self._backlog,
             reuse_address=True,
         )
         await asyncio.Event().wait()
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -18,6 +18,7 @@
 from sesamecross.gateway import incoming_body
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import body_budget
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import request_meter
 from sesamecross.ops.fleet import unread_answers
@@ -42,6 +43,9 @@
 # link; callers that read the response close earlier. Those that go on sending
 # may take as long as for a body.
 LINGER_S = 2.0
+# What is read at least meanwhile, so that a caller whose body is above a low
+# limit learns so.
+LINGER_BYTES = 6 * 1024 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -143,6 +147,7 @@
         "_owes_continue",
         "_is_closing",
         "_shedder",
+        "_limiter",
         "_wait_number",
         "_has_discarded",
         "_discarded_bytes",
@@ -160,6 +165,7 @@
         loop: asyncio.AbstractEventLoop,
         connections: set["ServerConnection"],
         shedder: connection_shedder.ConnectionShedder | None = None,
+        limiter: connection_limiter.ConnectionLimiter | None = None,
     ):
         """Initializes the connection.
 
@@ -168,8 +174,10 @@
           loop: The event loop.
           connections: The open connections.
           shedder: Decides whether the connection is read; all are without it.
+          limiter: Bounds the connections of the port; nothing does without it.
         """
         self._shedder = shedder
+        self._limiter = limiter
         # Its number at the shedder while it is new and unread.
         self._wait_number: int | None = None
         self._handler = handler
@@ -263,18 +271,28 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport and starts the idle timeout."""
-        if self._shedder is not None:
-            self._wait_number = self._shedder.admit(self._loop.time())
-            if self._wait_number is None:
-                self._is_closing = True
-                self._handler.on_shed()
-                transport.abort()
-                return
+        if not self._admit():
+            self._is_closing = True
+            self._handler.on_shed()
+            transport.abort()
+            return
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         self._connections.add(self)
         self._arm_read_timeout()
 
+    def _admit(self) -> bool:
+        """Returns whether the new connection is read."""
+        if self._shedder is not None:
+            self._wait_number = self._shedder.admit(self._loop.time())
+            if self._wait_number is None:
+                return False
+        return self._limiter is None or self._limiter.admit(self)
+
+    def _set_use(self, use: connection_limiter.Use) -> None:
+        if self._limiter is not None:
+            self._limiter.set_use(self, use)
+
     def data_received(self, data: bytes) -> None:
         """Parses data."""
         self._end_wait()
@@ -298,8 +316,8 @@
     @property
     def _has_sent_a_request_more(self) -> bool:
         limits = self._handler.limits
-        return self._discarded_bytes > (
-            limits.max_header_bytes + limits.max_body_bytes
+        return self._discarded_bytes > max(
+            LINGER_BYTES, limits.max_header_bytes + limits.max_body_bytes
         )
 
     def _parse(self) -> None:
@@ -350,6 +368,8 @@
 
     def _begin_head(self) -> None:
         self._is_reading_head = True
+        if self._response_writer is None:
+            self._set_use(connection_limiter.Use.UNFINISHED)
         self._arm_read_timeout()
 
     @property
@@ -377,6 +397,8 @@
         self._end_wait()
         self._disarm()
         self._connections.discard(self)
+        if self._limiter is not None:
+            self._limiter.remove(self)
         self._transport = None
         self._is_closing = True
         self._discard_body()
@@ -639,6 +661,7 @@
         a whole request.
         """
         self._is_closing = True
+        self._set_use(connection_limiter.Use.LINGERING)
         self._has_discarded = False
         self._lingers_until_s = (
             self._loop.time() + self._handler.limits.idle_timeout_s
@@ -675,7 +698,10 @@
         self._send_owed_continue()
         if self.is_idle:
             self._is_reading_head = False
+            self._set_use(connection_limiter.Use.IDLE)
             self._arm_read_timeout()
+        elif self._response_writer is None:
+            self._set_use(connection_limiter.Use.UNFINISHED)
 
     def _resume_reading(self) -> None:
         """Goes on with what has arrived, and then with what arrives."""
@@ -696,6 +722,7 @@
             # Another answer would only be kept for the caller as well.
             return
         head, body = self._pipelined.popleft()
+        self._set_use(connection_limiter.Use.BUSY)
         is_head_request = head.method == b"HEAD"
         self._response_writer = response_writer_lib.ResponseWriter(
             self, head.keep_alive, is_head_request
--- a/sesamecross/platform/settings.py
+++ b/sesamecross/platform/settings.py
@@ -24,8 +24,12 @@
 BOOT_VARIABLE = "SESAMECROSS_BOOT"
 SECONDS_PER_MS = 0.001
 BYTES_PER_MB = 1_000_000
+# Of a process's descriptors, those that the platform reserves for files.
+FILE_DESCRIPTORS = 200
 # No process could start with less: such a value states no limit.
 MIN_MEMORY_MB = 16
+# The same for sockets: less would not do for the ports and the store.
+MIN_SOCKETS = 64
 # One day; the platform's own durations are seconds.
 MAX_DURATION_S = 86_400.0
 # Far above the counts of any deployment, and exact as a float.
@@ -64,6 +68,8 @@
 class _WireLimits(msgspec.Struct, frozen=True, rename="camel"):
     # Units of 10**6 bytes, the smaller of the usual two.
     memory_mb: float = serving.DEFAULT_MEMORY_BYTES / BYTES_PER_MB
+    # Descriptors, those for files included.
+    max_fds: float = serving.DEFAULT_MAX_SOCKETS + FILE_DESCRIPTORS
 
 
 class _WirePlatform(msgspec.Struct, frozen=True):
@@ -171,6 +177,7 @@
     return [
         _RangeCheck("heartbeatMs", wire.heartbeat_ms, 0, max_duration_ms),
         _RangeCheck("limits.memoryMb", wire.limits.memory_mb, 0, MAX_COUNT),
+        _RangeCheck("limits.maxFds", wire.limits.max_fds, 0, MAX_COUNT),
         _RangeCheck("bounds.drainMs", bounds.drain_ms, 0, max_duration_ms),
         _RangeCheck("bounds.graceS", bounds.grace_s, 0, MAX_DURATION_S),
         _RangeCheck(
@@ -241,6 +248,11 @@
     return int(limits.memory_mb * BYTES_PER_MB)
 
 
+def _max_sockets(limits: _WireLimits) -> int:
+    sockets = int(limits.max_fds) - FILE_DESCRIPTORS
+    return sockets if sockets >= MIN_SOCKETS else serving.DEFAULT_MAX_SOCKETS
+
+
 def _instance(wire: _WireSettings) -> serving.Instance:
     first, last = wire.internal_ports
     bounds = wire.bounds
@@ -275,4 +287,5 @@
             bounds.quota_slack,
         ),
         _memory_bytes(wire.limits),
+        _max_sockets(wire.limits),
     )
