Peers' ports: connections that show no key make room for those that do

Callers saw: nothing of their own; peers could be kept from an instance.

Cause: streams whose client had not shown yet that it knows the key were not counted (gateways), or kept others out at a bound (stewards).

Change: they have a bound, and at it the oldest goes. Authenticated streams are counted apart.

Evidence: a peer reaches an instance beside five silent connections where two are allowed.

--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -337,6 +337,7 @@
                 client,
                 adapter.own_topic_prefix,
                 self.relay_server,
+                ports.peers,
             ),
             sync.SyncPuller(
                 self.mesh,
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -7,7 +7,6 @@
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.runtime import event_loop
 
-_UNLIMITED = connection_limiter.PortLimits(1_000_000, 1024)
 # Interval at which a shutdown checks for remaining connections.
 _POLL_INTERVAL_S = 0.02
 
@@ -42,7 +41,7 @@
         handler: server_connection.RequestHandler,
         is_vital: bool = True,
         shedder: connection_shedder.ConnectionShedder | None = None,
-        limits: connection_limiter.PortLimits = _UNLIMITED,
+        limits: connection_limiter.PortLimits = connection_limiter.UNLIMITED,
     ):
         """Initializes the listener.
 
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -27,6 +27,7 @@
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_messages
 from sesamecross.gateway import store_proxy
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
@@ -91,7 +92,13 @@
         client: store_client.StoreClient,
         own_prefix: str,
         relay_server: relay_server_lib.RelayServer,
+        limits: connection_limiter.PortLimits = connection_limiter.UNLIMITED,
     ):
+        self._limits = limits
+        # Streams whose peer has not shown yet that it knows the key.
+        self._handshakes = connection_limiter.ConnectionLimiter(
+            limits.connections
+        )
         self._mesh = mesh
         self._state = state
         self._catalog = catalog
@@ -106,7 +113,11 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         host, _, port = self._mesh.roster.me.address.rpartition(":")
         server = await asyncio.start_server(
-            self._serve, host, int(port), reuse_address=True
+            self._serve,
+            host,
+            int(port),
+            reuse_address=True,
+            backlog=self._limits.backlog,
         )
         async with server:
             await asyncio.Event().wait()
@@ -121,7 +132,11 @@
         keepalive.enable(writer.get_extra_info("socket"))
         try:
             stream = await streams.accept(
-                reader, writer, self._mesh.secret, self._stamper
+                reader,
+                writer,
+                self._mesh.secret,
+                self._stamper,
+                self._handshakes,
             )
             while True:
                 request = await stream.receive()
--- a/sesamecross/ops/fleet/connection_limiter.py
+++ b/sesamecross/ops/fleet/connection_limiter.py
@@ -34,6 +34,10 @@
     backlog: int
 
 
+# For ports that only tests open.
+UNLIMITED = PortLimits(1_000_000, 1024)
+
+
 class DescriptorLimits(msgspec.Struct, frozen=True):
     """How the sockets of a process are divided.
 
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -13,6 +13,7 @@
 from sesamecross.core import data
 from sesamecross.core import messages
 from sesamecross.ops import timeline
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.runtime import logs
 from sesamecross.steward import claim_router as claim_router_lib
 from sesamecross.steward import peer_links as peer_links_lib
@@ -20,6 +21,8 @@
 
 EVENTS_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 500
+# Streams whose client has not shown yet that it knows the key.
+MAX_HANDSHAKES = 100
 
 
 class EntrySession:
@@ -84,6 +87,7 @@
         self._status = status
         self._logger = logs.get_logger("streams")
         self._connections = 0
+        self._handshakes = connection_limiter.ConnectionLimiter(MAX_HANDSHAKES)
         self._tasks: set[asyncio.Task] = set()
         self.entry: EntrySession | None = None
         self.on_entry_connected: (
@@ -118,17 +122,17 @@
     async def _on_connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._connections >= MAX_CONNECTIONS:
-            writer.close()
-            return
-        self._connections += 1
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
             stream = await streams.accept(
-                reader, writer, self._shared_key, self._recorder
+                reader,
+                writer,
+                self._shared_key,
+                self._recorder,
+                self._handshakes,
             )
-            await self._serve(stream)
+            await self._serve_if_room(stream)
         except streams.StreamClosedError as error:
             self._logger.debug("stream ended", reason=str(error))
         except asyncio.CancelledError:
@@ -136,10 +140,19 @@
             # error of the connection.
             pass
         finally:
-            self._connections -= 1
             self._tasks.discard(task)
             writer.close()
 
+    async def _serve_if_room(self, stream: streams.Stream) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            stream.close()
+            return
+        self._connections += 1
+        try:
+            await self._serve(stream)
+        finally:
+            self._connections -= 1
+
     async def _serve(self, stream: streams.Stream) -> None:
         match stream.hello.role:
             case "entry":
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -16,6 +16,7 @@
 
 from sesamecross.core import codec
 from sesamecross.core import hlc
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.transport import frames
 
 NONCE_BYTES = 16
@@ -263,12 +264,24 @@
     writer: asyncio.StreamWriter,
     shared_key: str,
     timestamp_source: TimestampSource,
+    handshakes: connection_limiter.ConnectionLimiter | None = None,
 ) -> Stream:
     """Answers a client's handshake on a new connection.
 
+    Args:
+      reader: Of the connection.
+      writer: Of the connection.
+      shared_key: What the client must know.
+      timestamp_source: Stamps messages.
+      handshakes: The connections of this port whose client has not proved it
+        yet. The oldest makes room for a new one. Unbounded without it.
+
     Raises:
       StreamClosedError: The client did not prove in time that it knows the key.
     """
+    transport = writer.transport
+    if handshakes is not None:
+        handshakes.admit(transport)
     try:
         return await asyncio.wait_for(
             _accept(reader, writer, shared_key.encode(), timestamp_source),
@@ -277,6 +290,9 @@
     except (OSError, EOFError, TimeoutError, frames.FrameError) as error:
         writer.close()
         raise StreamClosedError(str(error) or type(error).__name__) from error
+    finally:
+        if handshakes is not None:
+            handshakes.remove(transport)
 
 
 async def _accept(
--- a/sesamecross/transport/streams_test.py
+++ b/sesamecross/transport/streams_test.py
@@ -10,6 +10,7 @@
 from sesamecross.core import clock
 from sesamecross.core import messages
 from sesamecross.ops import timeline
+from sesamecross.ops.fleet import connection_limiter
 from sesamecross.transport import frames
 from sesamecross.transport import streams
 
@@ -21,11 +22,11 @@
     return timeline.Recorder("p", "z", clock.ManualClock(1000))
 
 
-async def serve(received, key=KEY):
+async def serve(received, key=KEY, handshakes=None):
     async def on_connect(reader, writer):
         try:
             stream = await streams.accept(
-                reader, writer, key, timestamp_source()
+                reader, writer, key, timestamp_source(), handshakes
             )
             while True:
                 received.append(await stream.receive())
@@ -71,6 +72,31 @@
     asyncio.run(scenario())
 
 
+def test_silent_clients_make_room_for_a_peer():
+    """Guards against connections without proof that take all descriptors."""
+
+    async def scenario():
+        handshakes = connection_limiter.ConnectionLimiter(2)
+        server, address = await serve([], handshakes=handshakes)
+        silent = [
+            await asyncio.open_connection(*address.rsplit(":", 1))
+            for _ in range(5)
+        ]
+        stream = await streams.connect(
+            address, KEY, "peer", "me", timestamp_source()
+        )
+        await stream.send(MESSAGE)
+        assert await stream.receive() == MESSAGE
+        assert handshakes.count <= 1
+        assert handshakes.evicted == 4
+        stream.close()
+        for _, writer in silent:
+            writer.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 HOSTILE = [
     b"",
     b"\xff" * 40,
