Heads and requests behind others are bounded in sum

Callers saw: at 64 MB of memory and heads of up to 256 KB, 300 connections whose heads did not end, or that sent requests behind one under way, ended in processes above their memory.

Cause: a head, and what is kept unparsed behind other requests, was bounded for one connection only.

Change: a whole head above 4 KB reserves its memory as a body does, or is refused at once with 503 and Retry-After. What is not whole or waits behind another request counts above 8 KB a connection towards 0.05 of the memory; at that bound the connection goes that has been above it for longest.

Evidence: memory is given back however a request ends; drawn histories of the books; a large head without room is refused.

--- a/sesamecross/fakes/caller_connection.py
+++ b/sesamecross/fakes/caller_connection.py
@@ -90,6 +90,13 @@
     def on_rejected(self, status, reason) -> None:
         """Tests check the written status instead."""
 
+    def on_unfinished(self, connection, size) -> None:
+        """Counts nothing."""
+
+    def reserve_head(self, head):
+        """Reserves nothing."""
+        return lambda: None
+
     def on_shed(self) -> None:
         """Counts connections that were closed unread."""
         self.shed += 1
--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+import functools
 import random
 
 from sesamecross.core import body_buffer
@@ -18,6 +20,7 @@
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import body_budget
+from sesamecross.ops.fleet import unfinished_requests
 from sesamecross.ops.fleet import unread_answers
 from sesamecross.ports import http_codec as http_codec_lib
 from sesamecross.runtime import event_loop
@@ -37,7 +40,7 @@
       unread_answers: What callers have not read yet.
     """
 
-    __slots__ = ("body_budget", "unread_answers", "_open_tasks")
+    __slots__ = ("body_budget", "unread_answers", "_open_tasks", "_unfinished")
 
     def __init__(
         self,
@@ -59,7 +62,11 @@
             state.memory_bytes, event_loop.now_s, process_memory.resident_bytes
         )
         self.unread_answers = unread_answers.UnreadAnswers(state.memory_bytes)
+        self._unfinished = unfinished_requests.UnfinishedRequests(
+            state.memory_bytes
+        )
         state.memory_listeners += [
+            self._unfinished.set_memory,
             self.answer_memory.set_memory,
             self.body_budget.set_memory,
             self.unread_answers.set_memory,
@@ -106,6 +113,37 @@
             self.body_budget, self._body_owner(head), length, max_bytes
         )
 
+    def reserve_head(
+        self, head: server_connection.RequestHead
+    ) -> Callable[[], None]:
+        """Reserves the memory of a large head; returns what gives it back.
+
+        Raises:
+          NoRoomError: There is no memory for it.
+        """
+        size = head.memory_bytes
+        reservation = incoming_body.reserve(
+            self.body_budget, self._body_owner(head), size
+        )
+        self.body_budget.record_received(reservation, size)
+        return functools.partial(self.body_budget.release, reservation)
+
+    def on_unfinished(
+        self, connection: server_connection.ServerConnection, size: int
+    ) -> None:
+        """Counts what is held for requests that are not whole yet."""
+        before = self._unfinished.cut
+        self._unfinished.record(connection, size)
+        cut = self._unfinished.cut - before
+        if cut:
+            self.metrics.count(
+                "sesamecross_unfinished_requests_cut_total",
+                "Connections cut, as unfinished requests held too much.",
+                {},
+                cut,
+            )
+            self.log.warning("unfinished requests: cut", connections=cut)
+
     def _body_owner(self, head: server_connection.RequestHead) -> str:
         """Returns the workspace by the caller's key; empty if none is needed.
 
--- a/sesamecross/gateway/incoming_body.py
+++ b/sesamecross/gateway/incoming_body.py
@@ -18,6 +18,31 @@
         self.retry_after_s = retry_after_s
 
 
+def reserve(
+    budget: body_budget.BodyBudget, owner: str, size: int
+) -> body_budget.Reservation:
+    """Reserves room in the memory for requests.
+
+    Args:
+      budget: The memory for all of them.
+      owner: The caller's workspace; empty if callers bear no keys.
+      size: Bytes.
+
+    Raises:
+      NoRoomError: There is no room.
+    """
+    reservation = budget.reserve(size, owner)
+    if reservation is None:
+        raise _no_room(budget, size)
+    return reservation
+
+
+def _no_room(budget: body_budget.BodyBudget, size: int) -> NoRoomError:
+    if size > budget.largest_body_bytes:
+        return NoRoomError(size, None)
+    return NoRoomError(size, budget.retry_after_s(size))
+
+
 class IncomingBody:
     """A body that needs room, while it is read.
 
@@ -52,14 +77,12 @@
         else:
             size = capacity = length
         self._budget = budget
-        self._reservation = budget.reserve(size, owner)
-        if self._reservation is None:
-            raise self._no_room(size)
+        self._reservation = reserve(budget, owner, size)
         try:
             self._buffer = body_buffer.BodyBuffer(capacity)
         except OSError as error:
             budget.release(self._reservation)
-            raise self._no_room(size) from error
+            raise _no_room(budget, size) from error
 
     def append(self, data: bytes) -> None:
         """Adds bytes; there are at most as many as the body may have.
@@ -71,9 +94,9 @@
         if size > self._reservation.size:
             capacity = self._buffer.capacity
             if size > capacity:
-                raise self._no_room(size)
+                raise _no_room(self._budget, size)
             if not self._budget.resize(self._reservation, capacity):
-                raise self._no_room(capacity)
+                raise _no_room(self._budget, capacity)
         self._buffer.append(data)
         self._budget.record_received(self._reservation, len(data))
 
@@ -88,8 +111,3 @@
         """Gives up the body and its room."""
         self._buffer.close()
         self._budget.release(self._reservation)
-
-    def _no_room(self, size: int) -> NoRoomError:
-        if size > self._budget.largest_body_bytes:
-            return NoRoomError(size, None)
-        return NoRoomError(size, self._budget.retry_after_s(size))
--- a/sesamecross/gateway/incoming_body_test.py
+++ b/sesamecross/gateway/incoming_body_test.py
@@ -1,7 +1,9 @@
 """Tests of bodies that need room, on a caller's connection."""
 
 import asyncio
+import functools
 
+import msgspec
 import pytest
 
 from sesamecross.core import body_buffer
@@ -117,6 +119,13 @@
             return []
         return [(b"retry-after", b"%.2f" % error.retry_after_s)]
 
+    def on_unfinished(self, connection, size) -> None:
+        """Counts nothing."""
+
+    def reserve_head(self, head):
+        reservation = incoming_body.reserve(self.budget, "", head.memory_bytes)
+        return functools.partial(self.budget.release, reservation)
+
     def on_unread(self, connection, size) -> None:
         """Not bounded here."""
 
@@ -354,3 +363,41 @@
     for _ in range(2000):
         caller.respond()
     assert caller.transport.written.count(b"HTTP/1.1 200") == 2001
+
+
+LARGE_FIELDS = b"".join(b"X-%d: %s\r\n" % (n, b"v" * 60) for n in range(40))
+LARGE_HEAD = HEAD + LARGE_FIELDS + b"\r\n"
+LARGE_LIMITS = msgspec.structs.replace(LIMITS, max_header_bytes=16_384)
+HEAD_ENDINGS = {
+    "answered": (LARGE_HEAD, _Caller.respond),
+    "left": (LARGE_HEAD, leave),
+    "left behind another": (HEAD + b"\r\n" + LARGE_HEAD, leave),
+    "refused": (
+        LARGE_HEAD[:-2] + b"Content-Length: 900000\r\n\r\nx",
+        lambda caller: caller.loop.advance(60.0),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", HEAD_ENDINGS)
+def test_a_large_head_gives_its_memory_back(name):
+    """Guards against heads that take the room of others for ever."""
+    data, end = HEAD_ENDINGS[name]
+    caller = _Caller()
+    caller.limits = LARGE_LIMITS
+    caller.receive(data)
+    assert caller.budget.reserved_bytes > len(LARGE_FIELDS)
+    end(caller)
+    assert caller.budget.reserved_bytes == 0
+
+
+def test_a_large_head_without_room_is_refused():
+    """Guards against heads that are bounded each, but not in sum."""
+    caller = _Caller()
+    caller.limits = LARGE_LIMITS
+    while caller.budget.reserve(10_000, ""):
+        pass
+    caller.receive(LARGE_HEAD)
+    assert caller.status == 503
+    assert b"retry-after: " in caller.transport.written
+    assert not caller.bodies
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 import contextlib
 from typing import Protocol
 
@@ -21,6 +22,7 @@
 from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import request_meter
+from sesamecross.ops.fleet import unfinished_requests
 from sesamecross.ops.fleet import unread_answers
 
 # Requests that a caller may pipeline on one connection. Beyond them reading
@@ -74,6 +76,16 @@
           NoRoomError: There is no memory for it.
         """
 
+    def reserve_head(self, head: "RequestHead") -> Callable[[], None]:
+        """Reserves the memory of a head that is whole and large.
+
+        Returns:
+          What gives it back.
+
+        Raises:
+          NoRoomError: There is no memory for it.
+        """
+
     def parse_request(
         self, head: "RequestHead", body: bytes | body_buffer.BodyBuffer
     ) -> serving.Request | None:
@@ -100,6 +112,14 @@
     def on_shed(self) -> None:
         """Called when a new connection is closed unread."""
 
+    def on_unfinished(self, connection: "ServerConnection", size: int) -> None:
+        """Called when requests that are not whole or not handled hold memory.
+
+        Args:
+          connection: May be aborted.
+          size: Bytes; 0 if it is little.
+        """
+
     def on_unread(self, connection: "ServerConnection", size: int) -> None:
         """Called when a caller has left bytes unread, or has caught up.
 
@@ -112,7 +132,14 @@
 class RequestHead:
     """The head of a request; filled while it is read."""
 
-    __slots__ = ("method", "target", "headers", "size", "keep_alive")
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "size",
+        "keep_alive",
+        "_give_back",
+    )
 
     def __init__(self) -> None:
         self.method = b""
@@ -120,6 +147,27 @@
         self.headers: list[serving.Header] = []
         self.size = 0
         self.keep_alive = True
+        self._give_back: Callable[[], None] | None = None
+
+    @property
+    def memory_bytes(self) -> int:
+        """What it takes in memory."""
+        return self.size + unfinished_requests.FIELD_BYTES * len(self.headers)
+
+    def reserve(self, handler: RequestHandler) -> None:
+        """Reserves its memory if it is large.
+
+        Raises:
+          NoRoomError: There is no memory for it.
+        """
+        if self.memory_bytes > body_budget.UNCOUNTED_BYTES:
+            self._give_back = handler.reserve_head(self)
+
+    def release(self) -> None:
+        """Gives its memory back; does nothing the second time."""
+        give_back, self._give_back = self._give_back, None
+        if give_back is not None:
+            give_back()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -156,6 +204,8 @@
         "_is_parsing",
         "_parts",
         "_meter",
+        "_handled_head",
+        "_has_unfinished",
         "_lingers_until_s",
     )
 
@@ -221,6 +271,10 @@
         # Parts of bodies that were parsed in this turn of the event loop.
         self._parts = 0
         self._meter = request_meter.RequestMeter()
+        # That of the request to which the response belongs.
+        self._handled_head: RequestHead | None = None
+        # Whether what is held for requests that are not handled is counted.
+        self._has_unfinished = False
 
     @property
     def is_idle(self) -> bool:
@@ -337,6 +391,7 @@
             self._feed(data[start : start + size])
             start += size
         self._is_parsing = False
+        self._count_unfinished(max(0, len(data) - start))
         if start < len(data) and not self._is_closing:
             self._unparsed = data[start:]
             self._transport.pause_reading()
@@ -363,9 +418,30 @@
 
     def _forget_request(self) -> None:
         """Returns the memory of a request that is not read on."""
+        self._head.release()
         self._head = RequestHead()
         self._parser = None
 
+    def _count_unfinished(self, more: int = 0) -> None:
+        """Counts what is held of requests that are not handled yet.
+
+        Args:
+          more: Bytes that have arrived and are not parsed.
+        """
+        # What belongs to a body has the room that was reserved for it.
+        size = more if self._incoming_body is None else 0
+        if self._is_reading and not self._is_closing:
+            fields = len(self._head.headers)
+            size += self._meter.overhead_bytes + len(self._body)
+            size += unfinished_requests.FIELD_BYTES * fields
+        for head, body in self._pipelined:
+            size += head.memory_bytes
+            size += len(body) if isinstance(body, bytes) else 0
+        is_much = size > unfinished_requests.UNCOUNTED_BYTES
+        if is_much or self._has_unfinished:
+            self._has_unfinished = is_much
+            self._handler.on_unfinished(self, size if is_much else 0)
+
     def _begin_head(self) -> None:
         self._is_reading_head = True
         if self._response_writer is None:
@@ -404,9 +480,14 @@
         self._discard_body()
         self._forget_unread()
         self._unparsed = b""
-        for _, body in self._pipelined:
+        for head, body in self._pipelined:
+            head.release()
             body_buffer.close(body)
         self._pipelined.clear()
+        self._head.release()
+        self._release_handled_head()
+        if self._has_unfinished:
+            self._handler.on_unfinished(self, 0)
         if self._response_writer is not None:
             response_writer, self._response_writer = self._response_writer, None
             response_writer.notify_caller_gone()
@@ -523,12 +604,25 @@
         if not self._reject_status:
             # The body has a timeout of its own.
             self._arm_read_timeout()
+            self._reserve_head()
+        if not self._reject_status and not self._is_closing:
             length = int(lengths[0]) if lengths else 0
             if length > body_budget.UNCOUNTED_BYTES:
                 self._begin_body(length)
         if not self._is_closing:
             self._send_owed_continue()
 
+    def _reserve_head(self) -> None:
+        try:
+            self._head.reserve(self._handler)
+        except incoming_body.NoRoomError as error:
+            self._refuse_body(error)
+
+    def _release_handled_head(self) -> None:
+        head, self._handled_head = self._handled_head, None
+        if head is not None:
+            head.release()
+
     def _send_owed_continue(self) -> None:
         """Asks for the body, unless an earlier response is still to be sent.
 
@@ -681,6 +775,7 @@
           may_follow: The caller may have pipelined further requests.
         """
         self._response_writer = None
+        self._release_handled_head()
         if self._transport is None:
             return
         if closes:
@@ -722,6 +817,7 @@
             # Another answer would only be kept for the caller as well.
             return
         head, body = self._pipelined.popleft()
+        self._handled_head = head
         self._set_use(connection_limiter.Use.BUSY)
         is_head_request = head.method == b"HEAD"
         self._response_writer = response_writer_lib.ResponseWriter(
@@ -825,6 +921,7 @@
             self._arm(limit_s - armed_s)
         elif self._is_reading:
             self._reject(408, "request read timed out")
+            self._forget_request()
         else:
             self.close_if_idle()
 
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -1,6 +1,7 @@
 """HTTP endpoints of the instance itself: readiness and metrics."""
 
 import collections
+from collections.abc import Callable
 
 from sesamecross.core import serving
 from sesamecross.gateway import incoming_body
@@ -9,17 +10,22 @@
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import body_budget
 from sesamecross.ops.fleet import reachability
+from sesamecross.ops.fleet import unfinished_requests
 from sesamecross.ops.fleet import unread_answers
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import metrics as metrics_lib
 from sesamecross.runtime import process_memory
 
 _TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
-# Of the memory that callers' unread answers may take, the part for scrapes.
+# Of the memory that callers may make an instance hold, the part for scrapes.
 _MEMORY_SHARE = 0.1
 _LIMITS = serving.CallerLimits(max_body_bytes=1024)
 
 
+def _do_nothing() -> None:
+    """Gives back nothing."""
+
+
 class StatusHandler:
     """Serves metrics, or readiness if it was given no metrics.
 
@@ -27,7 +33,14 @@
       is_stopping: While set, the instance reports that it isn't ready.
     """
 
-    __slots__ = ("is_stopping", "_state", "_metrics", "_bodies", "_unread")
+    __slots__ = (
+        "is_stopping",
+        "_state",
+        "_metrics",
+        "_bodies",
+        "_unread",
+        "_unfinished",
+    )
 
     def __init__(
         self,
@@ -49,6 +62,9 @@
         self._unread = unread_answers.UnreadAnswers(
             int(state.memory_bytes * _MEMORY_SHARE)
         )
+        self._unfinished = unfinished_requests.UnfinishedRequests(
+            int(state.memory_bytes * _MEMORY_SHARE)
+        )
 
     @property
     def limits(self) -> serving.CallerLimits:
@@ -86,6 +102,18 @@
         """Returns no headers."""
         return []
 
+    def reserve_head(
+        self, head: server_connection.RequestHead
+    ) -> Callable[[], None]:
+        """Reserves nothing: each request is answered at once."""
+        return _do_nothing
+
+    def on_unfinished(
+        self, connection: server_connection.ServerConnection, size: int
+    ) -> None:
+        """Bounds what requests that are not whole yet hold."""
+        self._unfinished.record(connection, size)
+
     def parse_request(
         self, head: server_connection.RequestHead, body: bytes
     ) -> serving.Request | None:
