Own interface: heads take no thread until they are whole, and lines have a bound

Callers saw: nothing of their own; a chunk's size line or extension without end took an entry to 905 MB, and eight clients with half a request line kept all of eight threads, so that ordinary calls were not answered.

Cause: the library reads a chunk's size as one line without a bound, and reads a head in the thread that is to answer it. Trailers were left on the connection, where they were taken for the next request. Open connections had no bound.

Change: a reader collects what has arrived without waiting; a thread gets the connection when the head is whole or none. Each line is bounded by the limit on heads. Trailers are read and dropped. max_connections bounds the open ones; the least useful makes room, as at the gateway.

Evidence: the tests of heads, trailers and chunk lines failed before, but for one that depends on the number of threads.

--- a/sesamecross/ops/fleet/connection_limiter.py
+++ b/sesamecross/core/connection_limiter.py
@@ -119,6 +119,10 @@
         """How many are open."""
         return len(self._uses)
 
+    def __contains__(self, connection: Connection) -> bool:
+        """Whether a connection is counted."""
+        return connection in self._uses
+
     def admit(self, connection: Connection) -> bool:
         """Adds a new connection; returns False if there is no room for it.
 
--- a/sesamecross/ops/fleet/connection_limiter_test.py
+++ b/sesamecross/core/connection_limiter_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sesamecross.ops.fleet import connection_limiter
+from sesamecross.core import connection_limiter
 
 Use = connection_limiter.Use
 LIMIT = 4
--- a/sesamecross/gateway/app.py
+++ b/sesamecross/gateway/app.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sesamecross.core import connection_limiter
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import serving
 from sesamecross.gateway import catalog
@@ -42,7 +43,6 @@
 from sesamecross.gateway import upstream_words
 from sesamecross.gateway import version_recorder
 from sesamecross.gateway import withheld_recorder
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import directory as directory_lib
 from sesamecross.ops.fleet import reachability
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from sesamecross.core import connection_limiter
 from sesamecross.gateway import server_connection
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.runtime import event_loop
 
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -15,11 +15,11 @@
 import httptools
 
 from sesamecross.core import body_buffer
+from sesamecross.core import connection_limiter
 from sesamecross.core import serving
 from sesamecross.gateway import incoming_body
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import body_budget
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.ops.fleet import request_meter
 from sesamecross.ops.fleet import unfinished_requests
--- a/sesamecross/gateway/sync.py
+++ b/sesamecross/gateway/sync.py
@@ -16,6 +16,7 @@
 
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import codec
+from sesamecross.core import connection_limiter
 from sesamecross.core import fleet_messages as fm
 from sesamecross.core import hlc
 from sesamecross.gateway import catalog as catalog_lib
@@ -27,7 +28,6 @@
 from sesamecross.gateway import store_client
 from sesamecross.gateway import store_messages
 from sesamecross.gateway import store_proxy
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.ops.fleet import store_polling
 from sesamecross.ops.fleet import topic_records
 from sesamecross.ports import store
--- a/sesamecross/runtime/http_server.py
+++ b/sesamecross/runtime/http_server.py
@@ -20,6 +20,8 @@
 from cheroot import server
 from cheroot import wsgi
 
+from sesamecross.core import connection_limiter
+from sesamecross.runtime import connection_reader
 from sesamecross.runtime import http_shutdown
 from sesamecross.runtime import logs
 
@@ -124,10 +126,35 @@
 
 
 class _TimedConnection(server.HTTPConnection):
-    """A connection that limits the time to receive headers."""
+    """A connection that limits the time to receive headers.
+
+    Attributes:
+      began_s: When the head being read began; None without one.
+      is_aborted: Whether it has made room for another.
+    """
 
     RequestHandlerClass = http_shutdown.Request
 
+    def __init__(self, http_server: Any, sock: socket.socket, *args: Any):
+        super().__init__(http_server, sock, *args)
+        self.rfile = connection_reader.ConnectionReader(
+            sock, http_server.max_request_header_size
+        )
+        self.last_used = time.time()
+        self.began_s: float | None = None
+        self.is_aborted = False
+
+    def abort(self) -> None:
+        """Ends the connection; the loop that watches it then closes it."""
+        self.is_aborted = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.server.forget_conn(self)
+        super().close()
+
     def communicate(self) -> bool:
         reaper = self.server.reaper
         reaper.begin(self)
@@ -173,6 +200,10 @@
         self._server.max_request_header_size = limits.max_head_bytes
         self._server.max_request_body_size = limits.max_body_bytes
         self._server.keep_alive_conn_limit = limits.max_connections
+        self._server.receive_s = limits.receive_s
+        self._server.limiter = connection_limiter.ConnectionLimiter(
+            limits.max_connections
+        )
         self._server.error_log = self._on_error
         self._server.gateway = _ConnectionGateway
         self._thread: threading.Thread | None = None
--- a/sesamecross/runtime/http_server_test.py
+++ b/sesamecross/runtime/http_server_test.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server's receive limits and graceful shutdown."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -228,3 +229,57 @@
     # The kernel always accepts one connection.
     assert len(callers) == 8
     assert connected_counts[0] <= 1
+
+
+def ask(server, data):
+    """Returns all that the server answers until it closes."""
+    with connect(server) as raw:
+        raw.sendall(data)
+        received = b""
+        while piece := raw.recv(65_536):
+            received += piece
+        return received
+
+
+CLOSING = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+@pytest.fixture
+def patient_server():
+    """A server that cuts off nobody for slowness while a test runs."""
+    limits = http_server.Limits(
+        threads=2, max_connections=10, idle_s=300, receive_s=300.0
+    )
+    http = http_server.HttpServer("test", "127.0.0.1:0", app, limits)
+    http.start()
+    yield http
+    http.shut_down()
+
+
+@pytest.mark.parametrize("beginning", [b"", b"GET / HT", HEAD[:30]])
+def test_heads_that_do_not_end_take_no_thread(patient_server, beginning):
+    """Guards against slow clients that keep all threads and connections."""
+    slow = [connect(patient_server) for _ in range(30)]
+    for raw in slow:
+        with contextlib.suppress(OSError):
+            raw.sendall(beginning)
+    assert ask(patient_server, CLOSING).startswith(b"HTTP/1.1 200 ")
+    for raw in slow:
+        raw.close()
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def test_trailers_are_not_the_next_request(patient_server):
+    """Guards against a request that is hidden in trailers."""
+    hidden = b"2\r\nok\r\n0\r\nX-Sum: 1\r\nGET /x HTTP/1.1: \r\n\r\n"
+    answers = ask(patient_server, CHUNKED + hidden + CLOSING)
+    assert answers.count(b"HTTP/1.1 200 ") == 2
+    assert answers.count(b"HTTP/1.1 ") == 2
+
+
+@pytest.mark.parametrize("line", [b"0" * 100_000, b"2;" + b"e" * 100_000])
+def test_a_chunk_line_without_end_is_refused(patient_server, line):
+    """Guards against a line that the library reads without a bound."""
+    assert b"slow" in ask(patient_server, CHUNKED + line)
--- a/sesamecross/runtime/http_shutdown.py
+++ b/sesamecross/runtime/http_shutdown.py
@@ -8,6 +8,9 @@
 from collections.abc import Iterator
 import contextlib
 import select
+import selectors
+import threading
+import time
 from typing import Any
 
 from cheroot import connections
@@ -15,6 +18,8 @@
 from cheroot import server
 from cheroot import wsgi
 
+from sesamecross.core import connection_limiter
+
 _CHUNK_BYTES = 65_536
 
 
@@ -51,6 +56,9 @@
         if self.chunked_read:
             while chunk := self.rfile.read(_CHUNK_BYTES):
                 yield chunk
+            # Else they would be taken for the next request.
+            for _ in self.rfile.read_trailer_lines():
+                pass
             return
         while remaining := getattr(self.rfile, "remaining", 0):
             chunk = self.rfile.read(min(remaining, _CHUNK_BYTES))
@@ -72,6 +80,28 @@
         super().__init__(http_server)
         self._listener = http_server.socket
 
+    def watch(self, conn: Any) -> None:
+        """Waits until more arrives on a connection."""
+        self._selector.register(
+            conn.socket.fileno(), selectors.EVENT_READ, data=conn
+        )
+
+    def put(self, conn: Any) -> None:
+        """Takes a connection back after a response."""
+        conn.last_used = time.time()
+        conn.began_s = None
+        self.server.read_conn(conn, connection_limiter.Use.IDLE)
+
+    def _expire(self, threshold: float) -> None:
+        """Closes idle connections, and those whose head does not end."""
+        super()._expire(threshold)
+        overdue_s = time.time() - self.server.receive_s
+        for _, conn in list(self._selector.connections):
+            if conn is self.server or conn.began_s is None:
+                continue
+            if conn.began_s < overdue_s:
+                conn.abort()
+
     def stop(self) -> None:
         """Stops the loop, serves pending requests and closes the port."""
         super().stop()
@@ -105,6 +135,14 @@
     """
 
     is_keep_alive_disabled = False
+    # Set by `HttpServer`.
+    limiter: connection_limiter.ConnectionLimiter
+    receive_s = 0.0
+
+    def __init__(self, *args: Any, **options: Any):
+        super().__init__(*args, **options)
+        # Of the limiter, which threads share.
+        self._lock = threading.Lock()
 
     def prepare(self) -> None:
         """Binds the address."""
@@ -114,6 +152,55 @@
         self._connections.close()
         self._connections = Connections(self)
 
+    def process_conn(self, conn: Any) -> None:
+        """Handles a connection that is new, or on which more has arrived."""
+        if not self.ready:
+            super().process_conn(conn)
+            return
+        if conn.is_aborted:
+            conn.close()
+            return
+        with self._lock:
+            is_new = conn not in self.limiter
+            has_room = not is_new or self.limiter.admit(conn)
+        if not has_room:
+            conn.close()
+            return
+        if not is_new:
+            try:
+                conn.rfile.receive()
+            except OSError:
+                conn.close()
+                return
+        self.read_conn(conn, connection_limiter.Use.UNFINISHED)
+
+    def read_conn(self, conn: Any, use: connection_limiter.Use) -> None:
+        """Gives a connection to a thread once its head is whole.
+
+        Args:
+          conn: The connection.
+          use: What it is of use for until then.
+        """
+        if conn.rfile.is_ready:
+            with self._lock:
+                self.limiter.set_use(conn, connection_limiter.Use.BUSY)
+            if conn.rfile.has_data():
+                super().process_conn(conn)
+            else:
+                conn.close()
+            return
+        if conn.rfile.has_data():
+            use = connection_limiter.Use.UNFINISHED
+            conn.began_s = conn.began_s or time.time()
+        self._connections.watch(conn)
+        with self._lock:
+            self.limiter.set_use(conn, use)
+
+    def forget_conn(self, conn: Any) -> None:
+        """Forgets a connection that is closed."""
+        with self._lock:
+            self.limiter.remove(conn)
+
     def put_conn(self, conn: Any) -> None:
         """Returns a connection to the pool after a response.
 
--- a/sesamecross/steward/server.py
+++ b/sesamecross/steward/server.py
@@ -10,10 +10,10 @@
 import contextlib
 import uuid
 
+from sesamecross.core import connection_limiter
 from sesamecross.core import data
 from sesamecross.core import messages
 from sesamecross.ops import timeline
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.runtime import logs
 from sesamecross.steward import claim_router as claim_router_lib
 from sesamecross.steward import peer_links as peer_links_lib
--- a/sesamecross/transport/streams.py
+++ b/sesamecross/transport/streams.py
@@ -15,8 +15,8 @@
 from returns.result import Success
 
 from sesamecross.core import codec
+from sesamecross.core import connection_limiter
 from sesamecross.core import hlc
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.transport import frames
 
 NONCE_BYTES = 16
--- a/sesamecross/transport/streams_test.py
+++ b/sesamecross/transport/streams_test.py
@@ -8,9 +8,9 @@
 import pytest
 
 from sesamecross.core import clock
+from sesamecross.core import connection_limiter
 from sesamecross.core import messages
 from sesamecross.ops import timeline
-from sesamecross.ops.fleet import connection_limiter
 from sesamecross.transport import frames
 from sesamecross.transport import streams
 
