A connection that makes room returns its memory at once

Cause: the parser and the connection hold each other, and requests that go on after their caller left hold the connection, so heads that were cut stayed in memory until a collection, or for as long as the request before them ran.

Change: parser, head and what is unparsed are dropped when a connection is aborted or lost.

--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -417,11 +417,28 @@
             self._forget_request()
 
     def _forget_request(self) -> None:
-        """Returns the memory of a request that is not read on."""
+        """Returns the memory of a request that is not read on.
+
+        The parser holds a part of it, and this connection.
+        """
         self._head.release()
         self._head = RequestHead()
+        self._body = b""
         self._parser = None
 
+    def _drop_requests(self) -> None:
+        """Returns the memory of all requests that are not handled yet."""
+        self._discard_body()
+        self._forget_request()
+        self._unparsed = b""
+        for head, body in self._pipelined:
+            head.release()
+            body_buffer.close(body)
+        self._pipelined.clear()
+        if self._has_unfinished:
+            self._has_unfinished = False
+            self._handler.on_unfinished(self, 0)
+
     def _count_unfinished(self, more: int = 0) -> None:
         """Counts what is held of requests that are not handled yet.
 
@@ -477,17 +494,9 @@
             self._limiter.remove(self)
         self._transport = None
         self._is_closing = True
-        self._discard_body()
         self._forget_unread()
-        self._unparsed = b""
-        for head, body in self._pipelined:
-            head.release()
-            body_buffer.close(body)
-        self._pipelined.clear()
-        self._head.release()
+        self._drop_requests()
         self._release_handled_head()
-        if self._has_unfinished:
-            self._handler.on_unfinished(self, 0)
         if self._response_writer is not None:
             response_writer, self._response_writer = self._response_writer, None
             response_writer.notify_caller_gone()
@@ -528,7 +537,6 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
-        self._head = RequestHead()
         self._limits = self._handler.limits
         self._body = b""
         self._body_size = 0
@@ -704,6 +712,7 @@
             body = self._incoming_body.finish()
         self._body, self._incoming_body = b"", None
         self._pipelined.append((self._head, body))
+        self._head = RequestHead()
         if len(self._pipelined) > _MAX_PIPELINED:
             self._transport.pause_reading()
         self._handle_next()
@@ -718,7 +727,7 @@
     def abort(self) -> None:
         """Closes the connection without ending the response."""
         self._is_closing = True
-        self._discard_body()
+        self._drop_requests()
         if self._transport is not None:
             self._transport.abort()
 
