--- a/sesamecross/runtime/http_server.py
+++ b/sesamecross/runtime/http_server.py
@@ -29,6 +29,9 @@
 DEFAULT_IDLE_S = 20
 DEFAULT_RECEIVE_S = 30.0
 _REAP_INTERVAL_S = 0.2
+# If more of the threads wait for bodies, slow callers are closed sooner.
+_WAITING_SHARE = 0.75
+_SHORT_RECEIVE_S = 1.0
 _JOIN_TIMEOUT_S = 5
 _BODYLESS_STATUSES = frozenset((204, 304))
 
@@ -97,11 +100,13 @@
 
     A caller that sends single bytes at intervals never exceeds the idle
     timeout and could occupy a thread without end; enough such callers would
-    occupy all threads.
+    occupy all threads. While most threads wait for callers, these have less
+    time.
     """
 
-    def __init__(self, receive_s: float):
-        self._receive_s = receive_s
+    def __init__(self, limits: Limits):
+        self._receive_s = limits.receive_s
+        self._max_waiting = int(limits.threads * _WAITING_SHARE)
         self._lock = threading.Lock()
         self._started_s: dict[Any, float] = {}
 
@@ -117,8 +122,11 @@
         """Shuts down overdue sockets; their threads then read an EOF."""
         now_s = time.monotonic()
         with self._lock:
+            receive_s = self._receive_s
+            if len(self._started_s) > self._max_waiting:
+                receive_s = min(receive_s, _SHORT_RECEIVE_S)
             for connection, started_s in list(self._started_s.items()):
-                if now_s - started_s < self._receive_s:
+                if now_s - started_s < receive_s:
                     continue
                 del self._started_s[connection]
                 with contextlib.suppress(OSError):
@@ -156,6 +164,8 @@
         super().close()
 
     def communicate(self) -> bool:
+        if not self.server.begin_conn(self):
+            return False
         reaper = self.server.reaper
         reaper.begin(self)
         try:
@@ -194,7 +204,7 @@
             accepted_queue_size=limits.max_connections,
             accepted_queue_timeout=1,
         )
-        self._reaper = _Reaper(limits.receive_s)
+        self._reaper = _Reaper(limits)
         self._server.reaper = self._reaper
         self._server.ConnectionClass = _TimedConnection
         self._server.max_request_header_size = limits.max_head_bytes
--- a/sesamecross/runtime/http_server_test.py
+++ b/sesamecross/runtime/http_server_test.py
@@ -256,8 +256,8 @@
     http.shut_down()
 
 
-@pytest.mark.parametrize("beginning", [b"", b"GET / HT", HEAD[:30]])
-def test_heads_that_do_not_end_take_no_thread(patient_server, beginning):
+@pytest.mark.parametrize("beginning", [b"", b"GET / HT", HEAD[:30], HEAD])
+def test_unfinished_requests_leave_threads(patient_server, beginning):
     """Guards against slow clients that keep all threads and connections."""
     slow = [connect(patient_server) for _ in range(30)]
     for raw in slow:
--- a/sesamecross/runtime/http_shutdown.py
+++ b/sesamecross/runtime/http_shutdown.py
@@ -183,7 +183,7 @@
         """
         if conn.rfile.is_ready:
             with self._lock:
-                self.limiter.set_use(conn, connection_limiter.Use.BUSY)
+                self.limiter.set_use(conn, connection_limiter.Use.IDLE)
             if conn.rfile.has_data():
                 super().process_conn(conn)
             else:
@@ -196,6 +196,12 @@
         with self._lock:
             self.limiter.set_use(conn, use)
 
+    def begin_conn(self, conn: Any) -> bool:
+        """Returns whether a thread handles a connection, or it made room."""
+        with self._lock:
+            self.limiter.set_use(conn, connection_limiter.Use.BUSY)
+            return not conn.is_aborted
+
     def forget_conn(self, conn: Any) -> None:
         """Forgets a connection that is closed."""
         with self._lock:
