--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -364,11 +364,11 @@
         """
         self._has_discarded = True
         self._discarded_bytes += size
-        if self._has_sent_a_request_more:
+        if self._has_discarded_enough:
             self._transport.pause_reading()
 
     @property
-    def _has_sent_a_request_more(self) -> bool:
+    def _has_discarded_enough(self) -> bool:
         limits = self._handler.limits
         return self._discarded_bytes > max(
             LINGER_BYTES, limits.max_header_bytes + limits.max_body_bytes
@@ -772,7 +772,7 @@
         # The caller's reset may have arrived without being handled yet.
         with contextlib.suppress(OSError):
             self._transport.write_eof()
-        if not self._has_sent_a_request_more:
+        if not self._has_discarded_enough:
             self._transport.resume_reading()
         self._arm(LINGER_S)
 
--- a/sesamecross/platform/settings_test.py
+++ b/sesamecross/platform/settings_test.py
@@ -70,6 +70,21 @@
     assert instance.memory_bytes == memory_bytes
 
 
+@pytest.mark.parametrize(
+    ("limits", "max_sockets"),
+    [
+        ("", serving.DEFAULT_MAX_SOCKETS),
+        ("[limits]\nmaxFds = 4100\n", 3900),
+        ("[limits]\nmaxFds = 1535\n", 1335),
+        ("[limits]\nmaxFds = 0\n", serving.DEFAULT_MAX_SOCKETS),
+    ],
+)
+def test_the_limit_of_descriptors_is_read(tmp_path, limits, max_sockets):
+    """Guards against a process that does not know how many it may have."""
+    instance = load(tmp_path, (WHOLE + limits).encode()).unwrap()
+    assert instance.max_sockets == max_sockets
+
+
 @pytest.mark.parametrize("content", UNREADABLE)
 def test_undecodable_content_is_a_problem_and_no_crash(tmp_path, content):
     """Guards against crashes while the settings file is being written.
--- a/sesamecross/runtime/http_shutdown.py
+++ b/sesamecross/runtime/http_shutdown.py
@@ -182,6 +182,7 @@
           use: What it is of use for until then.
         """
         if conn.rfile.is_ready:
+            # It can still make room until a thread begins with it.
             with self._lock:
                 self.limiter.set_use(conn, connection_limiter.Use.IDLE)
             if conn.rfile.has_data():
