Callers' connections: the current limits are asked for only where it matters

Cause: each header and each parsed piece computed the larger of two limits on heads, through the handler, on the path of every request; before the count of bytes the second limit was looked up only beyond the first.

Change: one comparison for heads, the twin of that for bodies, serves the parser's count and the meter's.

--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -411,7 +411,7 @@
         if self._is_reading and self._reject_status:
             self._reject(self._reject_status, "limit exceeded or bad framing")
         self._meter.add_piece(len(data))
-        if self._meter.exceeds(self._max_header_bytes):
+        if self._exceeds_header_limits(self._meter.limited_bytes):
             self._reject_overhead()
         if self._is_closing:
             self._forget_request()
@@ -465,11 +465,14 @@
             self._set_use(connection_limiter.Use.UNFINISHED)
         self._arm_read_timeout()
 
-    @property
-    def _max_header_bytes(self) -> int:
-        """The limit of the request's start or of now, whichever is larger."""
-        return max(
-            self._limits.max_header_bytes, self._handler.limits.max_header_bytes
+    def _exceeds_header_limits(self, size: int) -> bool:
+        """Whether a head exceeds the limits of the request's start and of now.
+
+        The current ones are only asked for if it matters.
+        """
+        return (
+            size > self._limits.max_header_bytes
+            and size > self._handler.limits.max_header_bytes
         )
 
     def _reject_overhead(self) -> None:
@@ -570,7 +573,7 @@
     def _count_head_bytes(self, size: int) -> None:
         head = self._head
         head.size += size
-        if head.size > self._max_header_bytes:
+        if self._exceeds_header_limits(head.size):
             self._reject_status = 431
 
     def _exceeds_body_limits(self, size: int) -> bool:
--- a/sesamecross/ops/fleet/request_meter.py
+++ b/sesamecross/ops/fleet/request_meter.py
@@ -53,8 +53,11 @@
             self._overhead += size - self._body_in_piece
         self._body_in_piece = 0
 
+    @property
+    def limited_bytes(self) -> int:
+        """What counts towards the limit on heads; below 0 at first."""
+        return self._overhead - ROOM_BYTES - OVERHEAD_PER_BODY_BYTE * self._body
+
     def exceeds(self, max_header_bytes: int) -> bool:
         """Whether more has arrived than any request within the limit has."""
-        return self._overhead > (
-            max_header_bytes + ROOM_BYTES + OVERHEAD_PER_BODY_BYTE * self._body
-        )
+        return self.limited_bytes > max_header_bytes
