One book of held bytes for unread answers and unfinished requests

Cause: the books of requests that are not whole were written as a second copy of those of unread answers, and their users counted what was cut in the same way four times.

Change: HeldBytes holds both; each keeps its share of the memory and what a connection may hold uncounted. record() takes 0 as nothing to count and returns how many were cut. A connection keeps its place while its size changes, as the comment of the unread answers said; they are recorded once each time they fall behind, so nothing else changes there.

The tests of both books, connections, bodies and status pass unchanged.

--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -132,9 +132,7 @@
         self, connection: server_connection.ServerConnection, size: int
     ) -> None:
         """Counts what is held for requests that are not whole yet."""
-        before = self._unfinished.cut
-        self._unfinished.record(connection, size)
-        cut = self._unfinished.cut - before
+        cut = self._unfinished.record(connection, size)
         if cut:
             self.metrics.count(
                 "sesamecross_unfinished_requests_cut_total",
@@ -219,12 +217,7 @@
         self, connection: server_connection.ServerConnection, size: int
     ) -> None:
         """Counts what a caller has not read; cuts some if it is too much."""
-        if not size:
-            self.unread_answers.forget(connection)
-            return
-        before = self.unread_answers.cut
-        self.unread_answers.record(connection, size)
-        cut = self.unread_answers.cut - before
+        cut = self.unread_answers.record(connection, size)
         if cut:
             self.metrics.count(
                 "sesamecross_unread_answers_cut_total",
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -132,10 +132,7 @@
         self, connection: server_connection.ServerConnection, size: int
     ) -> None:
         """Bounds what slow scrapes keep in memory."""
-        if size:
-            self._unread.record(connection, size)
-        else:
-            self._unread.forget(connection)
+        self._unread.record(connection, size)
 
     def handle(
         self,
