Large blocks are mapped apart, so that freed answers leave no memory behind

Cause: the C library raises the size from which it maps a block apart with each large block that is freed, up to 32 MB. Answers of megabytes then come from the heap, where a small block behind them keeps their memory.

--- a/sesamecross/runtime/application.py
+++ b/sesamecross/runtime/application.py
@@ -16,6 +16,7 @@
 from typing import runtime_checkable
 
 from sesamecross.runtime import logs
+from sesamecross.runtime import process_memory
 from sesamecross.runtime import signal_log
 from sesamecross.runtime import signal_wakeup
 from sesamecross.runtime import signals
@@ -82,6 +83,7 @@
 
     def run(self) -> int:
         """Runs until the process has stopped; returns the exit code."""
+        process_memory.map_large_blocks()
         return asyncio.run(self._run())
 
     async def _run(self) -> int:
