What a connection needs of its handler stands in a module of its own

Cause: server_connection.py had 946 lines, of which 120 describe the handler and the head that both sides share.

Change: RequestHandler and RequestHead move to request_handler.py, unchanged; the page comment of http_shutdown says what else its classes decide.

The tests of connections, bodies, status, the application and the own interface's server pass unchanged.

--- a/sesamecross/gateway/forwarder.py
+++ b/sesamecross/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import engine_search
 from sesamecross.gateway import incoming_body
 from sesamecross.gateway import request_context
+from sesamecross.gateway import request_handler
 from sesamecross.gateway import request_task as request_task_lib
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
@@ -100,7 +101,7 @@
 
     def begin_body(
         self,
-        head: server_connection.RequestHead,
+        head: request_handler.RequestHead,
         length: int | None,
         max_bytes: int,
     ) -> incoming_body.IncomingBody:
@@ -114,7 +115,7 @@
         )
 
     def reserve_head(
-        self, head: server_connection.RequestHead
+        self, head: request_handler.RequestHead
     ) -> Callable[[], None]:
         """Reserves the memory of a large head; returns what gives it back.
 
@@ -142,7 +143,7 @@
             )
             self.log.warning("unfinished requests: cut", connections=cut)
 
-    def _body_owner(self, head: server_connection.RequestHead) -> str:
+    def _body_owner(self, head: request_handler.RequestHead) -> str:
         """Returns the workspace by the caller's key; empty if none is needed.
 
         Callers whose key is unknown share what one workspace may have.
@@ -156,7 +157,7 @@
 
     def on_no_room(
         self,
-        head: server_connection.RequestHead,
+        head: request_handler.RequestHead,
         error: incoming_body.NoRoomError,
     ) -> list[serving.Header]:
         """Logs a request whose body has no room; returns when to return."""
@@ -180,7 +181,7 @@
 
     def parse_request(
         self,
-        head: server_connection.RequestHead,
+        head: request_handler.RequestHead,
         body: bytes | body_buffer.BodyBuffer,
     ) -> serving.Request | None:
         """Builds the request from its head and body."""
--- a/sesamecross/gateway/listener.py
+++ b/sesamecross/gateway/listener.py
@@ -4,6 +4,7 @@
 import socket
 
 from sesamecross.core import connection_limiter
+from sesamecross.gateway import request_handler
 from sesamecross.gateway import server_connection
 from sesamecross.ops.fleet import connection_shedder
 from sesamecross.runtime import event_loop
@@ -39,7 +40,7 @@
         self,
         name: str,
         address: str,
-        handler: server_connection.RequestHandler,
+        handler: request_handler.RequestHandler,
         is_vital: bool = True,
         shedder: connection_shedder.ConnectionShedder | None = None,
         limits: connection_limiter.PortLimits = connection_limiter.UNLIMITED,
--- a/sesamecross/gateway/server_connection.py
+++ b/sesamecross/gateway/server_connection.py
@@ -8,16 +8,14 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 import contextlib
-from typing import Protocol
 
 import httptools
 
 from sesamecross.core import body_buffer
 from sesamecross.core import connection_limiter
-from sesamecross.core import serving
 from sesamecross.gateway import incoming_body
+from sesamecross.gateway import request_handler
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.ops.fleet import body_budget
 from sesamecross.ops.fleet import connection_shedder
@@ -51,125 +49,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class RequestHandler(Protocol):
-    """Handles requests of a connection."""
-
-    @property
-    def limits(self) -> serving.CallerLimits:
-        """The current limits."""
-
-    @property
-    def is_closing(self) -> bool:
-        """Whether callers are told to use another connection next."""
-
-    def begin_body(
-        self, head: "RequestHead", length: int | None, max_bytes: int
-    ) -> incoming_body.IncomingBody:
-        """Begins to read a body above `body_budget.UNCOUNTED_BYTES`.
-
-        Args:
-          head: The request's head.
-          length: Bytes of the body; None if it comes in chunks.
-          max_bytes: What a body may have.
-
-        Raises:
-          NoRoomError: There is no memory for it.
-        """
-
-    def reserve_head(self, head: "RequestHead") -> Callable[[], None]:
-        """Reserves the memory of a head that is whole and large.
-
-        Returns:
-          What gives it back.
-
-        Raises:
-          NoRoomError: There is no memory for it.
-        """
-
-    def parse_request(
-        self, head: "RequestHead", body: bytes | body_buffer.BodyBuffer
-    ) -> serving.Request | None:
-        """Returns the request; None if its headers are invalid."""
-
-    def handle(
-        self,
-        request: serving.Request,
-        response_writer: response_writer_lib.ResponseWriter,
-    ) -> None:
-        """Responds to a request through `response_writer`, now or later.
-
-        From now on a body that has a buffer is the handler's.
-        """
-
-    def on_no_room(
-        self, head: "RequestHead", error: incoming_body.NoRoomError
-    ) -> list[serving.Header]:
-        """Called when a body has no room; returns the refusal's headers."""
-
-    def on_rejected(self, status: int, reason: str) -> None:
-        """Called when a request is rejected before it reaches `handle`."""
-
-    def on_shed(self) -> None:
-        """Called when a new connection is closed unread."""
-
-    def on_unfinished(self, connection: "ServerConnection", size: int) -> None:
-        """Called when requests that are not whole or not handled hold memory.
-
-        Args:
-          connection: May be aborted.
-          size: Bytes; 0 if it is little.
-        """
-
-    def on_unread(self, connection: "ServerConnection", size: int) -> None:
-        """Called when a caller has left bytes unread, or has caught up.
-
-        Args:
-          connection: May be aborted.
-          size: Bytes; 0 if it has caught up or is closed.
-        """
-
-
-class RequestHead:
-    """The head of a request; filled while it is read."""
-
-    __slots__ = (
-        "method",
-        "target",
-        "headers",
-        "size",
-        "keep_alive",
-        "_give_back",
-    )
-
-    def __init__(self) -> None:
-        self.method = b""
-        self.target = b""
-        self.headers: list[serving.Header] = []
-        self.size = 0
-        self.keep_alive = True
-        self._give_back: Callable[[], None] | None = None
-
-    @property
-    def memory_bytes(self) -> int:
-        """What it takes in memory."""
-        return self.size + unfinished_requests.FIELD_BYTES * len(self.headers)
-
-    def reserve(self, handler: RequestHandler) -> None:
-        """Reserves its memory if it is large.
-
-        Raises:
-          NoRoomError: There is no memory for it.
-        """
-        if self.memory_bytes > body_budget.UNCOUNTED_BYTES:
-            self._give_back = handler.reserve_head(self)
-
-    def release(self) -> None:
-        """Gives its memory back; does nothing the second time."""
-        give_back, self._give_back = self._give_back, None
-        if give_back is not None:
-            give_back()
-
-
 class ServerConnection(asyncio.Protocol):
     """A caller's connection."""
 
@@ -211,7 +90,7 @@
 
     def __init__(
         self,
-        handler: RequestHandler,
+        handler: request_handler.RequestHandler,
         loop: asyncio.AbstractEventLoop,
         connections: set["ServerConnection"],
         shedder: connection_shedder.ConnectionShedder | None = None,
@@ -235,7 +114,7 @@
         self._connections = connections
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._head = RequestHead()
+        self._head = request_handler.RequestHead()
         # The body being read, in one of both places by its size.
         self._body = b""
         self._incoming_body: incoming_body.IncomingBody | None = None
@@ -245,7 +124,7 @@
         # Status with which the request being read is rejected; 0 if it isn't.
         self._reject_status = 0
         self._pipelined: deque[
-            tuple[RequestHead, bytes | body_buffer.BodyBuffer]
+            tuple[request_handler.RequestHead, bytes | body_buffer.BodyBuffer]
         ] = deque()
         self._response_writer: response_writer_lib.ResponseWriter | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -272,7 +151,7 @@
         self._parts = 0
         self._meter = request_meter.RequestMeter()
         # That of the request to which the response belongs.
-        self._handled_head: RequestHead | None = None
+        self._handled_head: request_handler.RequestHead | None = None
         # Whether what is held for requests that are not handled is counted.
         self._has_unfinished = False
 
@@ -422,7 +301,7 @@
         The parser holds a part of it, and this connection.
         """
         self._head.release()
-        self._head = RequestHead()
+        self._head = request_handler.RequestHead()
         self._body = b""
         self._parser = None
 
@@ -715,7 +594,7 @@
             body = self._incoming_body.finish()
         self._body, self._incoming_body = b"", None
         self._pipelined.append((self._head, body))
-        self._head = RequestHead()
+        self._head = request_handler.RequestHead()
         if len(self._pipelined) > _MAX_PIPELINED:
             self._transport.pause_reading()
         self._handle_next()
--- a/sesamecross/gateway/status.py
+++ b/sesamecross/gateway/status.py
@@ -5,6 +5,7 @@
 
 from sesamecross.core import serving
 from sesamecross.gateway import incoming_body
+from sesamecross.gateway import request_handler
 from sesamecross.gateway import response_writer as response_writer_lib
 from sesamecross.gateway import server_connection
 from sesamecross.gateway import state as state_lib
@@ -83,7 +84,7 @@
 
     def begin_body(
         self,
-        head: server_connection.RequestHead,
+        head: request_handler.RequestHead,
         length: int | None,
         max_bytes: int,
     ) -> incoming_body.IncomingBody:
@@ -96,14 +97,14 @@
 
     def on_no_room(
         self,
-        head: server_connection.RequestHead,
+        head: request_handler.RequestHead,
         error: incoming_body.NoRoomError,
     ) -> list[serving.Header]:
         """Returns no headers."""
         return []
 
     def reserve_head(
-        self, head: server_connection.RequestHead
+        self, head: request_handler.RequestHead
     ) -> Callable[[], None]:
         """Reserves nothing: each request is answered at once."""
         return _do_nothing
@@ -115,7 +116,7 @@
         self._unfinished.record(connection, size)
 
     def parse_request(
-        self, head: server_connection.RequestHead, body: bytes
+        self, head: request_handler.RequestHead, body: bytes
     ) -> serving.Request | None:
         """Returns the request; its headers are ignored."""
         return serving.Request(
--- a/sesamecross/runtime/http_shutdown.py
+++ b/sesamecross/runtime/http_shutdown.py
@@ -3,6 +3,9 @@
 A request that is complete when a process closes its port must be answered,
 even if with a refusal. A connection closed with unread bytes is reset, and its
 caller can't know whether the request was executed.
+
+The same classes decide when a thread gets a connection, and which connection
+makes room for others, as the library's loop and stop share both.
 """
 
 from collections.abc import Iterator
