--- a/sesamecross/fakes/placement_fleet.py
+++ b/sesamecross/fakes/placement_fleet.py
@@ -35,6 +35,10 @@
 STORE_WINDOW_S = 8.0
 STORE_OVERAGE = 1.1
 PREFILL_S = 0.02
+# A model is asked for throughout a run if it is asked for at least this often,
+# over at least this many seconds.
+MIN_ASKED = 4
+MIN_ASKED_S = 8.0
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -145,6 +149,46 @@
         return self.arrived_s + self.kind.route.timeout_s
 
 
+class ModelRecord(msgspec.Struct):
+    """What callers of one model saw.
+
+    Attributes:
+      asked_s: When each request for it arrived, without retries.
+      served: Requests that were sent to an engine.
+      missed_s: The longest time for which callers asked for it in vain.
+    """
+
+    asked_s: list[float] = []
+    served: int = 0
+    missed_s: float = 0.0
+    missing_since_s: float | None = None
+
+    def note_asked(self, now_s: float) -> None:
+        """Records a request."""
+        self.asked_s.append(now_s)
+        if self.missing_since_s is None:
+            self.missing_since_s = now_s
+
+    def note_served(self, now_s: float) -> None:
+        """Records that a request was sent to an engine."""
+        self.served += 1
+        self.end_miss(now_s)
+
+    def end_miss(self, now_s: float) -> None:
+        """Ends the time for which callers asked in vain."""
+        if self.missing_since_s is not None:
+            self.missed_s = max(self.missed_s, now_s - self.missing_since_s)
+            self.missing_since_s = None
+
+    @property
+    def is_asked_for_throughout(self) -> bool:
+        """Whether callers asked often, over a longer time."""
+        return (
+            len(self.asked_s) >= MIN_ASKED
+            and self.asked_s[-1] - self.asked_s[0] >= MIN_ASKED_S
+        )
+
+
 class Result(msgspec.Struct):
     """Counts of one run.
 
@@ -152,6 +196,7 @@
       urgent_found: Urgent requests that were sent in their first attempt.
       refused: Answers that told a caller to retry.
       group_loads: Loads planned for groups, by reason.
+      models: What the callers of each model saw, the warm-up included.
     """
 
     urgent: int = 0
@@ -166,6 +211,30 @@
     group_loads: collections.Counter = msgspec.field(
         default_factory=collections.Counter
     )
+    models: dict[str, ModelRecord] = {}
+
+    @property
+    def asked_throughout(self) -> list[str]:
+        """Returns the models that were asked for often, over a longer time."""
+        return sorted(
+            name
+            for name, record in self.models.items()
+            if record.is_asked_for_throughout
+        )
+
+    @property
+    def never_served(self) -> list[str]:
+        """Returns those of them of which no request was served."""
+        return [
+            name
+            for name in self.asked_throughout
+            if not self.models[name].served
+        ]
+
+    @property
+    def longest_miss_s(self) -> float:
+        """Returns for how long callers of any model asked in vain at most."""
+        return max((one.missed_s for one in self.models.values()), default=0.0)
 
     @property
     def urgent_share(self) -> float:
@@ -200,7 +269,9 @@
             f"{self.patient_served_share:.3f} of {self.patient}, "
             f"loads {self.loads_per_s:.2f}/s "
             f"of them from the store {self.store_loads_per_s:.2f}/s, "
-            f"refused {self.refused}, groups {dict(self.group_loads)}"
+            f"refused {self.refused}, groups {dict(self.group_loads)}, "
+            f"{len(self.never_served)} of {len(self.asked_throughout)} models "
+            f"never served, longest miss {self.longest_miss_s:.1f} s"
         )
 
 
@@ -306,6 +377,8 @@
         while self.now_s < began_s + warm_up_s + seconds:
             self.now_s += TICK_S
             self._tick(self.now_s - began_s - warm_up_s)
+        for record in self.result.models.values():
+            record.end_miss(self.now_s)
         self.result.seconds = seconds
         return self.result
 
@@ -398,6 +471,9 @@
                 self.result.urgent += 1
             else:
                 self.result.patient += 1
+        self.result.models.setdefault(model, ModelRecord()).note_asked(
+            self.now_s
+        )
         self._count_demand(request)
         self.waits_for.setdefault(model, []).append(request)
 
@@ -498,6 +574,7 @@
     def _send(self, request: Request, name: str) -> None:
         engine = self.engines[name]
         engine.running[request.model] = engine.running.get(request.model, 0) + 1
+        self.result.models[request.model].note_served(self.now_s)
         kind = request.kind
         self._ends.append((self.now_s + kind.place_s, name, request.model))
         key = (SERVICE, request.model)
