--- a/sesamecross/fakes/placement_fleet.py
+++ b/sesamecross/fakes/placement_fleet.py
@@ -21,6 +21,7 @@
 from sesamecross.ops.fleet import placement_steps
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_turns
 from sesamecross.ops.fleet import placement_types
 from sesamecross.ops.fleet import wait_policy
 
@@ -661,7 +662,7 @@
             self._spec,
             self._rows,
             self._uses,
-            {name for one in engines for name in one.inventory.all_models()},
+            {name for one in engines for name in one.inventory.models},
             {
                 (SERVICE, model, ""): self.now_s
                 for model, requests in self.waits_for.items()
@@ -684,12 +685,18 @@
             self.now_s >= self._orders_from_s + SETTLE_S,
             True,
             self.now_s,
+            patience_s=max(
+                wait_policy.patience_s(kind.route)
+                for kind in (self._load.urgent_kind, self._load.patient_kind)
+            ),
         )
 
     def _plan(self) -> None:
         inputs = self._inputs()
         if inputs.is_demand_known:
-            self._target = placement_target.plan_target(inputs, self._note)
+            self._target = placement_target.plan_target(
+                inputs, self._note, self._note_turn
+            )
         else:
             self._target = placement_target.fill_free_room(inputs)
         self._expected = {
@@ -704,6 +711,11 @@
         if self._counts:
             self.result.group_loads[decision.reason.name] += 1
 
+    def _note_turn(self, turn: placement_turns.Turn) -> None:
+        self.group_engine = turn.instance_id
+        if self._counts:
+            self.result.group_loads["TURN"] += 1
+
     def _step(self) -> None:
         steps = placement_steps.steps(self._inputs(), self._target)
         for key in placement_steps.withdrawals_to_end(self._withdrawn, steps):
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -15,6 +15,7 @@
 from sesamecross.gateway import engine_tracker
 from sesamecross.gateway import lease_manager
 from sesamecross.gateway import mesh as mesh_lib
+from sesamecross.gateway import missed_models
 from sesamecross.gateway import placement_publisher
 from sesamecross.gateway import state as state_lib
 from sesamecross.ops.fleet import adapter_slots
@@ -27,6 +28,7 @@
 from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
 from sesamecross.ops.fleet import placement_types
+from sesamecross.ops.fleet import wait_policy
 from sesamecross.runtime import event_loop
 from sesamecross.runtime import logs
 from sesamecross.runtime import metrics as metrics_lib
@@ -95,6 +97,7 @@
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("orders")
+        self._missed_models = missed_models.MissedModels(self._log, metrics)
         self._tracker = engine_tracker.EngineTracker(
             state,
             client,
@@ -301,6 +304,7 @@
         self._expected_adapters.clear()
         self._adapter_waits.clear()
         self._next_target_s.clear()
+        self._missed_models.clear()
         self._publisher.clear()
 
     def _engine_spec(self, service: str) -> serving.EngineSpec | None:
@@ -308,6 +312,17 @@
         known = configuration.services.get(service) if configuration else None
         return known.engine if known is not None else None
 
+    def _patience_s(self, service: str) -> float:
+        """Returns how long the most patient callers of a service wait."""
+        return max(
+            (
+                wait_policy.patience_s(route)
+                for route in self._state.configuration.routes
+                if any(target.service == service for target in route.targets)
+            ),
+            default=0.0,
+        )
+
     def _engines(self) -> list[serving.Upstream]:
         """Returns the entries of all engines that may get orders."""
         return [
@@ -393,11 +408,7 @@
             spec,
             self._state.fleet_demand,
             self._state.fleet_uses,
-            {
-                name
-                for engine in engines
-                for name in engine.inventory.all_models()
-            },
+            {name for engine in engines for name in engine.inventory.models},
             self._placement_requests,
             now_s,
         )
@@ -426,6 +437,7 @@
                 self._state.fleet_uses, now_s
             ),
             version_needs=self._version_needs(service, engines),
+            patience_s=self._patience_s(service),
         )
         target = self._target(service, inputs)
         self._expect_adapters(inputs)
@@ -497,7 +509,9 @@
                 lambda decision: self._record_group_load(
                     service, decision, now_s
                 ),
+                lambda turn: self._missed_models.record_turn(service, turn),
             )
+            self._missed_models.report(service, inputs, target)
         else:
             # The demand for models is unknown: only free memory is filled.
             target = placement_target.fill_free_room(inputs)
--- a/sesamecross/ops/fleet/demand_history.py
+++ b/sesamecross/ops/fleet/demand_history.py
@@ -145,7 +145,7 @@
           spec: What its engines can load.
           reported: Demand over all instances, by service and target.
           in_use: Requests in flight by engine and target.
-          held: Models that some engine holds or loads.
+          held: Models that some engine holds.
           requested_targets: Targets that requests wait for, by service, target
             and engine.
           now_s: Monotonic time.
@@ -184,10 +184,20 @@
         for (_, target), count in in_use.items():
             model = target.partition("/")[0]
             running[model] = running.get(model, 0) + count
-        return {
-            name: placement_types.ModelDemand(
+        demand = {}
+        for name in spec.models:
+            key = (service, name)
+            patient_rate = self._patient_rates.get(key, 0.0)
+            group_size = _group_size(patient.get(name, ()))
+            is_asked = bool(
+                rates.get(name)
+                or waiting.get(name)
+                or patient_rate
+                or group_size
+            )
+            demand[name] = placement_types.ModelDemand(
                 rates.get(name, 0.0),
-                self._long_term_rates.get((service, name), 0.0),
+                self._long_term_rates.get(key, 0.0),
                 _engines_needed(
                     spec,
                     prefill.get(name, 0.0),
@@ -196,35 +206,35 @@
                 ),
                 waiting.get(name, 0),
                 late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
-                self._starved_s(service, name, waiting, held, now_s),
-                self._patient_rates.get((service, name), 0.0),
-                _group_size(patient.get(name, ())),
+                self._missed_s(service, name, is_asked, name in held, now_s),
+                patient_rate,
+                group_size,
                 patient_demand.least_left_s(
                     row.patient_left_ms / 1e3
                     for row in patient.get(name, ())
                     if row.patient_waiting > 0
                 ),
             )
-            for name in spec.models
-        }
+        return demand
 
-    def _starved_s(
+    def _missed_s(
         self,
         service: str,
         name: str,
-        waiting: Mapping[str, int],
-        held: set[str],
+        is_asked: bool,
+        is_held: bool,
         now_s: float,
     ) -> float:
-        """Returns for how long requests have found no engine with a model."""
+        """Returns for how long callers have asked for a model in vain.
+
+        Refused callers who are to come back still count, as long as their
+        requests show in the smoothed rates.
+        """
         key = (service, name)
-        if name in held:
+        if is_held or not is_asked:
             self._missing_since_s.pop(key, None)
             return 0.0
-        if waiting.get(name):
-            self._missing_since_s.setdefault(key, now_s)
-        missing_since_s = self._missing_since_s.get(key)
-        return 0.0 if missing_since_s is None else now_s - missing_since_s
+        return now_s - self._missing_since_s.setdefault(key, now_s)
 
     def _smooth(
         self,
--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -4,6 +4,10 @@
 import pytest
 
 from sesamecross.fakes import placement_fleet
+from sesamecross.fakes import placement_samples as samples
+from sesamecross.ops.fleet import load_turns
+from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_types
 
 # Of the models that are asked for throughout a run, this many and this share
 # may be served to nobody.
@@ -66,3 +70,80 @@
     assert len(result.never_served) <= (
         MAX_NEVER_SERVED + MAX_NEVER_SERVED_SHARE * asked
     )
+
+
+def missed(missed_s: float, patient: int = 1) -> placement_types.ModelDemand:
+    """Returns the demand of late patient requests for a missed model."""
+    return placement_types.ModelDemand(
+        0.0, 0.0, 0.0, 0, 0.0, missed_s, 0.2, patient, -missed_s
+    )
+
+
+def test_the_longest_missed_model_goes_first():
+    """Guards against a model that loses to groups that are larger or newer."""
+    inputs = samples.inputs(
+        [samples.engine("e1", "busy", "stays")],
+        {
+            "busy": samples.demand(18.0),
+            "stays": samples.demand(18.0),
+            "rare": missed(12.0),
+            "other": missed(9.0, patient=60),
+        },
+        {"e1": ["busy", "stays"]},
+    )
+    assert load_turns.line(inputs) == ["rare", "other"]
+    assert load_turns.first_in_line(inputs) == ["rare"]
+    target = placement_target.plan_target(inputs)
+    assert "rare" in target["e1"]
+
+
+def test_a_planned_turn_is_not_taken_away_by_value():
+    """Guards against a turn that comes to nothing, plan after plan."""
+    inputs = samples.inputs(
+        [samples.engine("e1", "stays")],
+        {
+            "busy": msgspec.structs.replace(samples.demand(90.0), waiting=40),
+            "stays": samples.demand(18.0),
+            "rare": missed(12.0),
+        },
+        {"e1": ["stays", "rare"]},
+    )
+    assert "rare" in placement_target.plan_target(inputs)["e1"]
+
+
+@pytest.mark.parametrize(
+    ("missing", "patience_s", "expected"),
+    # Loads take 2 s, and half of the four engines may load by age.
+    [(0, 10.0, 0), (1, 10.0, 1), (4, 10.0, 1), (4, 5.0, 2), (4, 0.0, 2)],
+)
+def test_engines_load_by_age_as_callers_patience_needs(
+    missing, patience_s, expected
+):
+    """Guards against turns that take more engines than callers need."""
+    names = ("rare", "other", "idle", "stays-too")[:missing]
+    inputs = samples.inputs(
+        [samples.engine(f"e{number}", "busy", "stays") for number in range(4)],
+        {name: missed(5.0) for name in names},
+        {},
+    )
+    inputs = msgspec.structs.replace(inputs, patience_s=patience_s)
+    assert len(load_turns.first_in_line(inputs)) == expected
+
+
+@pytest.mark.parametrize(
+    ("has_loaded", "expected"), [(True, True), (False, False)]
+)
+def test_lateness_adds_no_replica_while_one_is_on_its_way(has_loaded, expected):
+    """Guards against replica after replica until the first one is loaded."""
+    engines = [samples.engine("e1", "busy"), samples.engine("e3", "stays")]
+    second = ("busy",) if has_loaded else ()
+    engines.append(samples.engine("e2", *second))
+    inputs = samples.inputs(
+        engines,
+        {
+            "busy": placement_types.ModelDemand(20.0, 1.0, 1.3, 0, 0.9),
+            "stays": samples.demand(0.5),
+        },
+        {"e1": ["busy"], "e2": ["busy"], "e3": ["stays"]},
+    )
+    assert ("busy" in placement_target.plan_target(inputs)["e3"]) is expected
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -7,6 +7,7 @@
 
 import math
 
+from sesamecross.ops.fleet import load_turns
 from sesamecross.ops.fleet import placement_types as data
 
 # Above this load, an engine's streams are interrupted by the prefill of others
@@ -49,10 +50,14 @@
 
     Caches what is queried thousands of times per plan: free room, load, and the
     requests in flight.
+
+    Attributes:
+      turns: The models whose turn it is to be loaded, the longest missed first.
     """
 
     __slots__ = (
         "inputs",
+        "turns",
         "engines",
         "held",
         "replicas",
@@ -66,6 +71,7 @@
 
     def __init__(self, inputs: data.Inputs, target: data.PlacementTarget):
         self.inputs = inputs
+        self.turns = load_turns.first_in_line(inputs)
         self.engines = {
             engine.name: engine
             for engine in inputs.engines
@@ -176,6 +182,13 @@
             for other_id in planned
         )
 
+    def is_on_its_way(self, name: str) -> bool:
+        """Whether a planned replica of a model is not loaded yet."""
+        return any(
+            name not in self.engines[instance_id].inventory.models
+            for instance_id in self.replicas[name]
+        )
+
     def is_needed(self, instance_id: str, name: str) -> bool:
         """Whether streams wait for just this replica of a model."""
         return self.inputs.is_needed(name, instance_id, self.replicas[name])
@@ -247,8 +260,8 @@
 def _loss(draft: Draft, instance_id: str, name: str) -> float | None:
     """Returns the loss in requests per second if a model is evicted.
 
-    None means that it must stay: it is loading or was loaded recently, or
-    requests wait for it and it has no other replica.
+    None means that it must stay: it is loading or was loaded recently, its turn
+    has come, or requests wait for it and it has no other replica.
     """
     inputs = draft.inputs
     inventory = draft.engines[instance_id].inventory
@@ -259,6 +272,8 @@
     others = [
         other_id for other_id in draft.replicas[name] if other_id != instance_id
     ]
+    if name in draft.turns and not others:
+        return None
     if not demand.is_in_demand and demand.patient_waiting and not others:
         return max(PATIENT_VALUE, demand.group_value)
     if not demand.is_in_demand and demand.patient_rate >= data.MIN_DEMAND_RATE:
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 
 from sesamecross.ops.fleet import adapter_slots
+from sesamecross.ops.fleet import load_turns
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_types as data
 
@@ -120,9 +121,9 @@
                     builder, name, instance_id
                 )
                 wanted.append((replica_value, name, instance_id, reason))
-    for replica_value, name, instance_id, reason in sorted(
-        wanted, reverse=True
-    ):
+    turns = load_turns.first_in_line(builder.inputs)
+    wanted.sort(key=lambda entry: (entry[1] in turns, entry), reverse=True)
+    for replica_value, name, instance_id, reason in wanted:
         _add_step_towards(
             builder, builder.engines[instance_id], name, replica_value, reason
         )
--- a/sesamecross/ops/fleet/placement_swaps.py
+++ b/sesamecross/ops/fleet/placement_swaps.py
@@ -42,7 +42,7 @@
 def _planned_models(
     draft: placement_draft.Draft, instance_id: str
 ) -> list[str]:
-    """Returns the planned models of an engine, highest value first."""
+    """Returns the planned models of an engine in the order of their loads."""
     inventory = draft.engines[instance_id].inventory
     names = [
         name
@@ -51,7 +51,11 @@
     ]
     return sorted(
         names,
-        key=lambda name: (-draft.inputs.demand_for(name).load_value, name),
+        key=lambda name: (
+            name not in draft.turns,
+            -draft.inputs.demand_for(name).load_value,
+            name,
+        ),
     )
 
 
@@ -112,6 +116,8 @@
         return False
     if draft.is_needed(instance_id, name) or draft.is_needed(other_id, other):
         return False
+    if other in draft.turns:
+        return False
     if other_id in draft.replicas[name] or instance_id in draft.replicas[other]:
         return False
     size = draft.inputs.size
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -17,10 +17,10 @@
 
 import msgspec
 
-from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_groups
 from sesamecross.ops.fleet import placement_swaps
+from sesamecross.ops.fleet import placement_turns
 from sesamecross.ops.fleet import placement_types as data
 
 # Cost of a load in requests: the weight store's time, and the engine's orders
@@ -47,24 +47,27 @@
 MAX_MOVES = 12
 
 
-def _ignore_load(decision: patient_demand.LoadDecision) -> None:
+def _ignore(decision: object) -> None:
     """Default for callers that don't log decisions."""
 
 
 def plan_target(
     inputs: data.Inputs,
-    on_group_load: placement_groups.OnLoad = _ignore_load,
+    on_group_load: placement_groups.OnLoad = _ignore,
+    on_turn: placement_turns.OnTurn = _ignore,
 ) -> data.PlacementTarget:
     """Returns the models that each engine should hold.
 
     Args:
       inputs: What is known.
       on_group_load: Called for each load planned for patient requests.
+      on_turn: Called for each load planned because a model's turn has come.
     """
     draft = placement_draft.Draft(inputs, inputs.target)
     placement_swaps.move_to_sooner(draft)
     placement_swaps.swap(draft)
     _meet_version_needs(draft)
+    placement_turns.take_turns(draft, on_turn)
     if placement_groups.has_groups(inputs):
         # Groups come after models in demand. Models without demand get no room:
         # their loads take the engines' time and the place of the next group.
@@ -201,7 +204,7 @@
         is_missed = not replicas and draft.inputs.are_engines_known
         return placement_draft.IDLE_VALUE if is_missed else 0.0
     if not replicas:
-        return demand.value * (1.0 + demand.starved_s / STARVATION_S)
+        return demand.value * (1.0 + demand.missed_s / STARVATION_S)
     excess_share = _excess_share(draft, name)
     if excess_share > 0:
         return demand.rate * excess_share
@@ -220,8 +223,9 @@
     load = min(draft.load[engine_id] for engine_id in draft.replicas[name])
     excess = 1.0 - placement_draft.FULL_LOAD / load if load > 0 else 0.0
     late = draft.inputs.demand_for(name).late - BASE_LATE_SHARE
-    if load < MIN_LATE_LOAD:
-        # A lightly loaded engine is not the cause of late requests.
+    if load < MIN_LATE_LOAD or draft.is_on_its_way(name):
+        # A lightly loaded engine is not the cause of late requests; and a
+        # replica on its way ends their cause only once it is loaded.
         late = 0.0
     return max(0.0, excess, late)
 
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -38,7 +38,7 @@
         their prompts or by their slots in the batch.
       waiting: Requests that wait until it is loaded.
       late: Share of the served requests that missed their latency objective.
-      starved_s: For how long requests have found no engine with it.
+      missed_s: For how long callers have asked for it while no engine held it.
       patient_rate: Patient requests per second, smoothed; not in the rates
         above.
       patient_waiting: Patient requests that wait until it is loaded; not in
@@ -52,7 +52,7 @@
     load: float
     waiting: int
     late: float = 0.0
-    starved_s: float = 0.0
+    missed_s: float = 0.0
     patient_rate: float = 0.0
     patient_waiting: int = 0
     patient_left_s: float = 0.0
@@ -73,6 +73,11 @@
         """Whether it is in demand, or patient requests wait for it."""
         return self.is_in_demand or self.patient_waiting > 0
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits until it is loaded."""
+        return self.waiting > 0 or self.patient_waiting > 0
+
     @property
     def group_value(self) -> float:
         """Value of its waiting patient requests, in requests per second."""
@@ -146,6 +151,8 @@
       now_s: Monotonic time.
       used_s: When targets were last in use, by engine and target.
       version_needs: Models that streams wait for at some engines only.
+      patience_s: How long the most patient callers wait for a load; 0 if that
+        is not known.
     """
 
     spec: serving.EngineSpec
@@ -164,6 +171,7 @@
     )
 
     version_needs: tuple[VersionNeed, ...] = ()
+    patience_s: float = 0.0
 
     def is_needed(
         self, name: str, instance_id: str, replicas: Collection[str]
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -93,6 +93,11 @@
     )
 
 
+def patience_s(route: serving.Route) -> float:
+    """Returns how long a caller waits until its request is sent, at most."""
+    return min(route.timeout_s, first_event_timeout_s(route)) - SEND_MARGIN_S
+
+
 def send_deadline_s(
     route: serving.Route, arrived_s: float, ends_s: float
 ) -> float:
