An instance that few peers answer takes no version for the only one

Reported by another operator: during a release one instance was out of step for some seconds, and streams that had begun at workers of the new version went on there at another one.

Cause: an instance believes its news of upstreams complete for 2 s after it read them. If it is cut off, alone or with its zone, or resumed after a suspension, that is untrue; without an answer from keepers, or with answers of its own zone alone, it took the version that it knew for the only one.

Change: unless most of the asked keepers answer, the origin is unknown and the caller is refused at once. Keepers are spread over the zones. An instance with no peers decides alone as before.

--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -51,10 +51,11 @@
 class _Query:
     """The answers to one question."""
 
-    __slots__ = ("missing", "found", "replies", "_changed")
+    __slots__ = ("asked", "missing", "found", "replies", "_changed")
 
     def __init__(self, asked: Iterable[str]):
         self.missing = set(asked)
+        self.asked = len(self.missing)
         self.found: fm.OriginReply | None = None
         self.replies: list[fm.OriginReply] = []
         self._changed = asyncio.Event()
@@ -263,7 +264,10 @@
         query = await self._ask(key, services, life_s)
         if attempt_id and query.found is not None:
             return self._found(query.found)
-        seen = self._own_seen(services, life_s, loop.time())
+        now_s = loop.time()
+        if not self._is_in_touch(query, now_s):
+            return self._unknown(Lookup(None, "unknown, few peers answer"))
+        seen = self._own_seen(services, life_s, now_s)
         for reply in query.replies:
             for service, theirs in _seen_by_service(reply).items():
                 if service in seen:
@@ -279,12 +283,16 @@
         """Returns the only version that can have begun it, if there is one."""
         lookup = _only_version(seen)
         if lookup.origin is None:
-            is_early = not (self._is_joined and self._state.has_read_versions)
-            return dataclasses.replace(lookup, is_early=is_early)
+            return self._unknown(lookup)
         if self._state.versions.is_restored(life_s, now_s):
             return dataclasses.replace(lookup, source=FROM_STORE)
         return lookup
 
+    def _unknown(self, lookup: Lookup) -> Lookup:
+        """Says of an unknown origin whether it may be known soon."""
+        is_early = not (self._is_joined and self._state.has_read_versions)
+        return dataclasses.replace(lookup, is_early=is_early)
+
     def _own_lookup(
         self, known: stream_origins.KnownOrigin, now_s: float
     ) -> Lookup:
@@ -301,6 +309,18 @@
             reply.age_s,
         )
 
+    def _is_in_touch(self, query: _Query, now_s: float) -> bool:
+        """Whether most of the asked peers answered.
+
+        News of upstreams that were current when this instance, or its zone, was
+        cut off or suspended still seem so for some seconds. Keepers are spread
+        over the zones, so that a zone that is cut off has no majority of them.
+        """
+        if query.asked:
+            return 2 * len(query.replies) > query.asked
+        roster = self._mesh.roster
+        return roster is None or not roster.silent(now_s)
+
     def _own_seen(
         self, services: Iterable[str], life_s: float, now_s: float
     ) -> dict[str, version_history.SeenVersions]:
