A peer of another zone shows that an instance is in touch, not a majority

One answer from another zone shows that neither this instance nor its zone is cut off; that is what the rule needs.

--- a/sesamecross/gateway/origin_registry.py
+++ b/sesamecross/gateway/origin_registry.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Iterable
 import contextlib
 import dataclasses
@@ -51,11 +52,11 @@
 class _Query:
     """The answers to one question."""
 
-    __slots__ = ("asked", "missing", "found", "replies", "_changed")
+    __slots__ = ("zones", "missing", "found", "replies", "_changed")
 
-    def __init__(self, asked: Iterable[str]):
-        self.missing = set(asked)
-        self.asked = len(self.missing)
+    def __init__(self, asked: Collection[fm.Member]):
+        self.zones = frozenset(member.zone for member in asked)
+        self.missing = {member.name for member in asked}
         self.found: fm.OriginReply | None = None
         self.replies: list[fm.OriginReply] = []
         self._changed = asyncio.Event()
@@ -266,7 +267,9 @@
             return self._found(query.found)
         now_s = loop.time()
         if not self._is_in_touch(query, now_s):
-            return self._unknown(Lookup(None, "unknown, few peers answer"))
+            return self._unknown(
+                Lookup(None, "unknown, no peer of another zone answers")
+            )
         seen = self._own_seen(services, life_s, now_s)
         for reply in query.replies:
             for service, theirs in _seen_by_service(reply).items():
@@ -310,14 +313,17 @@
         )
 
     def _is_in_touch(self, query: _Query, now_s: float) -> bool:
-        """Whether most of the asked peers answered.
+        """Whether a peer of another zone answered, if one was asked.
 
         News of upstreams that were current when this instance, or its zone, was
-        cut off or suspended still seem so for some seconds. Keepers are spread
-        over the zones, so that a zone that is cut off has no majority of them.
+        cut off or suspended still seem so for some seconds.
         """
-        if query.asked:
-            return 2 * len(query.replies) > query.asked
+        own_zone = self._mesh.me.zone
+        others = query.zones - {own_zone}
+        if others:
+            return any(reply.me.zone in others for reply in query.replies)
+        if query.zones:
+            return bool(query.replies)
         roster = self._mesh.roster
         return roster is None or not roster.silent(now_s)
 
@@ -364,7 +370,7 @@
         keepers = self._ring.keepers(
             key, self._mesh.roster.me.name, stream_origins.ASKED_KEEPERS
         )
-        query = _Query(member.name for member in keepers)
+        query = _Query(keepers)
         number = self._mesh.next_number()
         self._queries[number] = query
         message = fm.OriginQuery(
