Placement: one search for the best place, one list of planned models

The search over engines stood in placement_groups and placement_turns, the list of planned models in placement_places and placement_swaps, and a caller's patience in wait_policy beside send_deadline_s. Each stands once now. The docstring of load_turns stated a bound that no test shows; it says only whom a model waits for.

--- a/sesamecross/gateway/missed_models.py
+++ b/sesamecross/gateway/missed_models.py
@@ -16,8 +16,8 @@
 MAX_LOGGED = 10
 
 
-class MissedModels:
-    """Log lines and metrics of the models of one lease holder."""
+class MissedModelReports:
+    """Log lines and metrics of the models that are missed, and of turns."""
 
     __slots__ = ("_log", "_metrics", "_next_log_s")
 
--- a/sesamecross/gateway/missed_models_test.py
+++ b/sesamecross/gateway/missed_models_test.py
@@ -11,7 +11,7 @@
 def test_a_missed_model_shows_in_logs_and_metrics():
     """Guards against models that are never loaded and that no log names."""
     metrics = metrics_lib.Metrics()
-    reports = missed_models.MissedModels(structlog.get_logger(), metrics)
+    reports = missed_models.MissedModelReports(structlog.get_logger(), metrics)
     demand = placement_types.ModelDemand(
         0.0, 0.0, 0.0, 0, 0.0, 7.5, 0.2, 3, -4.0
     )
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -97,7 +97,9 @@
         self._metrics = metrics
         self._ticker = ticker or ticker_lib.Ticker()
         self._log = logs.get_logger("orders")
-        self._missed_models = missed_models.MissedModels(self._log, metrics)
+        self._missed_models = missed_models.MissedModelReports(
+            self._log, metrics
+        )
         self._tracker = engine_tracker.EngineTracker(
             state,
             client,
--- a/sesamecross/ops/fleet/load_turns.py
+++ b/sesamecross/ops/fleet/load_turns.py
@@ -6,10 +6,8 @@
 longest, whatever its value.
 
 As many engines load by age as it takes to load all models in line within the
-time that callers wait, but at most a share of them. So with E engines of which
-K may load by age, each of M models in line is loaded within M / K times the
-duration of a load and of making room for it, rounded up, or within the time
-that callers wait, whichever requests arrive.
+time that callers wait, but at most a share of them. A model waits for those
+that have been missed longer, and for no others, whichever requests arrive.
 """
 
 import math
@@ -23,11 +21,6 @@
 VALUE_FIRST_S = 1.0
 
 
-def most_loads_at_once(engines: int) -> int:
-    """Returns how many engines may load by age at the same time."""
-    return max(1, int(engines * MAX_TURN_SHARE))
-
-
 def line(inputs: data.Inputs) -> list[str]:
     """Returns the models that callers miss, the longest missed first.
 
@@ -56,7 +49,7 @@
     """Returns the models whose turn it is, the longest missed first."""
     names = line(inputs)
     engines = sum(not engine.is_leaving for engine in inputs.engines)
-    most = most_loads_at_once(engines)
+    most = max(1, int(engines * MAX_TURN_SHARE))
     if inputs.patience_s > 0:
         needed_s = sum(_load_s(inputs, name) for name in names)
         most = min(most, math.ceil(needed_s / inputs.patience_s))
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -182,6 +182,15 @@
             for other_id in planned
         )
 
+    def planned(self, instance_id: str) -> list[str]:
+        """Returns the models that an engine is to load and has not begun."""
+        inventory = self.engines[instance_id].inventory
+        return [
+            name
+            for name in sorted(self.held[instance_id])
+            if not inventory.is_held_or_loading(name)
+        ]
+
     def is_on_its_way(self, name: str) -> bool:
         """Whether a planned replica of a model is not loaded yet."""
         return any(
--- a/sesamecross/ops/fleet/placement_groups.py
+++ b/sesamecross/ops/fleet/placement_groups.py
@@ -80,7 +80,7 @@
 def _drop_served(draft: placement_draft.Draft) -> None:
     """Removes planned models whose patient callers have gone meanwhile."""
     for instance_id in draft.engines:
-        for name in placement_places.planned(draft, instance_id):
+        for name in draft.planned(instance_id):
             demand = draft.inputs.demand_for(name)
             if demand.patient_rate > 0 and not demand.has_callers:
                 draft.remove(instance_id, name)
@@ -96,7 +96,7 @@
     under_way = 0
     for instance_id, engine in draft.engines.items():
         loading = {one for one in engine.inventory.loading if "/" not in one}
-        names = loading.union(placement_places.planned(draft, instance_id))
+        names = loading.union(draft.planned(instance_id))
         under_way += any(
             draft.inputs.demand_for(name).patient_waiting
             and not draft.inputs.demand_for(name).is_in_demand
@@ -109,24 +109,18 @@
     draft: placement_draft.Draft, group: patient_demand.Group
 ) -> placement_places.Place | None:
     """Returns the place where a group's load is in time and costs least."""
-    best = None
-    for instance_id in draft.engines:
-        if placement_places.planned(draft, instance_id):
-            # Another model is loaded there first.
-            continue
-        place = placement_places.cheapest_at(draft, instance_id, group.model)
-        if place is None:
-            continue
-        key = (
+    return placement_places.best(
+        draft,
+        group.model,
+        # Elsewhere another model is loaded first.
+        [one for one in draft.engines if not draft.planned(one)],
+        lambda place: (
             not patient_demand.may_evict(group, place.demand_lost),
             group.left_s >= 0
             and not patient_demand.is_in_time(group, place.takes_s),
             place.cost + place.takes_s * DELAY_COST_PER_S,
-            instance_id,
-        )
-        if best is None or key < best[0]:
-            best = (key, place)
-    return best[1] if best else None
+        ),
+    )
 
 
 def _load(place: placement_places.Place) -> patient_demand.Load:
--- a/sesamecross/ops/fleet/placement_places.py
+++ b/sesamecross/ops/fleet/placement_places.py
@@ -1,6 +1,9 @@
 """Finds the place at an engine where one more model costs others least."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import math
+from typing import Any
 
 import msgspec
 
@@ -37,14 +40,27 @@
     draft.add(place.instance_id, name)
 
 
-def planned(draft: placement_draft.Draft, instance_id: str) -> list[str]:
-    """Returns the models that an engine is to load and does not load yet."""
-    inventory = draft.engines[instance_id].inventory
-    return [
-        name
-        for name in sorted(draft.held[instance_id])
-        if not inventory.is_held_or_loading(name)
-    ]
+def best(
+    draft: placement_draft.Draft,
+    name: str,
+    instance_ids: Iterable[str],
+    rank: Callable[[Place], Any],
+) -> Place | None:
+    """Returns the place for a model that ranks lowest at the given engines.
+
+    Args:
+      draft: The target under construction.
+      name: The model.
+      instance_ids: The engines to choose from.
+      rank: Returns what places are compared by; of equals, the one at the
+        engine with the lowest id is taken.
+    """
+    places = (cheapest_at(draft, one, name) for one in instance_ids)
+    return min(
+        (place for place in places if place is not None),
+        key=lambda place: (rank(place), place.instance_id),
+        default=None,
+    )
 
 
 def cheapest_at(
--- a/sesamecross/ops/fleet/placement_swaps.py
+++ b/sesamecross/ops/fleet/placement_swaps.py
@@ -43,14 +43,8 @@
     draft: placement_draft.Draft, instance_id: str
 ) -> list[str]:
     """Returns the planned models of an engine in the order of their loads."""
-    inventory = draft.engines[instance_id].inventory
-    names = [
-        name
-        for name in draft.held[instance_id]
-        if not inventory.is_held_or_loading(name)
-    ]
     return sorted(
-        names,
+        draft.planned(instance_id),
         key=lambda name: (
             name not in draft.turns,
             -draft.inputs.demand_for(name).load_value,
--- a/sesamecross/ops/fleet/placement_target.py
+++ b/sesamecross/ops/fleet/placement_target.py
@@ -111,8 +111,7 @@
     draft = placement_draft.Draft(inputs, {})
     for name in sorted(inputs.spec.models):
         demand = inputs.demand_for(name)
-        is_waited_for = demand.waiting or demand.patient_waiting
-        if not is_waited_for or draft.replicas[name]:
+        if not demand.has_waiting or draft.replicas[name]:
             continue
         free = [
             engine_id
--- a/sesamecross/ops/fleet/placement_turns.py
+++ b/sesamecross/ops/fleet/placement_turns.py
@@ -62,16 +62,15 @@
 ) -> placement_places.Place | None:
     """Returns the place for a model that costs all callers least."""
     value = draft.inputs.demand_for(name).load_value
-    best = None
-    for instance_id in draft.engines:
-        place = placement_places.cheapest_at(draft, instance_id, name)
-        if place is None:
-            continue
-        waits_s = _first_loads_s(draft, instance_id)
-        cost = place.cost + value * (place.takes_s + waits_s)
-        if best is None or (cost, instance_id) < best[0]:
-            best = ((cost, instance_id), place)
-    return best[1] if best else None
+    return placement_places.best(
+        draft,
+        name,
+        draft.engines,
+        lambda place: (
+            place.cost
+            + value * (place.takes_s + _first_loads_s(draft, place.instance_id))
+        ),
+    )
 
 
 def _first_loads_s(draft: placement_draft.Draft, instance_id: str) -> float:
@@ -79,6 +78,6 @@
     engine = draft.engines[instance_id]
     return sum(
         draft.inputs.load_time(engine, name)[0]
-        for name in placement_places.planned(draft, instance_id)
+        for name in draft.planned(instance_id)
         if name in draft.turns
     )
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -95,7 +95,7 @@
 
 def patience_s(route: serving.Route) -> float:
     """Returns how long a caller waits until its request is sent, at most."""
-    return min(route.timeout_s, first_event_timeout_s(route)) - SEND_MARGIN_S
+    return send_deadline_s(route, 0.0, route.timeout_s)
 
 
 def send_deadline_s(
