Turns: a model that fits on no engine takes none

Change: such models don't get in line. The test failed before: the line was ['rare'], too large, instead of ['other'].

--- a/sesamecross/ops/fleet/load_turns.py
+++ b/sesamecross/ops/fleet/load_turns.py
@@ -24,9 +24,9 @@
 def line(inputs: data.Inputs) -> list[str]:
     """Returns the models that callers miss, the longest missed first.
 
-    These are the models that no engine holds and that requests wait for, or for
-    which a load is under way. They get in line once a load by value has had
-    time to begin.
+    These are the models that fit on an engine, that none holds, and that
+    requests wait for or for which a load is under way. They get in line once a
+    load by value has had time to begin.
     """
     held: set[str] = set()
     loading: set[str] = set()
@@ -40,6 +40,7 @@
             if name not in held
             and (demand.has_waiting or name in loading)
             and demand.missed_s >= VALUE_FIRST_S
+            and inputs.size(name) <= inputs.spec.weights_mb
         ),
         key=lambda name: (-inputs.demand_for(name).missed_s, name),
     )
--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -97,6 +97,19 @@
     assert "rare" in target["e1"]
 
 
+def test_a_model_that_fits_on_no_engine_takes_no_turn():
+    """Guards against a line that stands still behind a model too large."""
+    inputs = samples.inputs(
+        [samples.engine("e1", "busy", "stays")],
+        {"rare": missed(30.0), "other": missed(9.0)},
+        {"e1": ["busy", "stays"]},
+    )
+    sizes = samples.MODEL_SIZES_MB | {"rare": samples.WEIGHTS_MB + 1.0}
+    inputs = msgspec.structs.replace(inputs, spec=samples.spec(sizes))
+    assert load_turns.first_in_line(inputs) == ["other"]
+    assert "other" in placement_target.plan_target(inputs)["e1"]
+
+
 def test_a_planned_turn_is_not_taken_away_by_value():
     """Guards against a turn that comes to nothing, plan after plan."""
     inputs = samples.inputs(
