Test of rejection limits: answers are held until no request waits, not for 1 s

Its log shows that the requests reached the gateways some 0.5 s after they were begun, as threads and gateways were still starting, and were waiting 494 to 516 ms later, when the fixed second of held answers ended just before their own wait did. So requests that were to be refused got a slot.

Answers are now held until each request has been refused or has reached the upstream, for 30 s at most; what is checked is unchanged.

--- a/sesamecross/gateway/rejection_limit_test.py
+++ b/sesamecross/gateway/rejection_limit_test.py
@@ -1,16 +1,40 @@
 """Tests of gateways whose upstreams fail if they reject too many requests."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
 
 import pytest
 
 from sesamecross.fakes import gateway_site
 from sesamecross.fakes import platform_site
+from sesamecross.fakes import platform_upstream
 
 SLOTS = 3
 REQUESTS = 8
-# Longer than the requests may wait for a slot.
-HELD_S = 1.0
+# All requests reach the gateways, and are refused or sent, long before this.
+MAX_HELD_S = 30.0
+POLL_INTERVAL_S = 0.05
+
+
+async def _wait_until(is_true: Callable[[], bool]) -> None:
+    """Waits until a condition holds, for a limited time."""
+    for _ in range(int(MAX_HELD_S / POLL_INTERVAL_S)):
+        if is_true():
+            return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _are_settled(
+    calls: Iterable[asyncio.Task],
+    upstream: platform_upstream.PlatformUpstream,
+    has_rejection_limit: bool,
+) -> bool:
+    """Whether each request has been refused or has reached the upstream."""
+    refused = sum(call.done() for call in calls)
+    sent = SLOTS if has_rejection_limit else REQUESTS
+    return refused + sent >= REQUESTS and upstream.most_running >= sent
 
 
 @pytest.mark.parametrize("has_rejection_limit", [True, False])
@@ -44,7 +68,11 @@
                 )
                 for number in range(REQUESTS)
             ]
-            await asyncio.sleep(HELD_S)
+            # The answers are held until no request waits for a slot any more.
+            settled = functools.partial(
+                _are_settled, calls, desk, has_rejection_limit
+            )
+            await _wait_until(settled)
             desk.release_answers()
             results = await asyncio.gather(*calls)
             for request_id, status, _ in results:
