Turns: callers are told when their model's turn is, and ages outlive the holder

Nobody counted the callers who were away, and the next lease holder began with an empty line.

Cause: the lease holder knows the line and published only loads that were planned. An instance reported who waits, not who was told to come back, nor since when.

- placement_turns.ready_times_s foretells the turns of all models in line, at the engines that load by age; they are published like planned loads.
A model stays in line, and loaded, for callers who are away.

--- a/sesamecross/core/fleet_messages.py
+++ b/sesamecross/core/fleet_messages.py
@@ -70,6 +70,10 @@
         still wait; negative if all are late.
       patient_millirate: Patient requests in 1,000 s; they are not in `rate`.
         Integers, as a 0 takes one byte and most rows have no such request.
+      returning: Callers that were told to retry once the target is loaded, and
+        have not yet.
+      missed_ms: For how long callers have asked for it and none was served; 0
+        below `ops.fleet.demand.MIN_MISSED_S`.
     """
 
     service: str
@@ -82,6 +86,8 @@
     patient_waiting: int = 0
     patient_left_ms: int = 0
     patient_millirate: int = 0
+    returning: int = 0
+    missed_ms: int = 0
 
 
 class UpstreamOutcomes(msgspec.Struct, frozen=True, array_like=True):
--- a/sesamecross/fakes/placement_fleet.py
+++ b/sesamecross/fakes/placement_fleet.py
@@ -19,7 +19,6 @@
 from sesamecross.ops.fleet import load_budget
 from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_steps
-from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
 from sesamecross.ops.fleet import placement_turns
 from sesamecross.ops.fleet import placement_types
@@ -86,6 +85,9 @@
       bursts: Start, end and factor of patient rates beyond the usual one.
       lost: Times at which the engine under the latest group's load is lost.
       holder_changes: Times at which another instance becomes lease holder.
+      retries: How often a caller sends a refused request again, after a third
+        of the time that it has left at the latest; if None, always after the
+        time that it was told, as long as it has time.
     """
 
     urgent_rate: float = 258.0
@@ -96,6 +98,7 @@
     bursts: tuple[tuple[float, float, float], ...] = ()
     lost: tuple[float, ...] = ()
     holder_changes: tuple[float, ...] = ()
+    retries: int | None = None
     urgent_kind: Kind = URGENT
     patient_kind: Kind = PATIENT
 
@@ -133,6 +136,7 @@
 
     Attributes:
       retry_s: When the caller sends it again; 0 while it waits here.
+      retries: How often the caller was told to send it again.
       is_waiting: Whether it is counted as waiting for a load.
     """
 
@@ -142,6 +146,7 @@
     attempt_s: float
     is_patient: bool
     retry_s: float = 0.0
+    retries: int = 0
     is_waiting: bool = False
 
     @property
@@ -196,6 +201,10 @@
     Attributes:
       urgent_found: Urgent requests that were sent in their first attempt.
       refused: Answers that told a caller to retry.
+      held_in_vain_s: For how long each patient request was held that was
+        refused then.
+      refused_again: Patient requests that came back for a model when they were
+        told, and were refused again.
       group_loads: Loads planned for groups, by reason.
       models: What the callers of each model saw, the warm-up included.
     """
@@ -206,6 +215,8 @@
     patient_on_time: int = 0
     patient_late: int = 0
     refused: int = 0
+    held_in_vain_s: list[float] = []
+    refused_again: int = 0
     store_loads: int = 0
     copy_loads: int = 0
     seconds: float = 0.0
@@ -237,6 +248,11 @@
         """Returns for how long callers of any model asked in vain at most."""
         return max((one.missed_s for one in self.models.values()), default=0.0)
 
+    @property
+    def mean_held_in_vain_s(self) -> float:
+        """Returns for how long refused patient requests were held."""
+        return sum(self.held_in_vain_s) / max(1, len(self.held_in_vain_s))
+
     @property
     def urgent_share(self) -> float:
         """Returns the share of urgent requests that find their model."""
@@ -270,7 +286,10 @@
             f"{self.patient_served_share:.3f} of {self.patient}, "
             f"loads {self.loads_per_s:.2f}/s "
             f"of them from the store {self.store_loads_per_s:.2f}/s, "
-            f"refused {self.refused}, groups {dict(self.group_loads)}, "
+            f"refused {self.refused}, patient ones after "
+            f"{self.mean_held_in_vain_s:.1f} s, {self.refused_again} of "
+            f"{len(self.held_in_vain_s)} again, "
+            f"groups {dict(self.group_loads)}, "
             f"{len(self.never_served)} of {len(self.asked_throughout)} models "
             f"never served, longest miss {self.longest_miss_s:.1f} s"
         )
@@ -551,7 +570,7 @@
             )
         if isinstance(decision, wait_policy.RetryAfter):
             self._set_waiting(request, False)
-            self._refuse(request, decision.after_s)
+            self._refuse_missing(request, decision.after_s)
             return True
         self._set_waiting(request, True)
         return False
@@ -580,6 +599,7 @@
         self._ends.append((self.now_s + kind.place_s, name, request.model))
         key = (SERVICE, request.model)
         self._meter.record_service_time(key, kind.place_s)
+        self._meter.record_prompt(key, PREFILL_S)
         is_late = self.now_s > patient_demand.due_to_send_s(
             kind.route, request.arrived_s
         )
@@ -593,8 +613,26 @@
         else:
             self.result.patient_on_time += 1
 
+    def _refuse_missing(self, request: Request, after_s: float) -> None:
+        """Refuses a request whose model is not loaded in time."""
+        if self._counts and request.kind is self._load.patient_kind:
+            self.result.held_in_vain_s.append(self.now_s - request.attempt_s)
+            self.result.refused_again += request.attempt_s > request.arrived_s
+        returns_s = self.now_s + wait_policy.retry_after_s(
+            after_s, request.deadline_s, self.now_s
+        )
+        self._meter.record_refusal((SERVICE, request.model), returns_s)
+        self._refuse(request, after_s)
+
     def _refuse(self, request: Request, after_s: float) -> None:
         self.result.refused += self._counts
+        if self._load.retries is not None:
+            after_s = wait_policy.retry_after_s(
+                after_s, request.deadline_s, self.now_s
+            )
+            if request.retries >= self._load.retries:
+                return
+        request.retries += 1
         request.retry_s = self.now_s + after_s
         if request.retry_s < request.deadline_s:
             self._retries.append(request)
@@ -701,7 +739,7 @@
             self._target = placement_target.fill_free_room(inputs)
         self._expected = {
             name: {model: self.now_s + one for model, one in waits.items()}
-            for name, waits in placement_swaps.ready_times_s(
+            for name, waits in placement_turns.ready_times_s(
                 inputs, self._target
             ).items()
         }
--- a/sesamecross/gateway/engine_search.py
+++ b/sesamecross/gateway/engine_search.py
@@ -366,6 +366,8 @@
         if isinstance(decision, wait_policy.RetryAfter):
             self.retry_after_s = decision.after_s
             self._limit = self._wait_limit(choice)
+            if choice is None and self.origin is None:
+                self._record_return(decision.after_s, now_s)
             return False
         with self._counted_as_waiting(choice):
             try:
@@ -396,6 +398,14 @@
             finally:
                 demand.adjust_waiting(self.demand_key, -1)
 
+    def _record_return(self, after_s: float, now_s: float) -> None:
+        """Counts the caller among those that are to return for the model."""
+        after_s = wait_policy.retry_after_s(after_s, self._deadline_s, now_s)
+        if now_s + after_s < self._deadline_s:
+            self._context.demand.record_refusal(
+                self.demand_key, now_s + after_s
+            )
+
     async def _wait_for_backoff(self, now_s: float) -> bool:
         """Waits until an engine wants requests again, if that is in time.
 
--- a/sesamecross/gateway/engine_search_test.py
+++ b/sesamecross/gateway/engine_search_test.py
@@ -488,9 +488,17 @@
     models: int = 4,
     loaded_s: float | None = None,
     origin: stream_origins.StreamOrigin | None = None,
+    expected_s: float | None = None,
 ):
     """Searches an engine for a patient request whose model nobody holds.
 
+    Args:
+      deadline_s: When the caller gives up.
+      models: How many models are declared.
+      loaded_s: When an engine holds the model.
+      origin: Where the request's stream began.
+      expected_s: When the lease holder expects the model, if it has said so.
+
     Returns:
       The search, the engine found, what was asked for, the demand rows after
       1 s, and the time until it ended.
@@ -518,6 +526,10 @@
     hold("n")
     if loaded_s is not None:
         searches.loop.call_at(loaded_s, hold, "m")
+    if expected_s is not None:
+        searches.state.directory.get("e1").engine.apply_placement(
+            fm.EnginePlacement("e1", 1, 0, ["n"], [], [("m", expected_s)]), 0.0
+        )
     asked: list = []
     searches._context.request_placement = lambda *request: asked.append(request)
     search = engine_search.EngineSearch(
@@ -564,6 +576,23 @@
     assert search.retry_after_s >= LOAD_S
 
 
+@pytest.mark.parametrize(
+    ("expected_s", "after_s"), [(25.0, 25.0), (21.0, 21.0)]
+)
+def test_callers_whose_turn_is_too_late_are_told_and_expected_back(
+    expected_s, after_s
+):
+    """Guards against callers who are held in vain, and then forgotten."""
+    search, found, _, rows, took_s = search_patient(20.0, expected_s=expected_s)
+    assert found is None
+    assert took_s == pytest.approx(0.0, abs=0.001)
+    assert search.retry_after_s == pytest.approx(after_s)
+    assert logged_limit(search) == wait_policy.Limit.PLANNED_LATE.value
+    (row,) = search._context.demand.rows(1.0)
+    assert (row.patient_waiting, row.returning) == (0, 1)
+    assert row.missed_ms == 1000
+
+
 def test_requests_are_not_held_where_all_models_fit():
     """Guards against a change for deployments that hold all their models."""
     search, found, asked, _, took_s = search_patient(20.0, models=3)
--- a/sesamecross/gateway/placement_controller.py
+++ b/sesamecross/gateway/placement_controller.py
@@ -25,8 +25,8 @@
 from sesamecross.ops.fleet import load_budget
 from sesamecross.ops.fleet import patient_demand
 from sesamecross.ops.fleet import placement_steps
-from sesamecross.ops.fleet import placement_swaps
 from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_turns
 from sesamecross.ops.fleet import placement_types
 from sesamecross.ops.fleet import wait_policy
 from sesamecross.runtime import event_loop
@@ -520,7 +520,7 @@
         if self._targets.get(service) != target:
             self._log_target(service, inputs, target)
         self._targets[service] = target
-        for name, waits in placement_swaps.ready_times_s(
+        for name, waits in placement_turns.ready_times_s(
             inputs, target
         ).items():
             self._expected_loads[name] = {
--- a/sesamecross/ops/fleet/demand.py
+++ b/sesamecross/ops/fleet/demand.py
@@ -20,6 +20,12 @@
 LATE_WEIGHT = 0.1
 # Weight of the newest request in the averages of service and prefill time.
 TIME_WEIGHT = 0.1
+# A caller that has not retried within this after the time that it was told is
+# not expected any more.
+RETURN_GRACE_S = 1.0
+# A target that callers have asked for in vain for less than this is not
+# reported as missed: most requests are sent sooner.
+MIN_MISSED_S = 1.0
 
 Key = tuple[str, str]
 
@@ -35,6 +41,15 @@
     patient_at_s: float = 0.0
     # When the patient requests that wait must be sent to be on time.
     patient_due_s: list[float] = []
+    # Refused callers by the second until which they are expected.
+    returning: dict[int, int] = {}
+    # Since when no request for the target was sent; None if there was none.
+    missed_since_s: float | None = None
+
+    def note_asked(self, now_s: float) -> None:
+        """Records that a request for the target has arrived."""
+        if self.missed_since_s is None:
+            self.missed_since_s = now_s
 
     def rate_at(self, now_s: float) -> float:
         """Returns the rate, decayed to now."""
@@ -45,6 +60,19 @@
         elapsed_s = now_s - self.patient_at_s
         return self.patient_rate * math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
 
+    def returning_at(self, now_s: float) -> int:
+        """Returns the refused callers that are still expected."""
+        for second in [one for one in self.returning if one <= now_s]:
+            del self.returning[second]
+        return sum(self.returning.values())
+
+    def missed_ms(self, now_s: float) -> int:
+        """Returns for how long none was served, or 0 if that is short."""
+        if self.missed_since_s is None:
+            return 0
+        missed_s = now_s - self.missed_since_s
+        return _milliseconds(missed_s) if missed_s >= MIN_MISSED_S else 0
+
 
 class DemandMeter:
     """Demand by service and target."""
@@ -66,6 +94,7 @@
         meter = self._meters.setdefault(key, _Meter())
         meter.rate = meter.rate_at(now_s) + 1.0 / RATE_TIME_CONSTANT_S
         meter.at_s = now_s
+        meter.note_asked(now_s)
         meter.read_s = meter.read_s or read_s
 
     def record_patient_request(
@@ -83,6 +112,7 @@
             meter.patient_rate_at(now_s) + 1.0 / RATE_TIME_CONSTANT_S
         )
         meter.patient_at_s = now_s
+        meter.note_asked(now_s)
         meter.read_s = meter.read_s or read_s
 
     def begin_patient_wait(self, key: Key, due_s: float) -> None:
@@ -102,6 +132,17 @@
         """Records that a request starts (1) or stops (-1) waiting."""
         self._meters.setdefault(key, _Meter()).waiting += change
 
+    def record_refusal(self, key: Key, returns_s: float) -> None:
+        """Counts a caller that is to retry once the target is loaded.
+
+        Args:
+          key: The requested service and target.
+          returns_s: The monotonic time that it was told.
+        """
+        returning = self._meters.setdefault(key, _Meter()).returning
+        until = math.ceil(returns_s + RETURN_GRACE_S)
+        returning[until] = returning.get(until, 0) + 1
+
     def record_outcome(self, key: Key, was_late: bool) -> None:
         """Records whether a request missed its latency objective."""
         meter = self._meters.setdefault(key, _Meter())
@@ -118,6 +159,7 @@
         """Records the expected prefill time of a prompt that is sent."""
         meter = self._meters.setdefault(key, _Meter(read_s=read_s))
         meter.read_s += (read_s - meter.read_s) * TIME_WEIGHT
+        meter.missed_since_s = None
 
     def rows(self, now_s: float) -> list[fm.TargetDemand]:
         """Returns the current demand; drops targets that have none."""
@@ -127,10 +169,12 @@
             rate = meter.rate_at(now_s)
             patient_rate = meter.patient_rate_at(now_s)
             patient_due_s = meter.patient_due_s
+            returning = meter.returning_at(now_s)
             if (
                 max(rate, patient_rate) < MIN_RATE
                 and not meter.waiting
                 and not patient_due_s
+                and not returning
             ):
                 del self._meters[key]
                 continue
@@ -149,6 +193,8 @@
                         )
                     ),
                     round(patient_rate * 1000),
+                    returning,
+                    meter.missed_ms(now_s),
                 )
             )
         return rows
--- a/sesamecross/ops/fleet/demand_history.py
+++ b/sesamecross/ops/fleet/demand_history.py
@@ -72,6 +72,7 @@
         "_at_s",
         "_patient_rates",
         "_missing_since_s",
+        "_last_held_s",
         "_active_since_s",
         "_last_request_s",
         "_last_used_s",
@@ -83,6 +84,7 @@
         self._patient_rates: dict[Key, float] = {}
         self._at_s: float | None = None
         self._missing_since_s: dict[Key, float] = {}
+        self._last_held_s: dict[Key, float] = {}
         self._active_since_s: float | None = None
         self._last_request_s = 0.0
         # When a target was last seen in use, by engine and target.
@@ -155,6 +157,8 @@
         slots_used: dict[str, float] = {}
         prefill: dict[str, float] = {}
         waiting: dict[str, int] = {}
+        returning: dict[str, int] = {}
+        missed_s: dict[str, float] = {}
         patient: dict[str, list[fm.TargetDemand]] = {}
         for (of_service, target), demand_row in reported.items():
             if of_service == service:
@@ -173,6 +177,12 @@
                 )
                 if demand_row.patient_waiting or demand_row.patient_millirate:
                     patient.setdefault(model, []).append(demand_row)
+                returning[model] = returning.get(model, 0) + max(
+                    0, demand_row.returning
+                )
+                missed_s[model] = max(
+                    missed_s.get(model, 0.0), demand_row.missed_ms / 1e3
+                )
                 if model == target:
                     waiting[model] = waiting.get(model, 0) + demand_row.waiting
         for of_service, target, _ in requested_targets:
@@ -194,6 +204,7 @@
                 or waiting.get(name)
                 or patient_rate
                 or group_size
+                or returning.get(name)
             )
             demand[name] = placement_types.ModelDemand(
                 rates.get(name, 0.0),
@@ -206,7 +217,9 @@
                 ),
                 waiting.get(name, 0),
                 late.get(name, 0.0) / max(rates.get(name, 0.0), 1e-9),
-                self._missed_s(service, name, is_asked, name in held, now_s),
+                self._missed_s(
+                    key, is_asked, name in held, missed_s.get(name, 0.0), now_s
+                ),
                 patient_rate,
                 group_size,
                 patient_demand.least_left_s(
@@ -214,27 +227,40 @@
                     for row in patient.get(name, ())
                     if row.patient_waiting > 0
                 ),
+                returning.get(name, 0),
             )
         return demand
 
     def _missed_s(
         self,
-        service: str,
-        name: str,
+        key: Key,
         is_asked: bool,
         is_held: bool,
+        reported_s: float,
         now_s: float,
     ) -> float:
         """Returns for how long callers have asked for a model in vain.
 
-        Refused callers who are to come back still count, as long as their
-        requests show in the smoothed rates.
+        What instances report counts too: a new lease holder has not seen when
+        the model was missed first. Refused callers who are to come back count,
+        as long as their requests show in the smoothed rates.
+
+        Args:
+          key: The service and the model.
+          is_asked: Whether callers ask for it, or are to come back for it.
+          is_held: Whether some engine holds it.
+          reported_s: The longest time for which an instance's callers miss it.
+          now_s: Monotonic time.
         """
-        key = (service, name)
+        if is_held:
+            self._last_held_s[key] = now_s
         if is_held or not is_asked:
             self._missing_since_s.pop(key, None)
             return 0.0
-        return now_s - self._missing_since_s.setdefault(key, now_s)
+        since_s = max(now_s - reported_s, self._last_held_s.get(key, -math.inf))
+        since_s = min(since_s, self._missing_since_s.get(key, now_s))
+        self._missing_since_s[key] = since_s
+        return now_s - since_s
 
     def _smooth(
         self,
--- a/sesamecross/ops/fleet/load_turns.py
+++ b/sesamecross/ops/fleet/load_turns.py
@@ -25,8 +25,8 @@
     """Returns the models that callers miss, the longest missed first.
 
     These are the models that fit on an engine, that none holds, and that
-    requests wait for or for which a load is under way. They get in line once a
-    load by value has had time to begin.
+    requests wait for or are to come back for, or for which a load is under way.
+    They get in line once a load by value has had time to begin.
     """
     held: set[str] = set()
     loading: set[str] = set()
@@ -38,7 +38,7 @@
             name
             for name, demand in inputs.demand.items()
             if name not in held
-            and (demand.has_waiting or name in loading)
+            and (demand.is_awaited or name in loading)
             and demand.missed_s >= VALUE_FIRST_S
             and inputs.size(name) <= inputs.spec.weights_mb
         ),
--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -6,7 +6,10 @@
 from sesamecross.fakes import placement_fleet
 from sesamecross.fakes import placement_samples as samples
 from sesamecross.ops.fleet import load_turns
+from sesamecross.ops.fleet import patient_demand
+from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_target
+from sesamecross.ops.fleet import placement_turns
 from sesamecross.ops.fleet import placement_types
 
 # Of the models that are asked for throughout a run, this many and this share
@@ -35,6 +38,8 @@
     ),
 )
 RUN_S = 37.0
+# What the lease holder may take to learn of a request and to publish a plan.
+MAX_HELD_IN_VAIN_S = load_turns.VALUE_FIRST_S + patient_demand.DECISION_LAG_S
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -72,6 +77,36 @@
     )
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("deployment", "load"),
+    [
+        pytest.param(SLOW_LOADS, FEW_BUSY, id="loads-beyond-the-objective"),
+        pytest.param(QUICK_LOADS, SHORT_OBJECTIVE, id="loads-within-it"),
+        pytest.param(
+            SLOW_LOADS,
+            msgspec.structs.replace(FEW_BUSY, lost=(3.0, 4.0, 8.0)),
+            id="engines-lost",
+        ),
+        pytest.param(
+            SLOW_LOADS,
+            msgspec.structs.replace(FEW_BUSY, holder_changes=(4.0, 14.0)),
+            id="holder-changed",
+        ),
+    ],
+)
+def test_callers_are_not_held_for_a_turn_that_comes_too_late(
+    deployment, load, seed
+):
+    """Guards against callers who wait for seconds and are refused then."""
+    load = msgspec.structs.replace(load, retries=1)
+    simulation = placement_fleet.FleetSimulation(deployment, load, seed, True)
+    result = simulation.run(RUN_S)
+    print(result)
+    assert result.held_in_vain_s
+    assert result.mean_held_in_vain_s <= MAX_HELD_IN_VAIN_S
+
+
 def missed(missed_s: float, patient: int = 1) -> placement_types.ModelDemand:
     """Returns the demand of late patient requests for a missed model."""
     return placement_types.ModelDemand(
@@ -97,6 +132,48 @@
     assert "rare" in target["e1"]
 
 
+def test_a_model_stays_in_line_while_its_callers_are_away():
+    """Guards against models that are left out as nobody waits just now."""
+    away = msgspec.structs.replace(missed(12.0, patient=0), returning=2)
+    inputs = samples.inputs(
+        [samples.engine("e1", "busy", "stays")],
+        {"rare": away, "other": missed(9.0), "idle": missed(20.0, patient=0)},
+        {"e1": ["busy", "stays"]},
+    )
+    assert load_turns.line(inputs) == ["rare", "other"]
+    target = placement_target.plan_target(inputs)
+    assert "rare" in target["e1"]
+    # Nor does it lose its place before they return.
+    planned = msgspec.structs.replace(inputs, target=target)
+    assert "rare" in placement_target.plan_target(planned)["e1"]
+
+
+def test_models_in_line_are_expected_one_after_the_other():
+    """Guards against callers who are told nothing, or a time that is no turn.
+
+    Of two engines one loads by age, and each load takes 2 s.
+    """
+    inputs = samples.inputs(
+        [samples.engine("e1", "busy", "stays"), samples.engine("e2", "idle")],
+        {
+            "rare": missed(12.0),
+            "other": missed(9.0, patient=60),
+            "stays-too": missed(7.0),
+        },
+        {"e1": ["busy", "stays"], "e2": ["idle", "rare"]},
+    )
+    times = placement_turns.ready_times_s(inputs, inputs.target)
+    takes_s = samples.LOAD_S + placement_draft.UNLOAD_S
+    assert times["e1"] == {}
+    assert times["e2"] == pytest.approx(
+        {
+            "rare": samples.LOAD_S,
+            "other": samples.LOAD_S + takes_s,
+            "stays-too": samples.LOAD_S + 2 * takes_s,
+        }
+    )
+
+
 def test_a_model_that_fits_on_no_engine_takes_no_turn():
     """Guards against a line that stands still behind a model too large."""
     inputs = samples.inputs(
--- a/sesamecross/ops/fleet/placement_draft.py
+++ b/sesamecross/ops/fleet/placement_draft.py
@@ -283,7 +283,7 @@
     ]
     if name in draft.turns and not others:
         return None
-    if not demand.is_in_demand and demand.patient_waiting and not others:
+    if not demand.is_in_demand and demand.is_awaited and not others:
         return max(PATIENT_VALUE, demand.group_value)
     if not demand.is_in_demand and demand.patient_rate >= data.MIN_DEMAND_RATE:
         is_used = draft.running(instance_id, name) > 0
--- a/sesamecross/ops/fleet/placement_steps.py
+++ b/sesamecross/ops/fleet/placement_steps.py
@@ -153,7 +153,7 @@
         replica_value = placement_draft.IDLE_VALUE
         if demand.is_in_demand:
             replica_value = max(replica_value, demand.value)
-        if demand.patient_waiting:
+        if demand.patient_waiting or demand.returning:
             replica_value = max(replica_value, demand.group_value)
             return replica_value, "is waited for by patient requests"
         return replica_value, "is held nowhere"
--- a/sesamecross/ops/fleet/placement_turns.py
+++ b/sesamecross/ops/fleet/placement_turns.py
@@ -1,15 +1,20 @@
-"""Plans the loads of models whose turn has come.
+"""Plans the loads of models whose turn has come, and foretells later turns.
 
 Whose turn it is is decided by `load_turns`; this module finds the engine where
-the load costs all callers least.
+the load costs all callers least. Callers of a model that is further back in the
+line are told when it is expected, so that they need not wait in vain.
 """
 
 from collections.abc import Callable
+import heapq
 
 import msgspec
 
+from sesamecross.ops.fleet import load_turns
 from sesamecross.ops.fleet import placement_draft
 from sesamecross.ops.fleet import placement_places
+from sesamecross.ops.fleet import placement_swaps
+from sesamecross.ops.fleet import placement_types as data
 
 
 class Turn(msgspec.Struct, frozen=True):
@@ -57,6 +62,53 @@
         )
 
 
+def ready_times_s(
+    inputs: data.Inputs, target: data.PlacementTarget
+) -> dict[str, dict[str, float]]:
+    """Returns the seconds until models are loaded, by engine and model.
+
+    These are the models that an engine should hold and has not begun to load,
+    and the models in line, each at the engine that is free for it first.
+    """
+    times = placement_swaps.ready_times_s(inputs, target)
+    line = load_turns.line(inputs)
+    turns = set(load_turns.first_in_line(inputs))
+    expected = {name for planned in times.values() for name in planned}
+    engines = {}
+    # When engines that load by age have loaded the models whose turn it is.
+    free: list[tuple[float, str]] = []
+    for engine in inputs.engines:
+        if engine.is_leaving:
+            continue
+        engines[engine.name] = engine
+        loading = engine.inventory.loading
+        expected.update(loading)
+        ends_s = [
+            at_s - inputs.now_s
+            for name, at_s in loading.items()
+            if name in turns
+        ]
+        ends_s += [
+            at_s
+            for name, at_s in times.get(engine.name, {}).items()
+            if name in turns
+        ]
+        if ends_s:
+            free.append((max(0.0, *ends_s), engine.name))
+    heapq.heapify(free)
+    for name in line:
+        if not free:
+            break
+        if name in expected:
+            continue
+        free_s, instance_id = free[0]
+        takes_s, _ = inputs.load_time(engines[instance_id], name)
+        ready_s = free_s + placement_draft.UNLOAD_S + takes_s
+        times[instance_id][name] = ready_s
+        heapq.heapreplace(free, (ready_s, instance_id))
+    return times
+
+
 def _best_place(
     draft: placement_draft.Draft, name: str
 ) -> placement_places.Place | None:
--- a/sesamecross/ops/fleet/placement_types.py
+++ b/sesamecross/ops/fleet/placement_types.py
@@ -45,6 +45,7 @@
         `waiting`.
       patient_left_s: How long the most urgent of them that is not late can
         still wait; negative if all are late.
+      returning: Refused callers that are to come back for it.
     """
 
     rate: float
@@ -56,6 +57,7 @@
     patient_rate: float = 0.0
     patient_waiting: int = 0
     patient_left_s: float = 0.0
+    returning: int = 0
 
     @property
     def is_in_demand(self) -> bool:
@@ -70,18 +72,26 @@
 
     @property
     def has_callers(self) -> bool:
-        """Whether it is in demand, or patient requests wait for it."""
-        return self.is_in_demand or self.patient_waiting > 0
+        """Whether it is in demand, or requests wait or are to return for it."""
+        return self.is_in_demand or self.is_awaited
 
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits until it is loaded."""
         return self.waiting > 0 or self.patient_waiting > 0
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether any request waits until it is loaded, or is to come back."""
+        return self.has_waiting or self.returning > 0
+
     @property
     def group_value(self) -> float:
-        """Value of its waiting patient requests, in requests per second."""
-        return self.patient_waiting / GROUP_HORIZON_S
+        """Value of its patient requests that wait or are to return.
+
+        In requests per second.
+        """
+        return (self.patient_waiting + self.returning) / GROUP_HORIZON_S
 
     @property
     def load_value(self) -> float:
--- a/sesamecross/ops/fleet/report_totals.py
+++ b/sesamecross/ops/fleet/report_totals.py
@@ -206,6 +206,8 @@
         known.patient_waiting + entry.patient_waiting,
         _least_left_ms(known, entry),
         known.patient_millirate + entry.patient_millirate,
+        known.returning + entry.returning,
+        max(known.missed_ms, entry.missed_ms),
     )
 
 
--- a/sesamecross/ops/fleet/wait_policy.py
+++ b/sesamecross/ops/fleet/wait_policy.py
@@ -39,7 +39,8 @@
 # Expected time until a model without a planned load is available: the requests
 # of a model that is evicted take 2 to 4 s to end, and the load 0.5 to 4 s.
 UNPLANNED_RETRY_AFTER_S = 4.0
-# Callers retry after at most this share of their remaining time.
+# Callers retry after at most this share of their remaining time, whatever they
+# are told.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 MIN_RETRY_AFTER_S = 0.1
 
