Turns: a late place costs all models that are in line behind

Cause: the engine for a turn was chosen by the loss of the models that make way and by the delay of the turn's own few callers. That the delay moves all turns behind it counted for nothing, so a turn went to the cheapest place, not to an engine that could begin.

A second of delay now costs the value of all models behind, divided by the turns that are taken at a time.

--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -148,6 +148,33 @@
     assert "rare" in placement_target.plan_target(planned)["e1"]
 
 
+@pytest.mark.parametrize(
+    ("behind", "expected"), [((), "e1"), (("other", "idle"), "e2")]
+)
+def test_a_turn_does_not_wait_at_one_engine_while_many_are_in_line(
+    behind, expected
+):
+    """Guards against turns that are planned where another load goes first.
+
+    The engine with the cheapest place loads another model for 6 s.
+    """
+    loading = samples.engine("e1", "stays")
+    loading.inventory.loading["busy"] = 6.0
+    inputs = samples.inputs(
+        [loading, samples.engine("e2", "stays-too", "used")],
+        {"stays-too": samples.demand(0.2), "used": samples.demand(0.2)}
+        | {"rare": missed(12.0)}
+        | {name: missed(5.0, patient=8) for name in behind},
+        {"e1": ["busy", "stays"], "e2": ["stays-too", "used"]},
+    )
+    sizes = samples.MODEL_SIZES_MB | {"used": 40.0}
+    inputs = msgspec.structs.replace(inputs, spec=samples.spec(sizes))
+    target = placement_target.plan_target(inputs)
+    assert [name for name, held in target.items() if "rare" in held] == [
+        expected
+    ]
+
+
 def test_models_in_line_are_expected_one_after_the_other():
     """Guards against callers who are told nothing, or a time that is no turn.
 
--- a/sesamecross/ops/fleet/placement_turns.py
+++ b/sesamecross/ops/fleet/placement_turns.py
@@ -43,10 +43,11 @@
       draft: The target to change, before any load is planned by value.
       on_turn: Called with each load that is planned.
     """
+    behind_value = _value_behind(draft)
     for name in draft.turns:
         if draft.replicas.get(name) != set():
             continue
-        place = _best_place(draft, name)
+        place = _best_place(draft, name, behind_value)
         if place is None:
             continue
         placement_places.apply(draft, place, name)
@@ -109,11 +110,22 @@
     return times
 
 
+def _value_behind(draft: placement_draft.Draft) -> float:
+    """Returns the value of the models in line that wait for one of the turns.
+
+    In requests per second: a second more for one turn is a second more for all
+    models that are loaded after it at the same engine.
+    """
+    behind = set(load_turns.line(draft.inputs)).difference(draft.turns)
+    total = sum(draft.inputs.demand_for(name).load_value for name in behind)
+    return total / max(1, len(draft.turns))
+
+
 def _best_place(
-    draft: placement_draft.Draft, name: str
+    draft: placement_draft.Draft, name: str, behind_value: float
 ) -> placement_places.Place | None:
     """Returns the place for a model that costs all callers least."""
-    value = draft.inputs.demand_for(name).load_value
+    value = draft.inputs.demand_for(name).load_value + behind_value
     return placement_places.best(
         draft,
         name,
