Turns: engines are counted by the time that callers have left

What callers saw: where loads are short, a model whose callers had been told a time was loaded later than that, as the engines that load by age became fewer while the line shrank.

Cause: as many engines loaded by age as it takes to load the whole line within callers' patience from now on. Those in line have waited for a part of it already, so each plan gave them their patience anew.

The time that is left to those who came first counts now, for each model and those before it; the bound of half of the engines stays.

Two cases of test_engines_load_by_age_as_callers_patience_needs say it; one of them failed before. The table's case that asked for one engine for four models whose callers had waited for half of their patience asked for the fault; it has two engines now, and the same without the wait one.

--- a/sesamecross/ops/fleet/load_turns.py
+++ b/sesamecross/ops/fleet/load_turns.py
@@ -52,11 +52,27 @@
     engines = sum(not engine.is_leaving for engine in inputs.engines)
     most = max(1, int(engines * MAX_TURN_SHARE))
     if inputs.patience_s > 0:
-        needed_s = sum(_load_s(inputs, name) for name in names)
-        most = min(most, math.ceil(needed_s / inputs.patience_s))
+        most = min(most, _engines_needed(inputs, names))
     return names[:most]
 
 
+def _engines_needed(inputs: data.Inputs, names: list[str]) -> int:
+    """Returns how many engines load each model while its callers wait.
+
+    What counts is the time that is left to those who came first: engines that
+    would load all models within the callers' patience from now on would be too
+    few for callers who have waited already.
+    """
+    needed = 0
+    loads_s = 0.0
+    for name in names:
+        load_s = _load_s(inputs, name)
+        loads_s += load_s
+        left_s = inputs.patience_s - inputs.demand_for(name).missed_s
+        needed = max(needed, math.ceil(loads_s / max(left_s, load_s, 1e-3)))
+    return needed
+
+
 def _load_s(inputs: data.Inputs, name: str) -> float:
     """Returns the longest time that a load of a model takes."""
     model = inputs.spec.models.get(name)
--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -229,18 +229,27 @@
 
 
 @pytest.mark.parametrize(
-    ("missing", "patience_s", "expected"),
+    ("missing", "missed_s", "patience_s", "expected"),
     # Loads take 2 s, and half of the four engines may load by age.
-    [(0, 10.0, 0), (1, 10.0, 1), (4, 10.0, 1), (4, 5.0, 2), (4, 0.0, 2)],
+    [
+        (0, 5.0, 10.0, 0),
+        (1, 5.0, 10.0, 1),
+        (4, 1.0, 10.0, 1),
+        # Their first callers have half of their time left.
+        (4, 5.0, 10.0, 2),
+        (1, 12.0, 10.0, 1),
+        (4, 1.0, 5.0, 2),
+        (4, 1.0, 0.0, 2),
+    ],
 )
 def test_engines_load_by_age_as_callers_patience_needs(
-    missing, patience_s, expected
+    missing, missed_s, patience_s, expected
 ):
     """Guards against turns that take more engines than callers need."""
     names = ("rare", "other", "idle", "stays-too")[:missing]
     inputs = samples.inputs(
         [samples.engine(f"e{number}", "busy", "stays") for number in range(4)],
-        {name: missed(5.0) for name in names},
+        {name: missed(missed_s) for name in names},
         {},
     )
     inputs = msgspec.structs.replace(inputs, patience_s=patience_s)
