--- a/sesamecross/ops/fleet/demand_history.py
+++ b/sesamecross/ops/fleet/demand_history.py
@@ -84,6 +84,7 @@
         self._patient_rates: dict[Key, float] = {}
         self._at_s: float | None = None
         self._missing_since_s: dict[Key, float] = {}
+        # When some engine held a model last.
         self._last_held_s: dict[Key, float] = {}
         self._active_since_s: float | None = None
         self._last_request_s = 0.0
@@ -227,7 +228,7 @@
                     for row in patient.get(name, ())
                     if row.patient_waiting > 0
                 ),
-                returning.get(name, 0),
+                min(returning.get(name, 0), patient_demand.MAX_GROUP),
             )
         return demand
 
@@ -242,8 +243,7 @@
         """Returns for how long callers have asked for a model in vain.
 
         What instances report counts too: a new lease holder has not seen when
-        the model was missed first. Refused callers who are to come back count,
-        as long as their requests show in the smoothed rates.
+        the model was missed first.
 
         Args:
           key: The service and the model.
--- a/sesamecross/ops/fleet/placement_turns.py
+++ b/sesamecross/ops/fleet/placement_turns.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import heapq
 
 import msgspec
@@ -72,32 +74,17 @@
     and the models in line, each at the engine that is free for it first.
     """
     times = placement_swaps.ready_times_s(inputs, target)
-    line = load_turns.line(inputs)
-    turns = set(load_turns.first_in_line(inputs))
+    engines = {
+        engine.name: engine
+        for engine in inputs.engines
+        if not engine.is_leaving
+    }
     expected = {name for planned in times.values() for name in planned}
-    engines = {}
-    # When engines that load by age have loaded the models whose turn it is.
-    free: list[tuple[float, str]] = []
-    for engine in inputs.engines:
-        if engine.is_leaving:
-            continue
-        engines[engine.name] = engine
-        loading = engine.inventory.loading
-        expected.update(loading)
-        ends_s = [
-            at_s - inputs.now_s
-            for name, at_s in loading.items()
-            if name in turns
-        ]
-        ends_s += [
-            at_s
-            for name, at_s in times.get(engine.name, {}).items()
-            if name in turns
-        ]
-        if ends_s:
-            free.append((max(0.0, *ends_s), engine.name))
+    for engine in engines.values():
+        expected.update(engine.inventory.loading)
+    free = _ends_of_turns_s(inputs, engines.values(), times)
     heapq.heapify(free)
-    for name in line:
+    for name in load_turns.line(inputs):
         if not free:
             break
         if name in expected:
@@ -110,6 +97,38 @@
     return times
 
 
+def _ends_of_turns_s(
+    inputs: data.Inputs,
+    engines: Iterable[data.Engine],
+    planned: Mapping[str, Mapping[str, float]],
+) -> list[tuple[float, str]]:
+    """Returns when engines will have loaded the models whose turn it is.
+
+    Args:
+      inputs: What is known.
+      engines: The engines to consider.
+      planned: Seconds until planned models are loaded, by engine and model.
+
+    Returns:
+      Seconds from now and the engine, for those that load by age.
+    """
+    turns = set(load_turns.first_in_line(inputs))
+    ends = []
+    for engine in engines:
+        loading_s = {
+            name: max(0.0, at_s - inputs.now_s)
+            for name, at_s in engine.inventory.loading.items()
+        }
+        own_s = [
+            ready_s
+            for name, ready_s in (loading_s | planned[engine.name]).items()
+            if name in turns
+        ]
+        if own_s:
+            ends.append((max(own_s), engine.name))
+    return ends
+
+
 def _value_behind(draft: placement_draft.Draft) -> float:
     """Returns the value of the models in line that wait for one of the turns.
 
