Test of pauses: the busiest upstream is looked for once requests have arrived

Its log shows both upstreams of the service answering with 200 in each second of the pause, so neither had asked: 0.3 s after callers began no request had arrived anywhere, and the first upstream of all, of another service, counted as the busiest.

The test waits for the first requests before these 0.3 s; what it checks is unchanged.

--- a/sesamecross/gateway/upstream_pauses_test.py
+++ b/sesamecross/gateway/upstream_pauses_test.py
@@ -19,6 +19,8 @@
 # How many callers ask without a break, and how long they wait if refused.
 CALLERS = 6
 CALL_INTERVAL_S = 0.05
+# The first requests arrive long before this.
+MAX_START_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +83,17 @@
     return max(site.upstreams, key=lambda one: len(one.arrived_s))
 
 
+async def wait_for_requests(site: gateway_site.Site) -> None:
+    """Waits until requests have arrived, which takes longer on a busy machine.
+
+    Before, no upstream is the busiest one.
+    """
+    for _ in range(int(MAX_START_S / CALL_INTERVAL_S)):
+        if any(one.arrived_s for one in site.upstreams):
+            return
+        await asyncio.sleep(CALL_INTERVAL_S)
+
+
 async def prepare(site: gateway_site.Site, case: Case) -> None:
     for _ in range(case.others):
         site.add_upstream(case.service).release_answers()
@@ -99,6 +112,7 @@
             await prepare(site, case)
             front = site.gateways[0].front
             async with Callers(front, case.service) as callers:
+                await wait_for_requests(site)
                 await asyncio.sleep(0.3)
                 upstream = busiest(site)
                 upstream.pause_s = PAUSE_S
@@ -135,6 +149,7 @@
             await prepare(site, Case(service, 1))
             front = site.gateways[0].front
             async with Callers(front, service) as callers:
+                await wait_for_requests(site)
                 await asyncio.sleep(0.3)
                 upstream = busiest(site)
                 upstream.says_leaving = True
