Turns: the loads of two tests stand once; an unused field is gone

Cause: the review of the whole change. load_turns_test listed the same four deployments and loads for both simulations, and play_findings decoded a field that nothing reads.

Change: one table, LOADS, for both tests; the field is removed. Names, seeds, bounds and assertions are unchanged.

--- a/sesamecross/devtools/play_findings.py
+++ b/sesamecross/devtools/play_findings.py
@@ -25,7 +25,6 @@
 
     name: str
     seed: int | None = None
-    small_twin: bool | None = None
     rules: dict[str, object] = {}
     short: list[str] = []
     fault: str | None = None
--- a/sesamecross/ops/fleet/load_turns_test.py
+++ b/sesamecross/ops/fleet/load_turns_test.py
@@ -41,23 +41,27 @@
 # What the lease holder may take to learn of a request and to publish a plan.
 MAX_HELD_IN_VAIN_S = load_turns.VALUE_FIRST_S + patient_demand.DECISION_LAG_S
 
+LOADS = [
+    pytest.param(SLOW_LOADS, FEW_BUSY, id="loads-beyond-the-objective"),
+    pytest.param(QUICK_LOADS, SHORT_OBJECTIVE, id="loads-within-it"),
+    pytest.param(
+        SLOW_LOADS,
+        msgspec.structs.replace(FEW_BUSY, lost=(3.0, 4.0, 8.0)),
+        id="engines-lost",
+    ),
+    pytest.param(
+        SLOW_LOADS,
+        msgspec.structs.replace(FEW_BUSY, holder_changes=(4.0, 14.0)),
+        id="holder-changed",
+    ),
+]
+
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize(
     ("deployment", "load"),
     [
-        pytest.param(SLOW_LOADS, FEW_BUSY, id="loads-beyond-the-objective"),
-        pytest.param(QUICK_LOADS, SHORT_OBJECTIVE, id="loads-within-it"),
-        pytest.param(
-            SLOW_LOADS,
-            msgspec.structs.replace(FEW_BUSY, lost=(3.0, 4.0, 8.0)),
-            id="engines-lost",
-        ),
-        pytest.param(
-            SLOW_LOADS,
-            msgspec.structs.replace(FEW_BUSY, holder_changes=(4.0, 14.0)),
-            id="holder-changed",
-        ),
+        *LOADS,
         pytest.param(
             SLOW_LOADS,
             msgspec.structs.replace(FEW_BUSY, urgent_rate=75.0),
@@ -78,23 +82,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize(
-    ("deployment", "load"),
-    [
-        pytest.param(SLOW_LOADS, FEW_BUSY, id="loads-beyond-the-objective"),
-        pytest.param(QUICK_LOADS, SHORT_OBJECTIVE, id="loads-within-it"),
-        pytest.param(
-            SLOW_LOADS,
-            msgspec.structs.replace(FEW_BUSY, lost=(3.0, 4.0, 8.0)),
-            id="engines-lost",
-        ),
-        pytest.param(
-            SLOW_LOADS,
-            msgspec.structs.replace(FEW_BUSY, holder_changes=(4.0, 14.0)),
-            id="holder-changed",
-        ),
-    ],
-)
+@pytest.mark.parametrize(("deployment", "load"), LOADS)
 def test_callers_are_not_held_for_a_turn_that_comes_too_late(
     deployment, load, seed
 ):
