Stewards: a load counts as held until a report of its engine can show it

Cause: the log tells all zones at once that a load is applied; the report of an engine of another zone arrives up to half a second later, by gossip. A report that was taken during the load shows its memory in use, but not its model. So for that time the model was held nowhere in the other zone's view, its assigned engine seemed full, and the zone loaded a replica too many in the room of another model, which then displaced a third one.

Change: an applied load counts as held until a report shows it, or until a report made later does not. placement_inputs_test failed before ("report taken during the load").

--- a/sesamecross/ops/gossip.py
+++ b/sesamecross/ops/gossip.py
@@ -106,6 +106,11 @@
         item = self._items.get(key)
         return item.value if item else None
 
+    def version_of(self, key: str) -> hlc.Timestamp | None:
+        """Returns the version of the item under `key`, or None."""
+        item = self._items.get(key)
+        return item.version if item else None
+
     def with_prefix(self, prefix: str) -> Iterator[Item]:
         """Yields items whose key starts with `prefix`."""
         for key, item in self._items.items():
--- a/sesamecross/steward/engine_poller.py
+++ b/sesamecross/steward/engine_poller.py
@@ -10,6 +10,7 @@
 
 from sesamecross.core import codec
 from sesamecross.core import data
+from sesamecross.core import hlc
 from sesamecross.ops import gossip
 from sesamecross.ops import membership as membership_lib
 from sesamecross.ops import timeline
@@ -169,6 +170,10 @@
             return None
         return codec.from_plain(plain).value_or(None)
 
+    def report_version(self, upstream: str) -> hlc.Timestamp | None:
+        """Returns when the newest known report was made, or None."""
+        return self._store.version_of(REPORT_PREFIX + upstream)
+
     def reports(self) -> list[data.UpstreamReport]:
         """Returns the newest reports of all upstreams, sorted by upstream."""
         plains = [i.value for i in self._store.with_prefix(REPORT_PREFIX)]
--- a/sesamecross/steward/placement_controller.py
+++ b/sesamecross/steward/placement_controller.py
@@ -14,6 +14,7 @@
 from sesamecross.core import clock as clock_lib
 from sesamecross.core import data
 from sesamecross.core import records
+from sesamecross.ops import applied_loads
 from sesamecross.ops import intents
 from sesamecross.ops import ledger
 from sesamecross.ops import order_outcomes
@@ -55,6 +56,7 @@
         "_next_load_ms",
         "_planning_since_ms",
         "_submitted_outcomes",
+        "_applied_loads",
         "_logger",
         "shortfalls",
         "applied_order_count",
@@ -91,6 +93,8 @@
         self._planning_since_ms: int | None = None
         # Ids of orders whose outcome is queued and not yet replayed.
         self._submitted_outcomes: set[str] = set()
+        self._applied_loads = applied_loads.AppliedLoads()
+        replica.add_listener(self._applied_loads.on_record)
         self._logger = logs.get_logger("mover")
         self.shortfalls: tuple[placement.Shortfall, ...] = ()
         self.applied_order_count = 0
@@ -155,10 +159,13 @@
             usable = report is not None and report.reachable
             if not usable or report.leaving or engine.name in state.draining:
                 continue
+            unreported = self._applied_loads.unreported(
+                report, self._engine_poller.report_version(engine.name)
+            )
             accounts[engine.name] = ledger.account(
                 engine.memory_mib,
                 report,
-                intents.of_upstream(state.intents, engine.name),
+                intents.of_upstream(state.intents, engine.name) + unreported,
                 sizes,
             )
         return placement.Inputs(
