--- a/sesamecross/ops/applied_loads.py
+++ b/sesamecross/ops/applied_loads.py
@@ -51,6 +51,8 @@
     ) -> list[intents.Intent]:
         """Returns the applied loads that an engine's report can't show yet.
 
+        The others are forgotten.
+
         Args:
           report: The newest known report of the engine.
           version: When it was made. A report made after a load was resolved
--- a/sesamecross/ops/ledger.py
+++ b/sesamecross/ops/ledger.py
@@ -55,8 +55,9 @@
         where it is smaller.
       report: The engine's report, requested after each order that is not among
         `unresolved` had been resolved.
-      unresolved: Orders to this engine that may still be applied. Those of an
-        earlier epoch can't be: the engine has restarted since.
+      unresolved: Orders to this engine that may still be applied, or whose
+        effect the report can't show yet. Those of an earlier epoch can't be:
+        the engine has restarted since.
       sizes: Size in MiB by name of what is declared now.
     """
     capacity_mib = declared_mib
--- a/sesamecross/steward/placement_inputs_test.py
+++ b/sesamecross/steward/placement_inputs_test.py
@@ -45,7 +45,7 @@
     def __init__(self, zone):
         me = data.Member(data.Incarnation("s", "x"), zone, "r", "127.0.0.1:1")
         self.store = gossip.ItemStore(zone)
-        self.state = types.SimpleNamespace(
+        state = types.SimpleNamespace(
             config=types.SimpleNamespace(declarations=declarations()),
             intents=intents.IntentState(),
             draining=(),
@@ -54,7 +54,7 @@
         clock = clock_lib.SystemClock()
         recorder = timeline.Recorder("s", zone, clock)
         replica = types.SimpleNamespace(
-            state=self.state, add_listener=self._listeners.append
+            state=state, add_listener=self._listeners.append
         )
         self.controller = placement_controller.PlacementController(
             me,
